--- /dev/null
+++ b/crates/hollowford-config/src/lib.rs
@@ -0,0 +1,11 @@
+//! Settings of a process: JSON with comments, checked before use.
+
+mod policy;
+mod reader;
+mod secret;
+mod settings;
+
+pub use policy::read_policy;
+pub use reader::{Document, Node, Section, SettingsError};
+pub use secret::Secret;
+pub use settings::{Lease, Listen, PartitionBy, PlatformSettings, Settings, StoreBudget};
--- /dev/null
+++ b/crates/hollowford-config/src/settings.rs
@@ -0,0 +1,215 @@
+//! Settings of one process.
+
+use crate::policy::read_policy;
+use crate::reader::{Document, Section, SettingsError};
+use crate::secret::Secret;
+use hollowford_core::Millis;
+use hollowford_engine::Policy;
+use std::net::SocketAddr;
+
+/// Everything that a process is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Id of the process, unique in the cell.
+    pub process: String,
+    /// Availability zone of its instance.
+    pub zone: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Number of partitions, the same in every process of the cell.
+    pub partitions: u32,
+    /// How workers are divided among the partitions.
+    pub partition_by: PartitionBy,
+    /// Key shared by the processes of the cell.
+    pub peer_key: Secret,
+    /// SHA-256 of the operator token, in lower-case hex.
+    pub operator_token_sha256: String,
+    /// Ownership of partitions.
+    pub lease: Lease,
+    /// What the process may spend of the store.
+    pub store: StoreBudget,
+    /// The decisions.
+    pub policy: Policy,
+}
+
+/// Where a process listens. Port 0 lets the system choose.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// Callers and operators, by gRPC.
+    pub callers: SocketAddr,
+    /// Other processes of the cell.
+    pub peers: SocketAddr,
+    /// Metrics, health and state, by HTTP.
+    pub admin: SocketAddr,
+}
+
+/// Where the platform is.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformSettings {
+    /// The table, the objects and the instance list.
+    pub address: SocketAddr,
+    /// Longest wait for an answer.
+    pub timeout: Millis,
+}
+
+/// How workers are divided among the partitions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartitionBy {
+    /// By a hash of the instance's id.
+    Instance,
+    /// By a hash of the availability zone.
+    Zone,
+}
+
+/// Ownership of partitions.
+#[derive(Clone, Copy, Debug)]
+pub struct Lease {
+    /// How long an owner decides after it last renewed its row.
+    pub ownership: Millis,
+    /// How often it renews.
+    pub renew: Millis,
+    /// Age at which knowledge of the configuration must be confirmed before use.
+    pub config_fresh: Millis,
+}
+
+/// What the process may spend of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreBudget {
+    /// Ledger writes a second for each partition that it owns.
+    pub writes_per_second: u64,
+    /// Ledger records after which a snapshot is taken.
+    pub snapshot_records: u64,
+}
+
+const KEYS: &[&str] = &[
+    "process",
+    "zone",
+    "listen",
+    "platform",
+    "partitions",
+    "partition_by",
+    "peer_key",
+    "operator_token_sha256",
+    "lease",
+    "store",
+    "policy",
+];
+
+impl TryFrom<&str> for Settings {
+    type Error = SettingsError;
+
+    fn try_from(text: &str) -> Result<Settings, SettingsError> {
+        Document::new(text).read(read_settings)
+    }
+}
+
+fn read_settings(s: &Section<'_>) -> Result<Settings, SettingsError> {
+    s.only(KEYS)?;
+    Ok(Settings {
+        process: s.text("process", "an id that is unique in the cell")?.to_owned(),
+        zone: s.text("zone", "the availability zone of this instance")?.to_owned(),
+        listen: read_listen(s)?,
+        platform: read_platform(s)?,
+        partitions: s.number("partitions", 1, 1..=4_096)? as u32,
+        partition_by: read_partition_by(s)?,
+        peer_key: read_peer_key(s)?,
+        operator_token_sha256: read_sha256(s, "operator_token_sha256")?,
+        lease: read_lease(s)?,
+        store: read_store(s)?,
+        policy: match s.section("policy")? {
+            Some(policy) => read_policy(&policy)?,
+            None => Policy::default(),
+        },
+    })
+}
+
+fn needed<'a>(s: &Section<'a>, key: &'a str) -> Result<Section<'a>, SettingsError> {
+    let missing = || s.error(&format!("{key:?} is missing"), "see examples/ for a whole file");
+    s.section(key)?.ok_or_else(missing)
+}
+
+fn read_listen(s: &Section<'_>) -> Result<Listen, SettingsError> {
+    let l = needed(s, "listen")?;
+    l.only(&["callers", "peers", "admin"])?;
+    Ok(Listen {
+        callers: l.address("callers")?,
+        peers: l.address("peers")?,
+        admin: l.address("admin")?,
+    })
+}
+
+fn read_platform(s: &Section<'_>) -> Result<PlatformSettings, SettingsError> {
+    let p = needed(s, "platform")?;
+    p.only(&["address", "timeout_ms"])?;
+    Ok(PlatformSettings {
+        address: p.address("address")?,
+        timeout: Millis(p.number("timeout_ms", 1_000, 10..=60_000)?),
+    })
+}
+
+fn read_partition_by(s: &Section<'_>) -> Result<PartitionBy, SettingsError> {
+    match s.text_or("partition_by", "instance")? {
+        "instance" => Ok(PartitionBy::Instance),
+        "zone" => Ok(PartitionBy::Zone),
+        other => {
+            let message = format!("partition_by {other:?} is not known");
+            Err(s.error(&message, "\"instance\" or \"zone\""))
+        }
+    }
+}
+
+fn read_peer_key(s: &Section<'_>) -> Result<Secret, SettingsError> {
+    const SHORTEST: usize = 16;
+    const HELP: &str = "at least 16 characters, the same in every process of the cell";
+    let key = s.text("peer_key", HELP)?;
+    if key.len() < SHORTEST {
+        return Err(s.error("\"peer_key\" is too short", HELP));
+    }
+    Ok(Secret::new(key))
+}
+
+fn read_sha256<'a>(s: &Section<'a>, key: &'a str) -> Result<String, SettingsError> {
+    const HELP: &str = "64 lower-case hex digits, as `sha256sum` prints them";
+    let text = s.text(key, HELP)?;
+    let hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    if text.len() != 64 || !text.chars().all(hex) {
+        return Err(s.error(&format!("{key:?} is no SHA-256"), HELP));
+    }
+    Ok(text.to_owned())
+}
+
+fn read_lease(s: &Section<'_>) -> Result<Lease, SettingsError> {
+    const DEFAULT: Lease = Lease {
+        ownership: Millis(1_500),
+        renew: Millis(400),
+        config_fresh: Millis(1_500),
+    };
+    let Some(l) = s.section("lease")? else {
+        return Ok(DEFAULT);
+    };
+    l.only(&["ownership_ms", "renew_ms", "config_fresh_ms"])?;
+    let ownership = l.number("ownership_ms", DEFAULT.ownership.0, 100..=60_000)?;
+    let renew = l.number("renew_ms", DEFAULT.renew.0, 20..=30_000)?;
+    if renew * 2 > ownership {
+        return Err(l.error("\"renew_ms\" is too long", "at most half of ownership_ms"));
+    }
+    let fresh = l.number("config_fresh_ms", DEFAULT.config_fresh.0, 100..=3_500)?;
+    Ok(Lease {
+        ownership: Millis(ownership),
+        renew: Millis(renew),
+        config_fresh: Millis(fresh),
+    })
+}
+
+fn read_store(s: &Section<'_>) -> Result<StoreBudget, SettingsError> {
+    const DEFAULT: StoreBudget = StoreBudget { writes_per_second: 150, snapshot_records: 200_000 };
+    let Some(b) = s.section("store")? else {
+        return Ok(DEFAULT);
+    };
+    b.only(&["writes_per_second", "snapshot_records"])?;
+    let writes = b.number("writes_per_second", DEFAULT.writes_per_second, 1..=10_000)?;
+    let records = b.number("snapshot_records", DEFAULT.snapshot_records, 100..=10_000_000)?;
+    Ok(StoreBudget { writes_per_second: writes, snapshot_records: records })
+}
--- /dev/null
+++ b/crates/hollowford-core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Types that every part of hollowford shares: time, identifiers, resources,
+//! checked request specifications and the closed list of error kinds.
+
+mod error;
+mod id;
+pub mod prelude;
+mod resources;
+mod spec;
+mod time;
+
+pub use error::{Answer, Error, ErrorKind, Ran};
+pub use id::{AccountId, Epoch, InstanceId, PartitionId, RequestKey, RequestNo, TaskId, hash64};
+pub use resources::{Resources, Totals};
+pub use spec::{Kind, MAX_GANG, MAX_PAYLOAD, MAX_TASKS, Placement, Spec, Spread};
+pub use time::{Clock, Millis};
--- /dev/null
+++ b/crates/hollowford-core/src/resources.rs
@@ -0,0 +1,87 @@
+//! Processors, memory and accelerators.
+
+/// What a task takes, or what an instance has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Resources {
+    /// Thousandths of a processor core.
+    pub cpu_milli: u32,
+    /// Mebibytes of memory.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Builds an amount from thousandths of a core, mebibytes and accelerators.
+    pub fn new(cpu_milli: u32, memory_mib: u32, accelerators: u32) -> Resources {
+        Resources { cpu_milli, memory_mib, accelerators }
+    }
+
+    /// Tells whether this amount fits into `room`.
+    pub fn fits(&self, room: &Resources) -> bool {
+        self.cpu_milli <= room.cpu_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns the sum, at most the largest number.
+    pub fn plus(&self, rhs: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_add(rhs.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(rhs.memory_mib),
+            accelerators: self.accelerators.saturating_add(rhs.accelerators),
+        }
+    }
+
+    /// Returns the difference, at least zero.
+    pub fn minus(&self, rhs: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_sub(rhs.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(rhs.memory_mib),
+            accelerators: self.accelerators.saturating_sub(rhs.accelerators),
+        }
+    }
+}
+
+/// Sums of resources over many tasks or instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Thousandths of a processor core.
+    pub cpu_milli: u64,
+    /// Mebibytes of memory.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl Totals {
+    /// Adds one amount.
+    pub fn add(&mut self, r: &Resources) {
+        self.cpu_milli += u64::from(r.cpu_milli);
+        self.memory_mib += u64::from(r.memory_mib);
+        self.accelerators += u64::from(r.accelerators);
+    }
+
+    /// Takes one amount away, down to zero.
+    pub fn sub(&mut self, r: &Resources) {
+        self.cpu_milli = self.cpu_milli.saturating_sub(u64::from(r.cpu_milli));
+        self.memory_mib = self.memory_mib.saturating_sub(u64::from(r.memory_mib));
+        self.accelerators = self.accelerators.saturating_sub(u64::from(r.accelerators));
+    }
+
+    /// Returns the largest part of `whole` that this sum takes, from 0 to 1.
+    pub fn dominant_share(&self, whole: &Totals) -> f64 {
+        let part = |a: u64, b: u64| if b == 0 { 0.0 } else { a as f64 / b as f64 };
+        part(self.cpu_milli, whole.cpu_milli)
+            .max(part(self.memory_mib, whole.memory_mib))
+            .max(part(self.accelerators, whole.accelerators))
+    }
+
+    /// Tells whether adding `r` stays within `limit`, where 0 is no limit.
+    pub fn within(&self, r: &Resources, limit: &Totals) -> bool {
+        let ok = |have: u64, more: u32, max: u64| max == 0 || have + u64::from(more) <= max;
+        ok(self.cpu_milli, r.cpu_milli, limit.cpu_milli)
+            && ok(self.memory_mib, r.memory_mib, limit.memory_mib)
+            && ok(self.accelerators, r.accelerators, limit.accelerators)
+    }
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/account.rs
@@ -0,0 +1,137 @@
+//! Client accounts as the engine sees them: configuration, use and queues.
+
+use crate::request::Class;
+use hollowford_core::{AccountId, Millis, RequestNo, Resources, Totals};
+use std::collections::{HashMap, VecDeque};
+
+/// Position of a client account in the engine's table.
+pub(crate) type AccountIdx = u32;
+
+/// What the configuration grants to a client account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccountPolicy {
+    /// Share relative to other accounts.
+    pub weight: u32,
+    /// Most that its tasks hold at once; zeros: no limit.
+    pub quota: Totals,
+    /// Requests that may wait at once; 0: the policy's default.
+    pub max_queued: u32,
+}
+
+impl Default for AccountPolicy {
+    fn default() -> AccountPolicy {
+        AccountPolicy { weight: 1, quota: Totals::default(), max_queued: 0 }
+    }
+}
+
+/// One client account.
+#[derive(Debug)]
+pub(crate) struct Account {
+    pub id: AccountId,
+    pub policy: AccountPolicy,
+    /// What its placed tasks take.
+    pub used: Totals,
+    /// Requests without a final answer.
+    pub open: u32,
+    /// Requests with waiting tasks, by class, oldest first.
+    pub queues: [VecDeque<RequestNo>; Class::COUNT],
+    /// Pass in which nothing more of the class can be placed.
+    pub blocked_in: [u64; Class::COUNT],
+    past_share: f64,
+    past_at: Millis,
+}
+
+impl Account {
+    fn new(id: AccountId) -> Account {
+        Account {
+            id,
+            policy: AccountPolicy::default(),
+            used: Totals::default(),
+            open: 0,
+            queues: Default::default(),
+            blocked_in: [0; Class::COUNT],
+            past_share: 0.0,
+            past_at: Millis(0),
+        }
+    }
+
+    /// Folds the share held since the last call into the decayed past.
+    pub fn settle(&mut self, now: Millis, whole: &Totals, half_life: Millis) {
+        let dt = now.since(self.past_at).0 as f64;
+        if dt > 0.0 {
+            let keep = 0.5_f64.powf(dt / half_life.0.max(1) as f64);
+            let held = self.used.dominant_share(whole);
+            self.past_share = self.past_share * keep + held * (1.0 - keep);
+            self.past_at = now;
+        }
+    }
+
+    /// Returns the number by which accounts are ordered; the lowest goes first.
+    pub fn order(&self, whole: &Totals) -> f64 {
+        let held = self.used.dominant_share(whole);
+        (held + self.past_share) / f64::from(self.policy.weight.max(1))
+    }
+
+    /// Tells whether one more `r`, `count` times, stays within the quota.
+    pub fn allows(&self, r: &Resources, count: u32) -> bool {
+        let more = Resources::new(
+            r.cpu_milli.saturating_mul(count),
+            r.memory_mib.saturating_mul(count),
+            r.accelerators.saturating_mul(count),
+        );
+        self.used.within(&more, &self.policy.quota)
+    }
+}
+
+/// All client accounts that the engine has met.
+#[derive(Debug, Default)]
+pub(crate) struct Accounts {
+    list: Vec<Account>,
+    by_id: HashMap<AccountId, AccountIdx>,
+}
+
+impl Accounts {
+    /// Finds an account, or adds it with the default configuration.
+    pub fn intern(&mut self, id: &AccountId) -> AccountIdx {
+        if let Some(&idx) = self.by_id.get(id) {
+            return idx;
+        }
+        let idx = self.list.len() as AccountIdx;
+        self.list.push(Account::new(id.clone()));
+        self.by_id.insert(id.clone(), idx);
+        idx
+    }
+
+    pub fn find(&self, id: &AccountId) -> Option<AccountIdx> {
+        self.by_id.get(id).copied()
+    }
+
+    pub fn get(&self, idx: AccountIdx) -> &Account {
+        &self.list[idx as usize]
+    }
+
+    pub fn get_mut(&mut self, idx: AccountIdx) -> &mut Account {
+        &mut self.list[idx as usize]
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Account> {
+        self.list.iter()
+    }
+
+    /// Returns the account to serve next in a class: the lowest in order with a
+    /// queue that is not blocked in this pass.
+    pub fn next(&self, class: Class, pass: u64, whole: &Totals) -> Option<AccountIdx> {
+        let c = class as usize;
+        let mut best: Option<(f64, AccountIdx)> = None;
+        for (i, a) in self.list.iter().enumerate() {
+            if a.queues[c].is_empty() || a.blocked_in[c] == pass {
+                continue;
+            }
+            let order = a.order(whole);
+            if best.is_none_or(|(low, _)| order < low) {
+                best = Some((order, i as AccountIdx));
+            }
+        }
+        best.map(|(_, idx)| idx)
+    }
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/claim.rs
@@ -0,0 +1,194 @@
+//! The platform's list, claims of workers, and what a claim settles.
+
+use crate::engine::Engine;
+use crate::event::{Action, Claim, Listed, TaskEnd};
+use crate::request::TaskState;
+use crate::worker::{Held, WorkerIdx};
+use hollowford_core::{InstanceId, Millis, TaskId};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Engine {
+    /// Takes in the partition's part of the instance list.
+    pub fn listed(&mut self, now: Millis, list: &[Listed], out: &mut Vec<Action>) {
+        let mut gone: BTreeSet<WorkerIdx> = self.workers.iter().map(|(idx, _)| idx).collect();
+        for item in list {
+            let idx = self.workers.intern(&item.id);
+            gone.remove(&idx);
+            let w = self.workers.get(idx);
+            let was_leaving = w.leaving;
+            if w.listed && w.leaving == item.leaving {
+                continue;
+            }
+            self.workers.update(idx, |w| {
+                w.listed = true;
+                w.zone = item.zone.clone();
+                w.rack = item.rack.clone();
+                // The worker itself may have said so before the list does.
+                w.leaving |= item.leaving;
+            });
+            if item.leaving && !was_leaving {
+                self.move_services(now, idx, out);
+            }
+            self.dirty = true;
+        }
+        for idx in gone {
+            if self.workers.get(idx).listed {
+                self.workers.update(idx, |w| w.listed = false);
+            }
+        }
+    }
+
+    /// Takes in a worker's reply to the claim, and settles every task that it should
+    /// hold.
+    pub fn claimed(
+        &mut self,
+        now: Millis,
+        worker: &InstanceId,
+        claim: &Claim,
+        out: &mut Vec<Action>,
+    ) {
+        let idx = self.workers.intern(worker);
+        self.workers.update(idx, |w| {
+            w.claimed = true;
+            w.incarnation = claim.incarnation;
+            w.capacity = claim.capacity;
+            w.leaving |= claim.leaving;
+            w.clock = claim.clock;
+            w.clock_at = now;
+            w.renewed_at = Millis(0);
+            w.foreign.clear();
+        });
+        self.settle_ended(now, idx, claim, out);
+        self.settle_held(now, idx, claim, out);
+        self.settle_foreign(idx, claim, out);
+        if claim.leaving {
+            self.move_services(now, idx, out);
+        }
+        self.dirty = true;
+    }
+
+    fn settle_ended(
+        &mut self,
+        now: Millis,
+        idx: WorkerIdx,
+        claim: &Claim,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = self.workers.get(idx).id.clone();
+        for report in &claim.ended {
+            self.ended(now, &worker, report, out);
+        }
+    }
+
+    /// Settles what this owner believes the worker holds.
+    fn settle_held(&mut self, now: Millis, idx: WorkerIdx, claim: &Claim, out: &mut Vec<Action>) {
+        let running: BTreeSet<TaskId> = claim.running.iter().map(|c| c.task).collect();
+        let held = self.workers.get(idx).held.clone();
+        for h in held {
+            if self.holder(&h.task) != Some(idx) {
+                continue;
+            }
+            if running.contains(&h.task) {
+                self.found_running(now, idx, &h.task, out);
+            } else {
+                self.found_absent(now, idx, &h, claim.incarnation, out);
+            }
+        }
+    }
+
+    fn found_running(
+        &mut self,
+        now: Millis,
+        idx: WorkerIdx,
+        task: &TaskId,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = self.workers.get(idx).id.clone();
+        self.started(now, &worker, task, out);
+        let Some(r) = self.requests.get(&task.request) else {
+            return;
+        };
+        let unwanted = r.cancelled || r.regroup || r.answer.is_some();
+        let state = r.tasks[task.index as usize].state;
+        if state == TaskState::Stopping(idx) {
+            out.push(Action::Stop { worker, task: *task, checkpoint: r.is_preemptible() });
+        } else if unwanted {
+            self.stop_task(now, task.request, task.index, false, out);
+        }
+    }
+
+    /// A task is not on its worker. With the incarnation that the intent names, it
+    /// was never started; after a restart of the worker it may have run.
+    fn found_absent(
+        &mut self,
+        now: Millis,
+        idx: WorkerIdx,
+        held: &Held,
+        incarnation: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(r) = self.requests.get(&held.task.request) else {
+            return;
+        };
+        let state = r.tasks[held.task.index as usize].state;
+        let unsent = state == TaskState::Placed(idx);
+        let same = held.incarnation == incarnation;
+        let ran = state == TaskState::Running(idx);
+        if unsent && same {
+            return;
+        }
+        if unsent || (same && !ran) {
+            self.withdraw(now, &held.task, out);
+        } else {
+            self.end_attempt(now, &held.task, TaskEnd::Lost, out);
+        }
+    }
+
+    /// Stops tasks that run and that the ledger doesn't know. Their resources count
+    /// as taken until they have stopped.
+    fn settle_foreign(&mut self, idx: WorkerIdx, claim: &Claim, out: &mut Vec<Action>) {
+        let mut foreign = BTreeMap::new();
+        for c in &claim.running {
+            if self.holder(&c.task) == Some(idx) {
+                continue;
+            }
+            let held = Held {
+                task: c.task,
+                resources: c.resources,
+                incarnation: claim.incarnation,
+                preemptible: false,
+                ends: Millis::MAX,
+            };
+            foreign.insert(c.task, held);
+        }
+        self.stats.foreign += foreign.len() as u64;
+        let worker = self.workers.get(idx).id.clone();
+        for task in foreign.keys() {
+            out.push(Action::Stop { worker: worker.clone(), task: *task, checkpoint: false });
+        }
+        self.workers.update(idx, |w| w.foreign = foreign.into_values().collect());
+    }
+
+    /// Notes that the session with a worker ended. It takes no new work until it is
+    /// claimed again; what it runs is settled then, or when its leases have ended.
+    pub fn lost(&mut self, now: Millis, worker: &InstanceId, out: &mut Vec<Action>) {
+        let Some(idx) = self.workers.find(worker) else {
+            return;
+        };
+        if !self.workers.get(idx).claimed {
+            return;
+        }
+        self.workers.update(idx, |w| {
+            w.claimed = false;
+            w.foreign.clear();
+        });
+        let held: Vec<TaskId> = self.workers.get(idx).held.iter().map(|h| h.task).collect();
+        for task in held {
+            let state =
+                self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
+            if state == Some(TaskState::Placed(idx)) {
+                self.withdraw(now, &task, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/durable.rs
@@ -0,0 +1,79 @@
+//! What waits for the ledger: starts, answers, and what workers may forget.
+
+use crate::engine::{Engine, PendingStart};
+use crate::event::Action;
+use crate::request::TaskState;
+use hollowford_core::Millis;
+
+impl Engine {
+    /// Notes that the ledger holds every record up to `seq`.
+    pub fn durable(&mut self, seq: u64, out: &mut Vec<Action>) {
+        self.durable_seq = self.durable_seq.max(seq);
+        while let Some((s, worker, task)) = self.pending_forgets.pop_front() {
+            if s > self.durable_seq {
+                self.pending_forgets.push_front((s, worker, task));
+                break;
+            }
+            out.push(Action::Forget { worker, task });
+        }
+        while let Some((s, no)) = self.pending_changes.pop_front() {
+            if s > self.durable_seq {
+                self.pending_changes.push_front((s, no));
+                break;
+            }
+            self.changed(no, out);
+        }
+    }
+
+    /// Notes whether the ledger can be written now. While it can't, nothing new is
+    /// accepted or placed.
+    pub fn set_stalled(&mut self, stalled: bool) {
+        if self.stalled && !stalled {
+            self.dirty = true;
+        }
+        self.stalled = stalled;
+    }
+
+    /// Returns how many records the ledger doesn't hold yet.
+    pub fn unsynced(&self) -> u64 {
+        self.next_seq - 1 - self.durable_seq
+    }
+
+    /// Sends the starts whose intents are durable.
+    pub(crate) fn send_starts(&mut self, now: Millis, out: &mut Vec<Action>) {
+        while let Some(start) = self.pending_starts.pop_front() {
+            if start.seq > self.durable_seq {
+                self.pending_starts.push_front(start);
+                return;
+            }
+            self.send_start(now, &start, out);
+        }
+    }
+
+    fn send_start(&mut self, now: Millis, start: &PendingStart, out: &mut Vec<Action>) {
+        let task = &start.task;
+        let state = self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
+        let stands = self.holder(task) == Some(start.worker)
+            && state == Some(TaskState::Placed(start.worker));
+        if !stands {
+            return;
+        }
+        let w = self.workers.get(start.worker);
+        let held = w.held.iter().find(|h| h.task == *task);
+        let same = held.is_some_and(|h| h.incarnation == w.incarnation);
+        if !w.claimed || w.leaving || !same {
+            self.withdraw(now, task, out);
+            return;
+        }
+        let Some((spec, checkpoint)) = self.start_of(start) else {
+            return;
+        };
+        let lease_until = self.lease(start.worker);
+        let worker = self.workers.get(start.worker).id.clone();
+        if let Some(r) = self.requests.get_mut(&task.request) {
+            r.tasks[task.index as usize].state = TaskState::Starting(start.worker);
+        }
+        self.stats.started += 1;
+        out.push(Action::Start { worker, task: *task, lease_until, spec, checkpoint });
+    }
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/engine.rs
@@ -0,0 +1,201 @@
+//! The state of one partition and the parts that every event shares.
+
+use crate::account::{AccountPolicy, Accounts};
+use crate::event::{Action, Change, Record};
+use crate::gang::Reservation;
+use crate::policy::Policy;
+use crate::preempt::PreemptBudget;
+use crate::request::Request;
+use crate::worker::{WorkerIdx, Workers};
+use hollowford_core::{
+    AccountId, Epoch, InstanceId, Millis, PartitionId, RequestKey, RequestNo, TaskId,
+};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// What the owner may do at this moment, by its ownership lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Authority {
+    /// The lease holds: everything.
+    Full,
+    /// The lease has lapsed: running work is kept alive, nothing is started.
+    RenewOnly,
+    /// The renewal bound has passed too: nothing.
+    None,
+}
+
+/// Counters since the engine was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Intents appended.
+    pub placed: u64,
+    /// Starts sent.
+    pub started: u64,
+    /// Intents taken back before a start, or refused by the worker.
+    pub withdrawn: u64,
+    /// Attempts that ended well.
+    pub done: u64,
+    /// Attempts that failed.
+    pub failed: u64,
+    /// Attempts of which no one can tell the end.
+    pub lost: u64,
+    /// Tasks displaced for urgent work.
+    pub preempted: u64,
+    /// Milliseconds of run time that displaced tasks had behind them.
+    pub preempted_ms: u64,
+    /// Requests refused at submission.
+    pub refused: u64,
+    /// Workers put aside.
+    pub set_aside: u64,
+    /// Reports that fit no attempt that the engine knows.
+    pub stale_reports: u64,
+    /// Tasks found on workers that the ledger doesn't know.
+    pub foreign: u64,
+}
+
+/// A start that waits for its intent to be durable.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingStart {
+    pub seq: u64,
+    pub task: TaskId,
+    pub worker: WorkerIdx,
+}
+
+/// The decisions of one partition. See the crate's description.
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) partition: PartitionId,
+    pub(crate) epoch: Epoch,
+    pub(crate) policy: Policy,
+    pub(crate) workers: Workers,
+    pub(crate) accounts: Accounts,
+    pub(crate) requests: FxHashMap<RequestNo, Request>,
+    pub(crate) keys: HashMap<RequestKey, RequestNo>,
+    pub(crate) next_no: u64,
+    pub(crate) next_seq: u64,
+    pub(crate) durable_seq: u64,
+    pub(crate) stalled: bool,
+    pub(crate) pending_starts: VecDeque<PendingStart>,
+    pub(crate) pending_forgets: VecDeque<(u64, InstanceId, TaskId)>,
+    pub(crate) pending_changes: VecDeque<(u64, RequestNo)>,
+    /// Final answers by the time at which they were given, oldest first.
+    pub(crate) answered: VecDeque<(Millis, RequestNo)>,
+    /// Requests that are given up at a time unless they have begun.
+    pub(crate) start_by: BTreeSet<(Millis, RequestNo)>,
+    /// Times at which a waiting request may be tried again.
+    pub(crate) wakes: BTreeSet<(Millis, RequestNo)>,
+    pub(crate) reservation: Option<Reservation>,
+    pub(crate) preempt: PreemptBudget,
+    /// Something may be placeable that was not at the last pass.
+    pub(crate) dirty: bool,
+    pub(crate) pass: u64,
+    pub(crate) open: u32,
+    pub(crate) feasible_checked: Millis,
+    pub(crate) stats: Stats,
+}
+
+impl Engine {
+    /// Makes the engine of an owner that has just taken the partition at `epoch`.
+    ///
+    /// What the ledger holds is given to [`Engine::replay`], then
+    /// [`Engine::activate`] is called once.
+    pub fn new(partition: PartitionId, epoch: Epoch, policy: Policy) -> Engine {
+        Engine {
+            partition,
+            epoch,
+            policy,
+            workers: Workers::default(),
+            accounts: Accounts::default(),
+            requests: FxHashMap::default(),
+            keys: HashMap::new(),
+            next_no: 1,
+            next_seq: 1,
+            durable_seq: 0,
+            stalled: false,
+            pending_starts: VecDeque::new(),
+            pending_forgets: VecDeque::new(),
+            pending_changes: VecDeque::new(),
+            answered: VecDeque::new(),
+            start_by: BTreeSet::new(),
+            wakes: BTreeSet::new(),
+            reservation: None,
+            preempt: PreemptBudget::default(),
+            dirty: false,
+            pass: 0,
+            open: 0,
+            feasible_checked: Millis(0),
+            stats: Stats::default(),
+        }
+    }
+
+    /// Returns the partition.
+    pub fn partition(&self) -> PartitionId {
+        self.partition
+    }
+
+    /// Returns the owner's epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the settings in force.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Puts a client account's configuration in force.
+    pub fn set_account(&mut self, id: &AccountId, policy: AccountPolicy) {
+        let idx = self.accounts.intern(id);
+        self.accounts.get_mut(idx).policy = policy;
+        self.dirty = true;
+    }
+
+    /// Appends a record to the ledger and returns its position.
+    pub(crate) fn append(
+        &mut self,
+        request: RequestNo,
+        change: Change,
+        out: &mut Vec<Action>,
+    ) -> u64 {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        out.push(Action::Append { seq, record: Record { request, change } });
+        seq
+    }
+
+    /// Marks a request as changed, now.
+    pub(crate) fn changed(&mut self, no: RequestNo, out: &mut Vec<Action>) {
+        if let Some(r) = self.requests.get_mut(&no) {
+            r.version += 1;
+            out.push(Action::Changed(no));
+        }
+    }
+
+    /// Marks a request as changed once the ledger has the record at `seq`.
+    pub(crate) fn changed_when_durable(&mut self, no: RequestNo, seq: u64) {
+        self.pending_changes.push_back((seq, no));
+    }
+
+    /// Puts a request with waiting tasks into its account's queue.
+    pub(crate) fn enqueue(&mut self, no: RequestNo, front: bool) {
+        let Some(r) = self.requests.get_mut(&no) else {
+            return;
+        };
+        if r.in_queue || r.waiting.is_empty() || r.answer.is_some() {
+            return;
+        }
+        r.in_queue = true;
+        let queue = &mut self.accounts.get_mut(r.account).queues[r.class as usize];
+        if front {
+            queue.push_front(no);
+        } else {
+            queue.push_back(no);
+        }
+        self.dirty = true;
+    }
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/lib.rs
@@ -0,0 +1,36 @@
+//! The decisions of one partition: which task starts where, and when.
+//!
+//! The engine does no I/O, reads no clock and starts no thread. The owner of the
+//! partition gives it events with a time, and carries out the actions that come
+//! back. The same engine runs in the server, in tests and in benchmarks.
+//!
+//! Order of a start: the intent is appended to the ledger, the ledger reports it
+//! durable, and only then is the start sent. A new owner that reads the ledger
+//! therefore knows of every task that any worker may be running.
+
+mod account;
+mod claim;
+mod durable;
+mod engine;
+mod event;
+mod gang;
+mod lease;
+mod place;
+mod policy;
+mod preempt;
+mod query;
+mod recover;
+mod reports;
+mod request;
+mod settle;
+mod submit;
+mod worker;
+
+pub use account::AccountPolicy;
+pub use engine::{Authority, Engine, Stats};
+pub use event::{
+    Action, Change, ClaimedTask, Claim, EndReport, FinalAnswer, Listed, Outcome, Record, TaskEnd,
+    TaskResult, TaskUsage,
+};
+pub use policy::Policy;
+pub use query::{View, WorkerView};
--- /dev/null
+++ b/crates/hollowford-engine/src/place.rs
@@ -0,0 +1,305 @@
+//! One pass over the queues: what starts where.
+
+use crate::account::AccountIdx;
+use crate::engine::{Authority, Engine, PendingStart};
+use crate::event::{Action, Change};
+use crate::request::{Class, Placing, Request, TaskState, Wait};
+use crate::submit::zone_allows;
+use crate::worker::{Held, Worker, WorkerIdx};
+use hollowford_core::{Kind, Millis, RequestNo, Resources, Spec, Spread};
+use std::sync::Arc;
+
+/// What a pass has learned so far.
+pub(crate) struct Pass {
+    pub now: Millis,
+    no: u64,
+    placed: usize,
+    /// Shapes of free placement that fitted nowhere, by class.
+    full: Vec<(Class, Resources)>,
+}
+
+impl Pass {
+    /// Tells whether a shape at most this large has failed in the pass.
+    fn is_full(&self, class: Class, shape: &Resources) -> bool {
+        self.full.iter().any(|(c, s)| *c == class && s.fits(shape))
+    }
+}
+
+/// What came of serving one client account.
+#[derive(PartialEq, Eq)]
+enum Served {
+    Placed,
+    Blocked,
+}
+
+/// What came of trying one request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Tried {
+    Placed,
+    Waits(Wait),
+}
+
+impl Engine {
+    /// Sends the starts that are due and places what fits. Called after each
+    /// group of events.
+    pub fn decide(&mut self, now: Millis, authority: Authority, out: &mut Vec<Action>) {
+        if authority != Authority::Full {
+            return;
+        }
+        self.send_starts(now, out);
+        if self.stalled || !self.dirty {
+            return;
+        }
+        self.dirty = false;
+        self.pass += 1;
+        let mut pass = Pass { now, no: self.pass, placed: 0, full: Vec::new() };
+        for class in Class::ALL {
+            self.serve_class(class, &mut pass, out);
+        }
+        if pass.placed >= self.policy.pass_bound {
+            self.dirty = true;
+        }
+    }
+
+    /// Tells whether another call of [`Engine::decide`] would place more at once.
+    pub fn has_more(&self) -> bool {
+        self.dirty && !self.stalled
+    }
+
+    fn serve_class(&mut self, class: Class, pass: &mut Pass, out: &mut Vec<Action>) {
+        while pass.placed < self.policy.pass_bound {
+            let Some(account) = self.accounts.next(class, pass.no, &self.workers.whole) else {
+                return;
+            };
+            if self.serve_account(account, class, pass, out) == Served::Blocked {
+                self.accounts.get_mut(account).blocked_in[class as usize] = pass.no;
+            }
+        }
+    }
+
+    /// Places one task, or one gang, of the account's oldest requests.
+    fn serve_account(
+        &mut self,
+        account: AccountIdx,
+        class: Class,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) -> Served {
+        let mut at = 0;
+        while at < self.policy.lookahead {
+            let queue = &mut self.accounts.get_mut(account).queues[class as usize];
+            let Some(&no) = queue.get(at) else {
+                break;
+            };
+            if !self.still_waits(no) {
+                let queue = &mut self.accounts.get_mut(account).queues[class as usize];
+                queue.remove(at);
+                continue;
+            }
+            match self.try_request(no, pass, out) {
+                Tried::Placed => return Served::Placed,
+                Tried::Waits(why) => self.note_wait(no, why),
+            }
+            at += 1;
+        }
+        Served::Blocked
+    }
+
+    /// Tells whether a queued request has tasks to place; if not, it leaves the queue.
+    fn still_waits(&mut self, no: RequestNo) -> bool {
+        let Some(r) = self.requests.get_mut(&no) else {
+            return false;
+        };
+        r.in_queue = r.answer.is_none() && !r.waiting.is_empty();
+        r.in_queue
+    }
+
+    fn note_wait(&mut self, no: RequestNo, why: Wait) {
+        if let Some(r) = self.requests.get_mut(&no) {
+            r.wait = why;
+        }
+    }
+
+    fn try_request(&mut self, no: RequestNo, pass: &mut Pass, out: &mut Vec<Action>) -> Tried {
+        let Some(r) = self.requests.get(&no) else {
+            return Tried::Waits(Wait::Fresh);
+        };
+        if r.not_before > pass.now || r.regroup {
+            return Tried::Waits(Wait::Backoff);
+        }
+        let at_once = if r.is_gang() { r.waiting.len() as u32 } else { 1 };
+        if !self.accounts.get(r.account).allows(&r.spec.per_task, at_once) {
+            return Tried::Waits(Wait::Quota);
+        }
+        if !self.headroom_allows(r, at_once) {
+            return Tried::Waits(Wait::Headroom);
+        }
+        if r.is_gang() {
+            return self.try_gang(no, pass, out);
+        }
+        self.try_task(no, pass, out)
+    }
+
+    /// Tells whether the work leaves the headroom free, or may borrow it.
+    fn headroom_allows(&self, r: &Request, at_once: u32) -> bool {
+        if r.class == Class::Urgent || self.policy.headroom <= 0.0 {
+            return true;
+        }
+        if self.policy.headroom_borrow && r.is_preemptible() {
+            return true;
+        }
+        let kept = self.workers.whole.cpu_milli as f64 * self.policy.headroom;
+        let takes = u64::from(r.spec.per_task.cpu_milli) * u64::from(at_once);
+        self.workers.free.cpu_milli as f64 - takes as f64 >= kept
+    }
+
+    fn try_task(&mut self, no: RequestNo, pass: &mut Pass, out: &mut Vec<Action>) -> Tried {
+        let Some(r) = self.requests.get(&no) else {
+            return Tried::Waits(Wait::Fresh);
+        };
+        let (class, shape) = (r.class, r.spec.per_task);
+        // Reservations and earlier failures of the request narrow the choice, so
+        // only unconstrained failures speak for other requests.
+        let plain = r.spec.placement.is_free() && r.failed_on.is_empty();
+        if plain && self.reservation.is_none() && pass.is_full(class, &shape) {
+            return Tried::Waits(Wait::NoRoom);
+        }
+        let Some(placing) = self.find_worker(r, pass.now) else {
+            if plain {
+                pass.full.push((class, shape));
+            }
+            if class == Class::Urgent {
+                self.preempt_for(no, pass.now, out);
+            }
+            return Tried::Waits(Wait::NoRoom);
+        };
+        let Some(index) = self.requests.get_mut(&no).and_then(|r| r.waiting.pop_front()) else {
+            return Tried::Waits(Wait::Fresh);
+        };
+        let seq = self.place(no, index, placing.worker, pass.now, out);
+        self.expect_start(no, index, placing.worker, seq);
+        self.note_placing(no, placing);
+        pass.placed += 1;
+        Tried::Placed
+    }
+
+    pub(crate) fn note_placing(&mut self, no: RequestNo, placing: Placing) {
+        if let Some(r) = self.requests.get_mut(&no) {
+            r.placing = Some(placing);
+            r.wait = Wait::Fresh;
+        }
+    }
+
+    /// Counts gang placements against the pass.
+    pub(crate) fn count_placed(pass: &mut Pass, n: usize) {
+        pass.placed += n;
+    }
+
+    /// Chooses the worker that the task leaves fullest and most evenly used.
+    pub(crate) fn find_worker(&self, r: &Request, now: Millis) -> Option<Placing> {
+        let mut best: Option<(f64, WorkerIdx)> = None;
+        let mut runner_up = None;
+        let mut compared = 0;
+        for idx in self.workers.with_room(&r.spec.per_task) {
+            let w = self.workers.get(idx);
+            if !self.allows(r, w, idx, now) {
+                continue;
+            }
+            let score = score(&r.spec.per_task, w);
+            if best.is_none_or(|(low, _)| score < low) {
+                runner_up = best.map(|(_, idx)| idx);
+                best = Some((score, idx));
+            }
+            compared += 1;
+            if compared as usize >= self.policy.candidates {
+                break;
+            }
+        }
+        best.map(|(_, worker)| Placing { worker, compared, runner_up })
+    }
+
+    /// Tells whether a request's next task may go to a worker that has room.
+    pub(crate) fn allows(&self, r: &Request, w: &Worker, idx: WorkerIdx, now: Millis) -> bool {
+        !w.probe_taken()
+            && !r.failed_on.contains(&idx)
+            && zone_allows(&r.spec, w)
+            && self.spread_allows(r, w, idx)
+            && self.reservation_allows(r, w, now)
+    }
+
+    fn spread_allows(&self, r: &Request, w: &Worker, idx: WorkerIdx) -> bool {
+        match r.spec.placement.spread {
+            Spread::None => true,
+            Spread::Instance => r.workers().all(|other| other != idx),
+            Spread::Rack => r.workers().all(|other| self.workers.get(other).rack != w.rack),
+        }
+    }
+
+    /// Gives a waiting task to a worker and appends the intent.
+    pub(crate) fn place(
+        &mut self,
+        no: RequestNo,
+        index: u32,
+        worker: WorkerIdx,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) -> u64 {
+        let Some(r) = self.requests.get_mut(&no) else {
+            return 0;
+        };
+        let t = &mut r.tasks[index as usize];
+        t.attempt += 1;
+        t.state = TaskState::Placed(worker);
+        t.since = now;
+        r.active += 1;
+        let held = held(r, index, now, self.workers.get(worker).incarnation);
+        let change = Change::Intent {
+            task: held.task,
+            worker: self.workers.get(worker).id.clone(),
+            incarnation: held.incarnation,
+        };
+        let account = self.accounts.get_mut(r.account);
+        account.settle(now, &self.workers.whole, self.policy.share_half_life);
+        account.used.add(&held.resources);
+        self.workers.hold(worker, held);
+        self.stats.placed += 1;
+        self.append(no, change, out)
+    }
+
+    /// Remembers to send the start once the ledger has the record at `seq`.
+    pub(crate) fn expect_start(&mut self, no: RequestNo, index: u32, worker: WorkerIdx, seq: u64) {
+        if let Some(r) = self.requests.get(&no) {
+            let task = r.task_id(index);
+            self.pending_starts.push_back(PendingStart { seq, task, worker });
+        }
+    }
+
+    /// Returns the start's payload.
+    pub(crate) fn start_of(&self, start: &PendingStart) -> Option<(Arc<Spec>, Arc<str>)> {
+        let r = self.requests.get(&start.task.request)?;
+        let checkpoint = r.tasks[start.task.index as usize].checkpoint.clone();
+        Some((r.spec.clone(), checkpoint.unwrap_or_else(|| "".into())))
+    }
+}
+
+/// Describes a task on its worker.
+pub(crate) fn held(r: &Request, index: u32, now: Millis, incarnation: u64) -> Held {
+    let known = r.spec.run_time_ms > 0 && r.spec.kind != Kind::Service;
+    Held {
+        task: r.task_id(index),
+        resources: r.spec.per_task,
+        incarnation,
+        preemptible: r.is_preemptible(),
+        ends: if known { now + Millis(r.spec.run_time_ms) } else { Millis::MAX },
+    }
+}
+
+/// Scores a worker for a task; lower is better. It favours workers that the task
+/// fills, and those whose processors and memory are left in equal parts.
+fn score(need: &Resources, w: &Worker) -> f64 {
+    let left = w.free.minus(need);
+    let part = |l: u32, c: u32| if c == 0 { 0.0 } else { f64::from(l) / f64::from(c) };
+    let cpu = part(left.cpu_milli, w.capacity.cpu_milli);
+    let memory = part(left.memory_mib, w.capacity.memory_mib);
+    cpu + memory + 2.0 * (cpu - memory).abs()
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/recover.rs
@@ -0,0 +1,220 @@
+//! Recovery from the ledger, and snapshots of it.
+
+use crate::engine::Engine;
+use crate::event::{Action, Change, Record, TaskEnd};
+use crate::place::held;
+use crate::request::{Request, TaskState};
+use hollowford_core::{Epoch, InstanceId, Millis, RequestNo, TaskId};
+use std::sync::Arc;
+
+impl Engine {
+    /// Applies one record of the ledger, in order, before [`Engine::activate`].
+    pub fn replay(&mut self, now: Millis, record: Record) {
+        let no = record.request;
+        match record.change {
+            Change::Accept { key, spec } => self.replay_accept(now, no, &key, spec),
+            Change::Intent { task, worker, incarnation } => {
+                self.replay_intent(now, &task, &worker, incarnation);
+            }
+            Change::Withdrawn { task } => {
+                if self.detach(now, &task).is_some() {
+                    self.replay_requeue(task);
+                }
+            }
+            Change::Ended { task, end } => self.replay_ended(now, &task, end),
+            Change::Cancel => {
+                if let Some(r) = self.requests.get_mut(&no) {
+                    r.cancelled = true;
+                }
+                self.drop_waiting(no);
+            }
+            Change::Close(answer) => {
+                self.drop_waiting(no);
+                self.apply_close(now, no, answer, 0);
+            }
+            Change::Queued { task, failures, checkpoint, begun } => {
+                self.replay_queued(&task, failures, checkpoint);
+                if let Some(r) = self.requests.get_mut(&no) {
+                    r.begun |= begun;
+                }
+            }
+        }
+    }
+
+    fn replay_accept(
+        &mut self,
+        now: Millis,
+        no: RequestNo,
+        key: &hollowford_core::RequestKey,
+        spec: Arc<hollowford_core::Spec>,
+    ) {
+        if self.requests.contains_key(&no) {
+            return;
+        }
+        self.insert_request(no, key, spec, now);
+        self.enqueue(no, false);
+    }
+
+    fn replay_intent(&mut self, now: Millis, task: &TaskId, worker: &InstanceId, incarnation: u64) {
+        let w = self.workers.intern(worker);
+        let Some(r) = self.requests.get_mut(&task.request) else {
+            return;
+        };
+        let Some(at) = r.waiting.iter().position(|&i| i == task.index) else {
+            return;
+        };
+        r.waiting.remove(at);
+        r.active += 1;
+        let t = &mut r.tasks[task.index as usize];
+        t.attempt = task.attempt;
+        // The start may have been sent, so it counts as sent.
+        t.state = TaskState::Starting(w);
+        t.since = now;
+        let held = held(r, task.index, now, incarnation);
+        self.accounts.get_mut(r.account).used.add(&held.resources);
+        self.workers.hold(w, held);
+    }
+
+    fn replay_requeue(&mut self, task: TaskId) {
+        let stays = self
+            .requests
+            .get(&task.request)
+            .is_some_and(|r| !r.cancelled && r.answer.is_none());
+        if stays {
+            self.requeue(task.request, task.index);
+        }
+    }
+
+    fn replay_ended(&mut self, now: Millis, task: &TaskId, end: TaskEnd) {
+        // A snapshot has no intent before the end of a task.
+        if self.holder(task).is_none() {
+            self.take_waiting(task);
+        }
+        self.detach(now, task);
+        if self.apply_end(task, end) {
+            self.replay_requeue(*task);
+        }
+    }
+
+    /// Marks a waiting task as ended, with the attempt of a snapshot.
+    fn take_waiting(&mut self, task: &TaskId) {
+        let Some(r) = self.requests.get_mut(&task.request) else {
+            return;
+        };
+        if let Some(at) = r.waiting.iter().position(|&i| i == task.index) {
+            r.waiting.remove(at);
+        }
+        let t = &mut r.tasks[task.index as usize];
+        t.attempt = task.attempt;
+        t.state = TaskState::Ended;
+    }
+
+    fn replay_queued(&mut self, task: &TaskId, failures: u32, checkpoint: Arc<str>) {
+        let Some(r) = self.requests.get_mut(&task.request) else {
+            return;
+        };
+        let t = &mut r.tasks[task.index as usize];
+        t.attempt = task.attempt;
+        t.failures = failures;
+        t.checkpoint = Some(checkpoint).filter(|c| !c.is_empty());
+        if t.state == TaskState::Ended {
+            self.apply_queued(task.request, task.index);
+        }
+    }
+
+    /// Ends recovery: from now on this owner decides. Tasks with an intent are held
+    /// until their workers are claimed, or the earlier owner's leases have surely
+    /// ended.
+    pub fn activate(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let p = &self.policy;
+        let lapse_at = now + p.renewal_bound + p.task_lease + p.drift_margin;
+        for idx in 0..self.workers.len() as u32 {
+            self.workers.touch(idx).lapse_at = lapse_at;
+        }
+        let mut open: Vec<RequestNo> =
+            self.requests.values().filter(|r| r.answer.is_none()).map(|r| r.no).collect();
+        open.sort_unstable();
+        for no in open {
+            self.resume(now, no, out);
+        }
+        self.feasible_checked = now;
+        self.dirty = true;
+    }
+
+    /// Goes on with a request where an earlier owner stopped.
+    fn resume(&mut self, now: Millis, no: RequestNo, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&no) else {
+            return;
+        };
+        let broken = r.failed > 0 || r.unsure > 0 || (r.active > 0 && !r.waiting.is_empty());
+        if r.is_gang() && broken {
+            r.regroup = true;
+        }
+        self.finish_regroup(now, no, out);
+        self.close_if_ended(now, no, out);
+    }
+
+    /// Returns records that make the present state when they are replayed.
+    ///
+    /// What is not durable yet is contained as well; the caller writes the snapshot
+    /// after the records before it.
+    pub fn snapshot(&self) -> Vec<Record> {
+        let mut nos: Vec<&RequestNo> = self.requests.keys().collect();
+        nos.sort_unstable();
+        let mut records = Vec::with_capacity(nos.len() * 2);
+        for no in nos {
+            if let Some(r) = self.requests.get(no) {
+                self.snapshot_request(r, &mut records);
+            }
+        }
+        records
+    }
+
+    fn snapshot_request(&self, r: &Request, records: &mut Vec<Record>) {
+        let mut push = |change| records.push(Record { request: r.no, change });
+        push(Change::Accept { key: r.key.clone(), spec: r.spec.clone() });
+        for (i, t) in r.tasks.iter().enumerate() {
+            if t.attempt == 0 {
+                continue;
+            }
+            let task = r.task_id(i as u32);
+            if let Some(result) = r.results.get(&task.index) {
+                push(Change::Ended { task, end: TaskEnd::Done(result.clone()) });
+                continue;
+            }
+            let checkpoint = t.checkpoint.clone().unwrap_or_else(|| "".into());
+            let (failures, begun) = (t.failures, r.begun);
+            push(Change::Queued { task, failures, checkpoint, begun });
+            if let Some(w) = t.state.worker() {
+                let worker = self.workers.get(w);
+                let held = worker.held.iter().find(|h| h.task == task);
+                let incarnation = held.map_or(0, |h| h.incarnation);
+                push(Change::Intent { task, worker: worker.id.clone(), incarnation });
+            } else if t.state == TaskState::Ended && r.answer.is_none() {
+                push(Change::Ended { task, end: ended_as(r) });
+            }
+        }
+        if r.cancelled {
+            push(Change::Cancel);
+        }
+        if let Some(answer) = &r.answer {
+            push(Change::Close(answer.clone()));
+        }
+    }
+
+    /// Returns the epoch part of the first request number that this owner gives.
+    pub fn first_request(&self) -> RequestNo {
+        RequestNo::new(Epoch(self.epoch.0), 1)
+    }
+}
+
+/// Describes an ended task without a result, so that its replay ends it again.
+fn ended_as(r: &Request) -> TaskEnd {
+    if r.unsure > 0 {
+        return TaskEnd::Lost;
+    }
+    if r.cancelled {
+        return TaskEnd::Stopped("".into());
+    }
+    TaskEnd::Failed(r.message.to_string())
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/reports.rs
@@ -0,0 +1,268 @@
+//! What workers report of their tasks.
+
+use crate::engine::Engine;
+use crate::event::{Action, EndReport, TaskEnd, TaskUsage};
+use crate::request::{Request, TaskState};
+use crate::worker::WorkerIdx;
+use hollowford_core::{InstanceId, Millis, RequestNo, TaskId};
+
+/// Use above the declared amount that is let pass, in parts of a hundred.
+const OVERUSE_PERCENT: u32 = 110;
+
+impl Engine {
+    /// Notes a reading of a worker's clock.
+    pub fn heard(&mut self, now: Millis, worker: &InstanceId, clock: u64) {
+        if let Some(idx) = self.workers.find(worker) {
+            let w = self.workers.touch(idx);
+            w.clock = clock;
+            w.clock_at = now;
+        }
+    }
+
+    /// Notes that a task runs.
+    pub fn started(
+        &mut self,
+        now: Millis,
+        worker: &InstanceId,
+        task: &TaskId,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(idx) = self.workers.find(worker) else {
+            return;
+        };
+        if self.holder(task) != Some(idx) {
+            self.stats.stale_reports += 1;
+            out.push(Action::Stop { worker: worker.clone(), task: *task, checkpoint: false });
+            return;
+        }
+        let Some(r) = self.requests.get_mut(&task.request) else {
+            return;
+        };
+        r.begun = true;
+        let t = &mut r.tasks[task.index as usize];
+        if t.state == TaskState::Starting(idx) {
+            t.state = TaskState::Running(idx);
+            t.since = now;
+            r.running += 1;
+        }
+        if r.first_start.is_none() {
+            r.first_start = Some(now);
+            out.push(Action::Waited {
+                kind: r.spec.kind,
+                urgent: r.spec.urgent,
+                waited: now.since(r.accepted_at),
+            });
+        }
+        self.changed(task.request, out);
+    }
+
+    /// Notes that a task ended.
+    pub fn ended(
+        &mut self,
+        now: Millis,
+        worker: &InstanceId,
+        report: &EndReport,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(idx) = self.workers.find(worker) else {
+            return;
+        };
+        let task = report.task;
+        if self.holder(&task) != Some(idx) {
+            self.end_unknown(idx, &task);
+            return;
+        }
+        let end = self.read_end(&task, &report.end);
+        self.judge(now, idx, &task, &end);
+        let seq = self.end_attempt(now, &task, end, out);
+        self.pending_forgets.push_back((seq, worker.clone(), task));
+    }
+
+    /// A stop for overuse is a failure of the task's own.
+    fn read_end(&self, task: &TaskId, end: &TaskEnd) -> TaskEnd {
+        let overused = |r: &&Request| {
+            let failures = r.tasks[task.index as usize].failures;
+            !r.cancelled && failures >= self.policy.max_attempts
+        };
+        match (end, self.requests.get(&task.request).filter(overused)) {
+            (TaskEnd::Stopped(_), Some(r)) => TaskEnd::Failed(r.message.to_string()),
+            _ => end.clone(),
+        }
+    }
+
+    /// An end that fits nothing held: the task was foreign, or its end is known.
+    pub(crate) fn end_unknown(&mut self, idx: WorkerIdx, task: &TaskId) {
+        let foreign = self.workers.get(idx).foreign.iter().any(|h| h.task == *task);
+        if foreign {
+            self.workers.update(idx, |w| w.foreign.retain(|h| h.task != *task));
+            self.dirty = true;
+        } else {
+            self.stats.stale_reports += 1;
+        }
+        // Everything appended so far may be about this task.
+        let worker = self.workers.get(idx).id.clone();
+        self.pending_forgets.push_back((self.next_seq - 1, worker, *task));
+    }
+
+    /// Notes that a worker did not and never will carry out a start.
+    pub fn refused(
+        &mut self,
+        now: Millis,
+        worker: &InstanceId,
+        task: &TaskId,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(idx) = self.workers.find(worker) else {
+            return;
+        };
+        if self.holder(task) != Some(idx) {
+            self.stats.stale_reports += 1;
+            return;
+        }
+        self.mark_failure(now, idx, task.request);
+        if let Some(r) = self.requests.get_mut(&task.request) {
+            r.not_before = r.not_before.max(now + self.policy.retry_backoff);
+            self.wakes.insert((r.not_before, task.request));
+        }
+        self.withdraw(now, task, out);
+    }
+
+    /// Notes what a worker's tasks use, and whether the instance is leaving.
+    pub fn usage(
+        &mut self,
+        now: Millis,
+        worker: &InstanceId,
+        leaving: bool,
+        tasks: &[TaskUsage],
+        out: &mut Vec<Action>,
+    ) {
+        let Some(idx) = self.workers.find(worker) else {
+            return;
+        };
+        if leaving && !self.workers.get(idx).leaving {
+            self.workers.update(idx, |w| w.leaving = true);
+            self.move_services(now, idx, out);
+        }
+        for usage in tasks {
+            self.check_use(now, idx, usage, out);
+        }
+    }
+
+    /// Throttles processor overuse and stops memory overuse.
+    fn check_use(
+        &mut self,
+        now: Millis,
+        idx: WorkerIdx,
+        usage: &TaskUsage,
+        out: &mut Vec<Action>,
+    ) {
+        if self.holder(&usage.task) != Some(idx) {
+            return;
+        }
+        let Some(r) = self.requests.get_mut(&usage.task.request) else {
+            return;
+        };
+        let declared = r.spec.per_task;
+        let over = |used: u32, max: u32| {
+            u64::from(used) * 100 > u64::from(max) * u64::from(OVERUSE_PERCENT)
+        };
+        if over(usage.memory_mib, declared.memory_mib) {
+            let t = &mut r.tasks[usage.task.index as usize];
+            // An honest retry can't help, so this counts as every attempt.
+            t.failures = t.failures.max(self.policy.max_attempts);
+            r.message = format!(
+                "stopped: it used {} MiB of memory and had declared {}",
+                usage.memory_mib, declared.memory_mib
+            )
+            .into();
+            self.stop_task(now, usage.task.request, usage.task.index, false, out);
+        } else if over(usage.cpu_milli, declared.cpu_milli) {
+            out.push(Action::Throttle {
+                worker: self.workers.get(idx).id.clone(),
+                task: usage.task,
+                cpu_milli: declared.cpu_milli,
+            });
+        }
+    }
+
+    /// Moves services off a leaving worker, by stopping their tasks there.
+    pub(crate) fn move_services(&mut self, now: Millis, idx: WorkerIdx, out: &mut Vec<Action>) {
+        let on_it: Vec<TaskId> = self.workers.get(idx).held.iter().map(|h| h.task).collect();
+        for task in on_it {
+            let service = self.requests.get(&task.request).is_some_and(|r| r.is_service());
+            if service {
+                self.stop_task(now, task.request, task.index, true, out);
+            }
+        }
+    }
+
+    /// Learns from an attempt's end about the worker and about the request.
+    fn judge(&mut self, now: Millis, idx: WorkerIdx, task: &TaskId, end: &TaskEnd) {
+        match end {
+            TaskEnd::Done(_) => {
+                let w = self.workers.touch(idx);
+                w.fails.clear();
+                w.aside_count = 0;
+                w.probing = false;
+            }
+            TaskEnd::Failed(_) => self.mark_failure(now, idx, task.request),
+            TaskEnd::Stopped(_) | TaskEnd::Lost => {}
+        }
+    }
+
+    fn mark_failure(&mut self, now: Millis, idx: WorkerIdx, no: RequestNo) {
+        let Some(r) = self.requests.get_mut(&no) else {
+            return;
+        };
+        if !r.failed_on.contains(&idx) {
+            r.failed_on.push(idx);
+        }
+        if r.failed_on.len() >= self.policy.fault_workers {
+            // It fails everywhere: the fault is the request's own.
+            for other in std::mem::take(&mut r.failed_on) {
+                self.workers.touch(other).fails.retain(|n| *n != no);
+            }
+            return;
+        }
+        let w = self.workers.touch(idx);
+        if !w.fails.contains(&no) {
+            w.fails.push(no);
+        }
+        let again = w.probing;
+        if again || self.is_suspect(idx) {
+            self.put_aside(now, idx);
+        }
+    }
+
+    /// Tells whether a worker has failed enough different requests of enough
+    /// different client accounts.
+    fn is_suspect(&self, idx: WorkerIdx) -> bool {
+        let fails = &self.workers.get(idx).fails;
+        if fails.len() < self.policy.aside_after {
+            return false;
+        }
+        let mut accounts: Vec<u32> =
+            fails.iter().filter_map(|no| self.requests.get(no)).map(|r| r.account).collect();
+        accounts.sort_unstable();
+        accounts.dedup();
+        let open = self.accounts.iter().filter(|a| a.open > 0).count();
+        accounts.len() >= 2 || open <= 1
+    }
+
+    fn put_aside(&mut self, now: Millis, idx: WorkerIdx) {
+        const MOST_DOUBLINGS: u32 = 5;
+        let most = (self.workers.len() as f64 * self.policy.aside_share) as u32;
+        if self.workers.get(idx).aside_until.is_some() || self.workers.aside >= most {
+            return;
+        }
+        let base = self.policy.aside_for.0;
+        self.workers.aside += 1;
+        self.stats.set_aside += 1;
+        self.workers.update(idx, |w| {
+            let wait = base << w.aside_count.min(MOST_DOUBLINGS);
+            w.aside_count += 1;
+            w.aside_until = Some(now + Millis(wait));
+            w.probing = false;
+        });
+    }
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/request.rs
@@ -0,0 +1,219 @@
+//! Requests and their tasks.
+
+use crate::account::AccountIdx;
+use crate::event::{FinalAnswer, TaskResult};
+use crate::worker::WorkerIdx;
+use hollowford_core::{Kind, Millis, RequestKey, RequestNo, Spec, TaskId};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Order of service; lower ones go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Class {
+    Urgent = 0,
+    Service = 1,
+    Normal = 2,
+}
+
+impl Class {
+    pub const COUNT: usize = 3;
+    pub const ALL: [Class; Class::COUNT] = [Class::Urgent, Class::Service, Class::Normal];
+
+    pub fn of(spec: &Spec) -> Class {
+        if spec.urgent {
+            return Class::Urgent;
+        }
+        match spec.kind {
+            Kind::Check => Class::Urgent,
+            Kind::Service => Class::Service,
+            Kind::Gang | Kind::Batch => Class::Normal,
+        }
+    }
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// Waits to be placed.
+    Waiting,
+    /// Its intent is appended; the start has not been sent.
+    Placed(WorkerIdx),
+    /// The start was sent, or may have been sent by an earlier owner.
+    Starting(WorkerIdx),
+    /// The worker has reported that it runs.
+    Running(WorkerIdx),
+    /// A stop was sent.
+    Stopping(WorkerIdx),
+    /// It needs nothing more.
+    Ended,
+}
+
+impl TaskState {
+    /// Returns the worker that holds the task.
+    pub fn worker(self) -> Option<WorkerIdx> {
+        match self {
+            TaskState::Placed(w)
+            | TaskState::Starting(w)
+            | TaskState::Running(w)
+            | TaskState::Stopping(w) => Some(w),
+            TaskState::Waiting | TaskState::Ended => None,
+        }
+    }
+}
+
+/// One task of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub state: TaskState,
+    /// Number of the last attempt; 0: none yet.
+    pub attempt: u32,
+    pub failures: u32,
+    /// When the task was placed or started, whichever came last.
+    pub since: Millis,
+    pub checkpoint: Option<Arc<str>>,
+}
+
+impl Task {
+    fn new() -> Task {
+        Task {
+            state: TaskState::Waiting,
+            attempt: 0,
+            failures: 0,
+            since: Millis(0),
+            checkpoint: None,
+        }
+    }
+}
+
+/// Why a request waits, for `status --why`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Wait {
+    #[default]
+    Fresh,
+    NoRoom,
+    Quota,
+    Headroom,
+    Backoff,
+    GangReservation,
+}
+
+impl Wait {
+    pub fn text(self) -> &'static str {
+        match self {
+            Wait::Fresh => "waits for its turn in the order of client accounts",
+            Wait::NoRoom => "waits: no usable instance that it may use has room",
+            Wait::Quota => "waits: the client account's quota is in use",
+            Wait::Headroom => "waits: the room left is kept for urgent work",
+            Wait::Backoff => "waits before the next attempt",
+            Wait::GangReservation => "waits: instances are being drained so that all tasks can start",
+        }
+    }
+}
+
+/// Where a request was placed last, and against what.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Placing {
+    pub worker: WorkerIdx,
+    pub compared: u32,
+    pub runner_up: Option<WorkerIdx>,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub no: RequestNo,
+    pub key: RequestKey,
+    pub spec: Arc<Spec>,
+    pub account: AccountIdx,
+    pub class: Class,
+    pub accepted_at: Millis,
+    /// Position of the acceptance in the ledger; 0: read back from it.
+    pub accepted_seq: u64,
+    pub tasks: Vec<Task>,
+    /// Indexes of waiting tasks, next first.
+    pub waiting: VecDeque<u32>,
+    /// Tasks that a worker holds.
+    pub active: u32,
+    pub running: u32,
+    pub done: u32,
+    pub failed: u32,
+    /// Tasks that may have run.
+    pub unsure: u32,
+    pub results: BTreeMap<u32, TaskResult>,
+    pub message: Arc<str>,
+    pub cancelled: bool,
+    /// A gang whose tasks are all being stopped, to start again or to fail.
+    pub regroup: bool,
+    pub begun: bool,
+    pub first_start: Option<Millis>,
+    /// No attempt before this time.
+    pub not_before: Millis,
+    pub in_queue: bool,
+    pub wait: Wait,
+    pub placing: Option<Placing>,
+    /// Workers on which an attempt failed, each once.
+    pub failed_on: Vec<WorkerIdx>,
+    pub answer: Option<FinalAnswer>,
+    /// Position of the answer in the ledger; it is told once that is durable.
+    pub answer_seq: u64,
+    pub version: u64,
+}
+
+impl Request {
+    pub fn new(no: RequestNo, key: RequestKey, spec: Arc<Spec>, account: AccountIdx) -> Request {
+        let count = spec.tasks;
+        Request {
+            no,
+            key,
+            account,
+            class: Class::of(&spec),
+            accepted_at: Millis(0),
+            accepted_seq: 0,
+            tasks: vec![Task::new(); count as usize],
+            waiting: (0..count).collect(),
+            active: 0,
+            running: 0,
+            done: 0,
+            failed: 0,
+            unsure: 0,
+            results: BTreeMap::new(),
+            message: "".into(),
+            cancelled: false,
+            regroup: false,
+            begun: false,
+            first_start: None,
+            not_before: Millis(0),
+            in_queue: false,
+            wait: Wait::Fresh,
+            placing: None,
+            failed_on: Vec::new(),
+            answer: None,
+            answer_seq: 0,
+            version: 1,
+            spec,
+        }
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.spec.kind == Kind::Gang
+    }
+
+    pub fn is_service(&self) -> bool {
+        self.spec.kind == Kind::Service
+    }
+
+    /// Returns the id of a task's current attempt.
+    pub fn task_id(&self, index: u32) -> TaskId {
+        TaskId { request: self.no, index, attempt: self.tasks[index as usize].attempt }
+    }
+
+    /// Tells whether the task may be displaced: batch work that can start again.
+    pub fn is_preemptible(&self) -> bool {
+        self.class == Class::Normal && self.spec.repeatable && !self.is_gang()
+    }
+
+    /// Returns the workers that hold tasks of the request.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerIdx> + '_ {
+        self.tasks.iter().filter_map(|t| t.state.worker())
+    }
+}
--- /dev/null
+++ b/crates/hollowford-engine/src/settle.rs
@@ -0,0 +1,254 @@
+//! How attempts and requests end, the same live and in recovery.
+
+use crate::engine::Engine;
+use crate::event::{Action, Change, FinalAnswer, Outcome, TaskEnd};
+use crate::request::{Request, TaskState};
+use crate::worker::WorkerIdx;
+use hollowford_core::{ErrorKind, Millis, RequestNo, TaskId};
+
+impl Engine {
+    /// Finds the worker that holds this very attempt.
+    pub(crate) fn holder(&self, task: &TaskId) -> Option<WorkerIdx> {
+        let r = self.requests.get(&task.request)?;
+        let t = r.tasks.get(task.index as usize)?;
+        if t.attempt == task.attempt { t.state.worker() } else { None }
+    }
+
+    /// Takes an attempt off its worker and gives back its resources.
+    pub(crate) fn detach(&mut self, now: Millis, task: &TaskId) -> Option<WorkerIdx> {
+        let w = self.holder(task)?;
+        let held = self.workers.release(w, task);
+        let r = self.requests.get_mut(&task.request)?;
+        let t = &mut r.tasks[task.index as usize];
+        if t.state == TaskState::Running(w) {
+            r.running -= 1;
+        }
+        t.state = TaskState::Ended;
+        r.active -= 1;
+        let account = self.accounts.get_mut(r.account);
+        account.settle(now, &self.workers.whole, self.policy.share_half_life);
+        if held.is_some() {
+            account.used.sub(&r.spec.per_task);
+        }
+        self.dirty = true;
+        Some(w)
+    }
+
+    /// Puts an ended task back among the waiting ones.
+    pub(crate) fn requeue(&mut self, no: RequestNo, index: u32) {
+        let Some(r) = self.requests.get_mut(&no) else {
+            return;
+        };
+        r.tasks[index as usize].state = TaskState::Waiting;
+        r.waiting.push_front(index);
+        self.enqueue(no, true);
+    }
+
+    /// Takes back an attempt that was surely never started.
+    pub(crate) fn withdraw(&mut self, now: Millis, task: &TaskId, out: &mut Vec<Action>) {
+        if self.detach(now, task).is_none() {
+            return;
+        }
+        self.stats.withdrawn += 1;
+        self.append(task.request, Change::Withdrawn { task: *task }, out);
+        self.after_withdrawn(now, task, out);
+    }
+
+    fn after_withdrawn(&mut self, now: Millis, task: &TaskId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&task.request) else {
+            return;
+        };
+        if r.cancelled {
+            self.close_if_ended(now, task.request, out);
+            return;
+        }
+        let alone = r.is_gang() && !r.regroup;
+        self.requeue(task.request, task.index);
+        if alone {
+            self.regroup(now, task.request, out);
+        }
+        self.finish_regroup(now, task.request, out);
+    }
+
+    /// Records the end of an attempt and decides what becomes of the task.
+    pub(crate) fn end_attempt(
+        &mut self,
+        now: Millis,
+        task: &TaskId,
+        end: TaskEnd,
+        out: &mut Vec<Action>,
+    ) -> u64 {
+        self.detach(now, task);
+        self.count_end(&end);
+        let change = Change::Ended { task: *task, end: end.clone() };
+        let seq = self.append(task.request, change, out);
+        let again = self.apply_end(task, end);
+        self.after_end(now, task, again, out);
+        seq
+    }
+
+    fn count_end(&mut self, end: &TaskEnd) {
+        match end {
+            TaskEnd::Done(_) => self.stats.done += 1,
+            TaskEnd::Failed(_) => self.stats.failed += 1,
+            TaskEnd::Lost => self.stats.lost += 1,
+            TaskEnd::Stopped(_) => {}
+        }
+    }
+
+    /// Books an attempt's end on its request. Returns whether the task runs again.
+    pub(crate) fn apply_end(&mut self, task: &TaskId, end: TaskEnd) -> bool {
+        let max_attempts = self.policy.max_attempts;
+        let Some(r) = self.requests.get_mut(&task.request) else {
+            return false;
+        };
+        r.begun = true;
+        let may_repeat = r.spec.repeatable && !r.cancelled;
+        let service = r.is_service();
+        match end {
+            TaskEnd::Done(_) if service => may_repeat,
+            TaskEnd::Done(result) => {
+                r.done += 1;
+                r.results.insert(task.index, result);
+                false
+            }
+            TaskEnd::Failed(message) => {
+                let t = &mut r.tasks[task.index as usize];
+                t.failures += 1;
+                if may_repeat && (service || t.failures < max_attempts) {
+                    return true;
+                }
+                r.failed += 1;
+                r.message = message.as_str().into();
+                false
+            }
+            TaskEnd::Stopped(checkpoint) => {
+                if may_repeat {
+                    r.tasks[task.index as usize].checkpoint =
+                        Some(checkpoint).filter(|c| !c.is_empty());
+                }
+                stopped_again(r, may_repeat)
+            }
+            TaskEnd::Lost => {
+                if !r.spec.repeatable {
+                    r.unsure += 1;
+                }
+                may_repeat
+            }
+        }
+    }
+
+    fn after_end(&mut self, now: Millis, task: &TaskId, again: bool, out: &mut Vec<Action>) {
+        let no = task.request;
+        let Some(r) = self.requests.get(&no) else {
+            return;
+        };
+        let done = r.results.contains_key(&task.index);
+        let regroup = r.is_gang() && !r.regroup && !r.cancelled && !done;
+        if again {
+            self.back_off(now, task);
+            self.requeue(no, task.index);
+        }
+        if regroup {
+            self.regroup(now, no, out);
+        }
+        self.finish_regroup(now, no, out);
+        self.close_if_ended(now, no, out);
+        self.changed(no, out);
+    }
+
+    /// Sets the time of the next attempt after a failure.
+    fn back_off(&mut self, now: Millis, task: &TaskId) {
+        const MOST_DOUBLINGS: u32 = 10;
+        let p = &self.policy;
+        let Some(r) = self.requests.get_mut(&task.request) else {
+            return;
+        };
+        let failures = r.tasks[task.index as usize].failures;
+        if failures == 0 {
+            return;
+        }
+        let wait = p.retry_backoff.0 << (failures - 1).min(MOST_DOUBLINGS);
+        r.not_before = r.not_before.max(now + Millis(wait.min(p.retry_backoff_max.0)));
+        self.wakes.insert((r.not_before, task.request));
+    }
+
+    /// Closes a request of which nothing waits and nothing is held.
+    pub(crate) fn close_if_ended(&mut self, now: Millis, no: RequestNo, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&no) else {
+            return;
+        };
+        if r.answer.is_some() || r.active > 0 || !r.waiting.is_empty() {
+            return;
+        }
+        let answer = final_answer(r);
+        self.close(now, no, answer, out);
+    }
+
+    /// Records the final answer.
+    pub(crate) fn close(
+        &mut self,
+        now: Millis,
+        no: RequestNo,
+        answer: FinalAnswer,
+        out: &mut Vec<Action>,
+    ) {
+        let seq = self.append(no, Change::Close(answer.clone()), out);
+        self.apply_close(now, no, answer, seq);
+        self.changed_when_durable(no, seq);
+    }
+
+    /// Books the final answer on the request.
+    pub(crate) fn apply_close(
+        &mut self,
+        now: Millis,
+        no: RequestNo,
+        answer: FinalAnswer,
+        seq: u64,
+    ) {
+        let Some(r) = self.requests.get_mut(&no) else {
+            return;
+        };
+        if r.answer.is_some() {
+            return;
+        }
+        r.answer = Some(answer);
+        r.answer_seq = seq;
+        r.waiting.clear();
+        self.accounts.get_mut(r.account).open -= 1;
+        self.open -= 1;
+        self.answered.push_back((now, no));
+        if self.reservation.as_ref().is_some_and(|v| v.request == no) {
+            self.drop_reservation();
+        }
+    }
+}
+
+/// Books a stop. A task that can't run again and wasn't cancelled has failed.
+fn stopped_again(r: &mut Request, may_repeat: bool) -> bool {
+    if !may_repeat && !r.cancelled {
+        r.failed += 1;
+        if r.message.is_empty() {
+            r.message = "stopped by the scheduler".into();
+        }
+    }
+    may_repeat
+}
+
+fn final_answer(r: &Request) -> FinalAnswer {
+    let (outcome, reason) = if r.unsure > 0 {
+        (Outcome::MayHaveRun, ErrorKind::Unknown.answer().name)
+    } else if r.cancelled && (r.done as usize) < r.tasks.len() {
+        (Outcome::Cancelled, "")
+    } else if r.failed > 0 {
+        (Outcome::Failed, ErrorKind::Failed.answer().name)
+    } else {
+        (Outcome::Done, "")
+    };
+    FinalAnswer {
+        outcome,
+        reason: reason.into(),
+        message: r.message.clone(),
+        had_begun: r.begun,
+    }
+}
--- /dev/null
+++ b/crates/hollowford-platform/src/lib.rs
@@ -0,0 +1,9 @@
+//! The platform's side: the transactional table, the object store, the instance
+//! list and the links to workers. All of it by published protocols.
+
+mod link;
+mod store;
+pub mod wire;
+
+pub use link::{LinkError, Orders, Reports, attach};
+pub use store::{Platform, StoreError, Txn, TxnResult};
--- /dev/null
+++ b/crates/hollowford-standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Program of the stand-ins, for tests.
+fn main() {}
--- /dev/null
+++ b/crates/hollowford-standin/src/payload.rs
@@ -0,0 +1,38 @@
+//! What a stand-in worker reads from a task's payload: `key=value` words.
+
+/// How a task behaves on a stand-in worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Behaviour {
+    /// Name that the record carries.
+    pub name: String,
+    /// True run time in milliseconds, where it differs from the declared one.
+    pub run_ms: Option<u64>,
+    /// Whether it fails.
+    pub fail: bool,
+    /// Processors that it uses, in thousandths of a core.
+    pub cpu_milli: Option<u32>,
+    /// Memory that it uses, in mebibytes.
+    pub memory_mib: Option<u32>,
+    /// Length of its result in bytes.
+    pub result: usize,
+}
+
+impl From<&[u8]> for Behaviour {
+    fn from(payload: &[u8]) -> Behaviour {
+        let text = String::from_utf8_lossy(payload);
+        let mut b = Behaviour::default();
+        for word in text.split_whitespace() {
+            let (key, value) = word.split_once('=').unwrap_or((word, ""));
+            match key {
+                "name" => value.clone_into(&mut b.name),
+                "run" => b.run_ms = value.parse().ok(),
+                "fail" => b.fail = true,
+                "cpu" => b.cpu_milli = value.parse().ok(),
+                "memory" => b.memory_mib = value.parse().ok(),
+                "result" => b.result = value.parse().unwrap_or(0),
+                _ => {}
+            }
+        }
+        b
+    }
+}
