--- a/crates/hollowford-config/src/policy.rs
+++ b/crates/hollowford-config/src/policy.rs
@@ -55,8 +55,11 @@
         max_attempts: count("max_attempts", p.max_attempts.into(), 100)? as u32,
         retry_backoff: ms("retry_backoff_ms", p.retry_backoff, HOUR)?,
         retry_backoff_max: ms("retry_backoff_max_ms", p.retry_backoff_max, HOUR)?,
-        account_queue_bound: count("account_queue_bound", p.account_queue_bound.into(), 1_000_000)?
-            as u32,
+        account_queue_bound: count(
+            "account_queue_bound",
+            p.account_queue_bound.into(),
+            1_000_000,
+        )? as u32,
         queue_bound: count("queue_bound", p.queue_bound.into(), 1_000_000)? as u32,
         share_half_life: ms("share_half_life_ms", p.share_half_life, 24 * HOUR)?,
         gang_drain_after: ms("gang_drain_after_ms", p.gang_drain_after, 24 * HOUR)?,
@@ -66,8 +69,7 @@
         aside_for: ms("aside_for_ms", p.aside_for, HOUR)?,
         aside_share: s.fraction("aside_share", p.aside_share, 0.0..=1.0)?,
         keep_answers: ms("keep_answers_ms", p.keep_answers, 24 * HOUR)?,
-        keep_answers_max: count("keep_answers_max", p.keep_answers_max as u64, 1_000_000)?
-            as usize,
+        keep_answers_max: count("keep_answers_max", p.keep_answers_max as u64, 1_000_000)? as usize,
         ..p
     })
 }
--- a/crates/hollowford-core/src/time.rs
+++ b/crates/hollowford-core/src/time.rs
@@ -49,7 +49,9 @@
 impl Clock {
     /// Starts a clock that reads zero now.
     pub fn new() -> Clock {
-        Clock { start: Instant::now() }
+        Clock {
+            start: Instant::now(),
+        }
     }
 
     /// Returns the milliseconds since the clock was started.
--- a/crates/hollowford-engine/src/claim.rs
+++ b/crates/hollowford-engine/src/claim.rs
@@ -67,13 +67,7 @@
         self.dirty = true;
     }
 
-    fn settle_ended(
-        &mut self,
-        now: Millis,
-        idx: WorkerIdx,
-        claim: &Claim,
-        out: &mut Vec<Action>,
-    ) {
+    fn settle_ended(&mut self, now: Millis, idx: WorkerIdx, claim: &Claim, out: &mut Vec<Action>) {
         let worker = self.workers.get(idx).id.clone();
         for report in &claim.ended {
             self.ended(now, &worker, report, out);
@@ -96,13 +90,7 @@
         }
     }
 
-    fn found_running(
-        &mut self,
-        now: Millis,
-        idx: WorkerIdx,
-        task: &TaskId,
-        out: &mut Vec<Action>,
-    ) {
+    fn found_running(&mut self, now: Millis, idx: WorkerIdx, task: &TaskId, out: &mut Vec<Action>) {
         let worker = self.workers.get(idx).id.clone();
         self.started(now, &worker, task, out);
         let Some(r) = self.requests.get(&task.request) else {
@@ -111,7 +99,11 @@
         let unwanted = r.cancelled || r.regroup || r.answer.is_some();
         let state = r.tasks[task.index as usize].state;
         if state == TaskState::Stopping(idx) {
-            out.push(Action::Stop { worker, task: *task, checkpoint: r.is_preemptible() });
+            out.push(Action::Stop {
+                worker,
+                task: *task,
+                checkpoint: r.is_preemptible(),
+            });
         } else if unwanted {
             self.stop_task(now, task.request, task.index, false, out);
         }
@@ -164,9 +156,14 @@
         self.stats.foreign += foreign.len() as u64;
         let worker = self.workers.get(idx).id.clone();
         for task in foreign.keys() {
-            out.push(Action::Stop { worker: worker.clone(), task: *task, checkpoint: false });
+            out.push(Action::Stop {
+                worker: worker.clone(),
+                task: *task,
+                checkpoint: false,
+            });
         }
-        self.workers.update(idx, |w| w.foreign = foreign.into_values().collect());
+        self.workers
+            .update(idx, |w| w.foreign = foreign.into_values().collect());
     }
 
     /// Notes that the session with a worker ended. It takes no new work until it is
@@ -184,8 +181,10 @@
         });
         let held: Vec<TaskId> = self.workers.get(idx).held.iter().map(|h| h.task).collect();
         for task in held {
-            let state =
-                self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
+            let state = self
+                .requests
+                .get(&task.request)
+                .map(|r| r.tasks[task.index as usize].state);
             if state == Some(TaskState::Placed(idx)) {
                 self.withdraw(now, &task, out);
             }
--- a/crates/hollowford-engine/src/durable.rs
+++ b/crates/hollowford-engine/src/durable.rs
@@ -34,6 +34,11 @@
         self.stalled = stalled;
     }
 
+    /// Returns the position of the newest record.
+    pub fn last_seq(&self) -> u64 {
+        self.next_seq - 1
+    }
+
     /// Returns how many records the ledger doesn't hold yet.
     pub fn unsynced(&self) -> u64 {
         self.next_seq - 1 - self.durable_seq
@@ -52,7 +57,10 @@
 
     fn send_start(&mut self, now: Millis, start: &PendingStart, out: &mut Vec<Action>) {
         let task = &start.task;
-        let state = self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
+        let state = self
+            .requests
+            .get(&task.request)
+            .map(|r| r.tasks[task.index as usize].state);
         let stands = self.holder(task) == Some(start.worker)
             && state == Some(TaskState::Placed(start.worker));
         if !stands {
@@ -74,6 +82,12 @@
             r.tasks[task.index as usize].state = TaskState::Starting(start.worker);
         }
         self.stats.started += 1;
-        out.push(Action::Start { worker, task: *task, lease_until, spec, checkpoint });
+        out.push(Action::Start {
+            worker,
+            task: *task,
+            lease_until,
+            spec,
+            checkpoint,
+        });
     }
 }
--- a/crates/hollowford-engine/src/lib.rs
+++ b/crates/hollowford-engine/src/lib.rs
@@ -29,7 +29,7 @@
 pub use account::AccountPolicy;
 pub use engine::{Authority, Engine, Stats};
 pub use event::{
-    Action, Change, ClaimedTask, Claim, EndReport, FinalAnswer, Listed, Outcome, Record, TaskEnd,
+    Action, Change, Claim, ClaimedTask, EndReport, FinalAnswer, Listed, Outcome, Record, TaskEnd,
     TaskResult, TaskUsage,
 };
 pub use policy::Policy;
--- a/crates/hollowford-engine/src/place.rs
+++ b/crates/hollowford-engine/src/place.rs
@@ -52,7 +52,12 @@
         }
         self.dirty = false;
         self.pass += 1;
-        let mut pass = Pass { now, no: self.pass, placed: 0, full: Vec::new() };
+        let mut pass = Pass {
+            now,
+            no: self.pass,
+            placed: 0,
+            full: Vec::new(),
+        };
         for class in Class::ALL {
             self.serve_class(class, &mut pass, out);
         }
@@ -127,8 +132,16 @@
         if r.not_before > pass.now || r.regroup {
             return Tried::Waits(Wait::Backoff);
         }
-        let at_once = if r.is_gang() { r.waiting.len() as u32 } else { 1 };
-        if !self.accounts.get(r.account).allows(&r.spec.per_task, at_once) {
+        let at_once = if r.is_gang() {
+            r.waiting.len() as u32
+        } else {
+            1
+        };
+        if !self
+            .accounts
+            .get(r.account)
+            .allows(&r.spec.per_task, at_once)
+        {
             return Tried::Waits(Wait::Quota);
         }
         if !self.headroom_allows(r, at_once) {
@@ -173,7 +186,11 @@
             }
             return Tried::Waits(Wait::NoRoom);
         };
-        let Some(index) = self.requests.get_mut(&no).and_then(|r| r.waiting.pop_front()) else {
+        let Some(index) = self
+            .requests
+            .get_mut(&no)
+            .and_then(|r| r.waiting.pop_front())
+        else {
             return Tried::Waits(Wait::Fresh);
         };
         let seq = self.place(no, index, placing.worker, pass.now, out);
@@ -215,7 +232,11 @@
                 break;
             }
         }
-        best.map(|(_, worker)| Placing { worker, compared, runner_up })
+        best.map(|(_, worker)| Placing {
+            worker,
+            compared,
+            runner_up,
+        })
     }
 
     /// Tells whether a request's next task may go to a worker that has room.
@@ -231,7 +252,9 @@
         match r.spec.placement.spread {
             Spread::None => true,
             Spread::Instance => r.workers().all(|other| other != idx),
-            Spread::Rack => r.workers().all(|other| self.workers.get(other).rack != w.rack),
+            Spread::Rack => r
+                .workers()
+                .all(|other| self.workers.get(other).rack != w.rack),
         }
     }
 
@@ -270,7 +293,8 @@
     pub(crate) fn expect_start(&mut self, no: RequestNo, index: u32, worker: WorkerIdx, seq: u64) {
         if let Some(r) = self.requests.get(&no) {
             let task = r.task_id(index);
-            self.pending_starts.push_back(PendingStart { seq, task, worker });
+            self.pending_starts
+                .push_back(PendingStart { seq, task, worker });
         }
     }
 
@@ -290,7 +314,11 @@
         resources: r.spec.per_task,
         incarnation,
         preemptible: r.is_preemptible(),
-        ends: if known { now + Millis(r.spec.run_time_ms) } else { Millis::MAX },
+        ends: if known {
+            now + Millis(r.spec.run_time_ms)
+        } else {
+            Millis::MAX
+        },
     }
 }
 
@@ -298,7 +326,13 @@
 /// fills, and those whose processors and memory are left in equal parts.
 fn score(need: &Resources, w: &Worker) -> f64 {
     let left = w.free.minus(need);
-    let part = |l: u32, c: u32| if c == 0 { 0.0 } else { f64::from(l) / f64::from(c) };
+    let part = |l: u32, c: u32| {
+        if c == 0 {
+            0.0
+        } else {
+            f64::from(l) / f64::from(c)
+        }
+    };
     let cpu = part(left.cpu_milli, w.capacity.cpu_milli);
     let memory = part(left.memory_mib, w.capacity.memory_mib);
     cpu + memory + 2.0 * (cpu - memory).abs()
--- a/crates/hollowford-engine/src/preempt.rs
+++ b/crates/hollowford-engine/src/preempt.rs
@@ -47,7 +47,12 @@
     /// is under way already.
     pub(crate) fn preempt_for(&mut self, no: RequestNo, now: Millis, out: &mut Vec<Action>) {
         self.drop_kept_promises();
-        let promised = self.preempt.promises.iter().filter(|p| p.request == no).count();
+        let promised = self
+            .preempt
+            .promises
+            .iter()
+            .filter(|p| p.request == no)
+            .count();
         let waiting = self.requests.get(&no).map_or(0, |r| r.waiting.len());
         if promised >= waiting {
             return;
@@ -63,7 +68,10 @@
         for task in &victims {
             self.displace(task, now, out);
         }
-        self.preempt.promises.push(Promise { request: no, victims });
+        self.preempt.promises.push(Promise {
+            request: no,
+            victims,
+        });
     }
 
     /// Displaces all that can be displaced from the workers.
@@ -110,9 +118,7 @@
             .workers
             .usable()
             .map(|idx| (idx, self.workers.get(idx)))
-            .filter(|(idx, w)| {
-                could(w) && zone_allows(&r.spec, w) && !r.failed_on.contains(idx)
-            })
+            .filter(|(idx, w)| could(w) && zone_allows(&r.spec, w) && !r.failed_on.contains(idx))
             .take(WORKERS_COMPARED);
         for (_, w) in candidates {
             let (cost, victims) = self.victims_on(w, need, now);
@@ -178,7 +184,11 @@
         }
         // An unclaimed worker is told at its claim.
         if worker.claimed {
-            out.push(Action::Stop { worker: worker.id.clone(), task, checkpoint });
+            out.push(Action::Stop {
+                worker: worker.id.clone(),
+                task,
+                checkpoint,
+            });
         }
     }
 }
--- a/crates/hollowford-engine/src/query.rs
+++ b/crates/hollowford-engine/src/query.rs
@@ -3,7 +3,9 @@
 use crate::engine::Engine;
 use crate::event::{FinalAnswer, TaskResult};
 use crate::request::{Request, Wait};
-use hollowford_core::{AccountId, Epoch, Millis, PartitionId, RequestKey, RequestNo, Resources, Totals};
+use hollowford_core::{
+    AccountId, Epoch, Millis, PartitionId, RequestKey, RequestNo, Resources, Totals,
+};
 
 /// Most instances that a view names.
 const MAX_INSTANCES: usize = 16;
@@ -35,6 +37,8 @@
     pub partition: PartitionId,
     /// The owner's epoch.
     pub epoch: Epoch,
+    /// Whether it is a service.
+    pub is_service: bool,
 }
 
 /// A worker as the engine sees it.
@@ -71,7 +75,9 @@
 
     /// Tells whether the acceptance is durable.
     pub fn is_accepted(&self, no: RequestNo) -> bool {
-        self.requests.get(&no).is_some_and(|r| r.accepted_seq <= self.durable_seq)
+        self.requests
+            .get(&no)
+            .is_some_and(|r| r.accepted_seq <= self.durable_seq)
     }
 
     /// Tells whether a caller that waits for the end has its answer: the final one
@@ -84,7 +90,9 @@
     }
 
     fn answer_of<'a>(&self, r: &'a Request) -> Option<&'a FinalAnswer> {
-        r.answer.as_ref().filter(|_| r.answer_seq <= self.durable_seq)
+        r.answer
+            .as_ref()
+            .filter(|_| r.answer_seq <= self.durable_seq)
     }
 
     /// Returns a request's view.
@@ -112,10 +120,14 @@
             answer,
             results,
             waited: r.first_start.map(|t| t.since(r.accepted_at)),
-            instances: workers.iter().map(|&w| self.workers.get(w).id.as_str()).collect(),
+            instances: workers
+                .iter()
+                .map(|&w| self.workers.get(w).id.as_str())
+                .collect(),
             why: self.why(r),
             partition: self.partition,
             epoch: self.epoch,
+            is_service: r.is_service(),
         })
     }
 
@@ -159,7 +171,10 @@
 
     /// Lists an account's requests after `after`, in the order of their ids.
     pub fn list(&self, account: &AccountId, after: &str, limit: usize) -> Vec<RequestNo> {
-        let own = self.keys.iter().filter(|(k, _)| k.account == *account && *k.id > *after);
+        let own = self
+            .keys
+            .iter()
+            .filter(|(k, _)| k.account == *account && *k.id > *after);
         let mut found: Vec<(&RequestKey, RequestNo)> = own.map(|(k, no)| (k, *no)).collect();
         found.sort_unstable();
         found.truncate(limit);
--- a/crates/hollowford-engine/src/request.rs
+++ b/crates/hollowford-engine/src/request.rs
@@ -105,7 +105,9 @@
             Wait::Quota => "waits: the client account's quota is in use",
             Wait::Headroom => "waits: the room left is kept for urgent work",
             Wait::Backoff => "waits before the next attempt",
-            Wait::GangReservation => "waits: instances are being drained so that all tasks can start",
+            Wait::GangReservation => {
+                "waits: instances are being drained so that all tasks can start"
+            }
         }
     }
 }
@@ -204,7 +206,11 @@
 
     /// Returns the id of a task's current attempt.
     pub fn task_id(&self, index: u32) -> TaskId {
-        TaskId { request: self.no, index, attempt: self.tasks[index as usize].attempt }
+        TaskId {
+            request: self.no,
+            index,
+            attempt: self.tasks[index as usize].attempt,
+        }
     }
 
     /// Tells whether the task may be displaced: batch work that can start again.
--- a/crates/hollowford-engine/src/settle.rs
+++ b/crates/hollowford-engine/src/settle.rs
@@ -11,7 +11,11 @@
     pub(crate) fn holder(&self, task: &TaskId) -> Option<WorkerIdx> {
         let r = self.requests.get(&task.request)?;
         let t = r.tasks.get(task.index as usize)?;
-        if t.attempt == task.attempt { t.state.worker() } else { None }
+        if t.attempt == task.attempt {
+            t.state.worker()
+        } else {
+            None
+        }
     }
 
     /// Takes an attempt off its worker and gives back its resources.
@@ -80,7 +84,10 @@
     ) -> u64 {
         self.detach(now, task);
         self.count_end(&end);
-        let change = Change::Ended { task: *task, end: end.clone() };
+        let change = Change::Ended {
+            task: *task,
+            end: end.clone(),
+        };
         let seq = self.append(task.request, change, out);
         let again = self.apply_end(task, end);
         self.after_end(now, task, again, out);
@@ -169,7 +176,9 @@
             return;
         }
         let wait = p.retry_backoff.0 << (failures - 1).min(MOST_DOUBLINGS);
-        r.not_before = r.not_before.max(now + Millis(wait.min(p.retry_backoff_max.0)));
+        r.not_before = r
+            .not_before
+            .max(now + Millis(wait.min(p.retry_backoff_max.0)));
         self.wakes.insert((r.not_before, task.request));
     }
 
--- a/crates/hollowford-protocol/src/peer.rs
+++ b/crates/hollowford-protocol/src/peer.rs
@@ -134,7 +134,7 @@
 pub enum Said {
     /// A request's view.
     #[prost(message, tag = "1")]
-    View(v1::RequestView),
+    View(ViewReply),
     /// How many requests were cancelled.
     #[prost(message, tag = "2")]
     Cancelled(v1::CancelByLabelReply),
@@ -146,6 +146,28 @@
     Refused(Refused),
 }
 
+/// A request's view, with the results that are kept as objects.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ViewReply {
+    /// The view, without those results.
+    #[prost(message, optional, tag = "1")]
+    pub view: Option<v1::RequestView>,
+    /// Where they are.
+    #[prost(message, repeated, tag = "2")]
+    pub objects: Vec<ObjectResult>,
+}
+
+/// A result that is kept as an object.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ObjectResult {
+    /// Index of the task.
+    #[prost(uint32, tag = "1")]
+    pub index: u32,
+    /// The object.
+    #[prost(string, tag = "2")]
+    pub object: String,
+}
+
 /// An error on its way between processes.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Refused {
@@ -173,6 +195,10 @@
 impl From<Refused> for Error {
     fn from(r: Refused) -> Error {
         let kind = ErrorKind::from_name(&r.kind).unwrap_or(ErrorKind::Internal);
-        Error { kind, message: r.message, retry_after_ms: r.retry_after_ms }
+        Error {
+            kind,
+            message: r.message,
+            retry_after_ms: r.retry_after_ms,
+        }
     }
 }
--- /dev/null
+++ b/crates/hollowford-server/src/entry/operator.rs
@@ -0,0 +1,132 @@
+//! The calls of operators.
+
+use super::auth;
+use super::status::to_status;
+use crate::accounts::{LOG_PREFIX, set_account};
+use crate::admin::dump;
+use crate::shared::Shared;
+use crate::watch::refresh_config;
+use hollowford_core::{Error, ErrorKind};
+use hollowford_platform::Platform;
+use hollowford_protocol::v1;
+use hollowford_protocol::v1::operator_server::Operator;
+use prost::Message;
+use std::sync::Arc;
+use tonic::{Request, Response, Status};
+
+/// Changes in one reply when the operator doesn't say, and at most.
+const DEFAULT_HISTORY: u32 = 20;
+const MAX_HISTORY: u32 = 100;
+
+/// The service of operators.
+#[derive(Clone, Debug)]
+pub(crate) struct OperatorService {
+    pub shared: Arc<Shared>,
+    pub store: Platform,
+}
+
+fn unread(e: impl std::fmt::Display) -> Error {
+    Error::new(ErrorKind::Unavailable, e.to_string())
+}
+
+impl OperatorService {
+    async fn get_config(&self, req: &v1::GetConfigRequest) -> Result<v1::ConfigView, Error> {
+        refresh_config(&self.shared, &self.store)
+            .await
+            .map_err(unread)?;
+        let accounts = self.shared.accounts.load();
+        let found = accounts.accounts.get(&req.account.as_str().into());
+        let none = || Error::new(ErrorKind::NotFound, format!("no account {:?}", req.account));
+        found.map(|e| e.view()).ok_or_else(none)
+    }
+
+    async fn set_config(&self, req: &v1::SetConfigRequest) -> Result<v1::ConfigView, Error> {
+        let (entry, head) = set_account(&self.store, &self.shared.clock, req).await?;
+        log::info!(
+            "config_head={head} account={} author={}",
+            entry.id,
+            entry.author
+        );
+        // Heartbeats tell the other processes; this one reads it now.
+        refresh_config(&self.shared, &self.store)
+            .await
+            .map_err(unread)?;
+        Ok(entry.view())
+    }
+
+    async fn history(&self, limit: u32) -> Result<v1::ConfigHistoryReply, Error> {
+        let limit = u64::from(match limit {
+            0 => DEFAULT_HISTORY,
+            n => n.min(MAX_HISTORY),
+        });
+        refresh_config(&self.shared, &self.store)
+            .await
+            .map_err(unread)?;
+        let head = self.shared.accounts.load().head;
+        let after = format!("{LOG_PREFIX}{:016x}", head.saturating_sub(limit));
+        let rows = self
+            .store
+            .scan(LOG_PREFIX, &after, limit as usize)
+            .await
+            .map_err(unread)?;
+        let change =
+            |r: &hollowford_platform::wire::Row| v1::ConfigChange::decode(&r.value.0[..]).ok();
+        let mut changes: Vec<v1::ConfigChange> = rows.iter().filter_map(change).collect();
+        changes.reverse();
+        Ok(v1::ConfigHistoryReply { changes })
+    }
+
+    fn check<T>(&self, req: &Request<T>) -> Result<(), Status> {
+        auth::operator(&self.shared, req.metadata()).map_err(|e| to_status(&e))
+    }
+}
+
+fn finish<T>(result: Result<T, Error>) -> Result<Response<T>, Status> {
+    result.map(Response::new).map_err(|e| to_status(&e))
+}
+
+#[tonic::async_trait]
+impl Operator for OperatorService {
+    async fn get_config(
+        &self,
+        req: Request<v1::GetConfigRequest>,
+    ) -> Result<Response<v1::ConfigView>, Status> {
+        self.check(&req)?;
+        finish(OperatorService::get_config(self, req.get_ref()).await)
+    }
+
+    async fn set_config(
+        &self,
+        req: Request<v1::SetConfigRequest>,
+    ) -> Result<Response<v1::ConfigView>, Status> {
+        self.check(&req)?;
+        finish(OperatorService::set_config(self, req.get_ref()).await)
+    }
+
+    async fn config_history(
+        &self,
+        req: Request<v1::ConfigHistoryRequest>,
+    ) -> Result<Response<v1::ConfigHistoryReply>, Status> {
+        self.check(&req)?;
+        finish(self.history(req.get_ref().limit).await)
+    }
+
+    async fn drain(
+        &self,
+        req: Request<v1::DrainRequest>,
+    ) -> Result<Response<v1::DrainReply>, Status> {
+        self.check(&req)?;
+        let partitions = self.shared.metrics.owned.get().max(0) as u32;
+        self.shared.stopping.send_replace(true);
+        Ok(Response::new(v1::DrainReply { partitions }))
+    }
+
+    async fn state(
+        &self,
+        req: Request<v1::StateRequest>,
+    ) -> Result<Response<v1::StateReply>, Status> {
+        self.check(&req)?;
+        let json = dump(&self.shared).await.to_string();
+        Ok(Response::new(v1::StateReply { json }))
+    }
+}
--- /dev/null
+++ b/crates/hollowford-server/src/ledger/mod.rs
@@ -0,0 +1,10 @@
+//! The ledger of a partition: group commits in the table, snapshots in the object
+//! store, and recovery from both.
+
+mod keys;
+mod recover;
+mod writer;
+
+pub(crate) use keys::{epoch_key, owner_key};
+pub(crate) use recover::recover;
+pub(crate) use writer::{LedgerHandle, LedgerItem, Writer, run};
--- /dev/null
+++ b/crates/hollowford-server/src/ledger/recover.rs
@@ -0,0 +1,114 @@
+//! Reads a partition's state back: the newest snapshot, then the rows after it.
+
+use super::keys::{ledger_key, ledger_prefix, snapshot_key};
+use crate::codec::record_from_wire;
+use hollowford_core::{Error, ErrorKind, PartitionId};
+use hollowford_engine::Record;
+use hollowford_platform::{Platform, StoreError};
+use hollowford_protocol::ledger::Batch;
+use prost::Message;
+
+/// Rows in one read.
+const PAGE: usize = 100;
+
+/// Row that points at the newest snapshot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct SnapshotRow {
+    /// The object.
+    #[prost(string, tag = "1")]
+    pub object: String,
+    /// Index of the first ledger row that it doesn't contain.
+    #[prost(uint64, tag = "2")]
+    pub next_index: u64,
+}
+
+/// What the ledger holds.
+#[derive(Debug)]
+pub(crate) struct Recovered {
+    pub records: Vec<Record>,
+    /// Index of the next row to write.
+    pub next_index: u64,
+    /// Index of the oldest row that may still be in the table.
+    pub first_index: u64,
+    /// Object of the newest snapshot; empty: none.
+    pub snapshot: String,
+}
+
+fn damaged(what: impl std::fmt::Display) -> Error {
+    Error::new(
+        ErrorKind::Internal,
+        format!("the ledger is damaged: {what}"),
+    )
+}
+
+fn unread(e: StoreError) -> Error {
+    Error::new(ErrorKind::Unavailable, e.to_string())
+}
+
+/// Reads everything back. The epoch row must have been raised before, so that no
+/// earlier owner can add to what is read.
+///
+/// # Errors
+/// `Unavailable` when the store doesn't answer, `Internal` for unreadable records.
+pub(crate) async fn recover(store: &Platform, p: PartitionId) -> Result<Recovered, Error> {
+    let row = store.get(&snapshot_key(p)).await.map_err(unread)?;
+    let snapshot = match row {
+        Some(row) => SnapshotRow::decode(&row.value.0[..]).map_err(damaged)?,
+        None => SnapshotRow::default(),
+    };
+    let mut records = Vec::new();
+    if !snapshot.object.is_empty() {
+        let bytes = store.get_object(&snapshot.object).await.map_err(unread)?;
+        let bytes = bytes.ok_or_else(|| damaged("the snapshot is missing"))?;
+        add_batch(&bytes, &mut records)?;
+    }
+    let next_index = read_rows(store, p, snapshot.next_index, &mut records).await?;
+    let first_index = snapshot.next_index;
+    Ok(Recovered {
+        records,
+        next_index,
+        first_index,
+        snapshot: snapshot.object,
+    })
+}
+
+async fn read_rows(
+    store: &Platform,
+    p: PartitionId,
+    from: u64,
+    records: &mut Vec<Record>,
+) -> Result<u64, Error> {
+    let prefix = ledger_prefix(p);
+    let mut index = from;
+    // Rows before the snapshot may be there still; the scan starts after them.
+    let mut after = match from {
+        0 => String::new(),
+        n => ledger_key(p, n - 1),
+    };
+    loop {
+        let rows = store.scan(&prefix, &after, PAGE).await.map_err(unread)?;
+        let full = rows.len() == PAGE;
+        for row in rows {
+            if row.key != ledger_key(p, index) {
+                return Err(damaged(format!(
+                    "row {index} is missing before {}",
+                    row.key
+                )));
+            }
+            add_batch(&row.value.0, records)?;
+            index += 1;
+            after = row.key;
+        }
+        if !full {
+            return Ok(index);
+        }
+    }
+}
+
+fn add_batch(bytes: &[u8], records: &mut Vec<Record>) -> Result<(), Error> {
+    let batch = Batch::decode(bytes).map_err(damaged)?;
+    for wire in batch.records {
+        records.push(record_from_wire(wire)?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hollowford-server/src/ledger/writer.rs
@@ -0,0 +1,334 @@
+//! Writes the records of one partition, in order, as group commits.
+
+use super::keys::{epoch_key, ledger_key, snapshot_key, snapshot_object};
+use super::recover::{Recovered, SnapshotRow};
+use crate::codec::record_to_wire;
+use crate::ring::Ring;
+use crate::shared::Shared;
+use hollowford_core::{Epoch, Millis, PartitionId};
+use hollowford_engine::Record;
+use hollowford_platform::{Platform, StoreError, Txn, TxnResult};
+use hollowford_protocol::ledger::{self, Batch};
+use prost::Message;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Groups of records that may wait for one partition's writer.
+const RING_BOUND: usize = 4_096;
+/// Most records in one row.
+const BATCH_RECORDS: usize = 4_000;
+/// Rows deleted in one transaction after a snapshot.
+const DELETE_ROWS: u64 = 100;
+/// First and longest wait before a write is tried again.
+const RETRY_FIRST: Duration = Duration::from_millis(20);
+const RETRY_MAX: Duration = Duration::from_millis(500);
+
+/// What the owner gives to its ledger.
+#[derive(Debug)]
+pub(crate) enum LedgerItem {
+    /// Records to append; the last one's position is `seq`.
+    Records { seq: u64, records: Vec<Record> },
+    /// Records that make the state after all before.
+    Snapshot(Vec<Record>),
+    /// Reply once everything before is durable.
+    Flush(oneshot::Sender<()>),
+}
+
+/// How far the ledger has come, for the owner to read.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    durable: AtomicU64,
+    stalled: AtomicBool,
+    deposed: AtomicBool,
+}
+
+/// The owner's end of a ledger. Cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct LedgerHandle {
+    pub ring: Ring<LedgerItem>,
+    progress: Arc<Progress>,
+}
+
+impl LedgerHandle {
+    pub fn new() -> LedgerHandle {
+        LedgerHandle {
+            ring: Ring::new(RING_BOUND),
+            progress: Arc::default(),
+        }
+    }
+
+    /// Returns the position up to which everything is durable.
+    pub fn durable(&self) -> u64 {
+        self.progress.durable.load(Ordering::Acquire)
+    }
+
+    /// Tells whether writes fail now.
+    pub fn stalled(&self) -> bool {
+        self.progress.stalled.load(Ordering::Acquire)
+    }
+
+    /// Tells whether another owner has raised the epoch.
+    pub fn deposed(&self) -> bool {
+        self.progress.deposed.load(Ordering::Acquire)
+    }
+}
+
+/// The writer of one partition's ledger.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    pub shared: Arc<Shared>,
+    pub partition: PartitionId,
+    pub epoch: Epoch,
+    /// Version of the epoch row at the takeover.
+    pub epoch_version: u64,
+    pub handle: LedgerHandle,
+    next_index: u64,
+    first_index: u64,
+    snapshot: String,
+}
+
+/// The writer's part in the owner was taken over.
+struct Deposed;
+
+/// What is written next.
+enum Next {
+    Write { seq: u64, batch: Batch },
+    Snapshot(Vec<Record>),
+    Flushed(oneshot::Sender<()>),
+}
+
+/// Runs the ledger duty: one task for each partition that the process takes.
+pub(crate) async fn run(shared: Arc<Shared>) -> Result<(), StoreError> {
+    let store = shared.store()?;
+    loop {
+        let writer = shared.ledger.recv().await;
+        tokio::spawn(writer.run(store.clone()));
+    }
+}
+
+impl Writer {
+    pub fn new(
+        shared: &Arc<Shared>,
+        partition: PartitionId,
+        epoch: Epoch,
+        epoch_version: u64,
+        recovered: &Recovered,
+    ) -> Writer {
+        Writer {
+            shared: shared.clone(),
+            partition,
+            epoch,
+            epoch_version,
+            handle: LedgerHandle::new(),
+            next_index: recovered.next_index,
+            first_index: recovered.first_index,
+            snapshot: recovered.snapshot.clone(),
+        }
+    }
+
+    async fn run(mut self, store: Platform) {
+        let spacing = self.spacing();
+        let mut held = None;
+        loop {
+            let wrote_at = self.shared.clock.now();
+            let next = self.gather(&mut held).await;
+            let done = match next {
+                Next::Write { seq, batch } => self.write(&store, seq, &batch).await,
+                Next::Snapshot(records) => self.write_snapshot(&store, &records).await,
+                Next::Flushed(reply) => {
+                    // The owner may have gone; then no one waits.
+                    let _ = reply.send(());
+                    continue;
+                }
+            };
+            if done.is_err() {
+                self.handle.progress.deposed.store(true, Ordering::Release);
+                self.shared.decide.wake();
+                return;
+            }
+            let spent = self.shared.clock.now().since(wrote_at);
+            tokio::time::sleep(spacing.since(spent).duration()).await;
+        }
+    }
+
+    /// Returns the time between two writes that keeps the cell within its budget.
+    fn spacing(&self) -> Millis {
+        const SECOND_MS: u64 = 1_000;
+        let s = &self.shared.settings;
+        let own = (s.store.writes_per_second / u64::from(s.partitions)).max(1);
+        Millis(SECOND_MS.div_ceil(own))
+    }
+
+    /// Takes what waits, up to one row, in order.
+    async fn gather(&self, held: &mut Option<LedgerItem>) -> Next {
+        let first = match held.take() {
+            Some(item) => item,
+            None => self.handle.ring.recv().await,
+        };
+        let (mut seq, mut records) = match first {
+            LedgerItem::Snapshot(records) => return Next::Snapshot(records),
+            LedgerItem::Flush(reply) => return Next::Flushed(reply),
+            LedgerItem::Records { seq, records } => (seq, records),
+        };
+        while records.len() < BATCH_RECORDS {
+            match self.handle.ring.pop() {
+                Some(LedgerItem::Records {
+                    seq: later,
+                    records: more,
+                }) => {
+                    seq = later;
+                    records.extend(more);
+                }
+                other => {
+                    *held = other;
+                    break;
+                }
+            }
+        }
+        Next::Write {
+            seq,
+            batch: self.batch(&records),
+        }
+    }
+
+    fn batch(&self, records: &[Record]) -> Batch {
+        Batch {
+            partition: self.partition.0,
+            epoch: self.epoch.0,
+            id: fastrand::u64(1..),
+            records: records
+                .iter()
+                .map(record_to_wire)
+                .collect::<Vec<ledger::Record>>(),
+        }
+    }
+
+    /// Writes one row, however long it takes, unless another owner is found.
+    async fn write(&mut self, store: &Platform, seq: u64, batch: &Batch) -> Result<(), Deposed> {
+        let key = ledger_key(self.partition, self.next_index);
+        let txn = Txn::new()
+            .check(epoch_key(self.partition), self.epoch_version)
+            .check(&*key, 0)
+            .put(&*key, batch.encode_to_vec());
+        let m = &self.shared.metrics;
+        m.ledger_batch.observe(batch.records.len() as f64);
+        self.commit(store, &txn, || self.holds(store, &key, batch.id))
+            .await?;
+        m.ledger_writes.inc();
+        self.next_index += 1;
+        self.handle.progress.durable.store(seq, Ordering::Release);
+        self.shared.decide.wake();
+        Ok(())
+    }
+
+    /// Tells whether the row holds this very batch; `None` when the store doesn't say.
+    async fn holds(&self, store: &Platform, key: &str, id: u64) -> Option<bool> {
+        let row = store.get(key).await.ok()?;
+        let batch = row.and_then(|row| Batch::decode(&row.value.0[..]).ok());
+        Some(batch.is_some_and(|b| b.id == id))
+    }
+
+    /// Tries a transaction until it is made, or surely can't be. After a conflict,
+    /// `made` tells whether an earlier try, whose reply was lost, had made it.
+    async fn commit<F>(
+        &self,
+        store: &Platform,
+        txn: &Txn,
+        made: impl Fn() -> F,
+    ) -> Result<(), Deposed>
+    where
+        F: Future<Output = Option<bool>>,
+    {
+        let mut wait = RETRY_FIRST;
+        let mut failures = 0;
+        loop {
+            match store.txn(txn).await {
+                Ok(TxnResult::Committed(_)) => break,
+                Ok(TxnResult::Conflict(_)) => match made().await {
+                    Some(true) => break,
+                    Some(false) => return Err(Deposed),
+                    None => {}
+                },
+                Err(e) => {
+                    self.shared.metrics.ledger_unanswered.inc();
+                    failures += 1;
+                    if failures == 2 {
+                        log::warn!("partition={} ledger stalled: {e}", self.partition);
+                        self.set_stalled(true);
+                    }
+                }
+            }
+            tokio::time::sleep(wait).await;
+            wait = (wait * 2).min(RETRY_MAX);
+        }
+        if self.handle.stalled() {
+            log::info!("partition={} ledger written again", self.partition);
+            self.set_stalled(false);
+        }
+        Ok(())
+    }
+
+    fn set_stalled(&self, stalled: bool) {
+        self.handle
+            .progress
+            .stalled
+            .store(stalled, Ordering::Release);
+        self.shared.decide.wake();
+    }
+
+    /// Writes a snapshot, points at it, and deletes the rows that it contains.
+    async fn write_snapshot(
+        &mut self,
+        store: &Platform,
+        records: &[Record],
+    ) -> Result<(), Deposed> {
+        let object = snapshot_object(self.partition, self.epoch, self.next_index);
+        let bytes = self.batch(records).encode_to_vec();
+        if let Err(e) = store.put_object(&object, bytes).await {
+            // The rows stay; the next snapshot contains them.
+            log::warn!("partition={} snapshot not written: {e}", self.partition);
+            return Ok(());
+        }
+        let row = SnapshotRow {
+            object: object.clone(),
+            next_index: self.next_index,
+        };
+        let key = snapshot_key(self.partition);
+        let txn = Txn::new()
+            .check(epoch_key(self.partition), self.epoch_version)
+            .put(&*key, row.encode_to_vec());
+        self.commit(store, &txn, || self.still_owner(store)).await?;
+        let old = std::mem::replace(&mut self.snapshot, object);
+        self.clean_up(store, &old).await;
+        Ok(())
+    }
+
+    /// After a conflict on the epoch alone: whether the epoch is ours still.
+    async fn still_owner(&self, store: &Platform) -> Option<bool> {
+        let row = store.get(&epoch_key(self.partition)).await.ok()?;
+        Some(row.is_some_and(|r| r.version == self.epoch_version))
+    }
+
+    /// Deletes what the snapshot replaces. What stays after a failure is found by
+    /// the next snapshot, or does no harm.
+    async fn clean_up(&mut self, store: &Platform, old: &str) {
+        while self.first_index < self.next_index {
+            let to = self.next_index.min(self.first_index + DELETE_ROWS);
+            let mut txn = Txn::new().check(epoch_key(self.partition), self.epoch_version);
+            for index in self.first_index..to {
+                txn = txn.delete(ledger_key(self.partition, index));
+            }
+            if !matches!(store.txn(&txn).await, Ok(TxnResult::Committed(_))) {
+                return;
+            }
+            self.first_index = to;
+        }
+        if !old.is_empty()
+            && let Err(e) = store.delete_object(old).await
+        {
+            log::warn!("partition={} old snapshot not deleted: {e}", self.partition);
+        }
+    }
+}
--- a/crates/hollowford-server/src/lib.rs
+++ b/crates/hollowford-server/src/lib.rs
@@ -1,1 +1,33 @@
-//! x
+//! One process of the system: its duties, a thread each, and the rings that join them.
+//!
+//! | duty | thread | takes from | gives to |
+//! | --- | --- | --- | --- |
+//! | entry | `entry` | callers, by gRPC | decide, peers |
+//! | decide | `decide` | its ring | ledger, workers |
+//! | ledger | `ledger` | a ring for each partition | the table |
+//! | ownership, configuration, lists | `watch` | the table | decide, workers |
+//! | peer links | `peers` | its ring, other processes | decide |
+//! | worker links | `workers` | its ring, workers | decide |
+//! | metrics, health, state | `admin` | operators, by HTTP | |
+
+mod accounts;
+mod admin;
+mod codec;
+mod decide;
+mod entry;
+mod ledger;
+mod members;
+mod metrics;
+mod owners;
+mod ownership;
+mod peers;
+mod process;
+mod ring;
+mod shared;
+mod views;
+mod watch;
+mod workers;
+
+pub use accounts::{hash_token, seed_account};
+pub use process::{Addresses, Process, StartError};
+pub use ring::Ring;
--- /dev/null
+++ b/crates/hollowford-server/src/metrics.rs
@@ -0,0 +1,152 @@
+//! Counters and histograms, for Prometheus.
+
+use hollowford_core::{Kind, Millis};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Bounds of the waiting-time histogram, in seconds.
+const WAIT_BUCKETS: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 3.1, 10.0, 60.0, 600.0,
+];
+/// Bounds of the batch-size histogram, in records.
+const BATCH_BUCKETS: &[f64] = &[1.0, 3.0, 10.0, 30.0, 100.0, 300.0, 1_000.0, 3_000.0];
+
+/// All metrics of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Where they are gathered from.
+    pub registry: Registry,
+    /// Calls of callers, by call and by error kind (`ok` for none).
+    pub calls: IntCounterVec,
+    /// Calls that an entry sent again, by why.
+    pub retries: IntCounterVec,
+    /// Time from acceptance to the first start, by kind.
+    pub waiting: HistogramVec,
+    /// Intents appended.
+    pub placed: IntCounter,
+    /// Starts sent.
+    pub started: IntCounter,
+    /// Tasks displaced for urgent work.
+    pub preempted: IntCounter,
+    /// Ledger rows written.
+    pub ledger_writes: IntCounter,
+    /// Ledger writes whose reply was lost.
+    pub ledger_unanswered: IntCounter,
+    /// Records in one ledger row.
+    pub ledger_batch: Histogram,
+    /// Reads and writes sent to the store, of all kinds.
+    pub store_calls: IntCounterVec,
+    /// Partitions owned now.
+    pub owned: IntGauge,
+    /// Takeovers made.
+    pub takeovers: IntCounter,
+    /// Ownerships lost to another process.
+    pub deposed: IntCounter,
+    /// Newest configuration change in force.
+    pub config_head: IntGauge,
+    /// Sessions with workers.
+    pub sessions: IntGauge,
+    /// Items refused because a ring was full, by ring.
+    pub ring_full: IntCounterVec,
+}
+
+impl Metrics {
+    /// Makes the metrics.
+    ///
+    /// # Errors
+    /// When two of them have one name, which is a fault in the program.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let r = Registry::new();
+        Ok(Metrics {
+            calls: vec(
+                &r,
+                "hollowford_calls_total",
+                "Calls of callers.",
+                &["call", "kind"],
+            )?,
+            retries: vec(
+                &r,
+                "hollowford_retries_total",
+                "Calls sent again.",
+                &["reason"],
+            )?,
+            waiting: waiting(&r)?,
+            placed: counter(&r, "hollowford_placed_total", "Intents appended.")?,
+            started: counter(&r, "hollowford_started_total", "Starts sent.")?,
+            preempted: counter(&r, "hollowford_preempted_total", "Tasks displaced.")?,
+            ledger_writes: counter(&r, "hollowford_ledger_writes_total", "Ledger rows written.")?,
+            ledger_unanswered: counter(
+                &r,
+                "hollowford_ledger_unanswered_total",
+                "Ledger writes whose reply was lost.",
+            )?,
+            ledger_batch: batch(&r)?,
+            store_calls: vec(
+                &r,
+                "hollowford_store_calls_total",
+                "Calls of the store.",
+                &["op"],
+            )?,
+            owned: gauge(&r, "hollowford_partitions_owned", "Partitions owned.")?,
+            takeovers: counter(&r, "hollowford_takeovers_total", "Takeovers made.")?,
+            deposed: counter(&r, "hollowford_deposed_total", "Ownerships lost.")?,
+            config_head: gauge(&r, "hollowford_config_head", "Newest change in force.")?,
+            sessions: gauge(&r, "hollowford_worker_sessions", "Sessions with workers.")?,
+            ring_full: vec(
+                &r,
+                "hollowford_ring_full_total",
+                "Items refused.",
+                &["ring"],
+            )?,
+            registry: r,
+        })
+    }
+
+    /// Notes how long a request waited.
+    pub fn waited(&self, kind: Kind, waited: Millis) {
+        const MS_PER_SECOND: f64 = 1_000.0;
+        let seconds = waited.0 as f64 / MS_PER_SECOND;
+        self.waiting
+            .with_label_values(&[kind.name()])
+            .observe(seconds);
+    }
+}
+
+fn counter(r: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    let c = IntCounter::new(name, help)?;
+    r.register(Box::new(c.clone()))?;
+    Ok(c)
+}
+
+fn gauge(r: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let g = IntGauge::new(name, help)?;
+    r.register(Box::new(g.clone()))?;
+    Ok(g)
+}
+
+fn vec(
+    r: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let v = IntCounterVec::new(Opts::new(name, help), labels)?;
+    r.register(Box::new(v.clone()))?;
+    Ok(v)
+}
+
+fn waiting(r: &Registry) -> Result<HistogramVec, prometheus::Error> {
+    let help = "Time from acceptance to the first start.";
+    let opts = HistogramOpts::new("hollowford_waiting_seconds", help);
+    let v = HistogramVec::new(opts.buckets(WAIT_BUCKETS.to_vec()), &["kind"])?;
+    r.register(Box::new(v.clone()))?;
+    Ok(v)
+}
+
+fn batch(r: &Registry) -> Result<Histogram, prometheus::Error> {
+    let opts = HistogramOpts::new("hollowford_ledger_batch_records", "Records in one row.");
+    let h = Histogram::with_opts(opts.buckets(BATCH_BUCKETS.to_vec()))?;
+    r.register(Box::new(h.clone()))?;
+    Ok(h)
+}
--- /dev/null
+++ b/crates/hollowford-server/src/owners.rs
@@ -0,0 +1,66 @@
+//! Who owns which partition, as far as this process knows.
+
+use hollowford_core::{Epoch, PartitionId, hash64};
+use std::sync::{RwLock, RwLockReadGuard};
+
+/// The owner of a partition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Owner {
+    pub process: String,
+    pub epoch: Epoch,
+}
+
+/// The owners of all partitions.
+#[derive(Debug)]
+pub(crate) struct Owners {
+    list: RwLock<Vec<Option<Owner>>>,
+}
+
+impl Owners {
+    pub fn new(partitions: u32) -> Owners {
+        Owners {
+            list: RwLock::new(vec![None; partitions as usize]),
+        }
+    }
+
+    fn read(&self) -> RwLockReadGuard<'_, Vec<Option<Owner>>> {
+        self.list
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Notes an owner, unless a later one is known.
+    pub fn set(&self, partition: PartitionId, owner: Option<Owner>) {
+        let mut list = self
+            .list
+            .write()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let slot = &mut list[partition.0 as usize];
+        let later = |new: &Owner, old: &Owner| new.epoch >= old.epoch;
+        match (&owner, &slot) {
+            (Some(new), Some(old)) if !later(new, old) => {}
+            _ => *slot = owner,
+        }
+    }
+
+    /// Returns the owner of a partition.
+    pub fn get(&self, partition: PartitionId) -> Option<Owner> {
+        self.read().get(partition.0 as usize).cloned().flatten()
+    }
+
+    /// Returns all owners, by partition.
+    pub fn all(&self) -> Vec<Option<Owner>> {
+        self.read().clone()
+    }
+}
+
+/// Returns the place of `process` among those that could own a partition, by
+/// rendezvous hashing: 0 is the first choice.
+pub(crate) fn rank(partition: PartitionId, process: &str, others: &[String]) -> usize {
+    let weight = |p: &str| hash64(&["owner", &partition.to_string(), p]);
+    let own = weight(process);
+    others
+        .iter()
+        .filter(|p| p.as_str() != process && weight(p) > own)
+        .count()
+}
--- /dev/null
+++ b/crates/hollowford-server/src/ownership/keeper.rs
@@ -0,0 +1,379 @@
+//! Keeps one partition's row: renews it as the owner, watches it otherwise.
+
+use super::lease::OwnerLease;
+use crate::decide::{DecideMsg, Take};
+use crate::ledger::{Writer, epoch_key, owner_key, recover};
+use crate::owners::{Owner, rank};
+use crate::peers::PeerMsg;
+use crate::shared::Shared;
+use hollowford_core::{Epoch, Millis, PartitionId};
+use hollowford_platform::{Platform, StoreError, Txn, TxnResult};
+use prost::Message;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Wait of the second choice before it takes a released partition; the third waits twice that.
+const RELEASED_STEP: Millis = Millis(150);
+/// Wait before an attempt to recover is repeated.
+const RECOVER_AGAIN: Millis = Millis(100);
+
+/// Row `p/N/owner`.
+#[derive(Clone, PartialEq, prost::Message)]
+struct OwnerRow {
+    #[prost(string, tag = "1")]
+    process: String,
+    #[prost(uint64, tag = "2")]
+    epoch: u64,
+    /// Changes with each write, so that a write with a lost reply is recognised.
+    #[prost(uint64, tag = "3")]
+    beat: u64,
+    /// The owner has given it up and nothing waits for its lease.
+    #[prost(bool, tag = "4")]
+    released: bool,
+}
+
+/// Row `p/N/epoch`.
+#[derive(Clone, PartialEq, prost::Message)]
+struct EpochRow {
+    #[prost(uint64, tag = "1")]
+    epoch: u64,
+}
+
+/// The row as it was seen.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    version: u64,
+    row: OwnerRow,
+    /// When this version was first seen, by this process's clock.
+    since: Millis,
+}
+
+/// What the owner holds.
+#[derive(Debug)]
+struct Owned {
+    lease: Arc<OwnerLease>,
+    /// Version of the owner row that the owner wrote last.
+    version: u64,
+    /// Last beat that may have been written.
+    beat: u64,
+}
+
+/// Keeps one partition's row.
+struct Keeper {
+    shared: Arc<Shared>,
+    store: Platform,
+    partition: PartitionId,
+    seen: Option<Seen>,
+    owned: Option<Owned>,
+}
+
+/// Runs the keeper of one partition until the process has stopped.
+pub(crate) async fn run(shared: Arc<Shared>, store: Platform, partition: PartitionId) {
+    let mut keeper = Keeper {
+        shared,
+        store,
+        partition,
+        seen: None,
+        owned: None,
+    };
+    let mut news = keeper.shared.release_news.subscribe();
+    let mut stopping = keeper.shared.stopping.subscribe();
+    let renew = keeper.shared.settings.lease.renew.duration();
+    while !keeper.shared.is_stopping() {
+        keeper.step().await;
+        tokio::select! {
+            () = tokio::time::sleep(renew) => {}
+            _ = news.changed() => {}
+            _ = stopping.changed() => {}
+        }
+    }
+    keeper.hand_over().await;
+}
+
+impl Keeper {
+    async fn step(&mut self) {
+        if self.owned.is_some() {
+            self.renew().await;
+        } else {
+            self.watch().await;
+        }
+    }
+
+    fn own_row(&self, epoch: Epoch, beat: u64, released: bool) -> OwnerRow {
+        let process = self.shared.settings.process.clone();
+        OwnerRow {
+            process,
+            epoch: epoch.0,
+            beat,
+            released,
+        }
+    }
+
+    async fn renew(&mut self) {
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
+        if owned.lease.has_ended() {
+            self.deposed();
+            return;
+        }
+        let length = self.shared.settings.lease.ownership;
+        let epoch = owned.lease.epoch;
+        // The lease is counted from before the renewal is sent.
+        let sent_at = self.shared.clock.now();
+        owned.beat += 1;
+        let beat = owned.beat;
+        let version = owned.version;
+        let row = self.own_row(epoch, beat, false);
+        let key = owner_key(self.partition);
+        let txn = Txn::new()
+            .check(&*key, version)
+            .put(&*key, row.encode_to_vec());
+        let result = self.store.txn(&txn).await;
+        self.note_store(&result);
+        match result {
+            Ok(TxnResult::Committed(version)) => self.renewed(version, sent_at + length),
+            Ok(TxnResult::Conflict(_)) => self.settle_renewal(epoch).await,
+            // Whether it was written shows at the next renewal.
+            Err(_) => {}
+        }
+    }
+
+    fn note_store<T>(&self, result: &Result<T, StoreError>) {
+        let answers = result.is_ok();
+        self.shared
+            .store_answers
+            .store(answers, std::sync::atomic::Ordering::Release);
+    }
+
+    fn renewed(&mut self, version: u64, until: Millis) {
+        if let Some(owned) = &mut self.owned {
+            owned.version = version;
+            owned.lease.extend(until);
+        }
+    }
+
+    /// The row is not as we left it: an earlier renewal of ours took effect with its
+    /// reply lost, or another process has taken over.
+    async fn settle_renewal(&mut self, epoch: Epoch) {
+        let Ok(Some(seen)) = self.read().await else {
+            return;
+        };
+        let ours = seen.row.process == self.shared.settings.process && seen.row.epoch == epoch.0;
+        match &mut self.owned {
+            // The lease itself is extended by the next renewal only.
+            Some(owned) if ours => owned.version = seen.version,
+            _ => self.deposed(),
+        }
+    }
+
+    fn deposed(&mut self) {
+        if let Some(owned) = self.owned.take() {
+            owned.lease.end();
+            self.shared.metrics.deposed.inc();
+            self.shared.metrics.owned.dec();
+            self.shared.decide.wake();
+            let epoch = owned.lease.epoch;
+            log::warn!("partition={} epoch={epoch} deposed", self.partition);
+        }
+        self.seen = None;
+    }
+
+    async fn read(&self) -> Result<Option<Seen>, StoreError> {
+        let row = self.store.get(&owner_key(self.partition)).await;
+        self.note_store(&row);
+        let since = self.shared.clock.now();
+        Ok(row?.map(|r| Seen {
+            version: r.version,
+            row: OwnerRow::decode(&r.value.0[..]).unwrap_or_default(),
+            since,
+        }))
+    }
+
+    /// Watches the row, and challenges once it has stood unchanged for the lease.
+    async fn watch(&mut self) {
+        let Ok(found) = self.read().await else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        let seen = self.remember(found, now);
+        self.tell_owner(&seen);
+        let others = self.shared.members.staying(&self.shared.clock);
+        let rank = rank(self.partition, &self.shared.settings.process, &others) as u64;
+        let lease = self.shared.settings.lease.ownership;
+        let free = seen.version == 0 || seen.row.released;
+        let wait = match free {
+            true => Millis(RELEASED_STEP.0 * rank),
+            false => Millis(lease.0 + lease.0 / 2 * rank),
+        };
+        let called = self.shared.take_released(self.partition.0) && free && rank == 0;
+        if called || now.since(seen.since) >= wait {
+            self.challenge(&seen).await;
+        } else if free {
+            // Come back when this process's turn is.
+            tokio::time::sleep((seen.since + wait).since(now).duration()).await;
+            self.shared.release_news.send_modify(|n| *n += 1);
+        }
+    }
+
+    fn remember(&mut self, found: Option<Seen>, now: Millis) -> Seen {
+        let found = found.unwrap_or(Seen {
+            since: now,
+            ..Seen::default()
+        });
+        match &self.seen {
+            Some(seen) if seen.version == found.version => seen.clone(),
+            _ => {
+                self.seen = Some(found.clone());
+                found
+            }
+        }
+    }
+
+    fn tell_owner(&self, seen: &Seen) {
+        if seen.version > 0 && !seen.row.released {
+            let process = seen.row.process.clone();
+            let owner = Owner {
+                process,
+                epoch: Epoch(seen.row.epoch),
+            };
+            self.shared.owners.set(self.partition, Some(owner));
+        }
+    }
+
+    /// Takes the partition over by compare-and-set.
+    async fn challenge(&mut self, seen: &Seen) {
+        let epoch = Epoch(seen.row.epoch + 1);
+        let Ok(epoch_row) = self.store.get(&epoch_key(self.partition)).await else {
+            return;
+        };
+        let sent_at = self.shared.clock.now();
+        let until = sent_at + self.shared.settings.lease.ownership;
+        let row = self.own_row(epoch, fastrand::u64(1..u64::from(u32::MAX)), false);
+        let txn = Txn::new()
+            .check(owner_key(self.partition), seen.version)
+            .check(
+                epoch_key(self.partition),
+                epoch_row.map_or(0, |r| r.version),
+            )
+            .put(owner_key(self.partition), row.encode_to_vec())
+            .put(
+                epoch_key(self.partition),
+                EpochRow { epoch: epoch.0 }.encode_to_vec(),
+            );
+        let version = match self.store.txn(&txn).await {
+            Ok(TxnResult::Committed(version)) => Some(version),
+            Ok(TxnResult::Conflict(_)) => None,
+            Err(_) => self.settle_challenge(&row).await,
+        };
+        if let Some(version) = version {
+            // Both rows were written by one transaction, so they share the version.
+            self.take(epoch, version, row.beat, until).await;
+        }
+    }
+
+    /// After a lost reply: reads the row back. A write that takes effect later than
+    /// this read is met as a row of ours that no one renews, and lapses.
+    async fn settle_challenge(&self, row: &OwnerRow) -> Option<u64> {
+        let seen = self.read().await.ok()??;
+        (seen.row == *row).then_some(seen.version)
+    }
+
+    /// Recovers the state, renewing the lease meanwhile, and starts to decide.
+    async fn take(&mut self, epoch: Epoch, version: u64, beat: u64, until: Millis) {
+        log::info!("partition={} epoch={epoch} taken over", self.partition);
+        let lease = Arc::new(OwnerLease::new(epoch, until));
+        self.owned = Some(Owned {
+            lease: lease.clone(),
+            version,
+            beat,
+        });
+        self.shared.metrics.takeovers.inc();
+        self.shared.metrics.owned.inc();
+        let (tx, mut rx) = oneshot::channel();
+        let (store, partition) = (self.store.clone(), self.partition);
+        tokio::spawn(async move {
+            let recovered = loop {
+                match recover(&store, partition).await {
+                    Ok(recovered) => break recovered,
+                    Err(e) => log::warn!("partition={partition} not recovered yet: {e}"),
+                }
+                tokio::time::sleep(RECOVER_AGAIN.duration()).await;
+            };
+            // The keeper may have been deposed meanwhile.
+            let _ = tx.send(recovered);
+        });
+        let renew = self.shared.settings.lease.renew.duration();
+        let recovered = loop {
+            tokio::select! {
+                recovered = &mut rx => break recovered,
+                () = tokio::time::sleep(renew) => self.renew().await,
+            }
+            if self.owned.is_none() {
+                return;
+            }
+        };
+        let Ok(recovered) = recovered else {
+            return;
+        };
+        let writer = Writer::new(&self.shared, self.partition, epoch, version, &recovered);
+        let ledger = writer.handle.clone();
+        self.shared.ledger.send(writer).await;
+        let take = Take {
+            partition: self.partition,
+            lease,
+            ledger,
+            records: recovered.records,
+        };
+        self.shared
+            .decide
+            .send(DecideMsg::Take(Box::new(take)))
+            .await;
+        let process = self.shared.settings.process.clone();
+        self.shared
+            .owners
+            .set(self.partition, Some(Owner { process, epoch }));
+        self.shared.instances_wanted.notify_one();
+    }
+
+    /// At a planned stop: lets all that was decided become durable, then frees the
+    /// row, so that no one waits for the lease to lapse.
+    async fn hand_over(&mut self) {
+        let Some(owned) = self.owned.take() else {
+            return;
+        };
+        let (tx, rx) = oneshot::channel();
+        let release = DecideMsg::Release {
+            partition: self.partition,
+            done: tx,
+        };
+        self.shared.decide.send(release).await;
+        let longest = self.shared.settings.lease.ownership.duration();
+        let flushed = tokio::time::timeout(longest, rx).await;
+        owned.lease.end();
+        self.shared.metrics.owned.dec();
+        if !matches!(flushed, Ok(Ok(()))) {
+            log::warn!(
+                "partition={} not handed over: the ledger can't be written",
+                self.partition
+            );
+            return;
+        }
+        let row = self.own_row(owned.lease.epoch, owned.beat + 1, true);
+        let key = owner_key(self.partition);
+        let txn = Txn::new()
+            .check(&*key, owned.version)
+            .put(&*key, row.encode_to_vec());
+        if let Ok(TxnResult::Committed(_)) = self.store.txn(&txn).await {
+            log::info!(
+                "partition={} epoch={} handed over",
+                self.partition,
+                owned.lease.epoch
+            );
+            self.shared
+                .peers
+                .send(PeerMsg::Released(self.partition.0))
+                .await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-server/src/ownership/mod.rs
@@ -0,0 +1,7 @@
+//! Ownership of partitions: a lease in the table, taken over by compare-and-set.
+
+mod keeper;
+mod lease;
+
+pub(crate) use keeper::run;
+pub(crate) use lease::OwnerLease;
--- /dev/null
+++ b/crates/hollowford-server/src/peers/listener.rs
@@ -0,0 +1,169 @@
+//! The loop of the peer-link thread, and the links that others open.
+
+use super::dialer::Dialers;
+use super::{FRAMES_BOUND, HEARTBEAT_EVERY, SILENCE, heard, heartbeat};
+use crate::decide::DecideMsg;
+use crate::shared::Shared;
+use futures::SinkExt;
+use hollowford_core::{Error, ErrorKind};
+use hollowford_protocol::peer::{Body, Call, Challenge, Frame, Hello, Refused, Reply, Said};
+use hollowford_protocol::{FrameError, Frames, frames, mac, recv, send};
+use prost::Message;
+use prost::bytes::Bytes;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+const NONCE_LEN: usize = 16;
+/// Longest wait for a hello.
+const HELLO_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Binds the address that takes peer links.
+pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(addr).await
+}
+
+/// Runs the duty.
+pub(crate) async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    let mut dialers = Dialers::default();
+    let mut ticks = tokio::time::interval(HEARTBEAT_EVERY);
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(serve(shared.clone(), stream));
+                }
+            }
+            msg = shared.peers.recv() => dialers.handle(&shared, msg),
+            _ = ticks.tick() => dialers.follow(&shared),
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    // Without it, small frames wait for each other; the link works all the same.
+    let _ = stream.set_nodelay(true);
+    let mut link = frames(stream);
+    if let Ok(process) = tokio::time::timeout(HELLO_TIMEOUT, greet(&shared, &mut link)).await
+        && process.is_some()
+    {
+        // The end of a link is no news: the other side opens it again.
+        let _ = talk(&shared, link).await;
+    }
+}
+
+/// Lets the caller prove that it knows the key. Returns its id.
+async fn greet(shared: &Shared, link: &mut Frames<TcpStream>) -> Option<String> {
+    let nonce: Vec<u8> = std::iter::repeat_with(|| fastrand::u8(..))
+        .take(NONCE_LEN)
+        .collect();
+    let challenge = Body::Challenge(Challenge {
+        nonce: nonce.clone(),
+    });
+    send(
+        link,
+        &Frame {
+            id: 0,
+            body: Some(challenge),
+        },
+    )
+    .await
+    .ok()?;
+    let hello: Frame = recv(link).await.ok()?;
+    let Some(Body::Hello(Hello {
+        process,
+        mac: proof,
+    })) = hello.body
+    else {
+        return None;
+    };
+    let expected = mac(
+        shared.settings.peer_key.expose().as_bytes(),
+        &nonce,
+        &process,
+    );
+    if proof != expected {
+        log::warn!("peer={process} refused: it does not know the key");
+        return None;
+    }
+    Some(process)
+}
+
+async fn talk(shared: &Arc<Shared>, mut link: Frames<TcpStream>) -> Result<(), FrameError> {
+    let (tx, mut rx) = mpsc::channel::<Frame>(FRAMES_BOUND);
+    let mut beats = tokio::time::interval(HEARTBEAT_EVERY);
+    let mut heard_at = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            frame = recv(&mut link) => {
+                heard_at = tokio::time::Instant::now();
+                take_frame(shared, frame?, &tx);
+            }
+            Some(frame) = rx.recv() => send_all(&mut link, frame, &mut rx).await?,
+            _ = beats.tick() => {
+                if heard_at.elapsed() > SILENCE {
+                    return Err(FrameError::Closed);
+                }
+                send(&mut link, &heartbeat(shared)).await?;
+            }
+        }
+    }
+}
+
+/// Sends a frame and those that wait behind it, as one write.
+pub(super) async fn send_all(
+    link: &mut Frames<TcpStream>,
+    first: Frame,
+    rx: &mut mpsc::Receiver<Frame>,
+) -> Result<(), FrameError> {
+    let mut frame = Some(first);
+    while let Some(next) = frame {
+        let bytes = Bytes::from(next.encode_to_vec());
+        SinkExt::<Bytes>::feed(link, bytes).await?;
+        frame = rx.try_recv().ok();
+    }
+    SinkExt::<Bytes>::flush(link).await?;
+    Ok(())
+}
+
+fn take_frame(shared: &Arc<Shared>, frame: Frame, tx: &mpsc::Sender<Frame>) {
+    match frame.body {
+        Some(Body::Heartbeat(beat)) => heard(shared, &beat),
+        Some(Body::Released(r)) => shared.note_released(r.partition),
+        Some(Body::Call(call)) => take_call(shared, frame.id, call, tx),
+        // Nothing else is sent to the side that was called.
+        Some(Body::Challenge(_) | Body::Hello(_) | Body::Reply(_)) | None => {}
+    }
+}
+
+fn take_call(shared: &Arc<Shared>, id: u64, call: Call, tx: &mpsc::Sender<Frame>) {
+    let (reply, answer) = oneshot::channel();
+    if let Err(DecideMsg::Call { reply, .. }) = shared.decide.push(DecideMsg::Call {
+        call: Box::new(call),
+        reply,
+    }) {
+        shared
+            .metrics
+            .ring_full
+            .with_label_values(&["decide"])
+            .inc();
+        let full = Error::new(ErrorKind::QueueFull, "the owner takes no more calls now");
+        // The receiver is right here.
+        let _ = reply.send(Err(full));
+    }
+    let tx = tx.clone();
+    tokio::spawn(async move {
+        // The owner may have dropped the call with the partition.
+        let said = answer.await.unwrap_or_else(|_| {
+            Err(Error::new(
+                ErrorKind::Moved,
+                "the owner let the partition go",
+            ))
+        });
+        let said = said.unwrap_or_else(|e| Said::Refused(Refused::from(&e)));
+        let body = Some(Body::Reply(Reply { said: Some(said) }));
+        // A closed link: the caller asks again.
+        let _ = tx.send(Frame { id, body }).await;
+    });
+}
--- /dev/null
+++ b/crates/hollowford-server/src/peers/mod.rs
@@ -0,0 +1,65 @@
+//! The duty that links this process to the others of the cell.
+
+mod dialer;
+mod listener;
+
+pub(crate) use listener::{bind, run};
+
+use hollowford_protocol::peer::{Call, Reply};
+use tokio::sync::oneshot;
+
+/// What the duty is told.
+#[derive(Debug)]
+pub(crate) enum PeerMsg {
+    /// Relay a call to a process. The reply channel is dropped when the link fails.
+    Call {
+        process: String,
+        call: Box<Call>,
+        reply: oneshot::Sender<Reply>,
+    },
+    /// Tell all that a partition may be taken at once.
+    Released(u32),
+}
+
+/// How often heartbeats are sent on each link.
+const HEARTBEAT_EVERY: std::time::Duration = std::time::Duration::from_millis(300);
+/// Silence after which a link is closed.
+const SILENCE: std::time::Duration = std::time::Duration::from_millis(1_200);
+/// Frames that may wait to be sent on one link.
+const FRAMES_BOUND: usize = 4_096;
+
+use crate::shared::Shared;
+use hollowford_core::Millis;
+use hollowford_protocol::peer::{Body, Frame, Heartbeat};
+
+/// Makes this process's heartbeat.
+fn heartbeat(shared: &Shared) -> Frame {
+    let age = shared.freshness.age(&shared.clock).unwrap_or(Millis::MAX);
+    let body = Body::Heartbeat(Heartbeat {
+        process: shared.settings.process.clone(),
+        config_head: shared.accounts.load().head,
+        config_age_ms: age.0,
+        leaving: shared.is_stopping(),
+        addr: shared.peer_addr(),
+    });
+    Frame {
+        id: 0,
+        body: Some(body),
+    }
+}
+
+/// Takes in another process's heartbeat.
+fn heard(shared: &Shared, beat: &Heartbeat) {
+    let now = shared.clock.now();
+    shared.members.learn(&beat.process, &beat.addr);
+    shared
+        .members
+        .heard(&beat.process, now, beat.leaving, beat.config_head);
+    let head = shared.accounts.load().head;
+    if beat.config_head > head {
+        shared.config_news.notify_one();
+    } else if beat.config_head == head && beat.config_age_ms < now.0 {
+        // The sender knew then that this is the newest.
+        shared.freshness.confirm(Millis(now.0 - beat.config_age_ms));
+    }
+}
--- /dev/null
+++ b/crates/hollowford-server/src/process.rs
@@ -0,0 +1,250 @@
+//! Starts and stops the duties of one process.
+
+use crate::entry::{OperatorService, SchedulerService};
+use crate::shared::Shared;
+use crate::{admin, decide, ledger, ownership, peers, watch, workers};
+use hollowford_config::Settings;
+use hollowford_core::PartitionId;
+use hollowford_platform::StoreError;
+use hollowford_protocol::v1::operator_server::OperatorServer;
+use hollowford_protocol::v1::scheduler_server::SchedulerServer;
+use poem::listener::TcpAcceptor;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio_stream::wrappers::TcpListenerStream;
+
+/// Threads of the entry duty.
+const ENTRY_THREADS: usize = 2;
+/// Longest wait for open calls at a planned stop.
+const STOP_WAIT: Duration = Duration::from_secs(20);
+const STOP_CHECK: Duration = Duration::from_millis(10);
+/// Time that the balancer has to notice that the process is not ready.
+const BALANCER_WAIT: Duration = Duration::from_millis(300);
+
+/// Why a process could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address can't be bound, or a thread can't be started.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The client of the store can't be made.
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    /// Two metrics have one name.
+    #[error("{0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Where a process listens, with the ports that the system chose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Callers and operators.
+    pub callers: SocketAddr,
+    /// Other processes.
+    pub peers: SocketAddr,
+    /// Metrics, health and state.
+    pub admin: SocketAddr,
+}
+
+/// A running process.
+#[derive(Debug)]
+pub struct Process {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    keepers: JoinHandle<()>,
+}
+
+fn runtime(threads: usize) -> io::Result<Runtime> {
+    let mut builder = if threads > 1 {
+        let mut b = Builder::new_multi_thread();
+        b.worker_threads(threads).thread_name("entry");
+        b
+    } else {
+        Builder::new_current_thread()
+    };
+    builder.enable_all().build()
+}
+
+/// Starts a thread with a runtime of its own for one duty.
+fn duty<F>(name: &str, run: F) -> io::Result<JoinHandle<()>>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let rt = runtime(1)?;
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || rt.block_on(run))
+}
+
+impl Process {
+    /// Starts all duties.
+    ///
+    /// # Errors
+    /// When an address can't be bound or a thread can't be started.
+    pub fn start(settings: Settings) -> Result<Process, StartError> {
+        let shared = Shared::new(settings)?;
+        let listen = shared.settings.listen;
+        let entry = runtime(ENTRY_THREADS)?;
+        let bound = entry.block_on(bind_all(listen))?;
+        let addresses = bound.addresses;
+        *shared
+            .peer_addr
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = addresses.peers.to_string();
+
+        duty("decide", decide::run(shared.clone()))?;
+        let s = shared.clone();
+        duty("ledger", async move {
+            if let Err(e) = ledger::run(s).await {
+                log::error!("the ledger duty ended: {e}");
+            }
+        })?;
+        duty("workers", workers::run(shared.clone()))?;
+        let peers = bound.peers;
+        let s = shared.clone();
+        duty("peers", async move {
+            match TcpListener::from_std(peers) {
+                Ok(listener) => peers::run(s, listener).await,
+                Err(e) => log::error!("the peers duty ended: {e}"),
+            }
+        })?;
+        let keepers = start_watch(&shared)?;
+        start_admin(&shared, bound.admin)?;
+        start_entry(&shared, entry, bound.callers)?;
+        Ok(Process {
+            shared,
+            addresses,
+            keepers,
+        })
+    }
+
+    /// Returns where the process listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Tells the process to hand over its partitions and to stop.
+    pub fn stop(&self) {
+        self.shared.stopping.send_replace(true);
+    }
+
+    /// Tells whether the process was told to stop, by a signal or an operator.
+    pub fn is_stopping(&self) -> bool {
+        self.shared.is_stopping()
+    }
+
+    /// Waits until the partitions are handed over and the open calls are answered.
+    pub fn wait_stopped(self) {
+        if self.keepers.join().is_err() {
+            log::error!("the watch duty ended by a fault");
+        }
+        std::thread::sleep(BALANCER_WAIT);
+        let mut waited = Duration::ZERO;
+        while self.shared.calls_open.load(Ordering::Acquire) > 0 && waited < STOP_WAIT {
+            std::thread::sleep(STOP_CHECK);
+            waited += STOP_CHECK;
+        }
+        // Replies that are written still need a moment on the wire.
+        std::thread::sleep(STOP_CHECK);
+        let open = self.shared.calls_open.load(Ordering::Acquire);
+        log::info!("stopped calls_open={open}");
+    }
+}
+
+/// The bound addresses.
+struct Bound {
+    addresses: Addresses,
+    callers: TcpListener,
+    peers: std::net::TcpListener,
+    admin: std::net::TcpListener,
+}
+
+async fn bind_all(listen: hollowford_config::Listen) -> io::Result<Bound> {
+    let callers = TcpListener::bind(listen.callers).await?;
+    let peers = peers::bind(listen.peers).await?.into_std()?;
+    let admin = TcpListener::bind(listen.admin).await?.into_std()?;
+    let addresses = Addresses {
+        callers: callers.local_addr()?,
+        peers: peers.local_addr()?,
+        admin: admin.local_addr()?,
+    };
+    Ok(Bound {
+        addresses,
+        callers,
+        peers,
+        admin,
+    })
+}
+
+/// Starts the watch duty. Its thread ends once the partitions are handed over.
+fn start_watch(shared: &Arc<Shared>) -> Result<JoinHandle<()>, StartError> {
+    let shared = shared.clone();
+    let store = shared.store()?;
+    let watch = async move {
+        tokio::spawn(watch::config(shared.clone(), store.clone()));
+        tokio::spawn(watch::instances(shared.clone(), store.clone()));
+        let members = tokio::spawn(watch::members(shared.clone(), store.clone()));
+        let keepers: Vec<_> = (0..shared.settings.partitions)
+            .map(|p| {
+                tokio::spawn(ownership::run(
+                    shared.clone(),
+                    store.clone(),
+                    PartitionId(p),
+                ))
+            })
+            .collect();
+        for task in keepers.into_iter().chain([members]) {
+            if let Err(e) = task.await {
+                log::error!("a task of the watch duty ended by a fault: {e}");
+            }
+        }
+    };
+    Ok(duty("watch", watch)?)
+}
+
+fn start_admin(shared: &Arc<Shared>, listener: std::net::TcpListener) -> Result<(), StartError> {
+    let app = admin::routes(shared.clone());
+    duty("admin", async move {
+        let run = async {
+            let acceptor = TcpAcceptor::from_std(listener)?;
+            poem::Server::new_with_acceptor(acceptor).run(app).await
+        };
+        if let Err(e) = run.await {
+            log::error!("the admin duty ended: {e}");
+        }
+    })?;
+    Ok(())
+}
+
+fn start_entry(shared: &Arc<Shared>, rt: Runtime, listener: TcpListener) -> Result<(), StartError> {
+    let store = shared.store()?;
+    let scheduler = SchedulerService {
+        shared: shared.clone(),
+        store: store.clone(),
+    };
+    let operator = OperatorService {
+        shared: shared.clone(),
+        store,
+    };
+    let server = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(SchedulerServer::new(scheduler))
+        .add_service(OperatorServer::new(operator));
+    let run = move || {
+        let served = rt.block_on(server.serve_with_incoming(TcpListenerStream::new(listener)));
+        if let Err(e) = served {
+            log::error!("the entry duty ended: {e}");
+        }
+    };
+    std::thread::Builder::new()
+        .name("entry".to_owned())
+        .spawn(run)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/hollowford-server/src/watch.rs
@@ -0,0 +1,203 @@
+//! What is read from the platform again and again: the configuration, the other
+//! processes, the instance list.
+
+use crate::accounts::{ACCOUNT_PREFIX, AccountEntry, HEAD_KEY, HeadRow, LOG_PREFIX};
+use crate::decide::DecideMsg;
+use crate::shared::Shared;
+use hollowford_platform::{Platform, StoreError, Txn};
+use hollowford_protocol::v1;
+use prost::Message;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often the head of the configuration is read.
+const CONFIG_EVERY: Duration = Duration::from_millis(500);
+/// How often the rows of the other processes are read.
+const MEMBERS_EVERY: Duration = Duration::from_millis(1_500);
+/// How often an owner, and a process that owns nothing, reads the instance list.
+const LIST_EVERY_OWNER: Duration = Duration::from_millis(700);
+const LIST_EVERY_OTHER: Duration = Duration::from_secs(10);
+/// Rows in one read.
+const PAGE: usize = 500;
+const MEMBER_PREFIX: &str = "member/";
+/// Silence after which another process's row is deleted, in milliseconds.
+const MEMBER_GONE_MS: u64 = 60_000;
+
+/// Row `member/PROCESS`.
+#[derive(Clone, PartialEq, prost::Message)]
+struct MemberRow {
+    #[prost(string, tag = "1")]
+    addr: String,
+    #[prost(string, tag = "2")]
+    zone: String,
+}
+
+/// Keeps the configuration in force at the newest change.
+pub(crate) async fn config(shared: Arc<Shared>, store: Platform) {
+    loop {
+        if let Err(e) = refresh_config(&shared, &store).await {
+            log::debug!("configuration not read: {e}");
+        }
+        tokio::select! {
+            () = tokio::time::sleep(CONFIG_EVERY) => {}
+            () = shared.config_news.notified() => {}
+        }
+    }
+}
+
+/// Reads the head, and what has changed since the last read.
+pub(crate) async fn refresh_config(shared: &Shared, store: &Platform) -> Result<(), StoreError> {
+    let asked_at = shared.clock.now();
+    let known = shared.accounts.load().head;
+    let row = store.get(HEAD_KEY).await?;
+    let head = row
+        .and_then(|r| HeadRow::decode(&r.value.0[..]).ok())
+        .unwrap_or_default()
+        .head;
+    if head > known {
+        let entries = match known {
+            0 => read_all(store).await?,
+            _ => read_changed(store, known, head).await?,
+        };
+        // Another refresh may have come first; versions only go up.
+        shared.accounts.rcu(|now| now.with(head, entries.clone()));
+        shared.metrics.config_head.set(head as i64);
+        log::info!("config_head={head} in force");
+        shared.decide.send(DecideMsg::Accounts).await;
+    }
+    shared.freshness.confirm(asked_at);
+    Ok(())
+}
+
+async fn read_all(store: &Platform) -> Result<Vec<AccountEntry>, StoreError> {
+    let mut entries = Vec::new();
+    let mut after = String::new();
+    loop {
+        let rows = store.scan(ACCOUNT_PREFIX, &after, PAGE).await?;
+        let full = rows.len() == PAGE;
+        for row in rows {
+            let name = row.key.trim_start_matches(ACCOUNT_PREFIX);
+            entries.extend(AccountEntry::from_row(name, &row.value.0));
+            after = row.key;
+        }
+        if !full {
+            return Ok(entries);
+        }
+    }
+}
+
+async fn read_changed(
+    store: &Platform,
+    known: u64,
+    head: u64,
+) -> Result<Vec<AccountEntry>, StoreError> {
+    let after = format!("{LOG_PREFIX}{known:016x}");
+    let log = store.scan(LOG_PREFIX, &after, PAGE).await?;
+    if log.len() as u64 != head - known {
+        // Too far behind, or changed meanwhile: everything is read.
+        return read_all(store).await;
+    }
+    let mut names: Vec<String> = log
+        .iter()
+        .filter_map(|r| v1::ConfigChange::decode(&r.value.0[..]).ok())
+        .map(|c| format!("{ACCOUNT_PREFIX}{}", c.account))
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    let keys: Vec<&str> = names.iter().map(String::as_str).collect();
+    let rows = store.read(&keys).await?;
+    let entry = |r: &hollowford_platform::wire::Row| {
+        AccountEntry::from_row(r.key.trim_start_matches(ACCOUNT_PREFIX), &r.value.0)
+    };
+    Ok(rows.iter().filter_map(entry).collect())
+}
+
+/// Keeps this process's row, and learns of the others.
+pub(crate) async fn members(shared: Arc<Shared>, store: Platform) {
+    let own = format!("{MEMBER_PREFIX}{}", shared.settings.process);
+    let row = MemberRow {
+        addr: shared.peer_addr(),
+        zone: shared.settings.zone.clone(),
+    };
+    let mut written = false;
+    let mut stopping = shared.stopping.subscribe();
+    while !shared.is_stopping() {
+        if !written {
+            let txn = Txn::new().put(&*own, row.encode_to_vec());
+            written = store.txn(&txn).await.is_ok();
+        }
+        match store.scan(MEMBER_PREFIX, "", PAGE).await {
+            Ok(rows) => learn(&shared, &store, &rows).await,
+            Err(e) => log::debug!("members not read: {e}"),
+        }
+        tokio::select! {
+            () = tokio::time::sleep(MEMBERS_EVERY) => {}
+            _ = stopping.changed() => {}
+        }
+    }
+    let gone = store.txn(&Txn::new().delete(own)).await;
+    if let Err(e) = gone {
+        log::debug!("own row not deleted: {e}");
+    }
+}
+
+async fn learn(shared: &Shared, store: &Platform, rows: &[hollowford_platform::wire::Row]) {
+    for row in rows {
+        let process = row.key.trim_start_matches(MEMBER_PREFIX);
+        if process == shared.settings.process {
+            continue;
+        }
+        if let Ok(member) = MemberRow::decode(&row.value.0[..]) {
+            shared.members.learn(process, &member.addr);
+        }
+    }
+    let now = shared.clock.now();
+    let listed = |p: &str| {
+        rows.iter()
+            .any(|r| r.key.trim_start_matches(MEMBER_PREFIX) == p)
+    };
+    for (process, member) in shared.members.all() {
+        let silent = now.since(member.heard_at.unwrap_or_default()).0;
+        if silent < MEMBER_GONE_MS {
+            continue;
+        }
+        if !listed(&process) {
+            shared.members.forget(&process);
+            continue;
+        }
+        let key = format!("{MEMBER_PREFIX}{process}");
+        let version = rows.iter().find(|r| r.key == key).map_or(0, |r| r.version);
+        if store
+            .txn(&Txn::new().check(&*key, version).delete(&*key))
+            .await
+            .is_ok()
+        {
+            shared.members.forget(&process);
+        }
+    }
+}
+
+/// Keeps the instance list.
+pub(crate) async fn instances(shared: Arc<Shared>, store: Platform) {
+    loop {
+        let owner = shared.metrics.owned.get() > 0;
+        match store.instances().await {
+            Ok(list) => {
+                shared.instances.store(Arc::new(list));
+                if owner {
+                    shared.decide.send(DecideMsg::Instances).await;
+                }
+            }
+            Err(e) => log::debug!("instance list not read: {e}"),
+        }
+        let every = if owner {
+            LIST_EVERY_OWNER
+        } else {
+            LIST_EVERY_OTHER
+        };
+        tokio::select! {
+            () = tokio::time::sleep(every) => {}
+            () = shared.instances_wanted.notified() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-standin/src/control.rs
@@ -0,0 +1,68 @@
+//! Calls that bring about faults of workers, and give out their record.
+
+use crate::record::{Line, Recorder};
+use crate::worker::StandinWorker;
+use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::web::{Data, Json, Path};
+use poem::{EndpointExt, Route, Server, get, handler, post};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The workers of one process, by id.
+pub struct Controlled {
+    /// The workers.
+    pub workers: BTreeMap<String, Arc<StandinWorker>>,
+    /// Their common record.
+    pub recorder: Arc<Recorder>,
+}
+
+type State<'a> = Data<&'a Arc<Controlled>>;
+
+#[handler]
+fn leave(state: State<'_>, Path(id): Path<String>) {
+    if let Some(w) = state.workers.get(&id) {
+        w.leave();
+    }
+}
+
+#[handler]
+fn cut(state: State<'_>, Path(id): Path<String>) {
+    if let Some(w) = state.workers.get(&id) {
+        w.cut();
+    }
+}
+
+#[handler]
+fn fail(state: State<'_>, Path((id, on)): Path<(String, bool)>) {
+    if let Some(w) = state.workers.get(&id) {
+        w.set_fail_all(on);
+    }
+}
+
+#[handler]
+fn record(state: State<'_>) -> Json<Vec<Line>> {
+    Json(state.recorder.lines())
+}
+
+/// Starts the control address and returns it.
+///
+/// # Errors
+/// When it can't be bound.
+pub async fn start(controlled: Controlled) -> io::Result<SocketAddr> {
+    let app = Route::new()
+        .at("/leave/:id", post(leave))
+        .at("/cut/:id", post(cut))
+        .at("/fail/:id/:on", post(fail))
+        .at("/record", get(record))
+        .data(Arc::new(controlled));
+    let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
+    let local = acceptor
+        .local_addr()
+        .into_iter()
+        .find_map(|a| a.as_socket_addr().copied());
+    let local = local.ok_or_else(|| io::Error::other("no address"))?;
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(app));
+    Ok(local)
+}
--- a/crates/hollowford-standin/src/lib.rs
+++ b/crates/hollowford-standin/src/lib.rs
@@ -3,8 +3,24 @@
 //! Faults are switched on by a call. A worker records every start and stop that it
 //! makes: that record, and not the scheduler's own view, is the judge in tests.
 
+pub mod control;
 pub mod judge;
 pub mod payload;
 pub mod platform;
 pub mod record;
+pub mod register;
 pub mod worker;
+
+/// Why a stand-in could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StandinError {
+    /// The command line is not as it should be.
+    #[error("which stand-in?")]
+    Usage,
+    /// An argument is wrong.
+    #[error("{0}")]
+    Arguments(#[from] pico_args::Error),
+    /// An address or file can't be had.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
--- /dev/null
+++ b/crates/hollowford/src/command/check.rs
@@ -0,0 +1,36 @@
+//! `hollowford check`.
+
+use super::serve::read_settings;
+use super::signature::{Command, Example};
+use crate::client::finish;
+use crate::error::CliError;
+use pico_args::Arguments;
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "check",
+    signature: "FILE [--json]",
+    description: "Checks a settings file and says what is wrong, where, and what would be right.",
+    examples: &[Example {
+        line: "hollowford check examples/kivu-process.jsonc",
+        does: "checks the settings of one of Kivu's processes",
+    }],
+    run,
+};
+
+fn run(mut args: Arguments) -> Result<(), CliError> {
+    let json = args.contains("--json");
+    let file: String = args.free_from_str()?;
+    finish(args)?;
+    let s = read_settings(&file)?;
+    if json {
+        let v = serde_json::json!({"ok": true, "process": s.process, "partitions": s.partitions});
+        println!("{v}");
+    } else {
+        println!(
+            "{file}: ok (process {}, {} partitions)",
+            s.process, s.partitions
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hollowford/src/command/dev.rs
@@ -0,0 +1,117 @@
+//! `hollowford dev`.
+
+use super::signature::{Command, Example};
+use crate::client::{block_on, finish};
+use crate::dev::cell::{Cell, OPERATOR_TOKEN};
+use crate::dev::work::{self, WorkFile};
+use crate::dev::{report::Report, run};
+use crate::error::CliError;
+use hollowford_standin::judge::judge;
+use pico_args::Arguments;
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "dev",
+    signature: "[--run FILE | --cell FILE]",
+    description: "Runs a whole cell in one process, with a stand-in platform and stand-in workers.
+With --run it submits the file's work, prints every answer and the measures, and ends;
+otherwise it prints the addresses and the tokens, and stays.",
+    examples: &[
+        Example {
+            line: "hollowford dev --run examples/kivu.jsonc",
+            does: "runs Kivu's mixed work and shows what came of it",
+        },
+        Example {
+            line: "hollowford dev --run examples/ortak-sahne.jsonc",
+            does: "runs Ortak Sahne's rebuild wave and confirmations",
+        },
+    ],
+    run: run_command,
+};
+
+/// The cell that is started when no file is given.
+const DEFAULT_CELL: &str = r#"{
+    "workers": { "count": 6 },
+    "accounts": [{ "name": "try", "token": "try-token" }]
+}"#;
+
+fn read(file: Option<&str>) -> Result<WorkFile, CliError> {
+    let (name, text) = match file {
+        Some(file) => (
+            file,
+            std::fs::read_to_string(file).map_err(CliError::io(file))?,
+        ),
+        None => ("dev", DEFAULT_CELL.to_owned()),
+    };
+    work::read(&text).map_err(|error| CliError::Settings {
+        file: name.to_owned(),
+        error,
+    })
+}
+
+fn run_command(mut args: Arguments) -> Result<(), CliError> {
+    let run_file: Option<String> = args.opt_value_from_str("--run")?;
+    let cell_file: Option<String> = args.opt_value_from_str("--cell")?;
+    finish(args)?;
+    let file = read(run_file.as_deref().or(cell_file.as_deref()))?;
+    let cell = Cell::start(&file)?;
+    if run_file.is_none() {
+        return stay(&file, &cell);
+    }
+    let mut report = None;
+    block_on(async {
+        report = Some(run::run(&file, &cell).await?);
+        Ok(())
+    })?;
+    let lines = cell.recorder.lines();
+    if let Some(report) = &report {
+        report.print();
+    }
+    cell.stop();
+    let verdict = judge(lines);
+    println!(
+        "workers' record   {} starts, {} faults",
+        verdict.starts,
+        verdict.faults.len()
+    );
+    for fault in verdict.faults.iter().take(10) {
+        println!("  {fault}");
+    }
+    end(report.as_ref(), verdict.faults.len())
+}
+
+fn end(report: Option<&Report>, faults: usize) -> Result<(), CliError> {
+    match report.map_or(1, |r| r.missing) {
+        0 if faults == 0 => Ok(()),
+        0 => Err(CliError::Run(format!(
+            "the workers' record shows {faults} faults"
+        ))),
+        n => Err(CliError::Run(format!("{n} requests got no answer"))),
+    }
+}
+
+/// Prints where the cell is and how to call it, and waits for SIGINT.
+fn stay(file: &WorkFile, cell: &Cell) -> Result<(), CliError> {
+    for process in &cell.processes {
+        let a = process.addresses();
+        println!(
+            "process: callers {}, admin http://{}/state",
+            a.callers, a.admin
+        );
+    }
+    for account in &file.accounts {
+        println!("client account {}: token {}", account.name, account.token);
+    }
+    println!("operators: token {OPERATOR_TOKEN}");
+    if let (Some(addr), Some(account)) = (cell.callers().first(), file.accounts.first()) {
+        let token = &account.token;
+        println!(
+            "try: hollowford submit a --kind check --run-ms 100 --wait --server {addr} --token {token}"
+        );
+    }
+    block_on(async {
+        tokio::signal::ctrl_c()
+            .await
+            .map_err(CliError::io("waiting for signals"))
+    })
+}
--- /dev/null
+++ b/crates/hollowford/src/command/drain.rs
@@ -0,0 +1,37 @@
+//! `hollowford drain`.
+
+use super::signature::{Command, Example};
+use crate::client::{Options, block_on, finish};
+use crate::error::CliError;
+use hollowford_protocol::v1;
+use pico_args::Arguments;
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "drain",
+    signature: "[--server IP:PORT] [--token TOKEN] [--json]",
+    description: "Tells one process to hand over its partitions and to stop.",
+    examples: &[Example {
+        line: "hollowford drain --server 127.0.0.1:7001",
+        does: "stops the process that takes calls there",
+    }],
+    run,
+};
+
+fn run(mut args: Arguments) -> Result<(), CliError> {
+    let options = Options::take(&mut args)?;
+    finish(args)?;
+    block_on(async {
+        let target = options.connect().await?;
+        let reply = target
+            .operator()
+            .drain(target.call(v1::DrainRequest {}))
+            .await?;
+        let n = reply.into_inner().partitions;
+        match options.json {
+            true => println!("{}", serde_json::json!({ "partitions": n })),
+            false => println!("stopping; {n} partitions are handed over"),
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/hollowford/src/command/mod.rs
@@ -0,0 +1,17 @@
+//! The commands, one a file.
+
+mod cancel;
+mod check;
+mod config;
+mod dev;
+mod drain;
+mod list;
+mod serve;
+mod signature;
+mod state;
+mod status;
+mod submit;
+mod view;
+
+pub use signature::{COMMANDS, overview};
+pub use view::to_line as view_line;
--- /dev/null
+++ b/crates/hollowford/src/command/serve.rs
@@ -0,0 +1,69 @@
+//! `hollowford serve`.
+
+use super::signature::{Command, Example};
+use crate::client::finish;
+use crate::error::CliError;
+use hollowford_config::Settings;
+use hollowford_server::Process;
+use pico_args::Arguments;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// How often the process looks whether an operator told it to stop.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "serve",
+    signature: "--config FILE",
+    description: "Runs a process of the system until SIGTERM, SIGINT or `drain`.
+Prints the addresses that it got as one line of JSON, hands its partitions over at a
+stop and answers the calls that are open.",
+    examples: &[Example {
+        line: "hollowford serve --config examples/kivu-process.jsonc",
+        does: "runs a process by the settings of the file",
+    }],
+    run,
+};
+
+/// Reads and checks a settings file.
+pub fn read_settings(file: &str) -> Result<Settings, CliError> {
+    let text = std::fs::read_to_string(file).map_err(CliError::io(file))?;
+    Settings::try_from(text.as_str()).map_err(|error| CliError::Settings {
+        file: file.to_owned(),
+        error,
+    })
+}
+
+fn run(mut args: Arguments) -> Result<(), CliError> {
+    let file: String = args.value_from_str("--config")?;
+    finish(args)?;
+    let settings = read_settings(&file)?;
+    let process = Process::start(settings).map_err(|e| CliError::Run(e.to_string()))?;
+    let a = process.addresses();
+    let addresses = serde_json::json!({
+        "callers": a.callers, "peers": a.peers, "admin": a.admin,
+    });
+    println!("{addresses}");
+    crate::client::block_on(wait_for_stop(&process))?;
+    process.stop();
+    process.wait_stopped();
+    Ok(())
+}
+
+async fn wait_for_stop(process: &Process) -> Result<(), CliError> {
+    let failed = || CliError::io("waiting for signals");
+    let mut term = signal(SignalKind::terminate()).map_err(failed())?;
+    let mut int = signal(SignalKind::interrupt()).map_err(failed())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = int.recv() => return Ok(()),
+            () = tokio::time::sleep(STOP_CHECK) => {
+                if process.is_stopping() {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford/src/dev/report.rs
@@ -0,0 +1,180 @@
+//! What a run has shown: waiting time, packing and control cost.
+
+use crate::command::view_line;
+use hdrhistogram::Histogram;
+use hollowford_protocol::v1;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Threads whose processor time is the cost of control.
+const CONTROL_THREADS: &[&str] = &[
+    "decide", "ledger", "workers", "peers", "watch", "admin", "entry",
+];
+/// Clock ticks a second in `/proc`, as Linux fixes them for programs.
+const TICKS_PER_SECOND: f64 = 100.0;
+const LONGEST_MS: u64 = 3_600_000;
+
+/// One request's answer.
+#[derive(Debug)]
+pub struct Answered {
+    pub request_id: String,
+    pub kind: v1::Kind,
+    pub view: Option<v1::RequestView>,
+    /// The last error, when there is no view.
+    pub error: String,
+}
+
+impl Answered {
+    /// Tells whether the request got its answer.
+    pub fn is_whole(&self) -> bool {
+        self.view.is_some()
+    }
+}
+
+/// The state of the cell at one time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sample {
+    pub whole: u64,
+    pub free: u64,
+    pub waiting: u64,
+    pub placed: u64,
+    pub store_reads: u64,
+    pub store_writes: u64,
+}
+
+/// All that a run has shown.
+#[derive(Debug, Default)]
+pub struct Report {
+    pub answers: Vec<Answered>,
+    pub samples: Vec<Sample>,
+    pub took: Duration,
+    /// Requests without an answer.
+    pub missing: usize,
+}
+
+fn kind_name(kind: v1::Kind) -> &'static str {
+    match kind {
+        v1::Kind::Check => "check",
+        v1::Kind::Gang => "gang",
+        v1::Kind::Batch => "batch",
+        v1::Kind::Service => "service",
+        v1::Kind::Unspecified => "unknown",
+    }
+}
+
+impl Report {
+    /// Prints a line a request, then the measures.
+    pub fn print(&self) {
+        for a in &self.answers {
+            match &a.view {
+                Some(view) => println!("{:<8} {}", kind_name(a.kind), view_line(view)),
+                None => println!(
+                    "{:<8} {}: no answer ({})",
+                    kind_name(a.kind),
+                    a.request_id,
+                    a.error
+                ),
+            }
+        }
+        self.print_waiting();
+        self.print_packing();
+        self.print_cost();
+    }
+
+    fn waiting(&self) -> BTreeMap<&'static str, Histogram<u64>> {
+        let mut by_kind = BTreeMap::new();
+        for a in &self.answers {
+            let waited = a.view.as_ref().and_then(|v| v.waited_ms);
+            let h = by_kind
+                .entry(kind_name(a.kind))
+                .or_insert_with(new_histogram);
+            if let Some(ms) = waited {
+                h.saturating_record(ms);
+            }
+        }
+        by_kind
+    }
+
+    fn print_waiting(&self) {
+        println!("\nwaiting time      requests   p50 ms   p99 ms   max ms");
+        for (kind, h) in self.waiting() {
+            println!(
+                "  {kind:<14} {:>9} {:>8} {:>8} {:>8}",
+                h.len(),
+                h.value_at_quantile(0.5),
+                h.value_at_quantile(0.99),
+                h.max()
+            );
+        }
+    }
+
+    fn print_packing(&self) {
+        let busy: Vec<f64> = self
+            .samples
+            .iter()
+            .filter(|s| s.waiting > 0 && s.whole > 0)
+            .map(|s| 1.0 - s.free as f64 / s.whole as f64)
+            .collect();
+        if busy.is_empty() {
+            println!("packing           no work was queued at any sample");
+            return;
+        }
+        let mean = busy.iter().sum::<f64>() / busy.len() as f64;
+        println!(
+            "packing           {:.1}% of processors in use while work queued ({} samples)",
+            mean * 100.0,
+            busy.len()
+        );
+    }
+
+    fn print_cost(&self) {
+        let last = self.samples.last().copied().unwrap_or_default();
+        let placed = last.placed.max(1) as f64;
+        let seconds = self.took.as_secs_f64();
+        println!(
+            "control cost      {} tasks placed in {seconds:.1} s, {:.3} store writes and {:.3} \
+             reads a placement",
+            last.placed,
+            last.store_writes as f64 / placed,
+            last.store_reads as f64 / placed
+        );
+        if let Some(cpu) = control_cpu_seconds() {
+            println!(
+                "                  {:.1} ms of processor time a placement, {:.1}% of one core",
+                cpu * 1_000.0 / placed,
+                cpu / seconds * 100.0
+            );
+        }
+        match self.missing {
+            0 => println!(
+                "answers           all {} requests got theirs",
+                self.answers.len()
+            ),
+            n => println!("answers           {n} requests got none"),
+        }
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    // Bounds that are constant and in order can't be refused.
+    Histogram::new_with_bounds(1, LONGEST_MS, 3).unwrap_or_else(|_| unreachable!())
+}
+
+/// Sums the processor time of this process's control threads.
+fn control_cpu_seconds() -> Option<f64> {
+    let mut ticks = 0.0;
+    for entry in std::fs::read_dir("/proc/self/task").ok()? {
+        let stat = std::fs::read_to_string(entry.ok()?.path().join("stat")).ok()?;
+        let (_, rest) = stat.split_once('(')?;
+        let (name, rest) = rest.rsplit_once(')')?;
+        if !CONTROL_THREADS.contains(&name) {
+            continue;
+        }
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        // User and system time, fields 14 and 15 of the whole line.
+        for at in [11, 12] {
+            ticks += fields.get(at)?.parse::<f64>().ok()?;
+        }
+    }
+    Some(ticks / TICKS_PER_SECOND)
+}
--- /dev/null
+++ b/crates/hollowford/tests/common/play.rs
@@ -0,0 +1,313 @@
+//! Starts, freezes and ends the processes of a cell, by their ids.
+
+use super::{Caller, OPERATOR, http, until};
+use hollowford_platform::Platform;
+use hollowford_protocol::v1;
+use hollowford_server::{hash_token, seed_account};
+use hollowford_standin::judge::{Verdict, judge};
+use hollowford_standin::record;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tempfile::TempDir;
+
+pub const ACCOUNTS: [&str; 2] = ["district-desk", "university"];
+
+pub fn token_of(account: &str) -> String {
+    format!("{account}-token")
+}
+
+pub fn account_config(token: &str, weight: u32) -> v1::AccountConfig {
+    v1::AccountConfig {
+        token_sha256: hash_token(token),
+        weight,
+        ..Default::default()
+    }
+}
+
+/// One process that the test started.
+pub struct Proc {
+    child: Child,
+    pub addresses: Value,
+}
+
+impl Proc {
+    fn start(program: &Path, args: &[&str]) -> Proc {
+        let mut child = Command::new(program)
+            .args(args)
+            .env("RUST_LOG", "warn")
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|e| panic!("{}: {e}", program.display()));
+        let mut line = String::new();
+        let stdout = child.stdout.take().unwrap();
+        BufReader::new(stdout).read_line(&mut line).unwrap();
+        let addresses = serde_json::from_str(&line)
+            .unwrap_or_else(|e| panic!("{} {args:?}: {e}: {line:?}", program.display()));
+        Proc { child, addresses }
+    }
+
+    pub fn addr(&self, name: &str) -> String {
+        self.addresses[name].as_str().unwrap().to_owned()
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status().unwrap();
+        assert!(sent.success(), "kill {name} {id}");
+    }
+
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Proc {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a cell is like.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub entries: usize,
+    pub partitions: u32,
+    /// Processes of workers, and workers in each.
+    pub worker_procs: usize,
+    pub workers_each: usize,
+    pub cpu_milli: u32,
+    /// Settings of the decisions, by their names in the file.
+    pub policy: Value,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            entries: 3,
+            partitions: 2,
+            worker_procs: 1,
+            workers_each: 8,
+            cpu_milli: 4_000,
+            policy: json!({}),
+        }
+    }
+}
+
+/// A cell of separate processes.
+pub struct Cell {
+    pub platform: Proc,
+    pub workers: Vec<Proc>,
+    pub entries: Vec<Proc>,
+    dir: TempDir,
+    options: Options,
+    started: usize,
+}
+
+impl Cell {
+    pub async fn start(options: Options) -> Cell {
+        let dir = TempDir::new().unwrap();
+        let platform = Proc::start(&standin(), &["platform"]);
+        let platform_addr = platform.addr("platform");
+        for account in ACCOUNTS {
+            seed(&platform_addr, account).await;
+        }
+        let mut cell = Cell {
+            platform,
+            workers: Vec::new(),
+            entries: Vec::new(),
+            dir,
+            options,
+            started: 0,
+        };
+        for i in 0..cell.options.worker_procs {
+            cell.start_workers(i, cell.options.workers_each);
+        }
+        for _ in 0..cell.options.entries {
+            cell.start_entry();
+        }
+        cell.wait_ready().await;
+        cell
+    }
+
+    pub fn platform_addr(&self) -> String {
+        self.platform.addr("platform")
+    }
+
+    /// Starts another process of workers, and returns its place.
+    pub fn start_workers(&mut self, group: usize, count: usize) -> usize {
+        let record = self.record_path(self.workers.len());
+        let prefix = format!("g{group}w");
+        let args = [
+            "workers",
+            "--platform",
+            &self.platform_addr(),
+            "--prefix",
+            &prefix,
+            "--count",
+            &count.to_string(),
+            "--cpu-milli",
+            &self.options.cpu_milli.to_string(),
+            "--record",
+            record.to_str().unwrap(),
+        ];
+        self.workers.push(Proc::start(&standin(), &args));
+        self.workers.len() - 1
+    }
+
+    fn record_path(&self, i: usize) -> PathBuf {
+        self.dir.path().join(format!("record-{i}"))
+    }
+
+    /// Starts another process of the system, and returns its place.
+    pub fn start_entry(&mut self) -> usize {
+        let n = self.started;
+        self.started += 1;
+        let settings = json!({
+            "process": format!("entry-{n}"),
+            "zone": "zone-0",
+            "listen": {
+                "callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+            },
+            "platform": { "address": self.platform_addr(), "timeout_ms": 500 },
+            "partitions": self.options.partitions,
+            "peer_key": "a-key-for-tests-only",
+            "operator_token_sha256": hash_token(OPERATOR),
+            "policy": self.options.policy,
+        });
+        let path = self.dir.path().join(format!("entry-{n}.jsonc"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let program = Path::new(env!("CARGO_BIN_EXE_hollowford"));
+        let args = ["serve", "--config", path.to_str().unwrap()];
+        self.entries.push(Proc::start(program, &args));
+        self.entries.len() - 1
+    }
+
+    /// Waits until every partition is owned and every worker claimed.
+    pub async fn wait_ready(&self) {
+        let want = self.options.worker_procs * self.options.workers_each;
+        until("every worker claimed", || async {
+            let mut claimed = 0;
+            for i in 0..self.entries.len() {
+                let state = self.state(i).await?;
+                let partitions = state["partitions"].as_array()?.clone();
+                let workers = partitions
+                    .iter()
+                    .filter_map(|p| p["workers"].as_array())
+                    .flatten();
+                claimed += workers.filter(|w| w["claimed"] == true).count();
+            }
+            (claimed >= want).then_some(())
+        })
+        .await;
+    }
+
+    pub async fn state(&self, entry: usize) -> Option<Value> {
+        http::get_json(&self.entries[entry].addr("admin"), "/state").await
+    }
+
+    /// Returns the place of the process that owns a partition.
+    pub async fn owner(&self, partition: u32) -> usize {
+        until("an owner", || async {
+            for i in 0..self.entries.len() {
+                let Some(state) = self.state(i).await else {
+                    continue;
+                };
+                let owned = state["partitions"].as_array().cloned().unwrap_or_default();
+                if owned.iter().any(|p| p["partition"] == partition) {
+                    return Some(i);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    pub async fn caller(&self, entry: usize, account: &str) -> Caller {
+        Caller::connect(&self.entries[entry].addr("callers"), &token_of(account)).await
+    }
+
+    pub async fn callers(&self, account: &str) -> Vec<Caller> {
+        let mut callers = Vec::new();
+        for i in 0..self.entries.len() {
+            callers.push(self.caller(i, account).await);
+        }
+        callers
+    }
+
+    pub async fn operator(&self, entry: usize) -> Caller {
+        Caller::connect(&self.entries[entry].addr("callers"), OPERATOR).await
+    }
+
+    pub async fn faults(&self, faults: Value) {
+        http::post(&self.platform_addr(), "/faults", &faults).await;
+    }
+
+    /// Brings about a fault of a worker: `leave/ID`, `cut/ID` or `fail/ID/true`.
+    pub async fn worker_fault(&self, proc: usize, path: &str) {
+        http::post(
+            &self.workers[proc].addr("control"),
+            &format!("/{path}"),
+            &json!(null),
+        )
+        .await;
+    }
+
+    /// Judges the records of all workers.
+    pub fn verdict(&self) -> Verdict {
+        judge(self.lines())
+    }
+
+    pub fn lines(&self) -> Vec<record::Line> {
+        (0..self.workers.len())
+            .flat_map(|i| record::read(&self.record_path(i)).unwrap())
+            .collect()
+    }
+
+    /// Fails the test when the workers' records show a fault.
+    pub fn assert_no_fault(&self) -> Verdict {
+        let verdict = self.verdict();
+        assert!(verdict.faults.is_empty(), "{:#?}", verdict.faults);
+        verdict
+    }
+}
+
+/// The stand-ins' program lies beside the one under test.
+fn standin() -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_hollowford")).with_file_name("hollowford-standin")
+}
+
+async fn seed(platform: &str, account: &str) {
+    let store = Platform::new(platform, Duration::from_secs(5)).unwrap();
+    let req = v1::SetConfigRequest {
+        account: account.to_owned(),
+        config: Some(account_config(&token_of(account), 1)),
+        expected_version: 0,
+        author: "test".to_owned(),
+    };
+    seed_account(&store, &req).await.unwrap();
+}
--- /dev/null
+++ b/crates/hollowford/tests/whole_path.rs
@@ -0,0 +1,157 @@
+//! The whole path, over real sockets, between separate processes.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use common::{Cell, Options, final_answer, kind_of, spec};
+use hollowford_protocol::v1::{Kind, Outcome};
+
+#[tokio::test]
+async fn each_kind_submitted_through_one_entry_is_answered_through_another() {
+    let cell = Cell::start(Options::default()).await;
+    let here = cell.caller(0, "university").await;
+    let there = cell.caller(1, "university").await;
+
+    let mut check = spec(Kind::Check, 1, 500, 50);
+    check.payload = b"name=check result=100".to_vec();
+    let gang = spec(Kind::Gang, 6, 2_000, 100);
+    let batch = spec(Kind::Batch, 40, 1_000, 30);
+    for (id, spec) in [("check", &check), ("gang", &gang), ("batch", &batch)] {
+        let view = here.submit(id, spec, false).await.unwrap();
+        assert_eq!(view.request_id, id);
+        let view = final_answer(std::slice::from_ref(&there), id).await;
+        let answer = view.answer.unwrap();
+        assert_eq!(answer.outcome(), Outcome::Done, "{id}: {answer:?}");
+        assert_eq!(answer.results.len() as u32, spec.tasks);
+    }
+    let view = there.get("check").await.unwrap();
+    assert_eq!(view.answer.unwrap().results[0].result.len(), 100);
+
+    let service = spec(Kind::Service, 3, 500, 0);
+    let view = here.submit("service", &service, true).await.unwrap();
+    assert_eq!((view.running, view.answer), (3, None));
+    there.cancel("service").await.unwrap();
+    let view = final_answer(&[here], "service").await;
+    let answer = view.answer.unwrap();
+    assert_eq!(answer.outcome(), Outcome::Cancelled);
+    assert!(answer.had_begun);
+
+    let verdict = cell.assert_no_fault();
+    assert_eq!(verdict.starts, 1 + 6 + 40 + 3);
+}
+
+#[tokio::test]
+async fn a_client_account_sees_and_touches_only_its_own_requests() {
+    let cell = Cell::start(Options::default()).await;
+    let own = cell.caller(0, "university").await;
+    let other = cell.caller(0, "district-desk").await;
+    let theirs = spec(Kind::Batch, 1, 500, 20);
+    let ours = spec(Kind::Batch, 2, 500, 20);
+    own.submit("same-id", &theirs, false).await.unwrap();
+
+    let status = other.get("same-id").await.unwrap_err();
+    assert_eq!(kind_of(&status), "not_found");
+    let status = other.cancel("same-id").await.unwrap_err();
+    assert_eq!(kind_of(&status), "not_found");
+    // The same id of another account is another request.
+    other.submit("same-id", &ours, false).await.unwrap();
+    let view = final_answer(&[other.clone()], "same-id").await;
+    assert_eq!(view.answer.unwrap().results.len(), 2);
+    let view = final_answer(&[own.clone()], "same-id").await;
+    assert_eq!(view.answer.unwrap().results.len(), 1);
+
+    let listed = own.list("", 10).await.unwrap().requests;
+    assert_eq!(listed.len(), 1);
+    let stranger = cell.caller(0, "stranger").await;
+    let status = stranger.get("same-id").await.unwrap_err();
+    assert_eq!(kind_of(&status), "unauthenticated");
+}
+
+#[tokio::test]
+async fn one_id_with_two_bodies_is_a_conflict_and_with_one_body_one_request() {
+    let cell = Cell::start(Options::default()).await;
+    let callers = cell.callers("university").await;
+    let mut body = spec(Kind::Batch, 1, 500, 20);
+    body.repeatable = false;
+    body.payload = b"name=once".to_vec();
+    // The same submission through all entries at once.
+    let all = callers.iter().map(|c| c.submit("once", &body, true));
+    for view in futures::future::join_all(all).await {
+        assert_eq!(view.unwrap().answer.unwrap().outcome(), Outcome::Done);
+    }
+    let other_body = spec(Kind::Batch, 2, 500, 20);
+    let status = callers[1]
+        .submit("once", &other_body, false)
+        .await
+        .unwrap_err();
+    assert_eq!(kind_of(&status), "conflict");
+    let verdict = cell.assert_no_fault();
+    assert_eq!(verdict.by_name["once"], 1);
+}
+
+#[tokio::test]
+async fn large_results_arrive_whole() {
+    let cell = Cell::start(Options::default()).await;
+    let caller = cell.caller(2, "university").await;
+    let mut body = spec(Kind::Batch, 8, 500, 20);
+    body.payload = b"result=500000".to_vec();
+    caller.submit("large", &body, false).await.unwrap();
+    let view = final_answer(std::slice::from_ref(&caller), "large").await;
+    let results = view.answer.unwrap().results;
+    assert_eq!(results.len(), 8);
+    let expected: Vec<u8> = (0..500_000).map(|i| i as u8).collect();
+    for r in results {
+        // What does not fit into the answer is fetched by itself.
+        let whole = match r.result.is_empty() {
+            true => caller.fetch("large", r.index).await.unwrap(),
+            false => r.result,
+        };
+        assert!(whole == expected, "result {} is not whole", r.index);
+    }
+}
+
+#[tokio::test]
+async fn a_watch_shows_a_request_from_its_queue_to_its_answer() {
+    let cell = Cell::start(Options::default()).await;
+    let caller = cell.caller(1, "university").await;
+    caller
+        .submit("watched", &spec(Kind::Batch, 3, 500, 100), false)
+        .await
+        .unwrap();
+    let mut views = caller.watch("watched").await.unwrap();
+    let mut last = None;
+    while let Some(view) = views.message().await.unwrap() {
+        let version = view.version;
+        let earlier = last.replace(view).map_or(0, |v| v.version);
+        assert!(version > earlier);
+    }
+    let answer = last.unwrap().answer.unwrap();
+    assert_eq!(answer.outcome(), Outcome::Done);
+}
+
+#[tokio::test]
+async fn cancelling_by_label_reaches_every_partition() {
+    let cell = Cell::start(Options::default()).await;
+    let caller = cell.caller(0, "university").await;
+    let mut body = spec(Kind::Batch, 4, 1_000, 60_000);
+    body.labels = vec!["season-2027".into()];
+    for i in 0..10 {
+        caller
+            .submit(&format!("plan-{i}"), &body, false)
+            .await
+            .unwrap();
+    }
+    caller
+        .submit("other", &spec(Kind::Batch, 1, 100, 10), false)
+        .await
+        .unwrap();
+    assert_eq!(caller.cancel_by_label("season-2027").await.unwrap(), 10);
+    for i in 0..10 {
+        let view = final_answer(std::slice::from_ref(&caller), &format!("plan-{i}")).await;
+        assert_eq!(view.answer.unwrap().outcome(), Outcome::Cancelled);
+    }
+    let view = final_answer(&[caller], "other").await;
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    cell.assert_no_fault();
+}
