--- a/crates/hollowford-config/src/policy.rs
+++ b/crates/hollowford-config/src/policy.rs
@@ -55,11 +55,8 @@
         max_attempts: count("max_attempts", p.max_attempts.into(), 100)? as u32,
         retry_backoff: ms("retry_backoff_ms", p.retry_backoff, HOUR)?,
         retry_backoff_max: ms("retry_backoff_max_ms", p.retry_backoff_max, HOUR)?,
-        account_queue_bound: count(
-            "account_queue_bound",
-            p.account_queue_bound.into(),
-            1_000_000,
-        )? as u32,
+        account_queue_bound: count("account_queue_bound", p.account_queue_bound.into(), 1_000_000)?
+            as u32,
         queue_bound: count("queue_bound", p.queue_bound.into(), 1_000_000)? as u32,
         share_half_life: ms("share_half_life_ms", p.share_half_life, 24 * HOUR)?,
         gang_drain_after: ms("gang_drain_after_ms", p.gang_drain_after, 24 * HOUR)?,
--- a/crates/hollowford-config/src/reader.rs
+++ b/crates/hollowford-config/src/reader.rs
@@ -21,11 +21,7 @@
 
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "line {}, column {}: {}",
-            self.line, self.column, self.message
-        )?;
+        write!(f, "line {}, column {}: {}", self.line, self.column, self.message)?;
         if !self.help.is_empty() {
             write!(f, " ({})", self.help)?;
         }
@@ -49,12 +45,7 @@
         let before = self.text.get(..at).unwrap_or(self.text);
         let line = before.matches('\n').count() + 1;
         let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
-        SettingsError {
-            line,
-            column,
-            message,
-            help: help.to_owned(),
-        }
+        SettingsError { line, column, message, help: help.to_owned() }
     }
 
     /// Reads the file's one object with `read`.
@@ -65,18 +56,10 @@
         &self,
         read: impl FnOnce(&Section<'_>) -> Result<T, SettingsError>,
     ) -> Result<T, SettingsError> {
-        let parsed = parse_to_ast(
-            self.text,
-            &CollectOptions::default(),
-            &ParseOptions::default(),
-        )
-        .map_err(|e| self.error(e.range().start, e.kind().to_string(), "JSON with comments"))?;
+        let parsed = parse_to_ast(self.text, &CollectOptions::default(), &ParseOptions::default())
+            .map_err(|e| self.error(e.range().start, e.kind().to_string(), "JSON with comments"))?;
         match &parsed.value {
-            Some(Value::Object(object)) => read(&Section {
-                doc: *self,
-                object,
-                name: "",
-            }),
+            Some(Value::Object(object)) => read(&Section { doc: *self, object, name: "" }),
             _ => Err(self.error(0, "the file holds no object".to_owned(), "start with {")),
         }
     }
@@ -116,11 +99,7 @@
     /// When it is something else.
     pub fn section(&self) -> Result<Section<'a>, SettingsError> {
         match self.value {
-            Value::Object(object) => Ok(Section {
-                doc: self.doc,
-                object,
-                name: self.name,
-            }),
+            Value::Object(object) => Ok(Section { doc: self.doc, object, name: self.name }),
             _ => Err(self.error("is not an object", "write { ... }")),
         }
     }
@@ -144,9 +123,7 @@
             if !known.contains(&key) {
                 let near = known.iter().min_by_key(|k| strsim::levenshtein(k, key));
                 let help = format!("did you mean {:?}?", near.unwrap_or(&""));
-                return Err(self
-                    .doc
-                    .error(p.start(), format!("{key:?} is not known"), &help));
+                return Err(self.doc.error(p.start(), format!("{key:?} is not known"), &help));
             }
             if seen.contains(&key) {
                 let message = format!("{key:?} stands twice");
@@ -159,32 +136,18 @@
 
     /// Returns a value, if it is there.
     pub fn get(&self, key: &'a str) -> Option<Node<'a>> {
-        let p = self
-            .object
-            .properties
-            .iter()
-            .find(|p| p.name.as_str() == key)?;
-        Some(Node {
-            doc: self.doc,
-            value: &p.value,
-            name: key,
-        })
+        let p = self.object.properties.iter().find(|p| p.name.as_str() == key)?;
+        Some(Node { doc: self.doc, value: &p.value, name: key })
     }
 
     /// Makes an error that points at the object.
     pub fn error(&self, message: &str, help: &str) -> SettingsError {
-        let name = if self.name.is_empty() {
-            "the settings"
-        } else {
-            self.name
-        };
-        self.doc
-            .error(self.object.start(), format!("{name}: {message}"), help)
+        let name = if self.name.is_empty() { "the settings" } else { self.name };
+        self.doc.error(self.object.start(), format!("{name}: {message}"), help)
     }
 
     fn required(&self, key: &'a str, help: &str) -> Result<Node<'a>, SettingsError> {
-        self.get(key)
-            .ok_or_else(|| self.error(&format!("{key:?} is missing"), help))
+        self.get(key).ok_or_else(|| self.error(&format!("{key:?} is missing"), help))
     }
 
     /// Reads text that must be there and not be empty.
@@ -194,11 +157,7 @@
     pub fn text(&self, key: &'a str, help: &str) -> Result<&'a str, SettingsError> {
         let node = self.required(key, help)?;
         let text = node.text()?;
-        if text.is_empty() {
-            Err(node.error("is empty", help))
-        } else {
-            Ok(text)
-        }
+        if text.is_empty() { Err(node.error("is empty", help)) } else { Ok(text) }
     }
 
     /// Reads text, or takes the default.
@@ -216,9 +175,7 @@
     pub fn address(&self, key: &'a str) -> Result<std::net::SocketAddr, SettingsError> {
         const HELP: &str = "an IP number and a port, such as \"127.0.0.1:7000\"";
         let node = self.required(key, HELP)?;
-        node.text()?
-            .parse()
-            .map_err(|_| node.error("is no address", HELP))
+        node.text()?.parse().map_err(|_| node.error("is no address", HELP))
     }
 
     /// Reads a whole number within bounds, or takes the default.
@@ -302,11 +259,7 @@
         let Value::Array(array) = node.value else {
             return Err(node.error("is no list", "write [ ... ]"));
         };
-        let item = |value| Node {
-            doc: self.doc,
-            value,
-            name: key,
-        };
+        let item = |value| Node { doc: self.doc, value, name: key };
         Ok(array.elements.iter().map(item).collect())
     }
 }
--- a/crates/hollowford-config/src/settings.rs
+++ b/crates/hollowford-config/src/settings.rs
@@ -108,12 +108,8 @@
 fn read_settings(s: &Section<'_>) -> Result<Settings, SettingsError> {
     s.only(KEYS)?;
     Ok(Settings {
-        process: s
-            .text("process", "an id that is unique in the cell")?
-            .to_owned(),
-        zone: s
-            .text("zone", "the availability zone of this instance")?
-            .to_owned(),
+        process: s.text("process", "an id that is unique in the cell")?.to_owned(),
+        zone: s.text("zone", "the availability zone of this instance")?.to_owned(),
         listen: read_listen(s)?,
         platform: read_platform(s)?,
         partitions: s.number("partitions", 1, 1..=4_096)? as u32,
@@ -130,12 +126,7 @@
 }
 
 fn needed<'a>(s: &Section<'a>, key: &'a str) -> Result<Section<'a>, SettingsError> {
-    let missing = || {
-        s.error(
-            &format!("{key:?} is missing"),
-            "see examples/ for a whole file",
-        )
-    };
+    let missing = || s.error(&format!("{key:?} is missing"), "see examples/ for a whole file");
     s.section(key)?.ok_or_else(missing)
 }
 
@@ -190,11 +181,8 @@
 }
 
 fn read_lease(s: &Section<'_>) -> Result<Lease, SettingsError> {
-    const DEFAULT: Lease = Lease {
-        ownership: Millis(1_500),
-        renew: Millis(400),
-        config_fresh: Millis(1_500),
-    };
+    const DEFAULT: Lease =
+        Lease { ownership: Millis(1_500), renew: Millis(400), config_fresh: Millis(1_500) };
     let Some(l) = s.section("lease")? else {
         return Ok(DEFAULT);
     };
@@ -205,30 +193,16 @@
         return Err(l.error("\"renew_ms\" is too long", "at most half of ownership_ms"));
     }
     let fresh = l.number("config_fresh_ms", DEFAULT.config_fresh.0, 100..=3_500)?;
-    Ok(Lease {
-        ownership: Millis(ownership),
-        renew: Millis(renew),
-        config_fresh: Millis(fresh),
-    })
+    Ok(Lease { ownership: Millis(ownership), renew: Millis(renew), config_fresh: Millis(fresh) })
 }
 
 fn read_store(s: &Section<'_>) -> Result<StoreBudget, SettingsError> {
-    const DEFAULT: StoreBudget = StoreBudget {
-        writes_per_second: 150,
-        snapshot_records: 200_000,
-    };
+    const DEFAULT: StoreBudget = StoreBudget { writes_per_second: 150, snapshot_records: 200_000 };
     let Some(b) = s.section("store")? else {
         return Ok(DEFAULT);
     };
     b.only(&["writes_per_second", "snapshot_records"])?;
     let writes = b.number("writes_per_second", DEFAULT.writes_per_second, 1..=10_000)?;
-    let records = b.number(
-        "snapshot_records",
-        DEFAULT.snapshot_records,
-        100..=10_000_000,
-    )?;
-    Ok(StoreBudget {
-        writes_per_second: writes,
-        snapshot_records: records,
-    })
+    let records = b.number("snapshot_records", DEFAULT.snapshot_records, 100..=10_000_000)?;
+    Ok(StoreBudget { writes_per_second: writes, snapshot_records: records })
 }
--- a/crates/hollowford-core/src/error.rs
+++ b/crates/hollowford-core/src/error.rs
@@ -95,11 +95,7 @@
 impl Error {
     /// Builds an error with the table's time to come back.
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> Error {
-        Error {
-            kind,
-            message: message.into(),
-            retry_after_ms: kind.answer().retry_after_ms,
-        }
+        Error { kind, message: message.into(), retry_after_ms: kind.answer().retry_after_ms }
     }
 
     /// Sets the time to come back, in milliseconds.
--- a/crates/hollowford-core/src/id.rs
+++ b/crates/hollowford-core/src/id.rs
@@ -95,10 +95,7 @@
 impl RequestKey {
     /// Joins an account and its request id.
     pub fn new(account: &AccountId, id: &str) -> RequestKey {
-        RequestKey {
-            account: account.clone(),
-            id: id.into(),
-        }
+        RequestKey { account: account.clone(), id: id.into() }
     }
 
     /// Returns the partition that the request is homed on, of `count`.
--- a/crates/hollowford-core/src/resources.rs
+++ b/crates/hollowford-core/src/resources.rs
@@ -14,11 +14,7 @@
 impl Resources {
     /// Builds an amount from thousandths of a core, mebibytes and accelerators.
     pub fn new(cpu_milli: u32, memory_mib: u32, accelerators: u32) -> Resources {
-        Resources {
-            cpu_milli,
-            memory_mib,
-            accelerators,
-        }
+        Resources { cpu_milli, memory_mib, accelerators }
     }
 
     /// Tells whether this amount fits into `room`.
--- a/crates/hollowford-core/src/time.rs
+++ b/crates/hollowford-core/src/time.rs
@@ -49,9 +49,7 @@
 impl Clock {
     /// Starts a clock that reads zero now.
     pub fn new() -> Clock {
-        Clock {
-            start: Instant::now(),
-        }
+        Clock { start: Instant::now() }
     }
 
     /// Returns the milliseconds since the clock was started.
--- a/crates/hollowford-engine/src/account.rs
+++ b/crates/hollowford-engine/src/account.rs
@@ -20,11 +20,7 @@
 
 impl Default for AccountPolicy {
     fn default() -> AccountPolicy {
-        AccountPolicy {
-            weight: 1,
-            quota: Totals::default(),
-            max_queued: 0,
-        }
+        AccountPolicy { weight: 1, quota: Totals::default(), max_queued: 0 }
     }
 }
 
--- a/crates/hollowford-engine/src/claim.rs
+++ b/crates/hollowford-engine/src/claim.rs
@@ -99,11 +99,7 @@
         let unwanted = r.cancelled || r.regroup || r.answer.is_some();
         let state = r.tasks[task.index as usize].state;
         if state == TaskState::Stopping(idx) {
-            out.push(Action::Stop {
-                worker,
-                task: *task,
-                checkpoint: r.is_preemptible(),
-            });
+            out.push(Action::Stop { worker, task: *task, checkpoint: r.is_preemptible() });
         } else if unwanted {
             self.stop_task(now, task.request, task.index, false, out);
         }
@@ -156,14 +152,9 @@
         self.stats.foreign += foreign.len() as u64;
         let worker = self.workers.get(idx).id.clone();
         for task in foreign.keys() {
-            out.push(Action::Stop {
-                worker: worker.clone(),
-                task: *task,
-                checkpoint: false,
-            });
+            out.push(Action::Stop { worker: worker.clone(), task: *task, checkpoint: false });
         }
-        self.workers
-            .update(idx, |w| w.foreign = foreign.into_values().collect());
+        self.workers.update(idx, |w| w.foreign = foreign.into_values().collect());
     }
 
     /// Notes that the session with a worker ended. It takes no new work until it is
@@ -181,10 +172,8 @@
         });
         let held: Vec<TaskId> = self.workers.get(idx).held.iter().map(|h| h.task).collect();
         for task in held {
-            let state = self
-                .requests
-                .get(&task.request)
-                .map(|r| r.tasks[task.index as usize].state);
+            let state =
+                self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
             if state == Some(TaskState::Placed(idx)) {
                 self.withdraw(now, &task, out);
             }
--- a/crates/hollowford-engine/src/durable.rs
+++ b/crates/hollowford-engine/src/durable.rs
@@ -57,10 +57,7 @@
 
     fn send_start(&mut self, now: Millis, start: &PendingStart, out: &mut Vec<Action>) {
         let task = &start.task;
-        let state = self
-            .requests
-            .get(&task.request)
-            .map(|r| r.tasks[task.index as usize].state);
+        let state = self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
         let stands = self.holder(task) == Some(start.worker)
             && state == Some(TaskState::Placed(start.worker));
         if !stands {
@@ -82,12 +79,6 @@
             r.tasks[task.index as usize].state = TaskState::Starting(start.worker);
         }
         self.stats.started += 1;
-        out.push(Action::Start {
-            worker,
-            task: *task,
-            lease_until,
-            spec,
-            checkpoint,
-        });
+        out.push(Action::Start { worker, task: *task, lease_until, spec, checkpoint });
     }
 }
--- a/crates/hollowford-engine/src/engine.rs
+++ b/crates/hollowford-engine/src/engine.rs
@@ -164,10 +164,7 @@
     ) -> u64 {
         let seq = self.next_seq;
         self.next_seq += 1;
-        out.push(Action::Append {
-            seq,
-            record: Record { request, change },
-        });
+        out.push(Action::Append { seq, record: Record { request, change } });
         seq
     }
 
--- a/crates/hollowford-engine/src/gang.rs
+++ b/crates/hollowford-engine/src/gang.rs
@@ -78,10 +78,7 @@
         let mut last_seq = 0;
         for &(worker, n) in slots {
             for _ in 0..n {
-                let Some(index) = self
-                    .requests
-                    .get_mut(&no)
-                    .and_then(|r| r.waiting.pop_front())
+                let Some(index) = self.requests.get_mut(&no).and_then(|r| r.waiting.pop_front())
                 else {
                     break;
                 };
@@ -95,14 +92,7 @@
         }
         if let Some(&(_, worker)) = placed.first() {
             let compared = slots.len() as u32;
-            self.note_placing(
-                no,
-                Placing {
-                    worker,
-                    compared,
-                    runner_up: None,
-                },
-            );
+            self.note_placing(no, Placing { worker, compared, runner_up: None });
         }
         if self.reservation.as_ref().is_some_and(|v| v.request == no) {
             self.drop_reservation();
@@ -133,13 +123,8 @@
         if urgent {
             self.displace_from(&workers, now, out);
         }
-        self.reservation = Some(Reservation {
-            request: no,
-            workers,
-            ready_at,
-            made_at: now,
-            waits_since,
-        });
+        self.reservation =
+            Some(Reservation { request: no, workers, ready_at, made_at: now, waits_since });
         self.wakes.insert((now + RESERVATION_REFRESH, no));
         Tried::Waits(Wait::GangReservation)
     }
@@ -249,12 +234,7 @@
         };
         let task = r.task_id(index);
         let failures = r.tasks[index as usize].failures;
-        let change = Change::Queued {
-            task,
-            failures,
-            checkpoint: "".into(),
-            begun: r.begun,
-        };
+        let change = Change::Queued { task, failures, checkpoint: "".into(), begun: r.begun };
         self.append(no, change, out);
         self.apply_queued(no, index);
     }
@@ -289,10 +269,7 @@
         racks.iter_mut().for_each(|rack| rack.truncate(1));
     }
     // The smallest rack that holds the whole gang leaves the larger ones free.
-    let whole = racks
-        .iter()
-        .filter(|rack| total(rack) >= need)
-        .min_by_key(|rack| total(rack));
+    let whole = racks.iter().filter(|rack| total(rack) >= need).min_by_key(|rack| total(rack));
     let from: Vec<Slots> = match whole {
         Some(rack) => rack.clone(),
         None if r.spec.placement.same_rack => return None,
--- a/crates/hollowford-engine/src/lease.rs
+++ b/crates/hollowford-engine/src/lease.rs
@@ -47,10 +47,7 @@
             let lease_until = self.lease(idx);
             let w = self.workers.touch(idx);
             w.renewed_at = now;
-            out.push(Action::Renew {
-                worker: w.id.clone(),
-                lease_until,
-            });
+            out.push(Action::Renew { worker: w.id.clone(), lease_until });
         }
     }
 
@@ -136,18 +133,11 @@
             return;
         }
         self.feasible_checked = now;
-        let waits = self
-            .accounts
-            .iter()
-            .flat_map(|a| a.queues.iter().flatten().copied());
+        let waits = self.accounts.iter().flat_map(|a| a.queues.iter().flatten().copied());
         let never = |no: &RequestNo| {
             let r = self.requests.get(no)?;
             let fresh = !r.begun && r.active == 0 && r.answer.is_none() && !r.cancelled;
-            if fresh {
-                self.check_possible(&r.spec).err()
-            } else {
-                None
-            }
+            if fresh { self.check_possible(&r.spec).err() } else { None }
         };
         let found: Vec<(RequestNo, Error)> =
             waits.filter_map(|no| never(&no).map(|e| (no, e))).collect();
--- a/crates/hollowford-engine/src/place.rs
+++ b/crates/hollowford-engine/src/place.rs
@@ -52,12 +52,7 @@
         }
         self.dirty = false;
         self.pass += 1;
-        let mut pass = Pass {
-            now,
-            no: self.pass,
-            placed: 0,
-            full: Vec::new(),
-        };
+        let mut pass = Pass { now, no: self.pass, placed: 0, full: Vec::new() };
         for class in Class::ALL {
             self.serve_class(class, &mut pass, out);
         }
@@ -132,16 +127,8 @@
         if r.not_before > pass.now || r.regroup {
             return Tried::Waits(Wait::Backoff);
         }
-        let at_once = if r.is_gang() {
-            r.waiting.len() as u32
-        } else {
-            1
-        };
-        if !self
-            .accounts
-            .get(r.account)
-            .allows(&r.spec.per_task, at_once)
-        {
+        let at_once = if r.is_gang() { r.waiting.len() as u32 } else { 1 };
+        if !self.accounts.get(r.account).allows(&r.spec.per_task, at_once) {
             return Tried::Waits(Wait::Quota);
         }
         if !self.headroom_allows(r, at_once, pass.now) {
@@ -192,11 +179,7 @@
             }
             return Tried::Waits(Wait::NoRoom);
         };
-        let Some(index) = self
-            .requests
-            .get_mut(&no)
-            .and_then(|r| r.waiting.pop_front())
-        else {
+        let Some(index) = self.requests.get_mut(&no).and_then(|r| r.waiting.pop_front()) else {
             return Tried::Waits(Wait::Fresh);
         };
         let seq = self.place(no, index, placing.worker, pass.now, out);
@@ -238,11 +221,7 @@
                 break;
             }
         }
-        best.map(|(_, worker)| Placing {
-            worker,
-            compared,
-            runner_up,
-        })
+        best.map(|(_, worker)| Placing { worker, compared, runner_up })
     }
 
     /// Tells whether a request's next task may go to a worker that has room.
@@ -258,9 +237,7 @@
         match r.spec.placement.spread {
             Spread::None => true,
             Spread::Instance => r.workers().all(|other| other != idx),
-            Spread::Rack => r
-                .workers()
-                .all(|other| self.workers.get(other).rack != w.rack),
+            Spread::Rack => r.workers().all(|other| self.workers.get(other).rack != w.rack),
         }
     }
 
@@ -299,8 +276,7 @@
     pub(crate) fn expect_start(&mut self, no: RequestNo, index: u32, worker: WorkerIdx, seq: u64) {
         if let Some(r) = self.requests.get(&no) {
             let task = r.task_id(index);
-            self.pending_starts
-                .push_back(PendingStart { seq, task, worker });
+            self.pending_starts.push_back(PendingStart { seq, task, worker });
         }
     }
 
@@ -320,11 +296,7 @@
         resources: r.spec.per_task,
         incarnation,
         preemptible: r.is_preemptible(),
-        ends: if known {
-            now + Millis(r.spec.run_time_ms)
-        } else {
-            Millis::MAX
-        },
+        ends: if known { now + Millis(r.spec.run_time_ms) } else { Millis::MAX },
     }
 }
 
@@ -337,11 +309,7 @@
 fn score(need: &Resources, w: &Worker) -> f64 {
     let left = w.free.minus(need);
     let part = |l: u32, c: u32| {
-        if c == 0 {
-            0.0
-        } else {
-            f64::from(l) / f64::from(c)
-        }
+        if c == 0 { 0.0 } else { f64::from(l) / f64::from(c) }
     };
     let cpu = part(left.cpu_milli, w.capacity.cpu_milli);
     let memory = part(left.memory_mib, w.capacity.memory_mib);
--- a/crates/hollowford-engine/src/policy.rs
+++ b/crates/hollowford-engine/src/policy.rs
@@ -58,21 +58,12 @@
 impl Policy {
     /// Waiting time first: headroom stays free for urgent work.
     pub fn kivu() -> Policy {
-        Policy {
-            headroom: 0.04,
-            headroom_borrow: false,
-            ..Policy::default()
-        }
+        Policy { headroom: 0.04, headroom_borrow: false, ..Policy::default() }
     }
 
     /// Packing first: everything is lent out, and urgent work displaces batch work.
     pub fn ortak_sahne() -> Policy {
-        Policy {
-            headroom: 0.0,
-            headroom_borrow: true,
-            candidates: 32,
-            ..Policy::default()
-        }
+        Policy { headroom: 0.0, headroom_borrow: true, candidates: 32, ..Policy::default() }
     }
 }
 
--- a/crates/hollowford-engine/src/preempt.rs
+++ b/crates/hollowford-engine/src/preempt.rs
@@ -47,12 +47,7 @@
     /// is under way already.
     pub(crate) fn preempt_for(&mut self, no: RequestNo, now: Millis, out: &mut Vec<Action>) {
         self.drop_kept_promises();
-        let promised = self
-            .preempt
-            .promises
-            .iter()
-            .filter(|p| p.request == no)
-            .count();
+        let promised = self.preempt.promises.iter().filter(|p| p.request == no).count();
         let waiting = self.requests.get(&no).map_or(0, |r| r.waiting.len());
         if promised >= waiting {
             return;
@@ -68,10 +63,7 @@
         for task in &victims {
             self.displace(task, now, out);
         }
-        self.preempt.promises.push(Promise {
-            request: no,
-            victims,
-        });
+        self.preempt.promises.push(Promise { request: no, victims });
     }
 
     /// Displaces all that can be displaced from the workers.
@@ -184,11 +176,7 @@
         }
         // An unclaimed worker is told at its claim.
         if worker.claimed {
-            out.push(Action::Stop {
-                worker: worker.id.clone(),
-                task,
-                checkpoint,
-            });
+            out.push(Action::Stop { worker: worker.id.clone(), task, checkpoint });
         }
     }
 }
--- a/crates/hollowford-engine/src/query.rs
+++ b/crates/hollowford-engine/src/query.rs
@@ -75,9 +75,7 @@
 
     /// Tells whether the acceptance is durable.
     pub fn is_accepted(&self, no: RequestNo) -> bool {
-        self.requests
-            .get(&no)
-            .is_some_and(|r| r.accepted_seq <= self.durable_seq)
+        self.requests.get(&no).is_some_and(|r| r.accepted_seq <= self.durable_seq)
     }
 
     /// Tells whether a caller that waits for the end has its answer: the final one
@@ -90,9 +88,7 @@
     }
 
     fn answer_of<'a>(&self, r: &'a Request) -> Option<&'a FinalAnswer> {
-        r.answer
-            .as_ref()
-            .filter(|_| r.answer_seq <= self.durable_seq)
+        r.answer.as_ref().filter(|_| r.answer_seq <= self.durable_seq)
     }
 
     /// Returns a request's view.
@@ -120,10 +116,7 @@
             answer,
             results,
             waited: r.first_start.map(|t| t.since(r.accepted_at)),
-            instances: workers
-                .iter()
-                .map(|&w| self.workers.get(w).id.as_str())
-                .collect(),
+            instances: workers.iter().map(|&w| self.workers.get(w).id.as_str()).collect(),
             why: self.why(r),
             partition: self.partition,
             epoch: self.epoch,
@@ -171,10 +164,7 @@
 
     /// Lists an account's requests after `after`, in the order of their ids.
     pub fn list(&self, account: &AccountId, after: &str, limit: usize) -> Vec<RequestNo> {
-        let own = self
-            .keys
-            .iter()
-            .filter(|(k, _)| k.account == *account && *k.id > *after);
+        let own = self.keys.iter().filter(|(k, _)| k.account == *account && *k.id > *after);
         let mut found: Vec<(&RequestKey, RequestNo)> = own.map(|(k, no)| (k, *no)).collect();
         found.sort_unstable();
         found.truncate(limit);
--- a/crates/hollowford-engine/src/recover.rs
+++ b/crates/hollowford-engine/src/recover.rs
@@ -13,11 +13,7 @@
         let no = record.request;
         match record.change {
             Change::Accept { key, spec } => self.replay_accept(now, no, &key, spec),
-            Change::Intent {
-                task,
-                worker,
-                incarnation,
-            } => {
+            Change::Intent { task, worker, incarnation } => {
                 self.replay_intent(now, &task, &worker, incarnation);
             }
             Change::Withdrawn { task } => {
@@ -36,12 +32,7 @@
                 self.drop_waiting(no);
                 self.apply_close(now, no, answer, 0);
             }
-            Change::Queued {
-                task,
-                failures,
-                checkpoint,
-                begun,
-            } => {
+            Change::Queued { task, failures, checkpoint, begun } => {
                 self.replay_queued(&task, failures, checkpoint);
                 if let Some(r) = self.requests.get_mut(&no) {
                     r.begun |= begun;
@@ -85,10 +76,8 @@
     }
 
     fn replay_requeue(&mut self, task: TaskId) {
-        let stays = self
-            .requests
-            .get(&task.request)
-            .is_some_and(|r| !r.cancelled && r.answer.is_none());
+        let stays =
+            self.requests.get(&task.request).is_some_and(|r| !r.cancelled && r.answer.is_none());
         if stays {
             self.requeue(task.request, task.index);
         }
@@ -140,12 +129,8 @@
         for idx in 0..self.workers.len() as u32 {
             self.workers.touch(idx).lapse_at = lapse_at;
         }
-        let mut open: Vec<RequestNo> = self
-            .requests
-            .values()
-            .filter(|r| r.answer.is_none())
-            .map(|r| r.no)
-            .collect();
+        let mut open: Vec<RequestNo> =
+            self.requests.values().filter(|r| r.answer.is_none()).map(|r| r.no).collect();
         open.sort_unstable();
         for no in open {
             self.resume(now, no, out);
@@ -184,50 +169,27 @@
     }
 
     fn snapshot_request(&self, r: &Request, records: &mut Vec<Record>) {
-        let mut push = |change| {
-            records.push(Record {
-                request: r.no,
-                change,
-            })
-        };
-        push(Change::Accept {
-            key: r.key.clone(),
-            spec: r.spec.clone(),
-        });
+        let mut push = |change| records.push(Record { request: r.no, change });
+        push(Change::Accept { key: r.key.clone(), spec: r.spec.clone() });
         for (i, t) in r.tasks.iter().enumerate() {
             if t.attempt == 0 {
                 continue;
             }
             let task = r.task_id(i as u32);
             if let Some(result) = r.results.get(&task.index) {
-                push(Change::Ended {
-                    task,
-                    end: TaskEnd::Done(result.clone()),
-                });
+                push(Change::Ended { task, end: TaskEnd::Done(result.clone()) });
                 continue;
             }
             let checkpoint = t.checkpoint.clone().unwrap_or_else(|| "".into());
             let (failures, begun) = (t.failures, r.begun);
-            push(Change::Queued {
-                task,
-                failures,
-                checkpoint,
-                begun,
-            });
+            push(Change::Queued { task, failures, checkpoint, begun });
             if let Some(w) = t.state.worker() {
                 let worker = self.workers.get(w);
                 let held = worker.held.iter().find(|h| h.task == task);
                 let incarnation = held.map_or(0, |h| h.incarnation);
-                push(Change::Intent {
-                    task,
-                    worker: worker.id.clone(),
-                    incarnation,
-                });
+                push(Change::Intent { task, worker: worker.id.clone(), incarnation });
             } else if t.state == TaskState::Ended && r.answer.is_none() {
-                push(Change::Ended {
-                    task,
-                    end: ended_as(r),
-                });
+                push(Change::Ended { task, end: ended_as(r) });
             }
         }
         if r.cancelled {
--- a/crates/hollowford-engine/src/reports.rs
+++ b/crates/hollowford-engine/src/reports.rs
@@ -32,11 +32,7 @@
         };
         if self.holder(task) != Some(idx) {
             self.stats.stale_reports += 1;
-            out.push(Action::Stop {
-                worker: worker.clone(),
-                task: *task,
-                checkpoint: false,
-            });
+            out.push(Action::Stop { worker: worker.clone(), task: *task, checkpoint: false });
             return;
         }
         let Some(r) = self.requests.get_mut(&task.request) else {
@@ -96,23 +92,16 @@
 
     /// An end that fits nothing held: the task was foreign, or its end is known.
     pub(crate) fn end_unknown(&mut self, idx: WorkerIdx, task: &TaskId) {
-        let foreign = self
-            .workers
-            .get(idx)
-            .foreign
-            .iter()
-            .any(|h| h.task == *task);
+        let foreign = self.workers.get(idx).foreign.iter().any(|h| h.task == *task);
         if foreign {
-            self.workers
-                .update(idx, |w| w.foreign.retain(|h| h.task != *task));
+            self.workers.update(idx, |w| w.foreign.retain(|h| h.task != *task));
             self.dirty = true;
         } else {
             self.stats.stale_reports += 1;
         }
         // Everything appended so far may be about this task.
         let worker = self.workers.get(idx).id.clone();
-        self.pending_forgets
-            .push_back((self.next_seq - 1, worker, *task));
+        self.pending_forgets.push_back((self.next_seq - 1, worker, *task));
     }
 
     /// Notes that a worker did not and never will carry out a start.
@@ -194,10 +183,7 @@
     pub(crate) fn move_services(&mut self, now: Millis, idx: WorkerIdx, out: &mut Vec<Action>) {
         let on_it: Vec<TaskId> = self.workers.get(idx).held.iter().map(|h| h.task).collect();
         for task in on_it {
-            let service = self
-                .requests
-                .get(&task.request)
-                .is_some_and(|r| r.is_service());
+            let service = self.requests.get(&task.request).is_some_and(|r| r.is_service());
             if service {
                 self.stop_task(now, task.request, task.index, true, out);
             }
@@ -255,11 +241,8 @@
         if fails.len() < self.policy.aside_after {
             return false;
         }
-        let mut accounts: Vec<u32> = fails
-            .iter()
-            .filter_map(|no| self.requests.get(no))
-            .map(|r| r.account)
-            .collect();
+        let mut accounts: Vec<u32> =
+            fails.iter().filter_map(|no| self.requests.get(no)).map(|r| r.account).collect();
         accounts.sort_unstable();
         accounts.dedup();
         accounts.len() >= 2 || accounts.iter().any(|a| self.accounts.get(*a).is_credible())
--- a/crates/hollowford-engine/src/request.rs
+++ b/crates/hollowford-engine/src/request.rs
@@ -206,11 +206,7 @@
 
     /// Returns the id of a task's current attempt.
     pub fn task_id(&self, index: u32) -> TaskId {
-        TaskId {
-            request: self.no,
-            index,
-            attempt: self.tasks[index as usize].attempt,
-        }
+        TaskId { request: self.no, index, attempt: self.tasks[index as usize].attempt }
     }
 
     /// Tells whether the task may be displaced: batch work that can start again.
--- a/crates/hollowford-engine/src/settle.rs
+++ b/crates/hollowford-engine/src/settle.rs
@@ -11,11 +11,7 @@
     pub(crate) fn holder(&self, task: &TaskId) -> Option<WorkerIdx> {
         let r = self.requests.get(&task.request)?;
         let t = r.tasks.get(task.index as usize)?;
-        if t.attempt == task.attempt {
-            t.state.worker()
-        } else {
-            None
-        }
+        if t.attempt == task.attempt { t.state.worker() } else { None }
     }
 
     /// Takes an attempt off its worker and gives back its resources.
@@ -84,10 +80,7 @@
     ) -> u64 {
         self.detach(now, task);
         self.count_end(&end);
-        let change = Change::Ended {
-            task: *task,
-            end: end.clone(),
-        };
+        let change = Change::Ended { task: *task, end: end.clone() };
         let seq = self.append(task.request, change, out);
         let again = self.apply_end(task, end);
         self.after_end(now, task, again, out);
@@ -176,9 +169,7 @@
             return;
         }
         let wait = p.retry_backoff.0 << (failures - 1).min(MOST_DOUBLINGS);
-        r.not_before = r
-            .not_before
-            .max(now + Millis(wait.min(p.retry_backoff_max.0)));
+        r.not_before = r.not_before.max(now + Millis(wait.min(p.retry_backoff_max.0)));
         self.wakes.insert((r.not_before, task.request));
     }
 
@@ -254,10 +245,5 @@
     } else {
         (Outcome::Done, "")
     };
-    FinalAnswer {
-        outcome,
-        reason: reason.into(),
-        message: r.message.clone(),
-        had_begun: r.begun,
-    }
+    FinalAnswer { outcome, reason: reason.into(), message: r.message.clone(), had_begun: r.begun }
 }
--- a/crates/hollowford-engine/src/submit.rs
+++ b/crates/hollowford-engine/src/submit.rs
@@ -36,10 +36,7 @@
         let no = RequestNo::new(self.epoch, self.next_no);
         self.next_no += 1;
         let spec = Arc::new(spec.clone());
-        let change = Change::Accept {
-            key: key.clone(),
-            spec: spec.clone(),
-        };
+        let change = Change::Accept { key: key.clone(), spec: spec.clone() };
         let seq = self.append(no, change, out);
         self.insert_request(no, key, spec, now);
         if let Some(r) = self.requests.get_mut(&no) {
@@ -84,18 +81,12 @@
     fn drain_time(&self) -> u64 {
         const SOONEST: u64 = 500;
         const LATEST: u64 = 10_000;
-        SOONEST
-            .saturating_add(u64::from(self.open) / 10)
-            .min(LATEST)
+        SOONEST.saturating_add(u64::from(self.open) / 10).min(LATEST)
     }
 
     fn check_quota(&self, idx: u32, spec: &Spec) -> Result<(), Error> {
         let a = self.accounts.get(idx);
-        let together = if spec.kind == Kind::Gang {
-            spec.tasks
-        } else {
-            1
-        };
+        let together = if spec.kind == Kind::Gang { spec.tasks } else { 1 };
         let mut need = hollowford_core::Totals::default();
         for _ in 0..together {
             need.add(&spec.per_task);
@@ -135,16 +126,12 @@
         if possible {
             return Ok(());
         }
-        Err(Error::new(
-            ErrorKind::Impossible,
-            self.impossible_message(spec),
-        ))
+        Err(Error::new(ErrorKind::Impossible, self.impossible_message(spec)))
     }
 
     fn most_at_once(&self, spec: &Spec) -> u64 {
         let caps = self.workers.capacities().iter();
-        caps.map(|(cap, n)| u64::from(times(&spec.per_task, cap)) * u64::from(*n))
-            .sum()
+        caps.map(|(cap, n)| u64::from(times(&spec.per_task, cap)) * u64::from(*n)).sum()
     }
 
     fn most_at_once_constrained(&self, spec: &Spec) -> u64 {
@@ -157,22 +144,14 @@
                 continue;
             }
             racks.insert(&*w.rack);
-            let n = if spec.placement.spread == Spread::Instance {
-                1
-            } else {
-                n
-            };
+            let n = if spec.placement.spread == Spread::Instance { 1 } else { n };
             fitting += u64::from(n);
             *per_rack.entry(&w.rack).or_insert(0) += u64::from(n);
         }
         if spec.placement.same_rack {
             return per_rack.values().copied().max().unwrap_or(0);
         }
-        if spec.placement.spread == Spread::Rack {
-            racks.len() as u64
-        } else {
-            fitting
-        }
+        if spec.placement.spread == Spread::Rack { racks.len() as u64 } else { fitting }
     }
 
     fn impossible_message(&self, spec: &Spec) -> String {
@@ -207,8 +186,7 @@
         let mut r = Request::new(no, key.clone(), spec, account);
         r.accepted_at = now;
         if r.spec.start_within_ms > 0 {
-            self.start_by
-                .insert((now + Millis(r.spec.start_within_ms), no));
+            self.start_by.insert((now + Millis(r.spec.start_within_ms), no));
         }
         self.accounts.get_mut(account).open += 1;
         self.open += 1;
@@ -227,10 +205,7 @@
         out: &mut Vec<Action>,
     ) -> Result<RequestNo, Error> {
         let Some(&no) = self.keys.get(key) else {
-            return Err(Error::new(
-                ErrorKind::NotFound,
-                format!("no request {}", key.id),
-            ));
+            return Err(Error::new(ErrorKind::NotFound, format!("no request {}", key.id)));
         };
         self.cancel_no(now, no, out);
         Ok(no)
@@ -327,11 +302,7 @@
 
 /// Returns how many tasks of a request must have room at the same time.
 fn tasks_at_once(spec: &Spec) -> u32 {
-    if spec.kind == Kind::Gang {
-        spec.tasks
-    } else {
-        1
-    }
+    if spec.kind == Kind::Gang { spec.tasks } else { 1 }
 }
 
 /// Returns how many times `need` goes into `room`.
--- a/crates/hollowford-engine/src/worker.rs
+++ b/crates/hollowford-engine/src/worker.rs
@@ -95,11 +95,7 @@
     /// Returns the sum of what could be displaced.
     pub fn preemptible(&self) -> Resources {
         let sum = |a: Resources, h: &Held| {
-            if h.preemptible {
-                a.plus(&h.resources)
-            } else {
-                a
-            }
+            if h.preemptible { a.plus(&h.resources) } else { a }
         };
         self.held.iter().fold(Resources::default(), sum)
     }
@@ -148,10 +144,7 @@
     }
 
     pub fn iter(&self) -> impl Iterator<Item = (WorkerIdx, &Worker)> {
-        self.list
-            .iter()
-            .enumerate()
-            .map(|(i, w)| (i as WorkerIdx, w))
+        self.list.iter().enumerate().map(|(i, w)| (i as WorkerIdx, w))
     }
 
     pub fn len(&self) -> usize {
@@ -188,10 +181,7 @@
 
     /// Takes a task off a worker.
     pub fn release(&mut self, idx: WorkerIdx, task: &TaskId) -> Option<Held> {
-        let at = self.list[idx as usize]
-            .held
-            .iter()
-            .position(|h| h.task == *task)?;
+        let at = self.list[idx as usize].held.iter().position(|h| h.task == *task)?;
         Some(self.update(idx, |w| w.held.swap_remove(at)))
     }
 
@@ -226,11 +216,7 @@
     /// Returns usable workers with room, those with the least free processors
     /// first; workers with free accelerators come last for work that needs none.
     pub fn with_room<'a>(&'a self, need: &'a Resources) -> impl Iterator<Item = WorkerIdx> + 'a {
-        let plain = if need.accelerators == 0 {
-            Some(&self.rooms[0])
-        } else {
-            None
-        };
+        let plain = if need.accelerators == 0 { Some(&self.rooms[0]) } else { None };
         let sets = plain.into_iter().chain([&self.rooms[1]]);
         sets.flat_map(|set| set.range((need.cpu_milli, 0)..))
             .map(|&(_, idx)| idx)
--- a/crates/hollowford-engine/tests/common/judge.rs
+++ b/crates/hollowford-engine/tests/common/judge.rs
@@ -50,11 +50,7 @@
     }
 
     pub fn starts_of(&self, no: RequestNo) -> u32 {
-        self.starts
-            .iter()
-            .filter(|((r, _), _)| *r == no)
-            .map(|(_, n)| n)
-            .sum()
+        self.starts.iter().filter(|((r, _), _)| *r == no).map(|(_, n)| n).sum()
     }
 
     /// Notes which number a key has, for the check of "not run".
@@ -68,27 +64,17 @@
         self.check_one_place(workers, now);
         for ((no, index), n) in &self.starts {
             let repeatable = self.specs[no].repeatable;
-            assert!(
-                repeatable || *n == 1,
-                "{no:?}/{index} was started {n} times"
-            );
+            assert!(repeatable || *n == 1, "{no:?}/{index} was started {n} times");
         }
         self.check_answers();
-        assert_eq!(
-            self.told_while_leaving, 0,
-            "a start was sent to a worker known to leave"
-        );
+        assert_eq!(self.told_while_leaving, 0, "a start was sent to a worker known to leave");
     }
 
     fn check_room(&self, workers: &BTreeMap<InstanceId, FakeWorker>) {
         for (id, w) in workers {
             let add = |a: Resources, r: &super::worker::Running| a.plus(&r.spec.per_task);
             let used = w.running.values().fold(Resources::default(), add);
-            assert!(
-                used.fits(&w.capacity),
-                "{id} holds {used:?} of {:?}",
-                w.capacity
-            );
+            assert!(used.fits(&w.capacity), "{id} holds {used:?} of {:?}", w.capacity);
         }
     }
 
@@ -96,10 +82,7 @@
         let mut places: BTreeMap<(RequestNo, u32), &InstanceId> = BTreeMap::new();
         for (id, w) in workers {
             // What has lapsed on a frozen worker does not run.
-            let live = w
-                .running
-                .iter()
-                .filter(|(_, r)| r.lease_until > w.clock(now));
+            let live = w.running.iter().filter(|(_, r)| r.lease_until > w.clock(now));
             for (task, _) in live {
                 let before = places.insert((task.request, task.index), id);
                 assert_eq!(before, None, "{task:?} runs on {id} and elsewhere");
@@ -114,10 +97,7 @@
             let starts: u32 = numbers.iter().map(|no| self.starts_of(*no)).sum();
             let not_run = answer.outcome == Outcome::NotRun
                 || (answer.outcome == Outcome::Cancelled && !answer.had_begun);
-            assert!(
-                !not_run || starts == 0,
-                "{key} was told not run, and ran: {answer:?}"
-            );
+            assert!(!not_run || starts == 0, "{key} was told not run, and ran: {answer:?}");
             if answer.outcome == Outcome::Done {
                 let done = |no: &RequestNo| (0..spec.tasks).all(|i| self.done.contains(&(*no, i)));
                 assert!(numbers.iter().any(done), "{key} was told done, and is not");
--- a/crates/hollowford-engine/tests/common/mod.rs
+++ b/crates/hollowford-engine/tests/common/mod.rs
@@ -48,11 +48,7 @@
 }
 
 pub fn policy() -> Policy {
-    Policy {
-        renewal_bound: Millis(20_000),
-        headroom: 0.0,
-        ..Policy::default()
-    }
+    Policy { renewal_bound: Millis(20_000), headroom: 0.0, ..Policy::default() }
 }
 
 pub fn key(id: &str) -> RequestKey {
@@ -246,8 +242,7 @@
         let (worker, order) = Order::from_action(action);
         let started = matches!(order, Order::Start { .. });
         if started {
-            self.judge
-                .sent_start(self.workers[&worker].told_leaving.contains(&owner.epoch));
+            self.judge.sent_start(self.workers[&worker].told_leaving.contains(&owner.epoch));
         }
         // Without a session the order is dropped, as in the server.
         if owner.sessions.contains_key(&worker) {
@@ -399,9 +394,6 @@
 
     pub fn running(&mut self, id: &str) -> u32 {
         let engine = self.engine();
-        engine
-            .find(&key(id))
-            .and_then(|no| engine.view(no))
-            .map_or(0, |v| v.running)
+        engine.find(&key(id)).and_then(|no| engine.view(no)).map_or(0, |v| v.running)
     }
 }
--- a/crates/hollowford-engine/tests/common/worker.rs
+++ b/crates/hollowford-engine/tests/common/worker.rs
@@ -9,44 +9,20 @@
 /// An order on its way.
 #[derive(Clone, Debug)]
 pub enum Order {
-    Start {
-        task: TaskId,
-        lease_until: u64,
-        spec: Arc<Spec>,
-    },
-    Renew {
-        lease_until: u64,
-    },
-    Stop {
-        task: TaskId,
-    },
-    Forget {
-        task: TaskId,
-    },
+    Start { task: TaskId, lease_until: u64, spec: Arc<Spec> },
+    Renew { lease_until: u64 },
+    Stop { task: TaskId },
+    Forget { task: TaskId },
     Throttle,
 }
 
 impl Order {
     pub fn from_action(action: Action) -> (InstanceId, Order) {
         match action {
-            Action::Start {
-                worker,
-                task,
-                lease_until,
-                spec,
-                ..
-            } => (
-                worker,
-                Order::Start {
-                    task,
-                    lease_until,
-                    spec,
-                },
-            ),
-            Action::Renew {
-                worker,
-                lease_until,
-            } => (worker, Order::Renew { lease_until }),
+            Action::Start { worker, task, lease_until, spec, .. } => {
+                (worker, Order::Start { task, lease_until, spec })
+            }
+            Action::Renew { worker, lease_until } => (worker, Order::Renew { lease_until }),
             Action::Stop { worker, task, .. } => (worker, Order::Stop { task }),
             Action::Forget { worker, task } => (worker, Order::Forget { task }),
             Action::Throttle { worker, .. } => (worker, Order::Throttle),
@@ -132,11 +108,7 @@
         for task in over {
             let r = &self.running[&task];
             let lapsed = r.lease_until < r.ends_at;
-            let end = if lapsed {
-                TaskEnd::Lost
-            } else {
-                TaskEnd::Done(TaskResult::default())
-            };
+            let end = if lapsed { TaskEnd::Lost } else { TaskEnd::Done(TaskResult::default()) };
             self.end(now, &task, end, judge);
         }
     }
@@ -151,11 +123,7 @@
         if let Some(r) = self.running.remove(task) {
             judge.ended(task, &end);
             let ran = Millis(self.clock(now).saturating_sub(r.started_at));
-            let report = EndReport {
-                task: *task,
-                end,
-                ran,
-            };
+            let report = EndReport { task: *task, end, ran };
             self.ended.insert(*task, report.clone());
             self.reports.ended.push(report);
         }
@@ -175,10 +143,10 @@
         self.epoch = epoch;
         self.session = session;
         self.reports = Reports::default();
-        let running = self.running.iter().map(|(task, r)| ClaimedTask {
-            task: *task,
-            resources: r.spec.per_task,
-        });
+        let running = self
+            .running
+            .iter()
+            .map(|(task, r)| ClaimedTask { task: *task, resources: r.spec.per_task });
         Some(Claim {
             incarnation: self.incarnation,
             clock: self.clock(now),
@@ -191,11 +159,7 @@
 
     pub fn obey(&mut self, now: Millis, order: Order, judge: &mut Judge) {
         match order {
-            Order::Start {
-                task,
-                lease_until,
-                spec,
-            } => {
+            Order::Start { task, lease_until, spec } => {
                 self.start(now, task, lease_until, spec, judge);
             }
             Order::Renew { lease_until } => {
@@ -225,17 +189,8 @@
             return;
         }
         judge.started(&task, &spec);
-        let run = if spec.run_time_ms == 0 {
-            u64::MAX - clock
-        } else {
-            spec.run_time_ms
-        };
-        let r = Running {
-            spec,
-            ends_at: clock + run,
-            lease_until,
-            started_at: clock,
-        };
+        let run = if spec.run_time_ms == 0 { u64::MAX - clock } else { spec.run_time_ms };
+        let r = Running { spec, ends_at: clock + run, lease_until, started_at: clock };
         self.running.insert(task, r);
         self.reports.started.push(task);
         if self.bad {
--- a/crates/hollowford-engine/tests/orders.rs
+++ b/crates/hollowford-engine/tests/orders.rs
@@ -90,10 +90,7 @@
 
 impl Run {
     fn new() -> Run {
-        Run {
-            world: World::new(policy(), WORKERS),
-            submitted: 0,
-        }
+        Run { world: World::new(policy(), WORKERS), submitted: 0 }
     }
 
     fn newest(&self) -> usize {
@@ -104,14 +101,7 @@
         let newest = self.newest();
         let world = &mut self.world;
         match op {
-            Op::Submit {
-                kind,
-                tasks,
-                cpu,
-                run,
-                repeatable,
-                within,
-            } => {
+            Op::Submit { kind, tasks, cpu, run, repeatable, within } => {
                 let kind = Kind::ALL[*kind as usize];
                 let mut s = spec(kind, *tasks, *cpu, *run);
                 s.repeatable = *repeatable || kind == Kind::Service;
@@ -205,11 +195,7 @@
 
 #[test]
 fn what_must_hold_holds_under_any_order_of_events() {
-    let config = Config {
-        cases: CASES,
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     println!("{CASES} cases, proptest's deterministic ChaCha seed");
     let mut runner = TestRunner::new_with_rng(config, rng);
--- a/crates/hollowford-engine/tests/placing.rs
+++ b/crates/hollowford-engine/tests/placing.rs
@@ -12,15 +12,9 @@
 #[test]
 fn work_of_every_kind_starts_and_ends() {
     let mut world = World::new(policy(), 4);
-    world
-        .submit("check", &spec(Kind::Check, 1, 500, 100))
-        .unwrap();
-    world
-        .submit("gang", &spec(Kind::Gang, 4, 2_000, 100))
-        .unwrap();
-    world
-        .submit("batch", &spec(Kind::Batch, 20, 1_000, 100))
-        .unwrap();
+    world.submit("check", &spec(Kind::Check, 1, 500, 100)).unwrap();
+    world.submit("gang", &spec(Kind::Gang, 4, 2_000, 100)).unwrap();
+    world.submit("batch", &spec(Kind::Batch, 20, 1_000, 100)).unwrap();
     world.run(3_000);
     for id in ["check", "gang", "batch"] {
         assert_eq!(world.answer(id).unwrap().outcome, Outcome::Done, "{id}");
@@ -29,16 +23,8 @@
 
 #[test]
 fn a_gang_as_large_as_the_cell_starts_in_spite_of_the_headroom() {
-    let mut world = World::new(
-        Policy {
-            headroom: 0.1,
-            ..policy()
-        },
-        3,
-    );
-    world
-        .submit("gang", &spec(Kind::Gang, 6, 2_000, 100))
-        .unwrap();
+    let mut world = World::new(Policy { headroom: 0.1, ..policy() }, 3);
+    world.submit("gang", &spec(Kind::Gang, 6, 2_000, 100)).unwrap();
     world.run(2_000);
     assert_eq!(world.answer("gang").unwrap().outcome, Outcome::Done);
 }
@@ -47,14 +33,10 @@
 fn a_gang_starts_whole_while_batch_work_keeps_coming() {
     let mut world = World::new(policy(), 4);
     for i in 0..100 {
-        world
-            .submit(&format!("batch-{i}"), &spec(Kind::Batch, 4, 1_000, 500))
-            .unwrap();
+        world.submit(&format!("batch-{i}"), &spec(Kind::Batch, 4, 1_000, 500)).unwrap();
     }
     world.run(500);
-    world
-        .submit_as("other", "gang", &spec(Kind::Gang, 4, 4_000, 200))
-        .unwrap();
+    world.submit_as("other", "gang", &spec(Kind::Gang, 4, 4_000, 200)).unwrap();
     let gang = RequestKey::new(&AccountId::from("other"), "gang");
     let mut seen = Vec::new();
     for _ in 0..200 {
@@ -73,14 +55,10 @@
 #[test]
 fn urgent_work_displaces_batch_work_and_that_goes_on_later() {
     let mut world = World::new(policy(), 2);
-    world
-        .submit("batch", &spec(Kind::Batch, 8, 1_000, 60_000))
-        .unwrap();
+    world.submit("batch", &spec(Kind::Batch, 8, 1_000, 60_000)).unwrap();
     world.run(500);
     assert_eq!(world.running("batch"), 8);
-    world
-        .submit("check", &spec(Kind::Check, 1, 1_000, 100))
-        .unwrap();
+    world.submit("check", &spec(Kind::Check, 1, 1_000, 100)).unwrap();
     world.run(1_000);
     assert_eq!(world.answer("check").unwrap().outcome, Outcome::Done);
     assert_eq!(world.running("batch"), 8);
@@ -94,9 +72,7 @@
     batch.repeatable = false;
     world.submit("batch", &batch).unwrap();
     world.run(500);
-    world
-        .submit("check", &spec(Kind::Check, 1, 1_000, 100))
-        .unwrap();
+    world.submit("check", &spec(Kind::Check, 1, 1_000, 100)).unwrap();
     world.run(1_000);
     assert_eq!(world.running("batch"), 4);
     world.run(2_000);
@@ -107,29 +83,20 @@
 #[test]
 fn what_no_instance_could_ever_run_is_refused_with_what_would_fit() {
     let mut world = World::new(policy(), 4);
-    let e = world
-        .submit("large", &spec(Kind::Batch, 1, 5_000, 100))
-        .unwrap_err();
+    let e = world.submit("large", &spec(Kind::Batch, 1, 5_000, 100)).unwrap_err();
     assert_eq!(e.kind, ErrorKind::Impossible);
     assert!(e.message.contains("4000 mcpu"), "{}", e.message);
-    let e = world
-        .submit("wide", &spec(Kind::Gang, 17, 1_000, 100))
-        .unwrap_err();
+    let e = world.submit("wide", &spec(Kind::Gang, 17, 1_000, 100)).unwrap_err();
     assert_eq!(e.kind, ErrorKind::Impossible);
     let mut racked = spec(Kind::Gang, 3, 4_000, 100);
     racked.placement.same_rack = true;
-    assert_eq!(
-        world.submit("racked", &racked).unwrap_err().kind,
-        ErrorKind::Impossible
-    );
+    assert_eq!(world.submit("racked", &racked).unwrap_err().kind, ErrorKind::Impossible);
 }
 
 #[test]
 fn a_request_that_waits_longer_than_it_allows_is_told_not_run_at_once() {
     let mut world = World::new(policy(), 1);
-    world
-        .submit("long", &spec(Kind::Batch, 4, 1_000, 30_000))
-        .unwrap();
+    world.submit("long", &spec(Kind::Batch, 4, 1_000, 30_000)).unwrap();
     world.run(300);
     let mut short = spec(Kind::Batch, 1, 1_000, 100);
     short.start_within_ms = 1_000;
@@ -138,10 +105,7 @@
     assert_eq!(world.answer("short"), None);
     world.run(250);
     let answer = world.answer("short").unwrap();
-    assert_eq!(
-        (answer.outcome, &*answer.reason),
-        (Outcome::NotRun, "given_up")
-    );
+    assert_eq!((answer.outcome, &*answer.reason), (Outcome::NotRun, "given_up"));
 }
 
 #[test]
@@ -182,13 +146,7 @@
     world.workers.get_mut(&bad).unwrap().bad = true;
     for i in 0..30 {
         let account = format!("account-{}", i % 3);
-        world
-            .submit_as(
-                &account,
-                &format!("job-{i}"),
-                &spec(Kind::Batch, 2, 1_000, 300),
-            )
-            .unwrap();
+        world.submit_as(&account, &format!("job-{i}"), &spec(Kind::Batch, 2, 1_000, 300)).unwrap();
     }
     world.run(20_000);
     assert!(world.engine().stats().set_aside >= 1);
@@ -201,9 +159,7 @@
 #[test]
 fn services_leave_a_leaving_instance() {
     let mut world = World::new(policy(), 3);
-    world
-        .submit("service", &spec(Kind::Service, 3, 1_000, 0))
-        .unwrap();
+    world.submit("service", &spec(Kind::Service, 3, 1_000, 0)).unwrap();
     world.settle();
     let on: Vec<_> = world
         .workers
@@ -228,9 +184,7 @@
     world.settle();
     let now = world.now;
     let mut out = Vec::new();
-    let n = world
-        .engine()
-        .cancel_label(now, &AccountId::from("account"), "season", &mut out);
+    let n = world.engine().cancel_label(now, &AccountId::from("account"), "season", &mut out);
     assert_eq!(n, 50);
     let last = world.owners.len() - 1;
     world.carry_out(last, out);
--- a/crates/hollowford-platform/src/link.rs
+++ b/crates/hollowford-platform/src/link.rs
@@ -74,19 +74,11 @@
         .await
         .map_err(unreachable)?;
     let (tx, rx) = mpsc::channel(ORDERS_BOUND);
-    let claim = v1::Claim {
-        partition: partition.0,
-        epoch: epoch.0,
-        owner: owner.to_owned(),
-    };
-    let order = v1::Order {
-        order: Some(v1::order::Order::Claim(claim)),
-    };
+    let claim = v1::Claim { partition: partition.0, epoch: epoch.0, owner: owner.to_owned() };
+    let order = v1::Order { order: Some(v1::order::Order::Claim(claim)) };
     let closed = |_| LinkError::Unreachable("closed".to_owned());
     tx.send(order).await.map_err(closed)?;
-    let reply = WorkerClient::new(channel)
-        .attach(ReceiverStream::new(rx))
-        .await?;
+    let reply = WorkerClient::new(channel).attach(ReceiverStream::new(rx)).await?;
     let mut reports = reply.into_inner();
     let first = reports
         .message()
@@ -95,8 +87,6 @@
     match &first.report {
         Some(v1::report::Report::Claimed(c)) if c.accepted => Ok((tx, reports, first)),
         Some(v1::report::Report::Claimed(_)) => Err(LinkError::Deposed),
-        _ => Err(LinkError::Unreachable(
-            "the first report was no reply to the claim".to_owned(),
-        )),
+        _ => Err(LinkError::Unreachable("the first report was no reply to the claim".to_owned())),
     }
 }
--- a/crates/hollowford-platform/src/store.rs
+++ b/crates/hollowford-platform/src/store.rs
@@ -40,28 +40,19 @@
 
     /// Requires the row to have this version; 0: to be absent.
     pub fn check(mut self, key: impl Into<String>, version: u64) -> Txn {
-        self.body.checks.push(Check {
-            key: key.into(),
-            version,
-        });
+        self.body.checks.push(Check { key: key.into(), version });
         self
     }
 
     /// Writes a row.
     pub fn put(mut self, key: impl Into<String>, value: Vec<u8>) -> Txn {
-        self.body.writes.push(Write {
-            key: key.into(),
-            value: Some(Value(value)),
-        });
+        self.body.writes.push(Write { key: key.into(), value: Some(Value(value)) });
         self
     }
 
     /// Deletes a row.
     pub fn delete(mut self, key: impl Into<String>) -> Txn {
-        self.body.writes.push(Write {
-            key: key.into(),
-            value: None,
-        });
+        self.body.writes.push(Write { key: key.into(), value: None });
         self
     }
 }
@@ -103,20 +94,13 @@
             .build()
             .map_err(|e| StoreError::Refused(e.to_string()))?;
         let base = format!("http://{addr}").into();
-        Ok(Platform {
-            base,
-            http,
-            counts: Arc::default(),
-        })
+        Ok(Platform { base, http, counts: Arc::default() })
     }
 
     /// Returns the reads and writes sent since the start.
     pub fn calls(&self) -> (u64, u64) {
         let c = &self.counts;
-        (
-            c.reads.load(Ordering::Relaxed),
-            c.writes.load(Ordering::Relaxed),
-        )
+        (c.reads.load(Ordering::Relaxed), c.writes.load(Ordering::Relaxed))
     }
 
     async fn post<B: Serialize, R: DeserializeOwned>(
@@ -152,9 +136,7 @@
     /// `Unanswered` or `Refused`.
     pub async fn read(&self, keys: &[&str]) -> Result<Vec<Row>, StoreError> {
         self.counts.reads.fetch_add(1, Ordering::Relaxed);
-        let body = ReadBody {
-            keys: keys.iter().map(|k| (*k).to_owned()).collect(),
-        };
+        let body = ReadBody { keys: keys.iter().map(|k| (*k).to_owned()).collect() };
         let reply: RowsReply = self.post("/table/read", &body).await?;
         Ok(reply.rows)
     }
@@ -178,11 +160,7 @@
         limit: usize,
     ) -> Result<Vec<Row>, StoreError> {
         self.counts.reads.fetch_add(1, Ordering::Relaxed);
-        let body = ScanBody {
-            prefix: prefix.to_owned(),
-            after: after.to_owned(),
-            limit,
-        };
+        let body = ScanBody { prefix: prefix.to_owned(), after: after.to_owned(), limit };
         let reply: RowsReply = self.post("/table/scan", &body).await?;
         Ok(reply.rows)
     }
@@ -194,12 +172,7 @@
     pub async fn put_object(&self, key: &str, value: Vec<u8>) -> Result<(), StoreError> {
         self.counts.writes.fetch_add(1, Ordering::Relaxed);
         let url = format!("{}/objects/{key}", self.base);
-        self.http
-            .put(url)
-            .body(value)
-            .send()
-            .await?
-            .error_for_status()?;
+        self.http.put(url).body(value).send().await?.error_for_status()?;
         Ok(())
     }
 
@@ -235,13 +208,6 @@
     pub async fn instances(&self) -> Result<Vec<Instance>, StoreError> {
         self.counts.reads.fetch_add(1, Ordering::Relaxed);
         let url = format!("{}/instances", self.base);
-        Ok(self
-            .http
-            .get(url)
-            .send()
-            .await?
-            .error_for_status()?
-            .json()
-            .await?)
+        Ok(self.http.get(url).send().await?.error_for_status()?.json().await?)
     }
 }
--- a/crates/hollowford-platform/src/wire.rs
+++ b/crates/hollowford-platform/src/wire.rs
@@ -20,10 +20,7 @@
 impl<'de> Deserialize<'de> for Value {
     fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Value, D::Error> {
         let text = String::deserialize(d)?;
-        STANDARD
-            .decode(text)
-            .map(Value)
-            .map_err(serde::de::Error::custom)
+        STANDARD.decode(text).map(Value).map_err(serde::de::Error::custom)
     }
 }
 
--- a/crates/hollowford-protocol/src/checks.rs
+++ b/crates/hollowford-protocol/src/checks.rs
@@ -21,10 +21,7 @@
     if have <= max {
         return Ok(());
     }
-    Err(Error::new(
-        ErrorKind::TooLarge,
-        format!("{name}: {have} is over the bound of {max}"),
-    ))
+    Err(Error::new(ErrorKind::TooLarge, format!("{name}: {have} is over the bound of {max}")))
 }
 
 /// Checks a request id: 1 to 64 bytes, none of them a control character.
@@ -63,15 +60,9 @@
         for label in &raw.labels {
             check_label(label)?;
         }
-        let per_task = raw
-            .per_task
-            .as_ref()
-            .ok_or_else(|| invalid("per_task is missing"))?;
-        let per_task = Resources::new(
-            per_task.cpu_milli,
-            per_task.memory_mib,
-            per_task.accelerators,
-        );
+        let per_task = raw.per_task.as_ref().ok_or_else(|| invalid("per_task is missing"))?;
+        let per_task =
+            Resources::new(per_task.cpu_milli, per_task.memory_mib, per_task.accelerators);
         if per_task.cpu_milli == 0 {
             return Err(invalid("per_task.cpu_milli is 0; a task takes at least 1"));
         }
@@ -109,24 +100,12 @@
     if raw.tasks == 0 {
         return Err(invalid("tasks is 0; a request has at least 1"));
     }
-    let max = if kind == Kind::Gang {
-        MAX_GANG
-    } else {
-        MAX_TASKS
-    };
+    let max = if kind == Kind::Gang { MAX_GANG } else { MAX_TASKS };
     bound("tasks", raw.tasks as usize, max as usize)?;
     bound("labels", raw.labels.len(), MAX_LABELS)?;
     bound("payload", raw.payload.len(), MAX_PAYLOAD)?;
-    bound(
-        "run_time_ms",
-        raw.run_time_ms as usize,
-        MAX_TIME_MS as usize,
-    )?;
-    bound(
-        "start_within_ms",
-        raw.start_within_ms as usize,
-        MAX_TIME_MS as usize,
-    )
+    bound("run_time_ms", raw.run_time_ms as usize, MAX_TIME_MS as usize)?;
+    bound("start_within_ms", raw.start_within_ms as usize, MAX_TIME_MS as usize)
 }
 
 fn placement_from_wire(raw: Option<&v1::Placement>, kind: Kind) -> Result<Placement, Error> {
@@ -134,11 +113,7 @@
         return Ok(Placement::default());
     };
     bound("placement.zones", raw.zones.len(), MAX_ZONES)?;
-    bound(
-        "placement.exclude_instances",
-        raw.exclude_instances.len(),
-        MAX_EXCLUDED,
-    )?;
+    bound("placement.exclude_instances", raw.exclude_instances.len(), MAX_EXCLUDED)?;
     for name in raw.zones.iter().chain(&raw.exclude_instances) {
         check_name("placement", name)?;
     }
@@ -151,17 +126,11 @@
         v1::Spread::Rack => Spread::Rack,
     };
     if raw.same_rack && spread == Spread::Rack {
-        return Err(invalid(
-            "placement.same_rack and spread by rack exclude each other",
-        ));
+        return Err(invalid("placement.same_rack and spread by rack exclude each other"));
     }
     Ok(Placement {
         zones: raw.zones.iter().map(|z| z.as_str().into()).collect(),
-        exclude_instances: raw
-            .exclude_instances
-            .iter()
-            .map(|i| i.as_str().into())
-            .collect(),
+        exclude_instances: raw.exclude_instances.iter().map(|i| i.as_str().into()).collect(),
         spread,
         same_rack: raw.same_rack,
     })
@@ -190,11 +159,7 @@
 }
 
 fn resources_to_wire(r: &Resources) -> v1::Resources {
-    v1::Resources {
-        cpu_milli: r.cpu_milli,
-        memory_mib: r.memory_mib,
-        accelerators: r.accelerators,
-    }
+    v1::Resources { cpu_milli: r.cpu_milli, memory_mib: r.memory_mib, accelerators: r.accelerators }
 }
 
 fn placement_to_wire(p: &Placement) -> Option<v1::Placement> {
@@ -208,11 +173,7 @@
     };
     Some(v1::Placement {
         zones: p.zones.iter().map(|z| z.to_string()).collect(),
-        exclude_instances: p
-            .exclude_instances
-            .iter()
-            .map(InstanceId::to_string)
-            .collect(),
+        exclude_instances: p.exclude_instances.iter().map(InstanceId::to_string).collect(),
         spread: spread.into(),
         same_rack: p.same_rack,
     })
--- a/crates/hollowford-protocol/src/frames.rs
+++ b/crates/hollowford-protocol/src/frames.rs
@@ -30,9 +30,7 @@
 
 /// Puts frames on a byte stream.
 pub fn frames<S: AsyncRead + AsyncWrite>(stream: S) -> Frames<S> {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(FRAME_LIMIT)
-        .new_framed(stream)
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_framed(stream)
 }
 
 /// Writes one message.
--- a/crates/hollowford-protocol/src/peer.rs
+++ b/crates/hollowford-protocol/src/peer.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What the frame says.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<Body>,
 }
 
@@ -38,6 +38,9 @@
     /// A partition was given up and may be taken at once.
     #[prost(message, tag = "7")]
     Released(Released),
+    /// The sender has taken a partition over and decides for it.
+    #[prost(message, tag = "8")]
+    Took(Took),
 }
 
 /// Asks the caller to prove that it knows the shared key.
@@ -87,6 +90,20 @@
     pub partition: u32,
 }
 
+/// The sender has taken a partition over and decides for it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Took {
+    /// The partition.
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    /// The sender's epoch.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Id of the sender.
+    #[prost(string, tag = "3")]
+    pub process: String,
+}
+
 /// A call of a client account, relayed by an entry to the owner.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Call {
@@ -195,10 +212,6 @@
 impl From<Refused> for Error {
     fn from(r: Refused) -> Error {
         let kind = ErrorKind::from_name(&r.kind).unwrap_or(ErrorKind::Internal);
-        Error {
-            kind,
-            message: r.message,
-            retry_after_ms: r.retry_after_ms,
-        }
+        Error { kind, message: r.message, retry_after_ms: r.retry_after_ms }
     }
 }
--- a/crates/hollowford-server/src/accounts.rs
+++ b/crates/hollowford-server/src/accounts.rs
@@ -110,8 +110,7 @@
             if let Some(old) = next.accounts.get(&entry.id) {
                 next.by_token.remove(&old.config.token_sha256);
             }
-            next.by_token
-                .insert(entry.config.token_sha256.clone(), entry.id.clone());
+            next.by_token.insert(entry.config.token_sha256.clone(), entry.id.clone());
             next.accounts.insert(entry.id.clone(), Arc::new(entry));
         }
         next
@@ -202,10 +201,7 @@
             return Ok((entry, head));
         }
     }
-    Err(Error::new(
-        ErrorKind::Unavailable,
-        "too many changes at once; the change was not made",
-    ))
+    Err(Error::new(ErrorKind::Unavailable, "too many changes at once; the change was not made"))
 }
 
 /// Returns `None` when only the head was in the way.
@@ -230,21 +226,11 @@
         return Err(conflict(&entry.id, current.as_ref()));
     }
     let (head_version, head) = head_of(row(HEAD_KEY));
-    let txn = set_txn(
-        entry,
-        &key,
-        own.map_or(0, |r| r.version),
-        head_version,
-        head + 1,
-        clock,
-    );
+    let txn = set_txn(entry, &key, own.map_or(0, |r| r.version), head_version, head + 1, clock);
     match store.txn(&txn).await {
         Ok(TxnResult::Committed(_)) => Ok(Some(head + 1)),
         Ok(TxnResult::Conflict(_)) => Ok(None),
-        Err(e) => settle_set(store, &key, entry)
-            .await
-            .ok_or_else(|| unavailable(&e))
-            .map(Some),
+        Err(e) => settle_set(store, &key, entry).await.ok_or_else(|| unavailable(&e)).map(Some),
     }
 }
 
--- a/crates/hollowford-server/src/admin.rs
+++ b/crates/hollowford-server/src/admin.rs
@@ -25,14 +25,10 @@
     let mut text = Vec::new();
     let encoder = TextEncoder::new();
     match encoder.encode(&m.registry.gather(), &mut text) {
-        Ok(()) => text
-            .with_content_type(encoder.format_type())
-            .into_response(),
+        Ok(()) => text.with_content_type(encoder.format_type()).into_response(),
         Err(e) => {
             let body = e.to_string();
-            Response::builder()
-                .status(StatusCode::INTERNAL_SERVER_ERROR)
-                .body(body)
+            Response::builder().status(StatusCode::INTERNAL_SERVER_ERROR).body(body)
         }
     }
 }
@@ -51,14 +47,8 @@
     if known && !shared.is_stopping() {
         return "ready".into_response();
     }
-    let why = if known {
-        "stopping"
-    } else {
-        "the configuration was never read"
-    };
-    Response::builder()
-        .status(StatusCode::SERVICE_UNAVAILABLE)
-        .body(why)
+    let why = if known { "stopping" } else { "the configuration was never read" };
+    Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).body(why)
 }
 
 #[handler]
@@ -71,10 +61,7 @@
 pub(crate) async fn dump(shared: &Shared) -> serde_json::Value {
     let (tx, rx) = oneshot::channel();
     let partitions = match shared.decide.push(DecideMsg::Dump(tx)) {
-        Ok(()) => tokio::time::timeout(DUMP_TIMEOUT, rx)
-            .await
-            .ok()
-            .and_then(Result::ok),
+        Ok(()) => tokio::time::timeout(DUMP_TIMEOUT, rx).await.ok().and_then(Result::ok),
         Err(_) => None,
     };
     let now = shared.clock.now();
@@ -95,10 +82,7 @@
         .owners
         .all()
         .into_iter()
-        .map(|o| {
-            o.map(|o| serde_json::json!({"process": o.process, "epoch": o.epoch.0}))
-                .into()
-        })
+        .map(|o| o.map(|o| serde_json::json!({"process": o.process, "epoch": o.epoch.0})).into())
         .collect();
     let (reads, writes) = shared.store_calls();
     serde_json::json!({
--- a/crates/hollowford-server/src/codec.rs
+++ b/crates/hollowford-server/src/codec.rs
@@ -34,11 +34,7 @@
                 spec: Some(spec_to_wire(spec)),
             }),
         ),
-        Change::Intent {
-            task,
-            worker,
-            incarnation,
-        } => (
+        Change::Intent { task, worker, incarnation } => (
             Some(*task),
             ledger::Change::Intent(ledger::Intent {
                 worker: worker.to_string(),
@@ -51,12 +47,7 @@
         Change::Ended { task, end } => (Some(*task), ledger::Change::Ended(end_to_wire(end))),
         Change::Cancel => (None, ledger::Change::Cancel(ledger::Cancel {})),
         Change::Close(answer) => (None, ledger::Change::Close(answer_to_ledger(answer))),
-        Change::Queued {
-            task,
-            failures,
-            checkpoint,
-            begun,
-        } => (
+        Change::Queued { task, failures, checkpoint, begun } => (
             Some(*task),
             ledger::Change::Queued(ledger::Queued {
                 failures: *failures,
@@ -77,20 +68,15 @@
             xxh3: r.xxh3,
             ..Default::default()
         },
-        TaskEnd::Failed(message) => ledger::Ended {
-            end: END_FAILED,
-            message: message.clone(),
-            ..Default::default()
-        },
+        TaskEnd::Failed(message) => {
+            ledger::Ended { end: END_FAILED, message: message.clone(), ..Default::default() }
+        }
         TaskEnd::Stopped(checkpoint) => ledger::Ended {
             end: END_STOPPED,
             checkpoint: checkpoint.to_string(),
             ..Default::default()
         },
-        TaskEnd::Lost => ledger::Ended {
-            end: END_LOST,
-            ..Default::default()
-        },
+        TaskEnd::Lost => ledger::Ended { end: END_LOST, ..Default::default() },
     }
 }
 
@@ -131,38 +117,20 @@
 /// `Invalid` for a message that no version of the program writes.
 pub fn record_from_wire(wire: ledger::Record) -> Result<Record, Error> {
     let request = RequestNo(wire.request);
-    let task = TaskId {
-        request,
-        index: wire.index,
-        attempt: wire.attempt,
-    };
+    let task = TaskId { request, index: wire.index, attempt: wire.attempt };
     let invalid = |what: &str| Error::new(hollowford_core::ErrorKind::Invalid, what);
-    let change = match wire
-        .change
-        .ok_or_else(|| invalid("a record without a change"))?
-    {
+    let change = match wire.change.ok_or_else(|| invalid("a record without a change"))? {
         ledger::Change::Accept(a) => {
-            let spec = a
-                .spec
-                .as_ref()
-                .ok_or_else(|| invalid("an acceptance without a body"))?;
+            let spec = a.spec.as_ref().ok_or_else(|| invalid("an acceptance without a body"))?;
             let account = AccountId::from(a.account.as_str());
             let key = RequestKey::new(&account, &a.id);
-            Change::Accept {
-                key,
-                spec: Arc::new(Spec::try_from(spec)?),
-            }
+            Change::Accept { key, spec: Arc::new(Spec::try_from(spec)?) }
+        }
+        ledger::Change::Intent(i) => {
+            Change::Intent { task, worker: i.worker.as_str().into(), incarnation: i.incarnation }
         }
-        ledger::Change::Intent(i) => Change::Intent {
-            task,
-            worker: i.worker.as_str().into(),
-            incarnation: i.incarnation,
-        },
         ledger::Change::Withdrawn(_) => Change::Withdrawn { task },
-        ledger::Change::Ended(e) => Change::Ended {
-            task,
-            end: end_from_wire(e),
-        },
+        ledger::Change::Ended(e) => Change::Ended { task, end: end_from_wire(e) },
         ledger::Change::Cancel(_) => Change::Cancel,
         ledger::Change::Close(c) => Change::Close(FinalAnswer {
             outcome: outcome_from_wire(c.outcome),
@@ -195,33 +163,19 @@
 }
 
 fn task_to_wire(task: &TaskId) -> v1::TaskRef {
-    v1::TaskRef {
-        request: task.request.0,
-        index: task.index,
-        attempt: task.attempt,
-    }
+    v1::TaskRef { request: task.request.0, index: task.index, attempt: task.attempt }
 }
 
 /// Turns a worker's name of a task into ours.
 pub fn task_from_wire(task: &v1::TaskRef) -> TaskId {
-    TaskId {
-        request: RequestNo(task.request),
-        index: task.index,
-        attempt: task.attempt,
-    }
+    TaskId { request: RequestNo(task.request), index: task.index, attempt: task.attempt }
 }
 
 /// Turns an action that is meant for a worker into its order.
 pub fn order_to_wire(action: &Action) -> Option<v1::Order> {
     use v1::order::Order;
     let order = match action {
-        Action::Start {
-            task,
-            lease_until,
-            spec,
-            checkpoint,
-            ..
-        } => Order::Start(v1::Start {
+        Action::Start { task, lease_until, spec, checkpoint, .. } => Order::Start(v1::Start {
             task: Some(task_to_wire(task)),
             lease_until: *lease_until,
             cpu_milli: spec.per_task.cpu_milli,
@@ -231,24 +185,14 @@
             run_time_ms: spec.run_time_ms,
             checkpoint: checkpoint.to_string(),
         }),
-        Action::Renew { lease_until, .. } => Order::Renew(v1::Renew {
-            lease_until: *lease_until,
-        }),
-        Action::Stop {
-            task, checkpoint, ..
-        } => Order::Stop(v1::Stop {
-            task: Some(task_to_wire(task)),
-            checkpoint: *checkpoint,
-        }),
-        Action::Forget { task, .. } => Order::Forget(v1::Forget {
-            task: Some(task_to_wire(task)),
-        }),
-        Action::Throttle {
-            task, cpu_milli, ..
-        } => Order::Throttle(v1::Throttle {
-            task: Some(task_to_wire(task)),
-            cpu_milli: *cpu_milli,
-        }),
+        Action::Renew { lease_until, .. } => Order::Renew(v1::Renew { lease_until: *lease_until }),
+        Action::Stop { task, checkpoint, .. } => {
+            Order::Stop(v1::Stop { task: Some(task_to_wire(task)), checkpoint: *checkpoint })
+        }
+        Action::Forget { task, .. } => Order::Forget(v1::Forget { task: Some(task_to_wire(task)) }),
+        Action::Throttle { task, cpu_milli, .. } => {
+            Order::Throttle(v1::Throttle { task: Some(task_to_wire(task)), cpu_milli: *cpu_milli })
+        }
         Action::Append { .. } | Action::Changed(_) | Action::Waited { .. } => return None,
     };
     Some(v1::Order { order: Some(order) })
@@ -285,22 +229,14 @@
         v1::End::Stopped => TaskEnd::Stopped(e.checkpoint.as_str().into()),
         v1::End::Lapsed | v1::End::Unspecified => TaskEnd::Lost,
     };
-    Some(EndReport {
-        task,
-        end,
-        ran: hollowford_core::Millis(e.ran_ms),
-    })
+    Some(EndReport { task, end, ran: hollowford_core::Millis(e.ran_ms) })
 }
 
 /// Turns a worker's report of use into the engine's.
 pub fn usage_from_wire(tasks: &[v1::TaskUsage]) -> Vec<TaskUsage> {
     let one = |t: &v1::TaskUsage| {
         let task = task_from_wire(t.task.as_ref()?);
-        Some(TaskUsage {
-            task,
-            cpu_milli: t.cpu_milli,
-            memory_mib: t.memory_mib,
-        })
+        Some(TaskUsage { task, cpu_milli: t.cpu_milli, memory_mib: t.memory_mib })
     };
     tasks.iter().filter_map(one).collect()
 }
--- a/crates/hollowford-server/src/decide/calls.rs
+++ b/crates/hollowford-server/src/decide/calls.rs
@@ -110,14 +110,7 @@
 /// Answers when the request has come so far, or after the longest wait.
 fn wait(owned: &mut Owned, now: Millis, no: RequestNo, until: Until, reply: ReplyTo) {
     let expires_at = now + LONGEST_WAIT;
-    owned.waiters.add(
-        no,
-        Waiter {
-            until,
-            expires_at,
-            reply,
-        },
-    );
+    owned.waiters.add(no, Waiter { until, expires_at, reply });
     let settled = owned.engine.is_settled(no);
     let version = owned.engine.view(no).map_or(0, |v| v.version);
     owned.answer(no, |w| match w.until {
@@ -136,7 +129,8 @@
         let _ = reply.send(owned.view(no).map(Said::View));
         return;
     }
-    owned.waiters.add_durable(seq, what, reply);
+    let now = owned.shared.clock.now();
+    owned.waiters.add_durable(now, seq, what, reply);
 }
 
 fn cancel(
@@ -174,15 +168,13 @@
         let _ = reply.send(Err(e));
         return;
     }
-    let n = owned
-        .engine
-        .cancel_label(now, account, &req.label, &mut owned.out);
+    let n = owned.engine.cancel_label(now, account, &req.label, &mut owned.out);
     let seq = owned.engine.last_seq();
     if seq <= owned.ledger.durable() {
         let _ = reply.send(Ok(Said::Cancelled(v1::CancelByLabelReply { cancelled: n })));
         return;
     }
-    owned.waiters.add_durable(seq, Durably::Cancelled(n), reply);
+    owned.waiters.add_durable(now, seq, Durably::Cancelled(n), reply);
 }
 
 fn list(owned: &Owned, account: &AccountId, req: &v1::ListRequest) -> Result<v1::ListReply, Error> {
@@ -202,8 +194,5 @@
         }
         Some(view)
     };
-    Ok(v1::ListReply {
-        requests: nos.iter().filter_map(brief).collect(),
-        next: String::new(),
-    })
+    Ok(v1::ListReply { requests: nos.iter().filter_map(brief).collect(), next: String::new() })
 }
--- a/crates/hollowford-server/src/decide/duty.rs
+++ b/crates/hollowford-server/src/decide/duty.rs
@@ -26,10 +26,7 @@
 
 /// Runs the deciding duty.
 pub(crate) async fn run(shared: Arc<Shared>) {
-    let mut duty = Duty {
-        shared: shared.clone(),
-        owned: BTreeMap::new(),
-    };
+    let mut duty = Duty { shared: shared.clone(), owned: BTreeMap::new() };
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -71,31 +68,17 @@
             DecideMsg::Call { call, reply } => self.call(now, *call, reply),
             DecideMsg::Take(take) => self.take(now, *take).await,
             DecideMsg::Release { partition, done } => self.release(partition, done).await,
-            DecideMsg::Claimed {
-                partition,
-                worker,
-                session,
-                report,
-            } => {
+            DecideMsg::Claimed { partition, worker, session, report } => {
                 if let Some(owned) = self.owned.get_mut(&partition) {
                     owned.claimed(now, worker, session, &report);
                 }
             }
-            DecideMsg::Report {
-                partition,
-                worker,
-                session,
-                report,
-            } => {
+            DecideMsg::Report { partition, worker, session, report } => {
                 if let Some(owned) = self.owned.get_mut(&partition) {
                     owned.report(now, &worker, session, &report);
                 }
             }
-            DecideMsg::Lost {
-                partition,
-                worker,
-                session,
-            } => {
+            DecideMsg::Lost { partition, worker, session } => {
                 if let Some(owned) = self.owned.get_mut(&partition) {
                     owned.lost(now, &worker, session);
                 }
@@ -113,11 +96,7 @@
     fn call(&mut self, now: Millis, call: Call, reply: ReplyTo) {
         match self.owned.get_mut(&PartitionId(call.partition)) {
             Some(owned) => calls::carry_out(owned, now, call, reply),
-            None => refuse(
-                reply,
-                ErrorKind::Moved,
-                "this process does not own the partition",
-            ),
+            None => refuse(reply, ErrorKind::Moved, "this process does not own the partition"),
         }
     }
 
@@ -154,12 +133,8 @@
     /// Lets go of partitions that another process has taken over.
     async fn drop_deposed(&mut self) {
         let over = |o: &Owned| o.lease.has_ended() || o.ledger.deposed();
-        let gone: Vec<PartitionId> = self
-            .owned
-            .iter()
-            .filter(|(_, o)| over(o))
-            .map(|(p, _)| *p)
-            .collect();
+        let gone: Vec<PartitionId> =
+            self.owned.iter().filter(|(_, o)| over(o)).map(|(p, _)| *p).collect();
         for partition in gone {
             if let Some(owned) = self.owned.remove(&partition) {
                 owned.lease.end();
@@ -170,9 +145,6 @@
 
     async fn let_go(&mut self, partition: PartitionId, mut owned: Owned) {
         owned.waiters.move_all();
-        self.shared
-            .workers
-            .send(WorkerMsg::Drop { partition })
-            .await;
+        self.shared.workers.send(WorkerMsg::Drop { partition }).await;
     }
 }
--- a/crates/hollowford-server/src/decide/mod.rs
+++ b/crates/hollowford-server/src/decide/mod.rs
@@ -36,30 +36,13 @@
     /// Start to decide for a partition.
     Take(Box<Take>),
     /// Stop to decide for a partition, and reply once its ledger is written.
-    Release {
-        partition: PartitionId,
-        done: oneshot::Sender<()>,
-    },
+    Release { partition: PartitionId, done: oneshot::Sender<()> },
     /// A worker replied to the claim of this session.
-    Claimed {
-        partition: PartitionId,
-        worker: InstanceId,
-        session: u64,
-        report: Box<v1::Report>,
-    },
+    Claimed { partition: PartitionId, worker: InstanceId, session: u64, report: Box<v1::Report> },
     /// A worker of this session reported.
-    Report {
-        partition: PartitionId,
-        worker: InstanceId,
-        session: u64,
-        report: Box<v1::Report>,
-    },
+    Report { partition: PartitionId, worker: InstanceId, session: u64, report: Box<v1::Report> },
     /// The session with a worker ended.
-    Lost {
-        partition: PartitionId,
-        worker: InstanceId,
-        session: u64,
-    },
+    Lost { partition: PartitionId, worker: InstanceId, session: u64 },
     /// The instance list was read again.
     Instances,
     /// The configuration in force has changed.
--- a/crates/hollowford-server/src/decide/owned.rs
+++ b/crates/hollowford-server/src/decide/owned.rs
@@ -91,12 +91,8 @@
     /// are settled when their leases have ended.
     fn lose_unlisted(&mut self, now: Millis, listed: &[Listed]) {
         let ids: HashSet<&InstanceId> = listed.iter().map(|l| &l.id).collect();
-        let gone: Vec<InstanceId> = self
-            .sessions
-            .keys()
-            .filter(|id| !ids.contains(id))
-            .cloned()
-            .collect();
+        let gone: Vec<InstanceId> =
+            self.sessions.keys().filter(|id| !ids.contains(id)).cloned().collect();
         for worker in gone {
             self.sessions.remove(&worker);
             self.engine.lost(now, &worker, &mut self.out);
@@ -122,19 +118,15 @@
         let out = &mut self.out;
         match &r.report {
             Some(Report::Started(v1::Started { task: Some(task) })) => {
-                self.engine
-                    .started(now, worker, &codec::task_from_wire(task), out);
+                self.engine.started(now, worker, &codec::task_from_wire(task), out);
             }
             Some(Report::Ended(ended)) => {
                 if let Some(report) = codec::ended_from_wire(ended) {
                     self.engine.ended(now, worker, &report, out);
                 }
             }
-            Some(Report::Refused(v1::Refused {
-                task: Some(task), ..
-            })) => {
-                self.engine
-                    .refused(now, worker, &codec::task_from_wire(task), out);
+            Some(Report::Refused(v1::Refused { task: Some(task), .. })) => {
+                self.engine.refused(now, worker, &codec::task_from_wire(task), out);
             }
             Some(Report::Usage(u)) => {
                 let tasks = codec::usage_from_wire(&u.tasks);
@@ -189,6 +181,9 @@
     pub fn tick(&mut self, now: Millis) {
         let authority = self.authority(now);
         self.engine.tick(now, authority, &mut self.out);
+        if self.ledger.stalled() {
+            self.waiters.give_up_durable(now);
+        }
         for no in self.waiters.requests() {
             self.answer(no, |w| w.expires_at <= now || w.reply.is_closed());
         }
@@ -196,8 +191,7 @@
 
     /// Tells what the ownership lease lets this owner do.
     pub fn authority(&self, now: Millis) -> Authority {
-        self.lease
-            .authority(now, self.engine.policy().renewal_bound)
+        self.lease.authority(now, self.engine.policy().renewal_bound)
     }
 
     /// Answers the waiting calls of a request that `ready` lets go.
@@ -241,10 +235,7 @@
         self.append(seq, records).await;
         if !orders.is_empty() {
             let partition = self.engine.partition();
-            self.shared
-                .workers
-                .send(WorkerMsg::Orders { partition, orders })
-                .await;
+            self.shared.workers.send(WorkerMsg::Orders { partition, orders }).await;
         }
     }
 
@@ -260,11 +251,7 @@
         };
         let session = *self.sessions.get(worker)?;
         let order = codec::order_to_wire(action)?;
-        Some(Addressed {
-            worker: worker.clone(),
-            session,
-            order,
-        })
+        Some(Addressed { worker: worker.clone(), session, order })
     }
 
     async fn append(&mut self, seq: u64, records: Vec<Record>) {
@@ -272,10 +259,7 @@
             return;
         }
         self.since_snapshot += records.len() as u64;
-        self.ledger
-            .ring
-            .send(LedgerItem::Records { seq, records })
-            .await;
+        self.ledger.ring.send(LedgerItem::Records { seq, records }).await;
         if self.since_snapshot >= self.shared.settings.store.snapshot_records {
             self.since_snapshot = 0;
             let snapshot = self.engine.snapshot();
@@ -340,8 +324,7 @@
     pub fn sessions_wanted(&self, list: &[Instance]) -> HashMap<InstanceId, String> {
         let known: HashSet<&str> = self.engine.workers().map(|w| w.id).collect();
         let ours = list.iter().filter(|i| known.contains(i.id.as_str()));
-        ours.map(|i| (i.id.as_str().into(), i.addr.clone()))
-            .collect()
+        ours.map(|i| (i.id.as_str().into(), i.addr.clone())).collect()
     }
 }
 
--- a/crates/hollowford-server/src/decide/waiters.rs
+++ b/crates/hollowford-server/src/decide/waiters.rs
@@ -7,6 +7,8 @@
 /// Longest wait of a relayed call. The entry asks again, so that calls whose
 /// callers have gone don't pile up here.
 pub(crate) const LONGEST_WAIT: Millis = Millis(15_000);
+/// Longest wait for a record to become durable while the ledger stalls.
+const STALL_WAIT: Millis = Millis(700);
 /// Calls that may wait in one partition.
 const BOUND: usize = 100_000;
 
@@ -36,11 +38,20 @@
     Cancelled(u32),
 }
 
+/// A call that waits for a record to become durable.
+#[derive(Debug)]
+struct DurableWaiter {
+    seq: u64,
+    what: Durably,
+    since: Millis,
+    reply: ReplyTo,
+}
+
 /// All calls that wait in one partition.
 #[derive(Debug, Default)]
 pub(crate) struct Waiters {
     by_request: HashMap<RequestNo, Vec<Waiter>>,
-    by_seq: VecDeque<(u64, Durably, ReplyTo)>,
+    by_seq: VecDeque<DurableWaiter>,
     count: usize,
 }
 
@@ -56,26 +67,34 @@
     }
 
     /// Lets a call wait for the record at `seq`.
-    pub fn add_durable(&mut self, seq: u64, what: Durably, reply: ReplyTo) {
+    pub fn add_durable(&mut self, since: Millis, seq: u64, what: Durably, reply: ReplyTo) {
         if self.by_seq.len() >= BOUND {
             // The record may become durable still, so this is not "did not run".
             refuse(reply, ErrorKind::Unknown, "too many calls wait");
             return;
         }
-        self.by_seq.push_back((seq, what, reply));
+        self.by_seq.push_back(DurableWaiter { seq, what, since, reply });
     }
 
     /// Takes the calls that waited for records up to `seq`.
     pub fn take_durable(&mut self, seq: u64) -> Vec<(Durably, ReplyTo)> {
         let mut due = Vec::new();
-        while self.by_seq.front().is_some_and(|(s, _, _)| *s <= seq) {
-            if let Some((_, what, reply)) = self.by_seq.pop_front() {
-                due.push((what, reply));
-            }
+        while let Some(w) = self.by_seq.pop_front_if(|w| w.seq <= seq) {
+            due.push((w.what, w.reply));
         }
         due
     }
 
+    /// Answers the calls that have waited too long for a ledger that can't be
+    /// written: what they asked may or may not become durable.
+    pub fn give_up_durable(&mut self, now: Millis) {
+        let old = |w: &mut DurableWaiter| now.since(w.since) >= STALL_WAIT;
+        while let Some(w) = self.by_seq.pop_front_if(old) {
+            let message = "the ledger stalled after the call was taken; ask by the request id";
+            refuse(w.reply, ErrorKind::Unknown, message);
+        }
+    }
+
     /// Takes the calls for a request that `ready` lets go.
     pub fn take_ready(&mut self, no: RequestNo, ready: impl Fn(&Waiter) -> bool) -> Vec<ReplyTo> {
         let Some(list) = self.by_request.get_mut(&no) else {
@@ -102,19 +121,11 @@
     /// Sends every call to the next owner.
     pub fn move_all(&mut self) {
         let all = std::mem::take(self);
-        for (_, _, reply) in all.by_seq {
-            refuse(
-                reply,
-                ErrorKind::Moved,
-                "the partition has another owner now",
-            );
+        for w in all.by_seq {
+            refuse(w.reply, ErrorKind::Moved, "the partition has another owner now");
         }
         for waiter in all.by_request.into_values().flatten() {
-            refuse(
-                waiter.reply,
-                ErrorKind::Moved,
-                "the partition has another owner now",
-            );
+            refuse(waiter.reply, ErrorKind::Moved, "the partition has another owner now");
         }
     }
 }
--- a/crates/hollowford-server/src/entry/auth.rs
+++ b/crates/hollowford-server/src/entry/auth.rs
@@ -7,10 +7,7 @@
 
 fn token(meta: &MetadataMap) -> Result<&str, Error> {
     let missing = || Error::new(ErrorKind::Unauthenticated, "no bearer token");
-    let text = meta
-        .get("authorization")
-        .and_then(|v| v.to_str().ok())
-        .ok_or_else(missing)?;
+    let text = meta.get("authorization").and_then(|v| v.to_str().ok()).ok_or_else(missing)?;
     text.strip_prefix("Bearer ").ok_or_else(missing)
 }
 
@@ -21,18 +18,10 @@
 pub(super) fn account(shared: &Shared, meta: &MetadataMap) -> Result<AccountId, Error> {
     let token = token(meta)?;
     if shared.freshness.age(&shared.clock).is_none() {
-        return Err(Error::new(
-            ErrorKind::Unavailable,
-            "this process is starting",
-        ));
+        return Err(Error::new(ErrorKind::Unavailable, "this process is starting"));
     }
     let accounts = shared.accounts.load();
-    let unknown = || {
-        Error::new(
-            ErrorKind::Unauthenticated,
-            "the token names no client account",
-        )
-    };
+    let unknown = || Error::new(ErrorKind::Unauthenticated, "the token names no client account");
     accounts.by_token(token).cloned().ok_or_else(unknown)
 }
 
@@ -44,8 +33,5 @@
     if hash_token(token(meta)?) == shared.settings.operator_token_sha256 {
         return Ok(());
     }
-    Err(Error::new(
-        ErrorKind::Unauthenticated,
-        "this is not the operator token",
-    ))
+    Err(Error::new(ErrorKind::Unauthenticated, "this is not the operator token"))
 }
--- a/crates/hollowford-server/src/entry/operator.rs
+++ b/crates/hollowford-server/src/entry/operator.rs
@@ -31,9 +31,7 @@
 
 impl OperatorService {
     async fn get_config(&self, req: &v1::GetConfigRequest) -> Result<v1::ConfigView, Error> {
-        refresh_config(&self.shared, &self.store)
-            .await
-            .map_err(unread)?;
+        refresh_config(&self.shared, &self.store).await.map_err(unread)?;
         let accounts = self.shared.accounts.load();
         let found = accounts.accounts.get(&req.account.as_str().into());
         let none = || Error::new(ErrorKind::NotFound, format!("no account {:?}", req.account));
@@ -42,15 +40,9 @@
 
     async fn set_config(&self, req: &v1::SetConfigRequest) -> Result<v1::ConfigView, Error> {
         let (entry, head) = set_account(&self.store, &self.shared.clock, req).await?;
-        log::info!(
-            "config_head={head} account={} author={}",
-            entry.id,
-            entry.author
-        );
+        log::info!("config_head={head} account={} author={}", entry.id, entry.author);
         // Heartbeats tell the other processes; this one reads it now.
-        refresh_config(&self.shared, &self.store)
-            .await
-            .map_err(unread)?;
+        refresh_config(&self.shared, &self.store).await.map_err(unread)?;
         Ok(entry.view())
     }
 
@@ -59,16 +51,10 @@
             0 => DEFAULT_HISTORY,
             n => n.min(MAX_HISTORY),
         });
-        refresh_config(&self.shared, &self.store)
-            .await
-            .map_err(unread)?;
+        refresh_config(&self.shared, &self.store).await.map_err(unread)?;
         let head = self.shared.accounts.load().head;
         let after = format!("{LOG_PREFIX}{:016x}", head.saturating_sub(limit));
-        let rows = self
-            .store
-            .scan(LOG_PREFIX, &after, limit as usize)
-            .await
-            .map_err(unread)?;
+        let rows = self.store.scan(LOG_PREFIX, &after, limit as usize).await.map_err(unread)?;
         let change =
             |r: &hollowford_platform::wire::Row| v1::ConfigChange::decode(&r.value.0[..]).ok();
         let mut changes: Vec<v1::ConfigChange> = rows.iter().filter_map(change).collect();
--- a/crates/hollowford-server/src/entry/results.rs
+++ b/crates/hollowford-server/src/entry/results.rs
@@ -63,8 +63,5 @@
     if whole {
         return Ok(bytes);
     }
-    Err(Error::new(
-        ErrorKind::Internal,
-        "the result's object is not what the worker reported",
-    ))
+    Err(Error::new(ErrorKind::Internal, "the result's object is not what the worker reported"))
 }
--- a/crates/hollowford-server/src/entry/router.rs
+++ b/crates/hollowford-server/src/entry/router.rs
@@ -65,15 +65,9 @@
 
 fn given_up(maybe_done: bool) -> Error {
     if maybe_done {
-        return Error::new(
-            ErrorKind::Unknown,
-            "the owner of the partition did not answer",
-        );
+        return Error::new(ErrorKind::Unknown, "the owner of the partition did not answer");
     }
-    Error::new(
-        ErrorKind::Unavailable,
-        "no owner of the partition was met; nothing was done",
-    )
+    Error::new(ErrorKind::Unavailable, "no owner of the partition was met; nothing was done")
 }
 
 async fn try_once(
@@ -85,20 +79,13 @@
     let Some(owner) = shared.owners.get(partition) else {
         return Tried::NotSent("no_owner");
     };
-    let call = Box::new(Call {
-        partition: partition.0,
-        account: account.to_string(),
-        op: Some(op),
-    });
+    let call =
+        Box::new(Call { partition: partition.0, account: account.to_string(), op: Some(op) });
     if owner.process == shared.settings.process {
         return try_here(shared, call).await;
     }
     let (reply, answer) = oneshot::channel();
-    let msg = PeerMsg::Call {
-        process: owner.process,
-        call,
-        reply,
-    };
+    let msg = PeerMsg::Call { process: owner.process, call, reply };
     if shared.peers.push(msg).is_err() {
         shared.metrics.ring_full.with_label_values(&["peers"]).inc();
         let full = Error::new(ErrorKind::QueueFull, "this entry takes no more calls now");
@@ -118,11 +105,7 @@
 async fn try_here(shared: &Arc<Shared>, call: Box<Call>) -> Tried {
     let (reply, answer) = oneshot::channel();
     if shared.decide.push(DecideMsg::Call { call, reply }).is_err() {
-        shared
-            .metrics
-            .ring_full
-            .with_label_values(&["decide"])
-            .inc();
+        shared.metrics.ring_full.with_label_values(&["decide"]).inc();
         let full = Error::new(ErrorKind::QueueFull, "the owner takes no more calls now");
         return Tried::Answered(Box::new(Err(full)));
     }
--- a/crates/hollowford-server/src/entry/scheduler.rs
+++ b/crates/hollowford-server/src/entry/scheduler.rs
@@ -47,10 +47,7 @@
 }
 
 fn unexpected() -> Error {
-    Error::new(
-        ErrorKind::Internal,
-        "the owner's reply does not fit the call",
-    )
+    Error::new(ErrorKind::Internal, "the owner's reply does not fit the call")
 }
 
 impl SchedulerService {
@@ -97,10 +94,7 @@
         match (reply, &op) {
             (Some(reply), _) => Ok(reply),
             (None, Op::Submit(req)) => {
-                let req = v1::SubmitRequest {
-                    wait: false,
-                    ..req.clone()
-                };
+                let req = v1::SubmitRequest { wait: false, ..req.clone() };
                 self.ask(account, id, &Op::Submit(req)).await
             }
             (None, _) => self.ask(account, id, &get_now(id)).await,
@@ -221,16 +215,10 @@
     }
 
     async fn fetch(&self, account: &AccountId, req: &v1::FetchRequest) -> Result<Vec<u8>, Error> {
-        let reply = self
-            .ask(account, &req.request_id, &get_now(&req.request_id))
-            .await?;
+        let reply = self.ask(account, &req.request_id, &get_now(&req.request_id)).await?;
         let none = || Error::new(ErrorKind::NotFound, "the request has no such result");
         let answer = reply.view.and_then(|v| v.answer).ok_or_else(none)?;
-        let r = answer
-            .results
-            .iter()
-            .find(|r| r.index == req.index)
-            .ok_or_else(none)?;
+        let r = answer.results.iter().find(|r| r.index == req.index).ok_or_else(none)?;
         match reply.objects.iter().find(|o| o.index == req.index) {
             Some(object) => read_whole(&self.store, object, r).await,
             None => Ok(r.result.clone()),
@@ -238,31 +226,18 @@
     }
 
     fn finish<T>(&self, call: &str, result: Result<T, Error>) -> Result<Response<T>, Status> {
-        let kind = result
-            .as_ref()
-            .map_or_else(|e| e.kind.answer().name, |_| "ok");
-        self.shared
-            .metrics
-            .calls
-            .with_label_values(&[call, kind])
-            .inc();
+        let kind = result.as_ref().map_or_else(|e| e.kind.answer().name, |_| "ok");
+        self.shared.metrics.calls.with_label_values(&[call, kind]).inc();
         result.map(Response::new).map_err(|e| to_status(&e))
     }
 }
 
 fn get_now(id: &str) -> Op {
-    Op::Get(v1::GetRequest {
-        request_id: id.to_owned(),
-        ..Default::default()
-    })
+    Op::Get(v1::GetRequest { request_id: id.to_owned(), ..Default::default() })
 }
 
 fn get_final(id: &str) -> Op {
-    Op::Get(v1::GetRequest {
-        request_id: id.to_owned(),
-        after_version: 0,
-        r#final: true,
-    })
+    Op::Get(v1::GetRequest { request_id: id.to_owned(), after_version: 0, r#final: true })
 }
 
 fn is_settled(reply: &ViewReply) -> bool {
@@ -350,9 +325,7 @@
         tokio::spawn(async move {
             let _open = open;
             for data in bytes.chunks(CHUNK) {
-                let chunk = v1::FetchChunk {
-                    data: data.to_vec(),
-                };
+                let chunk = v1::FetchChunk { data: data.to_vec() };
                 if tx.send(Ok(chunk)).await.is_err() {
                     return;
                 }
--- a/crates/hollowford-server/src/ledger/recover.rs
+++ b/crates/hollowford-server/src/ledger/recover.rs
@@ -35,10 +35,7 @@
 }
 
 fn damaged(what: impl std::fmt::Display) -> Error {
-    Error::new(
-        ErrorKind::Internal,
-        format!("the ledger is damaged: {what}"),
-    )
+    Error::new(ErrorKind::Internal, format!("the ledger is damaged: {what}"))
 }
 
 fn unread(e: StoreError) -> Error {
@@ -64,12 +61,7 @@
     }
     let next_index = read_rows(store, p, snapshot.next_index, &mut records).await?;
     let first_index = snapshot.next_index;
-    Ok(Recovered {
-        records,
-        next_index,
-        first_index,
-        snapshot: snapshot.object,
-    })
+    Ok(Recovered { records, next_index, first_index, snapshot: snapshot.object })
 }
 
 async fn read_rows(
@@ -90,10 +82,7 @@
         let full = rows.len() == PAGE;
         for row in rows {
             if row.key != ledger_key(p, index) {
-                return Err(damaged(format!(
-                    "row {index} is missing before {}",
-                    row.key
-                )));
+                return Err(damaged(format!("row {index} is missing before {}", row.key)));
             }
             add_batch(&row.value.0, records)?;
             index += 1;
--- a/crates/hollowford-server/src/ledger/writer.rs
+++ b/crates/hollowford-server/src/ledger/writer.rs
@@ -53,10 +53,7 @@
 
 impl LedgerHandle {
     pub fn new() -> LedgerHandle {
-        LedgerHandle {
-            ring: Ring::new(RING_BOUND),
-            progress: Arc::default(),
-        }
+        LedgerHandle { ring: Ring::new(RING_BOUND), progress: Arc::default() }
     }
 
     /// Returns the position up to which everything is durable.
@@ -174,10 +171,7 @@
         };
         while records.len() < BATCH_RECORDS {
             match self.handle.ring.pop() {
-                Some(LedgerItem::Records {
-                    seq: later,
-                    records: more,
-                }) => {
+                Some(LedgerItem::Records { seq: later, records: more }) => {
                     seq = later;
                     records.extend(more);
                 }
@@ -187,10 +181,7 @@
                 }
             }
         }
-        Next::Write {
-            seq,
-            batch: self.batch(&records),
-        }
+        Next::Write { seq, batch: self.batch(&records) }
     }
 
     fn batch(&self, records: &[Record]) -> Batch {
@@ -198,10 +189,7 @@
             partition: self.partition.0,
             epoch: self.epoch.0,
             id: fastrand::u64(1..),
-            records: records
-                .iter()
-                .map(record_to_wire)
-                .collect::<Vec<ledger::Record>>(),
+            records: records.iter().map(record_to_wire).collect::<Vec<ledger::Record>>(),
         }
     }
 
@@ -214,8 +202,7 @@
             .put(&*key, batch.encode_to_vec());
         let m = &self.shared.metrics;
         m.ledger_batch.observe(batch.records.len() as f64);
-        self.commit(store, &txn, || self.holds(store, &key, batch.id))
-            .await?;
+        self.commit(store, &txn, || self.holds(store, &key, batch.id)).await?;
         m.ledger_writes.inc();
         self.next_index += 1;
         self.handle.progress.durable.store(seq, Ordering::Release);
@@ -271,10 +258,7 @@
     }
 
     fn set_stalled(&self, stalled: bool) {
-        self.handle
-            .progress
-            .stalled
-            .store(stalled, Ordering::Release);
+        self.handle.progress.stalled.store(stalled, Ordering::Release);
         self.shared.decide.wake();
     }
 
@@ -291,10 +275,7 @@
             log::warn!("partition={} snapshot not written: {e}", self.partition);
             return Ok(());
         }
-        let row = SnapshotRow {
-            object: object.clone(),
-            next_index: self.next_index,
-        };
+        let row = SnapshotRow { object: object.clone(), next_index: self.next_index };
         let key = snapshot_key(self.partition);
         let txn = Txn::new()
             .check(epoch_key(self.partition), self.epoch_version)
--- a/crates/hollowford-server/src/members.rs
+++ b/crates/hollowford-server/src/members.rs
@@ -37,12 +37,8 @@
         if map.get(process).is_some_and(|m| m.addr == addr) {
             return;
         }
-        let member = Member {
-            addr: addr.to_owned(),
-            heard_at: None,
-            leaving: false,
-            config_head: 0,
-        };
+        let member =
+            Member { addr: addr.to_owned(), heard_at: None, leaving: false, config_head: 0 };
         map.insert(process.to_owned(), member);
     }
 
@@ -70,9 +66,6 @@
         let now = clock.now();
         let alive = |m: &Member| m.heard_at.is_some_and(|at| now.since(at) < DEAD_AFTER);
         let map = self.lock();
-        map.iter()
-            .filter(|(_, m)| alive(m) && !m.leaving)
-            .map(|(p, _)| p.clone())
-            .collect()
+        map.iter().filter(|(_, m)| alive(m) && !m.leaving).map(|(p, _)| p.clone()).collect()
     }
 }
--- a/crates/hollowford-server/src/metrics.rs
+++ b/crates/hollowford-server/src/metrics.rs
@@ -6,9 +6,8 @@
 };
 
 /// Bounds of the waiting-time histogram, in seconds.
-const WAIT_BUCKETS: &[f64] = &[
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 3.1, 10.0, 60.0, 600.0,
-];
+const WAIT_BUCKETS: &[f64] =
+    &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 3.1, 10.0, 60.0, 600.0];
 /// Bounds of the batch-size histogram, in records.
 const BATCH_BUCKETS: &[f64] = &[1.0, 3.0, 10.0, 30.0, 100.0, 300.0, 1_000.0, 3_000.0];
 
@@ -59,18 +58,8 @@
     pub fn new() -> Result<Metrics, prometheus::Error> {
         let r = Registry::new();
         Ok(Metrics {
-            calls: vec(
-                &r,
-                "hollowford_calls_total",
-                "Calls of callers.",
-                &["call", "kind"],
-            )?,
-            retries: vec(
-                &r,
-                "hollowford_retries_total",
-                "Calls sent again.",
-                &["reason"],
-            )?,
+            calls: vec(&r, "hollowford_calls_total", "Calls of callers.", &["call", "kind"])?,
+            retries: vec(&r, "hollowford_retries_total", "Calls sent again.", &["reason"])?,
             waiting: waiting(&r)?,
             placed: counter(&r, "hollowford_placed_total", "Intents appended.")?,
             started: counter(&r, "hollowford_started_total", "Starts sent.")?,
@@ -82,23 +71,13 @@
                 "Ledger writes whose reply was lost.",
             )?,
             ledger_batch: batch(&r)?,
-            store_calls: vec(
-                &r,
-                "hollowford_store_calls_total",
-                "Calls of the store.",
-                &["op"],
-            )?,
+            store_calls: vec(&r, "hollowford_store_calls_total", "Calls of the store.", &["op"])?,
             owned: gauge(&r, "hollowford_partitions_owned", "Partitions owned.")?,
             takeovers: counter(&r, "hollowford_takeovers_total", "Takeovers made.")?,
             deposed: counter(&r, "hollowford_deposed_total", "Ownerships lost.")?,
             config_head: gauge(&r, "hollowford_config_head", "Newest change in force.")?,
             sessions: gauge(&r, "hollowford_worker_sessions", "Sessions with workers.")?,
-            ring_full: vec(
-                &r,
-                "hollowford_ring_full_total",
-                "Items refused.",
-                &["ring"],
-            )?,
+            ring_full: vec(&r, "hollowford_ring_full_total", "Items refused.", &["ring"])?,
             registry: r,
         })
     }
@@ -107,9 +86,7 @@
     pub fn waited(&self, kind: Kind, waited: Millis) {
         const MS_PER_SECOND: f64 = 1_000.0;
         let seconds = waited.0 as f64 / MS_PER_SECOND;
-        self.waiting
-            .with_label_values(&[kind.name()])
-            .observe(seconds);
+        self.waiting.with_label_values(&[kind.name()]).observe(seconds);
     }
 }
 
--- a/crates/hollowford-server/src/owners.rs
+++ b/crates/hollowford-server/src/owners.rs
@@ -18,23 +18,16 @@
 
 impl Owners {
     pub fn new(partitions: u32) -> Owners {
-        Owners {
-            list: RwLock::new(vec![None; partitions as usize]),
-        }
+        Owners { list: RwLock::new(vec![None; partitions as usize]) }
     }
 
     fn read(&self) -> RwLockReadGuard<'_, Vec<Option<Owner>>> {
-        self.list
-            .read()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.list.read().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Notes an owner, unless a later one is known.
     pub fn set(&self, partition: PartitionId, owner: Option<Owner>) {
-        let mut list = self
-            .list
-            .write()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut list = self.list.write().unwrap_or_else(std::sync::PoisonError::into_inner);
         let slot = &mut list[partition.0 as usize];
         let later = |new: &Owner, old: &Owner| new.epoch >= old.epoch;
         match (&owner, &slot) {
@@ -59,8 +52,5 @@
 pub(crate) fn rank(partition: PartitionId, process: &str, others: &[String]) -> usize {
     let weight = |p: &str| hash64(&["owner", &partition.to_string(), p]);
     let own = weight(process);
-    others
-        .iter()
-        .filter(|p| p.as_str() != process && weight(p) > own)
-        .count()
+    others.iter().filter(|p| p.as_str() != process && weight(p) > own).count()
 }
--- a/crates/hollowford-server/src/ownership/keeper.rs
+++ b/crates/hollowford-server/src/ownership/keeper.rs
@@ -8,12 +8,15 @@
 use crate::shared::Shared;
 use hollowford_core::{Epoch, Millis, PartitionId};
 use hollowford_platform::{Platform, StoreError, Txn, TxnResult};
+use hollowford_protocol::peer::{Body, Released, Took};
 use prost::Message;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
 /// Wait of the second choice before it takes a released partition; the third waits twice that.
 const RELEASED_STEP: Millis = Millis(150);
+/// How often a stopping process looks for new owners.
+const FOLLOW_EVERY: Millis = Millis(100);
 /// Wait before an attempt to recover is repeated.
 const RECOVER_AGAIN: Millis = Millis(100);
 
@@ -67,15 +70,21 @@
     owned: Option<Owned>,
 }
 
-/// Runs the keeper of one partition until the process has stopped.
+/// Follows who owns a partition, without ever taking it: what a process does that has
+/// handed its partitions over and still answers calls.
+pub(crate) async fn follow(shared: Arc<Shared>, store: Platform, partition: PartitionId) {
+    let keeper = Keeper { shared, store, partition, seen: None, owned: None };
+    loop {
+        if let Ok(Some(seen)) = keeper.read().await {
+            keeper.tell_owner(&seen);
+        }
+        tokio::time::sleep(FOLLOW_EVERY.duration()).await;
+    }
+}
+
+/// Runs the keeper of one partition until the process is to stop.
 pub(crate) async fn run(shared: Arc<Shared>, store: Platform, partition: PartitionId) {
-    let mut keeper = Keeper {
-        shared,
-        store,
-        partition,
-        seen: None,
-        owned: None,
-    };
+    let mut keeper = Keeper { shared, store, partition, seen: None, owned: None };
     let mut news = keeper.shared.release_news.subscribe();
     let mut stopping = keeper.shared.stopping.subscribe();
     let renew = keeper.shared.settings.lease.renew.duration();
@@ -101,12 +110,7 @@
 
     fn own_row(&self, epoch: Epoch, beat: u64, released: bool) -> OwnerRow {
         let process = self.shared.settings.process.clone();
-        OwnerRow {
-            process,
-            epoch: epoch.0,
-            beat,
-            released,
-        }
+        OwnerRow { process, epoch: epoch.0, beat, released }
     }
 
     async fn renew(&mut self) {
@@ -126,9 +130,7 @@
         let version = owned.version;
         let row = self.own_row(epoch, beat, false);
         let key = owner_key(self.partition);
-        let txn = Txn::new()
-            .check(&*key, version)
-            .put(&*key, row.encode_to_vec());
+        let txn = Txn::new().check(&*key, version).put(&*key, row.encode_to_vec());
         let result = self.store.txn(&txn).await;
         self.note_store(&result);
         match result {
@@ -141,9 +143,7 @@
 
     fn note_store<T>(&self, result: &Result<T, StoreError>) {
         let answers = result.is_ok();
-        self.shared
-            .store_answers
-            .store(answers, std::sync::atomic::Ordering::Release);
+        self.shared.store_answers.store(answers, std::sync::atomic::Ordering::Release);
     }
 
     fn renewed(&mut self, version: u64, until: Millis) {
@@ -217,10 +217,7 @@
     }
 
     fn remember(&mut self, found: Option<Seen>, now: Millis) -> Seen {
-        let found = found.unwrap_or(Seen {
-            since: now,
-            ..Seen::default()
-        });
+        let found = found.unwrap_or(Seen { since: now, ..Seen::default() });
         match &self.seen {
             Some(seen) if seen.version == found.version => seen.clone(),
             _ => {
@@ -233,10 +230,7 @@
     fn tell_owner(&self, seen: &Seen) {
         if seen.version > 0 && !seen.row.released {
             let process = seen.row.process.clone();
-            let owner = Owner {
-                process,
-                epoch: Epoch(seen.row.epoch),
-            };
+            let owner = Owner { process, epoch: Epoch(seen.row.epoch) };
             self.shared.owners.set(self.partition, Some(owner));
         }
     }
@@ -252,15 +246,9 @@
         let row = self.own_row(epoch, fastrand::u64(1..u64::from(u32::MAX)), false);
         let txn = Txn::new()
             .check(owner_key(self.partition), seen.version)
-            .check(
-                epoch_key(self.partition),
-                epoch_row.map_or(0, |r| r.version),
-            )
+            .check(epoch_key(self.partition), epoch_row.map_or(0, |r| r.version))
             .put(owner_key(self.partition), row.encode_to_vec())
-            .put(
-                epoch_key(self.partition),
-                EpochRow { epoch: epoch.0 }.encode_to_vec(),
-            );
+            .put(epoch_key(self.partition), EpochRow { epoch: epoch.0 }.encode_to_vec());
         let version = match self.store.txn(&txn).await {
             Ok(TxnResult::Committed(version)) => Some(version),
             Ok(TxnResult::Conflict(_)) => None,
@@ -283,11 +271,7 @@
     async fn take(&mut self, epoch: Epoch, version: u64, beat: u64, until: Millis) {
         log::info!("partition={} epoch={epoch} taken over", self.partition);
         let lease = Arc::new(OwnerLease::new(epoch, until));
-        self.owned = Some(Owned {
-            lease: lease.clone(),
-            version,
-            beat,
-        });
+        self.owned = Some(Owned { lease: lease.clone(), version, beat });
         self.shared.metrics.takeovers.inc();
         self.shared.metrics.owned.inc();
         let (tx, mut rx) = oneshot::channel();
@@ -319,21 +303,14 @@
         let writer = Writer::new(&self.shared, self.partition, epoch, version, &recovered);
         let ledger = writer.handle.clone();
         self.shared.ledger.send(writer).await;
-        let take = Take {
-            partition: self.partition,
-            lease,
-            ledger,
-            records: recovered.records,
-        };
-        self.shared
-            .decide
-            .send(DecideMsg::Take(Box::new(take)))
-            .await;
+        let take = Take { partition: self.partition, lease, ledger, records: recovered.records };
+        self.shared.decide.send(DecideMsg::Take(Box::new(take))).await;
         let process = self.shared.settings.process.clone();
-        self.shared
-            .owners
-            .set(self.partition, Some(Owner { process, epoch }));
+        let owner = Owner { process: process.clone(), epoch };
+        self.shared.owners.set(self.partition, Some(owner));
         self.shared.instances_wanted.notify_one();
+        let took = Took { partition: self.partition.0, epoch: epoch.0, process };
+        self.shared.peers.send(PeerMsg::Tell(Body::Took(took))).await;
     }
 
     /// At a planned stop: lets all that was decided become durable, then frees the
@@ -343,37 +320,23 @@
             return;
         };
         let (tx, rx) = oneshot::channel();
-        let release = DecideMsg::Release {
-            partition: self.partition,
-            done: tx,
-        };
+        let release = DecideMsg::Release { partition: self.partition, done: tx };
         self.shared.decide.send(release).await;
         let longest = self.shared.settings.lease.ownership.duration();
         let flushed = tokio::time::timeout(longest, rx).await;
         owned.lease.end();
         self.shared.metrics.owned.dec();
         if !matches!(flushed, Ok(Ok(()))) {
-            log::warn!(
-                "partition={} not handed over: the ledger can't be written",
-                self.partition
-            );
+            log::warn!("partition={} not handed over: the ledger can't be written", self.partition);
             return;
         }
         let row = self.own_row(owned.lease.epoch, owned.beat + 1, true);
         let key = owner_key(self.partition);
-        let txn = Txn::new()
-            .check(&*key, owned.version)
-            .put(&*key, row.encode_to_vec());
+        let txn = Txn::new().check(&*key, owned.version).put(&*key, row.encode_to_vec());
         if let Ok(TxnResult::Committed(_)) = self.store.txn(&txn).await {
-            log::info!(
-                "partition={} epoch={} handed over",
-                self.partition,
-                owned.lease.epoch
-            );
-            self.shared
-                .peers
-                .send(PeerMsg::Released(self.partition.0))
-                .await;
+            log::info!("partition={} epoch={} handed over", self.partition, owned.lease.epoch);
+            let released = Body::Released(Released { partition: self.partition.0 });
+            self.shared.peers.send(PeerMsg::Tell(released)).await;
         }
     }
 }
--- a/crates/hollowford-server/src/ownership/mod.rs
+++ b/crates/hollowford-server/src/ownership/mod.rs
@@ -3,5 +3,5 @@
 mod keeper;
 mod lease;
 
-pub(crate) use keeper::run;
+pub(crate) use keeper::{follow, run};
 pub(crate) use lease::OwnerLease;
--- a/crates/hollowford-server/src/peers/dialer.rs
+++ b/crates/hollowford-server/src/peers/dialer.rs
@@ -3,7 +3,7 @@
 use super::listener::send_all;
 use super::{FRAMES_BOUND, HEARTBEAT_EVERY, PeerMsg, SILENCE, heard, heartbeat};
 use crate::shared::Shared;
-use hollowford_protocol::peer::{Body, Call, Frame, Hello, Released, Reply};
+use hollowford_protocol::peer::{Body, Call, Frame, Hello, Reply};
 use hollowford_protocol::{FrameError, Frames, frames, mac, recv, send};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -18,7 +18,7 @@
 /// What a link is to send.
 enum Outgoing {
     Call(Box<Call>, oneshot::Sender<Reply>),
-    Released(u32),
+    Tell(Body),
 }
 
 /// One link.
@@ -44,17 +44,12 @@
     /// Opens links to new processes and closes those to forgotten ones.
     pub fn follow(&mut self, shared: &Arc<Shared>) {
         let members = shared.members.all();
-        self.map
-            .retain(|p, d| members.get(p).is_some_and(|m| m.addr == d.addr));
+        self.map.retain(|p, d| members.get(p).is_some_and(|m| m.addr == d.addr));
         for (process, member) in members {
             self.map.entry(process).or_insert_with(|| {
                 let (tx, rx) = mpsc::channel(FRAMES_BOUND);
                 let task = tokio::spawn(hold(shared.clone(), member.addr.clone(), rx));
-                Dialer {
-                    addr: member.addr,
-                    tx,
-                    task,
-                }
+                Dialer { addr: member.addr, tx, task }
             });
         }
     }
@@ -62,28 +57,18 @@
     /// Sends what the duty was told to send. A call that can't be sent fails at
     /// once, by dropping its reply channel.
     pub fn handle(&mut self, shared: &Shared, msg: PeerMsg) {
-        let full = || {
-            shared
-                .metrics
-                .ring_full
-                .with_label_values(&["peer_link"])
-                .inc()
-        };
+        let full = || shared.metrics.ring_full.with_label_values(&["peer_link"]).inc();
         match msg {
-            PeerMsg::Call {
-                process,
-                call,
-                reply,
-            } => {
+            PeerMsg::Call { process, call, reply } => {
                 if let Some(d) = self.map.get(&process)
                     && d.tx.try_send(Outgoing::Call(call, reply)).is_err()
                 {
                     full();
                 }
             }
-            PeerMsg::Released(partition) => {
+            PeerMsg::Tell(body) => {
                 for d in self.map.values() {
-                    if d.tx.try_send(Outgoing::Released(partition)).is_err() {
+                    if d.tx.try_send(Outgoing::Tell(body.clone())).is_err() {
                         full();
                     }
                 }
@@ -116,14 +101,7 @@
     let process = shared.settings.process.clone();
     let key = shared.settings.peer_key.expose().as_bytes();
     let mac = mac(key, &challenge.nonce, &process);
-    send(
-        &mut link,
-        &Frame {
-            id: 0,
-            body: Some(Body::Hello(Hello { process, mac })),
-        },
-    )
-    .await?;
+    send(&mut link, &Frame { id: 0, body: Some(Body::Hello(Hello { process, mac })) }).await?;
     send(&mut link, &heartbeat(shared)).await?;
     Ok(link)
 }
@@ -183,14 +161,9 @@
     *next_id += 1;
     let (body, reply) = match out {
         Outgoing::Call(call, reply) => (Body::Call(*call), Some(reply)),
-        Outgoing::Released(partition) => (Body::Released(Released { partition }), None),
+        Outgoing::Tell(body) => (body, None),
     };
-    if frames
-        .try_send(Frame {
-            id,
-            body: Some(body),
-        })
-        .is_ok()
+    if frames.try_send(Frame { id, body: Some(body) }).is_ok()
         && let Some(reply) = reply
     {
         pending.insert(id, reply);
--- a/crates/hollowford-server/src/peers/listener.rs
+++ b/crates/hollowford-server/src/peers/listener.rs
@@ -3,9 +3,10 @@
 use super::dialer::Dialers;
 use super::{FRAMES_BOUND, HEARTBEAT_EVERY, SILENCE, heard, heartbeat};
 use crate::decide::DecideMsg;
+use crate::owners::Owner;
 use crate::shared::Shared;
 use futures::SinkExt;
-use hollowford_core::{Error, ErrorKind};
+use hollowford_core::{Epoch, Error, ErrorKind, PartitionId};
 use hollowford_protocol::peer::{Body, Call, Challenge, Frame, Hello, Refused, Reply, Said};
 use hollowford_protocol::{FrameError, Frames, frames, mac, recv, send};
 use prost::Message;
@@ -55,34 +56,14 @@
 
 /// Lets the caller prove that it knows the key. Returns its id.
 async fn greet(shared: &Shared, link: &mut Frames<TcpStream>) -> Option<String> {
-    let nonce: Vec<u8> = std::iter::repeat_with(|| fastrand::u8(..))
-        .take(NONCE_LEN)
-        .collect();
-    let challenge = Body::Challenge(Challenge {
-        nonce: nonce.clone(),
-    });
-    send(
-        link,
-        &Frame {
-            id: 0,
-            body: Some(challenge),
-        },
-    )
-    .await
-    .ok()?;
+    let nonce: Vec<u8> = std::iter::repeat_with(|| fastrand::u8(..)).take(NONCE_LEN).collect();
+    let challenge = Body::Challenge(Challenge { nonce: nonce.clone() });
+    send(link, &Frame { id: 0, body: Some(challenge) }).await.ok()?;
     let hello: Frame = recv(link).await.ok()?;
-    let Some(Body::Hello(Hello {
-        process,
-        mac: proof,
-    })) = hello.body
-    else {
+    let Some(Body::Hello(Hello { process, mac: proof })) = hello.body else {
         return None;
     };
-    let expected = mac(
-        shared.settings.peer_key.expose().as_bytes(),
-        &nonce,
-        &process,
-    );
+    let expected = mac(shared.settings.peer_key.expose().as_bytes(), &nonce, &process);
     if proof != expected {
         log::warn!("peer={process} refused: it does not know the key");
         return None;
@@ -131,6 +112,10 @@
     match frame.body {
         Some(Body::Heartbeat(beat)) => heard(shared, &beat),
         Some(Body::Released(r)) => shared.note_released(r.partition),
+        Some(Body::Took(took)) => {
+            let owner = Owner { process: took.process, epoch: Epoch(took.epoch) };
+            shared.owners.set(PartitionId(took.partition), Some(owner));
+        }
         Some(Body::Call(call)) => take_call(shared, frame.id, call, tx),
         // Nothing else is sent to the side that was called.
         Some(Body::Challenge(_) | Body::Hello(_) | Body::Reply(_)) | None => {}
@@ -139,15 +124,10 @@
 
 fn take_call(shared: &Arc<Shared>, id: u64, call: Call, tx: &mpsc::Sender<Frame>) {
     let (reply, answer) = oneshot::channel();
-    if let Err(DecideMsg::Call { reply, .. }) = shared.decide.push(DecideMsg::Call {
-        call: Box::new(call),
-        reply,
-    }) {
-        shared
-            .metrics
-            .ring_full
-            .with_label_values(&["decide"])
-            .inc();
+    if let Err(DecideMsg::Call { reply, .. }) =
+        shared.decide.push(DecideMsg::Call { call: Box::new(call), reply })
+    {
+        shared.metrics.ring_full.with_label_values(&["decide"]).inc();
         let full = Error::new(ErrorKind::QueueFull, "the owner takes no more calls now");
         // The receiver is right here.
         let _ = reply.send(Err(full));
@@ -156,10 +136,7 @@
     tokio::spawn(async move {
         // The owner may have dropped the call with the partition.
         let said = answer.await.unwrap_or_else(|_| {
-            Err(Error::new(
-                ErrorKind::Moved,
-                "the owner let the partition go",
-            ))
+            Err(Error::new(ErrorKind::Moved, "the owner let the partition go"))
         });
         let said = said.unwrap_or_else(|e| Said::Refused(Refused::from(&e)));
         let body = Some(Body::Reply(Reply { said: Some(said) }));
--- a/crates/hollowford-server/src/peers/mod.rs
+++ b/crates/hollowford-server/src/peers/mod.rs
@@ -12,13 +12,9 @@
 #[derive(Debug)]
 pub(crate) enum PeerMsg {
     /// Relay a call to a process. The reply channel is dropped when the link fails.
-    Call {
-        process: String,
-        call: Box<Call>,
-        reply: oneshot::Sender<Reply>,
-    },
-    /// Tell all that a partition may be taken at once.
-    Released(u32),
+    Call { process: String, call: Box<Call>, reply: oneshot::Sender<Reply> },
+    /// Tell all other processes something.
+    Tell(Body),
 }
 
 /// How often heartbeats are sent on each link.
@@ -42,19 +38,14 @@
         leaving: shared.is_stopping(),
         addr: shared.peer_addr(),
     });
-    Frame {
-        id: 0,
-        body: Some(body),
-    }
+    Frame { id: 0, body: Some(body) }
 }
 
 /// Takes in another process's heartbeat.
 fn heard(shared: &Shared, beat: &Heartbeat) {
     let now = shared.clock.now();
     shared.members.learn(&beat.process, &beat.addr);
-    shared
-        .members
-        .heard(&beat.process, now, beat.leaving, beat.config_head);
+    shared.members.heard(&beat.process, now, beat.leaving, beat.config_head);
     let head = shared.accounts.load().head;
     if beat.config_head > head {
         shared.config_news.notify_one();
--- a/crates/hollowford-server/src/process.rs
+++ b/crates/hollowford-server/src/process.rs
@@ -14,7 +14,6 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
-use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
@@ -58,7 +57,6 @@
 pub struct Process {
     shared: Arc<Shared>,
     addresses: Addresses,
-    keepers: JoinHandle<()>,
 }
 
 fn runtime(threads: usize) -> io::Result<Runtime> {
@@ -73,14 +71,13 @@
 }
 
 /// Starts a thread with a runtime of its own for one duty.
-fn duty<F>(name: &str, run: F) -> io::Result<JoinHandle<()>>
+fn duty<F>(name: &str, run: F) -> io::Result<()>
 where
     F: Future<Output = ()> + Send + 'static,
 {
     let rt = runtime(1)?;
-    std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(move || rt.block_on(run))
+    std::thread::Builder::new().name(name.to_owned()).spawn(move || rt.block_on(run))?;
+    Ok(())
 }
 
 impl Process {
@@ -94,10 +91,8 @@
         let entry = runtime(ENTRY_THREADS)?;
         let bound = entry.block_on(bind_all(listen))?;
         let addresses = bound.addresses;
-        *shared
-            .peer_addr
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = addresses.peers.to_string();
+        *shared.peer_addr.lock().unwrap_or_else(PoisonError::into_inner) =
+            addresses.peers.to_string();
 
         duty("decide", decide::run(shared.clone()))?;
         let s = shared.clone();
@@ -115,14 +110,10 @@
                 Err(e) => log::error!("the peers duty ended: {e}"),
             }
         })?;
-        let keepers = start_watch(&shared)?;
+        start_watch(&shared)?;
         start_admin(&shared, bound.admin)?;
         start_entry(&shared, entry, bound.callers)?;
-        Ok(Process {
-            shared,
-            addresses,
-            keepers,
-        })
+        Ok(Process { shared, addresses })
     }
 
     /// Returns where the process listens.
@@ -142,8 +133,8 @@
 
     /// Waits until the partitions are handed over and the open calls are answered.
     pub fn wait_stopped(self) {
-        if self.keepers.join().is_err() {
-            log::error!("the watch duty ended by a fault");
+        while !self.shared.handed_over.load(Ordering::Acquire) {
+            std::thread::sleep(STOP_CHECK);
         }
         std::thread::sleep(BALANCER_WAIT);
         let mut waited = Duration::ZERO;
@@ -175,16 +166,11 @@
         peers: peers.local_addr()?,
         admin: admin.local_addr()?,
     };
-    Ok(Bound {
-        addresses,
-        callers,
-        peers,
-        admin,
-    })
+    Ok(Bound { addresses, callers, peers, admin })
 }
 
-/// Starts the watch duty. Its thread ends once the partitions are handed over.
-fn start_watch(shared: &Arc<Shared>) -> Result<JoinHandle<()>, StartError> {
+/// Starts the watch duty.
+fn start_watch(shared: &Arc<Shared>) -> Result<(), StartError> {
     let shared = shared.clone();
     let store = shared.store()?;
     let watch = async move {
@@ -192,21 +178,21 @@
         tokio::spawn(watch::instances(shared.clone(), store.clone()));
         let members = tokio::spawn(watch::members(shared.clone(), store.clone()));
         let keepers: Vec<_> = (0..shared.settings.partitions)
-            .map(|p| {
-                tokio::spawn(ownership::run(
-                    shared.clone(),
-                    store.clone(),
-                    PartitionId(p),
-                ))
-            })
+            .map(|p| tokio::spawn(ownership::run(shared.clone(), store.clone(), PartitionId(p))))
             .collect();
         for task in keepers.into_iter().chain([members]) {
             if let Err(e) = task.await {
                 log::error!("a task of the watch duty ended by a fault: {e}");
             }
         }
+        shared.handed_over.store(true, Ordering::Release);
+        for p in 0..shared.settings.partitions {
+            tokio::spawn(ownership::follow(shared.clone(), store.clone(), PartitionId(p)));
+        }
+        std::future::pending().await
     };
-    Ok(duty("watch", watch)?)
+    duty("watch", watch)?;
+    Ok(())
 }
 
 fn start_admin(shared: &Arc<Shared>, listener: std::net::TcpListener) -> Result<(), StartError> {
@@ -225,14 +211,8 @@
 
 fn start_entry(shared: &Arc<Shared>, rt: Runtime, listener: TcpListener) -> Result<(), StartError> {
     let store = shared.store()?;
-    let scheduler = SchedulerService {
-        shared: shared.clone(),
-        store: store.clone(),
-    };
-    let operator = OperatorService {
-        shared: shared.clone(),
-        store,
-    };
+    let scheduler = SchedulerService { shared: shared.clone(), store: store.clone() };
+    let operator = OperatorService { shared: shared.clone(), store };
     let server = tonic::transport::Server::builder()
         .tcp_nodelay(true)
         .add_service(SchedulerServer::new(scheduler))
@@ -243,8 +223,6 @@
             log::error!("the entry duty ended: {e}");
         }
     };
-    std::thread::Builder::new()
-        .name("entry".to_owned())
-        .spawn(run)?;
+    std::thread::Builder::new().name("entry".to_owned()).spawn(run)?;
     Ok(())
 }
--- a/crates/hollowford-server/src/ring.rs
+++ b/crates/hollowford-server/src/ring.rs
@@ -22,23 +22,16 @@
 
 impl<T> Clone for Ring<T> {
     fn clone(&self) -> Ring<T> {
-        Ring {
-            inner: self.inner.clone(),
-        }
+        Ring { inner: self.inner.clone() }
     }
 }
 
 impl<T> Ring<T> {
     /// Makes a ring for `bound` items.
     pub fn new(bound: usize) -> Ring<T> {
-        let inner = Inner {
-            queue: ArrayQueue::new(bound),
-            items: Notify::new(),
-            room: Notify::new(),
-        };
-        Ring {
-            inner: Arc::new(inner),
-        }
+        let inner =
+            Inner { queue: ArrayQueue::new(bound), items: Notify::new(), room: Notify::new() };
+        Ring { inner: Arc::new(inner) }
     }
 
     /// Puts an item in.
--- a/crates/hollowford-server/src/shared.rs
+++ b/crates/hollowford-server/src/shared.rs
@@ -44,6 +44,8 @@
     pub workers: Ring<WorkerMsg>,
     /// Set once the process is to stop.
     pub stopping: watch::Sender<bool>,
+    /// Set once the partitions are handed over at a stop.
+    pub handed_over: AtomicBool,
     /// Calls of callers that are being answered.
     pub calls_open: AtomicUsize,
     /// Whether the store answered the last call of the watch duty.
@@ -79,6 +81,7 @@
             peers: Ring::new(PEERS_BOUND),
             workers: Ring::new(WORKERS_BOUND),
             stopping: watch::Sender::new(false),
+            handed_over: AtomicBool::new(false),
             calls_open: AtomicUsize::new(0),
             store_answers: AtomicBool::new(true),
             peer_addr: Mutex::default(),
@@ -92,10 +95,7 @@
     pub fn store(&self) -> Result<Platform, StoreError> {
         let p = &self.settings.platform;
         let store = Platform::new(&p.address.to_string(), p.timeout.duration())?;
-        self.stores
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(store.clone());
+        self.stores.lock().unwrap_or_else(PoisonError::into_inner).push(store.clone());
         Ok(store)
     }
 
@@ -118,10 +118,7 @@
 
     /// Returns where this process takes peer links.
     pub fn peer_addr(&self) -> String {
-        self.peer_addr
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.peer_addr.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Tells whether the configuration in force was confirmed recently enough to
@@ -133,10 +130,7 @@
 
     /// Notes a partition that may be taken at once.
     pub fn note_released(&self, partition: u32) {
-        self.released
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(partition);
+        self.released.lock().unwrap_or_else(PoisonError::into_inner).push(partition);
         self.release_news.send_modify(|n| *n += 1);
     }
 
--- a/crates/hollowford-server/src/views.rs
+++ b/crates/hollowford-server/src/views.rs
@@ -11,10 +11,7 @@
     let mut objects = Vec::new();
     for (index, result) in &view.results {
         if !result.object.is_empty() {
-            objects.push(ObjectResult {
-                index: *index,
-                object: result.object.to_string(),
-            });
+            objects.push(ObjectResult { index: *index, object: result.object.to_string() });
         }
     }
     let wire = v1::RequestView {
@@ -31,10 +28,7 @@
         epoch: view.epoch.0,
         is_service: view.is_service,
     };
-    ViewReply {
-        view: Some(wire),
-        objects,
-    }
+    ViewReply { view: Some(wire), objects }
 }
 
 fn answer_to_wire(answer: &FinalAnswer, results: &[(u32, &TaskResult)]) -> v1::Answer {
@@ -52,10 +46,6 @@
         message: answer.message.to_string(),
         retry_after_ms: kind.and_then(|k| k.answer().retry_after_ms).unwrap_or(0),
         had_begun: answer.had_begun,
-        results: if done {
-            results.iter().map(result).collect()
-        } else {
-            Vec::new()
-        },
+        results: if done { results.iter().map(result).collect() } else { Vec::new() },
     }
 }
--- a/crates/hollowford-server/src/watch.rs
+++ b/crates/hollowford-server/src/watch.rs
@@ -50,10 +50,7 @@
     let asked_at = shared.clock.now();
     let known = shared.accounts.load().head;
     let row = store.get(HEAD_KEY).await?;
-    let head = row
-        .and_then(|r| HeadRow::decode(&r.value.0[..]).ok())
-        .unwrap_or_default()
-        .head;
+    let head = row.and_then(|r| HeadRow::decode(&r.value.0[..]).ok()).unwrap_or_default().head;
     if head > known {
         let entries = match known {
             0 => read_all(store).await?,
@@ -115,10 +112,7 @@
 /// Keeps this process's row, and learns of the others.
 pub(crate) async fn members(shared: Arc<Shared>, store: Platform) {
     let own = format!("{MEMBER_PREFIX}{}", shared.settings.process);
-    let row = MemberRow {
-        addr: shared.peer_addr(),
-        zone: shared.settings.zone.clone(),
-    };
+    let row = MemberRow { addr: shared.peer_addr(), zone: shared.settings.zone.clone() };
     let mut written = false;
     let mut stopping = shared.stopping.subscribe();
     while !shared.is_stopping() {
@@ -152,10 +146,7 @@
         }
     }
     let now = shared.clock.now();
-    let listed = |p: &str| {
-        rows.iter()
-            .any(|r| r.key.trim_start_matches(MEMBER_PREFIX) == p)
-    };
+    let listed = |p: &str| rows.iter().any(|r| r.key.trim_start_matches(MEMBER_PREFIX) == p);
     for (process, member) in shared.members.all() {
         let silent = now.since(member.heard_at.unwrap_or_default()).0;
         if silent < MEMBER_GONE_MS {
@@ -167,11 +158,7 @@
         }
         let key = format!("{MEMBER_PREFIX}{process}");
         let version = rows.iter().find(|r| r.key == key).map_or(0, |r| r.version);
-        if store
-            .txn(&Txn::new().check(&*key, version).delete(&*key))
-            .await
-            .is_ok()
-        {
+        if store.txn(&Txn::new().check(&*key, version).delete(&*key)).await.is_ok() {
             shared.members.forget(&process);
         }
     }
@@ -190,11 +177,7 @@
             }
             Err(e) => log::debug!("instance list not read: {e}"),
         }
-        let every = if owner {
-            LIST_EVERY_OWNER
-        } else {
-            LIST_EVERY_OTHER
-        };
+        let every = if owner { LIST_EVERY_OWNER } else { LIST_EVERY_OTHER };
         tokio::select! {
             () = tokio::time::sleep(every) => {}
             () = shared.instances_wanted.notified() => {}
--- a/crates/hollowford-server/src/workers/duty.rs
+++ b/crates/hollowford-server/src/workers/duty.rs
@@ -29,11 +29,7 @@
     let mut links = Links::new();
     loop {
         match shared.workers.recv().await {
-            WorkerMsg::Hold {
-                partition,
-                epoch,
-                workers,
-            } => {
+            WorkerMsg::Hold { partition, epoch, workers } => {
                 hold(&shared, &mut links, partition, epoch, workers);
             }
             WorkerMsg::Drop { partition } => links.retain(|(p, _), _| *p != partition),
@@ -59,19 +55,9 @@
         let key = (partition, worker.clone());
         links.entry(key).or_insert_with(|| {
             let slot = Slot::default();
-            let target = session::Target {
-                partition,
-                epoch,
-                worker,
-                addr: addr.clone(),
-            };
+            let target = session::Target { partition, epoch, worker, addr: addr.clone() };
             let task = tokio::spawn(session::hold(shared.clone(), target, slot.clone()));
-            Link {
-                addr,
-                epoch,
-                slot,
-                task,
-            }
+            Link { addr, epoch, slot, task }
         });
     }
 }
@@ -88,11 +74,7 @@
     };
     if open.orders.try_send(order.order).is_err() {
         // A worker that doesn't keep up: its session ends, and a new claim settles it.
-        shared
-            .metrics
-            .ring_full
-            .with_label_values(&["worker_orders"])
-            .inc();
+        shared.metrics.ring_full.with_label_values(&["worker_orders"]).inc();
         *slot = None;
     }
 }
--- a/crates/hollowford-server/src/workers/mod.rs
+++ b/crates/hollowford-server/src/workers/mod.rs
@@ -21,16 +21,9 @@
 #[derive(Debug)]
 pub(crate) enum WorkerMsg {
     /// Hold sessions with just these workers, by address.
-    Hold {
-        partition: PartitionId,
-        epoch: Epoch,
-        workers: HashMap<InstanceId, String>,
-    },
+    Hold { partition: PartitionId, epoch: Epoch, workers: HashMap<InstanceId, String> },
     /// End all sessions of a partition.
     Drop { partition: PartitionId },
     /// Send orders.
-    Orders {
-        partition: PartitionId,
-        orders: Vec<Addressed>,
-    },
+    Orders { partition: PartitionId, orders: Vec<Addressed> },
 }
--- a/crates/hollowford-server/src/workers/session.rs
+++ b/crates/hollowford-server/src/workers/session.rs
@@ -59,24 +59,12 @@
                 let gauge = Gauge(&shared, &slot);
                 let (partition, worker) = (t.partition, t.worker.clone());
                 let report = Box::new(claimed);
-                let msg = DecideMsg::Claimed {
-                    partition,
-                    worker,
-                    session,
-                    report,
-                };
+                let msg = DecideMsg::Claimed { partition, worker, session, report };
                 shared.decide.send(msg).await;
                 relay(&shared, t, session, reports, &slot).await;
                 drop(gauge);
                 let (partition, worker) = (t.partition, t.worker.clone());
-                shared
-                    .decide
-                    .send(DecideMsg::Lost {
-                        partition,
-                        worker,
-                        session,
-                    })
-                    .await;
+                shared.decide.send(DecideMsg::Lost { partition, worker, session }).await;
             }
             // A higher epoch: the keeper of the partition finds out by the table.
             Err(LinkError::Deposed) => wait = RETRY_MAX,
@@ -96,15 +84,7 @@
         };
         let (partition, worker) = (t.partition, t.worker.clone());
         let report = Box::new(report);
-        shared
-            .decide
-            .send(DecideMsg::Report {
-                partition,
-                worker,
-                session,
-                report,
-            })
-            .await;
+        shared.decide.send(DecideMsg::Report { partition, worker, session, report }).await;
         let stands = slot
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/hollowford-standin/src/control.rs
+++ b/crates/hollowford-standin/src/control.rs
@@ -58,10 +58,7 @@
         .at("/record", get(record))
         .data(Arc::new(controlled));
     let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
-    let local = acceptor
-        .local_addr()
-        .into_iter()
-        .find_map(|a| a.as_socket_addr().copied());
+    let local = acceptor.local_addr().into_iter().find_map(|a| a.as_socket_addr().copied());
     let local = local.ok_or_else(|| io::Error::other("no address"))?;
     tokio::spawn(Server::new_with_acceptor(acceptor).run(app));
     Ok(local)
--- a/crates/hollowford-standin/src/judge.rs
+++ b/crates/hollowford-standin/src/judge.rs
@@ -29,14 +29,9 @@
                 judge_start(&mut verdict, &running, line, &key);
                 running.insert(key, (line.worker.clone(), line.attempt));
             }
-            What::NoRoom => verdict
-                .faults
-                .push(format!("over-commitment asked for: {line:?}")),
+            What::NoRoom => verdict.faults.push(format!("over-commitment asked for: {line:?}")),
             What::Done | What::Failed | What::Stopped | What::Lapsed => {
-                if running
-                    .get(&key)
-                    .is_some_and(|(_, attempt)| *attempt == line.attempt)
-                {
+                if running.get(&key).is_some_and(|(_, attempt)| *attempt == line.attempt) {
                     running.remove(&key);
                 }
             }
@@ -56,9 +51,7 @@
         *verdict.by_name.entry(line.name.clone()).or_insert(0) += 1;
     }
     if let Some((worker, attempt)) = running.get(key) {
-        verdict.faults.push(format!(
-            "runs on {worker} as attempt {attempt} too: {line:?}"
-        ));
+        verdict.faults.push(format!("runs on {worker} as attempt {attempt} too: {line:?}"));
     }
     if line.cpu_held > line.cpu_capacity {
         verdict.faults.push(format!("over-committed: {line:?}"));
--- a/crates/hollowford-standin/src/main.rs
+++ b/crates/hollowford-standin/src/main.rs
@@ -28,10 +28,7 @@
 
 fn run() -> Result<(), StandinError> {
     let mut args = Arguments::from_env();
-    let rt = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()?;
+    let rt = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     match args.subcommand()?.as_deref() {
         Some("platform") => rt.block_on(run_platform()),
         Some("workers") => rt.block_on(run_workers(args)),
@@ -49,9 +46,7 @@
     let platform: String = args.value_from_str("--platform")?;
     let record: Option<PathBuf> = args.opt_value_from_str("--record")?;
     let group = Group {
-        prefix: args
-            .opt_value_from_str("--prefix")?
-            .unwrap_or_else(|| "w".to_owned()),
+        prefix: args.opt_value_from_str("--prefix")?.unwrap_or_else(|| "w".to_owned()),
         count: args.opt_value_from_str("--count")?.unwrap_or(1),
         zones: args.opt_value_from_str("--zones")?.unwrap_or(1),
         per_rack: args.opt_value_from_str("--per-rack")?.unwrap_or(6),
@@ -62,10 +57,7 @@
     };
     let recorder = Arc::new(Recorder::new(record.as_deref())?);
     let workers = start_group(&group, &platform, &recorder).await?;
-    let workers = workers
-        .into_iter()
-        .map(|w| (w.id().to_owned(), w))
-        .collect();
+    let workers = workers.into_iter().map(|w| (w.id().to_owned(), w)).collect();
     let control = control::start(Controlled { workers, recorder }).await?;
     println!("{}", serde_json::json!({ "control": control }));
     std::future::pending().await
--- a/crates/hollowford-standin/src/platform.rs
+++ b/crates/hollowford-standin/src/platform.rs
@@ -57,11 +57,7 @@
         if faults.slow_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         }
-        if faults.outage {
-            Err(unavailable())
-        } else {
-            Ok(())
-        }
+        if faults.outage { Err(unavailable()) } else { Ok(()) }
     }
 }
 
@@ -95,43 +91,29 @@
             .checks
             .iter()
             .filter(differs)
-            .map(|c| Check {
-                key: c.key.clone(),
-                version: self.version(&c.key),
-            })
+            .map(|c| Check { key: c.key.clone(), version: self.version(&c.key) })
             .collect();
         if !conflicts.is_empty() {
-            return TxnReply {
-                version: None,
-                conflicts,
-            };
+            return TxnReply { version: None, conflicts };
         }
         self.last_version += 1;
         let version = self.last_version;
         for write in &body.writes {
             match &write.value {
                 Some(value) => {
-                    self.rows
-                        .insert(write.key.clone(), (version, value.0.clone()));
+                    self.rows.insert(write.key.clone(), (version, value.0.clone()));
                 }
                 None => {
                     self.rows.remove(&write.key);
                 }
             }
         }
-        TxnReply {
-            version: Some(version),
-            conflicts,
-        }
+        TxnReply { version: Some(version), conflicts }
     }
 }
 
 fn row(key: &str, stored: &(u64, Vec<u8>)) -> Row {
-    Row {
-        key: key.to_owned(),
-        version: stored.0,
-        value: Value(stored.1.clone()),
-    }
+    Row { key: key.to_owned(), version: stored.0, value: Value(stored.1.clone()) }
 }
 
 #[handler]
@@ -140,9 +122,7 @@
     shared.reads.fetch_add(1, Ordering::Relaxed);
     let store = shared.store();
     let find = |key: &String| store.rows.get(key).map(|stored| row(key, stored));
-    Ok(Json(RowsReply {
-        rows: body.keys.iter().filter_map(find).collect(),
-    }))
+    Ok(Json(RowsReply { rows: body.keys.iter().filter_map(find).collect() }))
 }
 
 #[handler]
@@ -205,9 +185,7 @@
 fn register(shared: State<'_>, body: Json<Vec<Instance>>) {
     let mut store = shared.store();
     for instance in &body.0 {
-        store
-            .instances
-            .insert(instance.id.clone(), instance.clone());
+        store.instances.insert(instance.id.clone(), instance.clone());
     }
 }
 
@@ -256,20 +234,14 @@
         .at("/table/txn", post(txn))
         .at("/table/read", post(read))
         .at("/table/scan", post(scan))
-        .at(
-            "/objects/*key",
-            get(get_object).put(put_object).delete(delete_object),
-        )
+        .at("/objects/*key", get(get_object).put(put_object).delete(delete_object))
         .at("/instances", get(instances).post(register))
         .at("/instances/:id/remove", post(remove))
         .at("/faults", post(set_faults))
         .at("/served", get(served))
         .data(shared);
     let acceptor = TcpListener::bind(addr.to_owned()).into_acceptor().await?;
-    let local = acceptor
-        .local_addr()
-        .into_iter()
-        .find_map(|a| a.as_socket_addr().copied());
+    let local = acceptor.local_addr().into_iter().find_map(|a| a.as_socket_addr().copied());
     let local = local.ok_or_else(|| io::Error::other("no address"))?;
     tokio::spawn(Server::new_with_acceptor(acceptor).run(app));
     Ok(local)
--- a/crates/hollowford-standin/src/record.rs
+++ b/crates/hollowford-standin/src/record.rs
@@ -65,10 +65,7 @@
     pub fn new(path: Option<&Path>) -> io::Result<Recorder> {
         let open = |p| OpenOptions::new().create(true).append(true).open(p);
         let file = path.map(open).transpose()?.map(Mutex::new);
-        Ok(Recorder {
-            lines: Mutex::default(),
-            file,
-        })
+        Ok(Recorder { lines: Mutex::default(), file })
     }
 
     /// Keeps one line.
@@ -99,8 +96,5 @@
 /// When the file can't be read. A line cut off by a kill is left out.
 pub fn read(path: &Path) -> io::Result<Vec<Line>> {
     let text = std::fs::read_to_string(path)?;
-    Ok(text
-        .lines()
-        .filter_map(|l| serde_json::from_str(l).ok())
-        .collect())
+    Ok(text.lines().filter_map(|l| serde_json::from_str(l).ok()).collect())
 }
--- a/crates/hollowford-standin/src/register.rs
+++ b/crates/hollowford-standin/src/register.rs
@@ -64,26 +64,14 @@
     let mut instances = Vec::new();
     for i in 0..group.count {
         let settings = group.settings(i);
-        let started = worker::start(
-            "127.0.0.1:0",
-            settings,
-            recorder.clone(),
-            Some(objects.clone()),
-        );
+        let started =
+            worker::start("127.0.0.1:0", settings, recorder.clone(), Some(objects.clone()));
         let (worker, instance) = started.await?;
         workers.push(worker);
         instances.push(instance);
     }
-    let http = reqwest::Client::builder()
-        .no_proxy()
-        .build()
-        .map_err(io::Error::other)?;
-    let sent = http
-        .post(format!("http://{platform}/instances"))
-        .json(&instances)
-        .send()
-        .await;
-    sent.and_then(reqwest::Response::error_for_status)
-        .map_err(io::Error::other)?;
+    let http = reqwest::Client::builder().no_proxy().build().map_err(io::Error::other)?;
+    let sent = http.post(format!("http://{platform}/instances")).json(&instances).send().await;
+    sent.and_then(reqwest::Response::error_for_status).map_err(io::Error::other)?;
     Ok(workers)
 }
--- a/crates/hollowford-standin/src/worker.rs
+++ b/crates/hollowford-standin/src/worker.rs
@@ -142,10 +142,7 @@
 
     fn say(&self, inner: &Inner, report: Report) {
         if let Some(tx) = &inner.reports {
-            let report = v1::Report {
-                clock_ms: self.now(),
-                report: Some(report),
-            };
+            let report = v1::Report { clock_ms: self.now(), report: Some(report) };
             // A full or closed session is settled by the next claim.
             let _ = tx.try_send(Ok(report));
         }
@@ -185,10 +182,8 @@
         let other = inner.epoch > 0 && inner.partition != claim.partition;
         if claim.epoch < inner.epoch || other {
             let refused = v1::ClaimReply::default();
-            let report = v1::Report {
-                clock_ms: self.now(),
-                report: Some(Report::Claimed(refused)),
-            };
+            let report =
+                v1::Report { clock_ms: self.now(), report: Some(Report::Claimed(refused)) };
             let _ = tx.try_send(Ok(report));
             return None;
         }
@@ -261,14 +256,7 @@
         let forever = run_ms == 0;
         let ends_at = if forever { u64::MAX } else { now + run_ms };
         let lease_until = start.lease_until;
-        let r = Running {
-            start,
-            task,
-            behaviour,
-            started_at: now,
-            ends_at,
-            lease_until,
-        };
+        let r = Running { start, task, behaviour, started_at: now, ends_at, lease_until };
         let room = u64::from(self.settings.cpu_milli) - cpu_held(inner);
         let memory = u64::from(self.settings.memory_mib) - memory_held(inner);
         if u64::from(r.start.cpu_milli) > room || u64::from(r.start.memory_mib) > memory {
@@ -291,10 +279,7 @@
     }
 
     fn refuse(&self, inner: &Inner, task: v1::TaskRef, message: &str) {
-        let refused = v1::Refused {
-            task: Some(task),
-            message: message.to_owned(),
-        };
+        let refused = v1::Refused { task: Some(task), message: message.to_owned() };
         self.say(inner, Report::Refused(refused));
     }
 
@@ -317,10 +302,7 @@
             _ => What::Stopped,
         };
         self.record(inner, &r, what);
-        let mut ended = v1::Ended {
-            task: Some(r.task),
-            ..Default::default()
-        };
+        let mut ended = v1::Ended { task: Some(r.task), ..Default::default() };
         ended.set_end(end);
         ended.ran_ms = self.now().saturating_sub(r.started_at);
         match end {
@@ -386,34 +368,19 @@
             let cpu_milli = r.behaviour.cpu_milli.unwrap_or(r.start.cpu_milli);
             let memory_mib = r.behaviour.memory_mib.unwrap_or(r.start.memory_mib);
             let odd = cpu_milli != r.start.cpu_milli || memory_mib != r.start.memory_mib;
-            odd.then_some(v1::TaskUsage {
-                task: Some(r.task),
-                cpu_milli,
-                memory_mib,
-            })
+            odd.then_some(v1::TaskUsage { task: Some(r.task), cpu_milli, memory_mib })
         });
-        let usage = v1::Usage {
-            leaving: inner.leaving,
-            tasks: tasks.collect(),
-        };
+        let usage = v1::Usage { leaving: inner.leaving, tasks: tasks.collect() };
         self.say(inner, Report::Usage(usage));
     }
 }
 
 fn cpu_held(inner: &Inner) -> u64 {
-    inner
-        .running
-        .values()
-        .map(|r| u64::from(r.start.cpu_milli))
-        .sum()
+    inner.running.values().map(|r| u64::from(r.start.cpu_milli)).sum()
 }
 
 fn memory_held(inner: &Inner) -> u64 {
-    inner
-        .running
-        .values()
-        .map(|r| u64::from(r.start.memory_mib))
-        .sum()
+    inner.running.values().map(|r| u64::from(r.start.memory_mib)).sum()
 }
 
 /// The gRPC service of one worker.
@@ -465,9 +432,7 @@
     let instance = settings.instance.clone();
     let worker = Arc::new(StandinWorker::new(settings, recorder, objects));
     let service = WorkerServer::new(Service(worker.clone()));
-    let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service);
+    let server = tonic::transport::Server::builder().tcp_nodelay(true).add_service(service);
     tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
     let ticking = Arc::downgrade(&worker);
     tokio::spawn(async move {
--- a/crates/hollowford/src/client.rs
+++ b/crates/hollowford/src/client.rs
@@ -29,17 +29,13 @@
         let channel = endpoint.connect().await.map_err(unreachable)?;
         let invalid = |_| CliError::Usage("the token holds characters that can't be sent".into());
         let authorization = format!("Bearer {token}").parse().map_err(invalid)?;
-        Ok(Target {
-            channel,
-            authorization,
-        })
+        Ok(Target { channel, authorization })
     }
 
     /// Wraps a message into a call with the token.
     pub fn call<T>(&self, message: T) -> tonic::Request<T> {
         let mut req = tonic::Request::new(message);
-        req.metadata_mut()
-            .insert("authorization", self.authorization.clone());
+        req.metadata_mut().insert("authorization", self.authorization.clone());
         req
     }
 
@@ -68,9 +64,7 @@
     pub fn take(args: &mut Arguments) -> Result<Options, CliError> {
         let or_var = |value: Option<String>, var: &str, flag: &str| {
             let missing = || CliError::Usage(format!("give {flag}, or set {var}"));
-            value
-                .or_else(|| std::env::var(var).ok())
-                .ok_or_else(missing)
+            value.or_else(|| std::env::var(var).ok()).ok_or_else(missing)
         };
         let server = args.opt_value_from_str("--server")?;
         let token = args.opt_value_from_str("--token")?;
--- a/crates/hollowford/src/command/cancel.rs
+++ b/crates/hollowford/src/command/cancel.rs
@@ -13,10 +13,7 @@
     signature: "ID | --label LABEL [--server IP:PORT] [--token TOKEN] [--json]",
     description: "Cancels one request, or every request that carries a label.",
     examples: &[
-        Example {
-            line: "hollowford cancel check-17",
-            does: "cancels the request",
-        },
+        Example { line: "hollowford cancel check-17", does: "cancels the request" },
         Example {
             line: "hollowford cancel --label season-2027",
             does: "cancels all that was asked for the season",
@@ -41,10 +38,7 @@
             }
             (None, Some(label)) => {
                 let req = v1::CancelByLabelRequest { label };
-                let reply = scheduler
-                    .cancel_by_label(target.call(req))
-                    .await?
-                    .into_inner();
+                let reply = scheduler.cancel_by_label(target.call(req)).await?.into_inner();
                 let n = reply.cancelled;
                 match options.json {
                     true => println!("{}", serde_json::json!({ "cancelled": n })),
--- a/crates/hollowford/src/command/check.rs
+++ b/crates/hollowford/src/command/check.rs
@@ -27,10 +27,7 @@
         let v = serde_json::json!({"ok": true, "process": s.process, "partitions": s.partitions});
         println!("{v}");
     } else {
-        println!(
-            "{file}: ok (process {}, {} partitions)",
-            s.process, s.partitions
-        );
+        println!("{file}: ok (process {}, {} partitions)", s.process, s.partitions);
     }
     Ok(())
 }
--- a/crates/hollowford/src/command/config.rs
+++ b/crates/hollowford/src/command/config.rs
@@ -16,14 +16,8 @@
     description: "Reads or changes the configuration of client accounts, as an operator.
 A change names the version that it replaces; when another came first, it is refused.",
     examples: &[
-        Example {
-            line: "hollowford config get university",
-            does: "shows the account",
-        },
-        Example {
-            line: "hollowford config history --limit 5",
-            does: "shows the last changes",
-        },
+        Example { line: "hollowford config get university", does: "shows the account" },
+        Example { line: "hollowford config history --limit 5", does: "shows the last changes" },
     ],
     run,
 };
@@ -34,9 +28,7 @@
         Some("get") => get(&options, args),
         Some("set") => set(&options, args),
         Some("history") => history(&options, args),
-        _ => Err(CliError::Usage(
-            "config get, config set or config history".to_owned(),
-        )),
+        _ => Err(CliError::Usage("config get, config set or config history".to_owned())),
     }
 }
 
@@ -76,9 +68,7 @@
         weight: args.opt_value_from_str("--weight")?.unwrap_or(1),
         quota_cpu_milli: args.opt_value_from_str("--quota-cpu-milli")?.unwrap_or(0),
         quota_memory_mib: args.opt_value_from_str("--quota-memory-mib")?.unwrap_or(0),
-        quota_accelerators: args
-            .opt_value_from_str("--quota-accelerators")?
-            .unwrap_or(0),
+        quota_accelerators: args.opt_value_from_str("--quota-accelerators")?.unwrap_or(0),
         max_queued: args.opt_value_from_str("--max-queued")?.unwrap_or(0),
     };
     let expected_version = args.value_from_str("--expect")?;
@@ -87,12 +77,7 @@
     finish(args)?;
     block_on(async {
         let target = options.connect().await?;
-        let req = v1::SetConfigRequest {
-            account,
-            config: Some(config),
-            expected_version,
-            author,
-        };
+        let req = v1::SetConfigRequest { account, config: Some(config), expected_version, author };
         let reply = target.operator().set_config(target.call(req)).await?;
         print(options, &reply.into_inner());
         Ok(())
@@ -104,14 +89,8 @@
     finish(args)?;
     block_on(async {
         let target = options.connect().await?;
-        let req = v1::ConfigHistoryRequest {
-            limit: limit.unwrap_or(0),
-        };
-        let reply = target
-            .operator()
-            .config_history(target.call(req))
-            .await?
-            .into_inner();
+        let req = v1::ConfigHistoryRequest { limit: limit.unwrap_or(0) };
+        let reply = target.operator().config_history(target.call(req)).await?.into_inner();
         for c in reply.changes {
             match options.json {
                 true => println!(
--- a/crates/hollowford/src/command/dev.rs
+++ b/crates/hollowford/src/command/dev.rs
@@ -37,16 +37,10 @@
 
 fn read(file: Option<&str>) -> Result<WorkFile, CliError> {
     let (name, text) = match file {
-        Some(file) => (
-            file,
-            std::fs::read_to_string(file).map_err(CliError::io(file))?,
-        ),
+        Some(file) => (file, std::fs::read_to_string(file).map_err(CliError::io(file))?),
         None => ("dev", DEFAULT_CELL.to_owned()),
     };
-    work::read(&text).map_err(|error| CliError::Settings {
-        file: name.to_owned(),
-        error,
-    })
+    work::read(&text).map_err(|error| CliError::Settings { file: name.to_owned(), error })
 }
 
 fn run_command(mut args: Arguments) -> Result<(), CliError> {
@@ -69,11 +63,7 @@
     }
     cell.stop();
     let verdict = judge(lines);
-    println!(
-        "workers' record   {} starts, {} faults",
-        verdict.starts,
-        verdict.faults.len()
-    );
+    println!("workers' record   {} starts, {} faults", verdict.starts, verdict.faults.len());
     for fault in verdict.faults.iter().take(10) {
         println!("  {fault}");
     }
@@ -83,9 +73,7 @@
 fn end(report: Option<&Report>, faults: usize) -> Result<(), CliError> {
     match report.map_or(1, |r| r.missing) {
         0 if faults == 0 => Ok(()),
-        0 => Err(CliError::Run(format!(
-            "the workers' record shows {faults} faults"
-        ))),
+        0 => Err(CliError::Run(format!("the workers' record shows {faults} faults"))),
         n => Err(CliError::Run(format!("{n} requests got no answer"))),
     }
 }
@@ -94,10 +82,7 @@
 fn stay(file: &WorkFile, cell: &Cell) -> Result<(), CliError> {
     for process in &cell.processes {
         let a = process.addresses();
-        println!(
-            "process: callers {}, admin http://{}/state",
-            a.callers, a.admin
-        );
+        println!("process: callers {}, admin http://{}/state", a.callers, a.admin);
     }
     for account in &file.accounts {
         println!("client account {}: token {}", account.name, account.token);
@@ -109,9 +94,5 @@
             "try: hollowford submit a --kind check --run-ms 100 --wait --server {addr} --token {token}"
         );
     }
-    block_on(async {
-        tokio::signal::ctrl_c()
-            .await
-            .map_err(CliError::io("waiting for signals"))
-    })
+    block_on(async { tokio::signal::ctrl_c().await.map_err(CliError::io("waiting for signals")) })
 }
--- a/crates/hollowford/src/command/drain.rs
+++ b/crates/hollowford/src/command/drain.rs
@@ -23,10 +23,7 @@
     finish(args)?;
     block_on(async {
         let target = options.connect().await?;
-        let reply = target
-            .operator()
-            .drain(target.call(v1::DrainRequest {}))
-            .await?;
+        let reply = target.operator().drain(target.call(v1::DrainRequest {})).await?;
         let n = reply.into_inner().partitions;
         match options.json {
             true => println!("{}", serde_json::json!({ "partitions": n })),
--- a/crates/hollowford/src/command/list.rs
+++ b/crates/hollowford/src/command/list.rs
@@ -26,15 +26,9 @@
     finish(args)?;
     block_on(async {
         let target = options.connect().await?;
-        let req = v1::ListRequest {
-            after: after.unwrap_or_default(),
-            limit: limit.unwrap_or_default(),
-        };
-        let reply = target
-            .scheduler()
-            .list(target.call(req))
-            .await?
-            .into_inner();
+        let req =
+            v1::ListRequest { after: after.unwrap_or_default(), limit: limit.unwrap_or_default() };
+        let reply = target.scheduler().list(target.call(req)).await?.into_inner();
         for request in &reply.requests {
             view::print(request, options.json);
         }
--- a/crates/hollowford/src/command/serve.rs
+++ b/crates/hollowford/src/command/serve.rs
@@ -29,10 +29,8 @@
 /// Reads and checks a settings file.
 pub fn read_settings(file: &str) -> Result<Settings, CliError> {
     let text = std::fs::read_to_string(file).map_err(CliError::io(file))?;
-    Settings::try_from(text.as_str()).map_err(|error| CliError::Settings {
-        file: file.to_owned(),
-        error,
-    })
+    Settings::try_from(text.as_str())
+        .map_err(|error| CliError::Settings { file: file.to_owned(), error })
 }
 
 fn run(mut args: Arguments) -> Result<(), CliError> {
--- a/crates/hollowford/src/command/signature.rs
+++ b/crates/hollowford/src/command/signature.rs
@@ -45,10 +45,8 @@
 impl Command {
     /// Returns the text of `--help`.
     pub fn help(&self) -> String {
-        let mut text = format!(
-            "{}\n\nusage: hollowford {} {}\n",
-            self.description, self.name, self.signature
-        );
+        let mut text =
+            format!("{}\n\nusage: hollowford {} {}\n", self.description, self.name, self.signature);
         text.push_str("\nexamples:\n");
         for e in self.examples {
             // Writing to a text can't fail.
@@ -61,21 +59,13 @@
 /// Lists the commands; an error when a name was given that none of them has.
 pub fn overview(name: Option<&str>) -> Result<(), CliError> {
     if let Some(name) = name {
-        let near = COMMANDS
-            .iter()
-            .min_by_key(|c| strsim::levenshtein(c.name, name));
+        let near = COMMANDS.iter().min_by_key(|c| strsim::levenshtein(c.name, name));
         let near = near.map_or("", |c| c.name);
-        return Err(CliError::Usage(format!(
-            "no command {name:?}; did you mean {near:?}?"
-        )));
+        return Err(CliError::Usage(format!("no command {name:?}; did you mean {near:?}?")));
     }
     println!("hollowford {}\n", env!("CARGO_PKG_VERSION"));
     for c in COMMANDS {
-        println!(
-            "  {:<8} {}",
-            c.name,
-            c.description.lines().next().unwrap_or_default()
-        );
+        println!("  {:<8} {}", c.name, c.description.lines().next().unwrap_or_default());
     }
     println!("\n`hollowford COMMAND --help` tells more.");
     Ok(())
--- a/crates/hollowford/src/command/state.rs
+++ b/crates/hollowford/src/command/state.rs
@@ -24,10 +24,7 @@
     finish(args)?;
     block_on(async {
         let target = options.connect().await?;
-        let reply = target
-            .operator()
-            .state(target.call(v1::StateRequest {}))
-            .await?;
+        let reply = target.operator().state(target.call(v1::StateRequest {})).await?;
         let text = reply.into_inner().json;
         let broken = |e: serde_json::Error| CliError::Run(e.to_string());
         let mut value: serde_json::Value = serde_json::from_str(&text).map_err(broken)?;
--- a/crates/hollowford/src/command/status.rs
+++ b/crates/hollowford/src/command/status.rs
@@ -28,11 +28,7 @@
     finish(args)?;
     block_on(async {
         let target = options.connect().await?;
-        let req = v1::GetRequest {
-            request_id,
-            after_version: 0,
-            r#final,
-        };
+        let req = v1::GetRequest { request_id, after_version: 0, r#final };
         let reply = target.scheduler().get(target.call(req)).await?.into_inner();
         view::print(&reply, options.json);
         if why && !options.json && !reply.why.is_empty() {
--- a/crates/hollowford/src/command/submit.rs
+++ b/crates/hollowford/src/command/submit.rs
@@ -28,9 +28,7 @@
         "gang" => Ok(v1::Kind::Gang),
         "batch" => Ok(v1::Kind::Batch),
         "service" => Ok(v1::Kind::Service),
-        _ => Err(CliError::Usage(format!(
-            "no kind {name:?}; check, gang, batch or service"
-        ))),
+        _ => Err(CliError::Usage(format!("no kind {name:?}; check, gang, batch or service"))),
     }
 }
 
@@ -43,12 +41,8 @@
         kind: kind(&kind_name)?.into(),
         tasks: args.opt_value_from_str("--tasks")?.unwrap_or(1),
         per_task: Some(v1::Resources {
-            cpu_milli: args
-                .opt_value_from_str("--cpu-milli")?
-                .unwrap_or(DEFAULT_CPU_MILLI),
-            memory_mib: args
-                .opt_value_from_str("--memory-mib")?
-                .unwrap_or(DEFAULT_MEMORY_MIB),
+            cpu_milli: args.opt_value_from_str("--cpu-milli")?.unwrap_or(DEFAULT_CPU_MILLI),
+            memory_mib: args.opt_value_from_str("--memory-mib")?.unwrap_or(DEFAULT_MEMORY_MIB),
             accelerators: args.opt_value_from_str("--accelerators")?.unwrap_or(0),
         }),
         run_time_ms: args.opt_value_from_str("--run-ms")?.unwrap_or(0),
@@ -67,26 +61,15 @@
     let wait = args.contains("--wait");
     let request_id: String = args.free_from_str()?;
     finish(args)?;
-    let req = v1::SubmitRequest {
-        request_id: request_id.clone(),
-        spec: Some(spec),
-        wait,
-    };
+    let req = v1::SubmitRequest { request_id: request_id.clone(), spec: Some(spec), wait };
     block_on(async {
         let target = options.connect().await?;
-        let mut reply = target
-            .scheduler()
-            .submit(target.call(req))
-            .await?
-            .into_inner();
+        let mut reply = target.scheduler().submit(target.call(req)).await?.into_inner();
         // An entry that stops gives the present view; the answer is asked for again.
         while wait && reply.answer.is_none() && !reply.is_service {
             let again = options.connect().await?;
-            let get = v1::GetRequest {
-                request_id: request_id.clone(),
-                after_version: 0,
-                r#final: true,
-            };
+            let get =
+                v1::GetRequest { request_id: request_id.clone(), after_version: 0, r#final: true };
             reply = again.scheduler().get(again.call(get)).await?.into_inner();
         }
         view::print(&reply, options.json);
--- a/crates/hollowford/src/command/view.rs
+++ b/crates/hollowford/src/command/view.rs
@@ -14,11 +14,8 @@
 }
 
 fn answer_to_json(a: &v1::Answer) -> Value {
-    let results: Vec<Value> = a
-        .results
-        .iter()
-        .map(|r| json!({"index": r.index, "len": r.len}))
-        .collect();
+    let results: Vec<Value> =
+        a.results.iter().map(|r| json!({"index": r.index, "len": r.len})).collect();
     json!({
         "outcome": outcome(a), "reason": a.reason, "message": a.message,
         "retry_after_ms": a.retry_after_ms, "had_begun": a.had_begun, "results": results,
@@ -42,14 +39,9 @@
     let state = match &v.answer {
         Some(a) if a.message.is_empty() => outcome(a).to_owned(),
         Some(a) => format!("{} ({})", outcome(a), a.message),
-        None => format!(
-            "{} queued, {} running, {} ended",
-            v.queued, v.running, v.ended
-        ),
+        None => format!("{} queued, {} running, {} ended", v.queued, v.running, v.ended),
     };
-    let waited = v
-        .waited_ms
-        .map_or_else(String::new, |ms| format!(" waited {ms} ms"));
+    let waited = v.waited_ms.map_or_else(String::new, |ms| format!(" waited {ms} ms"));
     let on = match v.instances.first() {
         Some(first) if v.instances.len() > 1 => {
             format!(" on {first} and {} more", v.instances.len() - 1)
--- a/crates/hollowford/src/dev/cell.rs
+++ b/crates/hollowford/src/dev/cell.rs
@@ -44,20 +44,12 @@
         let processes = (0..file.entries)
             .map(|i| start_process(file, i, platform))
             .collect::<Result<Vec<_>, _>>()?;
-        Ok(Cell {
-            processes,
-            recorder,
-            _workers: workers,
-            _runtime: rt,
-        })
+        Ok(Cell { processes, recorder, _workers: workers, _runtime: rt })
     }
 
     /// Returns where callers call, one address a process.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.processes
-            .iter()
-            .map(|p| p.addresses().callers)
-            .collect()
+        self.processes.iter().map(|p| p.addresses().callers).collect()
     }
 
     /// Stops the processes, one after the other.
@@ -74,9 +66,7 @@
     recorder: &Arc<Recorder>,
 ) -> Result<(SocketAddr, Vec<Arc<StandinWorker>>), CliError> {
     let failed = || CliError::io("starting the stand-ins");
-    let platform = hollowford_standin::platform::start("127.0.0.1:0")
-        .await
-        .map_err(failed())?;
+    let platform = hollowford_standin::platform::start("127.0.0.1:0").await.map_err(failed())?;
     let w = &file.workers;
     let group = Group {
         prefix: "w".to_owned(),
@@ -88,9 +78,7 @@
         accelerators: w.accelerators as u32,
         bad: 0,
     };
-    let workers = start_group(&group, &platform.to_string(), recorder)
-        .await
-        .map_err(failed())?;
+    let workers = start_group(&group, &platform.to_string(), recorder).await.map_err(failed())?;
     let store = Platform::new(&platform.to_string(), STORE_TIMEOUT)
         .map_err(|e| CliError::Run(e.to_string()))?;
     for account in &file.accounts {
@@ -106,9 +94,7 @@
             expected_version: 0,
             author: "dev".to_owned(),
         };
-        seed_account(&store, &req)
-            .await
-            .map_err(|e| CliError::Run(e.to_string()))?;
+        seed_account(&store, &req).await.map_err(|e| CliError::Run(e.to_string()))?;
     }
     Ok((platform, workers))
 }
@@ -126,10 +112,8 @@
         "operator_token_sha256": hash_token(OPERATOR_TOKEN),
     });
     let text = text.to_string();
-    let mut settings = Settings::try_from(text.as_str()).map_err(|error| CliError::Settings {
-        file: "dev".to_owned(),
-        error,
-    })?;
+    let mut settings = Settings::try_from(text.as_str())
+        .map_err(|error| CliError::Settings { file: "dev".to_owned(), error })?;
     settings.policy = file.policy.clone();
     Process::start(settings).map_err(|e| CliError::Run(e.to_string()))
 }
--- a/crates/hollowford/src/dev/report.rs
+++ b/crates/hollowford/src/dev/report.rs
@@ -7,9 +7,8 @@
 use std::time::Duration;
 
 /// Threads whose processor time is the cost of control.
-const CONTROL_THREADS: &[&str] = &[
-    "decide", "ledger", "workers", "peers", "watch", "admin", "entry",
-];
+const CONTROL_THREADS: &[&str] =
+    &["decide", "ledger", "workers", "peers", "watch", "admin", "entry"];
 /// Clock ticks a second in `/proc`, as Linux fixes them for programs.
 const TICKS_PER_SECOND: f64 = 100.0;
 const LONGEST_MS: u64 = 3_600_000;
@@ -68,12 +67,9 @@
         for a in &self.answers {
             match &a.view {
                 Some(view) => println!("{:<8} {}", kind_name(a.kind), view_line(view)),
-                None => println!(
-                    "{:<8} {}: no answer ({})",
-                    kind_name(a.kind),
-                    a.request_id,
-                    a.error
-                ),
+                None => {
+                    println!("{:<8} {}: no answer ({})", kind_name(a.kind), a.request_id, a.error)
+                }
             }
         }
         self.print_waiting();
@@ -85,9 +81,7 @@
         let mut by_kind = BTreeMap::new();
         for a in &self.answers {
             let waited = a.view.as_ref().and_then(|v| v.waited_ms);
-            let h = by_kind
-                .entry(kind_name(a.kind))
-                .or_insert_with(new_histogram);
+            let h = by_kind.entry(kind_name(a.kind)).or_insert_with(new_histogram);
             if let Some(ms) = waited {
                 h.saturating_record(ms);
             }
@@ -146,10 +140,7 @@
             );
         }
         match self.missing {
-            0 => println!(
-                "answers           all {} requests got theirs",
-                self.answers.len()
-            ),
+            0 => println!("answers           all {} requests got theirs", self.answers.len()),
             n => println!("answers           {n} requests got none"),
         }
     }
--- a/crates/hollowford/src/dev/run.rs
+++ b/crates/hollowford/src/dev/run.rs
@@ -38,10 +38,7 @@
             }
             by_account.insert(account.name.clone(), targets);
         }
-        Ok(Targets {
-            by_account,
-            next: AtomicUsize::new(0),
-        })
+        Ok(Targets { by_account, next: AtomicUsize::new(0) })
     }
 
     /// Returns the account's connection to the next process in turn.
@@ -57,23 +54,15 @@
     let targets = Arc::new(Targets::connect(file, cell).await?);
     wait_ready(file, cell).await?;
     let done = Arc::new(AtomicBool::new(false));
-    let sampler = tokio::spawn(sample(
-        cell.callers().iter().map(|a| a.to_string()).collect(),
-        done.clone(),
-    ));
+    let sampler =
+        tokio::spawn(sample(cell.callers().iter().map(|a| a.to_string()).collect(), done.clone()));
     let (tx, mut rx) = mpsc::channel(ANSWERS_BOUND);
     let started = Instant::now();
     let mut total = 0;
     for item in &file.work {
         for i in 0..item.requests {
             total += 1;
-            tokio::spawn(submit(
-                targets.clone(),
-                item.clone(),
-                i,
-                started,
-                tx.clone(),
-            ));
+            tokio::spawn(submit(targets.clone(), item.clone(), i, started, tx.clone()));
         }
     }
     drop(tx);
@@ -104,10 +93,7 @@
 
 async fn state(server: &str) -> Result<serde_json::Value, CliError> {
     let target = Target::connect(server, OPERATOR_TOKEN).await?;
-    let reply = target
-        .operator()
-        .state(target.call(v1::StateRequest {}))
-        .await?;
+    let reply = target.operator().state(target.call(v1::StateRequest {})).await?;
     serde_json::from_str(&reply.into_inner().json).map_err(|e| CliError::Run(e.to_string()))
 }
 
@@ -119,10 +105,7 @@
         for addr in cell.callers() {
             let state = state(&addr.to_string()).await?;
             let partitions = state["partitions"].as_array().cloned().unwrap_or_default();
-            let workers = partitions
-                .iter()
-                .filter_map(|p| p["workers"].as_array())
-                .flatten();
+            let workers = partitions.iter().filter_map(|p| p["workers"].as_array()).flatten();
             claimed += workers.filter(|w| w["claimed"] == true).count();
         }
         if claimed as u64 == file.workers.count {
@@ -183,11 +166,7 @@
         match target.scheduler().submit(target.call(req.clone())).await {
             Ok(reply) => view = Some(reply.into_inner()).filter(is_settled),
             Err(status) => match CliError::from(status) {
-                CliError::Refused {
-                    kind,
-                    message,
-                    retry_after_ms: Some(ms),
-                } => {
+                CliError::Refused { kind, message, retry_after_ms: Some(ms) } => {
                     error = format!("{kind}: {message}");
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                 }
@@ -204,14 +183,7 @@
     }
     let kind = item.spec.kind();
     // The receiver lives until every sender is gone.
-    let _ = tx
-        .send(Answered {
-            request_id,
-            kind,
-            view,
-            error,
-        })
-        .await;
+    let _ = tx.send(Answered { request_id, kind, view, error }).await;
 }
 
 fn is_settled(v: &v1::RequestView) -> bool {
@@ -219,15 +191,9 @@
 }
 
 async fn cancel_services(file: &WorkFile, targets: &Targets) {
-    for item in file
-        .work
-        .iter()
-        .filter(|w| w.spec.kind() == v1::Kind::Service)
-    {
+    for item in file.work.iter().filter(|w| w.spec.kind() == v1::Kind::Service) {
         for i in 0..item.requests {
-            let req = v1::CancelRequest {
-                request_id: format!("{}-{i}", item.name),
-            };
+            let req = v1::CancelRequest { request_id: format!("{}-{i}", item.name) };
             if let Some(target) = targets.next(&item.account)
                 && let Err(e) = target.scheduler().cancel(target.call(req)).await
             {
--- a/crates/hollowford/src/dev/work.rs
+++ b/crates/hollowford/src/dev/work.rs
@@ -62,28 +62,15 @@
 /// The first thing that is wrong, with line and column.
 pub fn read(text: &str) -> Result<WorkFile, SettingsError> {
     Document::new(text).read(|s| {
-        s.only(&[
-            "entries",
-            "partitions",
-            "workers",
-            "policy",
-            "accounts",
-            "work",
-        ])?;
+        s.only(&["entries", "partitions", "workers", "policy", "accounts", "work"])?;
         let policy = match s.section("policy")? {
             Some(p) => read_policy(&p)?,
             None => Policy::default(),
         };
-        let accounts = s
-            .list("accounts")?
-            .iter()
-            .map(read_account)
-            .collect::<Result<Vec<_>, _>>()?;
+        let accounts =
+            s.list("accounts")?.iter().map(read_account).collect::<Result<Vec<_>, _>>()?;
         let work = s.list("work")?;
-        let work = work
-            .iter()
-            .map(|n| read_item(n, &accounts))
-            .collect::<Result<Vec<_>, _>>()?;
+        let work = work.iter().map(|n| read_item(n, &accounts)).collect::<Result<Vec<_>, _>>()?;
         Ok(WorkFile {
             entries: s.number("entries", 3, 1..=9)?,
             partitions: s.number("partitions", 1, 1..=64)?,
@@ -99,14 +86,7 @@
     let Some(w) = s.section("workers")? else {
         return Err(s.error("\"workers\" is missing", "an object with \"count\""));
     };
-    w.only(&[
-        "count",
-        "zones",
-        "per_rack",
-        "cpu_milli",
-        "memory_mib",
-        "accelerators",
-    ])?;
+    w.only(&["count", "zones", "per_rack", "cpu_milli", "memory_mib", "accelerators"])?;
     Ok(WorkerGroup {
         count: w.number("count", 50, 1..=200)?,
         zones: w.number("zones", 1, 1..=32)?,
@@ -122,9 +102,7 @@
     a.only(&["name", "token", "weight", "quota_cpu_milli"])?;
     Ok(AccountSpec {
         name: a.text("name", "the client account's name")?.to_owned(),
-        token: a
-            .text("token", "the token that its callers send")?
-            .to_owned(),
+        token: a.text("token", "the token that its callers send")?.to_owned(),
         weight: a.number("weight", 1, 1..=1_000)?,
         quota_cpu_milli: a.number("quota_cpu_milli", 0, 0..=1_000_000_000)?,
     })
@@ -194,10 +172,7 @@
         urgent: w.flag("urgent", false)?,
         labels: labels.collect::<Result<Vec<_>, _>>()?,
         placement: match w.flag("same_rack", false)? {
-            true => Some(v1::Placement {
-                same_rack: true,
-                ..Default::default()
-            }),
+            true => Some(v1::Placement { same_rack: true, ..Default::default() }),
             false => None,
         },
         payload: read_payload(w)?.into_bytes(),
@@ -212,10 +187,7 @@
         words.push(format!("run={}", w.number("true_run_ms", 0, 0..=HOUR_MS)?));
     }
     if w.get("result_bytes").is_some() {
-        words.push(format!(
-            "result={}",
-            w.number("result_bytes", 0, 0..=1_000_000)?
-        ));
+        words.push(format!("result={}", w.number("result_bytes", 0, 0..=1_000_000)?));
     }
     Ok(words.join(" "))
 }
--- a/crates/hollowford/tests/common/http.rs
+++ b/crates/hollowford/tests/common/http.rs
@@ -7,30 +7,17 @@
 }
 
 pub async fn post(addr: &str, path: &str, body: &Value) {
-    let reply = client()
-        .post(format!("http://{addr}{path}"))
-        .json(body)
-        .send()
-        .await
-        .unwrap();
+    let reply = client().post(format!("http://{addr}{path}")).json(body).send().await.unwrap();
     assert!(reply.status().is_success(), "{path}: {}", reply.status());
 }
 
 pub async fn get_json(addr: &str, path: &str) -> Option<Value> {
-    let reply = client()
-        .get(format!("http://{addr}{path}"))
-        .send()
-        .await
-        .ok()?;
+    let reply = client().get(format!("http://{addr}{path}")).send().await.ok()?;
     reply.error_for_status().ok()?.json().await.ok()
 }
 
 pub async fn get_text(addr: &str, path: &str) -> Option<(u16, String)> {
-    let reply = client()
-        .get(format!("http://{addr}{path}"))
-        .send()
-        .await
-        .ok()?;
+    let reply = client().get(format!("http://{addr}{path}")).send().await.ok()?;
     let status = reply.status().as_u16();
     Some((status, reply.text().await.ok()?))
 }
