--- a/crates/hollowford/tests/common/mod.rs
+++ b/crates/hollowford/tests/common/mod.rs
@@ -28,10 +28,7 @@
     pub async fn connect(addr: &str, token: &str) -> Caller {
         let endpoint = Channel::from_shared(format!("http://{addr}")).unwrap();
         let channel = endpoint.tcp_nodelay(true).connect_lazy();
-        Caller {
-            channel,
-            token: token.to_owned(),
-        }
+        Caller { channel, token: token.to_owned() }
     }
 
     fn req<T>(&self, message: T) -> tonic::Request<T> {
@@ -55,28 +52,17 @@
         spec: &v1::RequestSpec,
         wait: bool,
     ) -> Result<v1::RequestView, tonic::Status> {
-        let req = v1::SubmitRequest {
-            request_id: id.into(),
-            spec: Some(spec.clone()),
-            wait,
-        };
+        let req = v1::SubmitRequest { request_id: id.into(), spec: Some(spec.clone()), wait };
         Ok(self.scheduler().submit(self.req(req)).await?.into_inner())
     }
 
     pub async fn get(&self, id: &str) -> Result<v1::RequestView, tonic::Status> {
-        let req = v1::GetRequest {
-            request_id: id.into(),
-            ..Default::default()
-        };
+        let req = v1::GetRequest { request_id: id.into(), ..Default::default() };
         Ok(self.scheduler().get(self.req(req)).await?.into_inner())
     }
 
     pub async fn get_final(&self, id: &str) -> Result<v1::RequestView, tonic::Status> {
-        let req = v1::GetRequest {
-            request_id: id.into(),
-            after_version: 0,
-            r#final: true,
-        };
+        let req = v1::GetRequest { request_id: id.into(), after_version: 0, r#final: true };
         Ok(self.scheduler().get(self.req(req)).await?.into_inner())
     }
 
@@ -84,44 +70,27 @@
         &self,
         id: &str,
     ) -> Result<tonic::Streaming<v1::RequestView>, tonic::Status> {
-        let req = v1::WatchRequest {
-            request_id: id.into(),
-        };
+        let req = v1::WatchRequest { request_id: id.into() };
         Ok(self.scheduler().watch(self.req(req)).await?.into_inner())
     }
 
     pub async fn cancel(&self, id: &str) -> Result<v1::RequestView, tonic::Status> {
-        let req = v1::CancelRequest {
-            request_id: id.into(),
-        };
+        let req = v1::CancelRequest { request_id: id.into() };
         Ok(self.scheduler().cancel(self.req(req)).await?.into_inner())
     }
 
     pub async fn cancel_by_label(&self, label: &str) -> Result<u32, tonic::Status> {
-        let req = v1::CancelByLabelRequest {
-            label: label.into(),
-        };
-        Ok(self
-            .scheduler()
-            .cancel_by_label(self.req(req))
-            .await?
-            .into_inner()
-            .cancelled)
+        let req = v1::CancelByLabelRequest { label: label.into() };
+        Ok(self.scheduler().cancel_by_label(self.req(req)).await?.into_inner().cancelled)
     }
 
     pub async fn list(&self, after: &str, limit: u32) -> Result<v1::ListReply, tonic::Status> {
-        let req = v1::ListRequest {
-            after: after.into(),
-            limit,
-        };
+        let req = v1::ListRequest { after: after.into(), limit };
         Ok(self.scheduler().list(self.req(req)).await?.into_inner())
     }
 
     pub async fn fetch(&self, id: &str, index: u32) -> Result<Vec<u8>, tonic::Status> {
-        let req = v1::FetchRequest {
-            request_id: id.into(),
-            index,
-        };
+        let req = v1::FetchRequest { request_id: id.into(), index };
         let mut chunks = self.scheduler().fetch(self.req(req)).await?.into_inner();
         let mut bytes = Vec::new();
         while let Some(chunk) = chunks.message().await? {
@@ -131,14 +100,8 @@
     }
 
     pub async fn get_config(&self, account: &str) -> Result<v1::ConfigView, tonic::Status> {
-        let req = v1::GetConfigRequest {
-            account: account.into(),
-        };
-        Ok(self
-            .operator()
-            .get_config(self.req(req))
-            .await?
-            .into_inner())
+        let req = v1::GetConfigRequest { account: account.into() };
+        Ok(self.operator().get_config(self.req(req)).await?.into_inner())
     }
 
     pub async fn set_config(
@@ -155,20 +118,11 @@
             expected_version,
             author: author.into(),
         };
-        Ok(self
-            .operator()
-            .set_config(self.req(req))
-            .await?
-            .into_inner())
+        Ok(self.operator().set_config(self.req(req)).await?.into_inner())
     }
 
     pub async fn drain(&self) -> Result<u32, tonic::Status> {
-        Ok(self
-            .operator()
-            .drain(self.req(v1::DrainRequest {}))
-            .await?
-            .into_inner()
-            .partitions)
+        Ok(self.operator().drain(self.req(v1::DrainRequest {})).await?.into_inner().partitions)
     }
 }
 
@@ -184,9 +138,7 @@
         }
         unreachable!("the cycle has no end")
     };
-    tokio::time::timeout(PATIENCE, ask)
-        .await
-        .expect("no answer in time")
+    tokio::time::timeout(PATIENCE, ask).await.expect("no answer in time")
 }
 
 /// Submits again, through the processes in turn, until a reply comes.
@@ -204,9 +156,7 @@
         }
         unreachable!("the cycle has no end")
     };
-    tokio::time::timeout(PATIENCE, ask)
-        .await
-        .expect("no reply in time")
+    tokio::time::timeout(PATIENCE, ask).await.expect("no reply in time")
 }
 
 /// Waits until `check` gives something.
@@ -232,11 +182,7 @@
     v1::RequestSpec {
         kind: kind.into(),
         tasks,
-        per_task: Some(v1::Resources {
-            cpu_milli,
-            memory_mib: 256,
-            accelerators: 0,
-        }),
+        per_task: Some(v1::Resources { cpu_milli, memory_mib: 256, accelerators: 0 }),
         run_time_ms: run_ms,
         repeatable: true,
         ..Default::default()
@@ -245,11 +191,7 @@
 
 /// The error kind that a refusal names.
 pub fn kind_of(status: &tonic::Status) -> &str {
-    status
-        .metadata()
-        .get("hollowford-kind")
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or("")
+    status.metadata().get("hollowford-kind").and_then(|v| v.to_str().ok()).unwrap_or("")
 }
 
 /// When a refusal says to come back.
--- a/crates/hollowford/tests/common/play.rs
+++ b/crates/hollowford/tests/common/play.rs
@@ -20,11 +20,7 @@
 }
 
 pub fn account_config(token: &str, weight: u32) -> v1::AccountConfig {
-    v1::AccountConfig {
-        token_sha256: hash_token(token),
-        weight,
-        ..Default::default()
-    }
+    v1::AccountConfig { token_sha256: hash_token(token), weight, ..Default::default() }
 }
 
 /// One process that the test started.
@@ -136,14 +132,8 @@
         for account in ACCOUNTS {
             seed(&platform_addr, account).await;
         }
-        let mut cell = Cell {
-            platform,
-            workers: Vec::new(),
-            entries: Vec::new(),
-            dir,
-            options,
-            started: 0,
-        };
+        let mut cell =
+            Cell { platform, workers: Vec::new(), entries: Vec::new(), dir, options, started: 0 };
         for i in 0..cell.options.worker_procs {
             cell.start_workers(i, cell.options.workers_each);
         }
@@ -215,10 +205,7 @@
             for i in 0..self.entries.len() {
                 let state = self.state(i).await?;
                 let partitions = state["partitions"].as_array()?.clone();
-                let workers = partitions
-                    .iter()
-                    .filter_map(|p| p["workers"].as_array())
-                    .flatten();
+                let workers = partitions.iter().filter_map(|p| p["workers"].as_array()).flatten();
                 claimed += workers.filter(|w| w["claimed"] == true).count();
             }
             (claimed >= want).then_some(())
@@ -269,12 +256,7 @@
 
     /// Brings about a fault of a worker: `leave/ID`, `cut/ID` or `fail/ID/true`.
     pub async fn worker_fault(&self, proc: usize, path: &str) {
-        http::post(
-            &self.workers[proc].addr("control"),
-            &format!("/{path}"),
-            &json!(null),
-        )
-        .await;
+        http::post(&self.workers[proc].addr("control"), &format!("/{path}"), &json!(null)).await;
     }
 
     /// Judges the records of all workers.
@@ -283,9 +265,7 @@
     }
 
     pub fn lines(&self) -> Vec<record::Line> {
-        (0..self.workers.len())
-            .flat_map(|i| record::read(&self.record_path(i)).unwrap())
-            .collect()
+        (0..self.workers.len()).flat_map(|i| record::read(&self.record_path(i)).unwrap()).collect()
     }
 
     /// Fails the test when the workers' records show a fault.
--- /dev/null
+++ b/crates/hollowford/tests/failures.rs
@@ -0,0 +1,432 @@
+//! What must hold when processes, workers and the platform fail.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use common::{Cell, Options, final_answer, kind_of, retry_after, spec, submit_anyhow, until};
+use hollowford_protocol::v1::{Kind, Outcome, RequestSpec};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Short task leases, so that what waits for one ends soon.
+fn short_leases() -> serde_json::Value {
+    json!({
+        "task_lease_ms": 2_000, "renew_every_ms": 500, "renewal_bound_ms": 2_000,
+        "drift_margin_ms": 200,
+    })
+}
+
+fn once(name: &str, tasks: u32, run_ms: u64) -> RequestSpec {
+    let mut s = spec(Kind::Batch, tasks, 500, run_ms);
+    s.repeatable = false;
+    s.payload = format!("name={name}").into_bytes();
+    s
+}
+
+fn other_than(callers: &[common::Caller], gone: usize) -> Vec<common::Caller> {
+    let keep = callers.iter().enumerate().filter(|(i, _)| *i != gone);
+    keep.map(|(_, c)| c.clone()).collect()
+}
+
+#[tokio::test]
+async fn a_killed_owner_loses_and_doubles_no_request() {
+    let mut cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let callers = cell.callers("university").await;
+    let rest = other_than(&callers, owner);
+    for i in 0..20 {
+        let body = once(&format!("once-{i}"), 2, 400);
+        submit_anyhow(&rest, &format!("once-{i}"), &body).await;
+        submit_anyhow(&rest, &format!("batch-{i}"), &spec(Kind::Batch, 4, 500, 300)).await;
+    }
+    cell.entries[owner].kill();
+    let killed = Instant::now();
+    let view = submit_anyhow(&rest, "after", &spec(Kind::Check, 1, 100, 10)).await;
+    println!("accepted again {:?} after the kill, epoch {}", killed.elapsed(), view.epoch);
+    assert!(view.epoch >= 2);
+    for i in 0..20 {
+        for id in [format!("once-{i}"), format!("batch-{i}")] {
+            let answer = final_answer(&rest, &id).await.answer.unwrap();
+            assert_eq!(answer.outcome(), Outcome::Done, "{id}: {answer:?}");
+        }
+    }
+    let verdict = cell.assert_no_fault();
+    for (name, n) in &verdict.by_name {
+        assert_eq!(*n, 2, "{name}: two tasks, started once each");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_waits_through_an_entry_gets_its_answer_when_the_owner_is_killed() {
+    let mut cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let callers = cell.callers("university").await;
+    let rest = other_than(&callers, owner);
+    let body = once("waited", 1, 1_500);
+    let caller = rest[0].clone();
+    let waiting = tokio::spawn(async move { caller.submit("waited", &body, true).await });
+    until("the task runs", || async {
+        rest[1].get("waited").await.ok().filter(|v| v.running == 1).map(|_| ())
+    })
+    .await;
+    cell.entries[owner].kill();
+    let view = waiting.await.unwrap().unwrap();
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    assert_eq!(cell.assert_no_fault().by_name["waited"], 1);
+}
+
+#[tokio::test]
+async fn an_owner_frozen_past_its_lease_decides_nothing_when_it_wakes() {
+    let cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let callers = cell.callers("university").await;
+    let rest = other_than(&callers, owner);
+    for i in 0..10 {
+        let body = once(&format!("before-{i}"), 4, 300);
+        submit_anyhow(&rest, &format!("before-{i}"), &body).await;
+    }
+    cell.entries[owner].freeze();
+    for i in 0..10 {
+        let body = once(&format!("during-{i}"), 4, 300);
+        submit_anyhow(&rest, &format!("during-{i}"), &body).await;
+    }
+    cell.entries[owner].thaw();
+    // Through the process that was frozen, too.
+    for i in 0..10 {
+        for name in ["before", "during"] {
+            let view = final_answer(&callers, &format!("{name}-{i}")).await;
+            assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+        }
+    }
+    let verdict = cell.assert_no_fault();
+    assert!(verdict.by_name.values().all(|n| *n == 4), "{:?}", verdict.by_name);
+    until("the old owner has let go", || async {
+        let state = cell.state(owner).await?;
+        state["partitions"].as_array()?.is_empty().then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn replacing_every_process_under_load_fails_no_call() {
+    let mut cell = Cell::start(Options { workers_each: 16, ..Options::default() }).await;
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let (tx, balancer) = tokio::sync::watch::channel(addresses(&cell, 0));
+    let mut tasks = Vec::new();
+    for n in 0..6 {
+        tasks.push(tokio::spawn(load(n, balancer.clone(), stop.clone())));
+    }
+    let watcher = cell.caller(0, "university").await;
+    submit_anyhow(std::slice::from_ref(&watcher), "long", &once("long", 1, 6_000)).await;
+    for _ in 0..3 {
+        // The balancer first learns of the new one, then that the old one leaves.
+        let new = cell.start_entry();
+        cell.wait_ready().await;
+        until("the new one is ready", || async {
+            let reply = common::http::get_text(&cell.entries[new].addr("admin"), "/readyz").await;
+            reply.filter(|(status, _)| *status == 200)
+        })
+        .await;
+        tx.send_replace(addresses(&cell, 1));
+        cell.entries[0].terminate();
+        let mut old = cell.entries.remove(0);
+        assert!(old.wait(), "the process ended by a fault");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    stop.store(true, std::sync::atomic::Ordering::Release);
+    let mut calls = 0;
+    for task in tasks {
+        calls += task.await.unwrap();
+    }
+    println!("{calls} calls, none failed");
+    assert!(calls > 50, "{calls} calls are no load");
+    let callers = cell.callers("university").await;
+    let view = final_answer(&callers, "long").await;
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    let verdict = cell.assert_no_fault();
+    assert!(verdict.by_name.values().all(|n| *n == 1));
+}
+
+fn addresses(cell: &Cell, from: usize) -> Vec<String> {
+    cell.entries[from..].iter().map(|e| e.addr("callers")).collect()
+}
+
+/// Submits and waits, one request after the other, as the balancer would send
+/// them. Every call must succeed; an entry that stops may answer without the final
+/// answer, which is then asked for through another.
+async fn load(
+    n: usize,
+    addresses: tokio::sync::watch::Receiver<Vec<String>>,
+    stop: std::sync::Arc<std::sync::atomic::AtomicBool>,
+) -> usize {
+    let mut calls = 0;
+    while !stop.load(std::sync::atomic::Ordering::Acquire) {
+        let id = format!("load-{n}-{calls}");
+        let body = once(&id, 1, 20 + 40 * n as u64);
+        let mut view = None;
+        while view
+            .as_ref()
+            .is_none_or(|v: &hollowford_protocol::v1::RequestView| v.answer.is_none())
+        {
+            let now = addresses.borrow().clone();
+            let addr = &now[calls % now.len()];
+            let caller = common::Caller::connect(addr, &common::play::token_of("university")).await;
+            let reply = match view {
+                None => caller.submit(&id, &body, true).await,
+                Some(_) => caller.get_final(&id).await,
+            };
+            view = Some(reply.unwrap_or_else(|e| panic!("{id} through {addr}: {e}")));
+        }
+        assert_eq!(view.unwrap().answer.unwrap().outcome(), Outcome::Done);
+        calls += 1;
+    }
+    calls
+}
+
+#[tokio::test]
+async fn a_table_outage_kills_no_running_work_and_refuses_new_work_at_once() {
+    let options = Options { partitions: 1, policy: short_leases(), ..Options::default() };
+    let cell = Cell::start(options).await;
+    let callers = cell.callers("university").await;
+    submit_anyhow(&callers, "running", &once("running", 4, 5_000)).await;
+    until("it runs", || async {
+        callers[0].get("running").await.ok().filter(|v| v.running == 4).map(|_| ())
+    })
+    .await;
+    cell.faults(json!({ "outage": true })).await;
+    // What was on its way when the outage began may be told "unknown". Once it has
+    // been noticed, new work is refused as not run, with a time to come back.
+    let mut refused = Vec::new();
+    for i in 0..20 {
+        let id = format!("new-{i}");
+        let started = Instant::now();
+        let status = callers[i % 3].submit(&id, &once(&id, 1, 10), false).await.unwrap_err();
+        println!("{id}: {} after {:?}", kind_of(&status), started.elapsed());
+        match kind_of(&status) {
+            "unavailable" => refused.push(id),
+            kind => assert_eq!((kind, refused.len()), ("unknown", 0), "{status:?}"),
+        }
+        assert!(retry_after(&status).is_some());
+    }
+    assert!(refused.len() >= 15, "{refused:?}");
+    // What runs is kept alive past the ownership lease and the task lease.
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    cell.faults(json!({})).await;
+    let view = final_answer(&callers, "running").await;
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    // What was refused was not run, and may be asked for again.
+    let verdict = cell.assert_no_fault();
+    assert_eq!(verdict.by_name["running"], 4);
+    for id in &refused {
+        assert_eq!(verdict.by_name.get(id), None, "{id}");
+        submit_anyhow(&callers, id, &once(id, 1, 10)).await;
+        let view = final_answer(&callers, id).await;
+        assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    }
+    let verdict = cell.assert_no_fault();
+    assert!(refused.iter().all(|id| verdict.by_name[id] == 1));
+}
+
+#[tokio::test]
+async fn writes_whose_replies_are_lost_change_nothing_twice() {
+    let cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let callers = cell.callers("university").await;
+    for i in 0..15 {
+        cell.faults(json!({ "lose_replies": 2 })).await;
+        let body = once(&format!("lost-{i}"), 2, 20);
+        submit_anyhow(&callers, &format!("lost-{i}"), &body).await;
+    }
+    cell.faults(json!({})).await;
+    for i in 0..15 {
+        let view = final_answer(&callers, &format!("lost-{i}")).await;
+        assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    }
+    let verdict = cell.assert_no_fault();
+    assert!(verdict.by_name.values().all(|n| *n == 2), "{:?}", verdict.by_name);
+}
+
+#[tokio::test]
+async fn an_owner_killed_with_a_lost_ledger_reply_starts_nothing_twice() {
+    let mut cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let callers = cell.callers("university").await;
+    let rest = other_than(&callers, owner);
+    submit_anyhow(&rest, "warm", &once("warm", 1, 10)).await;
+    cell.faults(json!({ "lose_replies": 50 })).await;
+    let body = once("doubtful", 3, 200);
+    let caller = rest[0].clone();
+    let submitted = tokio::spawn(async move { caller.submit("doubtful", &body, false).await });
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    cell.entries[owner].kill();
+    cell.faults(json!({})).await;
+    // Whatever the first call came to, the caller asks again with the same id.
+    let _ = submitted.await.unwrap();
+    submit_anyhow(&rest, "doubtful", &once("doubtful", 3, 200)).await;
+    let answer = final_answer(&rest, "doubtful").await.answer.unwrap();
+    let verdict = cell.assert_no_fault();
+    assert_eq!(answer.outcome(), Outcome::Done, "{answer:?}");
+    assert_eq!(verdict.by_name["doubtful"], 3);
+}
+
+#[tokio::test]
+async fn a_frozen_worker_stops_what_lapsed_and_its_work_runs_elsewhere_once_at_a_time() {
+    let options = Options {
+        partitions: 1,
+        worker_procs: 2,
+        workers_each: 2,
+        policy: short_leases(),
+        ..Options::default()
+    };
+    let cell = Cell::start(options).await;
+    let callers = cell.callers("university").await;
+    submit_anyhow(&callers, "again", &spec(Kind::Batch, 16, 1_000, 4_000)).await;
+    until("all tasks run", || async {
+        callers[0].get("again").await.ok().filter(|v| v.running == 16).map(|_| ())
+    })
+    .await;
+    cell.workers[0].freeze();
+    until("its tasks run elsewhere or wait", || async {
+        callers[0].get("again").await.ok().filter(|v| v.running < 16).map(|_| ())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    cell.workers[0].thaw();
+    let view = final_answer(&callers, "again").await;
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    let verdict = cell.assert_no_fault();
+    assert!(verdict.starts > 16, "nothing was started again");
+}
+
+#[tokio::test]
+async fn work_on_a_killed_worker_may_have_run_and_is_told_so() {
+    let options = Options {
+        partitions: 1,
+        worker_procs: 2,
+        workers_each: 2,
+        policy: short_leases(),
+        ..Options::default()
+    };
+    let mut cell = Cell::start(options).await;
+    let callers = cell.callers("university").await;
+    for i in 0..8 {
+        submit_anyhow(&callers, &format!("once-{i}"), &once(&format!("once-{i}"), 1, 3_000)).await;
+        let body = spec(Kind::Batch, 1, 1_500, 1_500);
+        submit_anyhow(&callers, &format!("again-{i}"), &body).await;
+    }
+    until("the worker runs some", || async { (cell.verdict().starts >= 8).then_some(()) }).await;
+    let on_it = |line: &&hollowford_standin::record::Line| line.worker.starts_with("g0");
+    let before = cell.lines().iter().filter(on_it).filter(|l| !l.name.is_empty()).count();
+    cell.workers[0].kill();
+    let mut unsure = 0;
+    for i in 0..8 {
+        let answer = final_answer(&callers, &format!("once-{i}")).await.answer.unwrap();
+        match answer.outcome() {
+            Outcome::MayHaveRun => unsure += 1,
+            outcome => assert_eq!(outcome, Outcome::Done),
+        }
+        let answer = final_answer(&callers, &format!("again-{i}")).await.answer.unwrap();
+        assert_eq!(answer.outcome(), Outcome::Done);
+    }
+    assert_eq!(unsure, before, "those on the killed worker");
+    let verdict = cell.verdict();
+    assert!(verdict.by_name.values().all(|n| *n == 1), "{:?}", verdict.by_name);
+}
+
+#[tokio::test]
+async fn a_leaving_instance_gets_no_new_work_even_when_the_list_lags_and_the_table_is_down() {
+    let options = Options { partitions: 1, workers_each: 3, ..Options::default() };
+    let cell = Cell::start(options).await;
+    let callers = cell.callers("university").await;
+    cell.faults(json!({ "freeze_list": true })).await;
+    cell.worker_fault(0, "leave/g0w000").await;
+    until("the owner knows", || async {
+        let state = cell.state(cell.owner(0).await).await?;
+        let workers = state["partitions"][0]["workers"].as_array()?.clone();
+        workers.iter().any(|w| w["id"] == "g0w000" && w["leaving"] == true).then_some(())
+    })
+    .await;
+    let mark = cell.lines().len();
+    submit_anyhow(&callers, "work", &spec(Kind::Batch, 30, 1_000, 50)).await;
+    final_answer(&callers, "work").await;
+    let lines = cell.lines();
+    assert!(lines[mark..].iter().all(|l| l.worker != "g0w000"));
+    assert!(lines.len() > mark);
+}
+
+#[tokio::test]
+async fn a_cut_session_is_settled_by_the_next_claim() {
+    let cell = Cell::start(Options { partitions: 1, workers_each: 2, ..Options::default() }).await;
+    let callers = cell.callers("university").await;
+    for i in 0..20 {
+        let body = once(&format!("cut-{i}"), 3, 30);
+        submit_anyhow(&callers, &format!("cut-{i}"), &body).await;
+        cell.worker_fault(0, &format!("cut/g0w00{}", i % 2)).await;
+    }
+    for i in 0..20 {
+        let answer = final_answer(&callers, &format!("cut-{i}")).await.answer.unwrap();
+        assert_eq!(answer.outcome(), Outcome::Done, "{answer:?}");
+    }
+    let verdict = cell.assert_no_fault();
+    assert!(verdict.by_name.values().all(|n| *n == 3), "{:?}", verdict.by_name);
+}
+
+#[tokio::test]
+async fn a_cancellation_that_races_a_start_tells_the_truth() {
+    let cell = Cell::start(Options { partitions: 1, workers_each: 4, ..Options::default() }).await;
+    let callers = cell.callers("university").await;
+    for i in 0..40 {
+        let id = format!("race-{i}");
+        let body = once(&id, 2, 30);
+        let submit = callers[0].submit(&id, &body, false);
+        submit.await.unwrap();
+        // A request may have ended by then.
+        let _ = callers[1].cancel(&id).await;
+    }
+    for i in 0..40 {
+        let id = format!("race-{i}");
+        let answer = final_answer(&callers, &id).await.answer.unwrap();
+        let starts = cell.verdict().by_name.get(&id).copied().unwrap_or(0);
+        match answer.outcome() {
+            Outcome::Cancelled => assert_eq!(answer.had_begun, starts > 0, "{id}: {answer:?}"),
+            outcome => assert_eq!((outcome, starts), (Outcome::Done, 2), "{id}"),
+        }
+    }
+    cell.assert_no_fault();
+}
+
+#[tokio::test]
+async fn a_stop_during_an_outage_ends_and_the_work_is_found_again() {
+    let mut cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let callers = cell.callers("university").await;
+    let rest = other_than(&callers, owner);
+    submit_anyhow(&rest, "kept", &once("kept", 2, 4_000)).await;
+    until("it runs", || async {
+        rest[0].get("kept").await.ok().filter(|v| v.running == 2).map(|_| ())
+    })
+    .await;
+    cell.faults(json!({ "outage": true })).await;
+    cell.entries[owner].terminate();
+    assert!(cell.entries[owner].wait());
+    cell.faults(json!({})).await;
+    let answer = final_answer(&rest, "kept").await.answer.unwrap();
+    assert_eq!(answer.outcome(), Outcome::Done);
+    assert_eq!(cell.assert_no_fault().by_name["kept"], 2);
+}
+
+#[tokio::test]
+async fn a_slow_store_slows_but_fails_nothing() {
+    let cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let callers = cell.callers("university").await;
+    cell.faults(json!({ "slow_ms": 200 })).await;
+    for i in 0..5 {
+        submit_anyhow(&callers, &format!("slow-{i}"), &once(&format!("slow-{i}"), 2, 20)).await;
+    }
+    for i in 0..5 {
+        let answer = final_answer(&callers, &format!("slow-{i}")).await.answer.unwrap();
+        assert_eq!(answer.outcome(), Outcome::Done);
+    }
+    let verdict = cell.assert_no_fault();
+    assert!(verdict.by_name.values().all(|n| *n == 2));
+}
--- a/crates/hollowford/tests/whole_path.rs
+++ b/crates/hollowford/tests/whole_path.rs
@@ -81,10 +81,7 @@
         assert_eq!(view.unwrap().answer.unwrap().outcome(), Outcome::Done);
     }
     let other_body = spec(Kind::Batch, 2, 500, 20);
-    let status = callers[1]
-        .submit("once", &other_body, false)
-        .await
-        .unwrap_err();
+    let status = callers[1].submit("once", &other_body, false).await.unwrap_err();
     assert_eq!(kind_of(&status), "conflict");
     let verdict = cell.assert_no_fault();
     assert_eq!(verdict.by_name["once"], 1);
@@ -115,10 +112,7 @@
 async fn a_watch_shows_a_request_from_its_queue_to_its_answer() {
     let cell = Cell::start(Options::default()).await;
     let caller = cell.caller(1, "university").await;
-    caller
-        .submit("watched", &spec(Kind::Batch, 3, 500, 100), false)
-        .await
-        .unwrap();
+    caller.submit("watched", &spec(Kind::Batch, 3, 500, 100), false).await.unwrap();
     let mut views = caller.watch("watched").await.unwrap();
     let mut last = None;
     while let Some(view) = views.message().await.unwrap() {
@@ -137,15 +131,9 @@
     let mut body = spec(Kind::Batch, 4, 1_000, 60_000);
     body.labels = vec!["season-2027".into()];
     for i in 0..10 {
-        caller
-            .submit(&format!("plan-{i}"), &body, false)
-            .await
-            .unwrap();
+        caller.submit(&format!("plan-{i}"), &body, false).await.unwrap();
     }
-    caller
-        .submit("other", &spec(Kind::Batch, 1, 100, 10), false)
-        .await
-        .unwrap();
+    caller.submit("other", &spec(Kind::Batch, 1, 100, 10), false).await.unwrap();
     assert_eq!(caller.cancel_by_label("season-2027").await.unwrap(), 10);
     for i in 0..10 {
         let view = final_answer(std::slice::from_ref(&caller), &format!("plan-{i}")).await;
