Let the releasing process count for no turn in the choice of the next owner

Cause: after a hand-over the next owner came 154 ms later, since the releasing process, whose heartbeat had not told yet that it leaves, stood first in the order. Ruled out: recovery and claims (3 ms and 2 ms later in the log of the test).

Before: 154 ms from release to takeover when the leaver stood first. A test's blocking wait had stopped its own load; it waits now without blocking, and each of six callers makes 20 calls at least.

--- a/crates/hollowford-server/src/ownership/keeper.rs
+++ b/crates/hollowford-server/src/ownership/keeper.rs
@@ -198,7 +198,11 @@
         let now = self.shared.clock.now();
         let seen = self.remember(found, now);
         self.tell_owner(&seen);
-        let others = self.shared.members.staying(&self.shared.clock);
+        let mut others = self.shared.members.staying(&self.shared.clock);
+        if seen.row.released {
+            // Its heartbeat may not have told yet that it leaves.
+            others.retain(|p| *p != seen.row.process);
+        }
         let rank = rank(self.partition, &self.shared.settings.process, &others) as u64;
         let lease = self.shared.settings.lease.ownership;
         let free = seen.version == 0 || seen.row.released;
--- a/crates/hollowford/tests/common/play.rs
+++ b/crates/hollowford/tests/common/play.rs
@@ -33,7 +33,7 @@
     fn start(program: &Path, args: &[&str]) -> Proc {
         let mut child = Command::new(program)
             .args(args)
-            .env("RUST_LOG", "warn")
+            .env("RUST_LOG", std::env::var("TEST_LOG").unwrap_or_else(|_| "warn".into()))
             .stdout(Stdio::piped())
             .spawn()
             .unwrap_or_else(|e| panic!("{}: {e}", program.display()));
@@ -73,8 +73,14 @@
         let _ = self.child.wait();
     }
 
-    pub fn wait(&mut self) -> bool {
-        self.child.wait().unwrap().success()
+    /// Waits until the process has ended, and tells whether it ended well.
+    pub async fn ended(&mut self) -> bool {
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
     }
 
     pub fn id(&self) -> u32 {
--- a/crates/hollowford/tests/failures.rs
+++ b/crates/hollowford/tests/failures.rs
@@ -131,8 +131,7 @@
         tx.send_replace(addresses(&cell, 1));
         cell.entries[0].terminate();
         let mut old = cell.entries.remove(0);
-        assert!(old.wait(), "the process ended by a fault");
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(old.ended().await, "the process ended by a fault");
     }
     stop.store(true, std::sync::atomic::Ordering::Release);
     let mut calls = 0;
@@ -140,7 +139,6 @@
         calls += task.await.unwrap();
     }
     println!("{calls} calls, none failed");
-    assert!(calls > 50, "{calls} calls are no load");
     let callers = cell.callers("university").await;
     let view = final_answer(&callers, "long").await;
     assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
@@ -152,6 +150,9 @@
     cell.entries[from..].iter().map(|e| e.addr("callers")).collect()
 }
 
+/// Calls that each caller makes at least.
+const LOAD_CALLS: usize = 20;
+
 /// Submits and waits, one request after the other, as the balancer would send
 /// them. Every call must succeed; an entry that stops may answer without the final
 /// answer, which is then asked for through another.
@@ -161,7 +162,7 @@
     stop: std::sync::Arc<std::sync::atomic::AtomicBool>,
 ) -> usize {
     let mut calls = 0;
-    while !stop.load(std::sync::atomic::Ordering::Acquire) {
+    while calls < LOAD_CALLS || !stop.load(std::sync::atomic::Ordering::Acquire) {
         let id = format!("load-{n}-{calls}");
         let body = once(&id, 1, 20 + 40 * n as u64);
         let mut view = None;
@@ -408,7 +409,7 @@
     .await;
     cell.faults(json!({ "outage": true })).await;
     cell.entries[owner].terminate();
-    assert!(cell.entries[owner].wait());
+    assert!(cell.entries[owner].ended().await);
     cell.faults(json!({})).await;
     let answer = final_answer(&rest, "kept").await.answer.unwrap();
     assert_eq!(answer.outcome(), Outcome::Done);
