Test that accepted configuration is in force everywhere and never reverts

Four process tests: racing operators, a process paused across a change, one started in an outage, replies lost on acceptance.

--- /dev/null
+++ b/crates/hollowford/tests/configuration.rs
@@ -0,0 +1,106 @@
+//! Accepted configuration is in force everywhere and never reverts.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use common::{Cell, Options, kind_of, spec, until};
+use hollowford_protocol::v1::Kind;
+use serde_json::json;
+
+/// Waits until every process has the change in force.
+async fn in_force_everywhere(cell: &Cell, head: u64) {
+    until("the change is in force", || async {
+        for i in 0..cell.entries.len() {
+            let state = cell.state(i).await?;
+            if state["config_head"].as_u64()? < head {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn of_racing_operators_one_wins_and_the_others_learn_who() {
+    let cell = Cell::start(Options::default()).await;
+    let mut operators = Vec::new();
+    for i in 0..3 {
+        operators.push(cell.operator(i).await);
+    }
+    let names = ["ayse", "bosco", "chantal"];
+    let race = operators.iter().zip(names).map(|(o, n)| o.set_config("university", 5, 1, n));
+    let results = futures::future::join_all(race).await;
+    let won: Vec<usize> = (0..3).filter(|&i| results[i].is_ok()).collect();
+    assert_eq!(won.len(), 1, "{results:?}");
+    let winner = names[won[0]];
+    for status in results.iter().filter_map(|r| r.as_ref().err()) {
+        assert_eq!(kind_of(status), "conflict");
+        assert!(status.message().contains("version 2"), "{}", status.message());
+        assert!(status.message().contains(winner), "{}", status.message());
+    }
+    in_force_everywhere(&cell, 3).await;
+    for operator in &operators {
+        let view = operator.get_config("university").await.unwrap();
+        assert_eq!((view.version, view.author.as_str()), (2, winner));
+    }
+}
+
+#[tokio::test]
+async fn a_process_paused_across_a_change_decides_by_the_new_one() {
+    let cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let paused = (owner + 1) % 3;
+    cell.entries[paused].freeze();
+    // The account gets another token while the process sleeps.
+    let operator = cell.operator(owner).await;
+    operator.set_config("university", 7, 1, "ayse").await.unwrap();
+    cell.entries[paused].thaw();
+    in_force_everywhere(&cell, 3).await;
+    let view = cell.operator(paused).await.get_config("university").await.unwrap();
+    assert_eq!((view.version, view.config.unwrap().weight), (2, 7));
+}
+
+#[tokio::test]
+async fn a_process_started_in_an_outage_takes_no_work_until_it_knows_the_configuration() {
+    let mut cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    cell.faults(json!({ "outage": true })).await;
+    let new = cell.start_entry();
+    let (status, why) =
+        common::http::get_text(&cell.entries[new].addr("admin"), "/readyz").await.unwrap();
+    assert_eq!((status, why.as_str()), (503, "the configuration was never read"));
+    let caller = cell.caller(new, "university").await;
+    let refused = caller.submit("early", &spec(Kind::Check, 1, 100, 10), false).await.unwrap_err();
+    assert_eq!(kind_of(&refused), "unavailable");
+    cell.faults(json!({})).await;
+    until("it is ready", || async {
+        let reply = common::http::get_text(&cell.entries[new].addr("admin"), "/readyz").await;
+        reply.filter(|(status, _)| *status == 200)
+    })
+    .await;
+    common::submit_anyhow(&[caller], "late", &spec(Kind::Check, 1, 100, 10)).await;
+}
+
+#[tokio::test]
+async fn a_change_whose_reply_is_lost_is_accepted_once() {
+    let cell = Cell::start(Options::default()).await;
+    let operator = cell.operator(0).await;
+    for version in 1..6 {
+        cell.faults(json!({ "lose_replies": 1 })).await;
+        let set = operator.set_config("university", version as u32 + 1, version, "ayse").await;
+        // The lost reply may have hit another write; then this one was answered.
+        let view = match set {
+            Ok(view) => view,
+            Err(status) => {
+                assert_eq!(kind_of(&status), "unknown", "{status:?}");
+                operator.get_config("university").await.unwrap()
+            }
+        };
+        assert_eq!(view.version, version + 1);
+    }
+    cell.faults(json!({})).await;
+    in_force_everywhere(&cell, 7).await;
+    let view = operator.get_config("university").await.unwrap();
+    assert_eq!((view.version, view.config.unwrap().weight), (6, 6));
+}
