Let the better fit go first among client accounts that are nearly even

Cause: Ortak Sahne's mixed sizes packed to 93.2% (FIFO 90.7%): the order of accounts alone decided what went into a hole. Ruled out: the score's balance weight (0, 0.25, 0.5, 0.9, 1.5 give 94.4 to 94.8%).

Change: packing_tolerance, a setting; within it the account whose next task leaves its worker fullest is served.

--- a/crates/hollowford-config/src/policy.rs
+++ b/crates/hollowford-config/src/policy.rs
@@ -25,6 +25,7 @@
     "aside_share",
     "keep_answers_ms",
     "keep_answers_max",
+    "packing_tolerance",
 ];
 
 const MINUTE: u64 = 60_000;
@@ -67,6 +68,7 @@
         aside_share: s.fraction("aside_share", p.aside_share, 0.0..=1.0)?,
         keep_answers: ms("keep_answers_ms", p.keep_answers, 24 * HOUR)?,
         keep_answers_max: count("keep_answers_max", p.keep_answers_max as u64, 1_000_000)? as usize,
+        packing_tolerance: s.fraction("packing_tolerance", p.packing_tolerance, 0.0..=0.5)?,
         ..p
     })
 }
--- a/crates/hollowford-engine/src/account.rs
+++ b/crates/hollowford-engine/src/account.rs
@@ -139,6 +139,9 @@
 }
 
 impl Accounts {
+    /// Accounts that are compared for one placement.
+    const MOST_NEAR: usize = 8;
+
     /// Finds an account, or adds it with the default configuration.
     pub fn intern(&mut self, id: &AccountId) -> AccountIdx {
         if let Some(&idx) = self.by_id.get(id) {
@@ -166,6 +169,25 @@
         self.list.iter()
     }
 
+    /// Returns the accounts that could be served and are at most `tolerance` behind
+    /// `first` in order.
+    pub fn near(
+        &self,
+        first: AccountIdx,
+        tolerance: f64,
+        class: Class,
+        pass: u64,
+        whole: &Totals,
+    ) -> impl Iterator<Item = AccountIdx> {
+        let limit = self.get(first).order(whole) + tolerance;
+        let c = class as usize;
+        let could = move |a: &Account| a.blocked_in[c] != pass && a.has_queued(class);
+        let near = self.list.iter().enumerate();
+        near.filter(move |(_, a)| could(a) && a.order(whole) <= limit)
+            .map(|(i, _)| i as AccountIdx)
+            .take(Self::MOST_NEAR)
+    }
+
     /// Returns the account to serve next in a class: the lowest in order with a
     /// queue that is not blocked in this pass.
     pub fn next(&self, class: Class, pass: u64, whole: &Totals) -> Option<AccountIdx> {
--- a/crates/hollowford-engine/src/place.rs
+++ b/crates/hollowford-engine/src/place.rs
@@ -71,12 +71,42 @@
             let Some(account) = self.accounts.next(class, pass.no, &self.workers.whole) else {
                 return;
             };
+            let account = self.fills_best(account, class, pass);
             if self.serve_account(account, class, pass, out) == Served::Blocked {
                 self.accounts.get_mut(account).blocked_in[class as usize] = pass.no;
             }
         }
     }
 
+    /// Chooses, among the accounts that are nearly as far behind as the first in
+    /// order, the one whose next task leaves its worker fullest.
+    fn fills_best(&self, first: AccountIdx, class: Class, pass: &Pass) -> AccountIdx {
+        let tolerance = self.policy.packing_tolerance;
+        if tolerance <= 0.0 || class != Class::Normal {
+            return first;
+        }
+        let near = self.accounts.near(first, tolerance, class, pass.no, &self.workers.whole);
+        let scored = near.filter_map(|idx| Some((self.score_next(idx, pass)?, idx)));
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map_or(first, |(_, idx)| idx)
+    }
+
+    /// Scores the best place for an account's next batch task. Accounts with a gang
+    /// waiting are not scored: a gang goes by the order alone.
+    fn score_next(&self, idx: AccountIdx, pass: &Pass) -> Option<f64> {
+        let a = self.accounts.get(idx);
+        if !a.queues[Lane::Gang as usize].is_empty() {
+            return None;
+        }
+        let no = a.queues[Lane::Batch as usize].front()?;
+        let r = self.requests.get(no).filter(|r| !r.waiting.is_empty())?;
+        if pass.is_full(r.class, &r.spec.per_task) || !a.allows(&r.spec.per_task, 1) {
+            return None;
+        }
+        let placing = self.find_worker(r, pass.now)?;
+        Some(score(&r.spec.per_task, self.workers.get(placing.worker)))
+    }
+
     /// Places one task, or one gang, of the account's oldest requests.
     fn serve_account(
         &mut self,
--- a/crates/hollowford-engine/src/policy.rs
+++ b/crates/hollowford-engine/src/policy.rs
@@ -51,6 +51,9 @@
     pub keep_answers_max: usize,
     /// Records that may wait for the ledger before new work is refused.
     pub unsynced_bound: u64,
+    /// Difference in the order of client accounts within which the better fit goes
+    /// first, as a part of the cell; 0: the order alone decides.
+    pub packing_tolerance: f64,
     /// Fitting workers that are compared for one task.
     pub candidates: usize,
 }
@@ -63,7 +66,13 @@
 
     /// Packing first: everything is lent out, and urgent work displaces batch work.
     pub fn ortak_sahne() -> Policy {
-        Policy { headroom: 0.0, headroom_borrow: true, candidates: 32, ..Policy::default() }
+        Policy {
+            headroom: 0.0,
+            headroom_borrow: true,
+            packing_tolerance: 0.02,
+            candidates: 32,
+            ..Policy::default()
+        }
     }
 }
 
@@ -93,6 +102,7 @@
             keep_answers: Millis(600_000),
             keep_answers_max: 50_000,
             unsynced_bound: 50_000,
+            packing_tolerance: 0.0,
             candidates: 16,
         }
     }
--- a/crates/hollowford-engine/tests/loads/engine_run.rs
+++ b/crates/hollowford-engine/tests/loads/engine_run.rs
@@ -266,6 +266,7 @@
         // Shares are compared only while every one of them wants more.
         if equals.len() == self.load.equals.len() {
             self.share_samples += 1;
+            self.measures.sample_mixed(&used(&whole, &free), &whole);
             for (name, share) in equals {
                 *self.shares.entry(name).or_insert(0.0) += share;
             }
