--- /dev/null
+++ b/crates/hollowford-standin/src/bench/load.rs
@@ -0,0 +1,159 @@
+//! Submits mixed work, as an open loop: the next call does not wait for the last.
+
+use super::Options;
+use crate::StandinError;
+use hdrhistogram::Histogram;
+use hollowford_protocol::v1;
+use hollowford_protocol::v1::scheduler_client::SchedulerClient;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+use tonic::metadata::{Ascii, MetadataValue};
+use tonic::transport::{Channel, Endpoint};
+
+/// Of ten requests, so many are quick checks; the others are batch work.
+const CHECKS_OF_TEN: u64 = 5;
+/// Tasks of one batch request.
+const BATCH_TASKS: u32 = 9;
+const CHECK_RUN_MS: u64 = 20;
+const BATCH_RUN_MS: u64 = 100;
+/// Longest time of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+const LONGEST_MS: u64 = 120_000;
+/// Calls that may be open; past it the loop is closed, and the step says so by its rate.
+const OPEN_BOUND: usize = 20_000;
+/// Connections to each process.
+const CONNECTIONS: usize = 4;
+
+/// A connection, with the token.
+#[derive(Clone, Debug)]
+pub(super) struct Caller {
+    client: SchedulerClient<Channel>,
+    authorization: MetadataValue<Ascii>,
+}
+
+/// What came of one call.
+struct Reply {
+    check: bool,
+    tasks: u32,
+    /// Waiting time, when there is an answer.
+    waited: Option<u64>,
+    /// From call to answer, less the run time.
+    overhead: u64,
+}
+
+/// What came of one step.
+pub(super) struct Shot {
+    pub started: u64,
+    pub failed: u64,
+    pub took: Duration,
+    pub check_wait: Histogram<u64>,
+    pub check_call: Histogram<u64>,
+    pub batch_wait: Histogram<u64>,
+}
+
+/// Connects to every process.
+pub(super) async fn connect(options: &Options) -> Result<Vec<Caller>, StandinError> {
+    let wrong = |e: &dyn std::fmt::Display| StandinError::Bench(e.to_string());
+    let mut callers = Vec::new();
+    for addr in &options.callers {
+        for _ in 0..CONNECTIONS {
+            let endpoint =
+                Endpoint::from_shared(format!("http://{addr}")).map_err(|e| wrong(&e))?;
+            let channel = endpoint.tcp_nodelay(true).connect().await.map_err(|e| wrong(&e))?;
+            let authorization =
+                format!("Bearer {}", options.token).parse().map_err(|e| wrong(&e))?;
+            callers.push(Caller { client: SchedulerClient::new(channel), authorization });
+        }
+    }
+    Ok(callers)
+}
+
+fn spec(check: bool) -> v1::RequestSpec {
+    let (kind, tasks, run) = match check {
+        true => (v1::Kind::Check, 1, CHECK_RUN_MS),
+        false => (v1::Kind::Batch, BATCH_TASKS, BATCH_RUN_MS),
+    };
+    v1::RequestSpec {
+        kind: kind.into(),
+        tasks,
+        per_task: Some(v1::Resources { cpu_milli: 200, memory_mib: 200, accelerators: 0 }),
+        run_time_ms: run,
+        repeatable: true,
+        ..Default::default()
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    // Bounds that are constant and in order can't be refused.
+    Histogram::new_with_bounds(1, LONGEST_MS, 3).unwrap_or_else(|_| unreachable!())
+}
+
+/// Asks for `rate` starts a second for so many seconds, and waits for all answers.
+pub(super) async fn drive(callers: &[Caller], rate: u64, seconds: u64) -> Shot {
+    static STEP: AtomicU64 = AtomicU64::new(0);
+    let run = format!("{}-{}", std::process::id(), STEP.fetch_add(1, Ordering::Relaxed));
+    let run: Arc<str> = run.into();
+    let (tx, mut rx) = mpsc::channel(OPEN_BOUND);
+    // Of ten requests: five checks of one task and five batches of nine are fifty.
+    let per_ten = CHECKS_OF_TEN + (10 - CHECKS_OF_TEN) * u64::from(BATCH_TASKS);
+    let requests = rate * seconds * 10 / per_ten;
+    let spacing = Duration::from_secs_f64(per_ten as f64 / 10.0 / rate as f64);
+    let started = Instant::now();
+    for i in 0..requests {
+        let due = spacing * i as u32;
+        // Sleeps are no finer than a millisecond, so several calls may go at once.
+        if due > started.elapsed() + Duration::from_millis(1) {
+            tokio::time::sleep(due - started.elapsed()).await;
+        }
+        let caller = callers[i as usize % callers.len()].clone();
+        let check = i % 10 < CHECKS_OF_TEN;
+        tokio::spawn(call(caller, run.clone(), i, check, tx.clone()));
+    }
+    drop(tx);
+    let mut shot = Shot {
+        started: 0,
+        failed: 0,
+        took: Duration::ZERO,
+        check_wait: histogram(),
+        check_call: histogram(),
+        batch_wait: histogram(),
+    };
+    while let Some(reply) = rx.recv().await {
+        shot.take(&reply);
+    }
+    shot.took = started.elapsed();
+    shot
+}
+
+impl Shot {
+    fn take(&mut self, reply: &Reply) {
+        let Some(waited) = reply.waited else {
+            self.failed += 1;
+            return;
+        };
+        self.started += u64::from(reply.tasks);
+        if reply.check {
+            self.check_wait.saturating_record(waited);
+            self.check_call.saturating_record(reply.overhead);
+        } else {
+            self.batch_wait.saturating_record(waited);
+        }
+    }
+}
+
+async fn call(mut caller: Caller, run: Arc<str>, i: u64, check: bool, tx: mpsc::Sender<Reply>) {
+    let body = spec(check);
+    let (tasks, run_ms) = (body.tasks, body.run_time_ms);
+    let req = v1::SubmitRequest { request_id: format!("{run}-{i}"), spec: Some(body), wait: true };
+    let mut req = tonic::Request::new(req);
+    req.metadata_mut().insert("authorization", caller.authorization.clone());
+    req.set_timeout(CALL_TIMEOUT);
+    let called = Instant::now();
+    let view = caller.client.submit(req).await.ok().map(tonic::Response::into_inner);
+    let waited = view.filter(|v| v.answer.is_some()).and_then(|v| v.waited_ms);
+    let overhead = (called.elapsed().as_millis() as u64).saturating_sub(run_ms);
+    // The receiver lives until every sender is gone.
+    let _ = tx.send(Reply { check, tasks, waited, overhead }).await;
+}
--- a/crates/hollowford-standin/src/lib.rs
+++ b/crates/hollowford-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Faults are switched on by a call. A worker records every start and stop that it
 //! makes: that record, and not the scheduler's own view, is the judge in tests.
 
+pub mod bench;
 pub mod control;
 pub mod judge;
 pub mod payload;
@@ -20,6 +21,9 @@
     /// An argument is wrong.
     #[error("{0}")]
     Arguments(#[from] pico_args::Error),
+    /// A plot can't be drawn, or a call failed.
+    #[error("{0}")]
+    Bench(String),
     /// An address or file can't be had.
     #[error("{0}")]
     Io(#[from] std::io::Error),
