Test bad input, recovery at scale, the store's budget, overload and the hard case

Found: settings with a missing comma were read (the parser's default is lenient); only comments and trailing commas are allowed now.

--- a/crates/hollowford-config/src/reader.rs
+++ b/crates/hollowford-config/src/reader.rs
@@ -6,6 +6,20 @@
 use std::fmt;
 use std::ops::RangeInclusive;
 
+/// JSON with comments and trailing commas, and no other licence.
+const OPTIONS: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_trailing_commas: true,
+    allow_loose_object_property_names: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_extended_string_escapes: false,
+    allow_non_finite_numbers: false,
+};
+
 /// What is wrong in a settings file, and where.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub struct SettingsError {
@@ -56,7 +70,7 @@
         &self,
         read: impl FnOnce(&Section<'_>) -> Result<T, SettingsError>,
     ) -> Result<T, SettingsError> {
-        let parsed = parse_to_ast(self.text, &CollectOptions::default(), &ParseOptions::default())
+        let parsed = parse_to_ast(self.text, &CollectOptions::default(), &OPTIONS)
             .map_err(|e| self.error(e.range().start, e.kind().to_string(), "JSON with comments"))?;
         match &parsed.value {
             Some(Value::Object(object)) => read(&Section { doc: *self, object, name: "" }),
--- /dev/null
+++ b/crates/hollowford-engine/tests/recovery.rs
@@ -0,0 +1,223 @@
+//! Takeovers, claims and the hard case: what a new owner may conclude, and when.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use common::{World, policy, spec};
+use hollowford_core::Kind;
+use hollowford_core::prelude::*;
+use hollowford_engine::{Action, Authority, Claim, ClaimedTask, Engine, Outcome};
+
+fn once(tasks: u32, run_ms: u64) -> Spec {
+    let mut s = spec(Kind::Batch, tasks, 1_000, run_ms);
+    s.repeatable = false;
+    s
+}
+
+/// The old owner and worker 0 on one side of a cut; the new owner, the ledger and
+/// the other workers on the other side.
+fn cut_apart(world: &mut World) -> usize {
+    let a = world.worker_id(0);
+    let old = world.owners.len() - 1;
+    for i in 1..world.workers.len() {
+        let id = world.worker_id(i);
+        world.cut(old, &id);
+    }
+    world.owners[old].authority = Authority::RenewOnly;
+    world.workers.get_mut(&a).unwrap().unlisted = false;
+    world.takeover();
+    old
+}
+
+/// Lets time pass in which the new owner can't reach worker 0.
+fn pass_apart(world: &mut World, old: usize, ms: u64) {
+    let a = world.worker_id(0);
+    let new = world.owners.len() - 1;
+    let until = world.now + Millis(ms);
+    while world.now < until {
+        world.now = world.now + Millis(50);
+        let ids: Vec<InstanceId> = world.workers.keys().cloned().collect();
+        for id in &ids {
+            let worker = world.workers.get_mut(id).unwrap();
+            worker.pass_time(world.now, &mut world.judge);
+        }
+        world.decide(old);
+        world.deliver(old, &a);
+        world.decide(new);
+        world.write_ledger(new);
+        world.decide(new);
+        for id in ids.iter().filter(|id| **id != a) {
+            if !world.owners[new].sessions.contains_key(id) {
+                world.claim(new, id);
+            }
+            world.deliver(new, id);
+        }
+        world.check();
+    }
+}
+
+#[test]
+fn a_task_on_the_far_side_of_a_cut_is_held_and_others_start_at_once() {
+    let mut world = World::new(policy(), 2);
+    world.submit("far", &spec(Kind::Batch, 8, 1_000, 30_000)).unwrap();
+    world.settle();
+    let a = world.worker_id(0);
+    assert_eq!(world.workers[&a].running.len(), 4);
+    let old = cut_apart(&mut world);
+    world.submit("new", &spec(Kind::Batch, 1, 500, 100)).unwrap();
+    world.submit("urgent", &spec(Kind::Check, 1, 500, 100)).unwrap();
+    pass_apart(&mut world, old, 2_000);
+    // The old owner keeps what runs alive, so it runs nowhere else.
+    assert_eq!(world.workers[&a].running.len(), 4);
+    assert_eq!(world.answer("urgent").unwrap().outcome, Outcome::Done);
+    // The cut ends: the claim tells that the tasks run.
+    world.step();
+    assert_eq!(world.running("far"), 8);
+}
+
+#[test]
+fn a_task_on_the_far_side_starts_elsewhere_once_its_leases_have_surely_ended() {
+    let mut world = World::new(policy(), 2);
+    world.submit("far", &spec(Kind::Batch, 8, 500, 120_000)).unwrap();
+    world.settle();
+    let a = world.worker_id(0);
+    let on_a = world.workers[&a].running.len();
+    assert!(on_a > 0);
+    let old = cut_apart(&mut world);
+    let bound = policy().renewal_bound;
+    pass_apart(&mut world, old, bound.0 / 2);
+    assert_eq!(world.workers[&a].running.len(), on_a);
+    // The old owner's renewals end with the bound, and then the task leases do.
+    world.owners[old].authority = Authority::None;
+    pass_apart(&mut world, old, bound.0 + 15_000);
+    assert_eq!(world.workers[&a].running.len(), 0);
+    assert_eq!(world.running("far"), 8);
+}
+
+#[test]
+fn what_is_not_repeatable_on_the_far_side_may_have_run() {
+    let mut world = World::new(policy(), 2);
+    world.submit("far", &once(8, 200_000)).unwrap();
+    world.settle();
+    let old = cut_apart(&mut world);
+    world.owners[old].authority = Authority::None;
+    // What runs on the near side ends as well: it may not be started again.
+    let b = world.worker_id(1);
+    pass_apart(&mut world, old, 40_000);
+    assert!(!world.workers[&b].running.is_empty());
+    assert_eq!(world.answer("far"), None);
+    world.cancel("far");
+    pass_apart(&mut world, old, 1_000);
+    assert_eq!(world.answer("far").unwrap().outcome, Outcome::MayHaveRun);
+}
+
+#[test]
+fn a_paused_owner_that_wakes_in_mid_decision_starts_nothing_on_claimed_workers() {
+    let mut world = World::new(policy(), 2);
+    world.submit("late", &once(4, 1_000)).unwrap();
+    let old = world.owners.len() - 1;
+    // The intents are durable, and the owner is paused before it sends the starts.
+    world.decide(old);
+    world.write_ledger(old);
+    world.owners[old].paused = true;
+    world.takeover();
+    world.settle();
+    world.owners[old].paused = false;
+    world.decide_as(old, Authority::Full);
+    for i in 0..2 {
+        let id = world.worker_id(i);
+        world.deliver(old, &id);
+    }
+    world.check();
+    world.run(5_000);
+    assert_eq!(world.answer("late").unwrap().outcome, Outcome::Done);
+}
+
+#[test]
+fn a_worker_that_restarted_can_not_tell_and_the_answer_says_so() {
+    let mut world = World::new(policy(), 1);
+    world.submit("lost", &once(2, 10_000)).unwrap();
+    world.submit("again", &spec(Kind::Batch, 2, 1_000, 1_000)).unwrap();
+    world.settle();
+    let id = world.worker_id(0);
+    let World { workers, judge, .. } = &mut world;
+    workers.get_mut(&id).unwrap().restart(judge);
+    world.run(5_000);
+    assert_eq!(world.answer("lost").unwrap().outcome, Outcome::MayHaveRun);
+    assert_eq!(world.answer("again").unwrap().outcome, Outcome::Done);
+}
+
+#[test]
+fn tasks_that_the_ledger_does_not_know_are_stopped_and_their_room_is_not_given_away() {
+    let mut engine = Engine::new(PartitionId(0), Epoch(3), policy());
+    let mut out = Vec::new();
+    engine.activate(Millis(1), &mut out);
+    let id = InstanceId::from("w");
+    let listed = hollowford_engine::Listed {
+        id: id.clone(),
+        zone: "z".into(),
+        rack: "r".into(),
+        leaving: false,
+    };
+    engine.listed(Millis(1), &[listed], &mut out);
+    let unknown = TaskId { request: RequestNo(7), index: 0, attempt: 1 };
+    let claim = Claim {
+        incarnation: 1,
+        clock: 5,
+        capacity: Resources::new(4_000, 8_000, 0),
+        leaving: false,
+        running: vec![ClaimedTask { task: unknown, resources: Resources::new(3_000, 100, 0) }],
+        ended: Vec::new(),
+    };
+    out.clear();
+    engine.claimed(Millis(1), &id, &claim, &mut out);
+    let stop = Action::Stop { worker: id.clone(), task: unknown, checkpoint: false };
+    assert!(out.contains(&stop), "{out:?}");
+    let key = RequestKey::new(&AccountId::from("a"), "r");
+    engine.submit(Millis(2), &key, &spec(Kind::Batch, 1, 2_000, 100), &mut out).unwrap();
+    out.clear();
+    engine.decide(Millis(2), Authority::Full, &mut out);
+    assert!(!out.iter().any(|a| matches!(a, Action::Append { .. })), "{out:?}");
+    let end = hollowford_engine::EndReport {
+        task: unknown,
+        end: hollowford_engine::TaskEnd::Stopped("".into()),
+        ran: Millis(1),
+    };
+    engine.ended(Millis(3), &id, &end, &mut out);
+    out.clear();
+    engine.decide(Millis(3), Authority::Full, &mut out);
+    assert!(out.iter().any(|a| matches!(a, Action::Append { .. })), "{out:?}");
+}
+
+#[test]
+fn a_snapshot_replayed_is_the_state_that_it_was_taken_of() {
+    let mut world = World::new(policy(), 4);
+    world.submit("done", &spec(Kind::Batch, 3, 500, 100)).unwrap();
+    world.submit("runs", &once(6, 60_000)).unwrap();
+    world.submit("gang", &spec(Kind::Gang, 2, 1_000, 60_000)).unwrap();
+    world.submit("service", &spec(Kind::Service, 2, 500, 0)).unwrap();
+    world.settle();
+    world.submit("waits", &spec(Kind::Batch, 40, 4_000, 60_000)).unwrap();
+    world.submit("gone", &spec(Kind::Batch, 2, 4_000, 60_000)).unwrap();
+    world.cancel("gone");
+    world.settle();
+    let snapshot = world.engine().snapshot();
+    let now = world.now;
+    let mut copy = Engine::new(PartitionId(0), Epoch(9), policy());
+    for record in snapshot.clone() {
+        copy.replay(now, record);
+    }
+    assert_eq!(copy.snapshot(), snapshot);
+    // The work goes on from it.
+    world.ledger = snapshot;
+    let last = world.owners.len() - 1;
+    world.owners[last].deposed = true;
+    world.takeover();
+    world.settle();
+    assert_eq!(world.running("runs"), 6);
+    assert_eq!(world.running("gang"), 2);
+    assert_eq!(world.running("service"), 2);
+    assert_eq!(world.answer("done").unwrap().outcome, Outcome::Done);
+    assert_eq!(world.answer("gone").unwrap().outcome, Outcome::Cancelled);
+}
--- a/crates/hollowford-server/src/ledger/mod.rs
+++ b/crates/hollowford-server/src/ledger/mod.rs
@@ -3,6 +3,8 @@
 
 mod keys;
 mod recover;
+#[cfg(test)]
+mod tests;
 mod writer;
 
 pub(crate) use keys::{epoch_key, owner_key};
--- /dev/null
+++ b/crates/hollowford-server/src/ledger/tests.rs
@@ -0,0 +1,181 @@
+//! The ledger against the stand-in platform.
+
+use super::keys::{ledger_key, ledger_prefix};
+use super::recover::recover;
+use super::writer::{LedgerHandle, LedgerItem, Writer};
+use super::{epoch_key, run};
+use crate::shared::Shared;
+use hollowford_config::Settings;
+use hollowford_core::prelude::*;
+use hollowford_engine::{Change, Record};
+use hollowford_platform::{Platform, Txn, TxnResult};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+const P: PartitionId = PartitionId(0);
+
+struct Bench {
+    shared: Arc<Shared>,
+    store: Platform,
+    platform: String,
+}
+
+async fn bench(snapshot_records: u64) -> Bench {
+    let platform = hollowford_standin::platform::start("127.0.0.1:0").await.unwrap().to_string();
+    let text = serde_json::json!({
+        "process": "p", "zone": "z",
+        "listen": { "callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0" },
+        "platform": { "address": platform, "timeout_ms": 300 },
+        "peer_key": "a-key-for-tests-only",
+        "operator_token_sha256": "0".repeat(64),
+        "store": { "writes_per_second": 10_000, "snapshot_records": snapshot_records },
+    });
+    let settings = Settings::try_from(text.to_string().as_str()).unwrap();
+    let shared = Shared::new(settings).unwrap();
+    tokio::spawn(run(shared.clone()));
+    let store = shared.store().unwrap();
+    Bench { shared, store, platform }
+}
+
+impl Bench {
+    /// Raises the epoch, as a takeover does, and returns the row's version.
+    async fn raise_epoch(&self) -> u64 {
+        match self.store.txn(&Txn::new().put(epoch_key(P), vec![1])).await.unwrap() {
+            TxnResult::Committed(version) => version,
+            TxnResult::Conflict(c) => panic!("{c:?}"),
+        }
+    }
+
+    async fn open(&self, epoch: u64, epoch_version: u64) -> LedgerHandle {
+        let recovered = recover(&self.store, P).await.unwrap();
+        let writer = Writer::new(&self.shared, P, Epoch(epoch), epoch_version, &recovered);
+        let handle = writer.handle.clone();
+        self.shared.ledger.send(writer).await;
+        handle
+    }
+
+    async fn faults(&self, faults: serde_json::Value) {
+        let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        let url = format!("http://{}/faults", self.platform);
+        http.post(url).json(&faults).send().await.unwrap().error_for_status().unwrap();
+    }
+
+    async fn recovered(&self) -> Vec<Record> {
+        recover(&self.store, P).await.unwrap().records
+    }
+}
+
+fn record(n: u64) -> Record {
+    Record { request: RequestNo(n), change: Change::Cancel }
+}
+
+async fn append(handle: &LedgerHandle, n: u64) {
+    handle.ring.send(LedgerItem::Records { seq: n, records: vec![record(n)] }).await;
+}
+
+async fn flush(handle: &LedgerHandle) {
+    let (tx, rx) = oneshot::channel();
+    handle.ring.send(LedgerItem::Flush(tx)).await;
+    rx.await.unwrap();
+}
+
+async fn until(check: impl Fn() -> bool) {
+    let wait = async {
+        while !check() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), wait).await.unwrap();
+}
+
+#[tokio::test]
+async fn what_is_durable_is_read_back_in_order() {
+    let b = bench(1_000).await;
+    let version = b.raise_epoch().await;
+    let handle = b.open(1, version).await;
+    for n in 1..=50 {
+        append(&handle, n).await;
+    }
+    flush(&handle).await;
+    assert_eq!(handle.durable(), 50);
+    assert_eq!(b.recovered().await, (1..=50).map(record).collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn a_deposed_owner_writes_nothing() {
+    let b = bench(1_000).await;
+    let first = b.raise_epoch().await;
+    let old = b.open(1, first).await;
+    append(&old, 1).await;
+    flush(&old).await;
+    let second = b.raise_epoch().await;
+    let new = b.open(2, second).await;
+    append(&old, 2).await;
+    until(|| old.deposed()).await;
+    append(&new, 3).await;
+    flush(&new).await;
+    assert_eq!(b.recovered().await, vec![record(1), record(3)]);
+    assert_eq!(old.durable(), 1);
+}
+
+#[tokio::test]
+async fn a_write_whose_reply_is_lost_is_found_and_not_made_twice() {
+    let b = bench(1_000).await;
+    let version = b.raise_epoch().await;
+    let handle = b.open(1, version).await;
+    b.faults(serde_json::json!({ "lose_replies": 3 })).await;
+    for n in 1..=10 {
+        append(&handle, n).await;
+        until(|| handle.durable() >= n).await;
+    }
+    assert!(!handle.deposed());
+    assert_eq!(b.recovered().await, (1..=10).map(record).collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn an_outage_stalls_the_ledger_and_loses_nothing() {
+    let b = bench(1_000).await;
+    let version = b.raise_epoch().await;
+    let handle = b.open(1, version).await;
+    b.faults(serde_json::json!({ "outage": true })).await;
+    append(&handle, 1).await;
+    until(|| handle.stalled()).await;
+    append(&handle, 2).await;
+    b.faults(serde_json::json!({})).await;
+    until(|| handle.durable() == 2 && !handle.stalled()).await;
+    assert_eq!(b.recovered().await, vec![record(1), record(2)]);
+}
+
+#[tokio::test]
+async fn recovery_is_the_snapshot_and_the_rows_after_it() {
+    let b = bench(1_000).await;
+    let version = b.raise_epoch().await;
+    let handle = b.open(1, version).await;
+    for n in 1..=5 {
+        append(&handle, n).await;
+        until(|| handle.durable() >= n).await;
+    }
+    // A snapshot says what all rows before it say.
+    handle.ring.send(LedgerItem::Snapshot(vec![record(100), record(101)])).await;
+    append(&handle, 6).await;
+    flush(&handle).await;
+    assert_eq!(b.recovered().await, vec![record(100), record(101), record(6)]);
+    let rows = b.store.scan(&ledger_prefix(P), "", 100).await.unwrap();
+    assert_eq!(rows.len(), 1, "the rows before the snapshot are deleted");
+    assert_eq!(rows[0].key, ledger_key(P, 5));
+}
+
+#[tokio::test]
+async fn a_missing_row_is_damage_and_not_passed_over() {
+    let b = bench(1_000).await;
+    let version = b.raise_epoch().await;
+    let handle = b.open(1, version).await;
+    for n in 1..=3 {
+        append(&handle, n).await;
+        until(|| handle.durable() >= n).await;
+    }
+    b.store.txn(&Txn::new().delete(ledger_key(P, 1))).await.unwrap();
+    let e = recover(&b.store, P).await.unwrap_err();
+    assert_eq!(e.kind, ErrorKind::Internal);
+}
--- a/crates/hollowford-server/src/lib.rs
+++ b/crates/hollowford-server/src/lib.rs
@@ -11,6 +11,8 @@
 //! | metrics, health, state | `admin` | operators, by HTTP | |
 
 mod accounts;
+#[cfg(test)]
+mod accounts_tests;
 mod admin;
 mod codec;
 mod decide;
--- /dev/null
+++ b/crates/hollowford/tests/bad_input.rs
@@ -0,0 +1,198 @@
+//! Bad input gets its error kind, nothing panics, and nothing is lost.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use common::{Cell, Options, final_answer, kind_of, spec};
+use hollowford_config::Settings;
+use hollowford_core::Spec;
+use hollowford_protocol::v1::{self, Kind, Outcome};
+use hollowford_protocol::{decode, ledger, peer};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use yare::parameterized;
+
+/// A runner whose cases are the same in every run.
+fn runner() -> TestRunner {
+    let config = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+#[test]
+fn frames_of_any_bytes_are_read_or_refused() {
+    let bytes = prop::collection::vec(any::<u8>(), 0..300);
+    runner()
+        .run(&bytes, |b| {
+            let _ = decode::<peer::Frame>(&b);
+            let _ = decode::<ledger::Batch>(&b);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_truncated_frame_never_reads_as_the_whole_one() {
+    let call = peer::Call {
+        partition: 3,
+        account: "university".into(),
+        op: Some(peer::Op::Cancel(v1::CancelRequest { request_id: "r".into() })),
+    };
+    let frame = peer::Frame { id: 9, body: Some(peer::Body::Call(call)) };
+    let bytes = prost::Message::encode_to_vec(&frame);
+    for n in 0..bytes.len() {
+        if let Ok(read) = decode::<peer::Frame>(&bytes[..n]) {
+            assert_ne!(read, frame, "{n} of {} bytes", bytes.len());
+        }
+    }
+}
+
+#[test]
+fn specifications_of_any_numbers_are_checked_without_a_panic() {
+    let any_spec = (
+        any::<i32>(),
+        any::<u32>(),
+        any::<(u32, u32, u32)>(),
+        any::<(u64, u64)>(),
+        any::<(bool, bool, bool)>(),
+        prop::collection::vec(".{0,80}", 0..12),
+    );
+    runner()
+        .run(&any_spec, |(kind, tasks, (c, m, a), (run, within), (r, u, rack), labels)| {
+            let raw = v1::RequestSpec {
+                kind,
+                tasks,
+                per_task: Some(v1::Resources { cpu_milli: c, memory_mib: m, accelerators: a }),
+                run_time_ms: run,
+                repeatable: r,
+                urgent: u,
+                labels,
+                placement: Some(v1::Placement { same_rack: rack, ..Default::default() }),
+                payload: Vec::new(),
+                start_within_ms: within,
+            };
+            if let Ok(checked) = Spec::try_from(&raw) {
+                let wire = hollowford_protocol::spec_to_wire(&checked);
+                prop_assert_eq!(Spec::try_from(&wire).unwrap(), checked);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn settings_of_any_text_are_read_or_refused() {
+    runner()
+        .run(&".{0,200}", |text| {
+            let _ = Settings::try_from(text.as_str());
+            Ok(())
+        })
+        .unwrap();
+}
+
+const GOOD: &str = include_str!("../../../examples/kivu-process.jsonc");
+
+#[test]
+fn the_examples_settings_are_good() {
+    Settings::try_from(GOOD).unwrap();
+    let other = include_str!("../../../examples/ortak-sahne-process.jsonc");
+    Settings::try_from(other).unwrap();
+}
+
+#[parameterized(
+    unknown_key = { "\"zone\": ", "\"zoen\": ", "\"zoen\" is not known", "did you mean \"zone\"" },
+    no_number = { "\"partitions\": 1", "\"partitions\": \"one\"", "out of bounds", "from 1 to" },
+    too_large = { "\"partitions\": 1", "\"partitions\": 99999", "out of bounds", "to 4096" },
+    no_address = { "127.0.0.1:7001", "localhost", "is no address", "an IP number and a port" },
+    short_key = { "replace-this-key-before-use", "short", "too short", "16 characters" },
+    no_preset = { "\"preset\": \"kivu\"", "\"preset\": \"kiwu\"", "no preset", "\"kivu\"" },
+    renewal = { "\"renew_ms\": 400", "\"renew_ms\": 1400", "too long", "half of ownership_ms" },
+    syntax = { "\"partitions\": 1,", "\"partitions\": 1", "line 12, column 18: Expected comma", "" },
+)]
+fn wrong_settings_are_named_with_what_would_be_right(
+    good: &str,
+    bad: &str,
+    message: &str,
+    help: &str,
+) {
+    assert!(GOOD.contains(good));
+    let text = GOOD.replacen(good, bad, 1);
+    let e = Settings::try_from(text.as_str()).unwrap_err().to_string();
+    assert!(e.contains("line ") && e.contains("column "), "{e}");
+    assert!(e.contains(message), "{e}");
+    assert!(e.contains(help), "{e}");
+}
+
+#[test]
+fn secrets_are_not_printed() {
+    let settings = Settings::try_from(GOOD).unwrap();
+    assert!(!format!("{settings:?}").contains("replace-this-key"));
+}
+
+#[tokio::test]
+async fn bad_calls_get_their_error_kind_and_good_ones_go_on() {
+    let cell = Cell::start(Options::default()).await;
+    let caller = cell.caller(0, "university").await;
+    let good = spec(Kind::Batch, 1, 500, 10);
+    let with = |change: &dyn Fn(&mut v1::RequestSpec)| {
+        let mut s = good.clone();
+        change(&mut s);
+        s
+    };
+    let long = "x".repeat(65);
+    let cases: Vec<(&str, v1::RequestSpec, &str)> = vec![
+        ("none", with(&|s| s.tasks = 0), "invalid"),
+        ("many", with(&|s| s.tasks = 10_001), "too_large"),
+        ("kind", with(&|s| s.kind = 77), "invalid"),
+        ("cpu", with(&|s| s.per_task = Some(v1::Resources::default())), "invalid"),
+        ("res", with(&|s| s.per_task = None), "invalid"),
+        ("payload", with(&|s| s.payload = vec![0; 4_097]), "too_large"),
+        ("labels", with(&|s| s.labels = vec!["l".into(); 9]), "too_large"),
+        ("label", with(&|s| s.labels = vec!["l".repeat(65)]), "too_large"),
+        (
+            "rack",
+            with(&|s| s.placement = Some(v1::Placement { same_rack: true, ..Default::default() })),
+            "invalid",
+        ),
+        ("huge", with(&|s| s.per_task.as_mut().unwrap().cpu_milli = 1_000_000), "impossible"),
+        ("", good.clone(), "invalid"),
+        ("a\nb", good.clone(), "invalid"),
+        (&long, good.clone(), "too_large"),
+    ];
+    for (id, body, kind) in &cases {
+        let status = caller.submit(id, body, false).await.unwrap_err();
+        assert_eq!(kind_of(&status), *kind, "{id:?}: {status:?}");
+    }
+    let status = caller.get("never-submitted").await.unwrap_err();
+    assert_eq!(kind_of(&status), "not_found");
+    let status = caller.list("", 501).await.unwrap_err();
+    assert_eq!(kind_of(&status), "too_large");
+    let wrong = common::Caller::connect(&cell.entries[0].addr("callers"), "no-such-token").await;
+    let status = wrong.submit("a", &good, false).await.unwrap_err();
+    assert_eq!(kind_of(&status), "unauthenticated");
+    let status = caller.set_config("university", 5, 1, "me").await.unwrap_err();
+    assert_eq!(kind_of(&status), "unauthenticated");
+    caller.submit("good", &good, false).await.unwrap();
+    let view = final_answer(&[caller], "good").await;
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    assert_eq!(cell.assert_no_fault().starts, 1);
+}
+
+#[tokio::test]
+async fn garbage_on_a_peer_link_ends_that_link_only() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let cell = Cell::start(Options::default()).await;
+    for garbage in [&b"\xff\xff\xff\xff"[..], b"\0\0\0\x02hi", b"GET / HTTP/1.1\r\n\r\n"] {
+        let addr = cell.entries[0].addr("peers");
+        let mut link = tokio::net::TcpStream::connect(addr).await.unwrap();
+        link.write_all(garbage).await.unwrap();
+        link.shutdown().await.unwrap();
+        let mut rest = Vec::new();
+        // The process closes the link; how is its own affair.
+        let _ = link.read_to_end(&mut rest).await;
+    }
+    let caller = cell.caller(0, "university").await;
+    caller.submit("good", &spec(Kind::Batch, 1, 500, 10), false).await.unwrap();
+    let view = final_answer(&[caller], "good").await;
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+}
--- a/crates/hollowford/tests/common/mod.rs
+++ b/crates/hollowford/tests/common/mod.rs
@@ -121,6 +121,22 @@
         Ok(self.operator().set_config(self.req(req)).await?.into_inner())
     }
 
+    /// Gives an account another token.
+    pub async fn set_token(
+        &self,
+        account: &str,
+        token: &str,
+        expected_version: u64,
+    ) -> Result<v1::ConfigView, tonic::Status> {
+        let req = v1::SetConfigRequest {
+            account: account.into(),
+            config: Some(play::account_config(token, 1)),
+            expected_version,
+            author: "test".into(),
+        };
+        Ok(self.operator().set_config(self.req(req)).await?.into_inner())
+    }
+
     pub async fn drain(&self) -> Result<u32, tonic::Status> {
         Ok(self.operator().drain(self.req(v1::DrainRequest {})).await?.into_inner().partitions)
     }
--- a/crates/hollowford/tests/configuration.rs
+++ b/crates/hollowford/tests/configuration.rs
@@ -104,3 +104,30 @@
     let view = operator.get_config("university").await.unwrap();
     assert_eq!((view.version, view.config.unwrap().weight), (6, 6));
 }
+
+#[tokio::test]
+async fn a_process_that_wakes_with_an_old_configuration_does_not_decide_by_it() {
+    let cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let paused = (owner + 1) % 3;
+    let old_token = cell.caller(paused, "university").await;
+    cell.entries[paused].freeze();
+    // The account's token is replaced, and the process sleeps past its freshness bound.
+    let operator = cell.operator(owner).await;
+    operator.set_token("university", "another-token", 1).await.unwrap();
+    until("the others have it", || async {
+        let state = cell.state(owner).await?;
+        (state["config_head"] == 3).then_some(())
+    })
+    .await;
+    tokio::time::sleep(std::time::Duration::from_millis(1_600)).await;
+    // The store is slow, so the process is asked before it can have read the change.
+    cell.faults(json!({ "slow_ms": 150 })).await;
+    cell.entries[paused].thaw();
+    for i in 0..30 {
+        let id = format!("stale-{i}");
+        let said = old_token.submit(&id, &spec(Kind::Check, 1, 100, 10), false).await;
+        let kind = said.as_ref().map_err(kind_of).map(|_| "accepted").unwrap_or_else(|k| k);
+        assert!(["unavailable", "unauthenticated"].contains(&kind), "{kind}");
+    }
+}
--- /dev/null
+++ b/crates/hollowford/tests/scale.rs
@@ -0,0 +1,160 @@
+//! Recovery, the store's budget and overload, at sizes.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use common::{Caller, Cell, Options, final_answer, kind_of, retry_after, spec, submit_anyhow};
+use hollowford_protocol::v1::{Kind, Outcome};
+use serde_json::{Value, json};
+use std::time::Instant;
+
+async fn sum(cell: &Cell, field: &str) -> u64 {
+    let mut total = 0;
+    for i in 0..cell.entries.len() {
+        if let Some(state) = cell.state(i).await {
+            total += state[field].as_u64().unwrap_or(0);
+        }
+    }
+    total
+}
+
+async fn partition(cell: &Cell, entry: usize) -> Option<Value> {
+    Some(cell.state(entry).await?["partitions"].as_array()?.first()?.clone())
+}
+
+/// Runs `running` tasks and queues `queued` more, kills the owner, and tells what
+/// the next owner read and how long it took.
+async fn recover_at(running: u32, queued: u32) {
+    let options = Options {
+        partitions: 1,
+        workers_each: 50,
+        cpu_milli: running * 10 / 50,
+        policy: json!({ "preset": "ortak-sahne" }),
+        ..Options::default()
+    };
+    let mut cell = Cell::start(options).await;
+    let owner = cell.owner(0).await;
+    let callers = cell.callers("university").await;
+    let rest: Vec<Caller> =
+        callers.iter().enumerate().filter(|(i, _)| *i != owner).map(|(_, c)| c.clone()).collect();
+    const TASKS: u32 = 1_000;
+    for i in 0..(running + queued).div_ceil(TASKS) {
+        let mut body = spec(Kind::Batch, TASKS, 10, 600_000);
+        body.per_task.as_mut().unwrap().memory_mib = 1;
+        submit_anyhow(&rest, &format!("fill-{i}"), &body).await;
+    }
+    common::until("the cell is full", || async {
+        let p = partition(&cell, owner).await?;
+        (p["started"].as_u64()? >= u64::from(running)).then_some(())
+    })
+    .await;
+    let next = (owner + 1) % 3;
+    let other = (owner + 2) % 3;
+    cell.entries[owner].kill();
+    let killed = Instant::now();
+    submit_anyhow(&rest, "check", &spec(Kind::Check, 1, 5, 10)).await;
+    let view = final_answer(&rest, "check").await;
+    assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    let took = killed.elapsed();
+    let p = match partition(&cell, next).await {
+        Some(p) => p,
+        None => partition(&cell, other).await.unwrap(),
+    };
+    let held: u64 =
+        p["workers"].as_array().unwrap().iter().map(|w| w["held"].as_u64().unwrap()).sum();
+    println!(
+        "running {running}, queued {queued}: a check ended {took:?} after the kill; held {held}, \
+         waiting {}",
+        p["waiting_tasks"]
+    );
+    assert_eq!(held, u64::from(running));
+    // The check may have displaced one task, which waits again.
+    assert!(p["waiting_tasks"].as_u64().unwrap() >= u64::from(queued));
+    cell.assert_no_fault();
+}
+
+#[tokio::test]
+async fn an_owner_killed_with_much_in_flight_is_followed_by_one_that_knows_it_all() {
+    for (running, queued) in [(1_000, 1_000), (5_000, 5_000), (20_000, 10_000)] {
+        recover_at(running, queued).await;
+    }
+}
+
+#[tokio::test]
+async fn the_store_is_written_by_its_budget_however_much_is_placed() {
+    let options = Options { partitions: 1, workers_each: 20, ..Options::default() };
+    let cell = Cell::start(options).await;
+    let callers = cell.callers("university").await;
+    let started = Instant::now();
+    let writes = sum(&cell, "store_writes").await;
+    for i in 0..20 {
+        submit_anyhow(&callers, &format!("b-{i}"), &spec(Kind::Batch, 200, 100, 30)).await;
+    }
+    for i in 0..20 {
+        final_answer(&callers, &format!("b-{i}")).await;
+    }
+    let seconds = started.elapsed().as_secs_f64() + 1.0;
+    let writes = sum(&cell, "store_writes").await - writes;
+    let placed = cell.assert_no_fault().starts as u64;
+    println!("{placed} placements, {writes} writes in {seconds:.1} s");
+    assert_eq!(placed, 4_000);
+    // 150 ledger rows a second, 2.5 renewals, and little else; by count, not by time:
+    // a row carries many records, so writes stay far below placements.
+    assert!(writes * 4 <= placed, "{writes} writes for {placed} placements");
+}
+
+#[tokio::test]
+async fn a_flood_is_refused_at_once_and_other_accounts_are_served() {
+    let policy = json!({ "account_queue_bound": 50, "queue_bound": 80, "headroom": 0.1,
+        "headroom_borrow": false });
+    let options = Options { partitions: 1, workers_each: 2, policy, ..Options::default() };
+    let cell = Cell::start(options).await;
+    let flood = cell.callers("university").await;
+    let other = cell.caller(0, "district-desk").await;
+    // Until every entry has met the owner, calls are repeated.
+    for (i, caller) in flood.iter().enumerate() {
+        submit_anyhow(
+            std::slice::from_ref(caller),
+            &format!("warm-{i}"),
+            &spec(Kind::Check, 1, 10, 5),
+        )
+        .await;
+    }
+    let before = retries(&cell).await;
+    let mut refused = 0;
+    for i in 0..200 {
+        let body = spec(Kind::Batch, 4, 1_000, 60_000);
+        match flood[i % 3].submit(&format!("flood-{i}"), &body, false).await {
+            Ok(_) => {}
+            Err(status) => {
+                assert_eq!(kind_of(&status), "queue_full");
+                assert!(retry_after(&status).is_some());
+                refused += 1;
+            }
+        }
+    }
+    assert_eq!(refused, 150);
+    // Another account's urgent work is accepted and ends in the middle of it.
+    for i in 0..10 {
+        let id = format!("check-{i}");
+        other.submit(&id, &spec(Kind::Check, 1, 500, 10), false).await.unwrap();
+        let view = final_answer(std::slice::from_ref(&other), &id).await;
+        assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+    }
+    let attempts = retries(&cell).await - before;
+    println!("entries repeated {attempts} calls");
+    assert_eq!(attempts, 0, "a refusal is final; no layer asks again");
+    cell.assert_no_fault();
+}
+
+/// Sums the calls that entries have sent again.
+async fn retries(cell: &Cell) -> u64 {
+    let mut total = 0;
+    for e in &cell.entries {
+        let (_, text) = common::http::get_text(&e.addr("admin"), "/metrics").await.unwrap();
+        let own = text.lines().filter(|l| l.starts_with("hollowford_retries_total{"));
+        total += own.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum::<u64>();
+    }
+    total
+}
