--- a/crates/hollowford-standin/src/bench/mod.rs
+++ b/crates/hollowford-standin/src/bench/mod.rs
@@ -53,6 +53,8 @@
     pub reads_per_second: f64,
     /// Bytes over loopback a placement, of all parts and the bench itself.
     pub bytes_per_placement: f64,
+    /// The same, a second.
+    pub bytes_per_second: f64,
     /// Processor time a placement of all processes of the system, in microseconds.
     pub cpu_us_per_placement: f64,
     /// Part of a core that each process used.
@@ -69,7 +71,7 @@
     let callers = load::connect(options).await?;
     println!(
         "  asked/s  made/s failed  check wait p50/p99 ms  call p99 ms  batch p99 ms  \
-         writes/s  reads/s  writes/pl  bytes/pl  cpu us/pl  cores  MiB"
+         writes/s  reads/s  writes/pl  bytes/pl    bytes/s  cpu us/pl  cores  MiB"
     );
     let mut steps = Vec::new();
     for &rate in &options.rates {
@@ -110,6 +112,7 @@
             writes_per_second: writes / seconds,
             reads_per_second: reads / seconds,
             bytes_per_placement: (after.bytes - before.bytes) as f64 / placed,
+            bytes_per_second: (after.bytes - before.bytes) as f64 / seconds,
             cpu_us_per_placement: cpu.iter().sum::<f64>() * 1e6 / placed,
             cores: cpu.iter().map(|c| c / seconds).collect(),
             memory_mib: after.memory_mib.clone(),
@@ -117,11 +120,11 @@
     }
 
     fn print(&self) {
-        let cores: Vec<String> = self.cores.iter().map(|c| format!("{c:.2}")).collect();
+        let cores: Vec<String> = self.cores.iter().map(|c| format!("{c:.3}")).collect();
         let memory: Vec<String> = self.memory_mib.iter().map(|m| format!("{m:.0}")).collect();
         println!(
             "{:>9} {:>7.0} {:>6} {:>11}/{:<10} {:>11} {:>13} {:>9.0} {:>8.0} {:>10.4} {:>9.0} \
-             {:>10.0}  {}  {}",
+             {:>10.0} {:>10.0}  {}  {}",
             self.rate,
             self.achieved,
             self.failed,
@@ -133,6 +136,7 @@
             self.reads_per_second,
             self.writes_per_placement,
             self.bytes_per_placement,
+            self.bytes_per_second,
             self.cpu_us_per_placement,
             cores.join("/"),
             memory.join("/")
