--- a/crates/hollowford-server/src/ledger/keys.rs
+++ b/crates/hollowford-server/src/ledger/keys.rs
@@ -2,9 +2,12 @@
 
 use hollowford_core::{Epoch, PartitionId};
 
+/// What the keys of the owner rows start with, so that one scan reads them all.
+pub(crate) const OWNER_PREFIX: &str = "owner/";
+
 /// Row that names the owner; written at each renewal.
 pub(crate) fn owner_key(p: PartitionId) -> String {
-    format!("p/{:05}/owner", p.0)
+    format!("{OWNER_PREFIX}{:05}", p.0)
 }
 
 /// Row that holds the epoch; written at each takeover only, so that the ledger's
--- a/crates/hollowford-server/src/ledger/mod.rs
+++ b/crates/hollowford-server/src/ledger/mod.rs
@@ -7,6 +7,6 @@
 mod tests;
 mod writer;
 
-pub(crate) use keys::{epoch_key, owner_key};
+pub(crate) use keys::{OWNER_PREFIX, epoch_key, owner_key};
 pub(crate) use recover::recover;
 pub(crate) use writer::{LedgerHandle, LedgerItem, Writer, run};
--- a/crates/hollowford-server/src/metrics.rs
+++ b/crates/hollowford-server/src/metrics.rs
@@ -38,8 +38,8 @@
     pub store_calls: IntCounterVec,
     /// Partitions owned now.
     pub owned: IntGauge,
-    /// Takeovers made.
-    pub takeovers: IntCounter,
+    /// Takeovers made, by how the partition was free: `new`, `released` or `lapsed`.
+    pub takeovers: IntCounterVec,
     /// Ownerships lost to another process.
     pub deposed: IntCounter,
     /// Newest configuration change in force.
@@ -73,7 +73,7 @@
             ledger_batch: batch(&r)?,
             store_calls: vec(&r, "hollowford_store_calls_total", "Calls of the store.", &["op"])?,
             owned: gauge(&r, "hollowford_partitions_owned", "Partitions owned.")?,
-            takeovers: counter(&r, "hollowford_takeovers_total", "Takeovers made.")?,
+            takeovers: vec(&r, "hollowford_takeovers_total", "Takeovers made.", &["how"])?,
             deposed: counter(&r, "hollowford_deposed_total", "Ownerships lost.")?,
             config_head: gauge(&r, "hollowford_config_head", "Newest change in force.")?,
             sessions: gauge(&r, "hollowford_worker_sessions", "Sessions with workers.")?,
--- a/crates/hollowford-server/src/ownership/keeper.rs
+++ b/crates/hollowford-server/src/ownership/keeper.rs
@@ -1,5 +1,6 @@
 //! Keeps one partition's row: renews it as the owner, watches it otherwise.
 
+use super::board::Seen;
 use super::lease::OwnerLease;
 use crate::decide::{DecideMsg, Take};
 use crate::ledger::{Writer, epoch_key, owner_key, recover};
@@ -10,29 +11,33 @@
 use hollowford_platform::{Platform, StoreError, Txn, TxnResult};
 use hollowford_protocol::peer::{Body, Released, Took};
 use prost::Message;
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use tokio::sync::oneshot;
 
 /// Wait of the second choice before it takes a released partition; the third waits twice that.
 const RELEASED_STEP: Millis = Millis(150);
-/// How often a stopping process looks for new owners.
-const FOLLOW_EVERY: Millis = Millis(100);
+/// Shortest time between two partitions that a process hands over to even the load.
+const EVEN_EVERY: Millis = Millis(1_000);
 /// Wait before an attempt to recover is repeated.
 const RECOVER_AGAIN: Millis = Millis(100);
 
-/// Row `p/N/owner`.
+/// Row `owner/N`.
 #[derive(Clone, PartialEq, prost::Message)]
-struct OwnerRow {
+pub(super) struct OwnerRow {
     #[prost(string, tag = "1")]
-    process: String,
+    pub process: String,
     #[prost(uint64, tag = "2")]
-    epoch: u64,
+    pub epoch: u64,
     /// Changes with each write, so that a write with a lost reply is recognised.
     #[prost(uint64, tag = "3")]
-    beat: u64,
+    pub beat: u64,
     /// The owner has given it up and nothing waits for its lease.
     #[prost(bool, tag = "4")]
-    released: bool,
+    pub released: bool,
+    /// Released: the process that is to take it; empty: by the usual order.
+    #[prost(string, tag = "5")]
+    pub successor: String,
 }
 
 /// Row `p/N/epoch`.
@@ -42,15 +47,6 @@
     epoch: u64,
 }
 
-/// The row as it was seen.
-#[derive(Clone, Debug, Default)]
-struct Seen {
-    version: u64,
-    row: OwnerRow,
-    /// When this version was first seen, by this process's clock.
-    since: Millis,
-}
-
 /// What the owner holds.
 #[derive(Debug)]
 struct Owned {
@@ -59,6 +55,8 @@
     version: u64,
     /// Last beat that may have been written.
     beat: u64,
+    /// When the next renewal is due.
+    due_at: Millis,
 }
 
 /// Keeps one partition's row.
@@ -66,32 +64,18 @@
     shared: Arc<Shared>,
     store: Platform,
     partition: PartitionId,
-    seen: Option<Seen>,
     owned: Option<Owned>,
 }
 
-/// Follows who owns a partition, without ever taking it: what a process does that has
-/// handed its partitions over and still answers calls.
-pub(crate) async fn follow(shared: Arc<Shared>, store: Platform, partition: PartitionId) {
-    let keeper = Keeper { shared, store, partition, seen: None, owned: None };
-    loop {
-        if let Ok(Some(seen)) = keeper.read().await {
-            keeper.tell_owner(&seen);
-        }
-        tokio::time::sleep(FOLLOW_EVERY.duration()).await;
-    }
-}
-
 /// Runs the keeper of one partition until the process is to stop.
 pub(crate) async fn run(shared: Arc<Shared>, store: Platform, partition: PartitionId) {
-    let mut keeper = Keeper { shared, store, partition, seen: None, owned: None };
-    let mut news = keeper.shared.release_news.subscribe();
+    let mut keeper = Keeper { shared, store, partition, owned: None };
+    let mut news = keeper.shared.owner_news.subscribe();
     let mut stopping = keeper.shared.stopping.subscribe();
-    let renew = keeper.shared.settings.lease.renew.duration();
     while !keeper.shared.is_stopping() {
         keeper.step().await;
         tokio::select! {
-            () = tokio::time::sleep(renew) => {}
+            () = tokio::time::sleep(keeper.nap().duration()) => {}
             _ = news.changed() => {}
             _ = stopping.changed() => {}
         }
@@ -101,16 +85,58 @@
 
 impl Keeper {
     async fn step(&mut self) {
-        if self.owned.is_some() {
-            self.renew().await;
-        } else {
+        if self.owned.is_none() {
             self.watch().await;
+        } else if self.is_one_too_many() {
+            self.hand_over().await;
+        } else {
+            self.renew().await;
+        }
+    }
+
+    /// Returns how long nothing is due, unless news of the rows come.
+    fn nap(&self) -> Millis {
+        let renew = self.shared.settings.lease.renew;
+        let now = self.shared.clock.now();
+        self.owned.as_ref().map_or(renew, |owned| owned.due_at.since(now))
+    }
+
+    /// Tells whether this process owns two more than another that stays, so that a
+    /// hand-over evens the load. One partition goes at a time, so that the next look
+    /// sees what came of it.
+    fn is_one_too_many(&self) -> bool {
+        let s = &self.shared;
+        let least = self.least_loaded().map(|(_, owned)| owned);
+        if least.is_none_or(|least| s.owned.load(Ordering::Acquire) < least + 2) {
+            return false;
+        }
+        let now = s.clock.now();
+        let mut evened_at = s.evened_at.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.since(*evened_at) < EVEN_EVERY {
+            return false;
         }
+        *evened_at = now;
+        true
     }
 
-    fn own_row(&self, epoch: Epoch, beat: u64, released: bool) -> OwnerRow {
+    /// Finds the staying process that owns the fewest partitions, and how many.
+    fn least_loaded(&self) -> Option<(String, usize)> {
+        let owners = self.shared.owners.all();
+        let count = |p: &str| owners.iter().flatten().filter(|o| o.process == p).count();
+        let others = self.shared.members.staying(&self.shared.clock);
+        let counted = others.into_iter().map(|p| (count(&p), p));
+        counted.min().map(|(owned, p)| (p, owned))
+    }
+
+    /// Takes the lease off the books of what this process owns.
+    fn count_out(&self) {
+        self.shared.owned.fetch_sub(1, Ordering::AcqRel);
+        self.shared.metrics.owned.dec();
+    }
+
+    fn own_row(&self, epoch: Epoch, beat: u64) -> OwnerRow {
         let process = self.shared.settings.process.clone();
-        OwnerRow { process, epoch: epoch.0, beat, released }
+        OwnerRow { process, epoch: epoch.0, beat, ..OwnerRow::default() }
     }
 
     async fn renew(&mut self) {
@@ -125,10 +151,14 @@
         let epoch = owned.lease.epoch;
         // The lease is counted from before the renewal is sent.
         let sent_at = self.shared.clock.now();
+        if sent_at < owned.due_at {
+            return;
+        }
+        owned.due_at = sent_at + self.shared.settings.lease.renew;
         owned.beat += 1;
         let beat = owned.beat;
         let version = owned.version;
-        let row = self.own_row(epoch, beat, false);
+        let row = self.own_row(epoch, beat);
         let key = owner_key(self.partition);
         let txn = Txn::new().check(&*key, version).put(&*key, row.encode_to_vec());
         let result = self.store.txn(&txn).await;
@@ -143,7 +173,7 @@
 
     fn note_store<T>(&self, result: &Result<T, StoreError>) {
         let answers = result.is_ok();
-        self.shared.store_answers.store(answers, std::sync::atomic::Ordering::Release);
+        self.shared.store_answers.store(answers, Ordering::Release);
     }
 
     fn renewed(&mut self, version: u64, until: Millis) {
@@ -171,12 +201,11 @@
         if let Some(owned) = self.owned.take() {
             owned.lease.end();
             self.shared.metrics.deposed.inc();
-            self.shared.metrics.owned.dec();
+            self.count_out();
             self.shared.decide.wake();
             let epoch = owned.lease.epoch;
             log::warn!("partition={} epoch={epoch} deposed", self.partition);
         }
-        self.seen = None;
     }
 
     async fn read(&self) -> Result<Option<Seen>, StoreError> {
@@ -192,50 +221,40 @@
 
     /// Watches the row, and challenges once it has stood unchanged for the lease.
     async fn watch(&mut self) {
-        let Ok(found) = self.read().await else {
+        let called = self.shared.take_released(self.partition.0);
+        if called && let Ok(Some(fresh)) = self.read().await {
+            self.shared.board.note(self.partition, fresh);
+        }
+        let Some(seen) = self.shared.board.get(self.partition) else {
             return;
         };
         let now = self.shared.clock.now();
-        let seen = self.remember(found, now);
-        self.tell_owner(&seen);
-        let mut others = self.shared.members.staying(&self.shared.clock);
-        if seen.row.released {
-            // Its heartbeat may not have told yet that it leaves.
-            others.retain(|p| *p != seen.row.process);
-        }
-        let rank = rank(self.partition, &self.shared.settings.process, &others) as u64;
-        let lease = self.shared.settings.lease.ownership;
-        let free = seen.version == 0 || seen.row.released;
-        let wait = match free {
-            true => Millis(RELEASED_STEP.0 * rank),
-            false => Millis(lease.0 + lease.0 / 2 * rank),
-        };
-        let called = self.shared.take_released(self.partition.0) && free && rank == 0;
-        if called || now.since(seen.since) >= wait {
+        let wait = self.turn(&seen);
+        if now.since(seen.since) >= wait {
             self.challenge(&seen).await;
-        } else if free {
+        } else if seen.version == 0 || seen.row.released {
             // Come back when this process's turn is.
             tokio::time::sleep((seen.since + wait).since(now).duration()).await;
-            self.shared.release_news.send_modify(|n| *n += 1);
-        }
-    }
-
-    fn remember(&mut self, found: Option<Seen>, now: Millis) -> Seen {
-        let found = found.unwrap_or(Seen { since: now, ..Seen::default() });
-        match &self.seen {
-            Some(seen) if seen.version == found.version => seen.clone(),
-            _ => {
-                self.seen = Some(found.clone());
-                found
-            }
+            self.shared.owner_news.send_modify(|n| *n += 1);
         }
     }
 
-    fn tell_owner(&self, seen: &Seen) {
+    /// Returns how long the row must have stood before this process takes it.
+    fn turn(&self, seen: &Seen) -> Millis {
+        let own = &self.shared.settings.process;
+        let mut others = self.shared.members.staying(&self.shared.clock);
+        // The heartbeat of one that leaves may not have told yet that it does.
+        others.retain(|p| !seen.row.released || *p != seen.row.process);
+        let rank = rank(self.partition, own, &others) as u64;
+        let lease = self.shared.settings.lease.ownership;
         if seen.version > 0 && !seen.row.released {
-            let process = seen.row.process.clone();
-            let owner = Owner { process, epoch: Epoch(seen.row.epoch) };
-            self.shared.owners.set(self.partition, Some(owner));
+            return Millis(lease.0 + lease.0 / 2 * rank);
+        }
+        match &*seen.row.successor {
+            "" => Millis(RELEASED_STEP.0 * rank),
+            named if named == own => Millis(0),
+            // The one that is named goes first.
+            _ => Millis(RELEASED_STEP.0 * (rank + 1)),
         }
     }
 
@@ -247,7 +266,7 @@
         };
         let sent_at = self.shared.clock.now();
         let until = sent_at + self.shared.settings.lease.ownership;
-        let row = self.own_row(epoch, fastrand::u64(1..u64::from(u32::MAX)), false);
+        let row = self.own_row(epoch, fastrand::u64(1..u64::from(u32::MAX)));
         let txn = Txn::new()
             .check(owner_key(self.partition), seen.version)
             .check(epoch_key(self.partition), epoch_row.map_or(0, |r| r.version))
@@ -260,6 +279,7 @@
         };
         if let Some(version) = version {
             // Both rows were written by one transaction, so they share the version.
+            self.shared.metrics.takeovers.with_label_values(&[seen.how_free()]).inc();
             self.take(epoch, version, row.beat, until).await;
         }
     }
@@ -275,8 +295,8 @@
     async fn take(&mut self, epoch: Epoch, version: u64, beat: u64, until: Millis) {
         log::info!("partition={} epoch={epoch} taken over", self.partition);
         let lease = Arc::new(OwnerLease::new(epoch, until));
-        self.owned = Some(Owned { lease: lease.clone(), version, beat });
-        self.shared.metrics.takeovers.inc();
+        self.owned = Some(Owned { lease: lease.clone(), version, beat, due_at: Millis(0) });
+        self.shared.owned.fetch_add(1, Ordering::AcqRel);
         self.shared.metrics.owned.inc();
         let (tx, mut rx) = oneshot::channel();
         let (store, partition) = (self.store.clone(), self.partition);
@@ -317,8 +337,8 @@
         self.shared.peers.send(PeerMsg::Tell(Box::new(Body::Took(took)))).await;
     }
 
-    /// At a planned stop: lets all that was decided become durable, then frees the
-    /// row, so that no one waits for the lease to lapse.
+    /// At a planned stop, or to even the load: lets all that was decided become
+    /// durable, then frees the row, so that no one waits for the lease to lapse.
     async fn hand_over(&mut self) {
         let Some(owned) = self.owned.take() else {
             return;
@@ -329,12 +349,14 @@
         let longest = self.shared.settings.lease.ownership.duration();
         let flushed = tokio::time::timeout(longest, rx).await;
         owned.lease.end();
-        self.shared.metrics.owned.dec();
+        self.count_out();
         if !matches!(flushed, Ok(Ok(()))) {
             log::warn!("partition={} not handed over: the ledger can't be written", self.partition);
             return;
         }
-        let row = self.own_row(owned.lease.epoch, owned.beat + 1, true);
+        let mut row = self.own_row(owned.lease.epoch, owned.beat + 1);
+        row.released = true;
+        row.successor = self.least_loaded().map(|(p, _)| p).unwrap_or_default();
         let key = owner_key(self.partition);
         let txn = Txn::new().check(&*key, owned.version).put(&*key, row.encode_to_vec());
         if let Ok(TxnResult::Committed(_)) = self.store.txn(&txn).await {
--- a/crates/hollowford-server/src/ownership/mod.rs
+++ b/crates/hollowford-server/src/ownership/mod.rs
@@ -1,7 +1,9 @@
 //! Ownership of partitions: a lease in the table, taken over by compare-and-set.
 
+mod board;
 mod keeper;
 mod lease;
 
-pub(crate) use keeper::{follow, run};
+pub(crate) use board::{Board, follow};
+pub(crate) use keeper::run;
 pub(crate) use lease::OwnerLease;
--- a/crates/hollowford-server/src/process.rs
+++ b/crates/hollowford-server/src/process.rs
@@ -176,6 +176,7 @@
     let watch = async move {
         tokio::spawn(watch::config(shared.clone(), store.clone()));
         tokio::spawn(watch::instances(shared.clone(), store.clone()));
+        tokio::spawn(ownership::follow(shared.clone(), store.clone()));
         let members = tokio::spawn(watch::members(shared.clone(), store.clone()));
         let keepers: Vec<_> = (0..shared.settings.partitions)
             .map(|p| tokio::spawn(ownership::run(shared.clone(), store.clone(), PartitionId(p))))
@@ -186,9 +187,7 @@
             }
         }
         shared.handed_over.store(true, Ordering::Release);
-        for p in 0..shared.settings.partitions {
-            tokio::spawn(ownership::follow(shared.clone(), store.clone(), PartitionId(p)));
-        }
+        // The owner rows are followed still, so that calls find the next owners.
         std::future::pending().await
     };
     duty("watch", watch)?;
--- a/crates/hollowford-server/src/shared.rs
+++ b/crates/hollowford-server/src/shared.rs
@@ -6,12 +6,13 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::owners::Owners;
+use crate::ownership::Board;
 use crate::peers::PeerMsg;
 use crate::ring::Ring;
 use crate::workers::WorkerMsg;
 use arc_swap::ArcSwap;
 use hollowford_config::Settings;
-use hollowford_core::Clock;
+use hollowford_core::{Clock, Millis};
 use hollowford_platform::wire::Instance;
 use hollowford_platform::{Platform, StoreError};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -31,9 +32,15 @@
     pub config_news: Notify,
     pub members: Members,
     pub owners: Owners,
+    /// The owner rows as last read.
+    pub board: Board,
+    /// Number of partitions that this process owns now.
+    pub owned: AtomicUsize,
+    /// When this process last handed a partition over to even the load.
+    pub evened_at: Mutex<Millis>,
     /// Partitions that were released and may be taken at once.
     pub released: Mutex<Vec<u32>>,
-    pub release_news: watch::Sender<u64>,
+    pub owner_news: watch::Sender<u64>,
     /// The platform's instance list, as last read.
     pub instances: ArcSwap<Vec<Instance>>,
     /// Wakes the watch of the instance list.
@@ -73,10 +80,13 @@
             members: Members::default(),
             owners: Owners::new(settings.partitions),
             released: Mutex::default(),
-            release_news: watch::Sender::new(0),
+            owner_news: watch::Sender::new(0),
             instances: ArcSwap::default(),
             instances_wanted: Notify::new(),
             ledger: Ring::new(LEDGER_BOUND),
+            board: Board::default(),
+            owned: AtomicUsize::new(0),
+            evened_at: Mutex::default(),
             decide: Ring::new(DECIDE_BOUND),
             peers: Ring::new(PEERS_BOUND),
             workers: Ring::new(WORKERS_BOUND),
@@ -131,7 +141,7 @@
     /// Notes a partition that may be taken at once.
     pub fn note_released(&self, partition: u32) {
         self.released.lock().unwrap_or_else(PoisonError::into_inner).push(partition);
-        self.release_news.send_modify(|n| *n += 1);
+        self.owner_news.send_modify(|n| *n += 1);
     }
 
     /// Takes the note of a released partition.
--- a/crates/hollowford/tests/common/http.rs
+++ b/crates/hollowford/tests/common/http.rs
@@ -16,6 +16,13 @@
     reply.error_for_status().ok()?.json().await.ok()
 }
 
+/// Reads one metric; 0 when it was never counted.
+pub async fn metric(addr: &str, name: &str) -> u64 {
+    let (_, text) = get_text(addr, "/metrics").await.unwrap();
+    let line = text.lines().find(|l| l.starts_with(name));
+    line.and_then(|l| l.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
 pub async fn get_text(addr: &str, path: &str) -> Option<(u16, String)> {
     let reply = client().get(format!("http://{addr}{path}")).send().await.ok()?;
     let status = reply.status().as_u16();
