--- a/crates/hollowford/tests/whole_path.rs
+++ b/crates/hollowford/tests/whole_path.rs
@@ -91,12 +91,12 @@
 async fn large_results_arrive_whole() {
     let cell = Cell::start(Options::default()).await;
     let caller = cell.caller(2, "university").await;
-    let mut body = spec(Kind::Batch, 8, 500, 20);
+    let mut body = spec(Kind::Batch, 12, 500, 20);
     body.payload = b"result=500000".to_vec();
     caller.submit("large", &body, false).await.unwrap();
     let view = final_answer(std::slice::from_ref(&caller), "large").await;
     let results = view.answer.unwrap().results;
-    assert_eq!(results.len(), 8);
+    assert_eq!(results.len(), 12);
     let expected: Vec<u8> = (0..500_000).map(|i| i as u8).collect();
     for r in results {
         // What does not fit into the answer is fetched by itself.
