Keep ended requests small; end a process when one of its threads fails

A panic in one duty left a process that held its partitions and did not serve them; it ends now, and others take over.

--- a/crates/hollowford-engine/src/claim.rs
+++ b/crates/hollowford-engine/src/claim.rs
@@ -97,7 +97,7 @@
             return;
         };
         let unwanted = r.cancelled || r.regroup || r.answer.is_some();
-        let state = r.tasks[task.index as usize].state;
+        let state = r.state_of(task.index);
         if state == TaskState::Stopping(idx) {
             out.push(Action::Stop { worker, task: *task, checkpoint: r.is_preemptible() });
         } else if unwanted {
@@ -118,7 +118,7 @@
         let Some(r) = self.requests.get(&held.task.request) else {
             return;
         };
-        let state = r.tasks[held.task.index as usize].state;
+        let state = r.state_of(held.task.index);
         let unsent = state == TaskState::Placed(idx);
         let same = held.incarnation == incarnation;
         let ran = state == TaskState::Running(idx);
@@ -173,8 +173,7 @@
         });
         let held: Vec<TaskId> = self.workers.get(idx).held.iter().map(|h| h.task).collect();
         for task in held {
-            let state =
-                self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
+            let state = self.requests.get(&task.request).map(|r| r.state_of(task.index));
             if state == Some(TaskState::Placed(idx)) {
                 self.withdraw(now, &task, out);
             }
--- a/crates/hollowford-engine/src/durable.rs
+++ b/crates/hollowford-engine/src/durable.rs
@@ -57,7 +57,7 @@
 
     fn send_start(&mut self, now: Millis, start: &PendingStart, out: &mut Vec<Action>) {
         let task = &start.task;
-        let state = self.requests.get(&task.request).map(|r| r.tasks[task.index as usize].state);
+        let state = self.requests.get(&task.request).map(|r| r.state_of(task.index));
         let stands = self.holder(task) == Some(start.worker)
             && state == Some(TaskState::Placed(start.worker));
         if !stands {
--- a/crates/hollowford-engine/src/engine.rs
+++ b/crates/hollowford-engine/src/engine.rs
@@ -5,12 +5,11 @@
 use crate::gang::Reservation;
 use crate::policy::Policy;
 use crate::preempt::PreemptBudget;
-use crate::request::Request;
+use crate::request::Requests;
 use crate::worker::{WorkerIdx, Workers};
 use hollowford_core::{
     AccountId, Epoch, InstanceId, Millis, PartitionId, RequestKey, RequestNo, TaskId,
 };
-use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// What the owner may do at this moment, by its ownership lease.
@@ -69,7 +68,7 @@
     pub(crate) policy: Policy,
     pub(crate) workers: Workers,
     pub(crate) accounts: Accounts,
-    pub(crate) requests: FxHashMap<RequestNo, Request>,
+    pub(crate) requests: Requests,
     pub(crate) keys: HashMap<RequestKey, RequestNo>,
     pub(crate) next_no: u64,
     pub(crate) next_seq: u64,
@@ -106,7 +105,7 @@
             policy,
             workers: Workers::default(),
             accounts: Accounts::default(),
-            requests: FxHashMap::default(),
+            requests: Requests::default(),
             keys: HashMap::new(),
             next_no: 1,
             next_seq: 1,
--- a/crates/hollowford-engine/src/gang.rs
+++ b/crates/hollowford-engine/src/gang.rs
@@ -254,7 +254,7 @@
     /// Makes a task that had ended wait again.
     pub(crate) fn apply_queued(&mut self, no: RequestNo, index: u32) {
         if let Some(r) = self.requests.get_mut(&no)
-            && r.results.remove(&index).is_some()
+            && r.results.remove(index)
         {
             r.done -= 1;
         }
--- a/crates/hollowford-engine/src/query.rs
+++ b/crates/hollowford-engine/src/query.rs
@@ -109,7 +109,7 @@
         let r = self.requests.get(&no)?;
         let answer = self.answer_of(r);
         let results = match answer {
-            Some(_) => r.results.iter().map(|(i, result)| (*i, result)).collect(),
+            Some(_) => r.results.iter().collect(),
             None => Vec::new(),
         };
         let mut workers: Vec<u32> = r.workers().collect();
@@ -125,7 +125,7 @@
             version: r.version,
             queued,
             running: r.running,
-            ended: r.tasks.len() as u32 - queued - r.active,
+            ended: r.spec.tasks - queued - r.active,
             answer,
             results,
             waited: r.first_start.map(|t| t.since(r.accepted_at)),
--- a/crates/hollowford-engine/src/recover.rs
+++ b/crates/hollowford-engine/src/recover.rs
@@ -1,7 +1,7 @@
 //! Recovery from the ledger, and snapshots of it.
 
 use crate::engine::Engine;
-use crate::event::{Action, Change, Record, TaskEnd};
+use crate::event::{Action, Change, FinalAnswer, Record, TaskEnd};
 use crate::place::held;
 use crate::request::{Request, TaskState};
 use hollowford_core::{Epoch, InstanceId, Millis, RequestNo, TaskId};
@@ -48,7 +48,7 @@
         key: &hollowford_core::RequestKey,
         spec: Arc<hollowford_core::Spec>,
     ) {
-        if self.requests.contains_key(&no) {
+        if self.requests.get(&no).is_some() {
             return;
         }
         self.insert_request(no, key, spec, now);
@@ -103,16 +103,19 @@
         if let Some(at) = r.waiting.iter().position(|&i| i == task.index) {
             r.waiting.remove(at);
         }
-        let t = &mut r.tasks[task.index as usize];
-        t.attempt = task.attempt;
-        t.state = TaskState::Ended;
+        if let Some(t) = r.tasks.get_mut(task.index as usize) {
+            t.attempt = task.attempt;
+            t.state = TaskState::Ended;
+        }
     }
 
     fn replay_queued(&mut self, task: &TaskId, failures: u32, checkpoint: Arc<str>) {
         let Some(r) = self.requests.get_mut(&task.request) else {
             return;
         };
-        let t = &mut r.tasks[task.index as usize];
+        let Some(t) = r.tasks.get_mut(task.index as usize) else {
+            return;
+        };
         t.attempt = task.attempt;
         t.failures = failures;
         t.checkpoint = Some(checkpoint).filter(|c| !c.is_empty());
@@ -158,12 +161,13 @@
     /// What is not durable yet is contained as well; the caller writes the snapshot
     /// after the records before it.
     pub fn snapshot(&self) -> Vec<Record> {
-        let mut nos: Vec<&RequestNo> = self.requests.keys().collect();
-        nos.sort_unstable();
-        let mut records = Vec::with_capacity(nos.len() * 2);
-        for no in nos {
-            if let Some(r) = self.requests.get(no) {
-                self.snapshot_request(r, &mut records);
+        let mut requests: Vec<&Request> = self.requests.values().collect();
+        requests.sort_unstable_by_key(|r| r.no);
+        let mut records = Vec::with_capacity(requests.len() * 2);
+        for r in requests {
+            match &r.answer {
+                Some(answer) => snapshot_ended(r, answer, &mut records),
+                None => self.snapshot_request(r, &mut records),
             }
         }
         records
@@ -177,7 +181,7 @@
                 continue;
             }
             let task = r.task_id(i as u32);
-            if let Some(result) = r.results.get(&task.index) {
+            if let Some(result) = r.results.get(task.index) {
                 push(Change::Ended { task, end: TaskEnd::Done(result.clone()) });
                 continue;
             }
@@ -189,16 +193,13 @@
                 let held = worker.held.iter().find(|h| h.task == task);
                 let incarnation = held.map_or(0, |h| h.incarnation);
                 push(Change::Intent { task, worker: worker.id.clone(), incarnation });
-            } else if t.state == TaskState::Ended && r.answer.is_none() {
+            } else if t.state == TaskState::Ended {
                 push(Change::Ended { task, end: ended_as(r) });
             }
         }
         if r.cancelled {
             push(Change::Cancel);
         }
-        if let Some(answer) = &r.answer {
-            push(Change::Close(answer.clone()));
-        }
     }
 
     /// Returns the epoch part of the first request number that this owner gives.
@@ -207,6 +208,20 @@
     }
 }
 
+/// Describes a request that has its final answer, with its results.
+fn snapshot_ended(r: &Request, answer: &FinalAnswer, records: &mut Vec<Record>) {
+    let mut push = |change| records.push(Record { request: r.no, change });
+    push(Change::Accept { key: r.key.clone(), spec: r.spec.clone() });
+    for (index, result) in r.results.iter() {
+        let task = TaskId { request: r.no, index, attempt: 1 };
+        push(Change::Ended { task, end: TaskEnd::Done(result.clone()) });
+    }
+    if r.cancelled {
+        push(Change::Cancel);
+    }
+    push(Change::Close(answer.clone()));
+}
+
 /// Describes an ended task without a result, so that its replay ends it again.
 fn ended_as(r: &Request) -> TaskEnd {
     if r.unsure > 0 {
--- a/crates/hollowford-engine/src/request.rs
+++ b/crates/hollowford-engine/src/request.rs
@@ -4,7 +4,8 @@
 use crate::event::{FinalAnswer, TaskResult};
 use crate::worker::WorkerIdx;
 use hollowford_core::{Kind, Millis, RequestKey, RequestNo, Spec, TaskId};
-use std::collections::{BTreeMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 /// Order of service; lower ones go first.
@@ -152,6 +153,42 @@
     pub runner_up: Option<WorkerIdx>,
 }
 
+/// The results of a request's tasks, in the order of their indexes.
+#[derive(Debug, Default)]
+pub(crate) struct Results {
+    list: Vec<(u32, TaskResult)>,
+}
+
+impl Results {
+    fn find(&self, index: u32) -> Result<usize, usize> {
+        self.list.binary_search_by_key(&index, |(i, _)| *i)
+    }
+
+    pub fn has(&self, index: u32) -> bool {
+        self.find(index).is_ok()
+    }
+
+    pub fn insert(&mut self, index: u32, result: TaskResult) {
+        match self.find(index) {
+            Ok(at) => self.list[at].1 = result,
+            Err(at) => self.list.insert(at, (index, result)),
+        }
+    }
+
+    /// Forgets a result, and tells whether there was one.
+    pub fn remove(&mut self, index: u32) -> bool {
+        self.find(index).map(|at| self.list.remove(at)).is_ok()
+    }
+
+    pub fn get(&self, index: u32) -> Option<&TaskResult> {
+        self.find(index).ok().map(|at| &self.list[at].1)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &TaskResult)> {
+        self.list.iter().map(|(i, result)| (*i, result))
+    }
+}
+
 /// One request.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -174,7 +211,7 @@
     pub failed: u32,
     /// Tasks that may have run.
     pub unsure: u32,
-    pub results: BTreeMap<u32, TaskResult>,
+    pub results: Results,
     pub message: Arc<str>,
     pub cancelled: bool,
     /// A gang whose tasks are all being stopped, to start again or to fail.
@@ -212,7 +249,7 @@
             done: 0,
             failed: 0,
             unsure: 0,
-            results: BTreeMap::new(),
+            results: Results::default(),
             message: "".into(),
             cancelled: false,
             regroup: false,
@@ -238,6 +275,11 @@
         self.spec.kind == Kind::Service
     }
 
+    /// Returns where a task stands. A request that has ended keeps no tasks.
+    pub fn state_of(&self, index: u32) -> TaskState {
+        self.tasks.get(index as usize).map_or(TaskState::Ended, |t| t.state)
+    }
+
     /// Returns the id of a task's current attempt.
     pub fn task_id(&self, index: u32) -> TaskId {
         TaskId { request: self.no, index, attempt: self.tasks[index as usize].attempt }
@@ -248,8 +290,50 @@
         self.class == Class::Normal && self.spec.repeatable && !self.is_gang()
     }
 
+    /// Gives back the memory that an ended request needs no more.
+    pub fn shrink(&mut self) {
+        self.tasks = Vec::new();
+        self.waiting = VecDeque::new();
+        self.failed_on = Vec::new();
+        self.results.list.shrink_to_fit();
+    }
+
     /// Returns the workers that hold tasks of the request.
     pub fn workers(&self) -> impl Iterator<Item = WorkerIdx> + '_ {
         self.tasks.iter().filter_map(|t| t.state.worker())
     }
 }
+
+/// All requests that are open or whose answers are kept.
+///
+/// They are boxed, so that the spare room of the table is small.
+#[derive(Debug, Default)]
+pub(crate) struct Requests {
+    map: FxHashMap<RequestNo, Box<Request>>,
+}
+
+impl Requests {
+    pub fn get(&self, no: &RequestNo) -> Option<&Request> {
+        self.map.get(no).map(|r| &**r)
+    }
+
+    pub fn get_mut(&mut self, no: &RequestNo) -> Option<&mut Request> {
+        self.map.get_mut(no).map(|r| &mut **r)
+    }
+
+    pub fn insert(&mut self, r: Request) {
+        self.map.insert(r.no, Box::new(r));
+    }
+
+    pub fn remove(&mut self, no: &RequestNo) -> Option<Box<Request>> {
+        self.map.remove(no)
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Request> {
+        self.map.values().map(|r| &**r)
+    }
+
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+}
--- a/crates/hollowford-engine/src/settle.rs
+++ b/crates/hollowford-engine/src/settle.rs
@@ -143,7 +143,7 @@
         let Some(r) = self.requests.get(&no) else {
             return;
         };
-        let done = r.results.contains_key(&task.index);
+        let done = r.results.has(task.index);
         let regroup = r.is_gang() && !r.regroup && !r.cancelled && !done;
         if again {
             self.back_off(now, task);
@@ -214,7 +214,7 @@
         }
         r.answer = Some(answer);
         r.answer_seq = seq;
-        r.waiting.clear();
+        r.shrink();
         self.accounts.get_mut(r.account).open -= 1;
         self.open -= 1;
         self.answered.push_back((now, no));
--- a/crates/hollowford-engine/src/submit.rs
+++ b/crates/hollowford-engine/src/submit.rs
@@ -191,7 +191,7 @@
         self.accounts.get_mut(account).open += 1;
         self.open += 1;
         self.keys.insert(key.clone(), no);
-        self.requests.insert(no, r);
+        self.requests.insert(r);
     }
 
     /// Cancels a request. The answer comes once its running tasks have stopped.
--- a/crates/hollowford/src/command/serve.rs
+++ b/crates/hollowford/src/command/serve.rs
@@ -37,6 +37,7 @@
     let file: String = args.value_from_str("--config")?;
     finish(args)?;
     let settings = read_settings(&file)?;
+    abort_on_panic();
     let process = Process::start(settings).map_err(|e| CliError::Run(e.to_string()))?;
     let a = process.addresses();
     let addresses = serde_json::json!({
@@ -49,6 +50,16 @@
     Ok(())
 }
 
+/// A process without one of its duties would hold its partitions and not serve
+/// them, so a fault in any thread ends it, and others take over.
+fn abort_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
+
 async fn wait_for_stop(process: &Process) -> Result<(), CliError> {
     let failed = || CliError::io("waiting for signals");
     let mut term = signal(SignalKind::terminate()).map_err(failed())?;
