Let work of an account that is further behind pass a gang's reservation

Cause: a test showed that gangs that keep coming starve small work: each gang reserved the whole cell before the one before it ended, and backfill never ended in time. Ruled out: the order of accounts (the small account was first in it).

Change: a reservation holds back only work of accounts that are ahead of its own account in the order.

After: the small request ends within 5 s of virtual time (before: never). Kept: the order is what client accounts are promised.

--- a/crates/hollowford-engine/src/gang.rs
+++ b/crates/hollowford-engine/src/gang.rs
@@ -153,11 +153,23 @@
         let Some(v) = self.reservations.get(&holder) else {
             return true;
         };
+        if self.goes_before(r, holder) {
+            return true;
+        }
         let bounded = r.spec.run_time_ms > 0 && r.spec.kind == Kind::Batch;
         let drains = now.since(v.waits_since) >= self.policy.gang_drain_after;
         bounded && !drains && self.expected_end(r, now) <= v.ready_at
     }
 
+    /// Tells whether the request's account is further behind in the order than that of
+    /// a reservation's holder. Such work goes first, as it would without the
+    /// reservation; or else gangs that keep coming would starve it.
+    fn goes_before(&self, r: &Request, holder: RequestNo) -> bool {
+        let order = |idx| self.accounts.get(idx).order(&self.workers.whole);
+        let holder = self.requests.get(&holder).map(|h| h.account);
+        holder.is_some_and(|account| account != r.account && order(r.account) < order(account))
+    }
+
     /// Finds the earliest time at which the gang fits, by the declared run times,
     /// and the workers that have the room then.
     fn earliest_room(&self, r: &Request, now: Millis) -> Option<(Millis, Vec<WorkerIdx>)> {
--- a/crates/hollowford-engine/tests/loads/main.rs
+++ b/crates/hollowford-engine/tests/loads/main.rs
@@ -59,7 +59,9 @@
     assert!(engine.p99(Kind::Check) <= 1_500, "{}", engine.p99(Kind::Check));
     assert_eq!(engine.unanswered, 0);
     assert_eq!(engine.refused, work::IMPOSSIBLE);
-    assert!(engine.packing() >= 0.90, "{}", engine.packing());
+    assert!(engine.packing() >= 0.95, "{}", engine.packing());
+    let gangs = engine.max(Kind::Gang);
+    assert!(gangs <= 70_000, "gangs wait {gangs} ms at most");
 }
 
 #[test]
--- a/crates/hollowford-engine/tests/placing.rs
+++ b/crates/hollowford-engine/tests/placing.rs
@@ -7,7 +7,7 @@
 use common::{World, key, policy, spec};
 use hollowford_core::prelude::*;
 use hollowford_core::{Kind, Spread};
-use hollowford_engine::{Outcome, Policy};
+use hollowford_engine::{Action, Outcome, Policy, TaskUsage};
 
 #[test]
 fn work_of_every_kind_starts_and_ends() {
@@ -195,3 +195,60 @@
     assert!(!world.answer("plan-49").unwrap().had_begun);
     assert!(world.engine().find(&key("plan-3")).is_some());
 }
+
+#[test]
+fn overuse_of_processors_is_throttled_and_of_memory_stopped_and_failed() {
+    let mut world = World::new(policy(), 1);
+    world.submit("greedy", &spec(Kind::Batch, 2, 1_000, 60_000)).unwrap();
+    world.settle();
+    let id = world.worker_id(0);
+    let tasks: Vec<TaskId> = world.workers[&id].running.keys().copied().collect();
+    let now = world.now;
+    let use_of = |task, cpu_milli, memory_mib| TaskUsage { task, cpu_milli, memory_mib };
+    let mut out = Vec::new();
+    let honest = [use_of(tasks[0], 1_050, 105), use_of(tasks[1], 900, 90)];
+    world.engine().usage(now, &id, false, &honest, &mut out);
+    assert!(out.is_empty(), "{out:?}");
+    let greedy = [use_of(tasks[0], 2_000, 90), use_of(tasks[1], 1_000, 200)];
+    world.engine().usage(now, &id, false, &greedy, &mut out);
+    assert!(matches!(out[0], Action::Throttle { cpu_milli: 1_000, .. }), "{out:?}");
+    assert!(matches!(out[1], Action::Stop { .. }), "{out:?}");
+    let last = world.owners.len() - 1;
+    world.carry_out(last, out);
+    world.run(1_000);
+    // The one that used too much memory has failed and is not tried again.
+    assert_eq!(world.running("greedy"), 1);
+    world.run(70_000);
+    let answer = world.answer("greedy").unwrap();
+    assert_eq!(answer.outcome, Outcome::Failed);
+    assert!(answer.message.contains("200 MiB"), "{}", answer.message);
+}
+
+#[test]
+fn two_gangs_that_each_need_the_cell_never_hold_halves() {
+    let mut world = World::new(policy(), 4);
+    for i in 0..4 {
+        world.submit_as("one", &format!("a-{i}"), &spec(Kind::Gang, 12, 1_000, 500)).unwrap();
+        world.submit_as("two", &format!("b-{i}"), &spec(Kind::Gang, 12, 1_000, 500)).unwrap();
+    }
+    for _ in 0..200 {
+        world.step();
+        let running: usize = world.workers.values().map(|w| w.running.len()).sum();
+        assert!(running == 0 || running == 12, "{running} tasks of gangs of 12 run");
+    }
+    assert_eq!(world.engine().requests().1, 0);
+}
+
+#[test]
+fn small_work_is_not_starved_by_gangs_that_keep_coming() {
+    let mut world = World::new(policy(), 4);
+    for i in 0..60 {
+        world.submit_as("gangs", &format!("g-{i}"), &spec(Kind::Gang, 8, 2_000, 400)).unwrap();
+    }
+    world.submit_as("small", "s", &spec(Kind::Batch, 4, 1_000, 400)).unwrap();
+    world.run(5_000);
+    let key = RequestKey::new(&AccountId::from("small"), "s");
+    let engine = world.engine();
+    let no = engine.find(&key).unwrap();
+    assert!(engine.view(no).unwrap().answer.is_some());
+}
--- a/crates/hollowford/tests/configuration.rs
+++ b/crates/hollowford/tests/configuration.rs
@@ -131,3 +131,24 @@
         assert!(["unavailable", "unauthenticated"].contains(&kind), "{kind}");
     }
 }
+
+#[tokio::test]
+async fn many_changes_in_a_row_are_each_in_force_everywhere() {
+    const CHANGES: u64 = 100;
+    let cell = Cell::start(Options::default()).await;
+    let operator = cell.operator(0).await;
+    let mut times = Vec::new();
+    for version in 1..=CHANGES {
+        operator.set_config("university", version as u32, version, "ayse").await.unwrap();
+        let accepted = std::time::Instant::now();
+        in_force_everywhere(&cell, version + 2).await;
+        times.push(accepted.elapsed());
+    }
+    times.sort_unstable();
+    // Printed, not asserted: the bound is 2 s.
+    println!("in force after: median {:?}, longest {:?}", times[times.len() / 2], times.last());
+    for i in 0..cell.entries.len() {
+        let view = cell.operator(i).await.get_config("university").await.unwrap();
+        assert_eq!(view.version, CHANGES + 1);
+    }
+}
