--- a/crates/hollowford-engine/tests/orders.rs
+++ b/crates/hollowford-engine/tests/orders.rs
@@ -48,6 +48,8 @@
     TakeoverPaused,
     /// A paused owner wakes in the middle of a decision.
     WakeOld,
+    /// Earlier owners try to claim a worker back.
+    OldClaims(usize),
     /// The owner's lease lapses, and it may only renew.
     Lapse,
     Write,
@@ -73,7 +75,8 @@
         2 => worker.clone().prop_map(Op::Reachable),
         1 => worker.clone().prop_map(Op::Restart),
         1 => worker.clone().prop_map(Op::Leave),
-        1 => worker.prop_map(Op::Unlist),
+        1 => worker.clone().prop_map(Op::Unlist),
+        1 => worker.prop_map(Op::OldClaims),
         2 => any::<bool>().prop_map(Op::Stall),
         1 => Just(Op::Takeover),
         1 => Just(Op::TakeoverPaused),
@@ -151,6 +154,13 @@
                     }
                 }
             }
+            Op::OldClaims(n) => {
+                let id = world.worker_id(*n);
+                for i in 0..newest {
+                    world.cut(i, &id);
+                    world.claim(i, &id);
+                }
+            }
             Op::Lapse => world.owners[newest].authority = Authority::RenewOnly,
             Op::Write => {
                 world.decide(newest);
--- a/crates/hollowford-engine/tests/recovery.rs
+++ b/crates/hollowford-engine/tests/recovery.rs
@@ -134,6 +134,33 @@
     assert_eq!(world.answer("late").unwrap().outcome, Outcome::Done);
 }
 
+#[test]
+fn an_owner_of_an_earlier_epoch_can_not_claim_a_worker_back() {
+    let mut world = World::new(policy(), 2);
+    world.submit("late", &once(8, 1_000)).unwrap();
+    let old = world.owners.len() - 1;
+    world.decide(old);
+    world.write_ledger(old);
+    world.owners[old].paused = true;
+    world.takeover();
+    world.settle();
+    world.owners[old].paused = false;
+    for i in 0..2 {
+        let id = world.worker_id(i);
+        world.cut(old, &id);
+        world.claim(old, &id);
+        assert!(!world.owners[old].sessions.contains_key(&id));
+    }
+    world.decide_as(old, Authority::Full);
+    for i in 0..2 {
+        let id = world.worker_id(i);
+        world.deliver(old, &id);
+    }
+    world.check();
+    world.run(5_000);
+    assert_eq!(world.answer("late").unwrap().outcome, Outcome::Done);
+}
+
 #[test]
 fn a_worker_that_restarted_can_not_tell_and_the_answer_says_so() {
     let mut world = World::new(policy(), 1);
