--- a/crates/hollowford-engine/tests/placing.rs
+++ b/crates/hollowford-engine/tests/placing.rs
@@ -252,3 +252,21 @@
     let no = engine.find(&key).unwrap();
     assert!(engine.view(no).unwrap().answer.is_some());
 }
+
+#[test]
+fn while_the_ledger_stalls_new_work_is_refused_as_not_run_and_nothing_is_placed() {
+    let mut world = World::new(policy(), 2);
+    world.submit("before", &spec(Kind::Batch, 12, 1_000, 400)).unwrap();
+    world.settle();
+    world.stalled = true;
+    world.run(100);
+    let placed = world.engine().stats().placed;
+    let e = world.submit("during", &spec(Kind::Check, 1, 100, 100)).unwrap_err();
+    assert_eq!(e.kind, ErrorKind::Unavailable);
+    assert!(e.retry_after_ms.is_some());
+    world.run(2_000);
+    assert_eq!(world.engine().stats().placed, placed);
+    world.stalled = false;
+    world.run(2_000);
+    assert_eq!(world.answer("before").unwrap().outcome, Outcome::Done);
+}
--- /dev/null
+++ b/crates/hollowford/tests/pairs.rs
@@ -0,0 +1,127 @@
+//! Failures that come together: two at once, under a load of work that must not be
+//! lost, doubled or mis-answered.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use common::{Cell, Options, final_answer, spec, submit_anyhow};
+use hollowford_protocol::v1::{Kind, Outcome};
+use serde_json::json;
+use std::time::Duration;
+use yare::parameterized;
+
+/// A failure that is brought about and, where that can be, mended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    OwnerKilled,
+    OwnerFrozen,
+    OwnerStopped,
+    Outage,
+    LostReplies,
+    SlowStore,
+    SessionsCut,
+    WorkersFrozen,
+    WorkerLeaves,
+}
+
+/// How long both failures last together.
+const TOGETHER: Duration = Duration::from_millis(2_500);
+const REQUESTS: usize = 12;
+
+async fn bring(cell: &mut Cell, owner: usize, fault: Fault, store: &mut serde_json::Value) {
+    match fault {
+        Fault::OwnerKilled => cell.entries[owner].kill(),
+        Fault::OwnerFrozen => cell.entries[owner].freeze(),
+        Fault::OwnerStopped => cell.entries[owner].terminate(),
+        Fault::Outage => store["outage"] = json!(true),
+        Fault::LostReplies => store["lose_replies"] = json!(20),
+        Fault::SlowStore => store["slow_ms"] = json!(120),
+        Fault::SessionsCut => {
+            for i in 0..4 {
+                cell.worker_fault(0, &format!("cut/g0w00{i}")).await;
+            }
+        }
+        Fault::WorkersFrozen => cell.workers[0].freeze(),
+        Fault::WorkerLeaves => cell.worker_fault(0, "leave/g0w000").await,
+    }
+    cell.faults(store.clone()).await;
+}
+
+async fn mend(cell: &mut Cell, owner: usize, fault: Fault) {
+    match fault {
+        Fault::OwnerFrozen => cell.entries[owner].thaw(),
+        Fault::WorkersFrozen => cell.workers[0].thaw(),
+        _ => {}
+    }
+    cell.faults(json!({})).await;
+}
+
+async fn play(faults: [Fault; 2]) {
+    let policy = json!({
+        "task_lease_ms": 3_000, "renew_every_ms": 700, "renewal_bound_ms": 10_000,
+        "drift_margin_ms": 200,
+    });
+    let options =
+        Options { partitions: 1, worker_procs: 2, workers_each: 4, policy, ..Options::default() };
+    let mut cell = Cell::start(options).await;
+    let owner = cell.owner(0).await;
+    let mut callers = cell.callers("university").await;
+    callers.remove(owner);
+    let mut store = json!({});
+    let submit = |i: usize, callers: Vec<common::Caller>| async move {
+        let mut once = spec(Kind::Batch, 2, 500, 300);
+        once.repeatable = false;
+        once.payload = format!("name=once-{i}").into_bytes();
+        submit_anyhow(&callers, &format!("once-{i}"), &once).await;
+        submit_anyhow(&callers, &format!("again-{i}"), &spec(Kind::Batch, 3, 500, 200)).await;
+        submit_anyhow(&callers, &format!("check-{i}"), &spec(Kind::Check, 1, 200, 20)).await;
+    };
+    for i in 0..REQUESTS / 2 {
+        submit(i, callers.clone()).await;
+    }
+    bring(&mut cell, owner, faults[0], &mut store).await;
+    bring(&mut cell, owner, faults[1], &mut store).await;
+    let rest = (REQUESTS / 2..REQUESTS).map(|i| tokio::spawn(submit(i, callers.clone())));
+    let rest: Vec<_> = rest.collect();
+    tokio::time::sleep(TOGETHER).await;
+    mend(&mut cell, owner, faults[0]).await;
+    mend(&mut cell, owner, faults[1]).await;
+    for task in rest {
+        task.await.unwrap();
+    }
+    for i in 0..REQUESTS {
+        for kind in ["again", "check"] {
+            let answer = final_answer(&callers, &format!("{kind}-{i}")).await.answer.unwrap();
+            assert_eq!(answer.outcome(), Outcome::Done, "{kind}-{i}: {answer:?}");
+        }
+        let answer = final_answer(&callers, &format!("once-{i}")).await.answer.unwrap();
+        let starts = cell.verdict().by_name.get(&format!("once-{i}")).copied().unwrap_or(0);
+        assert!(starts <= 2, "once-{i} was started {starts} times");
+        match answer.outcome() {
+            Outcome::Done => assert_eq!(starts, 2),
+            // Only a worker that froze past its leases may leave that open.
+            Outcome::MayHaveRun => assert!(faults.contains(&Fault::WorkersFrozen), "{answer:?}"),
+            other => panic!("once-{i}: {other:?}"),
+        }
+    }
+    cell.assert_no_fault();
+}
+
+#[parameterized(
+    killed_and_lost_replies = { Fault::OwnerKilled, Fault::LostReplies },
+    killed_and_outage = { Fault::Outage, Fault::OwnerKilled },
+    killed_and_sessions_cut = { Fault::SessionsCut, Fault::OwnerKilled },
+    killed_and_workers_frozen = { Fault::WorkersFrozen, Fault::OwnerKilled },
+    frozen_and_slow_store = { Fault::OwnerFrozen, Fault::SlowStore },
+    frozen_and_outage = { Fault::OwnerFrozen, Fault::Outage },
+    frozen_owner_and_frozen_workers = { Fault::OwnerFrozen, Fault::WorkersFrozen },
+    stopped_and_lost_replies = { Fault::LostReplies, Fault::OwnerStopped },
+    stopped_and_worker_leaves = { Fault::WorkerLeaves, Fault::OwnerStopped },
+    outage_and_sessions_cut = { Fault::Outage, Fault::SessionsCut },
+    outage_and_workers_frozen = { Fault::Outage, Fault::WorkersFrozen },
+)]
+fn two_failures_at_once(first: Fault, second: Fault) {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    rt.block_on(play([first, second]));
+}
