--- a/crates/hollowford/src/command/dev.rs
+++ b/crates/hollowford/src/command/dev.rs
@@ -12,7 +12,7 @@
 /// The command.
 pub const COMMAND: Command = Command {
     name: "dev",
-    signature: "[--run FILE | --cell FILE]",
+    signature: "[--run FILE [--json] | --cell FILE]",
     description: "Runs a whole cell in one process, with a stand-in platform and stand-in workers.
 With --run it submits the file's work, prints every answer and the measures, and ends;
 otherwise it prints the addresses and the tokens, and stays.",
@@ -45,6 +45,7 @@
 
 fn run_command(mut args: Arguments) -> Result<(), CliError> {
     let run_file: Option<String> = args.opt_value_from_str("--run")?;
+    let json = args.contains("--json");
     let cell_file: Option<String> = args.opt_value_from_str("--cell")?;
     finish(args)?;
     let file = read(run_file.as_deref().or(cell_file.as_deref()))?;
@@ -58,20 +59,25 @@
         Ok(())
     })?;
     let lines = cell.recorder.lines();
-    if let Some(report) = &report {
-        report.print();
-    }
     cell.stop();
     let verdict = judge(lines);
+    let Some(report) = report else {
+        return Err(CliError::Run("the run ended without a report".to_owned()));
+    };
+    if json {
+        println!("{}", report.to_json(&verdict));
+        return end(&report, verdict.faults.len());
+    }
+    report.print();
     println!("workers' record   {} starts, {} faults", verdict.starts, verdict.faults.len());
     for fault in verdict.faults.iter().take(10) {
         println!("  {fault}");
     }
-    end(report.as_ref(), verdict.faults.len())
+    end(&report, verdict.faults.len())
 }
 
-fn end(report: Option<&Report>, faults: usize) -> Result<(), CliError> {
-    match report.map_or(1, |r| r.missing) {
+fn end(report: &Report, faults: usize) -> Result<(), CliError> {
+    match report.missing {
         0 if faults == 0 => Ok(()),
         0 => Err(CliError::Run(format!("the workers' record shows {faults} faults"))),
         n => Err(CliError::Run(format!("{n} requests got no answer"))),
--- a/crates/hollowford/src/command/mod.rs
+++ b/crates/hollowford/src/command/mod.rs
@@ -14,4 +14,4 @@
 mod view;
 
 pub use signature::{COMMANDS, overview};
-pub use view::to_line as view_line;
+pub use view::{to_json as view_json, to_line as view_line};
--- a/crates/hollowford/src/dev/report.rs
+++ b/crates/hollowford/src/dev/report.rs
@@ -1,8 +1,10 @@
 //! What a run has shown: waiting time, packing and control cost.
 
-use crate::command::view_line;
+use crate::command::{view_json, view_line};
 use hdrhistogram::Histogram;
 use hollowford_protocol::v1;
+use hollowford_standin::judge::Verdict;
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -77,6 +79,35 @@
         self.print_cost();
     }
 
+    /// Returns all of it as JSON.
+    pub fn to_json(&self, verdict: &Verdict) -> Value {
+        let answers: Vec<Value> = self
+            .answers
+            .iter()
+            .map(|a| match &a.view {
+                Some(view) => view_json(view),
+                None => json!({"request_id": a.request_id, "error": a.error}),
+            })
+            .collect();
+        let waiting: BTreeMap<&str, Value> = self
+            .waiting()
+            .into_iter()
+            .map(|(kind, h)| {
+                let at = |q| h.value_at_quantile(q);
+                let v = json!({"requests": h.len(), "p50_ms": at(0.5), "p99_ms": at(0.99),
+                    "max_ms": h.max()});
+                (kind, v)
+            })
+            .collect();
+        let last = self.samples.last().copied().unwrap_or_default();
+        json!({
+            "answers": answers, "waiting": waiting, "packing": self.packing(),
+            "placed": last.placed, "store_writes": last.store_writes,
+            "store_reads": last.store_reads, "seconds": self.took.as_secs_f64(),
+            "missing": self.missing, "starts": verdict.starts, "faults": verdict.faults,
+        })
+    }
+
     fn waiting(&self) -> BTreeMap<&'static str, Histogram<u64>> {
         let mut by_kind = BTreeMap::new();
         for a in &self.answers {
@@ -102,23 +133,25 @@
         }
     }
 
-    fn print_packing(&self) {
+    /// Returns the mean part of the processors in use while work queued.
+    fn packing(&self) -> Option<f64> {
         let busy: Vec<f64> = self
             .samples
             .iter()
             .filter(|s| s.waiting > 0 && s.whole > 0)
             .map(|s| 1.0 - s.free as f64 / s.whole as f64)
             .collect();
-        if busy.is_empty() {
-            println!("packing           no work was queued at any sample");
-            return;
+        (!busy.is_empty()).then(|| busy.iter().sum::<f64>() / busy.len() as f64)
+    }
+
+    fn print_packing(&self) {
+        match self.packing() {
+            Some(mean) => {
+                let percent = mean * 100.0;
+                println!("packing           {percent:.1}% of processors in use while work queued");
+            }
+            None => println!("packing           no work was queued at any sample"),
         }
-        let mean = busy.iter().sum::<f64>() / busy.len() as f64;
-        println!(
-            "packing           {:.1}% of processors in use while work queued ({} samples)",
-            mean * 100.0,
-            busy.len()
-        );
     }
 
     fn print_cost(&self) {
--- a/crates/hollowford/tests/scale.rs
+++ b/crates/hollowford/tests/scale.rs
@@ -158,3 +158,34 @@
     }
     total
 }
+
+#[tokio::test]
+async fn an_urgent_request_starts_while_batch_work_fills_every_worker() {
+    let policy = json!({ "preset": "ortak-sahne" });
+    let options = Options { partitions: 1, workers_each: 10, policy, ..Options::default() };
+    let cell = Cell::start(options).await;
+    let callers = cell.callers("university").await;
+    submit_anyhow(&callers, "fill", &spec(Kind::Batch, 60, 1_000, 600_000)).await;
+    let owner = cell.owner(0).await;
+    common::until("the cell is full", || async {
+        (partition(&cell, owner).await?["free_cpu_milli"] == 0).then_some(())
+    })
+    .await;
+    let desk = cell.callers("district-desk").await;
+    let mut waits = Vec::new();
+    for i in 0..20 {
+        let id = format!("urgent-{i}");
+        submit_anyhow(&desk, &id, &spec(Kind::Check, 1, 1_000, 30)).await;
+        let view = final_answer(&desk, &id).await;
+        assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
+        waits.push(view.waited_ms.unwrap());
+    }
+    waits.sort_unstable();
+    println!(
+        "urgent starts in a full cell: median {} ms, longest {:?} ms",
+        waits[10],
+        waits.last()
+    );
+    assert!(partition(&cell, owner).await.unwrap()["preempted"].as_u64().unwrap() >= 1);
+    cell.assert_no_fault();
+}
