Serve callers over TLS, with certificates that are read again when they change

Ruled out: the server library's own TLS settings, which can't change while it runs; the connections are shaken hands with before they reach it. Now plain text off loopback must be allowed by name.

--- a/crates/hollowford-config/src/lib.rs
+++ b/crates/hollowford-config/src/lib.rs
@@ -8,4 +8,6 @@
 pub use policy::read_policy;
 pub use reader::{Document, Node, Section, SettingsError};
 pub use secret::Secret;
-pub use settings::{Lease, Listen, PartitionBy, PlatformSettings, Settings, StoreBudget};
+pub use settings::{
+    Lease, Listen, PartitionBy, PlatformSettings, Settings, StoreBudget, TlsSettings,
+};
--- a/crates/hollowford-config/src/settings.rs
+++ b/crates/hollowford-config/src/settings.rs
@@ -6,6 +6,7 @@
 use hollowford_core::Millis;
 use hollowford_engine::Policy;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Everything that a process is told at its start.
 #[derive(Clone, Debug)]
@@ -16,6 +17,8 @@
     pub zone: String,
     /// Where it listens.
     pub listen: Listen,
+    /// Encryption towards callers; `None`: plain text.
+    pub tls: Option<TlsSettings>,
     /// Where the platform is.
     pub platform: PlatformSettings,
     /// Number of partitions, the same in every process of the cell.
@@ -45,6 +48,18 @@
     pub admin: SocketAddr,
 }
 
+/// Encryption towards callers. The files are read again when they change.
+#[derive(Clone, Debug)]
+pub struct TlsSettings {
+    /// File of the certificate chain, in PEM.
+    pub certificate: PathBuf,
+    /// File of the private key, in PEM.
+    pub key: PathBuf,
+    /// File of the roots that callers' certificates must lead to, in PEM; `None`:
+    /// callers need none.
+    pub client_roots: Option<PathBuf>,
+}
+
 /// Where the platform is.
 #[derive(Clone, Copy, Debug)]
 pub struct PlatformSettings {
@@ -87,6 +102,8 @@
     "process",
     "zone",
     "listen",
+    "tls",
+    "plain_text",
     "platform",
     "partitions",
     "partition_by",
@@ -111,6 +128,7 @@
         process: s.text("process", "an id that is unique in the cell")?.to_owned(),
         zone: s.text("zone", "the availability zone of this instance")?.to_owned(),
         listen: read_listen(s)?,
+        tls: read_tls(s)?,
         platform: read_platform(s)?,
         partitions: s.number("partitions", 1, 1..=4_096)? as u32,
         partition_by: read_partition_by(s)?,
@@ -140,6 +158,25 @@
     })
 }
 
+fn read_tls(s: &Section<'_>) -> Result<Option<TlsSettings>, SettingsError> {
+    const HELP: &str = "the path of a PEM file";
+    let plain_text = s.flag("plain_text", false)?;
+    let Some(t) = s.section("tls")? else {
+        let loopback = read_listen(s)?.callers.ip().is_loopback();
+        if !loopback && !plain_text {
+            let help = "give \"tls\", or set \"plain_text\" to true if the network is trusted";
+            return Err(s.error("callers off this machine would be served in plain text", help));
+        }
+        return Ok(None);
+    };
+    t.only(&["certificate", "key", "client_roots"])?;
+    Ok(Some(TlsSettings {
+        certificate: t.text("certificate", HELP)?.into(),
+        key: t.text("key", HELP)?.into(),
+        client_roots: t.get("client_roots").map(|n| n.text()).transpose()?.map(PathBuf::from),
+    }))
+}
+
 fn read_platform(s: &Section<'_>) -> Result<PlatformSettings, SettingsError> {
     let p = needed(s, "platform")?;
     p.only(&["address", "timeout_ms"])?;
--- a/crates/hollowford-server/src/entry/mod.rs
+++ b/crates/hollowford-server/src/entry/mod.rs
@@ -6,6 +6,9 @@
 mod router;
 mod scheduler;
 mod status;
+mod tls;
 
 pub(crate) use operator::OperatorService;
 pub(crate) use scheduler::SchedulerService;
+pub use tls::TlsError;
+pub(crate) use tls::{Reloading, encrypted};
--- /dev/null
+++ b/crates/hollowford-server/src/entry/tls.rs
@@ -0,0 +1,152 @@
+//! Encryption towards callers, with certificates that are read again when they change.
+
+use hollowford_config::TlsSettings;
+use std::io;
+use std::path::Path;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::{Duration, SystemTime};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::rustls::pki_types::pem::{Error as PemError, PemObject};
+use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use tokio_rustls::rustls::server::WebPkiClientVerifier;
+use tokio_rustls::rustls::{Error as RustlsError, RootCertStore, ServerConfig};
+use tokio_rustls::server::TlsStream;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
+
+/// How often the files are looked at.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Longest handshake.
+const HANDSHAKE: Duration = Duration::from_secs(5);
+/// Handshaken connections that may wait for the server.
+const ACCEPTED_BOUND: usize = 64;
+
+/// Why a certificate or key can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum TlsError {
+    /// A file is no PEM file, or can't be read.
+    #[error("{file}: {error}")]
+    File {
+        /// The file.
+        file: String,
+        /// What is wrong with it.
+        error: PemError,
+    },
+    /// The certificate and the key don't fit, or the roots can't be used.
+    #[error("{0}")]
+    Unusable(String),
+}
+
+impl From<RustlsError> for TlsError {
+    fn from(e: RustlsError) -> TlsError {
+        TlsError::Unusable(e.to_string())
+    }
+}
+
+fn in_file(file: &Path) -> impl FnOnce(PemError) -> TlsError {
+    let file = file.display().to_string();
+    move |error| TlsError::File { file, error }
+}
+
+fn read_certificates(file: &Path) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let certificates = CertificateDer::pem_file_iter(file).map_err(in_file(file))?;
+    certificates.collect::<Result<_, _>>().map_err(in_file(file))
+}
+
+fn read(settings: &TlsSettings) -> Result<ServerConfig, TlsError> {
+    let chain = read_certificates(&settings.certificate)?;
+    let key = PrivateKeyDer::from_pem_file(&settings.key).map_err(in_file(&settings.key))?;
+    let builder = ServerConfig::builder();
+    let builder = match &settings.client_roots {
+        None => builder.with_no_client_auth(),
+        Some(file) => {
+            let mut roots = RootCertStore::empty();
+            for root in read_certificates(file)? {
+                roots.add(root)?;
+            }
+            let verifier = WebPkiClientVerifier::builder(Arc::new(roots)).build();
+            let verifier = verifier.map_err(|e| TlsError::Unusable(e.to_string()))?;
+            builder.with_client_cert_verifier(verifier)
+        }
+    };
+    let mut config = builder.with_single_cert(chain, key)?;
+    config.alpn_protocols = vec![b"h2".to_vec()];
+    Ok(config)
+}
+
+/// The newest usable certificate.
+#[derive(Clone, Debug)]
+pub(crate) struct Reloading {
+    settings: TlsSettings,
+    config: Arc<RwLock<Arc<ServerConfig>>>,
+}
+
+impl Reloading {
+    /// Reads the files for the first time.
+    pub fn new(settings: &TlsSettings) -> Result<Reloading, TlsError> {
+        let config = Arc::new(RwLock::new(Arc::new(read(settings)?)));
+        Ok(Reloading { settings: settings.clone(), config })
+    }
+
+    fn acceptor(&self) -> TlsAcceptor {
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner);
+        TlsAcceptor::from(config.clone())
+    }
+
+    fn changed_at(&self) -> Option<SystemTime> {
+        let s = &self.settings;
+        let files = [Some(&s.certificate), Some(&s.key), s.client_roots.as_ref()];
+        let changed = |f: &std::path::PathBuf| f.metadata().and_then(|m| m.modified()).ok();
+        files.into_iter().flatten().filter_map(changed).max()
+    }
+
+    /// Reads the files again whenever they change. Files that can't be used change
+    /// nothing.
+    async fn watch(self) {
+        let mut seen = self.changed_at();
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let now = self.changed_at();
+            if now == seen {
+                continue;
+            }
+            seen = now;
+            match read(&self.settings) {
+                Ok(config) => {
+                    *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
+                    log::info!("certificate read again");
+                }
+                Err(e) => log::error!("the certificate stays as it was: {e}"),
+            }
+        }
+    }
+}
+
+/// Shakes hands with each connection, several at a time, and passes on those that
+/// succeed.
+pub(crate) fn encrypted(
+    mut incoming: TcpIncoming,
+    tls: Reloading,
+) -> ReceiverStream<io::Result<TlsStream<TcpStream>>> {
+    let (tx, rx) = mpsc::channel(ACCEPTED_BOUND);
+    tokio::spawn(tls.clone().watch());
+    tokio::spawn(async move {
+        while let Some(accepted) = incoming.next().await {
+            let Ok(stream) = accepted else {
+                continue;
+            };
+            let (acceptor, tx) = (tls.acceptor(), tx.clone());
+            tokio::spawn(async move {
+                let shaken = tokio::time::timeout(HANDSHAKE, acceptor.accept(stream)).await;
+                if let Ok(Ok(stream)) = shaken {
+                    // The server may have ended.
+                    let _ = tx.send(Ok(stream)).await;
+                }
+            });
+        }
+    });
+    ReceiverStream::new(rx)
+}
--- a/crates/hollowford-server/src/lib.rs
+++ b/crates/hollowford-server/src/lib.rs
@@ -31,5 +31,6 @@
 mod workers;
 
 pub use accounts::{hash_token, seed_account};
+pub use entry::TlsError;
 pub use process::{Addresses, Process, StartError};
 pub use ring::Ring;
--- a/crates/hollowford-server/src/process.rs
+++ b/crates/hollowford-server/src/process.rs
@@ -1,6 +1,7 @@
 //! Starts and stops the duties of one process.
 
-use crate::entry::{OperatorService, SchedulerService};
+use crate::entry::TlsError;
+use crate::entry::{OperatorService, Reloading, SchedulerService, encrypted};
 use crate::shared::Shared;
 use crate::{admin, decide, ledger, ownership, peers, watch, workers};
 use hollowford_config::Settings;
@@ -36,6 +37,9 @@
     /// The client of the store can't be made.
     #[error("{0}")]
     Store(#[from] StoreError),
+    /// A certificate or key can't be used.
+    #[error("tls: {0}")]
+    Tls(#[from] TlsError),
     /// Two metrics have one name.
     #[error("{0}")]
     Metrics(#[from] prometheus::Error),
@@ -217,8 +221,14 @@
         .add_service(OperatorServer::new(operator));
     // Without it, small replies wait for the other side's acknowledgement.
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let tls = shared.settings.tls.as_ref().map(Reloading::new).transpose()?;
     let run = move || {
-        let served = rt.block_on(server.serve_with_incoming(incoming));
+        let served = match tls {
+            None => rt.block_on(server.serve_with_incoming(incoming)),
+            Some(tls) => {
+                rt.block_on(async { server.serve_with_incoming(encrypted(incoming, tls)).await })
+            }
+        };
         if let Err(e) = served {
             log::error!("the entry duty ended: {e}");
         }
--- a/crates/hollowford/src/client.rs
+++ b/crates/hollowford/src/client.rs
@@ -7,7 +7,7 @@
 use std::future::Future;
 use std::time::Duration;
 use tonic::metadata::{Ascii, MetadataValue};
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::{Certificate, Channel, ClientTlsConfig, Endpoint};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 const SERVER_VAR: &str = "HOLLOWFORD_SERVER";
@@ -22,9 +22,21 @@
 
 impl Target {
     /// Connects to a server, as the owner of a token.
-    pub async fn connect(server: &str, token: &str) -> Result<Target, CliError> {
+    ///
+    /// With the PEM text of a certificate authority, the link is encrypted, and the
+    /// server must prove that it is `localhost` or the address that was given.
+    pub async fn connect(server: &str, token: &str, ca: Option<&str>) -> Result<Target, CliError> {
         let unreachable = |e: tonic::transport::Error| CliError::Unreachable(e.to_string());
-        let endpoint = Endpoint::from_shared(format!("http://{server}")).map_err(unreachable)?;
+        let scheme = if ca.is_some() { "https" } else { "http" };
+        let endpoint =
+            Endpoint::from_shared(format!("{scheme}://{server}")).map_err(unreachable)?;
+        let endpoint = match ca {
+            None => endpoint,
+            Some(pem) => {
+                let tls = ClientTlsConfig::new().ca_certificate(Certificate::from_pem(pem));
+                endpoint.tls_config(tls).map_err(unreachable)?
+            }
+        };
         let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
         let channel = endpoint.connect().await.map_err(unreachable)?;
         let invalid = |_| CliError::Usage("the token holds characters that can't be sent".into());
@@ -55,12 +67,14 @@
 pub struct Options {
     server: String,
     token: String,
+    /// Text of the certificate authority's PEM file, for encrypted links.
+    ca: Option<String>,
     /// Print JSON.
     pub json: bool,
 }
 
 impl Options {
-    /// Takes `--server`, `--token` and `--json`, or the environment.
+    /// Takes `--server`, `--token`, `--ca` and `--json`, or the environment.
     pub fn take(args: &mut Arguments) -> Result<Options, CliError> {
         let or_var = |value: Option<String>, var: &str, flag: &str| {
             let missing = || CliError::Usage(format!("give {flag}, or set {var}"));
@@ -68,7 +82,10 @@
         };
         let server = args.opt_value_from_str("--server")?;
         let token = args.opt_value_from_str("--token")?;
+        let ca: Option<String> = args.opt_value_from_str("--ca")?;
+        let read = |file: String| std::fs::read_to_string(&file).map_err(CliError::io(file));
         Ok(Options {
+            ca: ca.map(read).transpose()?,
             server: or_var(server, SERVER_VAR, "--server IP:PORT")?,
             token: or_var(token, TOKEN_VAR, "--token TOKEN")?,
             json: args.contains("--json"),
@@ -77,7 +94,7 @@
 
     /// Connects as the options say.
     pub async fn connect(&self) -> Result<Target, CliError> {
-        Target::connect(&self.server, &self.token).await
+        Target::connect(&self.server, &self.token, self.ca.as_deref()).await
     }
 }
 
--- a/crates/hollowford/src/dev/run.rs
+++ b/crates/hollowford/src/dev/run.rs
@@ -34,7 +34,7 @@
         for account in &file.accounts {
             let mut targets = Vec::new();
             for addr in cell.callers() {
-                targets.push(Target::connect(&addr.to_string(), &account.token).await?);
+                targets.push(Target::connect(&addr.to_string(), &account.token, None).await?);
             }
             by_account.insert(account.name.clone(), targets);
         }
@@ -92,7 +92,7 @@
 }
 
 async fn state(server: &str) -> Result<serde_json::Value, CliError> {
-    let target = Target::connect(server, OPERATOR_TOKEN).await?;
+    let target = Target::connect(server, OPERATOR_TOKEN, None).await?;
     let reply = target.operator().state(target.call(v1::StateRequest {})).await?;
     serde_json::from_str(&reply.into_inner().json).map_err(|e| CliError::Run(e.to_string()))
 }
--- a/crates/hollowford/tests/common/play.rs
+++ b/crates/hollowford/tests/common/play.rs
@@ -105,6 +105,8 @@
     pub cpu_milli: u32,
     /// Settings of the decisions, by their names in the file.
     pub policy: Value,
+    /// The section `tls` of the processes' settings.
+    pub tls: Option<Value>,
 }
 
 impl Default for Options {
@@ -116,6 +118,7 @@
             workers_each: 8,
             cpu_milli: 4_000,
             policy: json!({}),
+            tls: None,
         }
     }
 }
@@ -183,7 +186,7 @@
     pub fn start_entry(&mut self) -> usize {
         let n = self.started;
         self.started += 1;
-        let settings = json!({
+        let mut settings = json!({
             "process": format!("entry-{n}"),
             "zone": "zone-0",
             "listen": {
@@ -195,6 +198,9 @@
             "operator_token_sha256": hash_token(OPERATOR),
             "policy": self.options.policy,
         });
+        if let Some(tls) = &self.options.tls {
+            settings["tls"] = tls.clone();
+        }
         let path = self.dir.path().join(format!("entry-{n}.jsonc"));
         std::fs::write(&path, settings.to_string()).unwrap();
         let program = Path::new(env!("CARGO_BIN_EXE_hollowford"));
