Let quick checks go on without the ledger, by the members' promises (engine)

Change: while the ledger stalls and every member has promised not to take over, a check that may repeat starts with a lease that ends before the promises do and that no renewal extends; its answer says that it is not durable.

--- a/crates/hollowford-engine/src/durable.rs
+++ b/crates/hollowford-engine/src/durable.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    fn send_start(&mut self, now: Millis, start: &PendingStart, out: &mut Vec<Action>) {
+    pub(crate) fn send_start(&mut self, now: Millis, start: &PendingStart, out: &mut Vec<Action>) {
         let task = &start.task;
         let state = self.requests.get(&task.request).map(|r| r.state_of(task.index));
         let stands = self.holder(task) == Some(start.worker)
@@ -73,12 +73,17 @@
         let Some((spec, checkpoint)) = self.start_of(start) else {
             return;
         };
-        let lease_until = self.lease(start.worker);
+        // An intent that is in no ledger: the start goes by the promises.
+        let fixed_lease = start.seq == 0;
+        let lease_until = match fixed_lease {
+            true => self.fixed_lease(start.worker),
+            false => self.lease(start.worker),
+        };
         let worker = self.workers.get(start.worker).id.clone();
         if let Some(r) = self.requests.get_mut(&task.request) {
             r.tasks[task.index as usize].state = TaskState::Starting(start.worker);
         }
         self.stats.started += 1;
-        out.push(Action::Start { worker, task: *task, lease_until, spec, checkpoint });
+        out.push(Action::Start { worker, task: *task, lease_until, fixed_lease, spec, checkpoint });
     }
 }
--- a/crates/hollowford-engine/src/engine.rs
+++ b/crates/hollowford-engine/src/engine.rs
@@ -55,6 +55,7 @@
 /// A start that waits for its intent to be durable.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingStart {
+    /// Position of the intent; 0: it need not be durable.
     pub seq: u64,
     pub task: TaskId,
     pub worker: WorkerIdx,
@@ -74,6 +75,8 @@
     pub(crate) next_seq: u64,
     pub(crate) durable_seq: u64,
     pub(crate) stalled: bool,
+    /// Until when no one takes over, while the ledger stalls; zero: that is not known.
+    pub(crate) promised_until: Millis,
     pub(crate) pending_starts: VecDeque<PendingStart>,
     pub(crate) pending_forgets: VecDeque<(u64, InstanceId, TaskId)>,
     pub(crate) pending_changes: VecDeque<(u64, RequestNo)>,
@@ -111,6 +114,7 @@
             next_seq: 1,
             durable_seq: 0,
             stalled: false,
+            promised_until: Millis(0),
             pending_starts: VecDeque::new(),
             pending_forgets: VecDeque::new(),
             pending_changes: VecDeque::new(),
--- a/crates/hollowford-engine/src/event.rs
+++ b/crates/hollowford-engine/src/event.rs
@@ -132,6 +132,8 @@
         task: TaskId,
         /// Reading of the worker's clock at which the lease ends.
         lease_until: u64,
+        /// Whether no renewal extends the lease.
+        fixed_lease: bool,
         /// What to run.
         spec: Arc<Spec>,
         /// Object to go on from; empty: from the start.
--- a/crates/hollowford-engine/src/lib.rs
+++ b/crates/hollowford-engine/src/lib.rs
@@ -24,6 +24,7 @@
 mod request;
 mod settle;
 mod submit;
+mod unledgered;
 mod worker;
 
 pub use account::AccountPolicy;
--- a/crates/hollowford-engine/src/place.rs
+++ b/crates/hollowford-engine/src/place.rs
@@ -14,6 +14,8 @@
     pub now: Millis,
     no: u64,
     placed: usize,
+    /// Whether the ledger can be written; if not, only unledgered requests are served.
+    ledgered: bool,
     /// Shapes of free placement that fitted nowhere, by class.
     full: Vec<(Class, Resources)>,
 }
@@ -43,17 +45,18 @@
     /// Sends the starts that are due and places what fits. Called after each
     /// group of events.
     pub fn decide(&mut self, now: Millis, authority: Authority, out: &mut Vec<Action>) {
-        if authority != Authority::Full {
-            return;
+        if authority == Authority::Full {
+            self.send_starts(now, out);
         }
-        self.send_starts(now, out);
-        if self.stalled || !self.dirty {
+        let ledgered = authority == Authority::Full && !self.stalled;
+        if !self.dirty || !(ledgered || self.is_promised(now)) {
             return;
         }
         self.dirty = false;
         self.pass += 1;
-        let mut pass = Pass { now, no: self.pass, placed: 0, full: Vec::new() };
-        for class in Class::ALL {
+        let mut pass = Pass { now, no: self.pass, placed: 0, full: Vec::new(), ledgered };
+        let classes = if ledgered { &Class::ALL[..] } else { &[Class::Urgent] };
+        for &class in classes {
             self.serve_class(class, &mut pass, out);
         }
         if pass.placed >= self.policy.pass_bound {
@@ -63,7 +66,7 @@
 
     /// Tells whether another call of [`Engine::decide`] would place more at once.
     pub fn has_more(&self) -> bool {
-        self.dirty && !self.stalled
+        self.dirty && (!self.stalled || self.promised_until > Millis(0))
     }
 
     fn serve_class(&mut self, class: Class, pass: &mut Pass, out: &mut Vec<Action>) {
@@ -189,6 +192,10 @@
         if r.not_before > pass.now || r.regroup {
             return Tried::Waits(Wait::Backoff);
         }
+        let goes = pass.ledgered || (r.unledgered && self.fits_promise(pass.now, &r.spec));
+        if !goes {
+            return Tried::Waits(Wait::Ledger);
+        }
         let at_once = if r.is_gang() { r.waiting.len() as u32 } else { 1 };
         if !self.accounts.get(r.account).allows(&r.spec.per_task, at_once) {
             return Tried::Waits(Wait::Quota);
@@ -233,7 +240,8 @@
         let found = self.find_worker(r, pass.now).or_else(|| {
             // What is withdrawn to make room leaves it at once, and the urgent
             // request must have it before any other takes it back.
-            let made = class == Class::Urgent && self.preempt_for(no, pass.now, out);
+            let may = class == Class::Urgent && pass.ledgered;
+            let made = may && self.preempt_for(no, pass.now, out);
             let r = self.requests.get(&no).filter(|_| made)?;
             self.find_worker(r, pass.now)
         });
@@ -247,7 +255,10 @@
             return Tried::Waits(Wait::Fresh);
         };
         let seq = self.place(no, index, placing.worker, pass.now, out);
-        self.expect_start(no, index, placing.worker, seq);
+        match pass.ledgered {
+            true => self.expect_start(no, index, placing.worker, seq),
+            false => self.start_unledgered(no, index, placing.worker, pass.now, out),
+        }
         self.note_placing(no, placing);
         pass.placed += 1;
         Tried::Placed
--- a/crates/hollowford-engine/src/query.rs
+++ b/crates/hollowford-engine/src/query.rs
@@ -25,6 +25,8 @@
     pub ended: u32,
     /// The final answer, once it is durable.
     pub answer: Option<&'a FinalAnswer>,
+    /// Whether the ledger holds the answer; it may not for work of an outage.
+    pub durable: bool,
     /// Results by task, once the answer is.
     pub results: Vec<(u32, &'a TaskResult)>,
     /// Time from acceptance to the first start.
@@ -86,9 +88,10 @@
         self.requests.get(&no).map(|r| &r.key)
     }
 
-    /// Tells whether the acceptance is durable.
+    /// Tells whether the acceptance is durable, or may be told without that.
     pub fn is_accepted(&self, no: RequestNo) -> bool {
-        self.requests.get(&no).is_some_and(|r| r.accepted_seq <= self.durable_seq)
+        let told = |r: &Request| r.unledgered || r.accepted_seq <= self.durable_seq;
+        self.requests.get(&no).is_some_and(told)
     }
 
     /// Tells whether a caller that waits for the end has its answer: the final one
@@ -101,7 +104,7 @@
     }
 
     fn answer_of<'a>(&self, r: &'a Request) -> Option<&'a FinalAnswer> {
-        r.answer.as_ref().filter(|_| r.answer_seq <= self.durable_seq)
+        r.answer.as_ref().filter(|_| r.unledgered || r.answer_seq <= self.durable_seq)
     }
 
     /// Returns a request's view.
@@ -127,6 +130,7 @@
             running: r.running,
             ended: r.spec.tasks - queued - r.active,
             answer,
+            durable: r.answer_seq <= self.durable_seq,
             results,
             waited: r.first_start.map(|t| t.since(r.accepted_at)),
             instances: workers.iter().map(|&w| self.workers.get(w).id.as_str()).collect(),
--- a/crates/hollowford-engine/src/request.rs
+++ b/crates/hollowford-engine/src/request.rs
@@ -128,6 +128,7 @@
     Headroom,
     Backoff,
     GangReservation,
+    Ledger,
 }
 
 impl Wait {
@@ -138,6 +139,7 @@
             Wait::Quota => "waits: the client account's quota is in use",
             Wait::Headroom => "waits: the room left is kept for urgent work",
             Wait::Backoff => "waits before the next attempt",
+            Wait::Ledger => "waits: the ledger can't be written now",
             Wait::GangReservation => {
                 "waits: instances are being drained so that all tasks can start"
             }
@@ -213,6 +215,9 @@
     pub unsure: u32,
     pub results: Results,
     pub message: Arc<str>,
+    /// Accepted while the ledger stalls: it runs by the members' promises, and its
+    /// answer is told before it is durable.
+    pub unledgered: bool,
     pub cancelled: bool,
     /// A gang whose tasks are all being stopped, to start again or to fail.
     pub regroup: bool,
@@ -251,6 +256,7 @@
             unsure: 0,
             results: Results::default(),
             message: "".into(),
+            unledgered: false,
             cancelled: false,
             regroup: false,
             begun: false,
--- a/crates/hollowford-engine/src/settle.rs
+++ b/crates/hollowford-engine/src/settle.rs
@@ -196,6 +196,9 @@
         let seq = self.append(no, Change::Close(answer.clone()), out);
         self.apply_close(now, no, answer, seq);
         self.changed_when_durable(no, seq);
+        if self.is_unledgered(no) {
+            self.changed(no, out);
+        }
     }
 
     /// Books the final answer on the request.
--- a/crates/hollowford-engine/src/submit.rs
+++ b/crates/hollowford-engine/src/submit.rs
@@ -29,7 +29,8 @@
         if let Some(found) = self.find_same(key, spec) {
             return found;
         }
-        if let Err(e) = self.admit(key, spec) {
+        let unledgered = self.goes_unledgered(now, spec);
+        if let Err(e) = self.admit(key, spec, unledgered) {
             self.stats.refused += 1;
             return Err(e);
         }
@@ -41,6 +42,7 @@
         self.insert_request(no, key, spec, now);
         if let Some(r) = self.requests.get_mut(&no) {
             r.accepted_seq = seq;
+            r.unledgered = unledgered;
         }
         self.changed_when_durable(no, seq);
         self.enqueue(no, false);
@@ -57,8 +59,9 @@
         Some(Err(Error::new(ErrorKind::Conflict, message)))
     }
 
-    fn admit(&mut self, key: &RequestKey, spec: &Spec) -> Result<(), Error> {
-        if self.stalled || self.next_seq - self.durable_seq > self.policy.unsynced_bound {
+    fn admit(&mut self, key: &RequestKey, spec: &Spec, unledgered: bool) -> Result<(), Error> {
+        let stalled = self.stalled && !unledgered;
+        if stalled || self.next_seq - self.durable_seq > self.policy.unsynced_bound {
             let message = "the ledger can't be written now; the request did not run";
             return Err(Error::new(ErrorKind::Unavailable, message));
         }
--- /dev/null
+++ b/crates/hollowford-engine/src/unledgered.rs
@@ -0,0 +1,78 @@
+//! Quick checks while the ledger can't be written.
+//!
+//! A check that may be repeated goes on without the ledger for as long as every
+//! member has promised not to take the partition over. Its lease ends before the
+//! promises do and no renewal extends it, so when anyone can take over, nothing
+//! unledgered still runs. Its records are appended like all others and become
+//! durable when the ledger is back; its answer is told before that, and says so.
+
+use crate::engine::{Engine, PendingStart};
+use crate::event::Action;
+use crate::worker::WorkerIdx;
+use hollowford_core::{Kind, Millis, RequestNo, Spec};
+
+/// Parts of the declared run time that must fit into the promises, in tenths.
+const RUN_TENTHS: u64 = 15;
+const TENTHS: u64 = 10;
+
+impl Engine {
+    /// Notes until when every member has promised not to take over; zero when one
+    /// of them has not.
+    pub fn set_promised(&mut self, until: Millis) {
+        if until > self.promised_until {
+            self.dirty = true;
+        }
+        self.promised_until = until;
+    }
+
+    /// Tells whether unledgered work may be started at `now`.
+    pub fn is_promised(&self, now: Millis) -> bool {
+        self.stalled && self.promised_until > now + self.policy.drift_margin
+    }
+
+    /// Tells whether a new request is to go on without the ledger.
+    pub(crate) fn goes_unledgered(&self, now: Millis, spec: &Spec) -> bool {
+        let check = spec.kind == Kind::Check && spec.repeatable && spec.tasks == 1;
+        check && self.is_promised(now) && self.fits_promise(now, spec)
+    }
+
+    /// Tells whether a task is expected to end before the promises do.
+    pub(crate) fn fits_promise(&self, now: Millis, spec: &Spec) -> bool {
+        let run = Millis(spec.run_time_ms.saturating_mul(RUN_TENTHS) / TENTHS);
+        spec.run_time_ms > 0 && now + run + self.policy.drift_margin < self.promised_until
+    }
+
+    /// Tells whether a request goes on without the ledger.
+    pub(crate) fn is_unledgered(&self, no: RequestNo) -> bool {
+        self.requests.get(&no).is_some_and(|r| r.unledgered)
+    }
+
+    /// Returns the end of a lease, on the worker's clock, that surely ends before the
+    /// promises do on ours.
+    ///
+    /// The worker's reading was taken before it came here, so the worker's clock reaches
+    /// reading + x no later than ours reaches the time of its coming + x.
+    pub(crate) fn fixed_lease(&mut self, idx: WorkerIdx) -> u64 {
+        let (longest, margin) = (self.policy.task_lease, self.policy.drift_margin);
+        let until = self.promised_until.since(margin);
+        let w = self.workers.touch(idx);
+        let length = until.since(w.clock_at).min(longest);
+        w.lapse_at = w.lapse_at.max(w.clock_at + length + margin);
+        w.clock + length.0
+    }
+
+    /// Sends a start whose intent is not durable.
+    pub(crate) fn start_unledgered(
+        &mut self,
+        no: RequestNo,
+        index: u32,
+        worker: WorkerIdx,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(r) = self.requests.get(&no) {
+            let start = PendingStart { seq: 0, task: r.task_id(index), worker };
+            self.send_start(now, &start, out);
+        }
+    }
+}
--- a/crates/hollowford-engine/tests/common/mod.rs
+++ b/crates/hollowford-engine/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub epoch: Epoch,
     pub ledger: Vec<Record>,
     pub stalled: bool,
+    /// Until when no one takes over.
+    pub promised_until: Millis,
     pub workers: BTreeMap<InstanceId, FakeWorker>,
     pub judge: Judge,
     next_session: u64,
@@ -82,6 +84,7 @@
             epoch: Epoch(0),
             ledger: Vec::new(),
             stalled: false,
+            promised_until: Millis(0),
             workers: BTreeMap::new(),
             judge: Judge::default(),
             next_session: 1,
@@ -147,6 +150,13 @@
         self.carry_out(last, out);
     }
 
+    /// Every member promises the newest owner not to take over for so long.
+    pub fn promise(&mut self, ms: u64) {
+        self.promised_until = self.promised_until.max(self.now + Millis(ms));
+        let until = self.promised_until;
+        self.engine().set_promised(until);
+    }
+
     /// The newest owner.
     pub fn engine(&mut self) -> &mut Engine {
         &mut self.owners.last_mut().unwrap().engine
@@ -242,9 +252,12 @@
         if let Some(view) = engine.view(no)
             && let Some(answer) = view.answer
         {
-            let answer: FinalAnswer = answer.clone();
-            let key = view.key.clone();
-            self.judge.answered(&key, &answer);
+            // An answer that is not durable says so, and may be lost.
+            if view.durable {
+                let answer: FinalAnswer = answer.clone();
+                let key = view.key.clone();
+                self.judge.answered(&key, &answer);
+            }
         }
     }
 
--- a/crates/hollowford-engine/tests/orders.rs
+++ b/crates/hollowford-engine/tests/orders.rs
@@ -42,6 +42,10 @@
     Leave(usize),
     Unlist(usize),
     Stall(bool),
+    /// Every member promises not to take over for so long.
+    Promise(u64),
+    /// A caller repeats a request.
+    Repeat(usize),
     /// A new owner takes over; the old one goes on for as long as it can.
     Takeover,
     /// A new owner takes over while the old one is paused.
@@ -78,6 +82,8 @@
         1 => worker.clone().prop_map(Op::Unlist),
         1 => worker.prop_map(Op::OldClaims),
         2 => any::<bool>().prop_map(Op::Stall),
+        3 => (10..100u64).prop_map(|n| Op::Promise(n * 50)),
+        2 => (0..20usize).prop_map(Op::Repeat),
         1 => Just(Op::Takeover),
         1 => Just(Op::TakeoverPaused),
         2 => Just(Op::WakeOld),
@@ -138,6 +144,16 @@
             Op::Leave(i) => self.with_worker(*i, |w| w.leaving = true),
             Op::Unlist(i) => self.with_worker(*i, |w| w.unlisted = !w.unlisted),
             Op::Stall(on) => world.stalled = *on,
+            Op::Promise(ms) => world.promise(*ms),
+            Op::Repeat(i) => {
+                let id = format!("r{i}");
+                if let Some(spec) = world.judge.spec_of(&common::key(&id)) {
+                    // A refusal is an answer.
+                    let _ = world.submit(&id, &spec);
+                }
+            }
+            // Members keep their promises.
+            Op::Takeover | Op::TakeoverPaused if world.now < world.promised_until => {}
             Op::Takeover => world.takeover(),
             Op::TakeoverPaused => {
                 world.owners[newest].paused = true;
@@ -182,6 +198,7 @@
     /// Mends everything. Then every request must get its answer.
     fn heal(&mut self) {
         self.world.stalled = false;
+        self.world.now = self.world.now.max(self.world.promised_until);
         for w in self.world.workers.values_mut() {
             w.frozen = false;
             w.unreachable = false;
--- a/crates/hollowford-engine/tests/placing.rs
+++ b/crates/hollowford-engine/tests/placing.rs
@@ -253,6 +253,31 @@
     assert!(engine.view(no).unwrap().answer.is_some());
 }
 
+#[test]
+fn by_the_members_promises_a_check_runs_in_a_stall_and_batch_work_does_not() {
+    let mut world = World::new(policy(), 2);
+    world.stalled = true;
+    world.run(100);
+    world.promise(4_000);
+    assert!(world.submit("batch", &spec(Kind::Batch, 1, 500, 100)).is_err());
+    // One that may outlive the promises is refused, and so is one that may not repeat.
+    assert!(world.submit("long", &spec(Kind::Check, 1, 500, 3_000)).is_err());
+    let mut once = spec(Kind::Check, 1, 500, 100);
+    once.repeatable = false;
+    assert!(world.submit("once", &once).is_err());
+    world.submit("check", &spec(Kind::Check, 1, 500, 100)).unwrap();
+    world.run(500);
+    let engine = world.engine();
+    let no = engine.find(&key("check")).unwrap();
+    let view = engine.view(no).unwrap();
+    assert_eq!(view.answer.unwrap().outcome, Outcome::Done);
+    assert!(!view.durable);
+    world.stalled = false;
+    world.run(500);
+    let engine = world.engine();
+    assert!(engine.view(no).unwrap().durable);
+}
+
 #[test]
 fn while_the_ledger_stalls_new_work_is_refused_as_not_run_and_nothing_is_placed() {
     let mut world = World::new(policy(), 2);
--- a/crates/hollowford-engine/tests/recovery.rs
+++ b/crates/hollowford-engine/tests/recovery.rs
@@ -245,3 +245,32 @@
     assert_eq!(world.answer("done").unwrap().outcome, Outcome::Done);
     assert_eq!(world.answer("gone").unwrap().outcome, Outcome::Cancelled);
 }
+
+#[test]
+fn when_the_promises_have_ended_nothing_unledgered_runs() {
+    let mut world = World::new(policy(), 1);
+    world.stalled = true;
+    world.run(100);
+    world.promise(4_000);
+    let mut check = spec(Kind::Check, 1, 500, 1_000);
+    world.submit("check", &check).unwrap();
+    world.step();
+    world.step();
+    let id = world.worker_id(0);
+    assert_eq!(world.workers[&id].running.len(), 1);
+    // It runs longer than it was declared to, and the owner renews as it does.
+    for r in world.workers.get_mut(&id).unwrap().running.values_mut() {
+        r.ends_at = u64::MAX;
+    }
+    world.run(4_000);
+    assert_eq!(world.workers[&id].running.len(), 0);
+    // The next owner knows nothing of it, and the caller may repeat it.
+    world.stalled = false;
+    world.owners.last_mut().unwrap().paused = true;
+    world.takeover();
+    world.settle();
+    check.run_time_ms = 1_000;
+    world.submit("check", &check).unwrap();
+    world.run(2_000);
+    assert_eq!(world.answer("check").unwrap().outcome, Outcome::Done);
+}
