Answer quick checks in an outage of the store, by promises not to take over

Cause: with the store down every quick check was refused.

Change: a process that the store does not answer promises its peers, in its heartbeats, to take over nothing for 3 s, and renews that. While every member that an owner knows has promised, it starts checks that may repeat, with leases that end before the promises. A process that has just started takes over no lapsed partition for ownership lease + promise. An open challenge ends the promising. Weighed: refusing all (what it did before), a replica of the ledger among the processes (excluded by the users).

Found on the way: checks that were placed just when the stall began waited for ever (process test: not answered in 60 s), engine test added; the young process's wait makes a takeover in a new cell as late as 4.5 s after its start.

--- a/crates/hollowford-config/src/settings.rs
+++ b/crates/hollowford-config/src/settings.rs
@@ -85,6 +85,8 @@
     pub ownership: Millis,
     /// How often it renews.
     pub renew: Millis,
+    /// How long a process that the store does not answer promises not to take over.
+    pub promise: Millis,
     /// Age at which knowledge of the configuration must be confirmed before use.
     pub config_fresh: Millis,
 }
@@ -218,19 +220,29 @@
 }
 
 fn read_lease(s: &Section<'_>) -> Result<Lease, SettingsError> {
-    const DEFAULT: Lease =
-        Lease { ownership: Millis(1_500), renew: Millis(400), config_fresh: Millis(1_500) };
+    const DEFAULT: Lease = Lease {
+        ownership: Millis(1_500),
+        renew: Millis(400),
+        promise: Millis(3_000),
+        config_fresh: Millis(1_500),
+    };
     let Some(l) = s.section("lease")? else {
         return Ok(DEFAULT);
     };
-    l.only(&["ownership_ms", "renew_ms", "config_fresh_ms"])?;
+    l.only(&["ownership_ms", "renew_ms", "promise_ms", "config_fresh_ms"])?;
     let ownership = l.number("ownership_ms", DEFAULT.ownership.0, 100..=60_000)?;
     let renew = l.number("renew_ms", DEFAULT.renew.0, 20..=30_000)?;
     if renew * 2 > ownership {
         return Err(l.error("\"renew_ms\" is too long", "at most half of ownership_ms"));
     }
     let fresh = l.number("config_fresh_ms", DEFAULT.config_fresh.0, 100..=3_500)?;
-    Ok(Lease { ownership: Millis(ownership), renew: Millis(renew), config_fresh: Millis(fresh) })
+    let promise = l.number("promise_ms", DEFAULT.promise.0, 100..=30_000)?;
+    Ok(Lease {
+        ownership: Millis(ownership),
+        renew: Millis(renew),
+        promise: Millis(promise),
+        config_fresh: Millis(fresh),
+    })
 }
 
 fn read_store(s: &Section<'_>) -> Result<StoreBudget, SettingsError> {
--- a/crates/hollowford-engine/src/durable.rs
+++ b/crates/hollowford-engine/src/durable.rs
@@ -34,6 +34,11 @@
         self.stalled = stalled;
     }
 
+    /// Tells whether the ledger can't be written now.
+    pub fn is_stalled(&self) -> bool {
+        self.stalled
+    }
+
     /// Returns the position of the newest record.
     pub fn last_seq(&self) -> u64 {
         self.next_seq - 1
--- a/crates/hollowford-engine/src/place.rs
+++ b/crates/hollowford-engine/src/place.rs
@@ -49,6 +49,9 @@
             self.send_starts(now, out);
         }
         let ledgered = authority == Authority::Full && !self.stalled;
+        if !ledgered && self.is_promised(now) {
+            self.start_pending_unledgered(now, out);
+        }
         if !self.dirty || !(ledgered || self.is_promised(now)) {
             return;
         }
@@ -192,8 +195,7 @@
         if r.not_before > pass.now || r.regroup {
             return Tried::Waits(Wait::Backoff);
         }
-        let goes = pass.ledgered || (r.unledgered && self.fits_promise(pass.now, &r.spec));
-        if !goes {
+        if !pass.ledgered && !self.goes_unledgered(pass.now, &r.spec) {
             return Tried::Waits(Wait::Ledger);
         }
         let at_once = if r.is_gang() { r.waiting.len() as u32 } else { 1 };
--- a/crates/hollowford-engine/src/unledgered.rs
+++ b/crates/hollowford-engine/src/unledgered.rs
@@ -30,7 +30,7 @@
         self.stalled && self.promised_until > now + self.policy.drift_margin
     }
 
-    /// Tells whether a new request is to go on without the ledger.
+    /// Tells whether a request is to go on without the ledger.
     pub(crate) fn goes_unledgered(&self, now: Millis, spec: &Spec) -> bool {
         let check = spec.kind == Kind::Check && spec.repeatable && spec.tasks == 1;
         check && self.is_promised(now) && self.fits_promise(now, spec)
@@ -61,6 +61,19 @@
         w.clock + length.0
     }
 
+    /// Sends the starts of checks that were placed when the ledger began to stall.
+    pub(crate) fn start_pending_unledgered(&mut self, now: Millis, out: &mut Vec<Action>) {
+        for start in std::mem::take(&mut self.pending_starts) {
+            let spec = self.requests.get(&start.task.request).map(|r| r.spec.clone());
+            if spec.is_some_and(|spec| self.goes_unledgered(now, &spec)) {
+                let (no, index) = (start.task.request, start.task.index);
+                self.start_unledgered(no, index, start.worker, now, out);
+            } else {
+                self.pending_starts.push_back(start);
+            }
+        }
+    }
+
     /// Sends a start whose intent is not durable.
     pub(crate) fn start_unledgered(
         &mut self,
@@ -70,7 +83,9 @@
         now: Millis,
         out: &mut Vec<Action>,
     ) {
-        if let Some(r) = self.requests.get(&no) {
+        if let Some(r) = self.requests.get_mut(&no) {
+            // It may have been accepted before the stall.
+            r.unledgered = true;
             let start = PendingStart { seq: 0, task: r.task_id(index), worker };
             self.send_start(now, &start, out);
         }
--- a/crates/hollowford-engine/tests/placing.rs
+++ b/crates/hollowford-engine/tests/placing.rs
@@ -295,3 +295,23 @@
     world.run(2_000);
     assert_eq!(world.answer("before").unwrap().outcome, Outcome::Done);
 }
+
+#[test]
+fn a_check_that_was_placed_when_the_stall_began_starts_by_the_promises() {
+    let mut world = World::new(policy(), 2);
+    let owner = world.owners.len() - 1;
+    world.submit("check", &spec(Kind::Check, 1, 500, 100)).unwrap();
+    world.submit("batch", &spec(Kind::Batch, 1, 500, 100)).unwrap();
+    // Both are placed, and their intents meet a ledger that can't be written.
+    world.decide(owner);
+    world.stalled = true;
+    world.run(300);
+    assert_eq!(world.engine().stats().started, 0);
+    world.promise(4_000);
+    world.run(500);
+    assert_eq!(world.answer("check").unwrap().outcome, Outcome::Done);
+    assert_eq!(world.answer("batch"), None);
+    world.stalled = false;
+    world.run(500);
+    assert_eq!(world.answer("batch").unwrap().outcome, Outcome::Done);
+}
--- a/crates/hollowford-protocol/src/peer.rs
+++ b/crates/hollowford-protocol/src/peer.rs
@@ -80,6 +80,16 @@
     /// Where the sender takes peer links, as `IP:port`.
     #[prost(string, tag = "5")]
     pub addr: String,
+    /// The sender's clock in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub stamp: u64,
+    /// The stamp that the sender heard last from the receiver; 0: none.
+    #[prost(uint64, tag = "7")]
+    pub echo: u64,
+    /// The store does not answer the sender, and for so many milliseconds after it
+    /// heard `echo` it takes over no partition; 0: it does not promise that.
+    #[prost(uint64, tag = "8")]
+    pub promise_ms: u64,
 }
 
 /// The owner has written the partition's row free.
--- a/crates/hollowford-server/src/codec.rs
+++ b/crates/hollowford-server/src/codec.rs
@@ -175,16 +175,19 @@
 pub fn order_to_wire(action: &Action) -> Option<v1::Order> {
     use v1::order::Order;
     let order = match action {
-        Action::Start { task, lease_until, spec, checkpoint, .. } => Order::Start(v1::Start {
-            task: Some(task_to_wire(task)),
-            lease_until: *lease_until,
-            cpu_milli: spec.per_task.cpu_milli,
-            memory_mib: spec.per_task.memory_mib,
-            accelerators: spec.per_task.accelerators,
-            payload: spec.payload.clone(),
-            run_time_ms: spec.run_time_ms,
-            checkpoint: checkpoint.to_string(),
-        }),
+        Action::Start { task, lease_until, fixed_lease, spec, checkpoint, .. } => {
+            Order::Start(v1::Start {
+                fixed_lease: *fixed_lease,
+                task: Some(task_to_wire(task)),
+                lease_until: *lease_until,
+                cpu_milli: spec.per_task.cpu_milli,
+                memory_mib: spec.per_task.memory_mib,
+                accelerators: spec.per_task.accelerators,
+                payload: spec.payload.clone(),
+                run_time_ms: spec.run_time_ms,
+                checkpoint: checkpoint.to_string(),
+            })
+        }
         Action::Renew { lease_until, .. } => Order::Renew(v1::Renew { lease_until: *lease_until }),
         Action::Stop { task, checkpoint, .. } => {
             Order::Stop(v1::Stop { task: Some(task_to_wire(task)), checkpoint: *checkpoint })
--- a/crates/hollowford-server/src/decide/calls.rs
+++ b/crates/hollowford-server/src/decide/calls.rs
@@ -75,7 +75,9 @@
     check_request_id(&req.request_id)?;
     let missing = || Error::new(ErrorKind::Invalid, "spec is missing");
     let spec = Spec::try_from(req.spec.as_ref().ok_or_else(missing)?)?;
-    check_may_change(owned, now)?;
+    if !owned.engine.is_promised(now) {
+        check_may_change(owned, now)?;
+    }
     let key = RequestKey::new(account, &req.request_id);
     owned.engine.submit(now, &key, &spec, &mut owned.out)
 }
@@ -121,7 +123,7 @@
 
 /// Answers when the ledger holds the record at `seq`.
 fn when_durable(owned: &mut Owned, seq: u64, what: Durably, reply: ReplyTo) {
-    let stalled = owned.ledger.stalled();
+    let stalled = owned.engine.is_stalled();
     if let Durably::View(no) = what
         && (seq <= owned.ledger.durable() || (stalled && owned.engine.is_accepted(no)))
     {
--- a/crates/hollowford-server/src/decide/owned.rs
+++ b/crates/hollowford-server/src/decide/owned.rs
@@ -146,7 +146,12 @@
 
     /// Reads how far the ledger has come.
     pub fn read_ledger(&mut self) {
-        self.engine.set_stalled(self.ledger.stalled());
+        // Without the lease nothing can be written either.
+        let lapsed = self.authority(self.shared.clock.now()) != Authority::Full;
+        let stalled = self.ledger.stalled() || lapsed;
+        self.engine.set_stalled(stalled);
+        let promised = if stalled { self.shared.promised_until() } else { Millis(0) };
+        self.engine.set_promised(promised);
         let durable = self.ledger.durable();
         if durable > self.durable {
             self.durable = durable;
@@ -181,7 +186,7 @@
     pub fn tick(&mut self, now: Millis) {
         let authority = self.authority(now);
         self.engine.tick(now, authority, &mut self.out);
-        if self.ledger.stalled() {
+        if self.engine.is_stalled() {
             self.waiters.give_up_durable(now);
         }
         for no in self.waiters.requests() {
--- a/crates/hollowford-server/src/entry/scheduler.rs
+++ b/crates/hollowford-server/src/entry/scheduler.rs
@@ -107,7 +107,7 @@
         check_request_id(&body.request_id)?;
         let spec = body.spec.as_ref();
         Spec::try_from(spec.ok_or_else(|| Error::new(ErrorKind::Invalid, "spec is missing"))?)?;
-        if !self.shared.config_is_fresh() {
+        if !self.shared.config_stands() {
             let message = "the configuration can't be confirmed now; the request did not run";
             return Err(Error::new(ErrorKind::Unavailable, message));
         }
--- a/crates/hollowford-server/src/members.rs
+++ b/crates/hollowford-server/src/members.rs
@@ -1,6 +1,7 @@
 //! The other processes of the cell, as far as this one knows.
 
 use hollowford_core::{Clock, Millis};
+use hollowford_protocol::peer::Heartbeat;
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -18,6 +19,10 @@
     pub leaving: bool,
     /// Newest configuration change that it has in force.
     pub config_head: u64,
+    /// Its clock in its last heartbeat.
+    pub stamp: u64,
+    /// Until when it has promised not to take over, by this process's clock.
+    pub promised_until: Millis,
 }
 
 /// All other processes.
@@ -37,8 +42,14 @@
         if map.get(process).is_some_and(|m| m.addr == addr) {
             return;
         }
-        let member =
-            Member { addr: addr.to_owned(), heard_at: None, leaving: false, config_head: 0 };
+        let member = Member {
+            addr: addr.to_owned(),
+            heard_at: None,
+            leaving: false,
+            config_head: 0,
+            stamp: 0,
+            promised_until: Millis(0),
+        };
         map.insert(process.to_owned(), member);
     }
 
@@ -48,12 +59,39 @@
     }
 
     /// Notes a heartbeat.
-    pub fn heard(&self, process: &str, now: Millis, leaving: bool, config_head: u64) {
-        if let Some(m) = self.lock().get_mut(process) {
-            m.heard_at = Some(now);
-            m.leaving = leaving;
-            m.config_head = config_head;
+    pub fn heard(&self, now: Millis, beat: &Heartbeat) {
+        let mut map = self.lock();
+        let Some(m) = map.get_mut(&beat.process) else {
+            return;
+        };
+        m.heard_at = Some(now);
+        m.leaving = beat.leaving;
+        m.config_head = beat.config_head;
+        m.stamp = beat.stamp;
+        // The echo is our own clock before the promise was made, so the promise ends
+        // no earlier than this.
+        if beat.promise_ms > 0 && beat.echo > 0 {
+            m.promised_until = m.promised_until.max(Millis(beat.echo + beat.promise_ms));
+        }
+    }
+
+    /// Returns the last stamp heard from a process.
+    pub fn stamp_of(&self, process: &str) -> u64 {
+        self.lock().get(process).map_or(0, |m| m.stamp)
+    }
+
+    /// Returns until when every process that is known has promised not to take over;
+    /// zero when one has not, or knows of a later configuration change than `head`.
+    /// Without any other process there is no one to promise: then it is `alone`.
+    pub fn promised_until(&self, head: u64, alone: Millis) -> Millis {
+        let map = self.lock();
+        // One that leaves takes nothing over any more.
+        let mut others = map.values().filter(|m| !m.leaving).peekable();
+        if others.peek().is_none() {
+            return alone;
         }
+        let promise = |m: &Member| if m.config_head > head { Millis(0) } else { m.promised_until };
+        others.map(promise).min().unwrap_or(Millis(0))
     }
 
     /// Returns all processes that are known.
--- a/crates/hollowford-server/src/ownership/keeper.rs
+++ b/crates/hollowford-server/src/ownership/keeper.rs
@@ -19,6 +19,8 @@
 const RELEASED_STEP: Millis = Millis(150);
 /// Shortest time between two partitions that a process hands over to even the load.
 const EVEN_EVERY: Millis = Millis(1_000);
+/// Store timeouts after which a write without an answer takes effect no more.
+const LATE_WRITE_TIMEOUTS: u32 = 10;
 /// Wait before an attempt to recover is repeated.
 const RECOVER_AGAIN: Millis = Millis(100);
 
@@ -59,6 +61,13 @@
     due_at: Millis,
 }
 
+/// What a look at the row shows of a challenge whose reply was lost.
+enum Settled {
+    Made(u64),
+    NotMade,
+    Unknown,
+}
+
 /// Keeps one partition's row.
 struct Keeper {
     shared: Arc<Shared>,
@@ -260,8 +269,15 @@
 
     /// Takes the partition over by compare-and-set.
     async fn challenge(&mut self, seen: &Seen) {
+        if seen.how_free() == "lapsed" && self.is_young() {
+            return;
+        }
+        if !self.shared.standstill.begin_challenge(self.shared.clock.now()) {
+            return;
+        }
         let epoch = Epoch(seen.row.epoch + 1);
         let Ok(epoch_row) = self.store.get(&epoch_key(self.partition)).await else {
+            self.shared.standstill.end_challenge();
             return;
         };
         let sent_at = self.shared.clock.now();
@@ -275,8 +291,17 @@
         let version = match self.store.txn(&txn).await {
             Ok(TxnResult::Committed(version)) => Some(version),
             Ok(TxnResult::Conflict(_)) => None,
-            Err(_) => self.settle_challenge(&row).await,
+            Err(_) => match self.settle_challenge(&row).await {
+                Settled::Made(version) => Some(version),
+                Settled::NotMade => None,
+                // Still open: it may take effect, so nothing is promised meanwhile.
+                Settled::Unknown => {
+                    self.end_challenge_later();
+                    return;
+                }
+            },
         };
+        self.shared.standstill.end_challenge();
         if let Some(version) = version {
             // Both rows were written by one transaction, so they share the version.
             self.shared.metrics.takeovers.with_label_values(&[seen.how_free()]).inc();
@@ -286,9 +311,30 @@
 
     /// After a lost reply: reads the row back. A write that takes effect later than
     /// this read is met as a row of ours that no one renews, and lapses.
-    async fn settle_challenge(&self, row: &OwnerRow) -> Option<u64> {
-        let seen = self.read().await.ok()??;
-        (seen.row == *row).then_some(seen.version)
+    async fn settle_challenge(&self, row: &OwnerRow) -> Settled {
+        match self.read().await {
+            Ok(Some(seen)) if seen.row == *row => Settled::Made(seen.version),
+            Ok(_) => Settled::NotMade,
+            Err(_) => Settled::Unknown,
+        }
+    }
+
+    /// Counts a challenge without an answer as open for as long as a write may still
+    /// take effect.
+    fn end_challenge_later(&self) {
+        let late = self.shared.settings.platform.timeout.duration() * LATE_WRITE_TIMEOUTS;
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(late).await;
+            shared.standstill.end_challenge();
+        });
+    }
+
+    /// A process that has just started may be unknown to an owner that goes by the
+    /// members' promises; it waits until that owner must have heard of it.
+    fn is_young(&self) -> bool {
+        let lease = &self.shared.settings.lease;
+        self.shared.clock.now() < lease.ownership + lease.promise
     }
 
     /// Recovers the state, renewing the lease meanwhile, and starts to decide.
--- a/crates/hollowford-server/src/ownership/mod.rs
+++ b/crates/hollowford-server/src/ownership/mod.rs
@@ -3,9 +3,11 @@
 mod board;
 mod keeper;
 mod lease;
+mod standstill;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use board::{Board, follow};
 pub(crate) use keeper::run;
 pub(crate) use lease::OwnerLease;
+pub(crate) use standstill::Standstill;
--- a/crates/hollowford-server/src/peers/dialer.rs
+++ b/crates/hollowford-server/src/peers/dialer.rs
@@ -46,9 +46,9 @@
         let members = shared.members.all();
         self.map.retain(|p, d| members.get(p).is_some_and(|m| m.addr == d.addr));
         for (process, member) in members {
-            self.map.entry(process).or_insert_with(|| {
+            self.map.entry(process.clone()).or_insert_with(|| {
                 let (tx, rx) = mpsc::channel(FRAMES_BOUND);
-                let task = tokio::spawn(hold(shared.clone(), member.addr.clone(), rx));
+                let task = tokio::spawn(hold(shared.clone(), process, member.addr.clone(), rx));
                 Dialer { addr: member.addr, tx, task }
             });
         }
@@ -78,11 +78,18 @@
 }
 
 /// Keeps one link open.
-async fn hold(shared: Arc<Shared>, addr: String, mut rx: mpsc::Receiver<Outgoing>) {
+async fn hold(
+    shared: Arc<Shared>,
+    process: String,
+    addr: String,
+    mut rx: mpsc::Receiver<Outgoing>,
+) {
     loop {
-        if let Ok(Ok(link)) = tokio::time::timeout(CONNECT_TIMEOUT, open(&shared, &addr)).await {
+        if let Ok(Ok(link)) =
+            tokio::time::timeout(CONNECT_TIMEOUT, open(&shared, &process, &addr)).await
+        {
             // The end of a link is no news: it is opened again.
-            let _ = talk(&shared, link, &mut rx).await;
+            let _ = talk(&shared, &process, link, &mut rx).await;
         }
         // Calls that waited meanwhile fail now, so that their entry asks elsewhere.
         while rx.try_recv().is_ok() {}
@@ -90,7 +97,7 @@
     }
 }
 
-async fn open(shared: &Shared, addr: &str) -> Result<Frames<TcpStream>, FrameError> {
+async fn open(shared: &Shared, to: &str, addr: &str) -> Result<Frames<TcpStream>, FrameError> {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
     let mut link = frames(stream);
@@ -102,12 +109,13 @@
     let key = shared.settings.peer_key.expose().as_bytes();
     let mac = mac(key, &challenge.nonce, &process);
     send(&mut link, &Frame { id: 0, body: Some(Body::Hello(Hello { process, mac })) }).await?;
-    send(&mut link, &heartbeat(shared)).await?;
+    send(&mut link, &heartbeat(shared, to)).await?;
     Ok(link)
 }
 
 async fn talk(
     shared: &Shared,
+    to: &str,
     mut link: Frames<TcpStream>,
     rx: &mut mpsc::Receiver<Outgoing>,
 ) -> Result<(), FrameError> {
@@ -144,7 +152,7 @@
                     return Err(FrameError::Closed);
                 }
                 pending.retain(|_, tx| !tx.is_closed());
-                send(&mut link, &heartbeat(shared)).await?;
+                send(&mut link, &heartbeat(shared, to)).await?;
             }
         }
     }
--- a/crates/hollowford-server/src/peers/listener.rs
+++ b/crates/hollowford-server/src/peers/listener.rs
@@ -46,11 +46,10 @@
     // Without it, small frames wait for each other; the link works all the same.
     let _ = stream.set_nodelay(true);
     let mut link = frames(stream);
-    if let Ok(process) = tokio::time::timeout(HELLO_TIMEOUT, greet(&shared, &mut link)).await
-        && process.is_some()
+    if let Ok(Some(process)) = tokio::time::timeout(HELLO_TIMEOUT, greet(&shared, &mut link)).await
     {
         // The end of a link is no news: the other side opens it again.
-        let _ = talk(&shared, link).await;
+        let _ = talk(&shared, &process, link).await;
     }
 }
 
@@ -71,7 +70,11 @@
     Some(process)
 }
 
-async fn talk(shared: &Arc<Shared>, mut link: Frames<TcpStream>) -> Result<(), FrameError> {
+async fn talk(
+    shared: &Arc<Shared>,
+    process: &str,
+    mut link: Frames<TcpStream>,
+) -> Result<(), FrameError> {
     let (tx, mut rx) = mpsc::channel::<Frame>(FRAMES_BOUND);
     let mut beats = tokio::time::interval(HEARTBEAT_EVERY);
     let mut heard_at = tokio::time::Instant::now();
@@ -86,7 +89,7 @@
                 if heard_at.elapsed() > SILENCE {
                     return Err(FrameError::Closed);
                 }
-                send(&mut link, &heartbeat(shared)).await?;
+                send(&mut link, &heartbeat(shared, process)).await?;
             }
         }
     }
--- a/crates/hollowford-server/src/peers/mod.rs
+++ b/crates/hollowford-server/src/peers/mod.rs
@@ -28,15 +28,19 @@
 use hollowford_core::Millis;
 use hollowford_protocol::peer::{Body, Frame, Heartbeat};
 
-/// Makes this process's heartbeat.
-fn heartbeat(shared: &Shared) -> Frame {
+/// Makes this process's heartbeat to another one.
+fn heartbeat(shared: &Shared, to: &str) -> Frame {
     let age = shared.freshness.age(&shared.clock).unwrap_or(Millis::MAX);
+    let echo = shared.members.stamp_of(to);
     let body = Body::Heartbeat(Heartbeat {
         process: shared.settings.process.clone(),
         config_head: shared.accounts.load().head,
         config_age_ms: age.0,
         leaving: shared.is_stopping(),
         addr: shared.peer_addr(),
+        stamp: shared.clock.now().0.max(1),
+        echo,
+        promise_ms: shared.standstill.promise(shared).0,
     });
     Frame { id: 0, body: Some(body) }
 }
@@ -45,7 +49,7 @@
 fn heard(shared: &Shared, beat: &Heartbeat) {
     let now = shared.clock.now();
     shared.members.learn(&beat.process, &beat.addr);
-    shared.members.heard(&beat.process, now, beat.leaving, beat.config_head);
+    shared.members.heard(now, beat);
     let head = shared.accounts.load().head;
     if beat.config_head > head {
         shared.config_news.notify_one();
--- a/crates/hollowford-server/src/shared.rs
+++ b/crates/hollowford-server/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::owners::Owners;
-use crate::ownership::Board;
+use crate::ownership::{Board, Standstill};
 use crate::peers::PeerMsg;
 use crate::ring::Ring;
 use crate::workers::WorkerMsg;
@@ -34,6 +34,8 @@
     pub owners: Owners,
     /// The owner rows as last read.
     pub board: Board,
+    /// Promises not to take over.
+    pub standstill: Standstill,
     /// Number of partitions that this process owns now.
     pub owned: AtomicUsize,
     /// When this process last handed a partition over to even the load.
@@ -85,6 +87,7 @@
             instances_wanted: Notify::new(),
             ledger: Ring::new(LEDGER_BOUND),
             board: Board::default(),
+            standstill: Standstill::default(),
             owned: AtomicUsize::new(0),
             evened_at: Mutex::default(),
             decide: Ring::new(DECIDE_BOUND),
@@ -138,6 +141,22 @@
         age.is_some_and(|age| age < self.settings.lease.config_fresh)
     }
 
+    /// Returns until when every other process has promised not to take over, while
+    /// the store does not answer this one; zero: that is not known.
+    pub fn promised_until(&self) -> Millis {
+        if self.store_answers.load(Ordering::Acquire) {
+            return Millis(0);
+        }
+        let alone = self.clock.now() + self.settings.lease.promise;
+        self.members.promised_until(self.accounts.load().head, alone)
+    }
+
+    /// Tells whether the configuration in force may be decided by: it was confirmed
+    /// recently, or the store answers no one, so that no change can be accepted.
+    pub fn config_stands(&self) -> bool {
+        self.config_is_fresh() || self.promised_until() > self.clock.now()
+    }
+
     /// Notes a partition that may be taken at once.
     pub fn note_released(&self, partition: u32) {
         self.released.lock().unwrap_or_else(PoisonError::into_inner).push(partition);
--- a/crates/hollowford-server/src/views.rs
+++ b/crates/hollowford-server/src/views.rs
@@ -20,7 +20,7 @@
         queued: view.queued,
         running: view.running,
         ended: view.ended,
-        answer: view.answer.map(|a| answer_to_wire(a, &view.results)),
+        answer: view.answer.map(|a| answer_to_wire(a, view)),
         waited_ms: view.waited.map(|w| w.0),
         instances: view.instances.iter().map(|i| (*i).to_owned()).collect(),
         why: view.why.clone(),
@@ -31,7 +31,7 @@
     ViewReply { view: Some(wire), objects }
 }
 
-fn answer_to_wire(answer: &FinalAnswer, results: &[(u32, &TaskResult)]) -> v1::Answer {
+fn answer_to_wire(answer: &FinalAnswer, view: &View<'_>) -> v1::Answer {
     let kind = ErrorKind::from_name(&answer.reason);
     let result = |(index, r): &(u32, &TaskResult)| v1::TaskResult {
         index: *index,
@@ -46,6 +46,7 @@
         message: answer.message.to_string(),
         retry_after_ms: kind.and_then(|k| k.answer().retry_after_ms).unwrap_or(0),
         had_begun: answer.had_begun,
-        results: if done { results.iter().map(result).collect() } else { Vec::new() },
+        results: if done { view.results.iter().map(result).collect() } else { Vec::new() },
+        not_durable: !view.durable,
     }
 }
