Split large files by job; don't spin on promises that have ended

Cause: place.rs, reports.rs, submit.rs and the stand-in worker did two or three jobs each; a claim took five loose arguments twice. And a stalled owner whose promises had ended was asked to decide again without pause, since any promise, even one in the past, counted as work to do.

--- a/crates/hollowford-engine/benches/decisions.rs
+++ b/crates/hollowford-engine/benches/decisions.rs
@@ -117,7 +117,7 @@
         loop {
             self.decide();
             self.decide();
-            if !self.engine.has_more() {
+            if !self.engine.has_more(self.now) {
                 return;
             }
         }
--- a/crates/hollowford-engine/benches/memory.rs
+++ b/crates/hollowford-engine/benches/memory.rs
@@ -85,7 +85,7 @@
                 running.push((worker, task));
             }
         }
-        if running.len() == before && !e.has_more() {
+        if running.len() == before && !e.has_more(Millis(1)) {
             return running;
         }
     }
@@ -129,6 +129,14 @@
             e
         });
     }
+    for n in [1_000, 10_000, 50_000] {
+        let mut e = engine(700, 1_000_000);
+        submit(&mut e, n, 1, 1);
+        let started = std::time::Instant::now();
+        let records = e.snapshot().len();
+        let took = started.elapsed().as_micros();
+        println!("a snapshot of {n} requests: {records} records in {took} us");
+    }
     for n in [1_000, 10_000, 50_000] {
         measure("kept answers of one task", n, || {
             let mut e = engine(700, 1_000_000);
--- a/crates/hollowford-engine/src/gang.rs
+++ b/crates/hollowford-engine/src/gang.rs
@@ -8,9 +8,9 @@
 
 use crate::engine::Engine;
 use crate::event::{Action, Change};
+use crate::feasible::{times, zone_allows};
 use crate::place::{Pass, Tried};
 use crate::request::{Class, Placing, Request, TaskState, Wait};
-use crate::submit::{times, zone_allows};
 use crate::worker::{Worker, WorkerIdx};
 use hollowford_core::{Kind, Millis, RequestNo, Resources, Spread};
 use std::cmp::Reverse;
--- a/crates/hollowford-engine/src/lib.rs
+++ b/crates/hollowford-engine/src/lib.rs
@@ -9,11 +9,14 @@
 //! therefore knows of every task that any worker may be running.
 
 mod account;
+mod choose;
 mod claim;
 mod durable;
 mod engine;
 mod event;
+mod feasible;
 mod gang;
+mod health;
 mod lease;
 mod place;
 mod policy;
--- a/crates/hollowford-engine/src/place.rs
+++ b/crates/hollowford-engine/src/place.rs
@@ -4,15 +4,14 @@
 use crate::engine::{Authority, Engine, PendingStart};
 use crate::event::{Action, Change};
 use crate::request::{Class, Lane, Placing, Request, TaskState, Wait};
-use crate::submit::zone_allows;
-use crate::worker::{Held, Worker, WorkerIdx};
-use hollowford_core::{Millis, RequestNo, Resources, Spec, Spread};
+use crate::worker::{Held, WorkerIdx};
+use hollowford_core::{Millis, RequestNo, Resources, Spec};
 use std::sync::Arc;
 
 /// What a pass has learned so far.
 pub(crate) struct Pass {
     pub now: Millis,
-    no: u64,
+    pub no: u64,
     placed: usize,
     /// Whether the ledger can be written; if not, only unledgered requests are served.
     ledgered: bool,
@@ -22,7 +21,7 @@
 
 impl Pass {
     /// Tells whether a shape at most this large has failed in the pass.
-    fn is_full(&self, class: Class, shape: &Resources) -> bool {
+    pub fn is_full(&self, class: Class, shape: &Resources) -> bool {
         self.full.iter().any(|(c, s)| *c == class && s.fits(shape))
     }
 }
@@ -68,8 +67,8 @@
     }
 
     /// Tells whether another call of [`Engine::decide`] would place more at once.
-    pub fn has_more(&self) -> bool {
-        self.dirty && (!self.stalled || self.promised_until > Millis(0))
+    pub fn has_more(&self, now: Millis) -> bool {
+        self.dirty && (!self.stalled || self.is_promised(now))
     }
 
     fn serve_class(&mut self, class: Class, pass: &mut Pass, out: &mut Vec<Action>) {
@@ -84,35 +83,6 @@
         }
     }
 
-    /// Chooses, among the accounts that are nearly as far behind as the first in
-    /// order, the one whose next task leaves its worker fullest.
-    fn fills_best(&self, first: AccountIdx, class: Class, pass: &Pass) -> AccountIdx {
-        let tolerance = self.policy.packing_tolerance;
-        if tolerance <= 0.0 || class != Class::Normal {
-            return first;
-        }
-        let near = self.accounts.near(first, tolerance, class, pass.no, &self.workers.whole);
-        let scored = near.filter_map(|idx| Some((self.score_next(idx, pass)?, idx)));
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map_or(first, |(_, idx)| idx)
-    }
-
-    /// Scores the best place for an account's next batch task. Accounts with a gang
-    /// waiting are not scored: a gang goes by the order alone.
-    fn score_next(&self, idx: AccountIdx, pass: &Pass) -> Option<f64> {
-        let a = self.accounts.get(idx);
-        if !a.queues[Lane::Gang as usize].is_empty() {
-            return None;
-        }
-        let no = a.queues[Lane::Batch as usize].front()?;
-        let r = self.requests.get(no).filter(|r| !r.waiting.is_empty())?;
-        if pass.is_full(r.class, &r.spec.per_task) || !a.allows(&r.spec.per_task, 1) {
-            return None;
-        }
-        let placing = self.find_worker(r, pass.now)?;
-        Some(score(&r.spec.per_task, self.workers.get(placing.worker)))
-    }
-
     /// Places one task, or one gang, of the account's oldest requests.
     fn serve_account(
         &mut self,
@@ -278,46 +248,6 @@
         pass.placed += n;
     }
 
-    /// Chooses the worker that the task leaves fullest and most evenly used.
-    pub(crate) fn find_worker(&self, r: &Request, now: Millis) -> Option<Placing> {
-        let mut best: Option<(f64, WorkerIdx)> = None;
-        let mut runner_up = None;
-        let mut compared = 0;
-        for idx in self.workers.with_room(&r.spec.per_task) {
-            let w = self.workers.get(idx);
-            if !self.allows(r, w, idx, now) {
-                continue;
-            }
-            let score = score(&r.spec.per_task, w);
-            if best.is_none_or(|(low, _)| score < low) {
-                runner_up = best.map(|(_, idx)| idx);
-                best = Some((score, idx));
-            }
-            compared += 1;
-            if compared as usize >= self.policy.candidates {
-                break;
-            }
-        }
-        best.map(|(_, worker)| Placing { worker, compared, runner_up })
-    }
-
-    /// Tells whether a request's next task may go to a worker that has room.
-    pub(crate) fn allows(&self, r: &Request, w: &Worker, idx: WorkerIdx, now: Millis) -> bool {
-        !w.probe_taken()
-            && !r.failed_on.contains(&idx)
-            && zone_allows(&r.spec, w)
-            && self.spread_allows(r, w, idx)
-            && self.reservation_allows(r, w, now)
-    }
-
-    fn spread_allows(&self, r: &Request, w: &Worker, idx: WorkerIdx) -> bool {
-        match r.spec.placement.spread {
-            Spread::None => true,
-            Spread::Instance => r.workers().all(|other| other != idx),
-            Spread::Rack => r.workers().all(|other| self.workers.get(other).rack != w.rack),
-        }
-    }
-
     /// Returns when a task of the request is expected to end if it starts now.
     pub(crate) fn expected_end(&self, r: &Request, now: Millis) -> Millis {
         self.accounts.get(r.account).expected_end(&r.spec, now)
@@ -382,19 +312,3 @@
         ends,
     }
 }
-
-/// Weight of the balance between processors and memory in a worker's score. Below
-/// 1, so that filling a worker always counts for more than keeping it even.
-const BALANCE: f64 = 0.5;
-
-/// Scores a worker for a task; lower is better. It favours workers that the task
-/// fills, and those whose processors and memory are left in equal parts.
-fn score(need: &Resources, w: &Worker) -> f64 {
-    let left = w.free.minus(need);
-    let part = |l: u32, c: u32| {
-        if c == 0 { 0.0 } else { f64::from(l) / f64::from(c) }
-    };
-    let cpu = part(left.cpu_milli, w.capacity.cpu_milli);
-    let memory = part(left.memory_mib, w.capacity.memory_mib);
-    cpu + memory + BALANCE * (cpu - memory).abs()
-}
--- a/crates/hollowford-engine/src/preempt.rs
+++ b/crates/hollowford-engine/src/preempt.rs
@@ -2,8 +2,8 @@
 
 use crate::engine::Engine;
 use crate::event::Action;
+use crate::feasible::zone_allows;
 use crate::request::TaskState;
-use crate::submit::zone_allows;
 use crate::worker::{Held, Worker, WorkerIdx};
 use hollowford_core::{Millis, RequestNo, Resources, TaskId};
 
--- a/crates/hollowford-engine/src/submit.rs
+++ b/crates/hollowford-engine/src/submit.rs
@@ -3,11 +3,7 @@
 use crate::engine::Engine;
 use crate::event::{Action, Change, FinalAnswer, Outcome};
 use crate::request::{Request, TaskState};
-use crate::worker::Worker;
-use hollowford_core::{
-    AccountId, Error, ErrorKind, Kind, Millis, RequestKey, RequestNo, Resources, Spec, Spread,
-};
-use std::collections::{BTreeMap, BTreeSet};
+use hollowford_core::{AccountId, Error, ErrorKind, Kind, Millis, RequestKey, RequestNo, Spec};
 use std::sync::Arc;
 
 impl Engine {
@@ -114,69 +110,6 @@
         Ok(())
     }
 
-    /// Refuses work that no instance could ever run. Without every listed worker
-    /// claimed the question is open, and the work waits.
-    pub(crate) fn check_possible(&self, spec: &Spec) -> Result<(), Error> {
-        let unknown = |w: &Worker| w.listed && !w.leaving && !w.claimed;
-        if self.workers.len() == 0 || self.workers.iter().any(|(_, w)| unknown(w)) {
-            return Ok(());
-        }
-        let possible = if spec.placement.is_free() {
-            self.most_at_once(spec) >= u64::from(tasks_at_once(spec))
-        } else {
-            self.most_at_once_constrained(spec) >= u64::from(tasks_at_once(spec))
-        };
-        if possible {
-            return Ok(());
-        }
-        Err(Error::new(ErrorKind::Impossible, self.impossible_message(spec)))
-    }
-
-    fn most_at_once(&self, spec: &Spec) -> u64 {
-        let caps = self.workers.capacities().iter();
-        caps.map(|(cap, n)| u64::from(times(&spec.per_task, cap)) * u64::from(*n)).sum()
-    }
-
-    fn most_at_once_constrained(&self, spec: &Spec) -> u64 {
-        let mut per_rack: BTreeMap<&str, u64> = BTreeMap::new();
-        let mut fitting = 0;
-        let mut racks = BTreeSet::new();
-        for (_, w) in self.workers.iter() {
-            let n = times(&spec.per_task, &w.capacity);
-            if !w.claimed || !w.listed || w.leaving || n == 0 || !zone_allows(spec, w) {
-                continue;
-            }
-            racks.insert(&*w.rack);
-            let n = if spec.placement.spread == Spread::Instance { 1 } else { n };
-            fitting += u64::from(n);
-            *per_rack.entry(&w.rack).or_insert(0) += u64::from(n);
-        }
-        if spec.placement.same_rack {
-            return per_rack.values().copied().max().unwrap_or(0);
-        }
-        if spec.placement.spread == Spread::Rack { racks.len() as u64 } else { fitting }
-    }
-
-    fn impossible_message(&self, spec: &Spec) -> String {
-        let caps = self.workers.capacities().iter().filter(|(_, n)| **n > 0);
-        let Some((cap, _)) = caps.max_by_key(|(c, _)| (c.accelerators, c.cpu_milli)) else {
-            return "the partition has no usable instance".to_owned();
-        };
-        format!(
-            "{} tasks of {} mcpu, {} MiB, {} accelerators fit nowhere at once; \
-             the largest instance has {} mcpu, {} MiB, {} accelerators, and {} such tasks fit \
-             where the placement allows",
-            tasks_at_once(spec),
-            spec.per_task.cpu_milli,
-            spec.per_task.memory_mib,
-            spec.per_task.accelerators,
-            cap.cpu_milli,
-            cap.memory_mib,
-            cap.accelerators,
-            self.most_at_once_constrained(spec)
-        )
-    }
-
     /// Adds a request to the tables, without queueing it.
     pub(crate) fn insert_request(
         &mut self,
@@ -302,22 +235,3 @@
         self.close(now, no, answer, out);
     }
 }
-
-/// Returns how many tasks of a request must have room at the same time.
-fn tasks_at_once(spec: &Spec) -> u32 {
-    if spec.kind == Kind::Gang { spec.tasks } else { 1 }
-}
-
-/// Returns how many times `need` goes into `room`.
-pub(crate) fn times(need: &Resources, room: &Resources) -> u32 {
-    let part = |n: u32, r: u32| r.checked_div(n).unwrap_or(u32::MAX);
-    part(need.cpu_milli, room.cpu_milli)
-        .min(part(need.memory_mib, room.memory_mib))
-        .min(part(need.accelerators, room.accelerators))
-}
-
-/// Tells whether the request's placement names this worker's zone and doesn't exclude it.
-pub(crate) fn zone_allows(spec: &Spec, w: &Worker) -> bool {
-    let p = &spec.placement;
-    (p.zones.is_empty() || p.zones.contains(&w.zone)) && !p.exclude_instances.contains(&w.id)
-}
--- a/crates/hollowford-engine/tests/loads/engine_run.rs
+++ b/crates/hollowford-engine/tests/loads/engine_run.rs
@@ -166,7 +166,7 @@
             let mut out = Vec::new();
             self.engine.decide(Millis(self.now), Authority::Full, &mut out);
             self.carry_out(out);
-            if !self.engine.has_more() {
+            if !self.engine.has_more(Millis(self.now)) {
                 return;
             }
         }
--- a/crates/hollowford-engine/tests/placing.rs
+++ b/crates/hollowford-engine/tests/placing.rs
@@ -272,6 +272,10 @@
     let view = engine.view(no).unwrap();
     assert_eq!(view.answer.unwrap().outcome, Outcome::Done);
     assert!(!view.durable);
+    // Once the promises have ended there is nothing to do, however much waits.
+    world.run(5_000);
+    let now = world.now;
+    assert!(!world.engine().has_more(now));
     world.stalled = false;
     world.run(500);
     let engine = world.engine();
--- a/crates/hollowford-engine/tests/recovery.rs
+++ b/crates/hollowford-engine/tests/recovery.rs
@@ -109,18 +109,24 @@
     assert_eq!(world.answer("far").unwrap().outcome, Outcome::MayHaveRun);
 }
 
-#[test]
-fn a_paused_owner_that_wakes_in_mid_decision_starts_nothing_on_claimed_workers() {
-    let mut world = World::new(policy(), 2);
-    world.submit("late", &once(4, 1_000)).unwrap();
+/// The intents of a request are durable, and the owner is paused before it sends the
+/// starts, until another has taken over. Returns the paused one, awake again.
+fn pause_before_the_starts(world: &mut World, tasks: u32) -> usize {
+    world.submit("late", &once(tasks, 1_000)).unwrap();
     let old = world.owners.len() - 1;
-    // The intents are durable, and the owner is paused before it sends the starts.
     world.decide(old);
     world.write_ledger(old);
     world.owners[old].paused = true;
     world.takeover();
     world.settle();
     world.owners[old].paused = false;
+    old
+}
+
+#[test]
+fn a_paused_owner_that_wakes_in_mid_decision_starts_nothing_on_claimed_workers() {
+    let mut world = World::new(policy(), 2);
+    let old = pause_before_the_starts(&mut world, 4);
     world.decide_as(old, Authority::Full);
     for i in 0..2 {
         let id = world.worker_id(i);
@@ -134,14 +140,7 @@
 #[test]
 fn an_owner_of_an_earlier_epoch_can_not_claim_a_worker_back() {
     let mut world = World::new(policy(), 2);
-    world.submit("late", &once(8, 1_000)).unwrap();
-    let old = world.owners.len() - 1;
-    world.decide(old);
-    world.write_ledger(old);
-    world.owners[old].paused = true;
-    world.takeover();
-    world.settle();
-    world.owners[old].paused = false;
+    let old = pause_before_the_starts(&mut world, 8);
     for i in 0..2 {
         let id = world.worker_id(i);
         world.cut(old, &id);
--- a/crates/hollowford-platform/src/lib.rs
+++ b/crates/hollowford-platform/src/lib.rs
@@ -5,5 +5,5 @@
 mod store;
 pub mod wire;
 
-pub use link::{LinkError, Orders, Reports, attach};
+pub use link::{ClaimOf, LinkError, Orders, Reports, attach};
 pub use store::{Platform, StoreError, Txn, TxnResult};
--- a/crates/hollowford-platform/src/link.rs
+++ b/crates/hollowford-platform/src/link.rs
@@ -39,32 +39,38 @@
     }
 }
 
-/// Starts a session with the worker at `addr`, and claims it.
+/// The claim that starts a session.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimOf<'a> {
+    /// Where the worker takes links, as `IP:port`.
+    pub addr: &'a str,
+    /// The partition that claims it.
+    pub partition: PartitionId,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// Id of the owner's process.
+    pub owner: &'a str,
+}
+
+/// Starts a session with a worker, and claims it.
 ///
 /// # Errors
 /// `Unreachable` when that takes longer than `timeout`; `Deposed` when the worker
 /// obeys a higher epoch.
 pub async fn attach(
-    addr: &str,
-    partition: PartitionId,
-    epoch: Epoch,
-    owner: &str,
+    claim: ClaimOf<'_>,
     timeout: Duration,
 ) -> Result<(Orders, Reports, v1::Report), LinkError> {
-    let session = open(addr, partition, epoch, owner, timeout);
-    let opened = tokio::time::timeout(timeout, session).await;
+    let opened = tokio::time::timeout(timeout, open(claim, timeout)).await;
     opened.map_err(|_| LinkError::Unreachable("no reply to the claim in time".to_owned()))?
 }
 
 async fn open(
-    addr: &str,
-    partition: PartitionId,
-    epoch: Epoch,
-    owner: &str,
+    claim: ClaimOf<'_>,
     timeout: Duration,
 ) -> Result<(Orders, Reports, v1::Report), LinkError> {
     let unreachable = |e: tonic::transport::Error| LinkError::Unreachable(e.to_string());
-    let endpoint = Endpoint::from_shared(format!("http://{addr}")).map_err(unreachable)?;
+    let endpoint = Endpoint::from_shared(format!("http://{}", claim.addr)).map_err(unreachable)?;
     let channel = endpoint
         .connect_timeout(timeout)
         .tcp_nodelay(true)
@@ -74,7 +80,11 @@
         .await
         .map_err(unreachable)?;
     let (tx, rx) = mpsc::channel(ORDERS_BOUND);
-    let claim = v1::Claim { partition: partition.0, epoch: epoch.0, owner: owner.to_owned() };
+    let claim = v1::Claim {
+        partition: claim.partition.0,
+        epoch: claim.epoch.0,
+        owner: claim.owner.to_owned(),
+    };
     let order = v1::Order { order: Some(v1::order::Order::Claim(claim)) };
     let closed = |_| LinkError::Unreachable("closed".to_owned());
     tx.send(order).await.map_err(closed)?;
--- a/crates/hollowford-server/src/decide/duty.rs
+++ b/crates/hollowford-server/src/decide/duty.rs
@@ -30,7 +30,8 @@
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let busy = duty.owned.values().any(|o| o.engine.has_more());
+        let now = shared.clock.now();
+        let busy = duty.owned.values().any(|o| o.engine.has_more(now));
         let ticked = tokio::select! {
             biased;
             _ = ticks.tick() => true,
--- a/crates/hollowford-server/src/workers/session.rs
+++ b/crates/hollowford-server/src/workers/session.rs
@@ -3,7 +3,7 @@
 use crate::decide::DecideMsg;
 use crate::shared::Shared;
 use hollowford_core::{Epoch, InstanceId, PartitionId};
-use hollowford_platform::{LinkError, Orders, Reports, attach};
+use hollowford_platform::{ClaimOf, LinkError, Orders, Reports, attach};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -49,7 +49,9 @@
     let mut wait = RETRY_FIRST;
     loop {
         let t = &target;
-        match attach(&t.addr, t.partition, t.epoch, &owner, CLAIM_TIMEOUT).await {
+        let claim =
+            ClaimOf { addr: &t.addr, partition: t.partition, epoch: t.epoch, owner: &owner };
+        match attach(claim, CLAIM_TIMEOUT).await {
             Ok((orders, reports, claimed)) => {
                 wait = RETRY_FIRST;
                 let session = shared.next_id();
--- /dev/null
+++ b/crates/hollowford-standin/src/worker/mod.rs
@@ -0,0 +1,8 @@
+//! Workers: leases on their own clock, epochs, sessions and remembered outcomes.
+
+mod service;
+mod state;
+mod tasks;
+
+pub use service::start;
+pub use state::{Settings, StandinWorker};
--- /dev/null
+++ b/crates/hollowford-standin/src/worker/service.rs
@@ -0,0 +1,87 @@
+//! The gRPC service of a worker, and its start.
+
+use super::state::{Settings, StandinWorker};
+use crate::record::Recorder;
+use hollowford_platform::Platform;
+use hollowford_platform::wire::Instance;
+use hollowford_protocol::v1;
+use hollowford_protocol::v1::order::Order;
+use hollowford_protocol::v1::worker_server::{Worker, WorkerServer};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
+
+/// How often a worker looks at its tasks.
+const TICK: Duration = Duration::from_millis(5);
+/// Reports that may wait to be sent.
+const REPORTS_BOUND: usize = 65_536;
+
+/// The gRPC service of one worker.
+#[derive(Clone, Debug)]
+struct Service(Arc<StandinWorker>);
+
+#[tonic::async_trait]
+impl Worker for Service {
+    type AttachStream = ReceiverStream<Result<v1::Report, Status>>;
+
+    async fn attach(
+        &self,
+        req: Request<Streaming<v1::Order>>,
+    ) -> Result<Response<Self::AttachStream>, Status> {
+        let mut orders = req.into_inner();
+        let first = orders.message().await?.and_then(|o| o.order);
+        let Some(Order::Claim(claim)) = first else {
+            return Err(Status::invalid_argument("the first order must be a claim"));
+        };
+        let (tx, rx) = mpsc::channel(REPORTS_BOUND);
+        if let Some(session) = self.0.claim(&claim, tx) {
+            let worker = self.0.clone();
+            tokio::spawn(async move {
+                while let Ok(Some(order)) = orders.message().await {
+                    if order.order.is_some_and(|o| !worker.obey(session, o)) {
+                        return;
+                    }
+                }
+            });
+        }
+        Ok(Response::new(ReceiverStream::new(rx)))
+    }
+}
+
+/// Starts one worker on `addr`. It serves for as long as the runtime lives.
+/// Returns the worker, and the instance with the address that it got.
+///
+/// # Errors
+/// When the address can't be bound.
+pub async fn start(
+    addr: &str,
+    mut settings: Settings,
+    recorder: Arc<Recorder>,
+    objects: Option<Platform>,
+) -> io::Result<(Arc<StandinWorker>, Instance)> {
+    let listener = TcpListener::bind(addr).await?;
+    let local: SocketAddr = listener.local_addr()?;
+    settings.instance.addr = local.to_string();
+    let instance = settings.instance.clone();
+    let worker = Arc::new(StandinWorker::new(settings, recorder, objects));
+    let service = WorkerServer::new(Service(worker.clone()));
+    let server = tonic::transport::Server::builder().add_service(service);
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    tokio::spawn(server.serve_with_incoming(incoming));
+    let ticking = Arc::downgrade(&worker);
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(TICK);
+        while let Some(worker) = ticking.upgrade() {
+            worker.tick();
+            drop(worker);
+            ticks.tick().await;
+        }
+    });
+    Ok((worker, instance))
+}
--- /dev/null
+++ b/crates/hollowford-standin/src/worker/state.rs
@@ -0,0 +1,207 @@
+//! A worker's state, its sessions and its claims.
+
+use super::tasks::cpu_held;
+use crate::payload::Behaviour;
+use crate::record::{Line, Recorder, What};
+use hollowford_core::Clock;
+use hollowford_platform::Platform;
+use hollowford_platform::wire::Instance;
+use hollowford_protocol::v1;
+use hollowford_protocol::v1::report::Report;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::mpsc;
+use tonic::Status;
+
+/// What a stand-in worker is like.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The instance, as it is to be listed; the address is filled in.
+    pub instance: Instance,
+    /// Thousandths of a core.
+    pub cpu_milli: u32,
+    /// Mebibytes.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+    /// Whether every task fails at once.
+    pub fail_all: bool,
+}
+
+pub(super) type TaskKey = (u64, u32, u32);
+
+pub(super) fn key(task: &v1::TaskRef) -> TaskKey {
+    (task.request, task.index, task.attempt)
+}
+
+#[derive(Debug)]
+pub(super) struct Running {
+    pub start: v1::Start,
+    pub task: v1::TaskRef,
+    pub behaviour: Behaviour,
+    pub started_at: u64,
+    pub ends_at: u64,
+    pub lease_until: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub partition: u32,
+    pub epoch: u64,
+    pub session: u64,
+    pub reports: Option<mpsc::Sender<Result<v1::Report, Status>>>,
+    pub running: BTreeMap<TaskKey, Running>,
+    pub ended: BTreeMap<TaskKey, v1::Ended>,
+    pub leaving: bool,
+    pub fail_all: bool,
+    pub usage_at: u64,
+}
+
+/// One stand-in worker.
+#[derive(Debug)]
+pub struct StandinWorker {
+    pub(super) settings: Settings,
+    pub(super) incarnation: u64,
+    pub(super) clock: Clock,
+    pub(super) clock_offset: u64,
+    pub(super) recorder: Arc<Recorder>,
+    pub(super) objects: Option<Platform>,
+    pub(super) inner: Mutex<Inner>,
+}
+
+impl StandinWorker {
+    pub(super) fn new(
+        settings: Settings,
+        recorder: Arc<Recorder>,
+        objects: Option<Platform>,
+    ) -> Self {
+        const OFFSET_RANGE: std::ops::Range<u64> = 1_000_000..2_000_000_000;
+        let inner = Inner {
+            partition: 0,
+            epoch: 0,
+            session: 0,
+            reports: None,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            leaving: settings.instance.leaving,
+            fail_all: settings.fail_all,
+            usage_at: 0,
+        };
+        StandinWorker {
+            settings,
+            incarnation: fastrand::u64(1..),
+            clock: Clock::new(),
+            // No two clocks agree, so a mix-up of clocks shows.
+            clock_offset: fastrand::u64(OFFSET_RANGE),
+            recorder,
+            objects,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn now(&self) -> u64 {
+        self.clock.now().0 + self.clock_offset
+    }
+
+    /// Returns the instance's id.
+    pub fn id(&self) -> &str {
+        &self.settings.instance.id
+    }
+
+    /// Makes the worker say that its instance is leaving.
+    pub fn leave(&self) {
+        self.lock().leaving = true;
+    }
+
+    /// Makes every task fail at once, or no longer.
+    pub fn set_fail_all(&self, fail_all: bool) {
+        self.lock().fail_all = fail_all;
+    }
+
+    /// Ends the present session, as a cut of the network does.
+    pub fn cut(&self) {
+        let mut inner = self.lock();
+        inner.session += 1;
+        inner.reports = None;
+    }
+
+    pub(super) fn say(&self, inner: &Inner, report: Report) {
+        if let Some(tx) = &inner.reports {
+            let report = v1::Report { clock_ms: self.now(), report: Some(report) };
+            // A full or closed session is settled by the next claim.
+            let _ = tx.try_send(Ok(report));
+        }
+    }
+
+    pub(super) fn record(&self, inner: &Inner, r: &Running, what: What) {
+        let at_us = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |d| d.as_micros() as u64);
+        // A frozen worker stops a lapsed task late, but it did not run after the lease.
+        let late_ms = match what {
+            What::Lapsed => self.now().saturating_sub(r.lease_until),
+            _ => 0,
+        };
+        self.recorder.push(Line {
+            at_us: at_us - late_ms * 1_000,
+            worker: self.settings.instance.id.clone(),
+            what,
+            partition: inner.partition,
+            request: r.task.request,
+            index: r.task.index,
+            attempt: r.task.attempt,
+            name: r.behaviour.name.clone(),
+            cpu_held: cpu_held(inner),
+            cpu_capacity: u64::from(self.settings.cpu_milli),
+        });
+    }
+
+    /// Starts a session, ending the one before. Returns its number, or `None` for
+    /// an epoch below the one obeyed.
+    pub(super) fn claim(
+        &self,
+        claim: &v1::Claim,
+        tx: mpsc::Sender<Result<v1::Report, Status>>,
+    ) -> Option<u64> {
+        let mut inner = self.lock();
+        let other = inner.epoch > 0 && inner.partition != claim.partition;
+        if claim.epoch < inner.epoch || other {
+            let refused = v1::ClaimReply::default();
+            let report =
+                v1::Report { clock_ms: self.now(), report: Some(Report::Claimed(refused)) };
+            let _ = tx.try_send(Ok(report));
+            return None;
+        }
+        self.lapse(&mut inner);
+        inner.partition = claim.partition;
+        inner.epoch = claim.epoch;
+        inner.session += 1;
+        inner.reports = Some(tx);
+        let reply = self.claim_reply(&inner);
+        self.say(&inner, Report::Claimed(reply));
+        Some(inner.session)
+    }
+
+    fn claim_reply(&self, inner: &Inner) -> v1::ClaimReply {
+        let running = inner.running.values().map(|r| v1::RunningTask {
+            task: Some(r.task),
+            cpu_milli: r.start.cpu_milli,
+            memory_mib: r.start.memory_mib,
+            accelerators: r.start.accelerators,
+        });
+        v1::ClaimReply {
+            incarnation: self.incarnation,
+            cpu_milli: self.settings.cpu_milli,
+            memory_mib: self.settings.memory_mib,
+            accelerators: self.settings.accelerators,
+            leaving: inner.leaving,
+            running: running.collect(),
+            ended: inner.ended.values().cloned().collect(),
+            accepted: true,
+        }
+    }
+}
