--- a/crates/hollowford-engine/tests/recovery.rs
+++ b/crates/hollowford-engine/tests/recovery.rs
@@ -281,11 +281,18 @@
     world.settle();
     let id = world.worker_id(0);
     let old = world.owners.len() - 1;
-    // It ends and is reported, and the owner is gone before it has written that.
+    // It ends and is reported; the ledger has taken an earlier record only when the
+    // owner is gone.
+    world.submit("other", &spec(Kind::Batch, 1, 500, 100)).unwrap();
     world.now = world.now + Millis(1_000);
     let World { workers, judge, now, .. } = &mut world;
     workers.get_mut(&id).unwrap().pass_time(*now, judge);
     world.deliver(old, &id);
+    let (seq, record) = world.owners[old].pending.pop_front().unwrap();
+    world.ledger.push(record);
+    let mut out = Vec::new();
+    world.owners[old].engine.durable(seq, &mut out);
+    world.carry_out(old, out);
     world.deliver(old, &id);
     world.owners[old].paused = true;
     world.takeover();
