--- a/crates/hollowford-server/src/workers/duty.rs
+++ b/crates/hollowford-server/src/workers/duty.rs
@@ -9,11 +9,11 @@
 use tokio::task::JoinHandle;
 
 /// One worker that a session is held with.
-struct Link {
-    addr: String,
-    epoch: Epoch,
-    slot: Slot,
-    task: JoinHandle<()>,
+pub(super) struct Link {
+    pub addr: String,
+    pub epoch: Epoch,
+    pub slot: Slot,
+    pub task: JoinHandle<()>,
 }
 
 impl Drop for Link {
@@ -22,7 +22,8 @@
     }
 }
 
-type Links = HashMap<(PartitionId, InstanceId), Link>;
+/// All links, by partition and worker.
+pub(super) type Links = HashMap<(PartitionId, InstanceId), Link>;
 
 /// Runs the duty.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -64,7 +65,7 @@
 
 /// Sends an order, if its session stands. An order of an ended session is dropped:
 /// the next claim settles what it was about.
-fn send(shared: &Shared, links: &Links, partition: PartitionId, order: Addressed) {
+pub(super) fn send(shared: &Shared, links: &Links, partition: PartitionId, order: Addressed) {
     let Some(link) = links.get(&(partition, order.worker)) else {
         return;
     };
--- a/crates/hollowford-server/src/workers/mod.rs
+++ b/crates/hollowford-server/src/workers/mod.rs
@@ -2,6 +2,8 @@
 
 mod duty;
 mod session;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use duty::run;
 
--- /dev/null
+++ b/crates/hollowford-server/src/workers/tests.rs
@@ -0,0 +1,55 @@
+//! Orders reach the session that they were decided for, and no other.
+
+use super::Addressed;
+use super::duty::{Link, Links, send};
+use super::session::{Open, Slot};
+use crate::shared::Shared;
+use hollowford_config::Settings;
+use hollowford_core::{Epoch, InstanceId, PartitionId};
+use hollowford_protocol::v1;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+const P: PartitionId = PartitionId(0);
+
+fn shared() -> Arc<Shared> {
+    let text = include_str!("../../../../examples/kivu-process.jsonc");
+    Shared::new(Settings::try_from(text).unwrap()).unwrap()
+}
+
+fn links(session: u64, bound: usize) -> (Links, mpsc::Receiver<v1::Order>) {
+    let (orders, rx) = mpsc::channel(bound);
+    let slot = Slot::default();
+    *slot.lock().unwrap() = Some(Open { session, orders });
+    let task = tokio::spawn(async {});
+    let link = Link { addr: "a".to_owned(), epoch: Epoch(1), slot, task };
+    (Links::from([((P, InstanceId::from("w")), link)]), rx)
+}
+
+fn order(session: u64) -> Addressed {
+    Addressed { worker: "w".into(), session, order: v1::Order::default() }
+}
+
+#[tokio::test]
+async fn an_order_of_an_ended_session_is_dropped() {
+    let shared = shared();
+    let (links, mut rx) = links(2, 4);
+    send(&shared, &links, P, order(1));
+    assert!(rx.try_recv().is_err());
+    send(&shared, &links, P, order(2));
+    assert!(rx.try_recv().is_ok());
+}
+
+#[tokio::test]
+async fn a_worker_that_does_not_keep_up_loses_its_session() {
+    let shared = shared();
+    let (links, mut rx) = links(1, 1);
+    send(&shared, &links, P, order(1));
+    send(&shared, &links, P, order(1));
+    let slot = &links[&(P, InstanceId::from("w"))].slot;
+    assert!(slot.lock().unwrap().is_none());
+    assert!(rx.try_recv().is_ok());
+    // Nothing is sent in that session any more.
+    send(&shared, &links, P, order(1));
+    assert!(rx.try_recv().is_err());
+}
--- a/crates/hollowford/tests/outage.rs
+++ b/crates/hollowford/tests/outage.rs
@@ -99,6 +99,16 @@
     let owner = cell.owner(0).await;
     let mut callers = cell.callers("district-desk").await;
     submit_anyhow(&callers, "before", &check("before", 20)).await;
+    // Only the promise, and not its youth, is to keep a process from taking over.
+    until("no process is young", || async {
+        for i in 0..3 {
+            if cell.state(i).await?["up_ms"].as_u64()? < 5_000 {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await;
     cell.faults(json!({ "outage": true })).await;
     answered_check(&callers[owner], "first").await;
     // A check that would run far longer than it was declared to.
