Make two tests fail when their mechanism is taken out

Cause: without the worker's stop of lapsed tasks, and without the promise not to take over, no test failed: the first left no room for the tasks to run elsewhere meanwhile, in the second the next owner's claim stopped what still ran. Half of the cell is free now, and the worker is cut off from the next owner (a fault of the stand-in, new).

--- a/crates/hollowford-standin/src/control.rs
+++ b/crates/hollowford-standin/src/control.rs
@@ -41,6 +41,13 @@
     }
 }
 
+#[handler]
+fn deaf(state: State<'_>, Path((id, on)): Path<(String, bool)>) {
+    if let Some(w) = state.workers.get(&id) {
+        w.set_deaf(on);
+    }
+}
+
 #[handler]
 fn record(state: State<'_>) -> Json<Vec<Line>> {
     Json(state.recorder.lines())
@@ -55,6 +62,7 @@
         .at("/leave/:id", post(leave))
         .at("/cut/:id", post(cut))
         .at("/fail/:id/:on", post(fail))
+        .at("/deaf/:id/:on", post(deaf))
         .at("/record", get(record))
         .data(Arc::new(controlled));
     let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
--- a/crates/hollowford-standin/src/worker/state.rs
+++ b/crates/hollowford-standin/src/worker/state.rs
@@ -54,6 +54,8 @@
     pub ended: BTreeMap<TaskKey, v1::Ended>,
     pub leaving: bool,
     pub fail_all: bool,
+    /// No claim reaches the worker, as when it is cut off from later owners.
+    pub deaf: bool,
     pub usage_at: u64,
 }
 
@@ -85,6 +87,7 @@
             ended: BTreeMap::new(),
             leaving: settings.instance.leaving,
             fail_all: settings.fail_all,
+            deaf: false,
             usage_at: 0,
         };
         StandinWorker {
@@ -122,6 +125,11 @@
         self.lock().fail_all = fail_all;
     }
 
+    /// Lets no further claim reach the worker, or lets them through again.
+    pub fn set_deaf(&self, deaf: bool) {
+        self.lock().deaf = deaf;
+    }
+
     /// Ends the present session, as a cut of the network does.
     pub fn cut(&self) {
         let mut inner = self.lock();
@@ -168,6 +176,9 @@
         tx: mpsc::Sender<Result<v1::Report, Status>>,
     ) -> Option<u64> {
         let mut inner = self.lock();
+        if inner.deaf {
+            return None;
+        }
         let other = inner.epoch > 0 && inner.partition != claim.partition;
         if claim.epoch < inner.epoch || other {
             let refused = v1::ClaimReply::default();
--- a/crates/hollowford/tests/common/play.rs
+++ b/crates/hollowford/tests/common/play.rs
@@ -266,7 +266,7 @@
         http::post(&self.platform_addr(), "/faults", &faults).await;
     }
 
-    /// Brings about a fault of a worker: `leave/ID`, `cut/ID` or `fail/ID/true`.
+    /// Brings about a fault of a worker: `leave/ID`, `cut/ID`, `fail/ID/true` or `deaf/ID/true`.
     pub async fn worker_fault(&self, proc: usize, path: &str) {
         http::post(&self.workers[proc].addr("control"), &format!("/{path}"), &json!(null)).await;
     }
--- a/crates/hollowford/tests/failures.rs
+++ b/crates/hollowford/tests/failures.rs
@@ -290,22 +290,22 @@
     };
     let cell = Cell::start(options).await;
     let callers = cell.callers("university").await;
-    submit_anyhow(&callers, "again", &spec(Kind::Batch, 16, 1_000, 4_000)).await;
+    // Half of the cell, so that the other half has room while one is frozen.
+    submit_anyhow(&callers, "again", &spec(Kind::Batch, 8, 1_000, 4_000)).await;
     until("all tasks run", || async {
-        callers[0].get("again").await.ok().filter(|v| v.running == 16).map(|_| ())
-    })
-    .await;
-    cell.workers[0].freeze();
-    until("its tasks run elsewhere or wait", || async {
-        callers[0].get("again").await.ok().filter(|v| v.running < 16).map(|_| ())
+        callers[0].get("again").await.ok().filter(|v| v.running == 8).map(|_| ())
     })
     .await;
+    let frozen = usize::from(cell.lines()[0].worker.starts_with("g1"));
+    cell.workers[frozen].freeze();
+    until("its tasks run elsewhere", || async { (cell.verdict().starts > 8).then_some(()) }).await;
+    // By now the frozen tasks would have come to their end.
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    cell.workers[0].thaw();
+    cell.workers[frozen].thaw();
     let view = final_answer(&callers, "again").await;
     assert_eq!(view.answer.unwrap().outcome(), Outcome::Done);
     let verdict = cell.assert_no_fault();
-    assert!(verdict.starts > 16, "nothing was started again");
+    assert!(verdict.starts > 8, "nothing was started again");
 }
 
 #[tokio::test]
--- a/crates/hollowford/tests/outage.rs
+++ b/crates/hollowford/tests/outage.rs
@@ -118,6 +118,9 @@
     until("it is accepted", || async { caller.submit("long", &long, false).await.ok() }).await;
     until("it runs", || async { (cell.verdict().by_name.get("long") == Some(&1)).then_some(()) })
         .await;
+    // The worker that runs it is cut off from the next owner.
+    let on = cell.lines().into_iter().find(|l| l.name == "long").unwrap().worker;
+    cell.worker_fault(0, &format!("deaf/{on}/true")).await;
     cell.entries[owner].kill();
     callers.remove(owner);
     cell.faults(json!({})).await;
