--- a/crates/hollowford-server/src/ownership/keeper.rs
+++ b/crates/hollowford-server/src/ownership/keeper.rs
@@ -211,16 +211,21 @@
     }
 
     fn deposed(&mut self) {
-        if let Some(owned) = self.owned.take() {
-            owned.lease.end();
+        if let Some(epoch) = self.let_go() {
             self.shared.metrics.deposed.inc();
-            self.count_out();
-            self.shared.decide.wake();
-            let epoch = owned.lease.epoch;
             log::warn!("partition={} epoch={epoch} deposed", self.partition);
         }
     }
 
+    /// Ends the lease, so that nothing more is decided by it. Returns its epoch.
+    fn let_go(&mut self) -> Option<Epoch> {
+        let owned = self.owned.take()?;
+        owned.lease.end();
+        self.count_out();
+        self.shared.decide.wake();
+        Some(owned.lease.epoch)
+    }
+
     async fn read(&self) -> Result<Option<Seen>, StoreError> {
         let row = self.store.get(&owner_key(self.partition)).await;
         self.note_store(&row);
@@ -374,6 +379,10 @@
                 recovered = &mut rx => break recovered,
                 () = tokio::time::sleep(renew) => self.renew().await,
             }
+            if self.shared.is_stopping() {
+                // Nothing was decided yet, so the lease may just lapse.
+                self.let_go();
+            }
             if self.owned.is_none() {
                 return;
             }
--- a/crates/hollowford-standin/src/platform.rs
+++ b/crates/hollowford-standin/src/platform.rs
@@ -25,6 +25,8 @@
     pub slow_ms: u64,
     /// This many transactions take effect and lose their reply.
     pub lose_replies: u32,
+    /// Scans of keys that start with this fail; empty: none do.
+    pub no_scans: String,
     /// The instance list stays as it is.
     pub freeze_list: bool,
 }
@@ -130,6 +132,10 @@
     shared.suffer().await?;
     shared.reads.fetch_add(1, Ordering::Relaxed);
     let store = shared.store();
+    let barred = &store.faults.no_scans;
+    if !barred.is_empty() && body.prefix.starts_with(barred) {
+        return Err(unavailable());
+    }
     let from = body.after.clone().max(body.prefix.clone());
     let rows = store
         .rows
--- a/crates/hollowford/tests/failures.rs
+++ b/crates/hollowford/tests/failures.rs
@@ -474,3 +474,27 @@
     let verdict = cell.assert_no_fault();
     assert!(verdict.by_name.values().all(|n| *n == 1), "{:?}", verdict.by_name);
 }
+
+#[tokio::test]
+async fn a_process_that_is_stopped_while_it_recovers_ends() {
+    let mut cell = Cell::start(Options { partitions: 1, ..Options::default() }).await;
+    let owner = cell.owner(0).await;
+    let callers = cell.callers("university").await;
+    submit_anyhow(&callers, "work", &spec(Kind::Batch, 1, 100, 10)).await;
+    // The row can be written, and nothing can be read back.
+    cell.faults(json!({ "no_scans": "p/" })).await;
+    cell.entries[owner].kill();
+    cell.entries.remove(owner);
+    let next = until("another takes over", || async {
+        for (i, e) in cell.entries.iter().enumerate() {
+            let name = "hollowford_takeovers_total{how=\"lapsed\"}";
+            if common::http::metric(&e.addr("admin"), name).await > 0 {
+                return Some(i);
+            }
+        }
+        None
+    })
+    .await;
+    cell.entries[next].terminate();
+    assert!(cell.entries[next].ended().await);
+}
