--- a/crates/hollowford/tests/common/play.rs
+++ b/crates/hollowford/tests/common/play.rs
@@ -1,6 +1,6 @@
 //! Starts, freezes and ends the processes of a cell, by their ids.
 
-use super::{Caller, OPERATOR, http, until};
+use super::{Caller, OPERATOR, PATIENCE, http, until};
 use hollowford_platform::Platform;
 use hollowford_protocol::v1;
 use hollowford_server::{hash_token, seed_account};
@@ -75,12 +75,16 @@
 
     /// Waits until the process has ended, and tells whether it ended well.
     pub async fn ended(&mut self) -> bool {
-        loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status.success();
+        let child = &mut self.child;
+        let end = async {
+            loop {
+                if let Some(status) = child.try_wait().unwrap() {
+                    return status.success();
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
             }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        };
+        tokio::time::timeout(PATIENCE, end).await.expect("the process did not end")
     }
 
     pub fn id(&self) -> u32 {
