--- a/crates/hollowford-server/src/ownership/mod.rs
+++ b/crates/hollowford-server/src/ownership/mod.rs
@@ -1,9 +1,11 @@
 //! Ownership of partitions: a lease in the table, taken over by compare-and-set.
 
 mod board;
+mod hand_over;
 mod keeper;
 mod lease;
 mod standstill;
+mod takeover;
 #[cfg(test)]
 mod tests;
 
