--- a/crates/hollowford/src/dev/report.rs
+++ b/crates/hollowford/src/dev/report.rs
@@ -167,8 +167,8 @@
         );
         if let Some(cpu) = control_cpu_seconds() {
             println!(
-                "                  {:.1} ms of processor time a placement, {:.1}% of one core",
-                cpu * 1_000.0 / placed,
+                "                  {:.0} us of processor time a placement, {:.1}% of one core",
+                cpu * 1_000_000.0 / placed,
                 cpu / seconds * 100.0
             );
         }
