--- /dev/null
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -0,0 +1,219 @@
+//! Placement advice: what is known for each step, and who asks next.
+//!
+//! The service for advice has one seat for each calling instance and takes its time for each
+//! worker named. A quick check behind the slow call of a large gang would be late before it
+//! is placed, so some seats take quick calls only, and one is kept from the slowest.
+
+use crate::engine::Engine;
+use crate::order::{Advised, Order};
+use crate::queue::AdviceCost;
+use crate::spec::StepKey;
+use crate::workers::WorkerIdx;
+use hollowford_core::{InstanceId, Millis};
+use rustc_hash::FxHashMap;
+use std::sync::Arc;
+
+/// A ticket is not used when less time is left, since the start has to arrive before it ends.
+const TICKET_MARGIN: Millis = Millis(60);
+/// Calls up to this time are quick.
+const QUICK_CALL_MS: f64 = 30.0;
+/// Calls over this time are slow.
+const SLOW_CALL_MS: f64 = 200.0;
+/// One seat in so many takes quick calls only.
+const SEATS_FOR_ONE_QUICK: usize = 3;
+/// Most workers that one call may name (PROTOCOL).
+const MOST_NAMED: usize = 100;
+/// A call without an answer is given up after its expected time and this.
+const CALL_SLACK: Millis = Millis(1_500);
+
+/// A ticket for one worker.
+#[derive(Clone, Debug)]
+struct Ticket {
+    text: Arc<str>,
+    until: Millis,
+}
+
+/// What is known of the workers for one step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepAdvice {
+    /// Workers that were named in a call that was answered; with a ticket: it may run there.
+    known: FxHashMap<WorkerIdx, Option<Ticket>>,
+    /// A call is under way.
+    pub asking: bool,
+}
+
+/// What advice says of one worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// Not asked yet.
+    Unknown,
+    /// The step may not run there.
+    Barred,
+    /// It may, and the ticket holds.
+    Ticketed,
+    /// It may, and the ticket has lapsed.
+    Lapsed,
+}
+
+impl StepAdvice {
+    pub fn standing(&self, w: WorkerIdx, now: Millis) -> Standing {
+        match self.known.get(&w) {
+            None => Standing::Unknown,
+            Some(None) => Standing::Barred,
+            Some(Some(t)) if t.until > now + TICKET_MARGIN => Standing::Ticketed,
+            Some(Some(_)) => Standing::Lapsed,
+        }
+    }
+
+    pub fn ticket(&self, w: WorkerIdx) -> Arc<str> {
+        let ticket = self.known.get(&w).and_then(|t| t.as_ref());
+        ticket.map_or_else(|| "".into(), |t| t.text.clone())
+    }
+
+    /// Takes a ticket as lapsed, since the worker refused it.
+    pub fn drop_ticket(&mut self, w: WorkerIdx) {
+        if let Some(Some(t)) = self.known.get_mut(&w) {
+            t.until = Millis(0);
+        }
+    }
+
+    pub fn nothing_known(&self) -> bool {
+        self.known.is_empty()
+    }
+}
+
+/// An instance that can make calls for advice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// The instance's address between processes; empty: this process.
+    pub address: Arc<str>,
+}
+
+/// A call under way.
+#[derive(Clone, Debug)]
+struct Call {
+    step: StepKey,
+    workers: Vec<WorkerIdx>,
+    slow: bool,
+    give_up: Millis,
+}
+
+/// The instances that make the calls.
+#[derive(Debug, Default)]
+pub(crate) struct Seats {
+    list: Vec<(Seat, Option<Call>)>,
+}
+
+/// A call that a step needs.
+#[derive(Clone, Debug)]
+pub(crate) struct Want {
+    pub step: StepKey,
+    pub workers: Vec<WorkerIdx>,
+    pub cost: AdviceCost,
+}
+
+impl Seats {
+    /// Returns the seat for a call of the given time, if one is free for it.
+    fn free_for(&self, ms: f64) -> Option<usize> {
+        let n = self.list.len();
+        let quick = if n < 2 { 0 } else { n.div_ceil(SEATS_FOR_ONE_QUICK) };
+        let free = |i: &usize| self.list[*i].1.is_none();
+        if ms <= QUICK_CALL_MS {
+            return (0..n).find(free);
+        }
+        if ms > SLOW_CALL_MS {
+            let busy = self.list.iter().filter(|(_, c)| c.as_ref().is_some_and(|c| c.slow)).count();
+            // One seat is left to the calls between quick and slow.
+            if busy + 1 >= n - quick && n - quick > 1 {
+                return None;
+            }
+        }
+        (quick..n).rev().find(free)
+    }
+}
+
+impl Engine {
+    /// Sets the instances that can make calls for advice. The first ones take quick calls.
+    pub fn set_seats(&mut self, seats: &[Seat]) {
+        let mut old = std::mem::take(&mut self.seats.list);
+        for seat in seats {
+            let at = old.iter().position(|(s, _)| s == seat);
+            let call = at.and_then(|at| old.swap_remove(at).1);
+            self.seats.list.push((seat.clone(), call));
+        }
+        for (_, call) in old {
+            self.advice_failed(call.as_ref());
+        }
+    }
+
+    /// Returns the seat at a position.
+    pub fn seat(&self, at: usize) -> Option<&Seat> {
+        self.seats.list.get(at).map(|(s, _)| s)
+    }
+
+    fn advice_failed(&mut self, call: Option<&Call>) {
+        if let Some(step) = call.and_then(|c| self.jobs.step_mut(c.step)) {
+            step.advice.asking = false;
+        }
+    }
+
+    /// Hands the calls to seats that are free for them; the others come again with the
+    /// next pass.
+    pub(crate) fn ask(&mut self, wants: Vec<Want>, now: Millis, out: &mut Vec<Order>) {
+        self.give_up_calls(now);
+        for want in wants {
+            let mut workers = want.workers;
+            workers.truncate(MOST_NAMED);
+            let ms = want.cost.of(workers.len());
+            let Some(seat) = self.seats.free_for(ms) else { continue };
+            let Some(step) = self.jobs.step_mut(want.step) else { continue };
+            step.advice.asking = true;
+            let id = |&w: &WorkerIdx| self.workers.get(w).map(|w| w.id.clone());
+            let ids: Vec<_> = workers.iter().filter_map(id).collect();
+            let give_up = now + Millis(ms as u64) + CALL_SLACK;
+            let slow = ms > SLOW_CALL_MS;
+            self.seats.list[seat].1 = Some(Call { step: want.step, workers, slow, give_up });
+            self.stats.asked += 1;
+            out.push(Order::Advice { seat, step: want.step, workers: ids });
+        }
+    }
+
+    fn give_up_calls(&mut self, now: Millis) {
+        for at in 0..self.seats.list.len() {
+            if self.seats.list[at].1.as_ref().is_some_and(|c| c.give_up <= now) {
+                let call = self.seats.list[at].1.take();
+                self.advice_failed(call.as_ref());
+            }
+        }
+    }
+
+    /// Takes in the answer of a call for advice; none when it failed. The tickets hold from
+    /// the time of the answer.
+    pub fn advised(
+        &mut self,
+        seat: &Seat,
+        key: StepKey,
+        answer: Option<(Advised, Millis)>,
+        now: Millis,
+    ) {
+        let theirs =
+            |(s, c): &(Seat, Option<Call>)| s == seat && c.as_ref().is_some_and(|c| c.step == key);
+        let Some(at) = self.seats.list.iter().position(theirs) else { return };
+        let Some(call) = self.seats.list[at].1.take() else { return };
+        self.dirty = true;
+        let Some((rows, validity)) = answer else {
+            self.advice_failed(Some(&call));
+            return;
+        };
+        let find = |id: &InstanceId| self.workers.find(id);
+        let good: Vec<_> = rows.iter().filter_map(|(id, t)| Some((find(id)?, t.clone()))).collect();
+        let Some(step) = self.jobs.step_mut(key) else { return };
+        step.advice.asking = false;
+        for w in call.workers {
+            step.advice.known.entry(w).or_insert(None);
+        }
+        for (w, text) in good {
+            step.advice.known.insert(w, Some(Ticket { text, until: now + validity }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/choose.rs
@@ -0,0 +1,87 @@
+//! Which worker a task goes to.
+
+use crate::spec::StepSpec;
+use crate::worker::Worker;
+use crate::workers::WorkerIdx;
+use hollowford_core::{Millis, Resources};
+use std::sync::Arc;
+
+/// What a worker off the data's rack costs in the choice, against a full worker's 2.0.
+const FAR_COST: f32 = 4.0;
+
+/// A worker that may get tasks in this pass.
+#[derive(Clone, Debug)]
+pub(crate) struct Room {
+    pub idx: WorkerIdx,
+    pub pool: Arc<str>,
+    pub rack: Option<Arc<str>>,
+    pub capacity: Resources,
+    pub free: Resources,
+    /// Room that is kept for gangs.
+    pub reserved: Resources,
+    /// When the gangs are expected to take it.
+    pub reserved_until: Millis,
+}
+
+impl Room {
+    pub fn of(idx: WorkerIdx, w: &Worker, now: Millis) -> Room {
+        Room {
+            idx,
+            pool: w.pool.clone(),
+            rack: rack_of(w),
+            capacity: w.capacity,
+            free: w.room(now),
+            reserved: Resources::default(),
+            reserved_until: Millis(0),
+        }
+    }
+
+    /// Tells whether a task fits, beside what is kept for gangs or before they need it.
+    pub fn fits(&self, need: &Resources, ends: Millis) -> bool {
+        if !need.fits(&self.free) {
+            return false;
+        }
+        ends <= self.reserved_until || need.fits(&self.free.minus(&self.reserved))
+    }
+
+    /// Returns how many such tasks fit beside what is kept.
+    pub fn count(&self, need: &Resources) -> u32 {
+        copies(need, &self.free.minus(&self.reserved))
+    }
+
+    pub fn take(&mut self, need: &Resources) {
+        self.free = self.free.minus(need);
+    }
+
+    /// Returns how much would be left, from 0 (full) to 2 (empty), with a surcharge when
+    /// one of processors and memory would be left without the other.
+    pub fn left_after(&self, need: &Resources) -> f32 {
+        let left = self.free.minus(need);
+        let part = |a: u32, b: u32| if b == 0 { 0.0 } else { a as f32 / b as f32 };
+        let cpu = part(left.cpu_milli, self.capacity.cpu_milli);
+        let mem = part(left.memory_mib, self.capacity.memory_mib);
+        cpu + mem + (cpu - mem).abs()
+    }
+
+    /// Returns the cost of placing one task here; the least is taken.
+    pub fn cost(&self, spec: &StepSpec) -> f32 {
+        self.left_after(&spec.room()) + if self.is_far(spec) { FAR_COST } else { 0.0 }
+    }
+
+    fn is_far(&self, spec: &StepSpec) -> bool {
+        !spec.data_rack.is_empty() && self.rack.as_deref() != Some(&spec.data_rack)
+    }
+}
+
+/// Returns how many times `need` fits into `room`.
+pub(crate) fn copies(need: &Resources, room: &Resources) -> u32 {
+    let times = |n: u32, r: u32| r.checked_div(n).unwrap_or(u32::MAX);
+    times(need.cpu_milli, room.cpu_milli)
+        .min(times(need.memory_mib, room.memory_mib))
+        .min(times(need.accelerators, room.accelerators))
+}
+
+/// Returns the label that names the worker's rack: the one that isn't its kind.
+pub(crate) fn rack_of(w: &Worker) -> Option<Arc<str>> {
+    w.labels.iter().find(|l| l.len() > 1 && l.starts_with('r')).cloned()
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -0,0 +1,245 @@
+//! Tasks that run and end, as the workers tell it.
+
+use crate::engine::Engine;
+use crate::job::{JobState, Step};
+use crate::order::{End, EndKind, Running};
+use crate::spec::{JobId, StepSpec, TaskKey};
+use crate::worker::{Held, Phase};
+use crate::workers::WorkerIdx;
+use hollowford_core::{Millis, Resources};
+use std::sync::Arc;
+
+/// Shortest time between two runs of a task that lasts, after one that failed.
+const LASTING_BACKOFF: Millis = Millis(200);
+
+impl Engine {
+    /// Takes in that a task runs.
+    pub(crate) fn take_running(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        if let Some(h) = w.find_mut(r.task, r.run) {
+            if h.phase == Phase::Starting {
+                h.phase = Phase::Running;
+                h.since = now;
+            }
+            self.note_saved(r.task, &r.saved);
+            return;
+        }
+        if self.adopt(idx, r, now) {
+            self.note_saved(r.task, &r.saved);
+        } else {
+            self.hold_foreign(idx, r, now);
+        }
+    }
+
+    /// Takes over a task that an earlier owner started. Tells whether it should run here.
+    fn adopt(&mut self, idx: WorkerIdx, r: &Running, now: Millis) -> bool {
+        let key = r.task;
+        let Some(job) = self.jobs.get_mut(key.step.job).filter(|j| j.end.is_none()) else {
+            return false;
+        };
+        let spec = job.spec.clone();
+        let Some(step_spec) = spec.steps.get(key.step.step as usize) else { return false };
+        let Some(step) = self.jobs.step_mut(key.step) else { return false };
+        let Some(task) = step.tasks.get_mut(key.index as usize) else { return false };
+        if task.done || task.at.is_some() || r.run < task.run {
+            return false;
+        }
+        task.at = Some(idx);
+        task.run = r.run;
+        task.unsettled = false;
+        if let Some(job) = self.jobs.get_mut(key.step.job) {
+            job.begun = true;
+        }
+        let held = Held {
+            task: key,
+            run: r.run,
+            room: step_spec.room(),
+            phase: Phase::Running,
+            since: now,
+            expected_end: now + Millis(step_spec.estimate_ms / 2),
+            calling: false,
+            stop_answered: false,
+        };
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.hold(held);
+        }
+        true
+    }
+
+    /// Keeps a worker from new work while it runs what it should not, and stops that.
+    fn hold_foreign(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
+        let spec = self.jobs.get(r.task.step.job).map(|j| j.spec.clone());
+        let step = spec.as_ref().and_then(|s| s.steps.get(r.task.step.step as usize));
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        // What a job that has ended takes is not known any more.
+        let room = step.map_or(w.capacity, StepSpec::room);
+        w.hold(Held {
+            task: r.task,
+            run: r.run,
+            room,
+            phase: Phase::Stopping,
+            since: now,
+            expected_end: now,
+            calling: false,
+            stop_answered: false,
+        });
+        self.stats.foreign += 1;
+    }
+
+    fn note_saved(&mut self, key: TaskKey, saved: &Arc<str>) {
+        if saved.is_empty() {
+            return;
+        }
+        if let Some(task) = self.jobs.task_mut(key) {
+            task.saved = Some(saved.clone());
+        }
+    }
+
+    /// Takes in that a task has ended.
+    pub(crate) fn take_end(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
+        if let Some(w) = self.workers.get_mut(idx)
+            && let Some(at) = w.find(end.task, end.run)
+        {
+            w.release(at);
+        }
+        let key = end.task;
+        let Some(job) = self.jobs.get(key.step.job).filter(|j| j.end.is_none()) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(step_spec) = spec.steps.get(key.step.step as usize) else { return };
+        let Some(task) = self.jobs.task(key) else { return };
+        let here = task.at == Some(idx) && task.run == end.run;
+        let earlier = task.at.is_none() && end.run >= task.run;
+        if task.done || !(here || earlier || end.kind == EndKind::Done) {
+            return;
+        }
+        if here {
+            self.unplace(idx, key, end.run, now);
+        }
+        if let Some(task) = self.jobs.task_mut(key) {
+            task.run = task.run.max(end.run);
+        }
+        self.note_saved(key, &end.saved);
+        self.note_health(idx, end, now);
+        match end.kind {
+            EndKind::Done if !step_spec.lasting => self.task_done(key, step_spec.gang),
+            EndKind::Failed if !step_spec.lasting => self.task_failed(idx, key, step_spec, end.run),
+            EndKind::Done | EndKind::Failed => self.lasting_ended(key, now),
+            _ => self.stats.interrupted += 1,
+        }
+        self.jobs.progressed(key.step.job);
+        self.dirty = true;
+    }
+
+    fn note_health(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        match end.kind {
+            EndKind::Done => w.health.success(),
+            EndKind::Failed if w.health.failure(end.task.step.job, now) => {
+                self.stats.put_aside += 1;
+            }
+            _ => {}
+        }
+    }
+
+    fn lasting_ended(&mut self, key: TaskKey, now: Millis) {
+        self.stats.interrupted += 1;
+        if let Some(task) = self.jobs.task_mut(key) {
+            task.not_before = now + LASTING_BACKOFF;
+        }
+    }
+
+    fn task_done(&mut self, key: TaskKey, gang: bool) {
+        self.stats.done += 1;
+        let Some(step) = self.jobs.step_mut(key.step) else { return };
+        if gang {
+            // One such end stands for all members; their own ends only free their room.
+            step.tasks.iter_mut().for_each(|t| t.done = true);
+            step.left = 0;
+        } else if let Some(task) = step.tasks.get_mut(key.index as usize) {
+            task.done = true;
+            step.left -= 1;
+        }
+        let elsewhere = step.tasks[key.index as usize].at;
+        if let Some(other) = elsewhere.filter(|_| !gang) {
+            self.order_stop(other, key);
+        }
+        self.job_may_be_done(key.step.job);
+    }
+
+    fn job_may_be_done(&mut self, id: JobId) {
+        if self.jobs.get(id).is_some_and(|j| j.all_done()) {
+            self.end_job(id, JobState::Completed);
+        }
+    }
+
+    fn task_failed(&mut self, idx: WorkerIdx, key: TaskKey, spec: &StepSpec, run: u32) {
+        self.stats.failed += 1;
+        let most = self.max_attempts(key.step.job);
+        let Some(step) = self.jobs.step_mut(key.step) else { return };
+        let failures = if spec.gang {
+            gang_failed(step, run)
+        } else {
+            let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
+            task.failures += 1;
+            task.avoid = Some(idx);
+            task.failures
+        };
+        if failures >= most {
+            self.end_job(key.step.job, JobState::Failed);
+        }
+    }
+
+    fn max_attempts(&self, id: JobId) -> u32 {
+        let queue = self.jobs.get(id).and_then(|j| self.queues.get(&j.queue));
+        queue.map_or(u32::MAX, |q| q.max_attempts.max(1))
+    }
+
+    /// Takes note that a task doesn't run on the worker any more.
+    pub(crate) fn unplace(&mut self, idx: WorkerIdx, key: TaskKey, run: u32, now: Millis) {
+        let Some(task) = self.jobs.task_mut(key) else { return };
+        if task.at != Some(idx) || task.run != run {
+            return;
+        }
+        task.at = None;
+        let Some(step) = self.jobs.step_mut(key.step) else { return };
+        if step.tasks.iter().all(|t| t.at.is_none()) {
+            step.regroup = false;
+        }
+        step.gang_since = now;
+    }
+
+    /// Stops everything of a job that runs.
+    pub(crate) fn stop_job(&mut self, id: JobId) {
+        for idx in self.workers.indexes() {
+            let Some(w) = self.workers.get_mut(idx) else { continue };
+            for h in w.held.iter_mut().filter(|h| h.task.step.job == id) {
+                h.phase = Phase::Stopping;
+            }
+        }
+    }
+
+    /// Stops a task on a worker.
+    pub(crate) fn order_stop(&mut self, idx: WorkerIdx, key: TaskKey) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        for h in w.held.iter_mut().filter(|h| h.task == key) {
+            h.phase = Phase::Stopping;
+        }
+    }
+
+    /// Returns what a worker has, for checks.
+    pub fn worker_room(&self, id: &hollowford_core::InstanceId) -> Option<(Resources, Resources)> {
+        let w = self.workers.get(self.workers.find(id)?)?;
+        Some((w.capacity, w.free))
+    }
+}
+
+/// Counts a run of a gang as failed, once for all its members.
+fn gang_failed(step: &mut Step, run: u32) -> u32 {
+    if step.failed_run < run {
+        step.failed_run = run;
+        step.gang_failures += 1;
+    }
+    step.gang_failures
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -0,0 +1,219 @@
+//! The state of one partition, and what the passing of time does to it.
+
+use crate::advice::Seats;
+use crate::batch::BatchNote;
+use crate::jobs::Jobs;
+use crate::order::{Order, WorkerListing};
+use crate::queue::Queue;
+use crate::rows::WorkerAddress;
+use crate::worker::Worker;
+use crate::workers::{WorkerIdx, Workers};
+use hollowford_core::Millis;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeSet, HashSet};
+use std::sync::Arc;
+
+/// Longest time between two passes over the waiting steps, since room is also foreseen.
+const PASS_EVERY: Millis = Millis(100);
+
+/// Times that hold for a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// How long each order lets a worker run what it runs.
+    pub lease: Millis,
+    /// How long an earlier owner may have let a worker run, counted from the takeover.
+    pub earlier_lease: Millis,
+    /// A gang that is not complete for so long ends.
+    pub gang_timeout: Millis,
+    /// How long the state of a job that has ended is kept.
+    pub keep_ended: Millis,
+}
+
+/// Counters since the engine was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Jobs accepted.
+    pub accepted: u64,
+    /// Starts ordered, without those that were sent again.
+    pub started: u64,
+    /// Starts sent again after no answer.
+    pub resent: u64,
+    /// Starts that a worker refused.
+    pub refused: u64,
+    /// Tasks that ended well.
+    pub done: u64,
+    /// Tasks that failed.
+    pub failed: u64,
+    /// Tasks that ended in another way.
+    pub interrupted: u64,
+    /// Tasks given up on since their worker's lease was over.
+    pub lapsed: u64,
+    /// Tasks that a worker no longer listed, neither running nor ended.
+    pub vanished: u64,
+    /// Tasks found on workers that should not run there.
+    pub foreign: u64,
+    /// Workers put aside.
+    pub put_aside: u64,
+    /// Calls for advice.
+    pub asked: u64,
+}
+
+/// The decisions of one partition. See the crate's description.
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) epoch: u64,
+    pub(crate) bounds: Bounds,
+    pub(crate) jobs: Jobs,
+    pub(crate) workers: Workers,
+    pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
+    pub(crate) seats: Seats,
+    /// Workers that may still run what an earlier owner ordered.
+    pub(crate) unsettled: BTreeSet<WorkerIdx>,
+    /// When none of them can any more.
+    pub(crate) settled_at: Millis,
+    /// Some tasks wait for the workers above.
+    pub(crate) tasks_unsettled: bool,
+    /// What the batch under way holds.
+    pub(crate) in_flight: Option<BatchNote>,
+    /// Number of the last batch.
+    pub(crate) batch_no: u64,
+    /// The row of workers as it was written last.
+    pub(crate) recorded: Vec<WorkerAddress>,
+    /// Something may be placeable that was not at the last pass.
+    pub(crate) dirty: bool,
+    pub(crate) passed_at: Millis,
+    /// Unix time less the engine's, in milliseconds.
+    pub(crate) unix_offset: i64,
+    pub(crate) stats: Stats,
+}
+
+impl Engine {
+    /// Makes the engine of an owner that has just taken the partition at `epoch`.
+    pub fn new(epoch: u64, bounds: Bounds, now: Millis) -> Engine {
+        Engine {
+            epoch,
+            bounds,
+            jobs: Jobs::default(),
+            workers: Workers::default(),
+            queues: FxHashMap::default(),
+            seats: Seats::default(),
+            unsettled: BTreeSet::new(),
+            settled_at: now + bounds.earlier_lease,
+            tasks_unsettled: false,
+            in_flight: None,
+            batch_no: 0,
+            recorded: Vec::new(),
+            dirty: true,
+            passed_at: Millis(0),
+            unix_offset: 0,
+            stats: Stats::default(),
+        }
+    }
+
+    /// Returns the owner's epoch, which is also its fence at the workers.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Puts the queues of a configuration in force.
+    pub fn set_queues(&mut self, queues: &[Queue]) {
+        self.queues = queues.iter().map(|q| (q.name.clone(), Arc::new(q.clone()))).collect();
+        self.dirty = true;
+    }
+
+    /// Sets how far Unix time is ahead of the engine's, for jobs with a schedule.
+    pub fn set_unix_offset(&mut self, offset: i64) {
+        self.unix_offset = offset;
+    }
+
+    /// Takes over the platform's list of workers.
+    pub fn list_workers(&mut self, listings: &[WorkerListing], now: Millis) {
+        let ids: HashSet<_> = listings.iter().map(|l| &l.id).collect();
+        for idx in self.workers.indexes() {
+            if let Some(w) = self.workers.get_mut(idx) {
+                w.listed = ids.contains(&w.id);
+            }
+        }
+        for l in listings {
+            match self.workers.find(&l.id) {
+                Some(idx) => {
+                    if let Some(w) = self.workers.get_mut(idx) {
+                        w.take_listing(l, now);
+                    }
+                }
+                None => self.add_worker(l, now),
+            }
+        }
+        self.dirty = true;
+    }
+
+    fn add_worker(&mut self, l: &WorkerListing, now: Millis) {
+        let earlier = self.workers.iter().find(|(_, w)| w.address == l.address).map(|(i, _)| i);
+        if let Some(old) = earlier {
+            // One address has one life at a time, and ids are not used again.
+            self.worker_dead(old, now);
+        }
+        self.workers.insert(Worker::new(l, now));
+    }
+
+    /// Does what is due at `now`. Called after every event and some tens of times a second.
+    pub fn poll(&mut self, now: Millis, out: &mut Vec<Order>) {
+        self.rounds_due(now);
+        self.settle(now);
+        self.lapse(now);
+        self.look(now, out);
+        self.resend(now, out);
+        if self.dirty || now.since(self.passed_at) >= PASS_EVERY {
+            self.dirty = false;
+            self.passed_at = now;
+            self.place(now, out);
+        }
+    }
+
+    /// Adds rounds of jobs with a schedule that have fallen due.
+    fn rounds_due(&mut self, now: Millis) {
+        let unix = now.0 as i64 + self.unix_offset;
+        for id in self.jobs.ids() {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            let Some(s) = job.spec.schedule else { continue };
+            if job.due_rounds >= s.rounds || job.end.is_some() {
+                continue;
+            }
+            let due = s.first_unix_ms + u64::from(job.due_rounds) * s.interval_ms;
+            if due as i64 > unix {
+                continue;
+            }
+            let late = Millis((unix - due as i64) as u64);
+            job.add_round(now - late);
+            self.jobs.progressed(id);
+            self.dirty = true;
+        }
+    }
+
+    /// Frees tasks that waited for unclaimed workers, once none of those can run anything.
+    fn settle(&mut self, now: Millis) {
+        if !self.tasks_unsettled {
+            return;
+        }
+        if now >= self.settled_at {
+            self.unsettled.clear();
+        }
+        if !self.unsettled.is_empty() {
+            return;
+        }
+        for id in self.jobs.ids() {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            let steps = job.rounds.iter_mut().flat_map(|r| &mut r.steps);
+            for task in steps.flat_map(|s| &mut s.tasks) {
+                task.unsettled = false;
+            }
+        }
+        self.tasks_unsettled = false;
+        self.dirty = true;
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/job.rs
@@ -0,0 +1,179 @@
+//! A job and its parts.
+
+use crate::advice::StepAdvice;
+use crate::spec::{JobId, JobSpec, StepSpec};
+use crate::workers::WorkerIdx;
+use hollowford_core::Millis;
+use std::sync::Arc;
+
+/// Run numbers that each epoch of owners may use for a task. A new owner can't know of starts
+/// that no worker lists any more, so it begins above them.
+pub(crate) const RUNS_PER_EPOCH: u32 = 16;
+
+/// Where a job stands, as callers see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobState {
+    /// No task has begun.
+    Queued,
+    /// A task has begun.
+    Running,
+    /// Every task has ended well.
+    Completed,
+    /// A task or a gang has failed too often.
+    Failed,
+    /// Cancelled by its caller.
+    Cancelled,
+}
+
+impl JobState {
+    /// Tells whether nothing more will happen.
+    pub fn is_final(self) -> bool {
+        !matches!(self, JobState::Queued | JobState::Running)
+    }
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Task {
+    pub done: bool,
+    /// Highest run number that is known.
+    pub run: u32,
+    pub failures: u32,
+    pub saved: Option<Arc<str>>,
+    /// Where it runs, or may run.
+    pub at: Option<WorkerIdx>,
+    /// Not tried here next, since it failed here last.
+    pub avoid: Option<WorkerIdx>,
+    /// It may run on a worker that this owner has not claimed yet.
+    pub unsettled: bool,
+    /// Not started again before.
+    pub not_before: Millis,
+}
+
+impl Task {
+    /// Tells whether the task may be started at `now`.
+    pub fn waits(&self, now: Millis) -> bool {
+        !self.done && self.at.is_none() && !self.unsettled && self.not_before <= now
+    }
+}
+
+/// One step of one round.
+#[derive(Clone, Debug)]
+pub(crate) struct Step {
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: u32,
+    /// Failures of the gang as a whole.
+    pub gang_failures: u32,
+    /// The last run of the gang that failed.
+    pub failed_run: u32,
+    pub advice: StepAdvice,
+    /// When the current run of the gang was started.
+    pub gang_since: Millis,
+    /// The gang is being stopped, to start again.
+    pub regroup: bool,
+}
+
+impl Step {
+    pub fn new(spec: &StepSpec) -> Step {
+        Step {
+            tasks: vec![Task::default(); spec.count as usize],
+            left: spec.count,
+            gang_failures: 0,
+            failed_run: 0,
+            advice: StepAdvice::default(),
+            gang_since: Millis(0),
+            regroup: false,
+        }
+    }
+
+    pub fn done(&self) -> bool {
+        self.left == 0
+    }
+
+    /// Returns how many tasks could be started at `now`.
+    pub fn waiting(&self, now: Millis) -> usize {
+        self.tasks.iter().filter(|t| t.waits(now)).count()
+    }
+
+    /// Returns how many tasks of the step a worker holds.
+    pub fn on(&self, w: WorkerIdx) -> u32 {
+        self.tasks.iter().filter(|t| t.at == Some(w)).count() as u32
+    }
+}
+
+/// One round of a job's steps.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    pub number: u32,
+    /// When it fell due.
+    pub due: Millis,
+    pub steps: Vec<Step>,
+}
+
+impl Round {
+    pub fn done(&self) -> bool {
+        self.steps.iter().all(Step::done)
+    }
+
+    /// Tells whether everything that the step depends on is done.
+    pub fn ready(&self, spec: &JobSpec, step: usize) -> bool {
+        spec.steps[step].depends.iter().all(|&d| self.steps[d as usize].done())
+    }
+}
+
+/// One job that has not ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub id: JobId,
+    pub queue: Arc<str>,
+    pub spec: Arc<JobSpec>,
+    /// Epoch of the owner that accepted it.
+    pub epoch: u64,
+    pub accepted_at: Millis,
+    /// The acceptance is in the store.
+    pub kept: bool,
+    /// Rounds that have fallen due and are not done.
+    pub rounds: Vec<Round>,
+    /// How many rounds have fallen due.
+    pub due_rounds: u32,
+    /// Whether a task has begun.
+    pub begun: bool,
+    /// The end that is decided, and maybe not in the store yet.
+    pub end: Option<JobState>,
+    /// The acceptance is to be written.
+    pub unwritten: bool,
+    /// The progress is to be written.
+    pub progressed: bool,
+    /// A row with its progress is in the store.
+    pub has_progress: bool,
+    /// The objective's length, from acceptance or from a round's due time.
+    pub objective: Millis,
+}
+
+impl Job {
+    /// Adds a round that has fallen due.
+    pub fn add_round(&mut self, due: Millis) {
+        let steps = self.spec.steps.iter().map(Step::new).collect();
+        self.rounds.push(Round { number: self.due_rounds, due, steps });
+        self.due_rounds += 1;
+    }
+
+    pub fn round(&self, number: u32) -> Option<&Round> {
+        self.rounds.iter().find(|r| r.number == number)
+    }
+
+    pub fn round_mut(&mut self, number: u32) -> Option<&mut Round> {
+        self.rounds.iter_mut().find(|r| r.number == number)
+    }
+
+    /// Tells whether every round has fallen due and is done.
+    pub fn all_done(&self) -> bool {
+        self.due_rounds == self.spec.rounds() && self.rounds.iter().all(Round::done)
+    }
+
+    /// Returns the run number after which the next start of a task has to come.
+    pub fn run_floor(&self, epoch: u64) -> u32 {
+        (epoch.saturating_sub(self.epoch) as u32).saturating_mul(RUNS_PER_EPOCH)
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -0,0 +1,102 @@
+//! All jobs of the partition.
+
+use crate::job::{Job, JobState, Step, Task};
+use crate::spec::{JobId, StepKey, TaskKey};
+use hollowford_core::Millis;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeSet, VecDeque};
+
+/// How a job ended, and when.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ended {
+    pub state: JobState,
+    pub at: Millis,
+}
+
+/// Open jobs, and how the others ended.
+#[derive(Debug, Default)]
+pub(crate) struct Jobs {
+    open: FxHashMap<JobId, Job>,
+    ended: FxHashMap<JobId, Ended>,
+    /// Ended jobs, the first that ended first.
+    by_end: VecDeque<JobId>,
+    /// Jobs with something to write.
+    pub dirty: BTreeSet<JobId>,
+}
+
+impl Jobs {
+    pub fn get(&self, id: JobId) -> Option<&Job> {
+        self.open.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: JobId) -> Option<&mut Job> {
+        self.open.get_mut(&id)
+    }
+
+    pub fn insert(&mut self, job: Job) {
+        self.open.insert(job.id, job);
+    }
+
+    pub fn open(&self) -> impl Iterator<Item = &Job> {
+        self.open.values()
+    }
+
+    pub fn open_len(&self) -> usize {
+        self.open.len()
+    }
+
+    pub fn ids(&self) -> Vec<JobId> {
+        self.open.keys().copied().collect()
+    }
+
+    pub fn ended(&self, id: JobId) -> Option<Ended> {
+        self.ended.get(&id).copied()
+    }
+
+    /// Replaces an open job by how it ended.
+    pub fn close(&mut self, id: JobId, ended: Ended) {
+        self.open.remove(&id);
+        if self.ended.insert(id, ended).is_none() {
+            self.by_end.push_back(id);
+        }
+    }
+
+    /// Forgets jobs that ended before `before`, at most `most`, and returns them.
+    pub fn expire(&mut self, before: Millis, most: usize) -> Vec<JobId> {
+        let mut out = Vec::new();
+        while out.len() < most {
+            let Some(&id) = self.by_end.front() else { break };
+            if self.ended.get(&id).is_some_and(|e| e.at >= before) {
+                break;
+            }
+            self.by_end.pop_front();
+            self.ended.remove(&id);
+            out.push(id);
+        }
+        out
+    }
+
+    pub fn step(&self, key: StepKey) -> Option<&Step> {
+        self.open.get(&key.job)?.round(key.round)?.steps.get(key.step as usize)
+    }
+
+    pub fn step_mut(&mut self, key: StepKey) -> Option<&mut Step> {
+        self.open.get_mut(&key.job)?.round_mut(key.round)?.steps.get_mut(key.step as usize)
+    }
+
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.step(key.step)?.tasks.get(key.index as usize)
+    }
+
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.step_mut(key.step)?.tasks.get_mut(key.index as usize)
+    }
+
+    /// Marks a job's progress as to be written.
+    pub fn progressed(&mut self, id: JobId) {
+        if let Some(job) = self.open.get_mut(&id) {
+            job.progressed = true;
+            self.dirty.insert(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -0,0 +1,169 @@
+//! Looks at workers, their leases, and workers that are gone.
+
+use crate::engine::Engine;
+use crate::order::{Look, Order, WorkerCall};
+use crate::spec::TaskKey;
+use crate::worker::{Held, Phase};
+use crate::workers::WorkerIdx;
+use hollowford_core::{InstanceId, Millis};
+
+/// How long a look may wait for an end. Leases are renewed at this pace, three times in one.
+const LOOK_WAIT: Millis = Millis(1_000);
+/// The next look after one that got no answer.
+const LOOK_AGAIN: Millis = Millis(250);
+/// How often to look while ends can't be made durable, so that leases are renewed.
+const LOOK_STALLED: Millis = Millis(900);
+
+/// What came of a look.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LookAnswer {
+    /// The worker's lists.
+    Lists(Look),
+    /// Another life of the worker answered: this one is over.
+    OtherLife,
+    /// A newer owner has claimed the worker.
+    Fenced,
+    /// No answer, or one that can't be used.
+    Unanswered,
+}
+
+impl Engine {
+    /// Orders the looks that are due.
+    pub(crate) fn look(&mut self, now: Millis, out: &mut Vec<Order>) {
+        let lease = self.bounds.lease;
+        for idx in self.workers.indexes() {
+            let Some(w) = self.workers.get_mut(idx) else { continue };
+            if w.looking || w.look_at > now {
+                continue;
+            }
+            w.looking = true;
+            let first = w.clock.is_none() || w.unanswered > 0;
+            let wait = if first || w.taken > w.forget { Millis(0) } else { LOOK_WAIT };
+            out.push(Order::Worker(WorkerCall::Look {
+                worker: w.id.clone(),
+                address: w.address.clone(),
+                lease_until: w.extend_lease(now, lease),
+                forget: w.forget,
+                wait,
+            }));
+        }
+    }
+
+    /// Takes in the answer to a look that was sent at `sent`. Tells whether a newer owner
+    /// has claimed the worker.
+    pub fn looked(
+        &mut self,
+        id: &InstanceId,
+        answer: LookAnswer,
+        sent: Millis,
+        now: Millis,
+    ) -> bool {
+        let Some(idx) = self.workers.find(id) else { return false };
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.looking = false;
+            w.look_at = now;
+        }
+        match answer {
+            LookAnswer::Lists(look) => self.take_lists(idx, look, sent, now),
+            LookAnswer::OtherLife => self.worker_dead(idx, now),
+            LookAnswer::Fenced => return true,
+            LookAnswer::Unanswered => {
+                if let Some(w) = self.workers.get_mut(idx) {
+                    w.unanswered += 1;
+                    w.look_at = now + LOOK_AGAIN;
+                }
+            }
+        }
+        false
+    }
+
+    fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        w.answered(look.clock, now);
+        if !w.claimed {
+            w.claimed = true;
+            self.unsettled.remove(&idx);
+        }
+        let taken = w.taken;
+        for end in look.ended.iter().filter(|e| e.number > taken) {
+            self.take_end(idx, end, now);
+        }
+        for r in &look.running {
+            self.take_running(idx, r, now);
+        }
+        self.find_vanished(idx, &look, sent, now);
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
+        // The next look waits for the batch that makes these ends durable.
+        w.look_at = if w.taken > w.forget { now + LOOK_STALLED } else { now };
+        self.dirty = true;
+    }
+
+    /// Frees what the worker had confirmed before the look and lists no more.
+    fn find_vanished(&mut self, idx: WorkerIdx, look: &Look, sent: Millis, now: Millis) {
+        let Some(w) = self.workers.get(idx) else { return };
+        let listed =
+            |task: TaskKey, run: u32| look.running.iter().any(|r| r.task == task && r.run == run);
+        let sure = |h: &Held| match h.phase {
+            Phase::Starting => false,
+            Phase::Running => true,
+            Phase::Stopping => h.stop_answered,
+        };
+        let gone = |h: &&Held| sure(h) && h.since < sent && !listed(h.task, h.run);
+        let gone: Vec<_> = w.held.iter().filter(gone).map(|h| (h.task, h.run)).collect();
+        for (task, run) in gone {
+            self.stats.vanished += 1;
+            self.free(idx, task, run, now);
+        }
+    }
+
+    /// Gives up on what workers held whose leases are surely over, and forgets those that
+    /// are not listed and hold nothing.
+    pub(crate) fn lapse(&mut self, now: Millis) {
+        for idx in self.workers.indexes() {
+            let Some(w) = self.workers.get(idx) else { continue };
+            let over = w.lease_over().is_some_and(|at| at <= now);
+            if over && !w.held.is_empty() {
+                self.stats.lapsed += w.held.len() as u64;
+                self.free_all(idx, now);
+            }
+            let Some(w) = self.workers.get(idx) else { continue };
+            let silent = w.unanswered > 0 && !w.looking;
+            let known = !w.claimed && now < self.settled_at;
+            if !w.listed && silent && w.held.is_empty() && (over || !w.claimed) && !known {
+                self.forget_worker(idx);
+            }
+        }
+    }
+
+    /// This life of the worker is over: nothing that it held runs any more.
+    pub(crate) fn worker_dead(&mut self, idx: WorkerIdx, now: Millis) {
+        self.free_all(idx, now);
+        self.forget_worker(idx);
+    }
+
+    fn forget_worker(&mut self, idx: WorkerIdx) {
+        self.unsettled.remove(&idx);
+        self.workers.remove(idx);
+        self.dirty = true;
+    }
+
+    fn free_all(&mut self, idx: WorkerIdx, now: Millis) {
+        let Some(w) = self.workers.get(idx) else { return };
+        let held: Vec<_> = w.held.iter().map(|h| (h.task, h.run)).collect();
+        for (task, run) in held {
+            self.free(idx, task, run, now);
+        }
+    }
+
+    /// Takes a task off a worker on which it can't run any more; it waits again.
+    pub(crate) fn free(&mut self, idx: WorkerIdx, task: TaskKey, run: u32, now: Millis) {
+        if let Some(w) = self.workers.get_mut(idx)
+            && let Some(at) = w.find(task, run)
+        {
+            w.release(at);
+        }
+        self.unplace(idx, task, run, now);
+        self.dirty = true;
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -0,0 +1,48 @@
+//! The decisions about jobs: what runs where, and when.
+//!
+//! A job has steps that may depend on earlier ones; a step has equal tasks, which may have
+//! to run together as a gang. The engine does no I/O, reads no clock and starts no thread:
+//! the owner of the partition tells it what happened and at what time, carries out the
+//! orders that come back, and writes the batches of rows that it asks for.
+//!
+//! Time is the store's steady clock in milliseconds, so that an owner can compare what an
+//! earlier one wrote down.
+
+mod advice;
+mod batch;
+mod choose;
+mod ends;
+mod engine;
+mod gang;
+mod health;
+mod job;
+mod jobs;
+mod lease;
+mod order;
+mod place;
+mod queue;
+mod recover;
+mod reserve;
+mod rows;
+mod spec;
+mod starts;
+mod submit;
+mod urgency;
+mod view;
+mod worker;
+mod workers;
+
+pub use advice::Seat;
+pub use batch::{Batch, RowWrite};
+pub use engine::{Bounds, Engine, Stats};
+pub use job::JobState;
+pub use lease::LookAnswer;
+pub use order::{
+    Advised, End, EndKind, Look, Order, Running, StartAnswer, WorkerCall, WorkerListing,
+};
+pub use queue::{AdviceCost, Queue};
+pub use recover::Recovered;
+pub use rows::{RowError, WorkerAddress, decode_spec, decode_workers, encode_spec, encode_workers};
+pub use spec::{JobId, JobSpec, RawJob, RawStep, Schedule, SpecError, StepKey, StepSpec, TaskKey};
+pub use submit::{CancelAnswer, SubmitAnswer};
+pub use view::EngineView;
--- /dev/null
+++ b/crates/hollowford-jobs/src/queue.rs
@@ -0,0 +1,41 @@
+//! Queues: what the configuration says of jobs handed in under one prefix.
+
+use hollowford_core::Millis;
+use std::sync::Arc;
+
+/// What a call for placement advice costs, and how long its tickets hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdviceCost {
+    /// Milliseconds for each call.
+    pub decide_ms: f64,
+    /// Milliseconds for each worker named.
+    pub per_worker_ms: f64,
+    /// How long a ticket is valid.
+    pub validity: Millis,
+}
+
+impl AdviceCost {
+    /// Returns the time of a call that names `workers`.
+    pub fn of(&self, workers: usize) -> f64 {
+        self.decide_ms + self.per_worker_ms * workers as f64
+    }
+}
+
+/// A queue.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Name of the pool of workers that runs its tasks.
+    pub pool: Arc<str>,
+    /// 0 goes first.
+    pub priority: u32,
+    /// A task that failed so often fails its job.
+    pub max_attempts: u32,
+    /// The objective's multiple of the job's work.
+    pub stretch: f64,
+    /// What the objective adds to that.
+    pub slack: Millis,
+    /// Its policy names the workers by advice.
+    pub advice: Option<AdviceCost>,
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -0,0 +1,174 @@
+//! A new owner takes over what the store holds.
+
+use crate::engine::Engine;
+use crate::job::JobState;
+use crate::jobs::Ended;
+use crate::order::WorkerListing;
+use crate::queue::Queue;
+use crate::rows::{JobRow, ProgressRow, RoundRow, RowError, WorkerAddress, decode_workers};
+use crate::spec::JobId;
+use crate::submit::new_job;
+use crate::worker::Worker;
+use hollowford_core::Millis;
+use prost::Message;
+use std::sync::Arc;
+
+/// How much a recovery found.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Jobs that have not ended.
+    pub open: usize,
+    /// Jobs that have.
+    pub ended: usize,
+    /// Workers that an earlier owner may have used.
+    pub workers: usize,
+    /// Rows that are none of the above.
+    pub other: usize,
+}
+
+impl Engine {
+    /// Takes in the partition's rows, once, before anything else but the queues.
+    ///
+    /// # Errors
+    /// When a row can't be read: the partition must not be served without it.
+    pub fn recover(
+        &mut self,
+        rows: &[(String, Vec<u8>)],
+        now: Millis,
+    ) -> Result<Recovered, RowError> {
+        let mut found = Recovered::default();
+        for (key, value) in rows {
+            if let Some(id) = key.strip_prefix("j/") {
+                self.recover_job(id, value, &mut found)?;
+            } else if key == crate::batch::WORKERS_KEY {
+                let list = decode_workers(value)?;
+                found.workers = list.len();
+                self.recover_workers(list, now);
+            } else if !key.starts_with("p/") {
+                found.other += 1;
+            }
+        }
+        for (key, value) in rows {
+            if let Some(id) = key.strip_prefix("p/") {
+                self.recover_progress(id.parse()?, &ProgressRow::decode(&value[..])?);
+            }
+        }
+        self.tasks_unsettled = !self.unsettled.is_empty();
+        if !self.tasks_unsettled {
+            self.mark_unsettled(false);
+        }
+        Ok(found)
+    }
+
+    fn recover_job(
+        &mut self,
+        id: &str,
+        value: &[u8],
+        found: &mut Recovered,
+    ) -> Result<(), RowError> {
+        let id: JobId = id.parse()?;
+        let mut row = JobRow::decode(value)?;
+        let state = JobState::from_code(row.state)?;
+        if state.is_final() {
+            found.ended += 1;
+            self.jobs.close(id, Ended { state, at: Millis(row.ended_at) });
+            return Ok(());
+        }
+        found.open += 1;
+        let spec = Arc::new(row.spec()?);
+        let name: Arc<str> = row.queue.as_str().into();
+        let queue = self.queues.get(&name).cloned();
+        let queue = queue.unwrap_or_else(|| Arc::new(unknown_queue(name)));
+        let mut job = new_job(id, &queue, spec, row.epoch, Millis(row.accepted_at));
+        job.kept = true;
+        job.unwritten = false;
+        if job.spec.schedule.is_none() {
+            job.add_round(job.accepted_at);
+        }
+        self.jobs.insert(job);
+        self.mark_job_unsettled(id, true);
+        Ok(())
+    }
+
+    fn recover_progress(&mut self, id: JobId, row: &ProgressRow) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.has_progress = true;
+        job.begun = row.begun;
+        if job.spec.schedule.is_some() {
+            for r in &row.rounds {
+                job.due_rounds = r.number;
+                job.add_round(Millis(r.due));
+            }
+            job.due_rounds = row.due_rounds;
+        }
+        for r in &row.rounds {
+            self.recover_round(id, r);
+        }
+        self.mark_job_unsettled(id, true);
+    }
+
+    fn recover_round(&mut self, id: JobId, row: &RoundRow) {
+        let Some(round) = self.jobs.get_mut(id).and_then(|j| j.round_mut(row.number)) else {
+            return;
+        };
+        for (step, &n) in round.steps.iter_mut().zip(&row.gang_failures) {
+            step.gang_failures = n;
+        }
+        for t in &row.tasks {
+            let Some(step) = round.steps.get_mut(t.step as usize) else { continue };
+            let Some(task) = step.tasks.get_mut(t.index as usize) else { continue };
+            task.run = t.run;
+            task.failures = t.failures;
+            task.done = t.done;
+            task.saved = (!t.saved.is_empty()).then(|| t.saved.as_str().into());
+            step.left -= u32::from(t.done);
+        }
+    }
+
+    fn mark_unsettled(&mut self, unsettled: bool) {
+        for id in self.jobs.ids() {
+            self.mark_job_unsettled(id, unsettled);
+        }
+    }
+
+    fn mark_job_unsettled(&mut self, id: JobId, unsettled: bool) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        for step in job.rounds.iter_mut().flat_map(|r| &mut r.steps) {
+            step.tasks.iter_mut().for_each(|t| t.unsettled = unsettled && !t.done);
+        }
+    }
+
+    fn recover_workers(&mut self, list: Vec<WorkerAddress>, now: Millis) {
+        for a in &list {
+            let mut w = Worker::unlisted(a.id.clone(), a.address.clone(), now);
+            w.recorded = true;
+            let idx = self.workers.insert(w);
+            self.unsettled.insert(idx);
+        }
+        self.recorded = list;
+    }
+
+    /// Returns the listings that the engine was given, for checks.
+    pub fn listed(&self) -> usize {
+        self.workers.iter().filter(|(_, w)| w.listed).count()
+    }
+}
+
+/// Stands in for a queue that the configuration no longer has: its jobs wait.
+fn unknown_queue(name: Arc<str>) -> Queue {
+    Queue {
+        name,
+        pool: "".into(),
+        priority: u32::MAX,
+        max_attempts: u32::MAX,
+        stretch: 1.0,
+        slack: Millis(0),
+        advice: None,
+    }
+}
+
+impl From<&WorkerListing> for WorkerAddress {
+    fn from(l: &WorkerListing) -> WorkerAddress {
+        WorkerAddress { id: l.id.clone(), address: l.address.clone() }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/rows.rs
@@ -0,0 +1,332 @@
+//! The rows of the store, as bytes.
+
+use crate::job::{Job, JobState};
+use crate::spec::{JobSpec, RawJob, RawStep, Schedule, SpecError};
+use hollowford_core::{InstanceId, Resources};
+use prost::Message;
+use std::sync::Arc;
+
+/// Why a row can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum RowError {
+    /// The bytes are not the message.
+    #[error("row: {0}")]
+    Decode(#[from] prost::DecodeError),
+    /// The job in it is not valid.
+    #[error("row: {0}")]
+    Spec(#[from] SpecError),
+    /// It names a state that there isn't.
+    #[error("row: no state {0}")]
+    State(u32),
+}
+
+/// A job. One that has ended keeps `state` and `ended_at` only.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct JobRow {
+    #[prost(uint32, tag = "1")]
+    pub state: u32,
+    #[prost(uint64, tag = "2")]
+    pub ended_at: u64,
+    #[prost(string, tag = "3")]
+    pub queue: String,
+    #[prost(string, tag = "4")]
+    pub template: String,
+    #[prost(message, repeated, tag = "5")]
+    pub steps: Vec<StepRow>,
+    #[prost(message, optional, tag = "6")]
+    pub schedule: Option<ScheduleRow>,
+    #[prost(uint64, tag = "7")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "8")]
+    pub accepted_at: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ScheduleRow {
+    #[prost(uint64, tag = "1")]
+    pub first_unix_ms: u64,
+    #[prost(uint64, tag = "2")]
+    pub interval_ms: u64,
+    #[prost(uint32, tag = "3")]
+    pub rounds: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct StepRow {
+    #[prost(uint32, tag = "1")]
+    pub count: u32,
+    #[prost(uint32, tag = "2")]
+    pub cpu_milli: u32,
+    #[prost(uint32, tag = "3")]
+    pub memory_mib: u32,
+    #[prost(uint32, tag = "4")]
+    pub accelerators: u32,
+    #[prost(uint64, tag = "5")]
+    pub estimate_ms: u64,
+    #[prost(uint32, repeated, tag = "6")]
+    pub depends: Vec<u32>,
+    #[prost(bool, tag = "7")]
+    pub checkpoints: bool,
+    #[prost(bool, tag = "8")]
+    pub gang: bool,
+    #[prost(bool, tag = "9")]
+    pub one_rack: bool,
+    #[prost(string, tag = "10")]
+    pub requires: String,
+    #[prost(string, tag = "11")]
+    pub data_rack: String,
+    #[prost(uint32, tag = "12")]
+    pub spread: u32,
+    #[prost(bool, tag = "13")]
+    pub speculative: bool,
+    #[prost(bool, tag = "14")]
+    pub lasting: bool,
+    #[prost(uint32, tag = "15")]
+    pub may_miss: u32,
+    #[prost(bool, tag = "16")]
+    pub filler: bool,
+    #[prost(string, tag = "17")]
+    pub image: String,
+    #[prost(uint64, tag = "18")]
+    pub latency_ms: u64,
+}
+
+/// How far a job has come.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ProgressRow {
+    /// Rounds that have fallen due.
+    #[prost(uint32, tag = "1")]
+    pub due_rounds: u32,
+    /// Rounds that are not done, with the tasks that differ from a fresh one.
+    #[prost(message, repeated, tag = "2")]
+    pub rounds: Vec<RoundRow>,
+    #[prost(bool, tag = "3")]
+    pub begun: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RoundRow {
+    #[prost(uint32, tag = "1")]
+    pub number: u32,
+    #[prost(uint64, tag = "2")]
+    pub due: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub tasks: Vec<TaskRow>,
+    /// Failures of the step as a gang, by step.
+    #[prost(uint32, repeated, tag = "4")]
+    pub gang_failures: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct TaskRow {
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    #[prost(bool, tag = "3")]
+    pub done: bool,
+    #[prost(uint32, tag = "4")]
+    pub run: u32,
+    #[prost(uint32, tag = "5")]
+    pub failures: u32,
+    #[prost(string, tag = "6")]
+    pub saved: String,
+}
+
+/// The workers that may hold a lease.
+#[derive(Clone, PartialEq, Message)]
+struct WorkersRow {
+    #[prost(message, repeated, tag = "1")]
+    workers: Vec<WorkerRow>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WorkerRow {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    address: String,
+}
+
+/// Where a worker is found.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerAddress {
+    /// This life of the worker.
+    pub id: InstanceId,
+    /// `IP:port`.
+    pub address: Arc<str>,
+}
+
+/// Writes the row of workers.
+pub fn encode_workers(list: &[WorkerAddress]) -> Vec<u8> {
+    let row = |w: &WorkerAddress| WorkerRow {
+        id: w.id.as_str().to_owned(),
+        address: w.address.to_string(),
+    };
+    WorkersRow { workers: list.iter().map(row).collect() }.encode_to_vec()
+}
+
+/// Reads the row of workers.
+///
+/// # Errors
+/// `Decode` when the bytes are not such a row.
+pub fn decode_workers(bytes: &[u8]) -> Result<Vec<WorkerAddress>, RowError> {
+    let row = WorkersRow::decode(bytes)?;
+    let one = |w: WorkerRow| WorkerAddress { id: w.id.as_str().into(), address: w.address.into() };
+    Ok(row.workers.into_iter().map(one).collect())
+}
+
+impl JobState {
+    pub(crate) fn code(self) -> u32 {
+        match self {
+            JobState::Queued => 0,
+            JobState::Running => 1,
+            JobState::Completed => 2,
+            JobState::Failed => 3,
+            JobState::Cancelled => 4,
+        }
+    }
+
+    pub(crate) fn from_code(code: u32) -> Result<JobState, RowError> {
+        match code {
+            0 => Ok(JobState::Queued),
+            1 => Ok(JobState::Running),
+            2 => Ok(JobState::Completed),
+            3 => Ok(JobState::Failed),
+            4 => Ok(JobState::Cancelled),
+            _ => Err(RowError::State(code)),
+        }
+    }
+}
+
+impl From<&RawStep> for StepRow {
+    fn from(s: &RawStep) -> StepRow {
+        StepRow {
+            count: s.count,
+            cpu_milli: s.need.cpu_milli,
+            memory_mib: s.need.memory_mib,
+            accelerators: s.need.accelerators,
+            estimate_ms: s.estimate_ms,
+            depends: s.depends.clone(),
+            checkpoints: s.checkpoints,
+            gang: s.gang,
+            one_rack: s.one_rack,
+            requires: s.requires.clone(),
+            data_rack: s.data_rack.clone(),
+            spread: s.spread,
+            speculative: s.speculative,
+            lasting: s.lasting,
+            may_miss: s.may_miss,
+            filler: s.filler,
+            image: s.image.clone(),
+            latency_ms: s.latency_ms,
+        }
+    }
+}
+
+impl From<StepRow> for RawStep {
+    fn from(r: StepRow) -> RawStep {
+        RawStep {
+            count: r.count,
+            need: Resources::new(r.cpu_milli, r.memory_mib, r.accelerators),
+            estimate_ms: r.estimate_ms,
+            depends: r.depends,
+            checkpoints: r.checkpoints,
+            gang: r.gang,
+            one_rack: r.one_rack,
+            requires: r.requires,
+            data_rack: r.data_rack,
+            spread: r.spread,
+            speculative: r.speculative,
+            lasting: r.lasting,
+            may_miss: r.may_miss,
+            filler: r.filler,
+            image: r.image,
+            latency_ms: r.latency_ms,
+        }
+    }
+}
+
+impl JobRow {
+    /// Returns the row of an open job.
+    pub fn open(job: &Job) -> JobRow {
+        let schedule = job.spec.schedule.map(ScheduleRow::from);
+        JobRow {
+            state: JobState::Queued.code(),
+            ended_at: 0,
+            queue: job.queue.to_string(),
+            template: job.spec.template.to_string(),
+            steps: job.spec.steps.iter().map(StepRow::from).collect(),
+            schedule,
+            epoch: job.epoch,
+            accepted_at: job.accepted_at.0,
+        }
+    }
+
+    /// Returns the row of a job that has ended.
+    pub fn ended(state: JobState, at: u64) -> JobRow {
+        JobRow { state: state.code(), ended_at: at, ..JobRow::default() }
+    }
+
+    /// Returns the job that the row describes.
+    pub fn spec(&mut self) -> Result<JobSpec, SpecError> {
+        let schedule = self.schedule.take().map(|s| Schedule {
+            first_unix_ms: s.first_unix_ms,
+            interval_ms: s.interval_ms,
+            rounds: s.rounds,
+        });
+        let steps = std::mem::take(&mut self.steps).into_iter().map(RawStep::from).collect();
+        JobSpec::try_from(RawJob { template: std::mem::take(&mut self.template), steps, schedule })
+    }
+}
+
+impl ProgressRow {
+    /// Returns the row of a job's progress.
+    pub fn of(job: &Job) -> ProgressRow {
+        let rounds = job.rounds.iter().filter(|r| !r.done()).map(round_row).collect();
+        ProgressRow { due_rounds: job.due_rounds, rounds, begun: job.begun }
+    }
+}
+
+fn round_row(round: &crate::job::Round) -> RoundRow {
+    let mut tasks = Vec::new();
+    for (step, s) in round.steps.iter().enumerate() {
+        for (index, t) in s.tasks.iter().enumerate() {
+            if t.run == 0 && !t.done {
+                continue;
+            }
+            tasks.push(TaskRow {
+                step: step as u32,
+                index: index as u32,
+                done: t.done,
+                run: t.run,
+                failures: t.failures,
+                saved: if t.done { String::new() } else { t.saved.as_deref().unwrap_or("").into() },
+            });
+        }
+    }
+    let gang_failures = round.steps.iter().map(|s| s.gang_failures).collect();
+    RoundRow { number: round.number, due: round.due.0, tasks, gang_failures }
+}
+
+/// Writes a job's specification, for messages between processes.
+pub fn encode_spec(spec: &JobSpec) -> Vec<u8> {
+    let schedule = spec.schedule.map(ScheduleRow::from);
+    let steps = spec.steps.iter().map(StepRow::from).collect();
+    JobRow { template: spec.template.to_string(), steps, schedule, ..JobRow::default() }
+        .encode_to_vec()
+}
+
+/// Reads a job's specification.
+///
+/// # Errors
+/// When the bytes are not one, or it is not valid.
+pub fn decode_spec(bytes: &[u8]) -> Result<JobSpec, RowError> {
+    Ok(JobRow::decode(bytes)?.spec()?)
+}
+
+impl From<Schedule> for ScheduleRow {
+    fn from(s: Schedule) -> ScheduleRow {
+        ScheduleRow { first_unix_ms: s.first_unix_ms, interval_ms: s.interval_ms, rounds: s.rounds }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -0,0 +1,247 @@
+//! Orders to start and stop tasks, and what workers say to them.
+
+use crate::engine::Engine;
+use crate::order::{Order, StartAnswer, WorkerCall};
+use crate::spec::{StepKey, TaskKey};
+use crate::worker::{Held, Phase};
+use crate::workers::WorkerIdx;
+use hollowford_core::{InstanceId, Millis};
+use std::sync::Arc;
+
+/// A worker that said it is not well gets nothing for so long.
+const UNHEALTHY_PAUSE: Millis = Millis(500);
+/// A task whose start was refused waits so long, so that a refusal is not asked for at once.
+const REFUSED_PAUSE: Millis = Millis(20);
+/// A member of a gang whose start is still not answered after this part of the gang's time
+/// limit makes the gang start again, in hundredths.
+const GANG_PATIENCE_PERCENT: u64 = 60;
+
+impl Engine {
+    /// Places a task on a worker and orders its start.
+    pub(crate) fn start(
+        &mut self,
+        idx: WorkerIdx,
+        key: TaskKey,
+        run: u32,
+        now: Millis,
+        out: &mut Vec<Order>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key.step.job) else { return };
+        job.begun = true;
+        let spec = &job.spec.steps[key.step.step as usize];
+        let held = Held {
+            task: key,
+            run,
+            room: spec.room(),
+            phase: Phase::Starting,
+            since: now,
+            expected_end: now + Millis(spec.estimate_ms),
+            calling: false,
+            stop_answered: false,
+        };
+        if let Some(task) = self.jobs.task_mut(key) {
+            task.at = Some(idx);
+            task.run = run;
+        }
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.hold(held);
+        }
+        self.stats.started += 1;
+        self.send_start(idx, key, run, now, out);
+    }
+
+    fn send_start(
+        &mut self,
+        idx: WorkerIdx,
+        task: TaskKey,
+        run: u32,
+        now: Millis,
+        out: &mut Vec<Order>,
+    ) {
+        let lease = self.bounds.lease;
+        let Some(job) = self.jobs.get(task.step.job) else { return };
+        let template = job.spec.template.clone();
+        let Some(step) = self.jobs.step(task.step) else { return };
+        let gang = job.spec.steps[task.step.step as usize].gang;
+        let saved =
+            if gang { gang_saved(&step.tasks) } else { saved_of(&step.tasks[task.index as usize]) };
+        let ticket = step.advice.ticket(idx);
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        let Some(lease_until) = w.extend_lease(now, lease) else { return };
+        if let Some(h) = w.find_mut(task, run) {
+            h.calling = true;
+        }
+        out.push(Order::Worker(WorkerCall::Start {
+            worker: w.id.clone(),
+            address: w.address.clone(),
+            task,
+            run,
+            lease_until,
+            template,
+            saved,
+            ticket,
+        }));
+    }
+
+    /// Takes in a worker's answer to a start. Tells whether a newer owner has claimed it.
+    pub fn start_answered(
+        &mut self,
+        id: &InstanceId,
+        task: TaskKey,
+        run: u32,
+        answer: StartAnswer,
+        now: Millis,
+    ) -> bool {
+        let Some(idx) = self.workers.find(id) else { return false };
+        self.dirty = true;
+        let Some(w) = self.workers.get_mut(idx) else { return false };
+        if let StartAnswer::Runs(clock) = answer {
+            w.answered(clock, now);
+        }
+        let Some(h) = w.find_mut(task, run) else { return answer == StartAnswer::Fenced };
+        h.calling = false;
+        match answer {
+            StartAnswer::Runs(_) => {
+                if h.phase == Phase::Starting {
+                    h.phase = Phase::Running;
+                    h.since = now;
+                }
+            }
+            StartAnswer::Unanswered => w.unanswered += 1,
+            // Its end is listed, or was already.
+            StartAnswer::Old => {
+                h.phase = Phase::Running;
+                h.since = now;
+            }
+            StartAnswer::OtherLife => self.worker_dead(idx, now),
+            StartAnswer::Fenced => return true,
+            StartAnswer::Late
+            | StartAnswer::NoRoom
+            | StartAnswer::Ticket
+            | StartAnswer::Unhealthy
+            | StartAnswer::Invalid => self.start_refused(idx, task, run, &answer, now),
+        }
+        false
+    }
+
+    /// The worker has done nothing: the task waits again, or its gang starts again.
+    fn start_refused(
+        &mut self,
+        idx: WorkerIdx,
+        task: TaskKey,
+        run: u32,
+        answer: &StartAnswer,
+        now: Millis,
+    ) {
+        self.stats.refused += 1;
+        self.free(idx, task, run, now);
+        if let Some(w) = self.workers.get_mut(idx)
+            && *answer == StartAnswer::Unhealthy
+        {
+            w.health.pause(now + UNHEALTHY_PAUSE);
+        }
+        if let Some(step) = self.jobs.step_mut(task.step) {
+            if *answer == StartAnswer::Ticket {
+                step.advice.drop_ticket(idx);
+            }
+            if let Some(t) = step.tasks.get_mut(task.index as usize) {
+                t.not_before = now + REFUSED_PAUSE;
+            }
+        }
+        if self.is_gang(task.step) {
+            self.regroup(task.step);
+        }
+    }
+
+    pub(crate) fn is_gang(&self, step: StepKey) -> bool {
+        let job = self.jobs.get(step.job);
+        job.and_then(|j| j.spec.steps.get(step.step as usize)).is_some_and(|s| s.gang)
+    }
+
+    /// Stops what runs of a gang, so that it can start again whole.
+    pub(crate) fn regroup(&mut self, key: StepKey) {
+        let Some(step) = self.jobs.step_mut(key) else { return };
+        let members: Vec<_> =
+            step.tasks.iter().enumerate().filter_map(|(i, t)| Some((i, t.at?))).collect();
+        step.regroup = !members.is_empty();
+        for (i, w) in members {
+            self.order_stop(w, key.task(i as u32));
+        }
+    }
+
+    /// Sends again what got no answer, and stops what is to be stopped.
+    pub(crate) fn resend(&mut self, now: Millis, out: &mut Vec<Order>) {
+        for idx in self.workers.indexes() {
+            let Some(w) = self.workers.get(idx) else { continue };
+            // An answered stop is not sent again: the end is listed, or the run never started.
+            let due = |h: &&Held| !h.calling && h.phase != Phase::Running && !h.stop_answered;
+            let due: Vec<_> = w.held.iter().filter(due).map(|h| (h.task, h.run, h.phase)).collect();
+            for (task, run, phase) in due {
+                match phase {
+                    Phase::Stopping => self.send_stop(idx, task, run, now, out),
+                    _ => self.start_again(idx, task, run, now, out),
+                }
+            }
+        }
+    }
+
+    fn start_again(
+        &mut self,
+        idx: WorkerIdx,
+        task: TaskKey,
+        run: u32,
+        now: Millis,
+        out: &mut Vec<Order>,
+    ) {
+        let patience = Millis(self.bounds.gang_timeout.0 * GANG_PATIENCE_PERCENT / 100);
+        let since = self.workers.get_mut(idx).and_then(|w| w.find_mut(task, run)).map(|h| h.since);
+        if self.is_gang(task.step) && since.is_some_and(|s| now.since(s) > patience) {
+            self.regroup(task.step);
+            return;
+        }
+        self.stats.resent += 1;
+        self.send_start(idx, task, run, now, out);
+    }
+
+    fn send_stop(
+        &mut self,
+        idx: WorkerIdx,
+        task: TaskKey,
+        run: u32,
+        now: Millis,
+        out: &mut Vec<Order>,
+    ) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        let (worker, address) = (w.id.clone(), w.address.clone());
+        let Some(h) = w.find_mut(task, run) else { return };
+        h.calling = true;
+        h.since = now;
+        out.push(Order::Worker(WorkerCall::Stop { worker, address, task, run }));
+    }
+
+    /// Takes in whether a stop was answered.
+    pub fn stop_answered(
+        &mut self,
+        id: &InstanceId,
+        task: TaskKey,
+        run: u32,
+        answered: bool,
+        now: Millis,
+    ) {
+        let Some(idx) = self.workers.find(id) else { return };
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        let Some(h) = w.find_mut(task, run) else { return };
+        h.calling = false;
+        h.stop_answered |= answered;
+        h.since = now;
+    }
+}
+
+fn saved_of(task: &crate::job::Task) -> Arc<str> {
+    task.saved.clone().unwrap_or_else(|| "".into())
+}
+
+/// Returns the checkpoint that all members of a gang bring.
+fn gang_saved(tasks: &[crate::job::Task]) -> Arc<str> {
+    tasks.iter().find_map(|t| t.saved.clone()).unwrap_or_else(|| "".into())
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -0,0 +1,141 @@
+//! Jobs come in, are cancelled, and are asked for.
+
+use crate::engine::Engine;
+use crate::job::{Job, JobState};
+use crate::jobs::Ended;
+use crate::queue::Queue;
+use crate::spec::{JobId, JobSpec};
+use hollowford_core::Millis;
+use std::sync::Arc;
+
+/// What came of handing in a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitAnswer {
+    /// It is kept already.
+    Kept,
+    /// It is kept once the next batch is in the store.
+    Pending,
+    /// There is no such queue.
+    NoQueue,
+}
+
+/// What came of cancelling a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelAnswer {
+    /// It has ended, by this or before.
+    Ended,
+    /// It is cancelled once the next batch is in the store.
+    Pending,
+    /// There is no such job.
+    Unknown,
+}
+
+impl Engine {
+    /// Takes a job. A job that is known already remains as it is.
+    pub fn submit(
+        &mut self,
+        id: JobId,
+        queue: &str,
+        spec: Arc<JobSpec>,
+        now: Millis,
+    ) -> SubmitAnswer {
+        if self.jobs.ended(id).is_some() {
+            return SubmitAnswer::Kept;
+        }
+        if let Some(job) = self.jobs.get(id) {
+            return if job.kept { SubmitAnswer::Kept } else { SubmitAnswer::Pending };
+        }
+        let Some(queue) = self.queues.get(queue).cloned() else {
+            return SubmitAnswer::NoQueue;
+        };
+        let mut job = new_job(id, &queue, spec, self.epoch, now);
+        if job.spec.schedule.is_none() {
+            job.add_round(now);
+        }
+        self.jobs.insert(job);
+        self.jobs.dirty.insert(id);
+        self.stats.accepted += 1;
+        self.dirty = true;
+        SubmitAnswer::Pending
+    }
+
+    /// Cancels a job: nothing of it is started any more, and what runs is stopped.
+    pub fn cancel(&mut self, id: JobId) -> CancelAnswer {
+        if self.jobs.ended(id).is_some() {
+            return CancelAnswer::Ended;
+        }
+        if self.jobs.get(id).is_none() {
+            return CancelAnswer::Unknown;
+        }
+        self.end_job(id, JobState::Cancelled);
+        CancelAnswer::Pending
+    }
+
+    /// Tells whether a job's acceptance is in the store; none when it is not known.
+    pub fn is_kept(&self, id: JobId) -> Option<bool> {
+        if self.jobs.ended(id).is_some() {
+            return Some(true);
+        }
+        self.jobs.get(id).map(|j| j.kept)
+    }
+
+    /// Returns a job's state, as far as it is in the store.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        if let Some(ended) = self.jobs.ended(id) {
+            return Some(ended.state);
+        }
+        let job = self.jobs.get(id).filter(|j| j.kept)?;
+        Some(if job.begun { JobState::Running } else { JobState::Queued })
+    }
+
+    /// Counts the queue's kept jobs none of whose tasks has begun.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |j: &&Job| &*j.queue == queue && j.kept && !j.begun && j.end.is_none();
+        self.jobs.open().filter(waits).count()
+    }
+
+    /// Decides how a job ends. It is shown once it is in the store.
+    pub(crate) fn end_job(&mut self, id: JobId, state: JobState) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.end.is_none()) else {
+            return;
+        };
+        job.end = Some(state);
+        self.jobs.dirty.insert(id);
+        if state != JobState::Completed {
+            self.stop_job(id);
+        }
+        self.dirty = true;
+    }
+
+    /// Replaces a job whose end is in the store.
+    pub(crate) fn close_job(&mut self, id: JobId, state: JobState, at: Millis) {
+        self.jobs.close(id, Ended { state, at });
+    }
+}
+
+/// Makes a job without rounds.
+pub(crate) fn new_job(
+    id: JobId,
+    queue: &Queue,
+    spec: Arc<JobSpec>,
+    epoch: u64,
+    accepted_at: Millis,
+) -> Job {
+    let work = (spec.chain() as f64 * queue.stretch) as u64;
+    Job {
+        id,
+        queue: queue.name.clone(),
+        spec,
+        epoch,
+        accepted_at,
+        kept: false,
+        rounds: Vec::new(),
+        due_rounds: 0,
+        begun: false,
+        end: None,
+        unwritten: true,
+        progressed: false,
+        has_progress: false,
+        objective: Millis(work) + queue.slack,
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/view.rs
@@ -0,0 +1,69 @@
+//! What the engine shows of itself.
+
+use crate::engine::{Engine, Stats};
+use hollowford_core::Millis;
+use std::fmt::{self, Display};
+
+/// A summary of the partition, for the state page, logs and metrics.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineView {
+    /// The owner's epoch.
+    pub epoch: u64,
+    /// Jobs that have not ended.
+    pub open_jobs: usize,
+    /// Steps with tasks that wait.
+    pub waiting_steps: usize,
+    /// Workers known.
+    pub workers: usize,
+    /// Workers that may get tasks now.
+    pub usable_workers: usize,
+    /// Workers that may still run what an earlier owner ordered.
+    pub unsettled_workers: usize,
+    /// Thousandths of a core of usable workers, and how many of them are free.
+    pub cores_milli: u64,
+    /// Of these, free ones.
+    pub free_milli: u64,
+    /// Tasks that hold room.
+    pub held: usize,
+    /// Counters.
+    pub stats: Stats,
+}
+
+impl Engine {
+    /// Returns a summary.
+    pub fn view(&self, now: Millis) -> EngineView {
+        let usable = || self.workers.iter().filter(|(_, w)| w.usable(now)).map(|(_, w)| w);
+        EngineView {
+            epoch: self.epoch,
+            open_jobs: self.jobs.open_len(),
+            waiting_steps: self.waiting_steps(now).len(),
+            workers: self.workers.len(),
+            usable_workers: usable().count(),
+            unsettled_workers: self.unsettled.len(),
+            cores_milli: usable().map(|w| u64::from(w.capacity.cpu_milli)).sum(),
+            free_milli: usable().map(|w| u64::from(w.free.cpu_milli)).sum(),
+            held: self.workers.iter().map(|(_, w)| w.held.len()).sum(),
+            stats: self.stats,
+        }
+    }
+}
+
+impl Display for EngineView {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "epoch={} open_jobs={} waiting_steps={} workers={} usable={} unsettled={} \
+             cores_milli={} free_milli={} held={} {:?}",
+            self.epoch,
+            self.open_jobs,
+            self.waiting_steps,
+            self.workers,
+            self.usable_workers,
+            self.unsettled_workers,
+            self.cores_milli,
+            self.free_milli,
+            self.held,
+            self.stats
+        )
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -0,0 +1,214 @@
+//! One worker as the owner knows it.
+
+use crate::health::Health;
+use crate::order::WorkerListing;
+use crate::spec::TaskKey;
+use hollowford_core::{InstanceId, Millis, Resources};
+use std::sync::Arc;
+
+/// The slowest that a worker's steady clock may run, in hundredths of true time (PROTOCOL).
+const SLOWEST_CLOCK_PERCENT: u64 = 98;
+
+/// How far the owner knows a placement to have come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Ordered, not answered yet.
+    Starting,
+    /// The worker has said that it runs.
+    Running,
+    /// A stop was ordered.
+    Stopping,
+}
+
+/// A task that takes room on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub task: TaskKey,
+    pub run: u32,
+    pub room: Resources,
+    pub phase: Phase,
+    /// When it was ordered, or found.
+    pub since: Millis,
+    /// When it is expected to end.
+    pub expected_end: Millis,
+    /// An order for it is under way.
+    pub calling: bool,
+    /// A stop was answered: it ends, or will never start.
+    pub stop_answered: bool,
+}
+
+/// What the owner knows of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WorkerClock {
+    /// A reading.
+    pub reading: u64,
+    /// When its answer arrived.
+    pub at: Millis,
+}
+
+impl WorkerClock {
+    /// Returns the reading to expect at `now`, if the clock runs true.
+    pub fn at(&self, now: Millis) -> u64 {
+        self.reading + now.since(self.at).0
+    }
+
+    /// Returns the time at which the clock has surely passed `reading`.
+    pub fn surely_past(&self, reading: u64) -> Millis {
+        let ahead = reading.saturating_sub(self.reading);
+        self.at + Millis(ahead * 100 / SLOWEST_CLOCK_PERCENT + 1)
+    }
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub id: InstanceId,
+    pub address: Arc<str>,
+    pub zone: Arc<str>,
+    pub pool: Arc<str>,
+    pub labels: Vec<Arc<str>>,
+    pub capacity: Resources,
+    /// Capacity less what is held.
+    pub free: Resources,
+    pub held: Vec<Held>,
+    /// It stands in the platform's list.
+    pub listed: bool,
+    /// The row of workers that names it is in the store.
+    pub recorded: bool,
+    pub leaving: bool,
+    /// When it may be gone, once it is leaving.
+    pub gone_at: Option<Millis>,
+    /// It has answered a look of this owner.
+    pub claimed: bool,
+    pub clock: Option<WorkerClock>,
+    /// The latest reading of its clock until which an order let it run.
+    pub lease_until: u64,
+    /// Ends up to this number are durable.
+    pub forget: u64,
+    /// Ends up to this number are taken in.
+    pub taken: u64,
+    /// A look is under way.
+    pub looking: bool,
+    /// The next look is due.
+    pub look_at: Millis,
+    /// Calls without an answer since the last that got one.
+    pub unanswered: u32,
+    pub last_answer: Millis,
+    pub health: Health,
+}
+
+impl Worker {
+    pub fn new(listing: &WorkerListing, now: Millis) -> Worker {
+        let mut w = Worker::unlisted(listing.id.clone(), listing.address.clone(), now);
+        w.take_listing(listing, now);
+        w
+    }
+
+    /// Makes a worker that is known by its address only.
+    pub fn unlisted(id: InstanceId, address: Arc<str>, now: Millis) -> Worker {
+        Worker {
+            id,
+            address,
+            zone: "".into(),
+            pool: "".into(),
+            labels: Vec::new(),
+            capacity: Resources::default(),
+            free: Resources::default(),
+            held: Vec::new(),
+            listed: false,
+            recorded: false,
+            leaving: false,
+            gone_at: None,
+            claimed: false,
+            clock: None,
+            lease_until: 0,
+            forget: 0,
+            taken: 0,
+            looking: false,
+            look_at: now,
+            unanswered: 0,
+            last_answer: now,
+            health: Health::default(),
+        }
+    }
+
+    /// Takes over what the platform's list says.
+    pub fn take_listing(&mut self, l: &WorkerListing, now: Millis) {
+        self.zone = l.zone.clone();
+        self.pool = l.pool.clone();
+        self.labels = l.labels.clone();
+        self.capacity = l.capacity;
+        self.listed = true;
+        // A worker that leaves doesn't come back under the same id.
+        self.leaving |= l.leaving;
+        if let Some(remaining) = l.remaining {
+            let at = now + remaining;
+            self.gone_at = Some(self.gone_at.map_or(at, |g| g.min(at)));
+        }
+        self.recount();
+    }
+
+    /// Tells whether new tasks may be started here.
+    pub fn usable(&self, now: Millis) -> bool {
+        self.listed && self.claimed && !self.leaving && self.unanswered == 0 && self.health.ok(now)
+    }
+
+    /// Returns the room for new tasks; a worker that is tried again takes one task only.
+    pub fn room(&self, now: Millis) -> Resources {
+        if self.health.on_trial(now) && !self.held.is_empty() {
+            return Resources::default();
+        }
+        self.free
+    }
+
+    /// Counts again what is free.
+    pub fn recount(&mut self) {
+        let add = |a: Resources, h: &Held| a.plus(&h.room);
+        let used = self.held.iter().fold(Resources::default(), add);
+        self.free = self.capacity.minus(&used);
+    }
+
+    pub fn hold(&mut self, held: Held) {
+        self.held.push(held);
+        self.recount();
+    }
+
+    pub fn find(&self, task: TaskKey, run: u32) -> Option<usize> {
+        self.held.iter().position(|h| h.task == task && h.run == run)
+    }
+
+    pub fn find_mut(&mut self, task: TaskKey, run: u32) -> Option<&mut Held> {
+        self.held.iter_mut().find(|h| h.task == task && h.run == run)
+    }
+
+    pub fn release(&mut self, at: usize) -> Held {
+        let held = self.held.swap_remove(at);
+        self.recount();
+        held
+    }
+
+    /// Takes note of an answer with the worker's clock.
+    pub fn answered(&mut self, reading: u64, now: Millis) {
+        self.unanswered = 0;
+        self.last_answer = now;
+        if self.clock.is_none_or(|c| reading >= c.reading) {
+            self.clock = Some(WorkerClock { reading, at: now });
+        }
+    }
+
+    /// Returns the reading to write into the next order, and remembers it.
+    pub fn extend_lease(&mut self, now: Millis, lease: Millis) -> Option<u64> {
+        let until = self.clock?.at(now) + lease.0;
+        self.lease_until = self.lease_until.max(until);
+        Some(until)
+    }
+
+    /// Returns when nothing that this owner ordered can run here any more without its word.
+    pub fn lease_over(&self) -> Option<Millis> {
+        self.clock.map(|c| c.surely_past(self.lease_until))
+    }
+
+    pub fn has_label(&self, label: &str) -> bool {
+        label.is_empty() || self.labels.iter().any(|l| &**l == label)
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/src/workers.rs
@@ -0,0 +1,55 @@
+//! All workers of the partition.
+
+use crate::worker::Worker;
+use hollowford_core::InstanceId;
+use rustc_hash::FxHashMap;
+
+/// Position of a worker in the owner's table; not used again for another.
+pub(crate) type WorkerIdx = u32;
+
+/// The workers, by position and by id.
+#[derive(Debug, Default)]
+pub(crate) struct Workers {
+    list: Vec<Option<Box<Worker>>>,
+    by_id: FxHashMap<InstanceId, WorkerIdx>,
+}
+
+impl Workers {
+    pub fn insert(&mut self, w: Worker) -> WorkerIdx {
+        let idx = self.list.len() as WorkerIdx;
+        self.by_id.insert(w.id.clone(), idx);
+        self.list.push(Some(Box::new(w)));
+        idx
+    }
+
+    pub fn find(&self, id: &InstanceId) -> Option<WorkerIdx> {
+        self.by_id.get(id).copied()
+    }
+
+    pub fn get(&self, idx: WorkerIdx) -> Option<&Worker> {
+        self.list.get(idx as usize)?.as_deref()
+    }
+
+    pub fn get_mut(&mut self, idx: WorkerIdx) -> Option<&mut Worker> {
+        self.list.get_mut(idx as usize)?.as_deref_mut()
+    }
+
+    pub fn remove(&mut self, idx: WorkerIdx) -> Option<Worker> {
+        let w = self.list.get_mut(idx as usize)?.take()?;
+        self.by_id.remove(&w.id);
+        Some(*w)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerIdx, &Worker)> {
+        let numbered = self.list.iter().enumerate();
+        numbered.filter_map(|(i, w)| Some((i as WorkerIdx, w.as_deref()?)))
+    }
+
+    pub fn indexes(&self) -> Vec<WorkerIdx> {
+        self.iter().map(|(i, _)| i).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/callers.rs
@@ -0,0 +1,117 @@
+//! Callers' requests at the owner, and those that wait for the store.
+
+use crate::front::state_number;
+use crate::owner::Reply;
+use crate::wire::{Call, Said, Verb};
+use hollowford_core::Millis;
+use hollowford_jobs::{CancelAnswer, Engine, JobId, JobState, SubmitAnswer, decode_spec};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A caller that waits until its request is in the store.
+#[derive(Debug)]
+struct Waiter {
+    id: u64,
+    verb: Verb,
+    reply: Reply,
+    since: Millis,
+}
+
+/// Callers that wait, by job.
+#[derive(Debug, Default)]
+pub struct Waiters {
+    by_job: HashMap<JobId, Vec<Waiter>>,
+}
+
+impl Waiters {
+    /// Tells whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.by_job.is_empty()
+    }
+
+    /// Takes a call and answers it, at once or once its batch is made. New jobs are refused
+    /// while the store doesn't take batches.
+    pub fn take(
+        &mut self,
+        engine: &mut Engine,
+        call: Call,
+        reply: Reply,
+        stalled: bool,
+        now: Millis,
+    ) {
+        let job = JobId(call.job);
+        let verb = call.verb();
+        let said = match verb {
+            Verb::State => match engine.state(job) {
+                Some(state) => return reply.send(call.id, Said::Value, state_number(state)),
+                None => Some(Said::NoJob),
+            },
+            Verb::Waiting => {
+                return reply.send(call.id, Said::Value, engine.waiting(&call.queue) as u64);
+            }
+            Verb::Cancel => match engine.cancel(job) {
+                CancelAnswer::Ended => Some(Said::Done),
+                CancelAnswer::Unknown => Some(Said::NoJob),
+                CancelAnswer::Pending => None,
+            },
+            Verb::Submit if stalled && engine.is_kept(job).is_none() => Some(Said::Unavailable),
+            Verb::Submit => submit(engine, job, &call, now),
+        };
+        match said {
+            Some(said) => reply.send(call.id, said, 0),
+            None => {
+                let waiter = Waiter { id: call.id, verb, reply, since: now };
+                self.by_job.entry(job).or_default().push(waiter);
+            }
+        }
+    }
+
+    /// Answers those whose requests are in the store now.
+    pub fn committed(&mut self, engine: &Engine) {
+        self.by_job.retain(|&job, waiters| {
+            let state = engine.state(job);
+            let ended = state.is_some_and(JobState::is_final);
+            let kept = engine.is_kept(job) == Some(true);
+            let ready = |w: &mut Waiter| if w.verb == Verb::Cancel { ended } else { kept };
+            for w in waiters.extract_if(.., ready) {
+                w.reply.send(w.id, Said::Done, 0);
+            }
+            !waiters.is_empty()
+        });
+    }
+
+    /// Tells those that have waited for too long that the effect is not known.
+    pub fn give_up(&mut self, now: Millis, limit: Millis) {
+        if self.by_job.is_empty() {
+            return;
+        }
+        self.by_job.retain(|_, waiters| {
+            for w in waiters.extract_if(.., |w| now.since(w.since) >= limit) {
+                w.reply.send(w.id, Said::Unsure, 0);
+            }
+            !waiters.is_empty()
+        });
+    }
+
+    /// Sends all to the next owner.
+    pub fn fail_all(&mut self) {
+        for w in self.by_job.drain().flat_map(|(_, waiters)| waiters) {
+            w.reply.send(w.id, Said::NotOwner, 0);
+        }
+    }
+}
+
+fn submit(engine: &mut Engine, job: JobId, call: &Call, now: Millis) -> Option<Said> {
+    let spec = match decode_spec(&call.spec) {
+        Ok(spec) => Arc::new(spec),
+        Err(e) => {
+            log::error!("job.malformed job={job} error=\"{e}\"");
+            return Some(Said::Unavailable);
+        }
+    };
+    match engine.submit(job, &call.queue, spec, now) {
+        SubmitAnswer::Kept => Some(Said::Done),
+        SubmitAnswer::Pending => None,
+        SubmitAnswer::NoQueue => Some(Said::NoQueue),
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/calls.rs
@@ -0,0 +1,71 @@
+//! Calls to workers and to the service for advice, each in a task of its own.
+
+use crate::owner::{OwnerHandle, OwnerMsg};
+use crate::shared::Shared;
+use hollowford_adapter::{Called, WorkerClient};
+use hollowford_core::Millis;
+use hollowford_jobs::{Advised, LookAnswer, StartAnswer, WorkerCall};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time for a call for advice. The slowest name a hundred workers.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Calls a worker and tells the owner what came of it.
+pub async fn call_worker(
+    shared: Arc<Shared>,
+    workers: WorkerClient,
+    call: WorkerCall,
+    sent: Millis,
+    owner: OwnerHandle,
+) {
+    let began = shared.clock.now();
+    let (called, error) = workers.call(&call).await;
+    let took = shared.clock.now().since(began);
+    note(&shared, &call, &called, took);
+    if let Some(e) = error {
+        log::debug!("worker.unanswered call={} error=\"{e}\"", describe(&call));
+    }
+    owner.send(OwnerMsg::Worker { call, called, sent }).await;
+}
+
+fn note(shared: &Shared, call: &WorkerCall, called: &Called, took: Millis) {
+    let (name, outcome) = match called {
+        Called::Start(StartAnswer::Runs(_)) => {
+            shared.metrics.start_seconds.observe(took.duration().as_secs_f64());
+            ("start", "runs")
+        }
+        Called::Start(StartAnswer::Unanswered) => ("start", "unanswered"),
+        Called::Start(answer) => {
+            log::info!("start.refused {} answer={answer:?}", describe(call));
+            ("start", "refused")
+        }
+        Called::Stop(true) => ("stop", "answered"),
+        Called::Stop(false) => ("stop", "unanswered"),
+        Called::Look(LookAnswer::Lists(_)) => ("look", "answered"),
+        Called::Look(LookAnswer::Unanswered) => ("look", "unanswered"),
+        Called::Look(_) => ("look", "refused"),
+    };
+    shared.metrics.worker_calls.with_label_values(&[name, outcome]).inc();
+}
+
+fn describe(call: &WorkerCall) -> String {
+    match call {
+        WorkerCall::Start { worker, task, run, .. } => {
+            format!("start task={task} run={run} worker={worker}")
+        }
+        WorkerCall::Stop { worker, task, run, .. } => {
+            format!("stop task={task} run={run} worker={worker}")
+        }
+        WorkerCall::Look { worker, .. } => format!("look worker={worker}"),
+    }
+}
+
+/// Makes a call for advice from this instance.
+pub async fn advise(shared: &Shared, step: &str, workers: &[String]) -> Option<(Advised, Millis)> {
+    let client = shared.advice.as_ref()?;
+    let answer = client.ask(step, workers, ADVICE_TIMEOUT).await;
+    let outcome = if answer.is_ok() { "answered" } else { "failed" };
+    shared.metrics.advice_calls.with_label_values(&[outcome]).inc();
+    answer.inspect_err(|e| log::info!("advice.failed step={step} error=\"{e}\"")).ok()
+}
--- /dev/null
+++ b/crates/hollowford-node/src/front.rs
@@ -0,0 +1,246 @@
+//! Callers' HTTP.
+
+use crate::relay::{Relayed, relay};
+use crate::shared::Shared;
+use crate::wire::{Call, Said, Verb};
+use hollowford_adapter::{
+    CallerRequest, Config, READY_PATH, client_timeout, decode_job, encode_state, encode_waiting,
+    parse_request_path,
+};
+use hollowford_core::Millis;
+use hollowford_jobs::{JobId, JobState, encode_spec};
+use poem::http::{Method, StatusCode, header};
+use poem::{Endpoint, Request, Response};
+use std::sync::Arc;
+
+/// Longest time that a call is tried for. Takeovers take less; callers wait 3 s.
+const PATIENCE: Millis = Millis(2_500);
+/// Left of a caller's own time limit for the answer's way back.
+const WAY_BACK: Millis = Millis(60);
+/// When to come back after a refusal, in seconds.
+const RETRY_AFTER: &str = "1";
+/// A process that has not reached an owner for so long gets no new channels.
+const OWNER_OUT_OF_REACH: Millis = Millis(2_500);
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct Front {
+    shared: Arc<Shared>,
+}
+
+/// A caller's request, understood.
+struct Wanted {
+    verb: Verb,
+    queue: String,
+    job: u64,
+    spec: Vec<u8>,
+    config: u64,
+}
+
+impl Front {
+    /// Makes the endpoint.
+    pub fn new(shared: Arc<Shared>) -> Front {
+        Front { shared }
+    }
+
+    async fn answer(&self, mut req: Request) -> Response {
+        let began = self.shared.clock.now();
+        let limit = deadline(&req, began);
+        let wanted = match self.understand(&mut req).await {
+            Ok(wanted) => wanted,
+            Err(status) => return self.plain(status, "refused", began),
+        };
+        let verb = wanted.verb;
+        let call = Call {
+            id: 0,
+            verb: verb as i32,
+            job: wanted.job,
+            queue: wanted.queue,
+            spec: wanted.spec,
+            config: wanted.config,
+        };
+        let relayed = relay(&self.shared, call, limit).await;
+        self.respond(verb, relayed, began)
+    }
+
+    /// Reads what the caller wants, or the status that refuses it.
+    async fn understand(&self, req: &mut Request) -> Result<Wanted, StatusCode> {
+        let config = self.shared.config.load_full().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        let (queue, rest) = find_queue(&config, req).ok_or(StatusCode::NOT_FOUND)?;
+        let what = parse_request_path(&rest).ok_or(StatusCode::BAD_REQUEST)?;
+        let queue = queue.to_string();
+        let mut wanted =
+            Wanted { verb: Verb::Waiting, queue, job: 0, spec: Vec::new(), config: config.version };
+        let CallerRequest::Job(JobId(job)) = what else {
+            let get = *req.method() == Method::GET;
+            return if get { Ok(wanted) } else { Err(StatusCode::METHOD_NOT_ALLOWED) };
+        };
+        wanted.job = job;
+        wanted.verb = match *req.method() {
+            Method::GET => Verb::State,
+            Method::DELETE => Verb::Cancel,
+            Method::POST => Verb::Submit,
+            _ => return Err(StatusCode::METHOD_NOT_ALLOWED),
+        };
+        if wanted.verb == Verb::Submit {
+            let body = req.take_body().into_bytes_limit(config.limits.body_bytes).await;
+            let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+            let spec = decode_job(&body).map_err(|e| {
+                log::info!("job.invalid job={} error=\"{e}\"", JobId(job));
+                StatusCode::BAD_REQUEST
+            })?;
+            wanted.spec = encode_spec(&spec);
+        }
+        Ok(wanted)
+    }
+
+    fn respond(&self, verb: Verb, relayed: Relayed, began: Millis) -> Response {
+        let verb_name = verb.name();
+        match relayed {
+            Relayed::Said(Said::Done, _) => self.plain(StatusCode::OK, verb_name, began),
+            Relayed::Said(Said::Value, value) => {
+                let body = if verb == Verb::State {
+                    state_of(value).map(encode_state)
+                } else {
+                    Some(encode_waiting(value))
+                };
+                match body {
+                    Some(body) => self.finish(StatusCode::OK, verb_name, began, body),
+                    None => self.plain(StatusCode::INTERNAL_SERVER_ERROR, verb_name, began),
+                }
+            }
+            Relayed::Said(Said::NoJob, _) => self.plain(StatusCode::GONE, verb_name, began),
+            Relayed::Said(Said::Unavailable, _) | Relayed::NotSent => {
+                self.plain(StatusCode::SERVICE_UNAVAILABLE, verb_name, began)
+            }
+            Relayed::Said(..) | Relayed::Unsure => {
+                self.plain(StatusCode::GATEWAY_TIMEOUT, verb_name, began)
+            }
+        }
+    }
+
+    fn plain(&self, status: StatusCode, verb: &str, began: Millis) -> Response {
+        self.finish(status, verb, began, "{}".to_owned())
+    }
+
+    fn finish(&self, status: StatusCode, verb: &str, began: Millis, body: String) -> Response {
+        let m = &self.shared.metrics;
+        m.calls.with_label_values(&[verb, status.as_str()]).inc();
+        let took = self.shared.clock.now().since(began);
+        m.call_seconds.observe(took.duration().as_secs_f64());
+        let mut resp =
+            Response::builder().status(status).content_type("application/json").body(body);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            resp.headers_mut()
+                .insert(header::RETRY_AFTER, header::HeaderValue::from_static(RETRY_AFTER));
+        }
+        if self.shared.is_stopping() {
+            resp.headers_mut()
+                .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+        }
+        resp
+    }
+}
+
+impl Endpoint for Front {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        Ok(self.answer(req).await)
+    }
+}
+
+/// Returns until when a call is tried for.
+fn deadline(req: &Request, now: Millis) -> Millis {
+    let limit = client_timeout(|name| req.header(name));
+    now + limit.map_or(PATIENCE, |l| l.since(WAY_BACK).min(PATIENCE))
+}
+
+/// Finds the queue with the longest prefix of the path, and what follows the prefix.
+fn find_queue(config: &Config, req: &Request) -> Option<(Arc<str>, String)> {
+    let host = req.header(header::HOST)?;
+    let host = host.split(':').next()?;
+    let path = req.uri().path();
+    let matches = |r: &&hollowford_adapter::Route| r.host == host && path.starts_with(&r.prefix);
+    let route = config.routes.iter().filter(matches).max_by_key(|r| r.prefix.len())?;
+    Some((route.queue.clone(), path[route.prefix.len()..].to_owned()))
+}
+
+fn state_of(code: u64) -> Option<JobState> {
+    [
+        JobState::Queued,
+        JobState::Running,
+        JobState::Completed,
+        JobState::Failed,
+        JobState::Cancelled,
+    ]
+    .get(code as usize)
+    .copied()
+}
+
+/// Returns the number of a state in answers between processes.
+pub fn state_number(state: JobState) -> u64 {
+    match state {
+        JobState::Queued => 0,
+        JobState::Running => 1,
+        JobState::Completed => 2,
+        JobState::Failed => 3,
+        JobState::Cancelled => 4,
+    }
+}
+
+/// Answers the balancer.
+#[derive(Debug)]
+pub struct Readiness {
+    shared: Arc<Shared>,
+}
+
+impl Readiness {
+    /// Makes the endpoint.
+    pub fn new(shared: Arc<Shared>) -> Readiness {
+        Readiness { shared }
+    }
+}
+
+impl Endpoint for Readiness {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        let s = &self.shared;
+        let reached = s.owner_age() < OWNER_OUT_OF_REACH;
+        let ready = s.config_version() > 0 && !s.is_stopping() && reached;
+        let status = match req.uri().path() {
+            READY_PATH if ready => StatusCode::OK,
+            READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        Ok(Response::builder().status(status).finish())
+    }
+}
+
+/// Answers questions for the metrics.
+#[derive(Debug)]
+pub struct MetricsPage {
+    shared: Arc<Shared>,
+}
+
+impl MetricsPage {
+    /// Makes the endpoint.
+    pub fn new(shared: Arc<Shared>) -> MetricsPage {
+        MetricsPage { shared }
+    }
+}
+
+impl Endpoint for MetricsPage {
+    type Output = Response;
+
+    async fn call(&self, _req: Request) -> poem::Result<Response> {
+        Ok(match self.shared.metrics.text() {
+            Ok(text) => Response::builder().content_type("text/plain; version=0.0.4").body(text),
+            Err(e) => {
+                log::error!("metrics.failed error=\"{e}\"");
+                Response::builder().status(StatusCode::INTERNAL_SERVER_ERROR).finish()
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/lib.rs
@@ -0,0 +1,23 @@
+//! A process on the users' platform: entry for callers, adviser, and owner in its turn.
+//!
+//! Its duties are tasks of one thread, joined by bounded channels; see docs/PLATFORM.md.
+
+mod callers;
+mod calls;
+mod front;
+mod link;
+mod member;
+mod members;
+mod metrics;
+mod node;
+mod owner;
+mod ownership;
+mod peers;
+mod registry;
+mod relay;
+mod shared;
+mod watch;
+mod wire;
+mod writer;
+
+pub use node::{NodeError, run};
--- /dev/null
+++ b/crates/hollowford-node/src/members.rs
@@ -0,0 +1,133 @@
+//! The processes that have a link to the owner.
+
+use crate::link::Outbox;
+use crate::wire::{Ask, Body, Heartbeat, Hello, MemberBeat, OwnerInfo};
+use hollowford_core::Millis;
+use hollowford_jobs::{Seat, StepKey};
+use std::sync::Arc;
+
+/// How often the owner tells its members that it is alive.
+const HEARTBEAT: Millis = Millis(200);
+/// A member that was not heard for so long gets no work.
+const SILENT: Millis = Millis(900);
+/// A member that the store has answered within this time is served by it.
+const SERVED: Millis = Millis(900);
+/// Longest time for a call for advice that a member makes.
+const ASK_TIMEOUT_MS: u64 = 3_000;
+
+#[derive(Debug)]
+struct Member {
+    address: Arc<str>,
+    cpu_milli: u32,
+    /// When its process was started, by the owner's clock.
+    since: Millis,
+    outbox: Outbox,
+    heard: Millis,
+    store_age: Millis,
+    stopping: bool,
+}
+
+/// The members.
+#[derive(Debug)]
+pub struct Members {
+    owner: OwnerInfo,
+    list: Vec<Member>,
+    sent: Millis,
+    now: Millis,
+    had_any: bool,
+}
+
+impl Members {
+    /// Makes an empty list.
+    pub fn new(owner: OwnerInfo) -> Members {
+        Members { owner, list: Vec::new(), sent: Millis(0), now: Millis(0), had_any: false }
+    }
+
+    /// Adds a member, in the place of an earlier link from its address.
+    pub fn join(&mut self, hello: Hello, outbox: Outbox, now: Millis) {
+        self.leave(&hello.address);
+        self.had_any = true;
+        self.list.push(Member {
+            address: hello.address.into(),
+            cpu_milli: hello.cpu_milli,
+            since: now - Millis(hello.age_ms),
+            outbox,
+            heard: now,
+            store_age: Millis(0),
+            stopping: false,
+        });
+        // The first one takes over: the largest, then the one that has run longest.
+        self.list.sort_by_key(|m| (std::cmp::Reverse(m.cpu_milli), m.since, m.address.clone()));
+    }
+
+    /// Removes a member, unless it has opened a new link.
+    pub fn leave(&mut self, address: &str) {
+        self.list.retain(|m| &*m.address != address || !m.outbox.is_closed());
+    }
+
+    /// Tells whether there ever was a member.
+    pub fn had_any(&self) -> bool {
+        self.had_any
+    }
+
+    /// Takes note of a member's heartbeat.
+    pub fn beat(&mut self, address: &str, beat: &MemberBeat, now: Millis) {
+        self.now = now;
+        if let Some(m) = self.list.iter_mut().find(|m| &*m.address == address) {
+            m.heard = now;
+            m.store_age = Millis(beat.store_age_ms);
+            m.stopping = beat.stopping;
+        }
+    }
+
+    /// Sends the heartbeats that are due.
+    pub fn tick(&mut self, now: Millis, config: u64) {
+        self.now = now;
+        if now.since(self.sent) >= HEARTBEAT {
+            self.send_heartbeats(config);
+        }
+    }
+
+    /// Sends a heartbeat to every member.
+    pub fn send_heartbeats(&mut self, config: u64) {
+        self.sent = self.now;
+        let members = self.list.iter().filter(|m| !m.stopping).map(|m| m.address.to_string());
+        let beat = Heartbeat { epoch: self.owner.epoch, members: members.collect(), config };
+        for m in &self.list {
+            m.outbox.send(Body::Heartbeat(beat.clone()));
+        }
+    }
+
+    /// Returns the seats for calls for advice, this process first.
+    pub fn seats(&self) -> Vec<Seat> {
+        let here = Seat { address: "".into() };
+        let others = self.list.iter().map(|m| Seat { address: m.address.clone() });
+        std::iter::once(here).chain(others).collect()
+    }
+
+    /// Has a member make a call for advice. Tells whether it was sent.
+    pub fn ask(&self, address: &str, step: StepKey, workers: Vec<String>) -> bool {
+        let Some(m) = self.list.iter().find(|m| &*m.address == address) else { return false };
+        let ask = Ask { step: step.to_string(), workers, timeout_ms: ASK_TIMEOUT_MS };
+        m.outbox.send(Body::Ask(ask))
+    }
+
+    fn live(&self) -> impl Iterator<Item = &Member> {
+        self.list.iter().filter(|m| !m.stopping && self.now.since(m.heard) < SILENT)
+    }
+
+    /// Names the youngest live member as the next owner: where processes are restarted in
+    /// turn, its turn is over. Returns its address.
+    pub fn hand_over(&self) -> Option<Arc<str>> {
+        let next = self.live().max_by_key(|m| (m.store_age < SERVED, m.cpu_milli, m.since))?;
+        next.outbox.send(Body::HandOver(self.owner.clone()));
+        Some(next.address.clone())
+    }
+
+    /// Names a member that the store serves as the next owner. Tells whether there is one.
+    pub fn hand_over_to_served(&self) -> bool {
+        let served = self.live().filter(|m| m.store_age < SERVED);
+        let next = served.max_by_key(|m| (m.cpu_milli, std::cmp::Reverse(m.store_age)));
+        next.is_some_and(|m| m.outbox.send(Body::HandOver(self.owner.clone())))
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and histograms of a process.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of the latency histograms, in seconds.
+const BUCKETS: &[f64] = &[0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0];
+
+/// All metrics of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Callers' requests, by verb and status.
+    pub calls: IntCounterVec,
+    /// Time from a caller's request to its answer.
+    pub call_seconds: Histogram,
+    /// Relayed calls that were sent again to another owner.
+    pub relayed_again: IntCounter,
+    /// Epoch that this process owns the partition in; 0: it doesn't.
+    pub owned_epoch: IntGauge,
+    /// Takeovers, by cause.
+    pub takeovers: IntCounterVec,
+    /// Time from a takeover's write to the first decision.
+    pub takeover_seconds: Histogram,
+    /// Batches, by outcome.
+    pub batches: IntCounterVec,
+    /// Time that a batch takes.
+    pub batch_seconds: Histogram,
+    /// Calls to workers, by call and outcome.
+    pub worker_calls: IntCounterVec,
+    /// Time that an answered start takes.
+    pub start_seconds: Histogram,
+    /// Calls for advice made here, by outcome.
+    pub advice_calls: IntCounterVec,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Jobs that have not ended, while this process owns the partition.
+    pub open_jobs: IntGauge,
+    /// Workers that may get tasks, while this process owns the partition.
+    pub usable_workers: IntGauge,
+    /// Log lines that were dropped since the writer was behind.
+    pub log_dropped: IntCounter,
+}
+
+impl Metrics {
+    /// Makes the metrics.
+    ///
+    /// # Errors
+    /// When two of them have one name, which is a fault in the program.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let r = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let c = IntCounterVec::new(Opts::new(name, help), labels)?;
+            r.register(Box::new(c.clone()))?;
+            Ok::<_, prometheus::Error>(c)
+        };
+        let counter = |name: &str, help: &str| {
+            let c = IntCounter::new(name, help)?;
+            r.register(Box::new(c.clone()))?;
+            Ok::<_, prometheus::Error>(c)
+        };
+        let gauge = |name: &str, help: &str| {
+            let g = IntGauge::new(name, help)?;
+            r.register(Box::new(g.clone()))?;
+            Ok::<_, prometheus::Error>(g)
+        };
+        let seconds = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let h = Histogram::with_opts(opts)?;
+            r.register(Box::new(h.clone()))?;
+            Ok::<_, prometheus::Error>(h)
+        };
+        Ok(Metrics {
+            calls: counters("calls_total", "Requests of callers", &["verb", "status"])?,
+            call_seconds: seconds("call_seconds", "Time of requests of callers")?,
+            relayed_again: counter("relayed_again_total", "Calls sent again to another owner")?,
+            owned_epoch: gauge("owned_epoch", "Epoch owned in, or 0")?,
+            takeovers: counters("takeovers_total", "Takeovers made", &["cause"])?,
+            takeover_seconds: seconds("takeover_seconds", "From the takeover to decisions")?,
+            batches: counters("batches_total", "Batches to the store", &["outcome"])?,
+            batch_seconds: seconds("batch_seconds", "Time of a batch")?,
+            worker_calls: counters("worker_calls_total", "Calls to workers", &["call", "outcome"])?,
+            start_seconds: seconds("start_seconds", "Time of an answered start")?,
+            advice_calls: counters("advice_calls_total", "Calls for advice", &["outcome"])?,
+            config_version: gauge("config_version", "Version of the configuration")?,
+            open_jobs: gauge("open_jobs", "Jobs that have not ended")?,
+            usable_workers: gauge("usable_workers", "Workers that may get tasks")?,
+            log_dropped: counter("log_dropped_total", "Log lines dropped")?,
+            registry: r,
+        })
+    }
+
+    /// Writes all of them as text.
+    ///
+    /// # Errors
+    /// When a metric can't be written as text.
+    pub fn text(&self) -> Result<String, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(String::from_utf8_lossy(&buf).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/node.rs
@@ -0,0 +1,138 @@
+//! Starts and stops the duties of a process.
+
+use crate::front::{Front, MetricsPage, Readiness};
+use crate::metrics::Metrics;
+use crate::owner::OwnerMsg;
+use crate::shared::{Route, Shared};
+use crate::{ownership, peers, watch};
+use hollowford_adapter::{AdviceClient, CallError, NodeSettings, StoreClient, StoreError};
+use poem::Endpoint;
+use poem::listener::TcpListener as PoemListener;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{oneshot, watch as channel};
+use tokio::time::{sleep, timeout};
+
+/// Port of the metrics page, on the instance's address. The deploy file names it.
+pub const METRICS_PORT: u16 = 9_464;
+/// Idle channels of callers are closed after this time.
+const CALLER_IDLE: Duration = Duration::from_secs(75);
+/// A stopping owner waits so long for its hand-over.
+const HAND_OVER: Duration = Duration::from_millis(900);
+/// A stopping process takes new channels for so long: the balancer asks every second, and
+/// stops sending after two refusals.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Longest time for answers that are open when it stops taking channels.
+const LAST_ANSWERS: Duration = Duration::from_millis(2_600);
+
+/// Why a process can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// An address can't be bound.
+    #[error("{addr}: {error}")]
+    Bind {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// Signals can't be waited for.
+    #[error("signals: {0}")]
+    Signal(std::io::Error),
+    /// No client of the store can be made.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// No client of the service for advice can be made.
+    #[error(transparent)]
+    Advice(#[from] CallError),
+    /// The metrics can't be registered.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Runs a process until it is told to stop.
+///
+/// # Errors
+/// When an address can't be bound, or a part can't be made.
+pub async fn run(settings: NodeSettings) -> Result<(), NodeError> {
+    let mut term = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
+    let shared = make_shared(settings)?;
+    let addresses = shared.settings.addresses.clone();
+    let bind = |addr| move |error| NodeError::Bind { addr, error };
+    let listener = TcpListener::bind(addresses.peers).await.map_err(bind(addresses.peers))?;
+    log::info!(
+        "process.started name={} zone={} boot={} callers={}",
+        shared.settings.name,
+        shared.settings.zone,
+        shared.boot,
+        addresses.callers
+    );
+    let (stop, stopped) = channel::channel(false);
+    let mut servers = tokio::task::JoinSet::new();
+    servers.spawn(serve(addresses.callers, Front::new(shared.clone()), stopped.clone()));
+    servers.spawn(serve(addresses.readiness, Readiness::new(shared.clone()), stopped.clone()));
+    let metrics = SocketAddr::new(addresses.peers.ip(), METRICS_PORT);
+    servers.spawn(serve(metrics, MetricsPage::new(shared.clone()), stopped));
+    tokio::spawn(peers::accept(shared.clone(), listener));
+    tokio::spawn(watch::read_config(shared.clone()));
+    tokio::spawn(watch::follow_config(shared.clone()));
+    tokio::spawn(ownership::register(shared.clone()));
+    tokio::spawn(ownership::run(shared.clone()));
+    tokio::select! {
+        _ = term.recv() => {}
+        Some(ended) = servers.join_next() => {
+            // A server ends by itself only when its address can't be bound.
+            if let Ok(Err(e)) = ended {
+                return Err(e);
+            }
+        }
+    }
+    log::info!("process.stopping");
+    shared.stopping.store(true, Ordering::Relaxed);
+    hand_over(&shared).await;
+    sleep(LINGER).await;
+    // All servers end with this; none of them may be left.
+    let _ = stop.send(true);
+    while servers.join_next().await.is_some() {}
+    log::info!("process.stopped");
+    Ok(())
+}
+
+fn make_shared(settings: NodeSettings) -> Result<Arc<Shared>, NodeError> {
+    let store = StoreClient::new(settings.store)?;
+    let advice = settings.advice.map(AdviceClient::new).transpose()?;
+    Ok(Arc::new(Shared::new(settings, store, advice, Metrics::new()?)))
+}
+
+async fn serve<E>(
+    addr: SocketAddr,
+    endpoint: E,
+    mut stopped: channel::Receiver<bool>,
+) -> Result<(), NodeError>
+where
+    E: Endpoint<Output = poem::Response> + 'static,
+{
+    let signal = async move {
+        // An error means that the process ends, too.
+        let _ = stopped.wait_for(|&s| s).await;
+    };
+    poem::Server::new(PoemListener::bind(addr.to_string()))
+        .idle_timeout(CALLER_IDLE)
+        .run_with_graceful_shutdown(endpoint, signal, Some(LAST_ANSWERS))
+        .await
+        .map_err(|error| NodeError::Bind { addr, error })
+}
+
+/// Hands the partition over, if this process owns it.
+async fn hand_over(shared: &Shared) {
+    let Route::Local(owner) = shared.route.borrow().clone() else { return };
+    let (tx, rx) = oneshot::channel();
+    owner.send(OwnerMsg::Stop(tx)).await;
+    if timeout(HAND_OVER, rx).await.is_err() {
+        log::warn!("owner.hand_over timed_out=true");
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/peers.rs
@@ -0,0 +1,102 @@
+//! Links that other processes open to this one.
+
+use crate::link::{self, Outbox, Reader};
+use crate::owner::{OwnerHandle, OwnerMsg, read_advice};
+use crate::shared::{Route, Shared};
+use crate::wire::{Body, Hello, OwnerInfo};
+use hollowford_jobs::{Seat, TaskKey};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// A link whose opener says nothing for so long is closed.
+const FIRST_FRAME: Duration = Duration::from_millis(2_000);
+/// A member that says nothing for so long is gone.
+const MEMBER_SILENT: Duration = Duration::from_millis(1_500);
+/// How long a member waits for a process that is just becoming the owner.
+const OWNER_STARTS: Duration = Duration::from_millis(600);
+
+/// Accepts links for as long as the process runs.
+pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(shared.clone(), stream));
+            }
+            Err(e) => {
+                log::warn!("link.accept failed error={e}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let Ok((mut reader, outbox)) = link::split(stream) else { return };
+    let Ok(Some(first)) = timeout(FIRST_FRAME, link::next(&mut reader)).await else { return };
+    match first {
+        Body::Hello(hello) => serve_member(&shared, hello, reader, outbox).await,
+        Body::Owner(info) => {
+            if shared.note_owner_info(&info) {
+                log::info!("owner.announced epoch={} address={}", info.epoch, info.address);
+            }
+        }
+        Body::WhoOwns(_) => {
+            outbox.send(Body::Owner(shared.owner.borrow().clone()));
+        }
+        other => log::warn!("link.unexpected frame={other:?}"),
+    }
+}
+
+/// Serves a member for as long as this process owns the partition.
+async fn serve_member(shared: &Arc<Shared>, hello: Hello, mut reader: Reader, outbox: Outbox) {
+    let Some(owner) = local_owner(shared).await else {
+        let info: OwnerInfo = shared.owner.borrow().clone();
+        outbox.send(Body::Owner(info));
+        return;
+    };
+    let address = hello.address.clone();
+    owner.send(OwnerMsg::Joined(hello, outbox.clone())).await;
+    while !owner.is_closed() {
+        let Ok(Some(body)) = timeout(MEMBER_SILENT, link::next(&mut reader)).await else { break };
+        take_frame(&owner, &address, &outbox, body).await;
+    }
+    // The link ends with its last sender; the owner drops its own on hearing this.
+    owner.send(OwnerMsg::Left(address)).await;
+}
+
+async fn take_frame(owner: &OwnerHandle, address: &str, outbox: &Outbox, body: Body) {
+    match body {
+        Body::Call(call) => owner.call_from(call, outbox),
+        Body::MemberBeat(beat) => owner.send(OwnerMsg::Beat(address.to_owned(), beat)).await,
+        Body::Advice(advice) => {
+            let step = format!("{}.0", advice.step).parse::<TaskKey>().map(|t| t.step);
+            let Ok(step) = step else {
+                log::warn!("advice.malformed step={}", advice.step);
+                return;
+            };
+            let seat = Seat { address: address.into() };
+            let answer = read_advice(advice);
+            owner.send(OwnerMsg::Advised { seat, step, answer }).await;
+        }
+        other => log::warn!("link.unexpected frame={other:?}"),
+    }
+}
+
+/// Returns the owner if it is this process, or is just becoming so.
+async fn local_owner(shared: &Shared) -> Option<OwnerHandle> {
+    let mut route = shared.route.subscribe();
+    let local = |r: &Route| match r {
+        Route::Local(owner) => Some(owner.clone()),
+        _ => None,
+    };
+    if let Some(owner) = local(&route.borrow_and_update()) {
+        return Some(owner);
+    }
+    if shared.owner.borrow().boot != shared.boot {
+        return None;
+    }
+    let found = timeout(OWNER_STARTS, route.wait_for(|r| matches!(r, Route::Local(_)))).await;
+    found.ok()?.ok().and_then(|r| local(&r))
+}
--- /dev/null
+++ b/crates/hollowford-node/src/registry.rs
@@ -0,0 +1,126 @@
+//! Keeps the list of workers up to date while this process owns the partition.
+
+use crate::owner::{OwnerHandle, OwnerMsg};
+use crate::shared::Shared;
+use hollowford_adapter::{REGISTRY_TABLE, Row, StoreError, Version, decode_listing};
+use hollowford_core::Millis;
+use hollowford_jobs::WorkerListing;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How long a call to the feed waits for a change. Kept short, since a feed may go silent:
+/// a full reading follows each time.
+const FEED_WAIT: Duration = Duration::from_millis(700);
+/// Longest time for a reading.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after a failure.
+const RETRY: Duration = Duration::from_millis(200);
+/// The list is read whole at least so often.
+const READ_EVERY: Millis = Millis(1_400);
+/// After the store was away, entries that lapsed meanwhile are back within 2 s.
+const TRUST_MISSING_AFTER: Millis = Millis(2_500);
+/// The store counts as having been away when it did not answer for so long.
+const AWAY: Millis = Millis(1_000);
+
+/// The list, and what the store's absence means for it.
+struct Registry {
+    rows: BTreeMap<String, WorkerListing>,
+    version: Version,
+    read_at: Millis,
+    answered_at: Millis,
+    /// Missing entries are not believed before.
+    believe_missing_at: Millis,
+}
+
+/// Follows the list until the owner ends.
+pub async fn follow(shared: Arc<Shared>, owner: OwnerHandle) {
+    let now = shared.clock.now();
+    let mut list = Registry {
+        rows: BTreeMap::new(),
+        version: 0,
+        read_at: Millis(0),
+        answered_at: now,
+        believe_missing_at: now,
+    };
+    while !owner.is_closed() {
+        let changed = match list.next(&shared).await {
+            Ok(changed) => changed,
+            Err(e) => {
+                log::debug!("workers.list failed error=\"{e}\"");
+                sleep(RETRY).await;
+                false
+            }
+        };
+        if changed {
+            let listings = list.rows.values().cloned().collect();
+            owner.send(OwnerMsg::Listings(listings)).await;
+        }
+    }
+}
+
+impl Registry {
+    /// Waits for a change, or reads the whole list. Tells whether something changed.
+    async fn next(&mut self, shared: &Shared) -> Result<bool, StoreError> {
+        let now = shared.clock.now();
+        if self.version == 0 || now.since(self.read_at) >= READ_EVERY {
+            let feed = shared.store.read_all(REGISTRY_TABLE, "", READ_TIMEOUT).await?;
+            self.note_answer(shared);
+            self.version = feed.version;
+            self.read_at = shared.clock.now();
+            return Ok(self.replace(&feed.rows));
+        }
+        match shared.store.feed(REGISTRY_TABLE, self.version, FEED_WAIT).await {
+            Ok(feed) => {
+                self.note_answer(shared);
+                self.version = feed.version;
+                let changes = feed.rows.iter().map(|r| self.apply(r)).filter(|&c| c).count();
+                Ok(changes > 0)
+            }
+            Err(StoreError::HistoryGone) => {
+                log::info!("store.history_gone table={REGISTRY_TABLE} after={}", self.version);
+                self.version = 0;
+                Ok(false)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    fn note_answer(&mut self, shared: &Shared) {
+        shared.note_store();
+        let now = shared.clock.now();
+        if now.since(self.answered_at) > AWAY + Millis(FEED_WAIT.as_millis() as u64) {
+            self.believe_missing_at = now + TRUST_MISSING_AFTER;
+        }
+        self.answered_at = now;
+    }
+
+    /// Takes the whole list.
+    fn replace(&mut self, rows: &[Row]) -> bool {
+        let mut changed = false;
+        if self.answered_at >= self.believe_missing_at {
+            let before = self.rows.len();
+            self.rows.retain(|id, _| rows.iter().any(|r| r.key == *id));
+            changed = self.rows.len() != before;
+        }
+        rows.iter().fold(changed, |changed, r| self.apply(r) | changed)
+    }
+
+    fn apply(&mut self, row: &Row) -> bool {
+        if row.removed {
+            let believed = self.answered_at >= self.believe_missing_at;
+            return believed && self.rows.remove(&row.key).is_some();
+        }
+        match decode_listing(&row.key, &row.value) {
+            Ok(listing) => {
+                let old = self.rows.insert(row.key.clone(), listing.clone());
+                old.as_ref() != Some(&listing)
+            }
+            Err(e) => {
+                log::error!("worker.malformed worker={} error=\"{e}\"", row.key);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/relay.rs
@@ -0,0 +1,113 @@
+//! Calls from the entry to the owner, wherever it is.
+
+use crate::link::Outbox;
+use crate::shared::{Route, Shared};
+use crate::wire::{Body, Call, CallAnswer, Said};
+use hollowford_core::Millis;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+/// Pause before a call is sent again to an owner that can't serve it yet.
+const AGAIN: Millis = Millis(30);
+
+/// What came of relaying a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Relayed {
+    /// The owner's answer, with the value that was asked for.
+    Said(Said, u64),
+    /// No owner could be reached: nothing was done.
+    NotSent,
+    /// An owner got the call, and it is not known what it did.
+    Unsure,
+}
+
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<CallAnswer>>>>;
+
+/// The owner at the other end of a link.
+#[derive(Clone, Debug)]
+pub struct RemoteOwner {
+    outbox: Outbox,
+    pending: Pending,
+    next: Arc<AtomicU64>,
+}
+
+impl RemoteOwner {
+    /// Makes the owner's end of a link.
+    pub fn new(outbox: Outbox) -> RemoteOwner {
+        RemoteOwner { outbox, pending: Arc::default(), next: Arc::default() }
+    }
+
+    fn pending(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<CallAnswer>>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a call; the receiver fails when the link ends before the answer.
+    fn call(&self, call: &Call) -> Option<oneshot::Receiver<CallAnswer>> {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        self.pending().insert(id, tx);
+        let sent = self.outbox.send(Body::Call(Call { id, ..call.clone() }));
+        if !sent {
+            self.pending().remove(&id);
+        }
+        sent.then_some(rx)
+    }
+
+    /// Hands an answer to the call that waits for it.
+    pub fn answered(&self, answer: CallAnswer) {
+        if let Some(tx) = self.pending().remove(&answer.id) {
+            // The caller may have given up.
+            let _ = tx.send(answer);
+        }
+    }
+
+    /// Fails all calls that wait, since the link has ended.
+    pub fn fail_all(&self) {
+        self.pending().clear();
+    }
+}
+
+/// Sends a call to the owner, and again to the next one while that is safe, until `deadline`.
+/// Every call is safe to send again: a job's id makes it one job.
+pub async fn relay(shared: &Shared, call: Call, deadline: Millis) -> Relayed {
+    let mut route = shared.route.subscribe();
+    let mut sent = false;
+    loop {
+        let left = deadline.since(shared.clock.now());
+        if left == Millis(0) {
+            return if sent { Relayed::Unsure } else { Relayed::NotSent };
+        }
+        let current = route.borrow_and_update().clone();
+        let rx = match current {
+            Route::None => None,
+            Route::Local(owner) => owner.call(&call),
+            Route::Remote(owner) => owner.call(&call),
+        };
+        let Some(rx) = rx else {
+            // Woken by the next owner, or by the deadline.
+            let _ = timeout(left.duration(), route.changed()).await;
+            continue;
+        };
+        let answer = match timeout(left.duration(), rx).await {
+            Ok(answer) => answer.ok(),
+            Err(_) => return Relayed::Unsure,
+        };
+        let Some(answer) = answer else {
+            sent = true;
+            let _ = timeout(left.duration().min(AGAIN.duration()), route.changed()).await;
+            continue;
+        };
+        match answer.said() {
+            Said::NotOwner => {
+                sent = true;
+                let _ = timeout(left.duration().min(AGAIN.duration()), route.changed()).await;
+            }
+            Said::NoQueue => sleep(AGAIN.duration()).await,
+            said => return Relayed::Said(said, answer.value),
+        }
+        shared.metrics.relayed_again.inc();
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/shared.rs
@@ -0,0 +1,153 @@
+//! What the duties of a process share.
+
+use crate::metrics::Metrics;
+use crate::owner::OwnerHandle;
+use crate::wire::OwnerInfo;
+use arc_swap::ArcSwapOption;
+use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient};
+use hollowford_core::{Clock, Millis};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tokio::sync::{Notify, watch};
+
+/// How the owner is reached now.
+#[derive(Clone, Debug)]
+pub enum Route {
+    /// It is not, now.
+    None,
+    /// It is this process.
+    Local(OwnerHandle),
+    /// By a link.
+    Remote(crate::relay::RemoteOwner),
+}
+
+/// Shared by all duties of a process.
+#[derive(Debug)]
+pub struct Shared {
+    /// Its settings.
+    pub settings: NodeSettings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Tells this life of the process from others at its address.
+    pub boot: u64,
+    /// Client of the store.
+    pub store: StoreClient,
+    /// Client of the service for advice.
+    pub advice: Option<AdviceClient>,
+    /// The newest configuration.
+    pub config: ArcSwapOption<Config>,
+    /// Version of the row that the configuration was read from last.
+    config_row: AtomicU64,
+    /// Told when `config` has changed.
+    pub config_changed: watch::Sender<u64>,
+    /// Asks the watch to read the configuration at once.
+    pub config_wanted: Notify,
+    /// The newest owner that is known.
+    pub owner: watch::Sender<OwnerInfo>,
+    /// How the owner is reached.
+    pub route: watch::Sender<Route>,
+    /// The process is about to stop.
+    pub stopping: AtomicBool,
+    /// Reading of the clock when the store answered last.
+    store_answered: AtomicU64,
+    /// Reading of the clock when the owner was last within reach.
+    owner_heard: AtomicU64,
+    /// Its metrics.
+    pub metrics: Metrics,
+}
+
+impl Shared {
+    /// Puts the parts together.
+    pub fn new(
+        settings: NodeSettings,
+        store: StoreClient,
+        advice: Option<AdviceClient>,
+        metrics: Metrics,
+    ) -> Shared {
+        Shared {
+            settings,
+            clock: Clock::new(),
+            boot: fastrand::u64(1..),
+            store,
+            advice,
+            config: ArcSwapOption::empty(),
+            config_row: AtomicU64::new(0),
+            config_changed: watch::Sender::new(0),
+            config_wanted: Notify::new(),
+            owner: watch::Sender::new(OwnerInfo::default()),
+            route: watch::Sender::new(Route::None),
+            stopping: AtomicBool::new(false),
+            store_answered: AtomicU64::new(0),
+            owner_heard: AtomicU64::new(0),
+            metrics,
+        }
+    }
+
+    /// Returns the address between processes.
+    pub fn address(&self) -> SocketAddr {
+        self.settings.addresses.peers
+    }
+
+    /// Tells whether the process is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Takes note that the store has answered.
+    pub fn note_store(&self) {
+        self.store_answered.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the store answered.
+    pub fn store_age(&self) -> Millis {
+        self.clock.now().since(Millis(self.store_answered.load(Ordering::Relaxed)))
+    }
+
+    /// Takes note that the owner was within reach.
+    pub fn note_owner(&self) {
+        self.owner_heard.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the owner was within reach.
+    pub fn owner_age(&self) -> Millis {
+        self.clock.now().since(Millis(self.owner_heard.load(Ordering::Relaxed)))
+    }
+
+    /// Takes note of an owner, if it is newer than the one that is known.
+    pub fn note_owner_info(&self, info: &OwnerInfo) -> bool {
+        self.owner.send_if_modified(|known| {
+            let newer = info.epoch > known.epoch;
+            if newer {
+                *known = info.clone();
+            }
+            newer
+        })
+    }
+
+    /// Returns what this process is as an owner at `epoch`.
+    pub fn as_owner(&self, epoch: u64) -> OwnerInfo {
+        OwnerInfo { epoch, address: self.address().to_string(), boot: self.boot }
+    }
+
+    /// Tells whether a row of the configuration was not read before, and takes note of it.
+    pub fn is_new_config_row(&self, version: u64) -> bool {
+        self.config_row.fetch_max(version, Ordering::Relaxed) < version
+    }
+
+    /// Returns the version of the configuration that is known; 0: none.
+    pub fn config_version(&self) -> u64 {
+        self.config.load().as_ref().map_or(0, |c| c.version)
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn take_config(&self, config: Config) -> bool {
+        if config.version <= self.config_version() {
+            return false;
+        }
+        let version = config.version;
+        self.config.store(Some(Arc::new(config)));
+        self.config_changed.send_replace(version);
+        true
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/watch.rs
@@ -0,0 +1,92 @@
+//! Keeps the configuration up to date: by the store's feed, and by reading it besides, since
+//! the feed may go silent.
+
+use crate::shared::Shared;
+use hollowford_adapter::{CONFIG_KEY, Config, OPERATOR_TABLE, Row, StoreError};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How often the configuration is read beside the feed. It has to be in force after 2 s, also
+/// when the feed is silent for a second and one reading gets no answer.
+const READ_EVERY: Duration = Duration::from_millis(650);
+/// Longest time for a reading.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a call to the feed waits for a change.
+const FEED_WAIT: Duration = Duration::from_millis(10_000);
+/// Pause after a failure.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Reads the configuration again and again.
+pub async fn read_config(shared: Arc<Shared>) {
+    let mut reached = true;
+    loop {
+        let read = shared.store.read(OPERATOR_TABLE, "", CONFIG_KEY, READ_TIMEOUT).await;
+        match &read {
+            Ok((row, _)) => {
+                shared.note_store();
+                if let Some(row) = row {
+                    take(&shared, row);
+                }
+            }
+            Err(e) if reached => log::warn!("store.lost by=config error=\"{e}\""),
+            Err(_) => {}
+        }
+        if read.is_ok() && !reached {
+            log::info!("store.regained by=config");
+        }
+        reached = read.is_ok();
+        let pause = if reached { READ_EVERY } else { RETRY };
+        // Woken early when a peer knows a newer version.
+        if timeout(pause, shared.config_wanted.notified()).await.is_ok() {
+            log::debug!("config.wanted");
+        }
+    }
+}
+
+/// Follows the feed of the operator's table.
+pub async fn follow_config(shared: Arc<Shared>) {
+    let mut after = 0;
+    loop {
+        match shared.store.feed(OPERATOR_TABLE, after, FEED_WAIT).await {
+            Ok(feed) => {
+                shared.note_store();
+                after = feed.version;
+                if let Some(row) = feed.rows.iter().rfind(|r| r.key == CONFIG_KEY && !r.removed) {
+                    take(&shared, row);
+                }
+            }
+            Err(StoreError::HistoryGone) => {
+                log::info!("store.history_gone table={OPERATOR_TABLE} after={after}");
+                after = newest_version(&shared).await.unwrap_or(after);
+                shared.config_wanted.notify_one();
+            }
+            Err(e) => {
+                log::debug!("config.feed failed error=\"{e}\"");
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn newest_version(shared: &Shared) -> Option<u64> {
+    let read = shared.store.read_all(OPERATOR_TABLE, "", READ_TIMEOUT).await;
+    read.map(|f| f.version).ok()
+}
+
+fn take(shared: &Shared, row: &Row) {
+    if !shared.is_new_config_row(row.version) {
+        return;
+    }
+    match Config::try_from(&row.value[..]) {
+        Ok(config) => {
+            let (version, routes) = (config.version, config.routes.len());
+            let before = shared.config_version();
+            if shared.take_config(config) {
+                shared.metrics.config_version.set(version as i64);
+                log::info!("config.taken version={version} before={before} routes={routes}");
+            }
+        }
+        Err(e) => log::error!("config.malformed row_version={} error=\"{e}\"", row.version),
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/wire.rs
@@ -0,0 +1,243 @@
+//! Messages between the system's own processes.
+
+use prost::{Message, Oneof};
+
+/// One frame on a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// What it says.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub body: Option<Body>,
+}
+
+/// What a frame says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// A process opens a link to the owner.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// The owner is alive.
+    #[prost(message, tag = "2")]
+    Heartbeat(Heartbeat),
+    /// A member is alive.
+    #[prost(message, tag = "3")]
+    MemberBeat(MemberBeat),
+    /// A caller's request.
+    #[prost(message, tag = "4")]
+    Call(Call),
+    /// Its answer.
+    #[prost(message, tag = "5")]
+    Answer(CallAnswer),
+    /// The owner wants a call for advice made.
+    #[prost(message, tag = "6")]
+    Ask(Ask),
+    /// What came of that call.
+    #[prost(message, tag = "7")]
+    Advice(Advice),
+    /// Who owns the partition, as the sender knows it.
+    #[prost(message, tag = "8")]
+    Owner(OwnerInfo),
+    /// The receiver is to take the partition over.
+    #[prost(message, tag = "9")]
+    HandOver(OwnerInfo),
+    /// The sender wants to know who owns the partition.
+    #[prost(message, tag = "10")]
+    WhoOwns(WhoOwns),
+}
+
+/// A question without content.
+#[derive(Clone, PartialEq, Message)]
+pub struct WhoOwns {}
+
+/// Names a process to the owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// Where its peers reach it.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Thousandths of a core that it gets.
+    #[prost(uint32, tag = "2")]
+    pub cpu_milli: u32,
+    /// How long it has run, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
+/// An owner, by its epoch.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OwnerInfo {
+    /// Its epoch; 0: none is known.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Where its peers reach it.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Tells this life of the process from another at the same address.
+    #[prost(uint64, tag = "3")]
+    pub boot: u64,
+}
+
+/// The owner's heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Its epoch.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Addresses of the members, in the order in which they take over.
+    #[prost(string, repeated, tag = "2")]
+    pub members: Vec<String>,
+    /// Version of the configuration that it knows.
+    #[prost(uint64, tag = "3")]
+    pub config: u64,
+}
+
+/// A member's heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct MemberBeat {
+    /// Newest epoch of an owner that it knows.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Time since the store answered it last, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub store_age_ms: u64,
+    /// Version of the configuration that it knows.
+    #[prost(uint64, tag = "3")]
+    pub config: u64,
+    /// It is about to stop.
+    #[prost(bool, tag = "4")]
+    pub stopping: bool,
+}
+
+/// What a caller wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Verb {
+    /// Hand in a job.
+    Submit = 0,
+    /// Cancel it.
+    Cancel = 1,
+    /// Read its state.
+    State = 2,
+    /// Count the queue's jobs that wait.
+    Waiting = 3,
+}
+
+impl Verb {
+    /// Returns its name, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Verb::Submit => "submit",
+            Verb::Cancel => "cancel",
+            Verb::State => "state",
+            Verb::Waiting => "waiting",
+        }
+    }
+}
+
+/// A caller's request on its way to the owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct Call {
+    /// Matches the answer to the call, on one link.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What is wanted.
+    #[prost(enumeration = "Verb", tag = "2")]
+    pub verb: i32,
+    /// The job.
+    #[prost(fixed64, tag = "3")]
+    pub job: u64,
+    /// The queue.
+    #[prost(string, tag = "4")]
+    pub queue: String,
+    /// The job's specification, for `Submit`.
+    #[prost(bytes = "vec", tag = "5")]
+    pub spec: Vec<u8>,
+    /// Version of the configuration by which the queue was found.
+    #[prost(uint64, tag = "6")]
+    pub config: u64,
+}
+
+/// What the owner says to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Said {
+    /// Done: the job is kept, or cancelled.
+    Done = 0,
+    /// There is no such job.
+    NoJob = 1,
+    /// The owner doesn't know the queue yet.
+    NoQueue = 2,
+    /// Nothing was done; come back later.
+    Unavailable = 3,
+    /// The sender doesn't own the partition, or no longer.
+    NotOwner = 4,
+    /// The state or count that was asked for.
+    Value = 5,
+    /// It may take effect: the store has not answered.
+    Unsure = 6,
+}
+
+/// The owner's answer to a call.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallAnswer {
+    /// The call's.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What came of it.
+    #[prost(enumeration = "Said", tag = "2")]
+    pub said: i32,
+    /// The count, or the state's code.
+    #[prost(uint64, tag = "3")]
+    pub value: u64,
+}
+
+/// A call for advice to be made.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ask {
+    /// The step, as the service names it.
+    #[prost(string, tag = "1")]
+    pub step: String,
+    /// Ids of the workers.
+    #[prost(string, repeated, tag = "2")]
+    pub workers: Vec<String>,
+    /// Longest time for it, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub timeout_ms: u64,
+}
+
+/// What came of a call for advice.
+#[derive(Clone, PartialEq, Message)]
+pub struct Advice {
+    /// The step.
+    #[prost(string, tag = "1")]
+    pub step: String,
+    /// Whether the service answered.
+    #[prost(bool, tag = "2")]
+    pub answered: bool,
+    /// Ids of the workers that may run it.
+    #[prost(string, repeated, tag = "3")]
+    pub workers: Vec<String>,
+    /// Their tickets, in the same order.
+    #[prost(string, repeated, tag = "4")]
+    pub tickets: Vec<String>,
+    /// How long the tickets hold, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub validity_ms: u64,
+}
+
+impl From<Body> for Frame {
+    fn from(body: Body) -> Frame {
+        Frame { body: Some(body) }
+    }
+}
+
+/// The row that names the owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct OwnerRow {
+    /// Who owns the partition.
+    #[prost(message, optional, tag = "1")]
+    pub owner: Option<OwnerInfo>,
+    /// Number of its last batch.
+    #[prost(uint64, tag = "2")]
+    pub batch: u64,
+}
--- a/crates/hollowford/src/command/mod.rs
+++ b/crates/hollowford/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod dev;
 mod drain;
 mod list;
+mod node;
 mod serve;
 mod signature;
 mod state;
--- /dev/null
+++ b/crates/hollowford/src/command/node.rs
@@ -0,0 +1,43 @@
+//! `hollowford node`.
+
+use super::signature::{Command, Example};
+use crate::client::finish;
+use crate::error::CliError;
+use hollowford_adapter::NodeSettings;
+use pico_args::Arguments;
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "node",
+    signature: "[--config FILE] [--check]",
+    description: "Runs a process on the users' platform until SIGTERM.
+Reads the settings file that the platform lays, whose path HOLLOWFORD_NODE_FILE holds. With
+--check it only reads and checks the file.",
+    examples: &[Example {
+        line: "hollowford node --check --config examples/platform-settings.toml",
+        does: "checks a settings file of the platform",
+    }],
+    run,
+};
+
+fn run(mut args: Arguments) -> Result<(), CliError> {
+    let file: Option<String> = args.opt_value_from_str("--config")?;
+    let check = args.contains("--check");
+    finish(args)?;
+    let settings = match &file {
+        Some(file) => NodeSettings::from_file(file),
+        None => NodeSettings::from_environment(),
+    };
+    let settings = settings.map_err(|e| CliError::Usage(e.to_string()))?;
+    if check {
+        println!("{} in {} is valid", settings.name, settings.zone);
+        return Ok(());
+    }
+    super::serve::abort_on_panic();
+    // One thread: on a part of a core more only cost memory and wake-ups.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(CliError::io("runtime"))?;
+    runtime.block_on(hollowford_node::run(settings)).map_err(|e| CliError::Run(e.to_string()))
+}
--- a/crates/hollowford/src/command/serve.rs
+++ b/crates/hollowford/src/command/serve.rs
@@ -52,7 +52,7 @@
 
 /// A process without one of its duties would hold its partitions and not serve
 /// them, so a fault in any thread ends it, and others take over.
-fn abort_on_panic() {
+pub fn abort_on_panic() {
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         report(info);
--- a/crates/hollowford/src/command/signature.rs
+++ b/crates/hollowford/src/command/signature.rs
@@ -1,6 +1,6 @@
 //! What every command states about itself.
 
-use super::{cancel, check, config, dev, drain, list, serve, state, status, submit};
+use super::{cancel, check, config, dev, drain, list, node, serve, state, status, submit};
 use crate::error::CliError;
 use pico_args::Arguments;
 use std::fmt::Write;
@@ -31,6 +31,7 @@
 /// Every command, in the order of the overview.
 pub const COMMANDS: &[Command] = &[
     serve::COMMAND,
+    node::COMMAND,
     check::COMMAND,
     dev::COMMAND,
     submit::COMMAND,
