--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -126,6 +126,11 @@
         self.dirty = true;
     }
 
+    /// Puts other times in force, from the next order on.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Sets how far Unix time is ahead of the engine's, for jobs with a schedule.
     pub fn set_unix_offset(&mut self, offset: i64) {
         self.unix_offset = offset;
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -78,10 +78,14 @@
     }
 
     fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
+        let earlier = self.bounds.earlier_lease;
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.answered(look.clock, now);
-        if !w.claimed {
+        let first = !w.claimed;
+        if first {
             w.claimed = true;
+            // What an earlier owner ordered may run for so long without a word of this one.
+            w.lease_until = w.lease_until.max(look.clock + earlier.0);
             self.unsettled.remove(&idx);
         }
         let taken = w.taken;
@@ -94,8 +98,10 @@
         self.find_vanished(idx, &look, sent, now);
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
-        // The next look waits for the batch that makes these ends durable.
-        w.look_at = if w.taken > w.forget { now + LOOK_STALLED } else { now };
+        // The next look waits for the batch that makes these ends durable, but for the first
+        // one: it could not renew the lease.
+        let wait = !first && w.taken > w.forget;
+        w.look_at = if wait { now + LOOK_STALLED } else { now };
         self.dirty = true;
     }
 
--- /dev/null
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -0,0 +1,226 @@
+//! A cell for tests: the engine, workers that keep its orders, rows and advice, on a virtual
+//! clock. The workers judge: they panic when an order breaks what must always hold.
+#![allow(dead_code, clippy::expect_used)]
+
+pub mod worker;
+
+use hollowford_core::{InstanceId, Millis, Resources};
+use hollowford_jobs::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use worker::SimWorker;
+
+pub const QUICK: &str = "quick";
+pub const LARGE: &str = "large";
+
+pub const BOUNDS: Bounds = Bounds {
+    lease: Millis(3_000),
+    earlier_lease: Millis(5_100),
+    gang_timeout: Millis(3_000),
+    keep_ended: Millis(150_000),
+};
+
+pub fn queue(name: &str, priority: u32, advice: Option<AdviceCost>) -> Queue {
+    Queue {
+        name: name.into(),
+        pool: "pool".into(),
+        priority,
+        max_attempts: 3,
+        stretch: 2.0,
+        slack: Millis(1_000),
+        advice,
+    }
+}
+
+pub fn step(count: u32, cpu_milli: u32, ms: u64) -> RawStep {
+    RawStep {
+        count,
+        need: Resources::new(cpu_milli, 100, 0),
+        estimate_ms: ms,
+        ..RawStep::default()
+    }
+}
+
+pub fn job(steps: Vec<RawStep>) -> Arc<JobSpec> {
+    let raw = RawJob { template: "t".into(), steps, schedule: None };
+    Arc::new(JobSpec::try_from(raw).expect("a valid job"))
+}
+
+/// An engine with its surroundings.
+pub struct Cell {
+    pub engine: Engine,
+    pub now: Millis,
+    pub workers: Vec<SimWorker>,
+    pub rows: BTreeMap<String, Vec<u8>>,
+    pub queues: Vec<Queue>,
+    /// Workers that advice bars from every step.
+    pub barred: BTreeSet<InstanceId>,
+    /// Batches are not made while false.
+    pub store_up: bool,
+    pub pending: Option<Batch>,
+    pub specs: BTreeMap<JobId, Arc<JobSpec>>,
+    /// Orders carried out, for tests that look at them.
+    pub log: Vec<Order>,
+}
+
+impl Cell {
+    pub fn new(workers: usize) -> Cell {
+        let now = Millis(100_000);
+        let queues = vec![queue(QUICK, 0, None), queue(LARGE, 1, None)];
+        let mut cell = Cell {
+            engine: Engine::new(1, BOUNDS, now),
+            now,
+            workers: (0..workers).map(|i| SimWorker::new(i, now)).collect(),
+            rows: BTreeMap::new(),
+            queues,
+            barred: BTreeSet::new(),
+            store_up: true,
+            pending: None,
+            specs: BTreeMap::new(),
+            log: Vec::new(),
+        };
+        cell.equip();
+        cell.run(100);
+        cell
+    }
+
+    fn equip(&mut self) {
+        self.engine.set_queues(&self.queues);
+        self.engine.set_seats(&[Seat { address: "".into() }]);
+        self.list();
+    }
+
+    /// Hands the list of workers to the engine.
+    pub fn list(&mut self) {
+        let list: Vec<_> =
+            self.workers.iter().filter(|w| w.listed).map(SimWorker::listing).collect();
+        self.engine.list_workers(&list, self.now);
+    }
+
+    pub fn set_queues(&mut self, queues: Vec<Queue>) {
+        self.queues = queues;
+        self.engine.set_queues(&self.queues);
+    }
+
+    pub fn submit(&mut self, id: u64, queue: &str, spec: Arc<JobSpec>) -> SubmitAnswer {
+        self.specs.insert(JobId(id), spec.clone());
+        self.engine.submit(JobId(id), queue, spec, self.now)
+    }
+
+    pub fn state(&self, id: u64) -> Option<JobState> {
+        self.engine.state(JobId(id))
+    }
+
+    /// Lets time pass in steps of 5 ms.
+    pub fn run(&mut self, ms: u64) {
+        let until = self.now + Millis(ms);
+        while self.now < until {
+            self.now = self.now + Millis(5);
+            let now = self.now;
+            self.workers.iter_mut().for_each(|w| w.tick(now));
+            self.turn();
+        }
+    }
+
+    /// Polls the engine once and carries out what it wants.
+    pub fn turn(&mut self) {
+        let mut orders = Vec::new();
+        self.engine.poll(self.now, &mut orders);
+        for order in orders {
+            self.log.push(order.clone());
+            self.carry_out(order);
+        }
+        self.write();
+        self.judge_room();
+    }
+
+    fn write(&mut self) {
+        if self.pending.is_none() {
+            self.pending = self.engine.cut_batch(self.now);
+        }
+        if !self.store_up {
+            return;
+        }
+        if let Some(batch) = self.pending.take() {
+            for row in batch.rows {
+                match row.value {
+                    Some(value) => self.rows.insert(row.key, value),
+                    None => self.rows.remove(&row.key),
+                };
+            }
+            self.engine.committed(self.now);
+        }
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        let fence = self.engine.epoch();
+        match order {
+            Order::Worker(call) => self.call(call, fence),
+            Order::Advice { seat, step, workers } => {
+                let seat = self.engine.seat(seat).expect("a seat").clone();
+                let good = workers.iter().filter(|w| !self.barred.contains(w));
+                let rows = good.map(|w| (w.clone(), "ticket".into())).collect();
+                self.engine.advised(&seat, step, Some((rows, Millis(2_000))), self.now);
+            }
+        }
+    }
+
+    /// Carries out a call at once, if the worker can be reached.
+    pub fn call(&mut self, call: WorkerCall, fence: u64) {
+        let now = self.now;
+        let specs = self.specs.clone();
+        match call {
+            WorkerCall::Start { worker, task, run, lease_until, saved, .. } => {
+                let need = specs[&task.step.job].steps[task.step.step as usize].clone();
+                let w = self.worker(&worker);
+                let answer = w.start(task, run, lease_until, fence, &need, saved);
+                self.judge_twice();
+                self.engine.start_answered(&worker, task, run, answer, now);
+            }
+            WorkerCall::Stop { worker, task, run, .. } => {
+                let answered = self.worker(&worker).stop(task, run, fence);
+                self.engine.stop_answered(&worker, task, run, answered, now);
+            }
+            WorkerCall::Look { worker, lease_until, forget, .. } => {
+                let answer = self.worker(&worker).look(lease_until, forget, fence);
+                self.engine.looked(&worker, answer, now, now);
+            }
+        }
+    }
+
+    pub fn worker(&mut self, id: &InstanceId) -> &mut SimWorker {
+        self.workers.iter_mut().find(|w| w.id == *id).expect("a worker")
+    }
+
+    /// A new owner takes over with what the store holds.
+    pub fn take_over(&mut self) {
+        let epoch = self.engine.epoch() + 1;
+        self.pending = None;
+        self.engine = Engine::new(epoch, BOUNDS, self.now);
+        self.engine.set_queues(&self.queues);
+        let rows: Vec<_> = self.rows.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
+        self.engine.recover(&rows, self.now).expect("rows that can be read");
+        self.equip();
+    }
+
+    /// Panics when a worker holds more than it has.
+    pub fn judge_room(&self) {
+        for w in &self.workers {
+            assert!(w.used().fits(&w.capacity), "{} holds {:?}", w.id, w.used());
+        }
+    }
+
+    /// Panics when a task runs in two places.
+    pub fn judge_twice(&self) {
+        let mut seen = BTreeSet::new();
+        for w in self.workers.iter().filter(|w| w.up) {
+            for task in w.running.keys() {
+                assert!(seen.insert(*task), "{task} runs twice");
+            }
+        }
+    }
+
+    pub fn running(&self) -> usize {
+        self.workers.iter().map(|w| w.running.len()).sum()
+    }
+}
--- /dev/null
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -0,0 +1,201 @@
+//! A worker as PROTOCOL describes it: fences, leases on its own clock, ends that are listed
+//! until they are forgotten.
+
+use hollowford_core::{InstanceId, Millis, Resources};
+use hollowford_jobs::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// The worker's clock is this far from the cell's.
+const CLOCK_AHEAD: u64 = 5_000;
+/// A gang that is not complete for so long ends.
+const GANG_TIMEOUT: u64 = 3_000;
+
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub run: u32,
+    pub room: Resources,
+    pub until: Millis,
+    pub gang: u32,
+    pub since: Millis,
+}
+
+pub struct SimWorker {
+    pub id: InstanceId,
+    pub address: Arc<str>,
+    pub capacity: Resources,
+    pub running: BTreeMap<TaskKey, Run>,
+    pub ended: Vec<End>,
+    pub numbers: u64,
+    pub fence: u64,
+    pub lease_until: u64,
+    pub over: BTreeMap<TaskKey, u32>,
+    pub listed: bool,
+    pub leaving: bool,
+    /// Answers arrive; what it runs goes on either way.
+    pub reachable: bool,
+    /// Orders are carried out but not answered.
+    pub mute: bool,
+    /// Fails all that it starts.
+    pub failing: bool,
+    /// Not crashed.
+    pub up: bool,
+    pub now: Millis,
+    /// Tasks that fail wherever they run.
+    pub poison: BTreeSet<JobId>,
+    pub starts: u64,
+}
+
+impl SimWorker {
+    pub fn new(i: usize, now: Millis) -> SimWorker {
+        SimWorker {
+            id: format!("w{i}").as_str().into(),
+            address: format!("10.0.0.{i}:1").into(),
+            capacity: Resources::new(16_000, 64_000, 0),
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            numbers: 0,
+            fence: 0,
+            lease_until: 0,
+            over: BTreeMap::new(),
+            listed: true,
+            leaving: false,
+            reachable: true,
+            mute: false,
+            failing: false,
+            up: true,
+            now,
+            poison: BTreeSet::new(),
+            starts: 0,
+        }
+    }
+
+    pub fn clock(&self) -> u64 {
+        self.now.0 + CLOCK_AHEAD
+    }
+
+    pub fn listing(&self) -> WorkerListing {
+        WorkerListing {
+            id: self.id.clone(),
+            address: self.address.clone(),
+            zone: "z".into(),
+            pool: "pool".into(),
+            capacity: self.capacity,
+            labels: vec!["a".into(), "r1".into()],
+            leaving: self.leaving,
+            remaining: None,
+        }
+    }
+
+    pub fn used(&self) -> Resources {
+        self.running.values().fold(Resources::default(), |a, r| a.plus(&r.room))
+    }
+
+    pub fn tick(&mut self, now: Millis) {
+        self.now = now;
+        if !self.up {
+            return;
+        }
+        let lapsed = self.clock() >= self.lease_until;
+        let runs: Vec<_> = self.running.iter().map(|(t, r)| (*t, r.clone())).collect();
+        for (task, r) in runs {
+            let failed = self.failing || self.poison.contains(&task.step.job);
+            if lapsed {
+                self.end(task, EndKind::Lapsed);
+            } else if r.until <= now {
+                self.end(task, if failed { EndKind::Failed } else { EndKind::Done });
+            }
+        }
+    }
+
+    pub fn end(&mut self, task: TaskKey, kind: EndKind) {
+        let Some(r) = self.running.remove(&task) else { return };
+        self.numbers += 1;
+        self.over.insert(task, r.run);
+        let number = self.numbers;
+        self.ended.push(End { number, task, run: r.run, kind, saved: "".into() });
+    }
+
+    /// Crashes and comes back under another id.
+    pub fn restart(&mut self, id: &str) {
+        let (now, address) = (self.now, self.address.clone());
+        *self = SimWorker::new(0, now);
+        self.id = id.into();
+        self.address = address;
+    }
+
+    pub fn start(
+        &mut self,
+        task: TaskKey,
+        run: u32,
+        lease_until: u64,
+        fence: u64,
+        spec: &StepSpec,
+        _saved: Arc<str>,
+    ) -> StartAnswer {
+        if !self.up || !self.reachable {
+            return StartAnswer::Unanswered;
+        }
+        if fence < self.fence {
+            return StartAnswer::Fenced;
+        }
+        self.fence = fence;
+        self.lease_until = self.lease_until.max(lease_until);
+        let here = self.running.get(&task).map(|r| r.run);
+        if here != Some(run) {
+            if self.over.get(&task).is_some_and(|&o| run <= o) || here.is_some() {
+                return StartAnswer::Old;
+            }
+            self.starts += 1;
+            let room = spec.room();
+            let until = self.now + Millis(spec.estimate_ms);
+            self.running.insert(task, Run { run, room, until, gang: 0, since: self.now });
+        }
+        if self.mute { StartAnswer::Unanswered } else { StartAnswer::Runs(self.clock()) }
+    }
+
+    pub fn stop(&mut self, task: TaskKey, run: u32, fence: u64) -> bool {
+        if !self.up || !self.reachable || fence < self.fence {
+            return false;
+        }
+        self.fence = fence;
+        if self.running.get(&task).is_some_and(|r| r.run == run) {
+            self.end(task, EndKind::Stopped);
+        } else {
+            let over = self.over.entry(task).or_insert(run);
+            *over = run.max(*over);
+        }
+        !self.mute
+    }
+
+    pub fn look(&mut self, lease_until: Option<u64>, forget: u64, fence: u64) -> LookAnswer {
+        if !self.up || !self.reachable {
+            return LookAnswer::Unanswered;
+        }
+        if fence < self.fence {
+            return LookAnswer::Fenced;
+        }
+        self.fence = fence;
+        self.lease_until = self.lease_until.max(lease_until.unwrap_or(0));
+        self.ended.retain(|e| e.number > forget);
+        if self.mute {
+            return LookAnswer::Unanswered;
+        }
+        let running = |(task, r): (&TaskKey, &Run)| Running {
+            task: *task,
+            run: r.run,
+            saved: "".into(),
+            pace: 100,
+        };
+        LookAnswer::Lists(Look {
+            clock: self.clock(),
+            running: self.running.iter().map(running).collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    /// Time after which a member that waits for its gang would end.
+    pub fn gang_timeout() -> Millis {
+        Millis(GANG_TIMEOUT)
+    }
+}
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod registry;
 mod relay;
+mod reload;
 mod shared;
 mod watch;
 mod wire;
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -4,7 +4,7 @@
 use crate::metrics::Metrics;
 use crate::owner::OwnerMsg;
 use crate::shared::{Route, Shared};
-use crate::{ownership, peers, watch};
+use crate::{ownership, peers, reload, watch};
 use hollowford_adapter::{AdviceClient, CallError, NodeSettings, StoreClient, StoreError};
 use poem::Endpoint;
 use poem::listener::TcpListener as PoemListener;
@@ -60,6 +60,7 @@
 /// When an address can't be bound, or a part can't be made.
 pub async fn run(settings: NodeSettings) -> Result<(), NodeError> {
     let mut term = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
+    let hup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
     let shared = make_shared(settings)?;
     let addresses = shared.settings.addresses.clone();
     let bind = |addr| move |error| NodeError::Bind { addr, error };
@@ -82,6 +83,7 @@
     tokio::spawn(watch::follow_config(shared.clone()));
     tokio::spawn(ownership::register(shared.clone()));
     tokio::spawn(ownership::run(shared.clone()));
+    tokio::spawn(reload::follow_settings(shared.clone(), hup));
     tokio::select! {
         _ = term.recv() => {}
         Some(ended) = servers.join_next() => {
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -8,12 +8,12 @@
 use crate::shared::Shared;
 use crate::wire::{Advice, Body, Call, CallAnswer, Hello, MemberBeat, OwnerInfo, Said};
 use crate::writer::{self, Written};
-use hollowford_adapter::{Called, Version, WorkerClient};
+use hollowford_adapter::{Called, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
 use hollowford_jobs::{Advised, Engine, Order, Seat, StepKey, WorkerCall, WorkerListing};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
 /// Messages that wait for the owner; calls beyond are refused.
@@ -181,6 +181,7 @@
     /// Since when a batch is under way.
     batch_since: Option<Millis>,
     config: u64,
+    settings: watch::Receiver<NodeSettings>,
     member_heard: Millis,
     viewed: Millis,
     stop: Option<(oneshot::Sender<()>, Millis)>,
@@ -206,7 +207,6 @@
             rev: start.rev,
             engine: start.engine,
             offset: start.offset,
-            shared,
             workers,
             handle,
             waiters: Waiters::default(),
@@ -214,10 +214,12 @@
             batch_cut: Millis(0),
             batch_since: None,
             config: 0,
+            settings: shared.settings_changed.subscribe(),
             member_heard: now,
             viewed: Millis(0),
             stop: None,
             end: None,
+            shared,
         }
     }
 
@@ -379,6 +381,10 @@
     }
 
     fn take_config(&mut self) {
+        if self.settings.has_changed().unwrap_or(false) {
+            let bounds = self.settings.borrow_and_update().bounds;
+            self.engine.set_bounds(bounds.into());
+        }
         let version = self.shared.config_version();
         if version != self.config
             && let Some(config) = self.shared.config.load_full()
--- /dev/null
+++ b/crates/hollowford-node/src/reload.rs
@@ -0,0 +1,34 @@
+//! Reads the settings file again, on SIGHUP and now and then.
+
+use crate::shared::Shared;
+use hollowford_adapter::NodeSettings;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::Signal;
+use tokio::time::timeout;
+
+/// The file may also change without a signal; it is read this often.
+const READ_EVERY: Duration = Duration::from_secs(5);
+
+/// Follows the settings file. Addresses stay as they were at the start; the times for the
+/// decisions are put in force.
+pub async fn follow_settings(shared: Arc<Shared>, mut hup: Signal) {
+    loop {
+        let signalled = timeout(READ_EVERY, hup.recv()).await.is_ok();
+        match NodeSettings::from_file(&shared.settings.file) {
+            Ok(settings) => take(&shared, settings, signalled),
+            Err(e) => log::error!("settings.rejected error=\"{e}\" in_force=earlier"),
+        }
+    }
+}
+
+fn take(shared: &Shared, settings: NodeSettings, signalled: bool) {
+    let changed = shared.settings_changed.send_if_modified(|known| {
+        let changed = *known != settings;
+        *known = settings;
+        changed
+    });
+    if changed || signalled {
+        log::info!("settings.reloaded changed={changed} signalled={signalled}");
+    }
+}
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -25,7 +25,7 @@
 /// Shared by all duties of a process.
 #[derive(Debug)]
 pub struct Shared {
-    /// Its settings.
+    /// The settings that it was started with.
     pub settings: NodeSettings,
     /// Its clock.
     pub clock: Clock,
@@ -47,6 +47,8 @@
     pub owner: watch::Sender<OwnerInfo>,
     /// How the owner is reached.
     pub route: watch::Sender<Route>,
+    /// Told when the settings file has been read again.
+    pub settings_changed: watch::Sender<NodeSettings>,
     /// The process is about to stop.
     pub stopping: AtomicBool,
     /// Reading of the clock when the store answered last.
@@ -66,6 +68,7 @@
         metrics: Metrics,
     ) -> Shared {
         Shared {
+            settings_changed: watch::Sender::new(settings.clone()),
             settings,
             clock: Clock::new(),
             boot: fastrand::u64(1..),
