Jobs: a silent worker gets no longer lease

Test what_a_silent_worker_held_runs_elsewhere_once_its_lease_is_over failed with it. Ruled out: placing (waiting_steps=0).

--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -196,11 +196,14 @@
         }
     }
 
-    /// Returns the reading to write into the next order, and remembers it.
+    /// Returns the reading to write into the next order, and remembers it. A worker that
+    /// doesn't answer gets no longer lease, or what it holds could never be given up.
     pub fn extend_lease(&mut self, now: Millis, lease: Millis) -> Option<u64> {
-        let until = self.clock?.at(now) + lease.0;
-        self.lease_until = self.lease_until.max(until);
-        Some(until)
+        let clock = self.clock?;
+        if self.unanswered == 0 {
+            self.lease_until = self.lease_until.max(clock.at(now) + lease.0);
+        }
+        Some(self.lease_until)
     }
 
     /// Returns when nothing that this owner ordered can run here any more without its word.
