--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -1,7 +1,7 @@
 //! Tasks that run and end, as the workers tell it.
 
 use crate::engine::Engine;
-use crate::job::{JobState, Step};
+use crate::job::{JobState, count_failure};
 use crate::order::{End, EndKind, Running};
 use crate::spec::{JobId, StepSpec, TaskKey};
 use crate::worker::{Held, Phase};
@@ -58,6 +58,7 @@
             since: now,
             expected_end: now + Millis(step_spec.estimate_ms / 2),
             calling: false,
+            unsure: false,
             stop_answered: false,
         };
         if let Some(w) = self.workers.get_mut(idx) {
@@ -81,6 +82,7 @@
             since: now,
             expected_end: now,
             calling: false,
+            unsure: false,
             stop_answered: false,
         });
         self.stats.foreign += 1;
@@ -111,7 +113,9 @@
         let Some(task) = self.jobs.task(key) else { return };
         let here = task.at == Some(idx) && task.run == end.run;
         let earlier = task.at.is_none() && end.run >= task.run;
-        if task.done || !(here || earlier || end.kind == EndKind::Done) {
+        // Ends of earlier runs count, too: an earlier owner may not have written them down.
+        let counts = matches!(end.kind, EndKind::Done | EndKind::Failed);
+        if task.done || !(here || earlier || counts) {
             return;
         }
         if here {
@@ -179,12 +183,11 @@
         let most = self.max_attempts(key.step.job);
         let Some(step) = self.jobs.step_mut(key.step) else { return };
         let failures = if spec.gang {
-            gang_failed(step, run)
+            count_failure(&mut step.gang_failed, run)
         } else {
             let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
-            task.failures += 1;
             task.avoid = Some(idx);
-            task.failures
+            count_failure(&mut task.failed_runs, run)
         };
         if failures >= most {
             self.end_job(key.step.job, JobState::Failed);
@@ -234,12 +237,3 @@
         Some((w.capacity, w.free))
     }
 }
-
-/// Counts a run of a gang as failed, once for all its members.
-fn gang_failed(step: &mut Step, run: u32) -> u32 {
-    if step.failed_run < run {
-        step.failed_run = run;
-        step.gang_failures += 1;
-    }
-    step.gang_failures
-}
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::rows::WorkerAddress;
 use crate::worker::Worker;
 use crate::workers::{WorkerIdx, Workers};
-use hollowford_core::Millis;
+use hollowford_core::{InstanceId, Millis};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
@@ -23,6 +23,8 @@
     pub lease: Millis,
     /// How long an earlier owner may have let a worker run, counted from the takeover.
     pub earlier_lease: Millis,
+    /// What a worker stops takes room for so long at most.
+    pub stop_timeout: Millis,
     /// A gang that is not complete for so long ends.
     pub gang_timeout: Millis,
     /// How long the state of a job that has ended is kept.
@@ -65,6 +67,8 @@
     pub(crate) bounds: Bounds,
     pub(crate) jobs: Jobs,
     pub(crate) workers: Workers,
+    /// Lives of workers that are over; the list may go on naming them for a while.
+    pub(crate) dead: HashSet<InstanceId>,
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
     pub(crate) seats: Seats,
     /// Workers that may still run what an earlier owner ordered.
@@ -95,6 +99,7 @@
             bounds,
             jobs: Jobs::default(),
             workers: Workers::default(),
+            dead: HashSet::new(),
             queues: FxHashMap::default(),
             seats: Seats::default(),
             unsettled: BTreeSet::new(),
@@ -151,21 +156,15 @@
                         w.take_listing(l, now);
                     }
                 }
-                None => self.add_worker(l, now),
+                None if self.dead.contains(&l.id) => {}
+                None => {
+                    self.workers.insert(Worker::new(l, now));
+                }
             }
         }
         self.dirty = true;
     }
 
-    fn add_worker(&mut self, l: &WorkerListing, now: Millis) {
-        let earlier = self.workers.iter().find(|(_, w)| w.address == l.address).map(|(i, _)| i);
-        if let Some(old) = earlier {
-            // One address has one life at a time, and ids are not used again.
-            self.worker_dead(old, now);
-        }
-        self.workers.insert(Worker::new(l, now));
-    }
-
     /// Does what is due at `now`. Called after every event and some tens of times a second.
     pub fn poll(&mut self, now: Millis, out: &mut Vec<Order>) {
         self.rounds_due(now);
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -38,7 +38,9 @@
     pub done: bool,
     /// Highest run number that is known.
     pub run: u32,
-    pub failures: u32,
+    /// Runs that ended by failing. An end may be told twice, by a worker that a new owner
+    /// claims, and has to count once.
+    pub failed_runs: Vec<u32>,
     pub saved: Option<Arc<str>>,
     /// Where it runs, or may run.
     pub at: Option<WorkerIdx>,
@@ -63,10 +65,8 @@
     pub tasks: Vec<Task>,
     /// Tasks that are not done.
     pub left: u32,
-    /// Failures of the gang as a whole.
-    pub gang_failures: u32,
-    /// The last run of the gang that failed.
-    pub failed_run: u32,
+    /// Runs of the gang that failed.
+    pub gang_failed: Vec<u32>,
     pub advice: StepAdvice,
     /// When the current run of the gang was started.
     pub gang_since: Millis,
@@ -79,8 +79,7 @@
         Step {
             tasks: vec![Task::default(); spec.count as usize],
             left: spec.count,
-            gang_failures: 0,
-            failed_run: 0,
+            gang_failed: Vec::new(),
             advice: StepAdvice::default(),
             gang_since: Millis(0),
             regroup: false,
@@ -147,8 +146,6 @@
     pub progressed: bool,
     /// A row with its progress is in the store.
     pub has_progress: bool,
-    /// The objective's length, from acceptance or from a round's due time.
-    pub objective: Millis,
 }
 
 impl Job {
@@ -177,3 +174,11 @@
         (epoch.saturating_sub(self.epoch) as u32).saturating_mul(RUNS_PER_EPOCH)
     }
 }
+
+/// Counts a failed run once, and returns how many there are.
+pub(crate) fn count_failure(runs: &mut Vec<u32>, run: u32) -> u32 {
+    if !runs.contains(&run) {
+        runs.push(run);
+    }
+    runs.len() as u32
+}
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -82,6 +82,10 @@
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.answered(look.clock, now);
         let first = !w.claimed;
+        if first {
+            self.other_lives_dead(idx, now);
+        }
+        let Some(w) = self.workers.get_mut(idx) else { return };
         if first {
             w.claimed = true;
             // What an earlier owner ordered may run for so long without a word of this one.
@@ -115,7 +119,8 @@
             Phase::Running => true,
             Phase::Stopping => h.stop_answered,
         };
-        let gone = |h: &&Held| sure(h) && h.since < sent && !listed(h.task, h.run);
+        let grace = self.bounds.stop_timeout;
+        let gone = |h: &&Held| sure(h) && h.since + grace < sent && !listed(h.task, h.run);
         let gone: Vec<_> = w.held.iter().filter(gone).map(|h| (h.task, h.run)).collect();
         for (task, run) in gone {
             self.stats.vanished += 1;
@@ -128,7 +133,7 @@
     pub(crate) fn lapse(&mut self, now: Millis) {
         for idx in self.workers.indexes() {
             let Some(w) = self.workers.get(idx) else { continue };
-            let over = w.lease_over().is_some_and(|at| at <= now);
+            let over = w.lease_over().is_some_and(|at| at + self.bounds.stop_timeout <= now);
             if over && !w.held.is_empty() {
                 self.stats.lapsed += w.held.len() as u64;
                 self.free_all(idx, now);
@@ -145,9 +150,22 @@
     /// This life of the worker is over: nothing that it held runs any more.
     pub(crate) fn worker_dead(&mut self, idx: WorkerIdx, now: Millis) {
         self.free_all(idx, now);
+        if let Some(w) = self.workers.get(idx) {
+            self.dead.insert(w.id.clone());
+        }
         self.forget_worker(idx);
     }
 
+    /// One address has one life at a time: the others there are over once one answers.
+    fn other_lives_dead(&mut self, idx: WorkerIdx, now: Millis) {
+        let Some(address) = self.workers.get(idx).map(|w| w.address.clone()) else { return };
+        let others = self.workers.iter().filter(|(i, w)| *i != idx && w.address == address);
+        let others: Vec<_> = others.map(|(i, _)| i).collect();
+        for other in others {
+            self.worker_dead(other, now);
+        }
+    }
+
     fn forget_worker(&mut self, idx: WorkerIdx) {
         self.unsettled.remove(&idx);
         self.workers.remove(idx);
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -67,11 +67,17 @@
         let tasks: Vec<_> = step.tasks.iter().enumerate().filter_map(waits).collect();
         let floor = self.jobs.get(key.job).map_or(0, |j| j.run_floor(self.epoch));
         let mut left = tasks.len();
+        // A worker that a waiting task has failed on: it needs another one.
+        let mut shunned = None;
         for (index, run, avoid) in tasks {
             if !waiting.kept {
                 break;
             }
-            let Some(at) = self.choose(pass, key, spec, queue, avoid) else { break };
+            let avoid = avoid.filter(|&w| self.has_other(pass, key, spec, queue, w));
+            let Some(at) = self.choose(pass, key, spec, queue, avoid) else {
+                shunned = shunned.or(avoid);
+                break;
+            };
             pass.rooms[at].take(&spec.room());
             let idx = pass.rooms[at].idx;
             self.start(idx, key.task(index), run.max(floor) + 1, pass.now, out);
@@ -79,12 +85,25 @@
         }
         if left > 0
             && let Some(cost) = queue.advice
-            && let Some(workers) = self.to_ask(pass, key, spec, queue, left)
+            && let Some(workers) = self.to_ask(pass, key, spec, queue, left, shunned)
         {
             pass.wants.push(Want { step: key, workers, cost });
         }
     }
 
+    /// Tells whether the step may run on some worker other than `w`, now or once it has room.
+    fn has_other(
+        &self,
+        pass: &Pass,
+        key: StepKey,
+        spec: &StepSpec,
+        queue: &Queue,
+        w: WorkerIdx,
+    ) -> bool {
+        let may = |r: &Room| self.standing(key, r.idx, queue, pass.now) != Standing::Barred;
+        pass.rooms.iter().any(|r| r.idx != w && may(r) && self.allowed(r, key, spec, queue))
+    }
+
     /// Tells whether the step may run on a worker at all, advice aside.
     pub(crate) fn allowed(
         &self,
@@ -147,6 +166,7 @@
         spec: &StepSpec,
         queue: &Queue,
         tasks: usize,
+        shunned: Option<WorkerIdx>,
     ) -> Option<Vec<WorkerIdx>> {
         if self.jobs.step(key)?.advice.asking {
             return None;
@@ -157,7 +177,8 @@
         let mut unknown = Vec::new();
         let mut lapsed_room = 0;
         for r in &pass.rooms {
-            if !r.fits(&need, ends) || !self.allowed(r, key, spec, queue) {
+            let skipped = Some(r.idx) == shunned;
+            if skipped || !r.fits(&need, ends) || !self.allowed(r, key, spec, queue) {
                 continue;
             }
             let cost = r.cost(spec);
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -4,7 +4,6 @@
 use crate::job::JobState;
 use crate::jobs::Ended;
 use crate::order::WorkerListing;
-use crate::queue::Queue;
 use crate::rows::{JobRow, ProgressRow, RoundRow, RowError, WorkerAddress, decode_workers};
 use crate::spec::JobId;
 use crate::submit::new_job;
@@ -77,9 +76,7 @@
         found.open += 1;
         let spec = Arc::new(row.spec()?);
         let name: Arc<str> = row.queue.as_str().into();
-        let queue = self.queues.get(&name).cloned();
-        let queue = queue.unwrap_or_else(|| Arc::new(unknown_queue(name)));
-        let mut job = new_job(id, &queue, spec, row.epoch, Millis(row.accepted_at));
+        let mut job = new_job(id, name, spec, row.epoch, Millis(row.accepted_at));
         job.kept = true;
         job.unwritten = false;
         if job.spec.schedule.is_none() {
@@ -111,14 +108,16 @@
         let Some(round) = self.jobs.get_mut(id).and_then(|j| j.round_mut(row.number)) else {
             return;
         };
-        for (step, &n) in round.steps.iter_mut().zip(&row.gang_failures) {
-            step.gang_failures = n;
+        for g in &row.gangs {
+            if let Some(step) = round.steps.get_mut(g.step as usize) {
+                step.gang_failed = g.failed_runs.clone();
+            }
         }
         for t in &row.tasks {
             let Some(step) = round.steps.get_mut(t.step as usize) else { continue };
             let Some(task) = step.tasks.get_mut(t.index as usize) else { continue };
             task.run = t.run;
-            task.failures = t.failures;
+            task.failed_runs = t.failed_runs.clone();
             task.done = t.done;
             task.saved = (!t.saved.is_empty()).then(|| t.saved.as_str().into());
             step.left -= u32::from(t.done);
@@ -154,19 +153,6 @@
     }
 }
 
-/// Stands in for a queue that the configuration no longer has: its jobs wait.
-fn unknown_queue(name: Arc<str>) -> Queue {
-    Queue {
-        name,
-        pool: "".into(),
-        priority: u32::MAX,
-        max_attempts: u32::MAX,
-        stretch: 1.0,
-        slack: Millis(0),
-        advice: None,
-    }
-}
-
 impl From<&WorkerListing> for WorkerAddress {
     fn from(l: &WorkerListing) -> WorkerAddress {
         WorkerAddress { id: l.id.clone(), address: l.address.clone() }
--- a/crates/hollowford-jobs/src/rows.rs
+++ b/crates/hollowford-jobs/src/rows.rs
@@ -1,6 +1,6 @@
 //! The rows of the store, as bytes.
 
-use crate::job::{Job, JobState};
+use crate::job::{Job, JobState, Round, Step};
 use crate::spec::{JobSpec, RawJob, RawStep, Schedule, SpecError};
 use hollowford_core::{InstanceId, Resources};
 use prost::Message;
@@ -112,9 +112,17 @@
     pub due: u64,
     #[prost(message, repeated, tag = "3")]
     pub tasks: Vec<TaskRow>,
-    /// Failures of the step as a gang, by step.
-    #[prost(uint32, repeated, tag = "4")]
-    pub gang_failures: Vec<u32>,
+    /// Runs of gangs that failed.
+    #[prost(message, repeated, tag = "4")]
+    pub gangs: Vec<GangRow>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct GangRow {
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    #[prost(uint32, repeated, tag = "2")]
+    pub failed_runs: Vec<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -127,8 +135,8 @@
     pub done: bool,
     #[prost(uint32, tag = "4")]
     pub run: u32,
-    #[prost(uint32, tag = "5")]
-    pub failures: u32,
+    #[prost(uint32, repeated, tag = "5")]
+    pub failed_runs: Vec<u32>,
     #[prost(string, tag = "6")]
     pub saved: String,
 }
@@ -288,7 +296,7 @@
     }
 }
 
-fn round_row(round: &crate::job::Round) -> RoundRow {
+fn round_row(round: &Round) -> RoundRow {
     let mut tasks = Vec::new();
     for (step, s) in round.steps.iter().enumerate() {
         for (index, t) in s.tasks.iter().enumerate() {
@@ -300,13 +308,17 @@
                 index: index as u32,
                 done: t.done,
                 run: t.run,
-                failures: t.failures,
+                failed_runs: t.failed_runs.clone(),
                 saved: if t.done { String::new() } else { t.saved.as_deref().unwrap_or("").into() },
             });
         }
     }
-    let gang_failures = round.steps.iter().map(|s| s.gang_failures).collect();
-    RoundRow { number: round.number, due: round.due.0, tasks, gang_failures }
+    let gang = |(step, s): (usize, &Step)| {
+        let row = GangRow { step: step as u32, failed_runs: s.gang_failed.clone() };
+        (!s.gang_failed.is_empty()).then_some(row)
+    };
+    let gangs = round.steps.iter().enumerate().filter_map(gang).collect();
+    RoundRow { number: round.number, due: round.due.0, tasks, gangs }
 }
 
 /// Writes a job's specification, for messages between processes.
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -37,6 +37,7 @@
             since: now,
             expected_end: now + Millis(spec.estimate_ms),
             calling: false,
+            unsure: false,
             stop_answered: false,
         };
         if let Some(task) = self.jobs.task_mut(key) {
@@ -107,7 +108,10 @@
                     h.since = now;
                 }
             }
-            StartAnswer::Unanswered => w.unanswered += 1,
+            StartAnswer::Unanswered => {
+                h.unsure = true;
+                w.unanswered += 1;
+            }
             // Its end is listed, or was already.
             StartAnswer::Old => {
                 h.phase = Phase::Running;
@@ -115,6 +119,10 @@
             }
             StartAnswer::OtherLife => self.worker_dead(idx, now),
             StartAnswer::Fenced => return true,
+            // An earlier copy could still be carried out: only a stop makes sure.
+            StartAnswer::NoRoom | StartAnswer::Unhealthy | StartAnswer::Invalid if h.unsure => {
+                h.phase = Phase::Stopping;
+            }
             StartAnswer::Late
             | StartAnswer::NoRoom
             | StartAnswer::Ticket
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -3,7 +3,6 @@
 use crate::engine::Engine;
 use crate::job::{Job, JobState};
 use crate::jobs::Ended;
-use crate::queue::Queue;
 use crate::spec::{JobId, JobSpec};
 use hollowford_core::Millis;
 use std::sync::Arc;
@@ -45,10 +44,10 @@
         if let Some(job) = self.jobs.get(id) {
             return if job.kept { SubmitAnswer::Kept } else { SubmitAnswer::Pending };
         }
-        let Some(queue) = self.queues.get(queue).cloned() else {
+        let Some(queue) = self.queues.get(queue).map(|q| q.name.clone()) else {
             return SubmitAnswer::NoQueue;
         };
-        let mut job = new_job(id, &queue, spec, self.epoch, now);
+        let mut job = new_job(id, queue, spec, self.epoch, now);
         if job.spec.schedule.is_none() {
             job.add_round(now);
         }
@@ -116,15 +115,14 @@
 /// Makes a job without rounds.
 pub(crate) fn new_job(
     id: JobId,
-    queue: &Queue,
+    queue: Arc<str>,
     spec: Arc<JobSpec>,
     epoch: u64,
     accepted_at: Millis,
 ) -> Job {
-    let work = (spec.chain() as f64 * queue.stretch) as u64;
     Job {
         id,
-        queue: queue.name.clone(),
+        queue,
         spec,
         epoch,
         accepted_at,
@@ -136,6 +134,5 @@
         unwritten: true,
         progressed: false,
         has_progress: false,
-        objective: Millis(work) + queue.slack,
     }
 }
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::Engine;
 use crate::job::Job;
+use crate::queue::Queue;
 use crate::spec::StepKey;
 use hollowford_core::Millis;
 
@@ -58,22 +59,23 @@
                     continue;
                 }
                 let key = StepKey { job: job.id, round: round.number, step: i as u32 };
-                let urgency = urgency(job, round.due, i, queue.priority, now);
+                let urgency = urgency(job, round.due, i, queue, now);
                 out.push(Waiting { urgency, key, kept: job.kept });
             }
         }
     }
 }
 
-fn urgency(job: &Job, due: Millis, step: usize, priority: u32, now: Millis) -> Urgency {
+fn urgency(job: &Job, due: Millis, step: usize, queue: &Queue, now: Millis) -> Urgency {
+    let objective = Millis((job.spec.chain() as f64 * queue.stretch) as u64) + queue.slack;
     let work = Millis(job.spec.chain_from(step));
-    let latest_start = (due + job.objective) - work;
-    let worthless = due + Millis(job.objective.0 * WORTHLESS_AFTER);
+    let latest_start = (due + objective) - work;
+    let worthless = due + Millis(objective.0 * WORTHLESS_AFTER);
     let rank = if now + work > worthless {
         Rank::Worthless
     } else if now > latest_start {
         Rank::Late
-    } else if priority == 0 {
+    } else if queue.priority == 0 {
         Rank::First
     } else {
         Rank::InTime
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -33,6 +33,8 @@
     pub expected_end: Millis,
     /// An order for it is under way.
     pub calling: bool,
+    /// A start got no answer: that copy may be carried out later.
+    pub unsure: bool,
     /// A stop was answered: it ends, or will never start.
     pub stop_answered: bool,
 }
--- /dev/null
+++ b/crates/hollowford-jobs/tests/attempts.rs
@@ -0,0 +1,84 @@
+//! Failed attempts: each counts once, and the last one allowed ends the job.
+
+mod common;
+
+use common::*;
+use hollowford_jobs::*;
+
+const POISON: JobId = JobId(1);
+
+/// A cell in which the job fails wherever it runs.
+fn poisoned(workers: usize) -> Cell {
+    let mut cell = Cell::new(workers);
+    for w in &mut cell.workers {
+        w.poison.insert(POISON);
+    }
+    cell
+}
+
+fn starts(cell: &Cell) -> u64 {
+    cell.workers.iter().map(|w| w.starts).sum()
+}
+
+#[test]
+fn a_job_fails_after_its_attempts() {
+    let mut cell = poisoned(4);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 100)]));
+    cell.run(2_000);
+    assert_eq!(cell.state(1), Some(JobState::Failed));
+    assert_eq!(starts(&cell), 3);
+}
+
+#[test]
+fn attempts_that_were_not_written_down_count_after_a_takeover() {
+    let mut cell = poisoned(4);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 100)]));
+    cell.run(20);
+    cell.store_up = false;
+    cell.run(280);
+    let before = starts(&cell);
+    assert!(before >= 2, "{before} starts");
+    cell.store_up = true;
+    cell.take_over();
+    cell.run(3_000);
+    assert_eq!(cell.state(1), Some(JobState::Failed));
+    assert_eq!(starts(&cell), 3);
+}
+
+#[test]
+fn an_attempt_that_is_told_again_counts_once() {
+    let mut cell = poisoned(4);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 100)]));
+    while starts(&cell) < 2 {
+        cell.run(5);
+    }
+    // The failure may be written down by now, and is not forgotten by the worker.
+    for _ in 0..3 {
+        cell.take_over();
+        cell.run(20);
+    }
+    assert!(cell.state(1) == Some(JobState::Queued) || cell.state(1) == Some(JobState::Running));
+    cell.run(3_000);
+    assert_eq!(starts(&cell), 3);
+}
+
+#[test]
+fn a_gang_counts_one_attempt_for_all_its_members() {
+    let mut cell = poisoned(4);
+    let gang = RawStep { gang: true, ..step(4, 4_000, 100) };
+    cell.submit(1, LARGE, job(vec![gang]));
+    cell.run(3_000);
+    assert_eq!(cell.state(1), Some(JobState::Failed));
+    assert_eq!(starts(&cell), 12);
+}
+
+#[test]
+fn a_task_may_return_to_the_only_worker_that_has_failed_it() {
+    let mut cell = Cell::new(1);
+    cell.workers[0].failing = true;
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 100)]));
+    cell.run(300);
+    cell.workers[0].failing = false;
+    cell.run(4_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+}
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -16,6 +16,7 @@
 pub const BOUNDS: Bounds = Bounds {
     lease: Millis(3_000),
     earlier_lease: Millis(5_100),
+    stop_timeout: Millis(400),
     gang_timeout: Millis(3_000),
     keep_ended: Millis(150_000),
 };
@@ -59,6 +60,8 @@
     pub store_up: bool,
     pub pending: Option<Batch>,
     pub specs: BTreeMap<JobId, Arc<JobSpec>>,
+    /// Entries of lives that are over, which the list still shows.
+    pub stale: Vec<WorkerListing>,
     /// Orders carried out, for tests that look at them.
     pub log: Vec<Order>,
 }
@@ -77,6 +80,7 @@
             store_up: true,
             pending: None,
             specs: BTreeMap::new(),
+            stale: Vec::new(),
             log: Vec::new(),
         };
         cell.equip();
@@ -165,31 +169,33 @@
         }
     }
 
-    /// Carries out a call at once, if the worker can be reached.
+    /// Carries out a call at once. A life that is over is answered for by the next one.
     pub fn call(&mut self, call: WorkerCall, fence: u64) {
         let now = self.now;
         let specs = self.specs.clone();
         match call {
             WorkerCall::Start { worker, task, run, lease_until, saved, .. } => {
                 let need = specs[&task.step.job].steps[task.step.step as usize].clone();
-                let w = self.worker(&worker);
-                let answer = w.start(task, run, lease_until, fence, &need, saved);
+                let answer = self.worker(&worker).map_or(StartAnswer::OtherLife, |w| {
+                    w.start(task, run, lease_until, fence, &need, saved)
+                });
                 self.judge_twice();
                 self.engine.start_answered(&worker, task, run, answer, now);
             }
             WorkerCall::Stop { worker, task, run, .. } => {
-                let answered = self.worker(&worker).stop(task, run, fence);
+                let answered = self.worker(&worker).is_some_and(|w| w.stop(task, run, fence));
                 self.engine.stop_answered(&worker, task, run, answered, now);
             }
             WorkerCall::Look { worker, lease_until, forget, .. } => {
-                let answer = self.worker(&worker).look(lease_until, forget, fence);
+                let look = |w: &mut SimWorker| w.look(lease_until, forget, fence);
+                let answer = self.worker(&worker).map_or(LookAnswer::OtherLife, look);
                 self.engine.looked(&worker, answer, now, now);
             }
         }
     }
 
-    pub fn worker(&mut self, id: &InstanceId) -> &mut SimWorker {
-        self.workers.iter_mut().find(|w| w.id == *id).expect("a worker")
+    pub fn worker(&mut self, id: &InstanceId) -> Option<&mut SimWorker> {
+        self.workers.iter_mut().find(|w| w.id == *id)
     }
 
     /// A new owner takes over with what the store holds.
--- a/crates/hollowford-jobs/tests/takeover.rs
+++ b/crates/hollowford-jobs/tests/takeover.rs
@@ -112,3 +112,25 @@
     assert_eq!(cell.running(), 1);
     assert!(cell.now - before < Millis(300));
 }
+
+#[test]
+fn two_lives_at_one_address_in_the_list_free_nothing_that_runs() {
+    let mut cell = Cell::new(1);
+    let old = cell.workers[0].listing();
+    cell.workers[0].restart("a-later-life");
+    cell.stale.push(old);
+    cell.list();
+    cell.submit(1, LARGE, job(vec![step(4, 4_000, 60_000)]));
+    cell.run(200);
+    assert_eq!(cell.running(), 4);
+    // Both entries are listed again and again, and by a new owner in either order.
+    cell.list();
+    cell.run(200);
+    cell.take_over();
+    cell.run(300);
+    cell.list();
+    cell.submit(2, QUICK, job(vec![step(4, 4_000, 60_000)]));
+    cell.run(300);
+    assert_eq!(cell.running(), 4);
+    assert_eq!(cell.workers[0].starts, 4);
+}
