Log each decision to standard output without ever blocking

The engine notes what it decides, the owner writes the notes through a bounded queue and a limit a second, dropped and left-out lines are counted.

--- a/crates/hollowford-jobs/src/advice.rs
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -5,6 +5,7 @@
 //! is placed, so some seats take quick calls only, and one is kept from the slowest.
 
 use crate::engine::Engine;
+use crate::note::Note;
 use crate::order::{Advised, Order};
 use crate::queue::AdviceCost;
 use crate::spec::StepKey;
@@ -201,6 +202,8 @@
         let Some(at) = self.seats.list.iter().position(theirs) else { return };
         let Some(call) = self.seats.list[at].1.take() else { return };
         self.dirty = true;
+        let (asked, good) = (call.workers.len(), answer.as_ref().map(|(rows, _)| rows.len()));
+        self.notes.push(Note::Advised { step: key, asked, good });
         let Some((rows, validity)) = answer else {
             self.advice_failed(Some(&call));
             return;
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::Engine;
 use crate::job::{JobState, count_failure};
+use crate::note::Note;
 use crate::order::{End, EndKind, Running};
 use crate::spec::{JobId, StepSpec, TaskKey};
 use crate::worker::{Held, Phase};
@@ -24,7 +25,9 @@
             self.note_saved(r.task, &r.saved);
             return;
         }
+        let worker = w.id.clone();
         if self.adopt(idx, r, now) {
+            self.notes.push(Note::Adopted { task: r.task, run: r.run, worker });
             self.note_saved(r.task, &r.saved);
         } else {
             self.hold_foreign(idx, r, now);
@@ -85,6 +88,7 @@
             unsure: false,
             stop_answered: false,
         });
+        self.notes.push(Note::Foreign { task: r.task, run: r.run, worker: w.id.clone() });
         self.stats.foreign += 1;
     }
 
@@ -99,11 +103,16 @@
 
     /// Takes in that a task has ended.
     pub(crate) fn take_end(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
-        if let Some(w) = self.workers.get_mut(idx)
-            && let Some(at) = w.find(end.task, end.run)
-        {
-            w.release(at);
-        }
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        let held = w.find(end.task, end.run).map(|at| w.release(at));
+        self.notes.push(Note::Ended {
+            task: end.task,
+            run: end.run,
+            worker: w.id.clone(),
+            kind: end.kind,
+            number: end.number,
+            expected: held.is_some(),
+        });
         let key = end.task;
         let Some(job) = self.jobs.get(key.step.job).filter(|j| j.end.is_none()) else {
             return;
@@ -127,8 +136,8 @@
         self.note_saved(key, &end.saved);
         self.note_health(idx, end, now);
         match end.kind {
-            EndKind::Done if !step_spec.lasting => self.task_done(key, step_spec.gang),
-            EndKind::Failed if !step_spec.lasting => self.task_failed(idx, key, step_spec, end.run),
+            EndKind::Done if !step_spec.lasting => self.task_done(key, step_spec.gang, now),
+            EndKind::Failed if !step_spec.lasting => self.task_failed(idx, end, step_spec, now),
             EndKind::Done | EndKind::Failed => self.lasting_ended(key, now),
             _ => self.stats.interrupted += 1,
         }
@@ -141,6 +150,7 @@
         match end.kind {
             EndKind::Done => w.health.success(),
             EndKind::Failed if w.health.failure(end.task.step.job, now) => {
+                self.notes.push(Note::PutAside { worker: w.id.clone() });
                 self.stats.put_aside += 1;
             }
             _ => {}
@@ -154,7 +164,7 @@
         }
     }
 
-    fn task_done(&mut self, key: TaskKey, gang: bool) {
+    fn task_done(&mut self, key: TaskKey, gang: bool, now: Millis) {
         self.stats.done += 1;
         let Some(step) = self.jobs.step_mut(key.step) else { return };
         if gang {
@@ -169,16 +179,17 @@
         if let Some(other) = elsewhere.filter(|_| !gang) {
             self.order_stop(other, key);
         }
-        self.job_may_be_done(key.step.job);
+        self.job_may_be_done(key.step.job, now);
     }
 
-    fn job_may_be_done(&mut self, id: JobId) {
+    fn job_may_be_done(&mut self, id: JobId, now: Millis) {
         if self.jobs.get(id).is_some_and(|j| j.all_done()) {
-            self.end_job(id, JobState::Completed);
+            self.end_job(id, JobState::Completed, now);
         }
     }
 
-    fn task_failed(&mut self, idx: WorkerIdx, key: TaskKey, spec: &StepSpec, run: u32) {
+    fn task_failed(&mut self, idx: WorkerIdx, end: &End, spec: &StepSpec, now: Millis) {
+        let (key, run) = (end.task, end.run);
         self.stats.failed += 1;
         let most = self.max_attempts(key.step.job);
         let Some(step) = self.jobs.step_mut(key.step) else { return };
@@ -190,7 +201,7 @@
             count_failure(&mut task.failed_runs, run)
         };
         if failures >= most {
-            self.end_job(key.step.job, JobState::Failed);
+            self.end_job(key.step.job, JobState::Failed, now);
         }
     }
 
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::advice::Seats;
 use crate::batch::BatchNote;
 use crate::jobs::Jobs;
+use crate::note::Note;
 use crate::order::{Order, WorkerListing};
 use crate::queue::Queue;
 use crate::rows::WorkerAddress;
@@ -89,6 +90,8 @@
     /// Unix time less the engine's, in milliseconds.
     pub(crate) unix_offset: i64,
     pub(crate) stats: Stats,
+    /// What was decided since the notes were taken last.
+    pub(crate) notes: Vec<Note>,
 }
 
 impl Engine {
@@ -112,9 +115,15 @@
             passed_at: Millis(0),
             unix_offset: 0,
             stats: Stats::default(),
+            notes: Vec::new(),
         }
     }
 
+    /// Takes what was decided since the last call, for the log.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Returns the owner's epoch, which is also its fence at the workers.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -153,6 +162,9 @@
             match self.workers.find(&l.id) {
                 Some(idx) => {
                     if let Some(w) = self.workers.get_mut(idx) {
+                        if l.leaving && !w.leaving {
+                            self.notes.push(Note::Leaving { worker: l.id.clone() });
+                        }
                         w.take_listing(l, now);
                     }
                 }
@@ -204,6 +216,7 @@
         if !self.tasks_unsettled {
             return;
         }
+        let unclaimed = self.unsettled.len();
         if now >= self.settled_at {
             self.unsettled.clear();
         }
@@ -218,6 +231,7 @@
             }
         }
         self.tasks_unsettled = false;
+        self.notes.push(Note::Settled { unclaimed });
         self.dirty = true;
     }
 }
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -1,6 +1,7 @@
 //! Looks at workers, their leases, and workers that are gone.
 
 use crate::engine::Engine;
+use crate::note::{GiveUp, Note};
 use crate::order::{Look, Order, WorkerCall};
 use crate::spec::TaskKey;
 use crate::worker::{Held, Phase};
@@ -69,6 +70,10 @@
             LookAnswer::Fenced => return true,
             LookAnswer::Unanswered => {
                 if let Some(w) = self.workers.get_mut(idx) {
+                    if w.unanswered == 0 {
+                        let since = now.since(w.last_answer);
+                        self.notes.push(Note::Silent { worker: w.id.clone(), silent: true, since });
+                    }
                     w.unanswered += 1;
                     w.look_at = now + LOOK_AGAIN;
                 }
@@ -80,6 +85,10 @@
     fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
         let earlier = self.bounds.earlier_lease;
         let Some(w) = self.workers.get_mut(idx) else { return };
+        if w.unanswered > 0 {
+            let since = now.since(w.last_answer);
+            self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
+        }
         w.answered(look.clock, now);
         let first = !w.claimed;
         if first {
@@ -90,6 +99,8 @@
             w.claimed = true;
             // What an earlier owner ordered may run for so long without a word of this one.
             w.lease_until = w.lease_until.max(look.clock + earlier.0);
+            let (running, ended) = (look.running.len(), look.ended.len());
+            self.notes.push(Note::Claimed { worker: w.id.clone(), running, ended });
             self.unsettled.remove(&idx);
         }
         let taken = w.taken;
@@ -124,7 +135,7 @@
         let gone: Vec<_> = w.held.iter().filter(gone).map(|h| (h.task, h.run)).collect();
         for (task, run) in gone {
             self.stats.vanished += 1;
-            self.free(idx, task, run, now);
+            self.free(idx, task, run, GiveUp::Vanished, now);
         }
     }
 
@@ -136,7 +147,7 @@
             let over = w.lease_over().is_some_and(|at| at + self.bounds.stop_timeout <= now);
             if over && !w.held.is_empty() {
                 self.stats.lapsed += w.held.len() as u64;
-                self.free_all(idx, now);
+                self.free_all(idx, GiveUp::Lapsed, now);
             }
             let Some(w) = self.workers.get(idx) else { continue };
             let silent = w.unanswered > 0 && !w.looking;
@@ -149,8 +160,9 @@
 
     /// This life of the worker is over: nothing that it held runs any more.
     pub(crate) fn worker_dead(&mut self, idx: WorkerIdx, now: Millis) {
-        self.free_all(idx, now);
+        self.free_all(idx, GiveUp::WorkerDead, now);
         if let Some(w) = self.workers.get(idx) {
+            self.notes.push(Note::Dead { worker: w.id.clone() });
             self.dead.insert(w.id.clone());
         }
         self.forget_worker(idx);
@@ -172,20 +184,28 @@
         self.dirty = true;
     }
 
-    fn free_all(&mut self, idx: WorkerIdx, now: Millis) {
+    fn free_all(&mut self, idx: WorkerIdx, cause: GiveUp, now: Millis) {
         let Some(w) = self.workers.get(idx) else { return };
         let held: Vec<_> = w.held.iter().map(|h| (h.task, h.run)).collect();
         for (task, run) in held {
-            self.free(idx, task, run, now);
+            self.free(idx, task, run, cause, now);
         }
     }
 
     /// Takes a task off a worker on which it can't run any more; it waits again.
-    pub(crate) fn free(&mut self, idx: WorkerIdx, task: TaskKey, run: u32, now: Millis) {
+    pub(crate) fn free(
+        &mut self,
+        idx: WorkerIdx,
+        task: TaskKey,
+        run: u32,
+        cause: GiveUp,
+        now: Millis,
+    ) {
         if let Some(w) = self.workers.get_mut(idx)
             && let Some(at) = w.find(task, run)
         {
             w.release(at);
+            self.notes.push(Note::GivenUp { task, run, worker: w.id.clone(), cause });
         }
         self.unplace(idx, task, run, now);
         self.dirty = true;
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod job;
 mod jobs;
 mod lease;
+mod note;
 mod order;
 mod place;
 mod queue;
@@ -37,6 +38,7 @@
 pub use engine::{Bounds, Engine, Stats};
 pub use job::JobState;
 pub use lease::LookAnswer;
+pub use note::{GiveUp, Note};
 pub use order::{
     Advised, End, EndKind, Look, Order, Running, StartAnswer, WorkerCall, WorkerListing,
 };
--- /dev/null
+++ b/crates/hollowford-jobs/src/note.rs
@@ -0,0 +1,209 @@
+//! What the engine has decided or come to believe, for the log.
+
+use crate::job::JobState;
+use crate::order::{EndKind, StartAnswer};
+use crate::spec::{JobId, StepKey, TaskKey};
+use hollowford_core::{InstanceId, Millis, Resources};
+use std::fmt::{self, Display};
+use std::sync::Arc;
+
+/// One decision, or one change of what is believed, with the inputs that decided it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A job was taken.
+    Accepted {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Arc<str>,
+        /// Its steps.
+        steps: usize,
+    },
+    /// A job's end is decided.
+    JobEnds {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: JobState,
+        /// Time since its acceptance.
+        age: Millis,
+    },
+    /// A task is to start.
+    Starts {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// Where.
+        worker: InstanceId,
+        /// What the worker has free afterwards.
+        free: Resources,
+        /// Time since the job's acceptance.
+        age: Millis,
+    },
+    /// A worker refused a start.
+    Refused {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// The worker.
+        worker: InstanceId,
+        /// Why.
+        answer: StartAnswer,
+    },
+    /// A task has ended.
+    Ended {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// Where.
+        worker: InstanceId,
+        /// How.
+        kind: EndKind,
+        /// The worker's number of the end.
+        number: u64,
+        /// Whether the owner had it there.
+        expected: bool,
+    },
+    /// A task was found running that an earlier owner started.
+    Adopted {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// Where.
+        worker: InstanceId,
+    },
+    /// A task was found running that should not; it is stopped.
+    Foreign {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// Where.
+        worker: InstanceId,
+    },
+    /// A task was given up.
+    GivenUp {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// Where it was.
+        worker: InstanceId,
+        /// Why.
+        cause: GiveUp,
+    },
+    /// A worker answered this owner for the first time.
+    Claimed {
+        /// The worker.
+        worker: InstanceId,
+        /// How many tasks it runs.
+        running: usize,
+        /// How many ends it remembers.
+        ended: usize,
+    },
+    /// A worker doesn't answer, or does again.
+    Silent {
+        /// The worker.
+        worker: InstanceId,
+        /// Whether it doesn't answer.
+        silent: bool,
+        /// Time since its last answer.
+        since: Millis,
+    },
+    /// A worker is put aside, since it fails what it starts.
+    PutAside {
+        /// The worker.
+        worker: InstanceId,
+    },
+    /// A life of a worker is over.
+    Dead {
+        /// The worker.
+        worker: InstanceId,
+    },
+    /// A worker is leaving.
+    Leaving {
+        /// The worker.
+        worker: InstanceId,
+    },
+    /// A call for advice was answered, or not.
+    Advised {
+        /// The step.
+        step: StepKey,
+        /// How many workers were named.
+        asked: usize,
+        /// How many of them may run it; none: no answer.
+        good: Option<usize>,
+    },
+    /// Tasks that waited for unclaimed workers wait no longer.
+    Settled {
+        /// Workers that were not claimed in time.
+        unclaimed: usize,
+    },
+}
+
+/// Why a task was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUp {
+    /// Its worker's lease is surely over.
+    Lapsed,
+    /// This life of its worker is over.
+    WorkerDead,
+    /// Its worker lists it no more.
+    Vanished,
+    /// Its worker refused the start.
+    Refused,
+}
+
+impl Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Note::Accepted { job, queue, steps } => {
+                write!(f, "job.accepted job={job} queue={queue} steps={steps}")
+            }
+            Note::JobEnds { job, state, age } => {
+                write!(f, "job.ends job={job} state={state:?} age_ms={}", age.0)
+            }
+            Note::Starts { task, run, worker, free, age } => write!(
+                f,
+                "task.starts task={task} run={run} worker={worker} free_milli={} free_mib={} \
+                 age_ms={}",
+                free.cpu_milli, free.memory_mib, age.0
+            ),
+            Note::Refused { task, run, worker, answer } => {
+                write!(f, "task.refused task={task} run={run} worker={worker} answer={answer:?}")
+            }
+            Note::Ended { task, run, worker, kind, number, expected } => write!(
+                f,
+                "task.ended task={task} run={run} worker={worker} how={kind:?} number={number} \
+                 expected={expected}"
+            ),
+            Note::Adopted { task, run, worker } => {
+                write!(f, "task.adopted task={task} run={run} worker={worker}")
+            }
+            Note::Foreign { task, run, worker } => {
+                write!(f, "task.foreign task={task} run={run} worker={worker}")
+            }
+            Note::GivenUp { task, run, worker, cause } => {
+                write!(f, "task.given_up task={task} run={run} worker={worker} cause={cause:?}")
+            }
+            Note::Claimed { worker, running, ended } => {
+                write!(f, "worker.claimed worker={worker} running={running} ended={ended}")
+            }
+            Note::Silent { worker, silent, since } => {
+                write!(f, "worker.silent worker={worker} silent={silent} since_ms={}", since.0)
+            }
+            Note::PutAside { worker } => write!(f, "worker.put_aside worker={worker}"),
+            Note::Dead { worker } => write!(f, "worker.dead worker={worker}"),
+            Note::Leaving { worker } => write!(f, "worker.leaving worker={worker}"),
+            Note::Advised { step, asked, good } => match good {
+                Some(good) => write!(f, "advice.answered step={step} asked={asked} good={good}"),
+                None => write!(f, "advice.unanswered step={step} asked={asked}"),
+            },
+            Note::Settled { unclaimed } => write!(f, "owner.settled unclaimed={unclaimed}"),
+        }
+    }
+}
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -1,6 +1,7 @@
 //! Orders to start and stop tasks, and what workers say to them.
 
 use crate::engine::Engine;
+use crate::note::{GiveUp, Note};
 use crate::order::{Order, StartAnswer, WorkerCall};
 use crate::spec::{StepKey, TaskKey};
 use crate::worker::{Held, Phase};
@@ -28,6 +29,7 @@
     ) {
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         job.begun = true;
+        let age = now.since(job.accepted_at);
         let spec = &job.spec.steps[key.step.step as usize];
         let held = Held {
             task: key,
@@ -46,6 +48,8 @@
         }
         if let Some(w) = self.workers.get_mut(idx) {
             w.hold(held);
+            let (worker, free) = (w.id.clone(), w.free);
+            self.notes.push(Note::Starts { task: key, run, worker, free, age });
         }
         self.stats.started += 1;
         self.send_start(idx, key, run, now, out);
@@ -142,11 +146,13 @@
         now: Millis,
     ) {
         self.stats.refused += 1;
-        self.free(idx, task, run, now);
-        if let Some(w) = self.workers.get_mut(idx)
-            && *answer == StartAnswer::Unhealthy
-        {
-            w.health.pause(now + UNHEALTHY_PAUSE);
+        self.free(idx, task, run, GiveUp::Refused, now);
+        if let Some(w) = self.workers.get_mut(idx) {
+            let (worker, answer) = (w.id.clone(), answer.clone());
+            if answer == StartAnswer::Unhealthy {
+                w.health.pause(now + UNHEALTHY_PAUSE);
+            }
+            self.notes.push(Note::Refused { task, run, worker, answer });
         }
         if let Some(step) = self.jobs.step_mut(task.step) {
             if *answer == StartAnswer::Ticket {
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -3,6 +3,7 @@
 use crate::engine::Engine;
 use crate::job::{Job, JobState};
 use crate::jobs::Ended;
+use crate::note::Note;
 use crate::spec::{JobId, JobSpec};
 use hollowford_core::Millis;
 use std::sync::Arc;
@@ -47,26 +48,28 @@
         let Some(queue) = self.queues.get(queue).map(|q| q.name.clone()) else {
             return SubmitAnswer::NoQueue;
         };
-        let mut job = new_job(id, queue, spec, self.epoch, now);
+        let steps = spec.steps.len();
+        let mut job = new_job(id, queue.clone(), spec, self.epoch, now);
         if job.spec.schedule.is_none() {
             job.add_round(now);
         }
         self.jobs.insert(job);
         self.jobs.dirty.insert(id);
         self.stats.accepted += 1;
+        self.notes.push(Note::Accepted { job: id, queue, steps });
         self.dirty = true;
         SubmitAnswer::Pending
     }
 
     /// Cancels a job: nothing of it is started any more, and what runs is stopped.
-    pub fn cancel(&mut self, id: JobId) -> CancelAnswer {
+    pub fn cancel(&mut self, id: JobId, now: Millis) -> CancelAnswer {
         if self.jobs.ended(id).is_some() {
             return CancelAnswer::Ended;
         }
         if self.jobs.get(id).is_none() {
             return CancelAnswer::Unknown;
         }
-        self.end_job(id, JobState::Cancelled);
+        self.end_job(id, JobState::Cancelled, now);
         CancelAnswer::Pending
     }
 
@@ -94,11 +97,13 @@
     }
 
     /// Decides how a job ends. It is shown once it is in the store.
-    pub(crate) fn end_job(&mut self, id: JobId, state: JobState) {
+    pub(crate) fn end_job(&mut self, id: JobId, state: JobState, now: Millis) {
         let Some(job) = self.jobs.get_mut(id).filter(|j| j.end.is_none()) else {
             return;
         };
         job.end = Some(state);
+        let age = now.since(job.accepted_at);
+        self.notes.push(Note::JobEnds { job: id, state, age });
         self.jobs.dirty.insert(id);
         if state != JobState::Completed {
             self.stop_job(id);
--- a/crates/hollowford-jobs/tests/takeover.rs
+++ b/crates/hollowford-jobs/tests/takeover.rs
@@ -71,7 +71,7 @@
 #[test]
 fn cancelled_work_found_at_a_takeover_is_stopped() {
     let mut cell = busy(1, 60_000);
-    assert_eq!(cell.engine.cancel(JobId(1)), CancelAnswer::Pending);
+    assert_eq!(cell.engine.cancel(JobId(1), cell.now), CancelAnswer::Pending);
     cell.store_up = true;
     // The batch is made, and the owner is lost before it orders the stops.
     let batch = cell.engine.cut_batch(cell.now).expect("a batch");
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -49,7 +49,7 @@
             Verb::Waiting => {
                 return reply.send(call.id, Said::Value, engine.waiting(&call.queue) as u64);
             }
-            Verb::Cancel => match engine.cancel(job) {
+            Verb::Cancel => match engine.cancel(job, now) {
                 CancelAnswer::Ended => Some(Said::Done),
                 CancelAnswer::Unknown => Some(Said::NoJob),
                 CancelAnswer::Pending => None,
--- a/crates/hollowford-node/src/calls.rs
+++ b/crates/hollowford-node/src/calls.rs
@@ -22,24 +22,21 @@
     let began = shared.clock.now();
     let (called, error) = workers.call(&call).await;
     let took = shared.clock.now().since(began);
-    note(&shared, &call, &called, took);
+    note(&shared, &called, took);
     if let Some(e) = error {
         log::debug!("worker.unanswered call={} error=\"{e}\"", describe(&call));
     }
     owner.send(OwnerMsg::Worker { call, called, sent }).await;
 }
 
-fn note(shared: &Shared, call: &WorkerCall, called: &Called, took: Millis) {
+fn note(shared: &Shared, called: &Called, took: Millis) {
     let (name, outcome) = match called {
         Called::Start(StartAnswer::Runs(_)) => {
             shared.metrics.start_seconds.observe(took.duration().as_secs_f64());
             ("start", "runs")
         }
         Called::Start(StartAnswer::Unanswered) => ("start", "unanswered"),
-        Called::Start(answer) => {
-            log::info!("start.refused {} answer={answer:?}", describe(call));
-            ("start", "refused")
-        }
+        Called::Start(_) => ("start", "refused"),
         Called::Stop(true) => ("stop", "answered"),
         Called::Stop(false) => ("stop", "unanswered"),
         Called::Look(LookAnswer::Lists(_)) => ("look", "answered"),
--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -59,8 +59,23 @@
             spec: wanted.spec,
             config: wanted.config,
         };
+        let job = JobId(call.job);
+        let config = call.config;
         let relayed = relay(&self.shared, call, limit).await;
-        self.respond(verb, relayed, began)
+        let resp = self.respond(verb, relayed, began);
+        let status = resp.status();
+        let changes = matches!(verb, Verb::Submit | Verb::Cancel);
+        if changes || status.is_server_error() {
+            let took = self.shared.clock.now().since(began);
+            log::info!(
+                "call.answered verb={} job={job} status={} config={config} owner={relayed:?} \
+                 took_ms={}",
+                verb.name(),
+                status.as_u16(),
+                took.0
+            );
+        }
+        resp
     }
 
     /// Reads what the caller wants, or the status that refuses it.
@@ -235,6 +250,7 @@
     type Output = Response;
 
     async fn call(&self, _req: Request) -> poem::Result<Response> {
+        self.shared.metrics.set_log_dropped(crate::logs::dropped());
         Ok(match self.shared.metrics.text() {
             Ok(text) => Response::builder().content_type("text/plain; version=0.0.4").body(text),
             Err(e) => {
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod front;
 mod link;
+pub mod logs;
 mod member;
 mod members;
 mod metrics;
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -41,7 +41,7 @@
     /// Workers that may get tasks, while this process owns the partition.
     pub usable_workers: IntGauge,
     /// Log lines that were dropped since the writer was behind.
-    pub log_dropped: IntCounter,
+    log_dropped: IntCounter,
 }
 
 impl Metrics {
@@ -92,6 +92,11 @@
         })
     }
 
+    /// Brings the count of dropped log lines up to date.
+    pub fn set_log_dropped(&self, dropped: u64) {
+        self.log_dropped.inc_by(dropped.saturating_sub(self.log_dropped.get()));
+    }
+
     /// Writes all of them as text.
     ///
     /// # Errors
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -3,6 +3,7 @@
 use crate::callers::Waiters;
 use crate::calls::{advise, call_worker};
 use crate::link::Outbox;
+use crate::logs::DecisionLog;
 use crate::members::Members;
 use crate::registry;
 use crate::shared::Shared;
@@ -177,6 +178,7 @@
     members: Members,
     waiters: Waiters,
     orders: Vec<Order>,
+    decisions: DecisionLog,
     batch_cut: Millis,
     /// Since when a batch is under way.
     batch_since: Option<Millis>,
@@ -211,6 +213,7 @@
             handle,
             waiters: Waiters::default(),
             orders: Vec::new(),
+            decisions: DecisionLog::default(),
             batch_cut: Millis(0),
             batch_since: None,
             config: 0,
@@ -372,6 +375,7 @@
             self.carry_out(order, now);
         }
         self.orders = orders;
+        self.log_decisions(now);
         self.write_batch(now);
         self.waiters.give_up(now, ANSWER_WITHIN);
         self.members.tick(self.shared.clock.now(), self.shared.config_version());
@@ -394,6 +398,19 @@
         }
     }
 
+    /// Writes what was decided to the log, as far as its limit allows.
+    fn log_decisions(&mut self, now: Millis) {
+        let left_out = self.decisions.take_left_out(now);
+        if left_out > 0 {
+            log::warn!("log.left_out lines={left_out}");
+        }
+        for note in self.engine.take_notes() {
+            if self.decisions.admit(now) {
+                log::info!("{note}");
+            }
+        }
+    }
+
     fn carry_out(&self, order: Order, now: Millis) {
         match order {
             Order::Worker(call) => {
--- a/crates/hollowford/src/main.rs
+++ b/crates/hollowford/src/main.rs
@@ -11,9 +11,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
-        .init();
+    start_logs();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -26,6 +24,19 @@
     }
 }
 
+/// Processes on the platform log to standard output; all other commands to standard error.
+fn start_logs() {
+    if std::env::args().nth(1).as_deref() == Some("node") {
+        if let Err(e) = hollowford_node::logs::init() {
+            eprintln!("no logs: {e}");
+        }
+        return;
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
+}
+
 fn run() -> Result<(), CliError> {
     let mut args = Arguments::from_env();
     let name = args.subcommand()?;
