Members leave with their link; seats that don't answer rest

Cause: a member whose process lost power stayed in the owner's list, since its writing half never failed, and every slow call for advice went to it, was given up and went to it again: steps never ran (LOST; logs show accepted jobs without any answer of advice while another process was dark). Members are kept by link now, silent ones are no seats, and a seat whose call failed rests for a second. Ruled out: to_ask finding no workers (all 48 were usable and nearly empty).

--- a/crates/hollowford-jobs/src/advice.rs
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -24,8 +24,12 @@
 const SEATS_FOR_ONE_QUICK: usize = 3;
 /// Most workers that one call may name (PROTOCOL).
 const MOST_NAMED: usize = 100;
-/// A call without an answer is given up after its expected time and this.
-const CALL_SLACK: Millis = Millis(1_500);
+/// A quick call without an answer is given up after its expected time and this.
+const QUICK_SLACK: Millis = Millis(250);
+/// Another call without an answer is given up after its expected time and this.
+const SLACK: Millis = Millis(700);
+/// A seat whose call failed gets no other one for so long, unless all have failed.
+const SEAT_RESTS: Millis = Millis(1_000);
 
 /// A ticket for one worker.
 #[derive(Clone, Debug)]
@@ -99,10 +103,29 @@
     give_up: Millis,
 }
 
+/// A seat with the call that it makes.
+#[derive(Debug)]
+struct Place {
+    seat: Seat,
+    call: Option<Call>,
+    /// When its last call failed.
+    failed_at: Option<Millis>,
+}
+
+impl Place {
+    fn is_slow(&self) -> bool {
+        self.call.as_ref().is_some_and(|c| c.slow)
+    }
+
+    fn rests(&self, now: Millis) -> bool {
+        self.failed_at.is_some_and(|at| now.since(at) < SEAT_RESTS)
+    }
+}
+
 /// The instances that make the calls.
 #[derive(Debug, Default)]
 pub(crate) struct Seats {
-    list: Vec<(Seat, Option<Call>)>,
+    list: Vec<Place>,
 }
 
 /// A call that a step needs.
@@ -115,21 +138,25 @@
 
 impl Seats {
     /// Returns the seat for a call of the given time, if one is free for it.
-    fn free_for(&self, ms: f64) -> Option<usize> {
-        let n = self.list.len();
+    fn free_for(&self, ms: f64, now: Millis) -> Option<usize> {
+        let rested: Vec<usize> =
+            (0..self.list.len()).filter(|&i| !self.list[i].rests(now)).collect();
+        let all: Vec<usize> = (0..self.list.len()).collect();
+        let seats = if rested.is_empty() { all } else { rested };
+        let n = seats.len();
         let quick = if n < 2 { 0 } else { n.div_ceil(SEATS_FOR_ONE_QUICK) };
-        let free = |i: &usize| self.list[*i].1.is_none();
+        let free = |i: &usize| self.list[*i].call.is_none();
         if ms <= QUICK_CALL_MS {
-            return (0..n).find(free);
+            return seats.into_iter().find(free);
         }
         if ms > SLOW_CALL_MS {
-            let busy = self.list.iter().filter(|(_, c)| c.as_ref().is_some_and(|c| c.slow)).count();
+            let busy = self.list.iter().filter(|p| p.is_slow()).count();
             // One seat is left to the calls between quick and slow.
             if busy + 1 >= n - quick && n - quick > 1 {
                 return None;
             }
         }
-        (quick..n).rev().find(free)
+        seats.into_iter().skip(quick).rev().find(free)
     }
 }
 
@@ -138,18 +165,19 @@
     pub fn set_seats(&mut self, seats: &[Seat]) {
         let mut old = std::mem::take(&mut self.seats.list);
         for seat in seats {
-            let at = old.iter().position(|(s, _)| s == seat);
-            let call = at.and_then(|at| old.swap_remove(at).1);
-            self.seats.list.push((seat.clone(), call));
+            let at = old.iter().position(|p| p.seat == *seat);
+            let place = at.map(|at| old.swap_remove(at));
+            let new = Place { seat: seat.clone(), call: None, failed_at: None };
+            self.seats.list.push(place.unwrap_or(new));
         }
-        for (_, call) in old {
-            self.advice_failed(call.as_ref());
+        for place in old {
+            self.advice_failed(place.call.as_ref());
         }
     }
 
     /// Returns the seat at a position.
     pub fn seat(&self, at: usize) -> Option<&Seat> {
-        self.seats.list.get(at).map(|(s, _)| s)
+        self.seats.list.get(at).map(|p| &p.seat)
     }
 
     fn advice_failed(&mut self, call: Option<&Call>) {
@@ -166,14 +194,15 @@
             let mut workers = want.workers;
             workers.truncate(MOST_NAMED);
             let ms = want.cost.of(workers.len());
-            let Some(seat) = self.seats.free_for(ms) else { continue };
+            let Some(seat) = self.seats.free_for(ms, now) else { continue };
             let Some(step) = self.jobs.step_mut(want.step) else { continue };
             step.advice.asking = true;
             let id = |&w: &WorkerIdx| self.workers.get(w).map(|w| w.id.clone());
             let ids: Vec<_> = workers.iter().filter_map(id).collect();
-            let give_up = now + Millis(ms as u64) + CALL_SLACK;
+            let slack = if ms <= QUICK_CALL_MS { QUICK_SLACK } else { SLACK };
+            let give_up = now + Millis(ms as u64) + slack;
             let slow = ms > SLOW_CALL_MS;
-            self.seats.list[seat].1 = Some(Call { step: want.step, workers, slow, give_up });
+            self.seats.list[seat].call = Some(Call { step: want.step, workers, slow, give_up });
             self.stats.asked += 1;
             out.push(Order::Advice { seat, step: want.step, workers: ids });
         }
@@ -181,9 +210,12 @@
 
     fn give_up_calls(&mut self, now: Millis) {
         for at in 0..self.seats.list.len() {
-            if self.seats.list[at].1.as_ref().is_some_and(|c| c.give_up <= now) {
-                let call = self.seats.list[at].1.take();
-                self.advice_failed(call.as_ref());
+            let place = &mut self.seats.list[at];
+            if let Some(call) = place.call.take_if(|c| c.give_up <= now) {
+                place.failed_at = Some(now);
+                let asked = call.workers.len();
+                self.notes.push(Note::Advised { step: call.step, asked, good: None });
+                self.advice_failed(Some(&call));
             }
         }
     }
@@ -198,9 +230,10 @@
         now: Millis,
     ) {
         let theirs =
-            |(s, c): &(Seat, Option<Call>)| s == seat && c.as_ref().is_some_and(|c| c.step == key);
-        let Some(at) = self.seats.list.iter().position(theirs) else { return };
-        let Some(call) = self.seats.list[at].1.take() else { return };
+            |p: &&mut Place| p.seat == *seat && p.call.as_ref().is_some_and(|c| c.step == key);
+        let Some(place) = self.seats.list.iter_mut().find(theirs) else { return };
+        let Some(call) = place.call.take() else { return };
+        place.failed_at = answer.is_none().then_some(now);
         self.dirty = true;
         let (asked, good) = (call.workers.len(), answer.as_ref().map(|(rows, _)| rows.len()));
         self.notes.push(Note::Advised { step: key, asked, good });
--- /dev/null
+++ b/crates/hollowford-jobs/tests/advice.rs
@@ -0,0 +1,55 @@
+//! Calls for placement advice.
+
+mod common;
+
+use common::*;
+use hollowford_core::Millis;
+use hollowford_jobs::*;
+
+fn advised(decide_ms: f64, per_worker_ms: f64) -> Vec<Queue> {
+    let cost = AdviceCost { decide_ms, per_worker_ms, validity: Millis(2_000) };
+    vec![queue(QUICK, 0, Some(cost)), queue(LARGE, 1, Some(cost))]
+}
+
+fn seats(names: &[&str]) -> Vec<Seat> {
+    names.iter().map(|n| Seat { address: (*n).into() }).collect()
+}
+
+#[test]
+fn a_step_runs_only_where_advice_lets_it() {
+    let mut cell = Cell::new(3);
+    cell.set_queues(advised(5.0, 0.1));
+    cell.barred.insert("w0".into());
+    cell.barred.insert("w2".into());
+    cell.submit(1, QUICK, job(vec![step(8, 1_000, 200)]));
+    cell.run(1_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert_eq!(cell.workers[1].starts, 8);
+}
+
+#[test]
+fn an_instance_that_never_answers_is_not_asked_again_and_again() {
+    for decide_ms in [5.0, 50.0, 500.0] {
+        let mut cell = Cell::new(3);
+        cell.set_queues(advised(decide_ms, 0.1));
+        cell.engine.set_seats(&seats(&["", "a", "b", "gone"]));
+        cell.dead_seats.insert("gone".to_owned());
+        cell.dead_seats.insert("b".to_owned());
+        cell.submit(1, LARGE, job(vec![step(2, 1_000, 100)]));
+        cell.run(8_000);
+        assert_eq!(cell.state(1), Some(JobState::Completed), "call of {decide_ms} ms");
+    }
+}
+
+#[test]
+fn a_call_of_an_instance_that_left_is_made_by_another() {
+    let mut cell = Cell::new(3);
+    cell.set_queues(advised(50.0, 0.1));
+    cell.engine.set_seats(&seats(&["", "gone"]));
+    cell.dead_seats.insert("gone".to_owned());
+    cell.submit(1, LARGE, job(vec![step(2, 1_000, 100)]));
+    cell.run(50);
+    cell.engine.set_seats(&seats(&[""]));
+    cell.run(300);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+}
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -56,6 +56,8 @@
     pub queues: Vec<Queue>,
     /// Workers that advice bars from every step.
     pub barred: BTreeSet<InstanceId>,
+    /// Instances that make no calls for advice, though asked to.
+    pub dead_seats: BTreeSet<String>,
     /// Batches are not made while false.
     pub store_up: bool,
     pub pending: Option<Batch>,
@@ -77,6 +79,7 @@
             rows: BTreeMap::new(),
             queues,
             barred: BTreeSet::new(),
+            dead_seats: BTreeSet::new(),
             store_up: true,
             pending: None,
             specs: BTreeMap::new(),
@@ -162,6 +165,9 @@
             Order::Worker(call) => self.call(call, fence),
             Order::Advice { seat, step, workers } => {
                 let seat = self.engine.seat(seat).expect("a seat").clone();
+                if self.dead_seats.contains(&*seat.address) {
+                    return;
+                }
                 let good = workers.iter().filter(|w| !self.barred.contains(w));
                 let rows = good.map(|w| (w.clone(), "ticket".into())).collect();
                 self.engine.advised(&seat, step, Some((rows, Millis(2_000))), self.now);
--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -34,11 +34,6 @@
     pub fn send(&self, body: Body) -> bool {
         self.tx.try_send(body.into()).is_ok()
     }
-
-    /// Tells whether the link is closed.
-    pub fn is_closed(&self) -> bool {
-        self.tx.is_closed()
-    }
 }
 
 /// Opens a link.
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -15,8 +15,12 @@
 /// Longest time for a call for advice that a member makes.
 const ASK_TIMEOUT_MS: u64 = 3_000;
 
+/// Tells one link to the owner from another, also of the same member.
+pub type LinkId = u64;
+
 #[derive(Debug)]
 struct Member {
+    link: LinkId,
     address: Arc<str>,
     cpu_milli: u32,
     /// When its process was started, by the owner's clock.
@@ -44,10 +48,11 @@
     }
 
     /// Adds a member, in the place of an earlier link from its address.
-    pub fn join(&mut self, hello: Hello, outbox: Outbox, now: Millis) {
-        self.leave(&hello.address);
+    pub fn join(&mut self, link: LinkId, hello: Hello, outbox: Outbox, now: Millis) {
+        self.list.retain(|m| *m.address != hello.address);
         self.had_any = true;
         self.list.push(Member {
+            link,
             address: hello.address.into(),
             cpu_milli: hello.cpu_milli,
             since: now - Millis(hello.age_ms),
@@ -60,9 +65,9 @@
         self.list.sort_by_key(|m| (std::cmp::Reverse(m.cpu_milli), m.since, m.address.clone()));
     }
 
-    /// Removes a member, unless it has opened a new link.
-    pub fn leave(&mut self, address: &str) {
-        self.list.retain(|m| &*m.address != address || !m.outbox.is_closed());
+    /// Removes the member of a link that has ended.
+    pub fn leave(&mut self, link: LinkId) {
+        self.list.retain(|m| m.link != link);
     }
 
     /// Tells whether there ever was a member.
@@ -71,21 +76,23 @@
     }
 
     /// Takes note of a member's heartbeat.
-    pub fn beat(&mut self, address: &str, beat: &MemberBeat, now: Millis) {
+    pub fn beat(&mut self, link: LinkId, beat: &MemberBeat, now: Millis) {
         self.now = now;
-        if let Some(m) = self.list.iter_mut().find(|m| &*m.address == address) {
+        if let Some(m) = self.list.iter_mut().find(|m| m.link == link) {
             m.heard = now;
             m.store_age = Millis(beat.store_age_ms);
             m.stopping = beat.stopping;
         }
     }
 
-    /// Sends the heartbeats that are due.
-    pub fn tick(&mut self, now: Millis, config: u64) {
+    /// Sends the heartbeats if they are due, and tells whether they were.
+    pub fn tick(&mut self, now: Millis, config: u64) -> bool {
         self.now = now;
-        if now.since(self.sent) >= HEARTBEAT {
+        let due = now.since(self.sent) >= HEARTBEAT;
+        if due {
             self.send_heartbeats(config);
         }
+        due
     }
 
     /// Sends a heartbeat to every member.
@@ -101,7 +108,7 @@
     /// Returns the seats for calls for advice, this process first.
     pub fn seats(&self) -> Vec<Seat> {
         let here = Seat { address: "".into() };
-        let others = self.list.iter().map(|m| Seat { address: m.address.clone() });
+        let others = self.live().map(|m| Seat { address: m.address.clone() });
         std::iter::once(here).chain(others).collect()
     }
 
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -4,7 +4,7 @@
 use crate::calls::{advise, call_worker};
 use crate::link::Outbox;
 use crate::logs::DecisionLog;
-use crate::members::Members;
+use crate::members::{LinkId, Members};
 use crate::registry;
 use crate::shared::Shared;
 use crate::wire::{Advice, Body, Call, CallAnswer, Hello, MemberBeat, OwnerInfo, Said};
@@ -64,11 +64,11 @@
     /// The platform's list of workers.
     Listings(Vec<WorkerListing>),
     /// A process has opened a link.
-    Joined(Hello, Outbox),
+    Joined(LinkId, Hello, Outbox),
     /// A link has ended.
-    Left(String),
+    Left(LinkId),
     /// A member's heartbeat.
-    Beat(String, MemberBeat),
+    Beat(LinkId, MemberBeat),
     /// Hand the partition over; told when that is done.
     Stop(oneshot::Sender<()>),
 }
@@ -269,17 +269,21 @@
             }
             OwnerMsg::Written(written) => self.take_written(written, now),
             OwnerMsg::Listings(list) => self.engine.list_workers(&list, now),
-            OwnerMsg::Joined(hello, outbox) => {
-                log::info!("member.joined address={} age_ms={}", hello.address, hello.age_ms);
-                self.members.join(hello, outbox, self.shared.clock.now());
+            OwnerMsg::Joined(link, hello, outbox) => {
+                log::info!(
+                    "member.joined link={link} address={} age_ms={}",
+                    hello.address,
+                    hello.age_ms
+                );
+                self.members.join(link, hello, outbox, self.shared.clock.now());
                 self.members_changed();
             }
-            OwnerMsg::Left(address) => {
-                log::info!("member.left address={address}");
-                self.members.leave(&address);
+            OwnerMsg::Left(link) => {
+                log::info!("member.left link={link}");
+                self.members.leave(link);
                 self.members_changed();
             }
-            OwnerMsg::Beat(address, beat) => self.take_beat(&address, &beat),
+            OwnerMsg::Beat(link, beat) => self.take_beat(link, &beat),
             OwnerMsg::Stop(done) => {
                 log::info!("owner.stopping epoch={}", self.info.epoch);
                 self.stop = Some((done, self.shared.clock.now()));
@@ -292,9 +296,9 @@
         self.members.send_heartbeats(self.shared.config_version());
     }
 
-    fn take_beat(&mut self, address: &str, beat: &MemberBeat) {
+    fn take_beat(&mut self, link: LinkId, beat: &MemberBeat) {
         self.member_heard = self.shared.clock.now();
-        self.members.beat(address, beat, self.member_heard);
+        self.members.beat(link, beat, self.member_heard);
         if beat.config > self.shared.config_version() {
             self.shared.config_wanted.notify_one();
         }
@@ -378,7 +382,9 @@
         self.log_decisions(now);
         self.write_batch(now);
         self.waiters.give_up(now, ANSWER_WITHIN);
-        self.members.tick(self.shared.clock.now(), self.shared.config_version());
+        if self.members.tick(self.shared.clock.now(), self.shared.config_version()) {
+            self.engine.set_seats(&self.members.seats());
+        }
         self.check_reach(now);
         self.check_stop();
         self.renew_view(now);
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -1,6 +1,7 @@
 //! Links that other processes open to this one.
 
 use crate::link::{self, Outbox, Reader};
+use crate::members::LinkId;
 use crate::owner::{OwnerHandle, OwnerMsg, read_advice};
 use crate::shared::{Route, Shared};
 use crate::wire::{Body, Hello, OwnerInfo};
@@ -56,20 +57,21 @@
         outbox.send(Body::Owner(info));
         return;
     };
+    let link = fastrand::u64(..);
     let address = hello.address.clone();
-    owner.send(OwnerMsg::Joined(hello, outbox.clone())).await;
+    owner.send(OwnerMsg::Joined(link, hello, outbox.clone())).await;
     while !owner.is_closed() {
         let Ok(Some(body)) = timeout(MEMBER_SILENT, link::next(&mut reader)).await else { break };
-        take_frame(&owner, &address, &outbox, body).await;
+        take_frame(&owner, link, &address, &outbox, body).await;
     }
     // The link ends with its last sender; the owner drops its own on hearing this.
-    owner.send(OwnerMsg::Left(address)).await;
+    owner.send(OwnerMsg::Left(link)).await;
 }
 
-async fn take_frame(owner: &OwnerHandle, address: &str, outbox: &Outbox, body: Body) {
+async fn take_frame(owner: &OwnerHandle, link: LinkId, address: &str, outbox: &Outbox, body: Body) {
     match body {
         Body::Call(call) => owner.call_from(call, outbox),
-        Body::MemberBeat(beat) => owner.send(OwnerMsg::Beat(address.to_owned(), beat)).await,
+        Body::MemberBeat(beat) => owner.send(OwnerMsg::Beat(link, beat)).await,
         Body::Advice(advice) => {
             let step = format!("{}.0", advice.step).parse::<TaskKey>().map(|t| t.step);
             let Ok(step) = step else {
