--- a/crates/hollowford-jobs/src/advice.rs
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -28,8 +28,11 @@
 const QUICK_SLACK: Millis = Millis(250);
 /// Another call without an answer is given up after its expected time and this.
 const SLACK: Millis = Millis(700);
-/// A seat whose call failed gets no other one for so long, unless all have failed.
+/// A seat whose call failed gets no other one for so long, unless all have failed; twice as
+/// long after each further one.
 const SEAT_RESTS: Millis = Millis(1_000);
+/// Most times that the rest is doubled.
+const MOST_DOUBLINGS: u32 = 4;
 
 /// A ticket for one worker.
 #[derive(Clone, Debug)]
@@ -108,8 +111,10 @@
 struct Place {
     seat: Seat,
     call: Option<Call>,
-    /// When its last call failed.
-    failed_at: Option<Millis>,
+    /// Calls that failed since the last one that was answered.
+    failures: u32,
+    /// It gets no call before, if others do.
+    rests_until: Millis,
 }
 
 impl Place {
@@ -117,8 +122,9 @@
         self.call.as_ref().is_some_and(|c| c.slow)
     }
 
-    fn rests(&self, now: Millis) -> bool {
-        self.failed_at.is_some_and(|at| now.since(at) < SEAT_RESTS)
+    fn failed(&mut self, now: Millis) {
+        self.rests_until = now + Millis(SEAT_RESTS.0 << self.failures.min(MOST_DOUBLINGS));
+        self.failures += 1;
     }
 }
 
@@ -140,7 +146,7 @@
     /// Returns the seat for a call of the given time, if one is free for it.
     fn free_for(&self, ms: f64, now: Millis) -> Option<usize> {
         let rested: Vec<usize> =
-            (0..self.list.len()).filter(|&i| !self.list[i].rests(now)).collect();
+            (0..self.list.len()).filter(|&i| self.list[i].rests_until <= now).collect();
         let all: Vec<usize> = (0..self.list.len()).collect();
         let seats = if rested.is_empty() { all } else { rested };
         let n = seats.len();
@@ -167,7 +173,7 @@
         for seat in seats {
             let at = old.iter().position(|p| p.seat == *seat);
             let place = at.map(|at| old.swap_remove(at));
-            let new = Place { seat: seat.clone(), call: None, failed_at: None };
+            let new = Place { seat: seat.clone(), call: None, failures: 0, rests_until: Millis(0) };
             self.seats.list.push(place.unwrap_or(new));
         }
         for place in old {
@@ -212,7 +218,7 @@
         for at in 0..self.seats.list.len() {
             let place = &mut self.seats.list[at];
             if let Some(call) = place.call.take_if(|c| c.give_up <= now) {
-                place.failed_at = Some(now);
+                place.failed(now);
                 let asked = call.workers.len();
                 self.notes.push(Note::Advised { step: call.step, asked, good: None });
                 self.advice_failed(Some(&call));
@@ -233,7 +239,11 @@
             |p: &&mut Place| p.seat == *seat && p.call.as_ref().is_some_and(|c| c.step == key);
         let Some(place) = self.seats.list.iter_mut().find(theirs) else { return };
         let Some(call) = place.call.take() else { return };
-        place.failed_at = answer.is_none().then_some(now);
+        if answer.is_some() {
+            place.failures = 0;
+        } else {
+            place.failed(now);
+        }
         self.dirty = true;
         let (asked, good) = (call.workers.len(), answer.as_ref().map(|(rows, _)| rows.len()));
         self.notes.push(Note::Advised { step: key, asked, good });
