A state that is being written is waited for; fewer calls to the store; faster takeover of a silent owner

The list of workers changes with every sign of life, so its feed was asked 30 times a second. A silent owner was noticed after 0.9 s and taken over after 1.3 s.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -57,6 +57,13 @@
 }
 
 impl Engine {
+    /// Tells whether somebody waits for the next batch: a caller for an acceptance or the
+    /// end of a job.
+    pub fn batch_is_urgent(&self) -> bool {
+        let waits = |id| self.jobs.get(id).is_some_and(|j| j.unwritten || j.end.is_some());
+        self.in_flight.is_none() && self.jobs.dirty.iter().any(|&id| waits(id))
+    }
+
     /// Returns the next batch; none when one is under way or there is nothing to write.
     pub fn cut_batch(&mut self, now: Millis) -> Option<Batch> {
         if self.in_flight.is_some() {
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -90,6 +90,11 @@
         Some(if job.begun { JobState::Running } else { JobState::Queued })
     }
 
+    /// Tells whether a job's end is decided and not in the store yet.
+    pub fn is_ending(&self, id: JobId) -> bool {
+        self.jobs.get(id).is_some_and(|j| j.end.is_some())
+    }
+
     /// Counts the queue's kept jobs none of whose tasks has begun.
     pub fn waiting(&self, queue: &str) -> usize {
         let waits = |j: &&Job| &*j.queue == queue && j.kept && !j.begun && j.end.is_none();
--- a/crates/hollowford-jobs/src/view.rs
+++ b/crates/hollowford-jobs/src/view.rs
@@ -25,6 +25,8 @@
     pub free_milli: u64,
     /// Tasks that hold room.
     pub held: usize,
+    /// Batches cut.
+    pub batches: u64,
     /// Counters.
     pub stats: Stats,
 }
@@ -43,6 +45,7 @@
             cores_milli: usable().map(|w| u64::from(w.capacity.cpu_milli)).sum(),
             free_milli: usable().map(|w| u64::from(w.free.cpu_milli)).sum(),
             held: self.workers.iter().map(|(_, w)| w.held.len()).sum(),
+            batches: self.batch_no,
             stats: self.stats,
         }
     }
@@ -53,7 +56,7 @@
         write!(
             f,
             "epoch={} open_jobs={} waiting_steps={} workers={} usable={} unsettled={} \
-             cores_milli={} free_milli={} held={} {:?}",
+             cores_milli={} free_milli={} held={} batches={} {:?}",
             self.epoch,
             self.open_jobs,
             self.waiting_steps,
@@ -63,6 +66,7 @@
             self.cores_milli,
             self.free_milli,
             self.held,
+            self.batches,
             self.stats
         )
     }
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -8,6 +8,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// A question for a state waits so long for an end that is decided to be in the store, since
+/// a caller that is told an older state asks again much later.
+const STATE_WITHIN: Millis = Millis(150);
+
 /// A caller that waits until its request is in the store.
 #[derive(Debug)]
 struct Waiter {
@@ -17,6 +21,23 @@
     since: Millis,
 }
 
+impl Waiter {
+    /// Answers with what is in the store now.
+    fn answer(self, engine: &Engine, job: JobId) {
+        match engine.state(job).filter(|_| self.verb == Verb::State) {
+            Some(state) => self.reply.send(self.id, Said::Value, state_number(state)),
+            None => self.reply.send(self.id, Said::Done, 0),
+        }
+    }
+
+    fn give_up(self, engine: &Engine, job: JobId) {
+        match engine.state(job).filter(|_| self.verb == Verb::State) {
+            Some(state) => self.reply.send(self.id, Said::Value, state_number(state)),
+            None => self.reply.send(self.id, Said::Unsure, 0),
+        }
+    }
+}
+
 /// Callers that wait, by job.
 #[derive(Debug, Default)]
 pub struct Waiters {
@@ -42,6 +63,8 @@
         let job = JobId(call.job);
         let verb = call.verb();
         let said = match verb {
+            // Its end is on the way to the store, which takes some milliseconds.
+            Verb::State if engine.is_ending(job) => None,
             Verb::State => match engine.state(job) {
                 Some(state) => return reply.send(call.id, Said::Value, state_number(state)),
                 None => Some(Said::NoJob),
@@ -72,22 +95,24 @@
             let state = engine.state(job);
             let ended = state.is_some_and(JobState::is_final);
             let kept = engine.is_kept(job) == Some(true);
-            let ready = |w: &mut Waiter| if w.verb == Verb::Cancel { ended } else { kept };
+            let ready = |w: &mut Waiter| if w.verb == Verb::Submit { kept } else { ended };
             for w in waiters.extract_if(.., ready) {
-                w.reply.send(w.id, Said::Done, 0);
+                w.answer(engine, job);
             }
             !waiters.is_empty()
         });
     }
 
-    /// Tells those that have waited for too long that the effect is not known.
-    pub fn give_up(&mut self, now: Millis, limit: Millis) {
+    /// Tells those that have waited for too long that the effect is not known, or the state
+    /// as it is in the store.
+    pub fn give_up(&mut self, engine: &Engine, now: Millis, limit: Millis) {
         if self.by_job.is_empty() {
             return;
         }
-        self.by_job.retain(|_, waiters| {
-            for w in waiters.extract_if(.., |w| now.since(w.since) >= limit) {
-                w.reply.send(w.id, Said::Unsure, 0);
+        self.by_job.retain(|&job, waiters| {
+            let limit_of = |w: &Waiter| if w.verb == Verb::State { STATE_WITHIN } else { limit };
+            for w in waiters.extract_if(.., |w| now.since(w.since) >= limit_of(w)) {
+                w.give_up(engine, job);
             }
             !waiters.is_empty()
         });
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -12,11 +12,11 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// How often a member tells the owner that it is alive.
-const BEAT: Duration = Duration::from_millis(200);
+const BEAT: Duration = Duration::from_millis(100);
 /// An owner that says nothing for so long is taken as gone.
-const OWNER_SILENT: Duration = Duration::from_millis(900);
+const OWNER_SILENT: Duration = Duration::from_millis(500);
 /// When this process's own timer comes so late, it was paused itself, and hears anew.
-const OWN_PAUSE: Duration = Duration::from_millis(500);
+const OWN_PAUSE: Duration = Duration::from_millis(250);
 
 /// Why a member has left its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 /// How often the owner tells its members that it is alive.
-const HEARTBEAT: Millis = Millis(200);
+const HEARTBEAT: Millis = Millis(100);
 /// A member that was not heard for so long gets no work.
 const SILENT: Millis = Millis(900);
 /// A member that the store has answered within this time is served by it.
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -22,9 +22,12 @@
 /// Messages taken before the engine is polled.
 const DRAIN: usize = 256;
 /// Longest time between two polls of the engine.
-const TICK: Duration = Duration::from_millis(20);
-/// Shortest time between two batches, so that what comes together is written together.
-const BATCH_GAP: Millis = Millis(20);
+const TICK: Duration = Duration::from_millis(10);
+/// Shortest time between two batches when somebody waits for one, so that what comes
+/// together is written together.
+const BATCH_GAP: Millis = Millis(14);
+/// Shortest time between two batches when nobody waits.
+const IDLE_BATCH_GAP: Millis = Millis(30);
 /// A batch under way for so long means that new jobs are refused at once.
 const BATCH_STALLED: Millis = Millis(1_000);
 /// A caller whose batch is under way for so long is told that its effect is not known.
@@ -381,7 +384,7 @@
         self.orders = orders;
         self.log_decisions(now);
         self.write_batch(now);
-        self.waiters.give_up(now, ANSWER_WITHIN);
+        self.waiters.give_up(&self.engine, now, ANSWER_WITHIN);
         if self.members.tick(self.shared.clock.now(), self.shared.config_version()) {
             self.engine.set_seats(&self.members.seats());
         }
@@ -437,7 +440,8 @@
     }
 
     fn write_batch(&mut self, now: Millis) {
-        if self.batch_since.is_some() || now.since(self.batch_cut) < BATCH_GAP {
+        let gap = if self.engine.batch_is_urgent() { BATCH_GAP } else { IDLE_BATCH_GAP };
+        if self.batch_since.is_some() || now.since(self.batch_cut) < gap {
             return;
         }
         let Some(batch) = self.engine.cut_batch(now) else { return };
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -27,7 +27,7 @@
 /// How much later each next member takes over.
 const STAGGER: Duration = Duration::from_millis(100);
 /// Between two looks at the row of a silent owner that may be alive.
-const ALIVE_CHECK: Duration = Duration::from_millis(250);
+const ALIVE_CHECK: Duration = Duration::from_millis(120);
 /// How long an announcement may take.
 const ANNOUNCE: Duration = Duration::from_millis(800);
 /// An owner without the partition's rows for so long gives it up.
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -10,15 +10,17 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// How long a call to the feed waits for a change. Kept short, since a feed may go silent:
-/// a full reading follows each time.
-const FEED_WAIT: Duration = Duration::from_millis(700);
+/// How long a call to the feed waits for a change. Kept short, since a feed may go silent.
+const FEED_WAIT: Duration = Duration::from_millis(200);
+/// Pause between two calls. Entries change with each sign of life of a worker, so the feed
+/// answers at once, some thirty times a second, if it is asked as often.
+const PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for a reading.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a failure.
 const RETRY: Duration = Duration::from_millis(200);
 /// The list is read whole at least so often.
-const READ_EVERY: Millis = Millis(1_400);
+const READ_EVERY: Millis = Millis(2_000);
 /// After the store was away, entries that lapsed meanwhile are back within 2 s.
 const TRUST_MISSING_AFTER: Millis = Millis(2_500);
 /// The store counts as having been away when it did not answer for so long.
@@ -46,7 +48,10 @@
     };
     while !owner.is_closed() {
         let changed = match list.next(&shared).await {
-            Ok(changed) => changed,
+            Ok(changed) => {
+                sleep(PAUSE).await;
+                changed
+            }
             Err(e) => {
                 log::debug!("workers.list failed error=\"{e}\"");
                 sleep(RETRY).await;
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -128,6 +128,11 @@
         })
     }
 
+    /// Tells whether this process owns the partition.
+    pub fn owns(&self) -> bool {
+        matches!(*self.route.borrow(), Route::Local(_))
+    }
+
     /// Returns what this process is as an owner at `epoch`.
     pub fn as_owner(&self, epoch: u64) -> OwnerInfo {
         OwnerInfo { epoch, address: self.address().to_string(), boot: self.boot }
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -3,6 +3,7 @@
 
 use crate::shared::Shared;
 use hollowford_adapter::{CONFIG_KEY, Config, OPERATOR_TABLE, Row, StoreError};
+use hollowford_core::Millis;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -10,6 +11,10 @@
 /// How often the configuration is read beside the feed. It has to be in force after 2 s, also
 /// when the feed is silent for a second and one reading gets no answer.
 const READ_EVERY: Duration = Duration::from_millis(650);
+/// How often it is read by a member, which the owner's heartbeats tell of a newer version.
+const READ_EVERY_AS_MEMBER: Duration = Duration::from_millis(1_600);
+/// A heartbeat that is older doesn't count for that.
+const HEARTBEAT_FRESH: Millis = Millis(400);
 /// Longest time for a reading.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a call to the feed waits for a change.
@@ -36,7 +41,12 @@
             log::info!("store.regained by=config");
         }
         reached = read.is_ok();
-        let pause = if reached { READ_EVERY } else { RETRY };
+        let told = !shared.owns() && shared.owner_age() < HEARTBEAT_FRESH;
+        let pause = match (reached, told) {
+            (false, _) => RETRY,
+            (true, false) => READ_EVERY,
+            (true, true) => READ_EVERY_AS_MEMBER,
+        };
         // Woken early when a peer knows a newer version.
         if timeout(pause, shared.config_wanted.notified()).await.is_ok() {
             log::debug!("config.wanted");
