Members wait for a process that is becoming the owner

Cause: with a slow store a process shows as the owner in the row before it has the answer to its own writing, and while it reads the rows. The new owner now tells them that it is about to start. Ruled out: the store's rates.

--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -60,6 +60,7 @@
         address: shared.address().to_string(),
         cpu_milli: (shared.settings.cpu_share * 1_000.0) as u32,
         age_ms: shared.clock.now().0,
+        owner: Some(info.clone()),
     }));
     Ok((reader, outbox))
 }
@@ -84,6 +85,7 @@
                 let Some(body) = body else { break Parted::Gone };
                 heard = Instant::now();
                 match body {
+                    Body::Heartbeat(beat) if beat.epoch == 0 => {}
                     Body::Heartbeat(beat) => {
                         if !following {
                             following = true;
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -194,10 +194,6 @@
 /// Owns the partition until it is lost or given up.
 async fn own(shared: &Arc<Shared>, info: &OwnerInfo) -> OwnerEnd {
     let began = shared.clock.now();
-    let (handle, rx) = OwnerHandle::new();
-    shared.route.send_replace(Route::Local(handle.clone()));
-    shared.metrics.owned_epoch.set(info.epoch as i64);
-    shared.note_owner();
     tokio::spawn(announce(shared.clone(), info.clone()));
     let Some(start) = load(shared, info).await else { return OwnerEnd::GaveUp };
     let workers = match WorkerClient::new(info.epoch) {
@@ -207,6 +203,9 @@
             return OwnerEnd::GaveUp;
         }
     };
+    let (handle, rx) = OwnerHandle::new();
+    shared.route.send_replace(Route::Local(handle.clone()));
+    shared.metrics.owned_epoch.set(info.epoch as i64);
     let took = shared.clock.now().since(began);
     shared.metrics.takeover_seconds.observe(took.duration().as_secs_f64());
     log::info!("owner.serves epoch={} loaded_in_ms={}", info.epoch, took.0);
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -4,7 +4,7 @@
 use crate::members::LinkId;
 use crate::owner::{OwnerHandle, OwnerMsg, read_advice};
 use crate::shared::{Route, Shared};
-use crate::wire::{Body, Hello, OwnerInfo};
+use crate::wire::{Body, Heartbeat, Hello, OwnerInfo};
 use hollowford_jobs::{Seat, TaskKey};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +15,11 @@
 const FIRST_FRAME: Duration = Duration::from_millis(2_000);
 /// A member that says nothing for so long is gone.
 const MEMBER_SILENT: Duration = Duration::from_millis(1_500);
-/// How long a member waits for a process that is just becoming the owner.
-const OWNER_STARTS: Duration = Duration::from_millis(600);
+/// How long a member waits for a process that is just becoming the owner. With a slow store
+/// its writing and its reading of the rows take seconds.
+const OWNER_STARTS: Duration = Duration::from_millis(5_000);
+/// How often it is told meanwhile that the process is alive.
+const STARTING_BEAT: Duration = Duration::from_millis(100);
 
 /// Accepts links for as long as the process runs.
 pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
@@ -52,7 +55,7 @@
 
 /// Serves a member for as long as this process owns the partition.
 async fn serve_member(shared: &Arc<Shared>, hello: Hello, mut reader: Reader, outbox: Outbox) {
-    let Some(owner) = local_owner(shared).await else {
+    let Some(owner) = local_owner(shared, &hello, &outbox).await else {
         let info: OwnerInfo = shared.owner.borrow().clone();
         outbox.send(Body::Owner(info));
         return;
@@ -86,19 +89,27 @@
     }
 }
 
-/// Returns the owner if it is this process, or is just becoming so.
-async fn local_owner(shared: &Shared) -> Option<OwnerHandle> {
+/// Returns the owner if it is this process, or is just becoming so. The member may know of
+/// that earlier, by the owner row, than this process by the answer to its own writing.
+async fn local_owner(shared: &Shared, hello: &Hello, outbox: &Outbox) -> Option<OwnerHandle> {
     let mut route = shared.route.subscribe();
-    let local = |r: &Route| match r {
-        Route::Local(owner) => Some(owner.clone()),
-        _ => None,
-    };
-    if let Some(owner) = local(&route.borrow_and_update()) {
-        return Some(owner);
-    }
-    if shared.owner.borrow().boot != shared.boot {
-        return None;
+    let meant = hello.owner.as_ref().is_some_and(|o| o.boot == shared.boot);
+    let began = shared.clock.now();
+    loop {
+        if let Route::Local(owner) = &*route.borrow_and_update() {
+            return Some(owner.clone());
+        }
+        let known = shared.owner.borrow().clone();
+        let expected = hello.owner.as_ref().map_or(0, |o| o.epoch);
+        let superseded = known.boot != shared.boot && known.epoch >= expected;
+        let waited = shared.clock.now().since(began).duration();
+        if !meant || superseded || waited >= OWNER_STARTS {
+            return None;
+        }
+        if !outbox.send(Body::Heartbeat(Heartbeat::default())) {
+            return None;
+        }
+        // Woken when the owner starts, or to tell again that it is about to.
+        let _ = timeout(STARTING_BEAT, route.changed()).await;
     }
-    let found = timeout(OWNER_STARTS, route.wait_for(|r| matches!(r, Route::Local(_)))).await;
-    found.ok()?.ok().and_then(|r| local(&r))
 }
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -61,6 +61,9 @@
     /// How long it has run, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// The owner that it takes the receiver for.
+    #[prost(message, optional, tag = "4")]
+    pub owner: Option<OwnerInfo>,
 }
 
 /// An owner, by its epoch.
@@ -80,7 +83,7 @@
 /// The owner's heartbeat.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
-    /// Its epoch.
+    /// Its epoch; 0: it is about to become the owner, and takes no calls yet.
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// Addresses of the members, in the order in which they take over.
