--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -12,6 +12,7 @@
 use poem::http::{Method, StatusCode, header};
 use poem::{Endpoint, Request, Response};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// Longest time that a call is tried for. Takeovers take less; callers wait 3 s.
 const PATIENCE: Millis = Millis(2_500);
@@ -157,10 +158,27 @@
     }
 }
 
+/// Counts a request as open for as long as it lives, also when its caller goes away.
+struct OpenCall<'a>(&'a Shared);
+
+impl OpenCall<'_> {
+    fn new(shared: &Shared) -> OpenCall<'_> {
+        shared.open_calls.fetch_add(1, Ordering::Relaxed);
+        OpenCall(shared)
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Endpoint for Front {
     type Output = Response;
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
+        let _open = OpenCall::new(&self.shared);
         Ok(self.answer(req).await)
     }
 }
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -5,6 +5,7 @@
 use crate::relay::RemoteOwner;
 use crate::shared::{Route, Shared};
 use crate::wire::{Advice, Ask, Body, Hello, MemberBeat, OwnerInfo};
+use hollowford_adapter::Version;
 use hollowford_core::Millis;
 use std::io::ErrorKind;
 use std::sync::Arc;
@@ -28,7 +29,22 @@
     /// It says nothing.
     Silent,
     /// It wants this process to take over.
-    HandedOver,
+    HandedOver {
+        /// Version of the owner row; 0: not known.
+        rev: Version,
+    },
+}
+
+impl Parted {
+    /// Returns its name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Parted::Newer => "newer",
+            Parted::Gone => "gone",
+            Parted::Silent => "silent",
+            Parted::HandedOver { .. } => "handed_over",
+        }
+    }
 }
 
 /// What a member learned while it followed an owner.
@@ -102,7 +118,7 @@
                     Body::Ask(ask) => {
                         tokio::spawn(answer_ask(shared.clone(), ask, outbox.clone()));
                     }
-                    Body::HandOver(_) => break Parted::HandedOver,
+                    Body::HandOver(h) => break Parted::HandedOver { rev: h.rev },
                     Body::Owner(other) => {
                         let newer = shared.note_owner_info(&other);
                         break if newer { Parted::Newer } else { Parted::Gone };
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -1,7 +1,7 @@
 //! The processes that have a link to the owner.
 
 use crate::link::Outbox;
-use crate::wire::{Ask, Body, Heartbeat, Hello, MemberBeat, OwnerInfo};
+use crate::wire::{Ask, Body, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
 use hollowford_core::Millis;
 use hollowford_jobs::{Seat, StepKey};
 use std::sync::Arc;
@@ -125,9 +125,9 @@
 
     /// Names the youngest live member as the next owner: where processes are restarted in
     /// turn, its turn is over. Returns its address.
-    pub fn hand_over(&self) -> Option<Arc<str>> {
+    pub fn hand_over(&self, rev: u64) -> Option<Arc<str>> {
         let next = self.live().max_by_key(|m| (m.store_age < SERVED, m.cpu_milli, m.since))?;
-        next.outbox.send(Body::HandOver(self.owner.clone()));
+        next.outbox.send(Body::HandOver(HandOver { rev }));
         Some(next.address.clone())
     }
 
@@ -135,6 +135,6 @@
     pub fn hand_over_to_served(&self) -> bool {
         let served = self.live().filter(|m| m.store_age < SERVED);
         let next = served.max_by_key(|m| (m.cpu_milli, std::cmp::Reverse(m.store_age)));
-        next.is_some_and(|m| m.outbox.send(Body::HandOver(self.owner.clone())))
+        next.is_some_and(|m| m.outbox.send(Body::HandOver(HandOver { rev: 0 })))
     }
 }
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -26,6 +26,8 @@
 /// A stopping process takes new channels for so long: the balancer asks every second, and
 /// stops sending after two refusals.
 const LINGER: Duration = Duration::from_millis(2_600);
+/// How often it looks whether requests are open, and the time for the last bytes to leave.
+const LAST_CHECK: Duration = Duration::from_millis(40);
 /// Longest time for answers that are open when it stops taking channels.
 const LAST_ANSWERS: Duration = Duration::from_millis(2_600);
 
@@ -97,9 +99,9 @@
     shared.stopping.store(true, Ordering::Relaxed);
     hand_over(&shared).await;
     sleep(LINGER).await;
-    // All servers end with this; none of them may be left.
+    // No new channels from here on, and the channels that are idle are closed.
     let _ = stop.send(true);
-    while servers.join_next().await.is_some() {}
+    answer_the_last(&shared).await;
     log::info!("process.stopped");
     Ok(())
 }
@@ -129,6 +131,17 @@
         .map_err(|error| NodeError::Bind { addr, error })
 }
 
+/// Waits until all requests are answered, and the answers are on their way.
+async fn answer_the_last(shared: &Shared) {
+    let began = shared.clock.now();
+    while shared.open_calls.load(Ordering::Relaxed) > 0
+        && shared.clock.now().since(began).duration() < LAST_ANSWERS
+    {
+        sleep(LAST_CHECK).await;
+    }
+    sleep(LAST_CHECK).await;
+}
+
 /// Hands the partition over, if this process owns it.
 async fn hand_over(shared: &Shared) {
     let Route::Local(owner) = shared.route.borrow().clone() else { return };
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -479,7 +479,8 @@
         let waited = self.shared.clock.now().since(*since);
         let flushed = self.batch_since.is_none() && self.waiters.is_empty();
         if flushed || waited >= FLUSH {
-            let to = self.members.hand_over();
+            let rev = if self.batch_since.is_none() { self.rev } else { 0 };
+            let to = self.members.hand_over(rev);
             log::info!("owner.handed_over epoch={} to={to:?} flushed={flushed}", self.info.epoch);
             self.end = Some(OwnerEnd::HandedOver);
         }
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -104,9 +104,14 @@
         find_owner(shared, info.epoch).await;
         return;
     }
+    if let Parted::HandedOver { rev } = cause
+        && rev > 0
+    {
+        return take(shared, rev, info.epoch + 1, cause.name()).await;
+    }
     let me = shared.address().to_string();
     let rank = members.iter().position(|m| *m == me).unwrap_or(members.len());
-    if cause != Parted::HandedOver {
+    if !matches!(cause, Parted::HandedOver { .. }) {
         let mut newest = shared.owner.subscribe();
         let delay = STAGGER * rank as u32;
         let newer = newest.wait_for(|o| o.epoch > info.epoch);
@@ -125,7 +130,7 @@
         }
         rev = again;
     }
-    take(shared, rev, info.epoch + 1, &format!("{cause:?}")).await;
+    take(shared, rev, info.epoch + 1, cause.name()).await;
 }
 
 /// Returns the version of the owner row if it still names `info`.
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -8,7 +8,7 @@
 use hollowford_core::{Clock, Millis};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use tokio::sync::{Notify, watch};
 
 /// How the owner is reached now.
@@ -51,6 +51,8 @@
     pub settings_changed: watch::Sender<NodeSettings>,
     /// The process is about to stop.
     pub stopping: AtomicBool,
+    /// Callers' requests that are not answered yet.
+    pub open_calls: AtomicUsize,
     /// Reading of the clock when the store answered last.
     store_answered: AtomicU64,
     /// Reading of the clock when the owner was last within reach.
@@ -81,6 +83,7 @@
             owner: watch::Sender::new(OwnerInfo::default()),
             route: watch::Sender::new(Route::None),
             stopping: AtomicBool::new(false),
+            open_calls: AtomicUsize::new(0),
             store_answered: AtomicU64::new(0),
             owner_heard: AtomicU64::new(0),
             metrics,
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -39,7 +39,7 @@
     Owner(OwnerInfo),
     /// The receiver is to take the partition over.
     #[prost(message, tag = "9")]
-    HandOver(OwnerInfo),
+    HandOver(HandOver),
     /// The sender wants to know who owns the partition.
     #[prost(message, tag = "10")]
     WhoOwns(WhoOwns),
@@ -80,6 +80,14 @@
     pub boot: u64,
 }
 
+/// An owner gives the partition to a member.
+#[derive(Clone, PartialEq, Message)]
+pub struct HandOver {
+    /// Version of the owner row, if nothing more will be written by the owner; 0: read it.
+    #[prost(uint64, tag = "1")]
+    pub rev: u64,
+}
+
 /// The owner's heartbeat.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
