Refusals in an outage come at once and are true; configuration over links

Cause: in an outage of the store callers waited 2.4 s for batches that were never sent, and processes started meanwhile had no configuration and refused all. Jobs that wait behind a batch that hangs for 0.6 s are taken back and refused as not run, those in it are told after 1.2 s that the effect is not known; without owner and store calls are refused at once. The owner hands its configuration to members that lack it. An owner handed over at the end of an outage to the first member that was answered: now only when the store serves it for 0.3 s while it doesn't serve the owner. Ruled out: a longer time to come back (clients spread four tries over their 3 s).

--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -37,6 +37,12 @@
         self.open.insert(job.id, job);
     }
 
+    /// Removes an open job as if it had never been.
+    pub fn remove(&mut self, id: JobId) {
+        self.open.remove(&id);
+        self.dirty.remove(&id);
+    }
+
     pub fn open(&self) -> impl Iterator<Item = &Job> {
         self.open.values()
     }
--- a/crates/hollowford-jobs/src/note.rs
+++ b/crates/hollowford-jobs/src/note.rs
@@ -19,6 +19,11 @@
         /// Its steps.
         steps: usize,
     },
+    /// A job was taken back before its acceptance was sent to the store.
+    Withdrawn {
+        /// The job.
+        job: JobId,
+    },
     /// A job's end is decided.
     JobEnds {
         /// The job.
@@ -164,6 +169,7 @@
             Note::Accepted { job, queue, steps } => {
                 write!(f, "job.accepted job={job} queue={queue} steps={steps}")
             }
+            Note::Withdrawn { job } => write!(f, "job.withdrawn job={job}"),
             Note::JobEnds { job, state, age } => {
                 write!(f, "job.ends job={job} state={state:?} age_ms={}", age.0)
             }
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -101,6 +101,17 @@
         self.jobs.open().filter(waits).count()
     }
 
+    /// Takes back jobs whose acceptance was not sent to the store, and returns them: nothing
+    /// of them has run or will.
+    pub fn withdraw_unsent(&mut self) -> Vec<JobId> {
+        let unsent: Vec<_> = self.jobs.open().filter(|j| j.unwritten).map(|j| j.id).collect();
+        for &id in &unsent {
+            self.jobs.remove(id);
+            self.notes.push(Note::Withdrawn { job: id });
+        }
+        unsent
+    }
+
     /// Decides how a job ends. It is shown once it is in the store.
     pub(crate) fn end_job(&mut self, id: JobId, state: JobState, now: Millis) {
         let Some(job) = self.jobs.get_mut(id).filter(|j| j.end.is_none()) else {
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -118,6 +118,13 @@
         });
     }
 
+    /// Refuses all that wait for a job that was taken back.
+    pub fn refuse(&mut self, job: JobId) {
+        for w in self.by_job.remove(&job).unwrap_or_default() {
+            w.reply.send(w.id, Said::Unavailable, 0);
+        }
+    }
+
     /// Sends all to the next owner.
     pub fn fail_all(&mut self) {
         for w in self.by_job.drain().flat_map(|(_, waiters)| waiters) {
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -4,11 +4,13 @@
 use crate::link::{self, Outbox, Reader};
 use crate::relay::RemoteOwner;
 use crate::shared::{Route, Shared};
+use crate::watch;
 use crate::wire::{Advice, Ask, Body, Hello, MemberBeat, OwnerInfo};
 use hollowford_adapter::Version;
 use hollowford_core::Millis;
 use std::io::ErrorKind;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -109,7 +111,7 @@
                             shared.route.send_replace(Route::Remote(remote.clone()));
                         }
                         shared.note_owner();
-                        if beat.config > shared.config_version() {
+                        if shared.probe_store.swap(beat.store_lost, Ordering::Relaxed) != beat.store_lost {
                             shared.config_wanted.notify_one();
                         }
                         *members = beat.members;
@@ -118,6 +120,7 @@
                     Body::Ask(ask) => {
                         tokio::spawn(answer_ask(shared.clone(), ask, outbox.clone()));
                     }
+                    Body::Config(row) => watch::take_row(shared, row),
                     Body::HandOver(h) => break Parted::HandedOver { rev: h.rev },
                     Body::Owner(other) => {
                         let newer = shared.note_owner_info(&other);
@@ -146,6 +149,9 @@
         }
     };
     shared.route.send_replace(Route::None);
+    shared.probe_store.store(false, Ordering::Relaxed);
+    // Whether the store answers decides what callers are told now.
+    shared.config_wanted.notify_one();
     remote.fail_all();
     parted
 }
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -1,7 +1,7 @@
 //! The processes that have a link to the owner.
 
 use crate::link::Outbox;
-use crate::wire::{Ask, Body, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
+use crate::wire::{Ask, Body, ConfigRow, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
 use hollowford_core::Millis;
 use hollowford_jobs::{Seat, StepKey};
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 /// A member that was not heard for so long gets no work.
 const SILENT: Millis = Millis(900);
 /// A member that the store has answered within this time is served by it.
-const SERVED: Millis = Millis(900);
+const SERVED: Millis = Millis(500);
 /// Longest time for a call for advice that a member makes.
 const ASK_TIMEOUT_MS: u64 = 3_000;
 
@@ -37,6 +37,7 @@
     owner: OwnerInfo,
     list: Vec<Member>,
     sent: Millis,
+    store_lost: bool,
     now: Millis,
     had_any: bool,
 }
@@ -44,7 +45,14 @@
 impl Members {
     /// Makes an empty list.
     pub fn new(owner: OwnerInfo) -> Members {
-        Members { owner, list: Vec::new(), sent: Millis(0), now: Millis(0), had_any: false }
+        Members {
+            owner,
+            list: Vec::new(),
+            sent: Millis(0),
+            store_lost: false,
+            now: Millis(0),
+            had_any: false,
+        }
     }
 
     /// Adds a member, in the place of an earlier link from its address.
@@ -86,8 +94,9 @@
     }
 
     /// Sends the heartbeats if they are due, and tells whether they were.
-    pub fn tick(&mut self, now: Millis, config: u64) -> bool {
+    pub fn tick(&mut self, now: Millis, config: u64, store_lost: bool) -> bool {
         self.now = now;
+        self.store_lost = store_lost;
         let due = now.since(self.sent) >= HEARTBEAT;
         if due {
             self.send_heartbeats(config);
@@ -99,7 +108,12 @@
     pub fn send_heartbeats(&mut self, config: u64) {
         self.sent = self.now;
         let members = self.list.iter().filter(|m| !m.stopping).map(|m| m.address.to_string());
-        let beat = Heartbeat { epoch: self.owner.epoch, members: members.collect(), config };
+        let beat = Heartbeat {
+            epoch: self.owner.epoch,
+            members: members.collect(),
+            config,
+            store_lost: self.store_lost,
+        };
         for m in &self.list {
             m.outbox.send(Body::Heartbeat(beat.clone()));
         }
@@ -131,6 +145,18 @@
         Some(next.address.clone())
     }
 
+    /// Sends a member the configuration that it lacks.
+    pub fn send_config(&self, link: LinkId, row: &ConfigRow) {
+        if let Some(m) = self.list.iter().find(|m| m.link == link) {
+            m.outbox.send(Body::Config(row.clone()));
+        }
+    }
+
+    /// Tells whether the store serves a live member.
+    pub fn any_served(&self) -> bool {
+        self.live().any(|m| m.store_age < SERVED)
+    }
+
     /// Names a member that the store serves as the next owner. Tells whether there is one.
     pub fn hand_over_to_served(&self) -> bool {
         let served = self.live().filter(|m| m.store_age < SERVED);
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -28,12 +28,18 @@
 const BATCH_GAP: Millis = Millis(14);
 /// Shortest time between two batches when nobody waits.
 const IDLE_BATCH_GAP: Millis = Millis(30);
-/// A batch under way for so long means that new jobs are refused at once.
-const BATCH_STALLED: Millis = Millis(1_000);
+/// A batch under way for so long means that new jobs are refused at once. A slow store takes
+/// up to 0.4 s for one.
+const BATCH_STALLED: Millis = Millis(600);
 /// A caller whose batch is under way for so long is told that its effect is not known.
-const ANSWER_WITHIN: Millis = Millis(2_400);
-/// An owner whose batch hangs for so long hands over to a member that the store serves.
-const STORE_LOST: Millis = Millis(700);
+const ANSWER_WITHIN: Millis = Millis(1_200);
+/// An owner whose batch hangs for so long, while the store serves a member, hands over to it.
+const STORE_LOST: Millis = Millis(600);
+/// Members are asked whether the store answers them once a batch hangs for so long.
+const PROBE_AFTER: Millis = Millis(300);
+/// The store has to serve the member for so long: at the end of an outage it is only the
+/// first to notice.
+const STORE_DIVIDED: Millis = Millis(300);
 /// An owner without word from the store and any member for so long gives up.
 const ISOLATED: Millis = Millis(2_000);
 /// How long a stopping owner waits for its last batch.
@@ -185,6 +191,8 @@
     batch_cut: Millis,
     /// Since when a batch is under way.
     batch_since: Option<Millis>,
+    /// Since when the store serves a member and not this process.
+    divided_since: Option<Millis>,
     config: u64,
     settings: watch::Receiver<NodeSettings>,
     member_heard: Millis,
@@ -219,6 +227,7 @@
             decisions: DecisionLog::default(),
             batch_cut: Millis(0),
             batch_since: None,
+            divided_since: None,
             config: 0,
             settings: shared.settings_changed.subscribe(),
             member_heard: now,
@@ -302,8 +311,13 @@
     fn take_beat(&mut self, link: LinkId, beat: &MemberBeat) {
         self.member_heard = self.shared.clock.now();
         self.members.beat(link, beat, self.member_heard);
-        if beat.config > self.shared.config_version() {
+        let version = self.shared.config_version();
+        if beat.config > version {
             self.shared.config_wanted.notify_one();
+        } else if beat.config < version
+            && let Some(row) = self.shared.config_row()
+        {
+            self.members.send_config(link, &row);
         }
         if beat.epoch > self.info.epoch {
             log::warn!("owner.deposed epoch={} newer={}", self.info.epoch, beat.epoch);
@@ -319,10 +333,23 @@
             reply.send(call.id, Said::NotOwner, 0);
             return;
         }
-        let stalled = self.batch_since.is_some_and(|s| now.since(s) >= BATCH_STALLED);
+        let stalled = self.is_stalled(now);
         self.waiters.take(&mut self.engine, call, reply, stalled, now);
     }
 
+    fn is_stalled(&self, now: Millis) -> bool {
+        self.batch_since.is_some_and(|s| now.since(s) >= BATCH_STALLED)
+    }
+
+    /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
+    fn refuse_unsent(&mut self, now: Millis) {
+        if self.is_stalled(now) {
+            for job in self.engine.withdraw_unsent() {
+                self.waiters.refuse(job);
+            }
+        }
+    }
+
     fn take_worker(&mut self, call: &WorkerCall, called: Called, sent: Millis, now: Millis) {
         let fenced = match (call, called) {
             (WorkerCall::Start { worker, task, run, .. }, Called::Start(answer)) => {
@@ -384,8 +411,10 @@
         self.orders = orders;
         self.log_decisions(now);
         self.write_batch(now);
+        self.refuse_unsent(now);
         self.waiters.give_up(&self.engine, now, ANSWER_WITHIN);
-        if self.members.tick(self.shared.clock.now(), self.shared.config_version()) {
+        let lost = self.batch_since.is_some_and(|s| now.since(s) >= PROBE_AFTER);
+        if self.members.tick(self.shared.clock.now(), self.shared.config_version(), lost) {
             self.engine.set_seats(&self.members.seats());
         }
         self.check_reach(now);
@@ -461,9 +490,15 @@
     /// Gives the partition up when another process can serve it and this one can't.
     fn check_reach(&mut self, now: Millis) {
         let hangs = self.batch_since.is_some_and(|s| now.since(s) >= STORE_LOST);
-        if hangs && self.shared.store_age() >= STORE_LOST && self.members.hand_over_to_served() {
-            log::warn!("owner.handed_over epoch={} cause=store_lost", self.info.epoch);
-            self.end = Some(OwnerEnd::HandedOver);
+        let lost = hangs && self.shared.store_age() >= STORE_LOST;
+        if !lost || !self.members.any_served() {
+            self.divided_since = None;
+        } else {
+            let since = *self.divided_since.get_or_insert(now);
+            if now.since(since) >= STORE_DIVIDED && self.members.hand_over_to_served() {
+                log::warn!("owner.handed_over epoch={} cause=store_lost", self.info.epoch);
+                self.end = Some(OwnerEnd::HandedOver);
+            }
         }
         let clock = self.shared.clock.now();
         let alone = self.members.had_any() && clock.since(self.member_heard) >= ISOLATED;
--- a/crates/hollowford-node/src/relay.rs
+++ b/crates/hollowford-node/src/relay.rs
@@ -12,6 +12,9 @@
 
 /// Pause before a call is sent again to an owner that can't serve it yet.
 const AGAIN: Millis = Millis(30);
+/// Without an owner, and with a store that has not answered for so long, nobody can take over
+/// now: the call is refused at once.
+const NO_STORE: Millis = Millis(900);
 
 /// What came of relaying a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +90,10 @@
             Route::Remote(owner) => owner.call(&call),
         };
         let Some(rx) = rx else {
+            if !sent && shared.store_away(NO_STORE) && shared.owner_age() >= NO_STORE {
+                return Relayed::NotSent;
+            }
+            let left = left.min(NO_STORE);
             // Woken by the next owner, or by the deadline.
             let _ = timeout(left.duration(), route.changed()).await;
             continue;
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::metrics::Metrics;
 use crate::owner::OwnerHandle;
-use crate::wire::OwnerInfo;
+use crate::wire::{ConfigRow, OwnerInfo};
 use arc_swap::ArcSwapOption;
 use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient};
 use hollowford_core::{Clock, Millis};
@@ -37,8 +37,8 @@
     pub advice: Option<AdviceClient>,
     /// The newest configuration.
     pub config: ArcSwapOption<Config>,
-    /// Version of the row that the configuration was read from last.
-    config_row: AtomicU64,
+    /// The row that the configuration was read from last.
+    config_row: ArcSwapOption<ConfigRow>,
     /// Told when `config` has changed.
     pub config_changed: watch::Sender<u64>,
     /// Asks the watch to read the configuration at once.
@@ -55,6 +55,10 @@
     pub open_calls: AtomicUsize,
     /// Reading of the clock when the store answered last.
     store_answered: AtomicU64,
+    /// Reading of the clock when a call to the store failed last.
+    store_failed: AtomicU64,
+    /// The owner wants to know whether the store answers this process.
+    pub probe_store: AtomicBool,
     /// Reading of the clock when the owner was last within reach.
     owner_heard: AtomicU64,
     /// Its metrics.
@@ -77,7 +81,7 @@
             store,
             advice,
             config: ArcSwapOption::empty(),
-            config_row: AtomicU64::new(0),
+            config_row: ArcSwapOption::empty(),
             config_changed: watch::Sender::new(0),
             config_wanted: Notify::new(),
             owner: watch::Sender::new(OwnerInfo::default()),
@@ -85,6 +89,8 @@
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             store_answered: AtomicU64::new(0),
+            store_failed: AtomicU64::new(0),
+            probe_store: AtomicBool::new(false),
             owner_heard: AtomicU64::new(0),
             metrics,
         }
@@ -105,6 +111,17 @@
         self.store_answered.store(self.clock.now().0, Ordering::Relaxed);
     }
 
+    /// Takes note that a call to the store has failed.
+    pub fn note_store_failure(&self) {
+        self.store_failed.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    /// Tells whether the store has failed this process for `at_least`, up to its last call.
+    pub fn store_away(&self, at_least: Millis) -> bool {
+        let failed = self.store_failed.load(Ordering::Relaxed);
+        failed > self.store_answered.load(Ordering::Relaxed) && self.store_age() >= at_least
+    }
+
     /// Returns the time since the store answered.
     pub fn store_age(&self) -> Millis {
         self.clock.now().since(Millis(self.store_answered.load(Ordering::Relaxed)))
@@ -141,9 +158,14 @@
         OwnerInfo { epoch, address: self.address().to_string(), boot: self.boot }
     }
 
-    /// Tells whether a row of the configuration was not read before, and takes note of it.
+    /// Tells whether a row of the configuration is newer than what was read before.
     pub fn is_new_config_row(&self, version: u64) -> bool {
-        self.config_row.fetch_max(version, Ordering::Relaxed) < version
+        self.config_row.load().as_ref().is_none_or(|r| r.row_version < version)
+    }
+
+    /// Returns the row that the configuration was read from last.
+    pub fn config_row(&self) -> Option<Arc<ConfigRow>> {
+        self.config_row.load_full()
     }
 
     /// Returns the version of the configuration that is known; 0: none.
@@ -152,7 +174,8 @@
     }
 
     /// Puts a configuration in force, unless a newer one is.
-    pub fn take_config(&self, config: Config) -> bool {
+    pub fn take_config(&self, config: Config, row: ConfigRow) -> bool {
+        self.config_row.store(Some(Arc::new(row)));
         if config.version <= self.config_version() {
             return false;
         }
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -2,9 +2,11 @@
 //! the feed may go silent.
 
 use crate::shared::Shared;
+use crate::wire::ConfigRow;
 use hollowford_adapter::{CONFIG_KEY, Config, OPERATOR_TABLE, Row, StoreError};
 use hollowford_core::Millis;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -13,6 +15,9 @@
 const READ_EVERY: Duration = Duration::from_millis(650);
 /// How often it is read by a member, which the owner's heartbeats tell of a newer version.
 const READ_EVERY_AS_MEMBER: Duration = Duration::from_millis(1_600);
+/// How often it is read while the owner can't reach the store, to learn whether this process
+/// can.
+const READ_EVERY_FOR_OWNER: Duration = Duration::from_millis(200);
 /// A heartbeat that is older doesn't count for that.
 const HEARTBEAT_FRESH: Millis = Millis(400);
 /// Longest time for a reading.
@@ -34,16 +39,22 @@
                     take(&shared, row);
                 }
             }
-            Err(e) if reached => log::warn!("store.lost by=config error=\"{e}\""),
-            Err(_) => {}
+            Err(e) => {
+                shared.note_store_failure();
+                if reached {
+                    log::warn!("store.lost by=config error=\"{e}\"");
+                }
+            }
         }
         if read.is_ok() && !reached {
             log::info!("store.regained by=config");
         }
         reached = read.is_ok();
         let told = !shared.owns() && shared.owner_age() < HEARTBEAT_FRESH;
+        let probed = shared.probe_store.load(Ordering::Relaxed);
         let pause = match (reached, told) {
             (false, _) => RETRY,
+            _ if probed => READ_EVERY_FOR_OWNER,
             (true, false) => READ_EVERY,
             (true, true) => READ_EVERY_AS_MEMBER,
         };
@@ -85,18 +96,23 @@
 }
 
 fn take(shared: &Shared, row: &Row) {
-    if !shared.is_new_config_row(row.version) {
+    take_row(shared, ConfigRow { row_version: row.version, value: row.value.clone() });
+}
+
+/// Puts the configuration of a row in force, if it is new.
+pub fn take_row(shared: &Shared, row: ConfigRow) {
+    if !shared.is_new_config_row(row.row_version) {
         return;
     }
     match Config::try_from(&row.value[..]) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
             let before = shared.config_version();
-            if shared.take_config(config) {
+            if shared.take_config(config, row) {
                 shared.metrics.config_version.set(version as i64);
                 log::info!("config.taken version={version} before={before} routes={routes}");
             }
         }
-        Err(e) => log::error!("config.malformed row_version={} error=\"{e}\"", row.version),
+        Err(e) => log::error!("config.malformed row_version={} error=\"{e}\"", row.row_version),
     }
 }
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<Body>,
 }
 
@@ -43,6 +43,9 @@
     /// The sender wants to know who owns the partition.
     #[prost(message, tag = "10")]
     WhoOwns(WhoOwns),
+    /// The newest configuration, for a member that lacks it.
+    #[prost(message, tag = "11")]
+    Config(ConfigRow),
 }
 
 /// A question without content.
@@ -80,6 +83,17 @@
     pub boot: u64,
 }
 
+/// The operator's configuration as it stands in the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct ConfigRow {
+    /// Version of its row.
+    #[prost(uint64, tag = "1")]
+    pub row_version: u64,
+    /// Its bytes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: Vec<u8>,
+}
+
 /// An owner gives the partition to a member.
 #[derive(Clone, PartialEq, Message)]
 pub struct HandOver {
@@ -100,6 +114,9 @@
     /// Version of the configuration that it knows.
     #[prost(uint64, tag = "3")]
     pub config: u64,
+    /// The store doesn't answer it: members are to find out whether it answers them.
+    #[prost(bool, tag = "4")]
+    pub store_lost: bool,
 }
 
 /// A member's heartbeat.
