Stand-in of the users' platform, and tests of whole processes against it

The stand-in (platform/standin) speaks the published protocol: rows, feed, lost answers, outage, slowness, workers with fences and leases, advice.

--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -17,8 +17,6 @@
 use tokio::sync::{oneshot, watch as channel};
 use tokio::time::{sleep, timeout};
 
-/// Port of the metrics page, on the instance's address. The deploy file names it.
-pub const METRICS_PORT: u16 = 9_464;
 /// Idle channels of callers are closed after this time.
 const CALLER_IDLE: Duration = Duration::from_secs(75);
 /// A stopping owner waits so long for its hand-over.
@@ -56,11 +54,12 @@
     Metrics(#[from] prometheus::Error),
 }
 
-/// Runs a process until it is told to stop.
+/// Runs a process until it is told to stop. Its metrics are served on `metrics_port` of its
+/// address, if one is given.
 ///
 /// # Errors
 /// When an address can't be bound, or a part can't be made.
-pub async fn run(settings: NodeSettings) -> Result<(), NodeError> {
+pub async fn run(settings: NodeSettings, metrics_port: Option<u16>) -> Result<(), NodeError> {
     let mut term = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
     let hup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
     let shared = make_shared(settings)?;
@@ -78,8 +77,10 @@
     let mut servers = tokio::task::JoinSet::new();
     servers.spawn(serve(addresses.callers, Front::new(shared.clone()), stopped.clone()));
     servers.spawn(serve(addresses.readiness, Readiness::new(shared.clone()), stopped.clone()));
-    let metrics = SocketAddr::new(addresses.peers.ip(), METRICS_PORT);
-    servers.spawn(serve(metrics, MetricsPage::new(shared.clone()), stopped));
+    if let Some(port) = metrics_port {
+        let addr = SocketAddr::new(addresses.peers.ip(), port);
+        servers.spawn(serve(addr, MetricsPage::new(shared.clone()), stopped));
+    }
     tokio::spawn(peers::accept(shared.clone(), listener));
     tokio::spawn(watch::read_config(shared.clone()));
     tokio::spawn(watch::follow_config(shared.clone()));
--- a/crates/hollowford/src/command/node.rs
+++ b/crates/hollowford/src/command/node.rs
@@ -9,12 +9,13 @@
 /// The command.
 pub const COMMAND: Command = Command {
     name: "node",
-    signature: "[--config FILE] [--check]",
+    signature: "[--config FILE] [--metrics PORT] [--check]",
     description: "Runs a process on the users' platform until SIGTERM.
-Reads the settings file that the platform lays, whose path HOLLOWFORD_NODE_FILE holds. With
---check it only reads and checks the file.",
+Reads the settings file that the platform lays, whose path HOLLOWFORD_NODE_FILE holds, and
+serves metrics on PORT of the process's address. With --check it only reads and checks the
+file.",
     examples: &[Example {
-        line: "hollowford node --check --config examples/platform-settings.toml",
+        line: "hollowford node --check --config platform/examples/settings.toml",
         does: "checks a settings file of the platform",
     }],
     run,
@@ -22,6 +23,7 @@
 
 fn run(mut args: Arguments) -> Result<(), CliError> {
     let file: Option<String> = args.opt_value_from_str("--config")?;
+    let metrics: Option<u16> = args.opt_value_from_str("--metrics")?;
     let check = args.contains("--check");
     finish(args)?;
     let settings = match &file {
@@ -39,5 +41,6 @@
         .enable_all()
         .build()
         .map_err(CliError::io("runtime"))?;
-    runtime.block_on(hollowford_node::run(settings)).map_err(|e| CliError::Run(e.to_string()))
+    let run = hollowford_node::run(settings, metrics);
+    runtime.block_on(run).map_err(|e| CliError::Run(e.to_string()))
 }
--- /dev/null
+++ b/crates/hollowford/tests/common/node.rs
@@ -0,0 +1,254 @@
+//! Processes of `hollowford node` on the loopback interface, against the stand-in of the
+//! users' platform.
+#![allow(clippy::expect_used)]
+
+use hollowford_adapter_standin::Platform;
+use hollowford_adapter_standin::speech::{self, Process};
+use reqwest::{Client, Method, StatusCode};
+use serde_json::Value;
+use std::fs::File;
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Longest time for anything that a test waits for. Far above what it takes, since the
+/// machine may be busy.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One process.
+pub struct Node {
+    child: Child,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+/// A platform and processes.
+pub struct Cell {
+    pub platform: Platform,
+    pub nodes: Vec<Node>,
+    pub http: Client,
+    _dir: TempDir,
+}
+
+fn free_port() -> u16 {
+    let l = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    l.local_addr().expect("its address").port()
+}
+
+/// The ports that all processes of a cell use, each on an address of its own.
+#[derive(Clone, Copy)]
+struct Ports {
+    net: u8,
+    callers: u16,
+    readiness: u16,
+    peers: u16,
+}
+
+impl Ports {
+    fn new() -> Ports {
+        static CELLS: AtomicU8 = AtomicU8::new(1);
+        let net = CELLS.fetch_add(1, Ordering::Relaxed);
+        Ports { net, callers: free_port(), readiness: free_port(), peers: free_port() }
+    }
+
+    /// Returns the address of the process `i`, in the loopback range.
+    fn ip(self, i: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, (std::process::id() % 250) as u8 + 1, self.net, i as u8 + 1)
+    }
+}
+
+impl Node {
+    fn start(i: usize, platform: SocketAddr, ports: Ports, dir: &Path) -> Node {
+        let name = format!("n{i}");
+        let path = dir.join(format!("{name}.toml"));
+        let process = Process {
+            name: name.clone(),
+            ip: ports.ip(i),
+            callers: ports.callers,
+            readiness: ports.readiness,
+            peers: ports.peers,
+            seeds: vec![ports.ip(0), ports.ip(1)],
+        };
+        let text = speech::settings(&process, platform);
+        File::create(&path).and_then(|mut f| f.write_all(text.as_bytes())).expect("settings");
+        let log = dir.join(format!("{name}.log"));
+        let child = spawn(&path, &log);
+        let at = |port| SocketAddr::from((ports.ip(i), port));
+        let (callers, readiness) = (at(ports.callers), at(ports.readiness));
+        Node { child, callers, readiness, settings: path, log }
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill");
+        assert!(sent.success(), "signal {name}");
+    }
+
+    /// Kills the process without warning.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("kill");
+        self.child.wait().expect("its end");
+    }
+
+    /// Waits until the process has ended, and tells whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < PATIENCE {
+            if let Some(status) = self.child.try_wait().expect("its state") {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Starts the process again, with the same settings.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings, &self.log);
+    }
+
+    /// Tells whether the process runs.
+    pub fn is_up(&mut self) -> bool {
+        self.child.try_wait().expect("its state").is_none()
+    }
+
+    /// Returns what it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Tells whether it was the last to become the owner, by its log.
+    pub fn owns(&self) -> bool {
+        let log = self.log();
+        let last = |text: &str| log.rfind(text);
+        last("owner.serves") > last("owner.ended")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let out = File::options().create(true).append(true).open(log).expect("log");
+    Command::new(env!("CARGO_BIN_EXE_hollowford"))
+        .args(["node", "--config"])
+        .arg(settings)
+        .stdout(Stdio::from(out))
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("the program")
+}
+
+impl Cell {
+    /// Starts a platform and processes, with a queue `/plain/` and one by advice, `/advised/`.
+    pub async fn start(nodes: usize, workers: usize) -> Cell {
+        let platform = Platform::start(workers).await.expect("the platform");
+        platform.configure(1, &[("/plain/", false), ("/advised/", true)]);
+        let dir = TempDir::new().expect("a folder");
+        let ports = Ports::new();
+        let start = |i| Node::start(i, platform.addr(), ports, dir.path());
+        let nodes: Vec<Node> = (0..nodes).map(start).collect();
+        let http = Client::builder().no_proxy().build().expect("a client");
+        let cell = Cell { platform, nodes, http, _dir: dir };
+        for n in &cell.nodes {
+            cell.await_ready(n).await;
+        }
+        cell
+    }
+
+    /// Waits until a process calls itself ready.
+    pub async fn await_ready(&self, node: &Node) {
+        let url = format!("http://{}{}", node.readiness, speech::READY_PATH);
+        let ready = || async {
+            let answer = self.http.get(&url).send().await;
+            answer.is_ok_and(|a| a.status() == StatusCode::OK)
+        };
+        assert!(eventually(ready).await, "not ready:\n{}", node.log());
+    }
+
+    /// Returns the position of the owner.
+    pub fn owner(&self) -> usize {
+        self.nodes.iter().position(Node::owns).expect("an owner")
+    }
+
+    /// Makes a request of a process; no status when there is no answer.
+    pub async fn call(&self, node: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
+        let url = format!("http://{}{path}", self.nodes[node].callers);
+        let req = self.http.request(method, url).header("host", speech::HOST);
+        let req = req.timeout(Duration::from_secs(10)).body(body.to_string());
+        match req.send().await {
+            Ok(answer) => {
+                let status = answer.status().as_u16();
+                let body = answer.bytes().await.unwrap_or_default();
+                (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+            }
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Hands in a job of one step, whose tasks run for `ms`.
+    pub async fn submit(&self, node: usize, queue: &str, id: u64, count: u32, ms: u64) -> u16 {
+        let body = speech::job(count, ms);
+        self.call(node, Method::POST, &format!("{queue}{id:016x}"), body).await.0
+    }
+
+    /// Hands in a job, again and again until it is taken.
+    pub async fn submit_surely(&self, node: usize, queue: &str, id: u64, count: u32, ms: u64) {
+        let taken = || async { self.submit(node, queue, id, count, ms).await == 200 };
+        assert!(eventually(taken).await, "job {id} is not taken");
+    }
+
+    /// Returns a job's state as one process tells it.
+    pub async fn state(&self, node: usize, queue: &str, id: u64) -> String {
+        let path = format!("{queue}{id:016x}");
+        let (_, body) = self.call(node, Method::GET, &path, Value::Null).await;
+        speech::state(&body)
+    }
+
+    /// Waits until a job has ended well.
+    pub async fn await_completed(&self, node: usize, queue: &str, id: u64) {
+        let done = || async { self.state(node, queue, id).await == "completed" };
+        assert!(eventually(done).await, "job {id}:\n{}", self.logs());
+    }
+
+    /// Checks that no task ran in two places, and that each was begun as often as it may.
+    pub fn judge(&self, most_begun: u32) {
+        assert_eq!(self.platform.faults_found(), Vec::<String>::new());
+        for (task, n) in self.platform.begun() {
+            assert!(n <= most_begun, "{task} was begun {n} times");
+        }
+    }
+
+    /// Returns the logs of all processes.
+    pub fn logs(&self) -> String {
+        self.nodes.iter().map(Node::log).collect::<Vec<_>>().join("\n")
+    }
+}
+
+/// Waits until a condition holds. Tells whether it did.
+pub async fn eventually<F, Fut>(mut holds: F) -> bool
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        if holds().await {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
--- /dev/null
+++ b/crates/hollowford/tests/node.rs
@@ -0,0 +1,230 @@
+//! Processes on the users' platform: the whole path, takeovers, outages of the store.
+
+#[path = "common/node.rs"]
+mod node;
+
+use hollowford_adapter_standin::{Faults, speech};
+use node::{Cell, eventually};
+use reqwest::Method;
+use serde_json::Value;
+
+const PLAIN: &str = "/plain/";
+const ADVISED: &str = "/advised/";
+
+#[tokio::test]
+async fn a_job_is_taken_by_any_process_and_its_state_told_by_any_other() {
+    let cell = Cell::start(3, 2).await;
+    for node in 0..3 {
+        let id = node as u64 + 1;
+        assert_eq!(cell.submit(node, PLAIN, id, 4, 100).await, 200);
+        cell.await_completed((node + 1) % 3, PLAIN, id).await;
+    }
+    assert_eq!(cell.submit(0, ADVISED, 9, 4, 50).await, 200);
+    cell.await_completed(1, ADVISED, 9).await;
+    cell.judge(1);
+    assert_eq!(cell.platform.begun().len(), 16);
+}
+
+#[tokio::test]
+async fn requests_that_make_no_sense_are_refused_and_change_nothing() {
+    let cell = Cell::start(1, 1).await;
+    let get = |path: &'static str| cell.call(0, Method::GET, path, Value::Null);
+    assert_eq!(get("/nowhere/").await.0, 404);
+    let (status, body) = get("/plain/").await;
+    assert_eq!((status, speech::waiting(&body)), (200, Some(0)));
+    assert_eq!(get("/plain/0123456789abcdef").await.0, 410);
+    assert_eq!(get("/plain/not-an-id").await.0, 400);
+    for body in speech::no_jobs() {
+        let (status, _) = cell.call(0, Method::POST, "/plain/0123456789abcdef", body).await;
+        assert_eq!(status, 400);
+    }
+    assert_eq!(get("/plain/0123456789abcdef").await.0, 410);
+}
+
+#[tokio::test]
+async fn a_cancelled_job_is_stopped() {
+    let cell = Cell::start(2, 1).await;
+    assert_eq!(cell.submit(0, PLAIN, 1, 2, 600_000).await, 200);
+    let runs = || async { cell.state(1, PLAIN, 1).await == "running" };
+    assert!(eventually(runs).await);
+    let path = "/plain/0000000000000001";
+    assert_eq!(cell.call(1, Method::DELETE, path, Value::Null).await.0, 200);
+    assert_eq!(cell.state(0, PLAIN, 1).await, "cancelled");
+    let idle = || async { cell.platform.with_worker("w0", |w| w.running().count()) == Some(0) };
+    assert!(eventually(idle).await);
+}
+
+#[tokio::test]
+async fn a_job_handed_in_twice_runs_once() {
+    let cell = Cell::start(2, 1).await;
+    assert_eq!(cell.submit(0, PLAIN, 1, 3, 200).await, 200);
+    assert_eq!(cell.submit(1, PLAIN, 1, 3, 200).await, 200);
+    cell.await_completed(0, PLAIN, 1).await;
+    assert_eq!(cell.submit(1, PLAIN, 1, 3, 200).await, 200);
+    assert_eq!(cell.state(0, PLAIN, 1).await, "completed");
+    cell.judge(1);
+}
+
+#[tokio::test]
+async fn work_goes_on_when_the_owner_is_killed() {
+    let mut cell = Cell::start(3, 3).await;
+    let owner = cell.owner();
+    let other = (owner + 1) % 3;
+    cell.submit_surely(other, PLAIN, 1, 6, 2_000).await;
+    cell.submit_surely(other, PLAIN, 2, 6, 50).await;
+    cell.nodes[owner].kill();
+    cell.submit_surely(other, PLAIN, 3, 6, 50).await;
+    for id in 1..=3 {
+        cell.await_completed(other, PLAIN, id).await;
+    }
+    cell.judge(1);
+    assert!(cell.platform.newest_fence() >= 2);
+}
+
+#[tokio::test]
+async fn a_planned_stop_of_the_owner_cuts_no_request() {
+    let mut cell = Cell::start(3, 2).await;
+    let owner = cell.owner();
+    cell.nodes[owner].signal("TERM");
+    for id in 0..40 {
+        let node = if id < 20 { owner } else { (owner + 1) % 3 };
+        let status = cell.submit(node, PLAIN, id, 1, 20).await;
+        assert_eq!(status, 200, "request {id}");
+    }
+    assert!(cell.nodes[owner].wait(), "ends well");
+    for id in 0..40 {
+        cell.await_completed((owner + 1) % 3, PLAIN, id).await;
+    }
+    cell.judge(1);
+}
+
+#[tokio::test]
+async fn in_an_outage_new_jobs_are_refused_as_not_run_and_accepted_ones_go_on() {
+    let cell = Cell::start(2, 1).await;
+    cell.submit_surely(0, PLAIN, 1, 2, 500).await;
+    let runs = || async { cell.platform.begun().len() == 2 };
+    assert!(eventually(runs).await);
+    cell.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    let mut refused = Vec::new();
+    for id in 100.. {
+        match cell.submit(1, PLAIN, id, 1, 20).await {
+            503 => refused.push(id),
+            status => assert_eq!(status, 504, "{}", cell.logs()),
+        }
+        if refused.len() == 10 {
+            break;
+        }
+    }
+    let ended = || async { cell.platform.with_worker("w0", |w| w.done.len()) == Some(2) };
+    assert!(eventually(ended).await, "accepted work goes on");
+    cell.platform.set_faults(Faults::default());
+    cell.await_completed(0, PLAIN, 1).await;
+    cell.submit_surely(1, PLAIN, 2, 1, 20).await;
+    cell.await_completed(0, PLAIN, 2).await;
+    for id in refused {
+        assert_eq!(cell.state(0, PLAIN, id).await, "", "job {id} was refused as not run");
+        let task = format!("{id:016x}.0.0.0");
+        assert!(!cell.platform.begun().contains_key(&task));
+    }
+    cell.judge(1);
+}
+
+#[tokio::test]
+async fn a_batch_whose_answer_is_lost_is_made_once() {
+    let cell = Cell::start(2, 1).await;
+    for id in 1..=5 {
+        cell.platform.set_faults(Faults { lose_answers: 1, ..Faults::default() });
+        assert_eq!(cell.submit(0, PLAIN, id, 1, 20).await, 200);
+        cell.await_completed(1, PLAIN, id).await;
+    }
+    cell.judge(1);
+    assert_eq!(cell.platform.newest_fence(), 1, "nobody took over");
+}
+
+#[tokio::test]
+async fn a_state_whose_end_is_on_the_way_to_the_store_is_waited_for() {
+    let cell = Cell::start(2, 1).await;
+    cell.submit_surely(0, PLAIN, 1, 1, 300).await;
+    // A transaction takes 60 ms from here on, far more than the question after the end.
+    cell.platform.set_faults(Faults { slow_ms: 60, ..Faults::default() });
+    let ended = || async { cell.logs().contains("job.ends job=0000000000000001") };
+    assert!(eventually(ended).await);
+    assert_eq!(cell.state(1, PLAIN, 1).await, "completed");
+}
+
+#[tokio::test]
+async fn a_slow_store_makes_one_takeover_and_not_many() {
+    let mut cell = Cell::start(5, 1).await;
+    let owner = cell.owner();
+    cell.platform.set_faults(Faults { slow_ms: 250, ..Faults::default() });
+    cell.nodes[owner].kill();
+    let other = (owner + 1) % 5;
+    cell.submit_surely(other, PLAIN, 1, 1, 20).await;
+    cell.await_completed(other, PLAIN, 1).await;
+    assert_eq!(cell.platform.newest_fence(), 2, "{}", cell.logs());
+}
+
+#[tokio::test]
+async fn a_process_that_starts_in_an_outage_learns_owner_and_configuration_from_others() {
+    let mut cell = Cell::start(3, 1).await;
+    let owner = cell.owner();
+    let other = (owner + 1) % 3;
+    cell.nodes[other].kill();
+    cell.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    cell.nodes[other].restart();
+    let asked = || async {
+        let (status, _) = cell.call(other, Method::GET, PLAIN, Value::Null).await;
+        status == 200
+    };
+    assert!(eventually(asked).await, "{}", cell.nodes[other].log());
+}
+
+#[tokio::test]
+async fn a_silent_member_makes_no_calls_for_advice() {
+    let mut cell = Cell::start(3, 2).await;
+    let owner = cell.owner();
+    for node in 0..3 {
+        if node != owner {
+            cell.nodes[node].signal("STOP");
+        }
+    }
+    for id in 1..=6 {
+        cell.submit_surely(owner, ADVISED, id, 2, 20).await;
+    }
+    for id in 1..=6 {
+        cell.await_completed(owner, ADVISED, id).await;
+    }
+    for node in 0..3 {
+        cell.nodes[node].signal("CONT");
+        assert!(cell.nodes[node].is_up());
+    }
+    cell.judge(1);
+}
+
+#[tokio::test]
+async fn a_hangup_reads_the_settings_again_and_ends_nothing() {
+    let mut cell = Cell::start(2, 1).await;
+    for node in 0..2 {
+        cell.nodes[node].signal("HUP");
+    }
+    let reloaded = || async { cell.nodes.iter().all(|n| n.log().contains("settings.reloaded")) };
+    assert!(eventually(reloaded).await);
+    assert!(cell.nodes.iter_mut().all(node::Node::is_up));
+    let cell = cell;
+    assert_eq!(cell.submit(0, PLAIN, 1, 1, 20).await, 200);
+}
+
+#[tokio::test]
+async fn a_new_configuration_is_in_force_at_every_process_without_the_feed() {
+    let cell = Cell::start(3, 1).await;
+    cell.platform.set_faults(Faults { no_history: true, ..Faults::default() });
+    cell.platform.configure(2, &[("/plain/", false), ("/later/", false)]);
+    for node in 0..3 {
+        let known =
+            || async { cell.call(node, Method::GET, "/later/", Value::Null).await.0 == 200 };
+        assert!(eventually(known).await);
+        let gone =
+            || async { cell.call(node, Method::GET, "/advised/", Value::Null).await.0 == 404 };
+        assert!(eventually(gone).await);
+    }
+}
