Give refused batches back; hand over though each batch is refused

A batch that is refused three times is given back and its new jobs are refused as not run. It now counts the time since a batch was made. Test: an_owner_that_the_store_turns_away_hands_over fails without that.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -39,6 +39,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct BatchNote {
     accepted: Vec<JobId>,
+    progressed: Vec<JobId>,
     ended: Vec<(JobId, JobState, Millis)>,
     /// Ends taken in, by worker.
     taken: Vec<(WorkerIdx, u64)>,
@@ -115,6 +116,22 @@
         self.dirty = true;
     }
 
+    /// The batch under way was refused and will never be made: its changes are to be written
+    /// again.
+    pub fn batch_refused(&mut self) {
+        let Some(note) = self.in_flight.take() else { return };
+        for &id in note.accepted.iter().chain(&note.progressed) {
+            let accepted = note.accepted.contains(&id);
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            job.unwritten |= accepted;
+            job.progressed |= !accepted || job.has_progress;
+            self.jobs.dirty.insert(id);
+        }
+        for (id, ..) in note.ended {
+            self.jobs.dirty.insert(id);
+        }
+    }
+
     /// Writes the row of workers when it lacks one that may get work.
     fn write_workers(&mut self, rows: &mut Vec<RowWrite>, note: &mut BatchNote) {
         let lacking = self.workers.iter().any(|(_, w)| !w.recorded && w.listed);
@@ -177,6 +194,7 @@
         if std::mem::take(&mut job.progressed) {
             job.has_progress = true;
             rows.push(put(progress_key(id), ProgressRow::of(job).encode_to_vec()));
+            note.progressed.push(id);
         }
     }
 }
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -31,6 +31,8 @@
 /// A batch under way for so long means that new jobs are refused at once. A slow store takes
 /// up to 0.4 s for one.
 const BATCH_STALLED: Millis = Millis(600);
+/// After the store has refused a batch, new jobs are refused for so long; then one is tried.
+const REFUSING: Millis = Millis(300);
 /// A caller whose batch is under way for so long is told that its effect is not known.
 const ANSWER_WITHIN: Millis = Millis(1_200);
 /// An owner whose batch hangs for so long, while the store serves a member, hands over to it.
@@ -191,6 +193,10 @@
     batch_cut: Millis,
     /// Since when a batch is under way.
     batch_since: Option<Millis>,
+    /// Since when no batch was made though there was one to make.
+    unmade_since: Option<Millis>,
+    /// When the store refused a batch last, with no batch made since.
+    refused_at: Option<Millis>,
     /// Since when the store serves a member and not this process.
     divided_since: Option<Millis>,
     config: u64,
@@ -227,6 +233,8 @@
             decisions: DecisionLog::default(),
             batch_cut: Millis(0),
             batch_since: None,
+            unmade_since: None,
+            refused_at: None,
             divided_since: None,
             config: 0,
             settings: shared.settings_changed.subscribe(),
@@ -338,7 +346,8 @@
     }
 
     fn is_stalled(&self, now: Millis) -> bool {
-        self.batch_since.is_some_and(|s| now.since(s) >= BATCH_STALLED)
+        let hangs = self.batch_since.is_some_and(|s| now.since(s) >= BATCH_STALLED);
+        hangs || self.refused_at.is_some_and(|at| now.since(at) < REFUSING)
     }
 
     /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
@@ -379,6 +388,8 @@
         match written {
             Written::Made(rev) => {
                 self.rev = rev;
+                self.unmade_since = None;
+                self.refused_at = None;
                 self.engine.committed(now);
                 self.waiters.committed(&self.engine);
             }
@@ -392,6 +403,10 @@
                 self.shared.note_owner_info(&by);
                 self.end = Some(OwnerEnd::Deposed);
             }
+            Written::Refused => {
+                self.refused_at = Some(now);
+                self.engine.batch_refused();
+            }
             Written::Inconsistent => self.end = Some(OwnerEnd::GaveUp),
         }
     }
@@ -410,10 +425,10 @@
         }
         self.orders = orders;
         self.log_decisions(now);
-        self.write_batch(now);
         self.refuse_unsent(now);
+        self.write_batch(now);
         self.waiters.give_up(&self.engine, now, ANSWER_WITHIN);
-        let lost = self.batch_since.is_some_and(|s| now.since(s) >= PROBE_AFTER);
+        let lost = self.unmade_since.is_some_and(|s| now.since(s) >= PROBE_AFTER);
         if self.members.tick(self.shared.clock.now(), self.shared.config_version(), lost) {
             self.engine.set_seats(&self.members.seats());
         }
@@ -476,6 +491,7 @@
         let Some(batch) = self.engine.cut_batch(now) else { return };
         self.batch_cut = now;
         self.batch_since = Some(now);
+        self.unmade_since.get_or_insert(now);
         let writing = writer::write(
             self.shared.clone(),
             self.part.clone(),
@@ -489,7 +505,7 @@
 
     /// Gives the partition up when another process can serve it and this one can't.
     fn check_reach(&mut self, now: Millis) {
-        let hangs = self.batch_since.is_some_and(|s| now.since(s) >= STORE_LOST);
+        let hangs = self.unmade_since.is_some_and(|s| now.since(s) >= STORE_LOST);
         let lost = hangs && self.shared.store_age() >= STORE_LOST;
         if !lost || !self.members.any_served() {
             self.divided_since = None;
--- a/crates/hollowford-node/src/writer.rs
+++ b/crates/hollowford-node/src/writer.rs
@@ -24,12 +24,17 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Pause after the store has refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(80);
+/// A batch that the store refuses so often is given back: it may refuse a few calls when
+/// many come at once.
+const MOST_REFUSALS: u32 = 3;
 
 /// What came of a batch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Written {
     /// It is in the store; the owner row has this version.
     Made(Version),
+    /// The store has refused it, and it will never be made.
+    Refused,
     /// Another process owns the partition.
     Deposed(OwnerInfo),
     /// The owner row is not as only this owner can have written it.
@@ -52,6 +57,8 @@
     let send = || shared.store.transact(TABLE, &part, &tx, COPY_TIMEOUT);
     copies.push(send());
     let mut sent = 1_usize;
+    let mut refusals = 0;
+    let mut unsure = false;
     loop {
         let wait = COPY_AFTER[sent.saturating_sub(1).min(COPY_AFTER.len() - 1)];
         let answer = tokio::select! {
@@ -71,7 +78,14 @@
                 shared.note_store();
                 return settle(&shared, &owner, batch.number, &rows);
             }
-            Err(e) => note_failure(&shared, &e),
+            Err(e) => {
+                note_failure(&shared, &e);
+                unsure |= !e.surely_not_done();
+                refusals += 1;
+            }
+        }
+        if copies.is_empty() && !unsure && refusals >= MOST_REFUSALS {
+            return Written::Refused;
         }
         if copies.is_empty() {
             sleep(REFUSED_PAUSE).await;
@@ -87,6 +101,7 @@
 }
 
 fn note_failure(shared: &Shared, e: &StoreError) {
+    shared.note_store_failure();
     let outcome = if e.surely_not_done() { "refused" } else { "unanswered" };
     shared.metrics.batches.with_label_values(&[outcome]).inc();
     log::debug!("batch.failed error=\"{e}\"");
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -2,8 +2,8 @@
 //! users' platform.
 #![allow(clippy::expect_used)]
 
-use hollowford_adapter_standin::Platform;
 use hollowford_adapter_standin::speech::{self, Process};
+use hollowford_adapter_standin::{Door, Platform};
 use reqwest::{Client, Method, StatusCode};
 use serde_json::Value;
 use std::fs::File;
@@ -24,6 +24,8 @@
     child: Child,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    /// Its way to the store.
+    pub store: Door,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -64,7 +66,7 @@
 }
 
 impl Node {
-    fn start(i: usize, platform: SocketAddr, ports: Ports, dir: &Path) -> Node {
+    fn start(i: usize, platform: SocketAddr, door: Door, ports: Ports, dir: &Path) -> Node {
         let name = format!("n{i}");
         let path = dir.join(format!("{name}.toml"));
         let process = Process {
@@ -75,13 +77,13 @@
             peers: ports.peers,
             seeds: vec![ports.ip(0), ports.ip(1)],
         };
-        let text = speech::settings(&process, platform);
+        let text = speech::settings(&process, platform, door.addr);
         File::create(&path).and_then(|mut f| f.write_all(text.as_bytes())).expect("settings");
         let log = dir.join(format!("{name}.log"));
         let child = spawn(&path, &log);
         let at = |port| SocketAddr::from((ports.ip(i), port));
         let (callers, readiness) = (at(ports.callers), at(ports.readiness));
-        Node { child, callers, readiness, settings: path, log }
+        Node { child, callers, readiness, store: door, settings: path, log }
     }
 
     /// Sends the process a signal.
@@ -158,8 +160,12 @@
         platform.configure(1, &[("/plain/", false), ("/advised/", true)]);
         let dir = TempDir::new().expect("a folder");
         let ports = Ports::new();
-        let start = |i| Node::start(i, platform.addr(), ports, dir.path());
-        let nodes: Vec<Node> = (0..nodes).map(start).collect();
+        let count = nodes;
+        let mut nodes = Vec::new();
+        for i in 0..count {
+            let door = platform.open_door().await.expect("a way to the store");
+            nodes.push(Node::start(i, platform.addr(), door, ports, dir.path()));
+        }
         let http = Client::builder().no_proxy().build().expect("a client");
         let cell = Cell { platform, nodes, http, _dir: dir };
         for n in &cell.nodes {
--- a/crates/hollowford/tests/node.rs
+++ b/crates/hollowford/tests/node.rs
@@ -106,14 +106,9 @@
     assert!(eventually(runs).await);
     cell.platform.set_faults(Faults { outage: true, ..Faults::default() });
     let mut refused = Vec::new();
-    for id in 100.. {
-        match cell.submit(1, PLAIN, id, 1, 20).await {
-            503 => refused.push(id),
-            status => assert_eq!(status, 504, "{}", cell.logs()),
-        }
-        if refused.len() == 10 {
-            break;
-        }
+    for id in 100..110 {
+        assert_eq!(cell.submit(1, PLAIN, id, 1, 20).await, 503, "{}", cell.logs());
+        refused.push(id);
     }
     let ended = || async { cell.platform.with_worker("w0", |w| w.done.len()) == Some(2) };
     assert!(eventually(ended).await, "accepted work goes on");
@@ -152,6 +147,20 @@
     assert_eq!(cell.state(1, PLAIN, 1).await, "completed");
 }
 
+#[tokio::test]
+async fn an_owner_that_the_store_turns_away_hands_over_to_a_process_that_it_serves() {
+    let cell = Cell::start(3, 1).await;
+    let owner = cell.owner();
+    cell.submit_surely(owner, PLAIN, 1, 2, 1_500).await;
+    cell.nodes[owner].store.shut(true);
+    // Callers of the process that is turned away are served as all others.
+    cell.submit_surely(owner, PLAIN, 2, 2, 20).await;
+    cell.await_completed(owner, PLAIN, 2).await;
+    cell.await_completed(owner, PLAIN, 1).await;
+    assert_ne!(cell.owner(), owner);
+    cell.judge(1);
+}
+
 #[tokio::test]
 async fn a_slow_store_makes_one_takeover_and_not_many() {
     let mut cell = Cell::start(5, 1).await;
