Progress of tasks: expected ends, workers that stand still or are slow

Cause: hung workers (srv_grey hang) and slow ones (srv_slow) answer as sound ones do and got new work; the ends of running tasks, by which room is kept for gangs, were guesses. Also: the log's writer held standard output locked, so that any other writing to it would have stopped the process.

--- a/crates/hollowford-jobs/src/choose.rs
+++ b/crates/hollowford-jobs/src/choose.rs
@@ -6,6 +6,8 @@
 use hollowford_core::{Millis, Resources};
 use std::sync::Arc;
 
+/// What a worker that takes twice as long costs in the choice.
+const SLOW_COST: f32 = 1.0;
 /// What a worker off the data's rack costs in the choice, against a full worker's 2.0.
 const FAR_COST: f32 = 4.0;
 
@@ -21,6 +23,8 @@
     pub reserved: Resources,
     /// When the gangs are expected to take it.
     pub reserved_until: Millis,
+    /// See [`Worker::slowness`].
+    pub slowness: f32,
 }
 
 impl Room {
@@ -33,6 +37,7 @@
             free: w.room(now),
             reserved: Resources::default(),
             reserved_until: Millis(0),
+            slowness: w.slowness,
         }
     }
 
@@ -65,7 +70,13 @@
 
     /// Returns the cost of placing one task here; the least is taken.
     pub fn cost(&self, spec: &StepSpec) -> f32 {
-        self.left_after(&spec.room()) + if self.is_far(spec) { FAR_COST } else { 0.0 }
+        let far = if self.is_far(spec) { FAR_COST } else { 0.0 };
+        self.left_after(&spec.room()) + far + self.slow_cost()
+    }
+
+    /// Returns what the worker's slowness costs in the choice.
+    pub fn slow_cost(&self) -> f32 {
+        (self.slowness - 1.0).max(0.0) * SLOW_COST
     }
 
     fn is_far(&self, spec: &StepSpec) -> bool {
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -22,12 +22,14 @@
                 h.phase = Phase::Running;
                 h.since = now;
             }
+            self.note_progress(idx, r, now);
             self.note_saved(r.task, &r.saved);
             return;
         }
         let worker = w.id.clone();
         if self.adopt(idx, r, now) {
             self.notes.push(Note::Adopted { task: r.task, run: r.run, worker });
+            self.note_progress(idx, r, now);
             self.note_saved(r.task, &r.saved);
         } else {
             self.hold_foreign(idx, r, now);
@@ -60,6 +62,9 @@
             phase: Phase::Running,
             since: now,
             expected_end: now + Millis(step_spec.estimate_ms / 2),
+            progress: 0,
+            progressed_at: now,
+            first_seen: None,
             calling: false,
             unsure: false,
             stop_answered: false,
@@ -84,6 +89,9 @@
             phase: Phase::Stopping,
             since: now,
             expected_end: now,
+            progress: 0,
+            progressed_at: now,
+            first_seen: None,
             calling: false,
             unsure: false,
             stop_answered: false,
--- a/crates/hollowford-jobs/src/health.rs
+++ b/crates/hollowford-jobs/src/health.rs
@@ -32,6 +32,11 @@
         self.aside_until.is_some_and(|until| until <= now)
     }
 
+    /// Tells whether the worker is paused or put aside at `now`.
+    pub fn is_aside(&self, now: Millis) -> bool {
+        !self.ok(now)
+    }
+
     /// Gives the worker nothing before `until`.
     pub fn pause(&mut self, until: Millis) {
         self.aside_until = Some(self.aside_until.map_or(until, |a| a.max(until)));
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -111,6 +111,7 @@
             self.take_running(idx, r, now);
         }
         self.find_vanished(idx, &look, sent, now);
+        self.check_stalled(idx, now);
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
         // The next look waits for the batch that makes these ends durable, but for the first
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod reserve;
 mod rows;
 mod spec;
+mod stall;
 mod starts;
 mod submit;
 mod urgency;
--- a/crates/hollowford-jobs/src/note.rs
+++ b/crates/hollowford-jobs/src/note.rs
@@ -124,6 +124,13 @@
         /// The worker.
         worker: InstanceId,
     },
+    /// A worker answers, and what it runs stands still.
+    Stalled {
+        /// The worker.
+        worker: InstanceId,
+        /// How many of its tasks.
+        tasks: usize,
+    },
     /// A life of a worker is over.
     Dead {
         /// The worker.
@@ -203,6 +210,9 @@
                 write!(f, "worker.silent worker={worker} silent={silent} since_ms={}", since.0)
             }
             Note::PutAside { worker } => write!(f, "worker.put_aside worker={worker}"),
+            Note::Stalled { worker, tasks } => {
+                write!(f, "worker.stalled worker={worker} tasks={tasks}")
+            }
             Note::Dead { worker } => write!(f, "worker.dead worker={worker}"),
             Note::Leaving { worker } => write!(f, "worker.leaving worker={worker}"),
             Note::Advised { step, asked, good } => match good {
--- a/crates/hollowford-jobs/src/order.rs
+++ b/crates/hollowford-jobs/src/order.rs
@@ -113,8 +113,8 @@
     pub run: u32,
     /// Its last checkpoint; empty: none.
     pub saved: Arc<str>,
-    /// The share of its full pace at which it may work, in percent.
-    pub pace: u32,
+    /// How much of its work is done, in percent.
+    pub progress: u32,
 }
 
 /// A task that has ended on a worker.
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -31,6 +31,12 @@
     pub since: Millis,
     /// When it is expected to end.
     pub expected_end: Millis,
+    /// Percent of its work that is done.
+    pub progress: u32,
+    /// When the progress was seen to change last.
+    pub progressed_at: Millis,
+    /// Progress and time when it was first seen to run.
+    pub first_seen: Option<(u32, Millis)>,
     /// An order for it is under way.
     pub calling: bool,
     /// A start got no answer: that copy may be carried out later.
@@ -97,6 +103,8 @@
     pub unanswered: u32,
     pub last_answer: Millis,
     pub health: Health,
+    /// How long its tasks take as a multiple of what their callers guess, smoothed.
+    pub slowness: f32,
 }
 
 impl Worker {
@@ -131,6 +139,7 @@
             unanswered: 0,
             last_answer: now,
             health: Health::default(),
+            slowness: 1.0,
         }
     }
 
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -20,6 +20,13 @@
     pub since: Millis,
 }
 
+impl Run {
+    fn progress(&self, now: Millis) -> u32 {
+        let whole = self.until.since(self.since).0.max(1);
+        (now.since(self.since).0.min(whole) * 100 / whole) as u32
+    }
+}
+
 pub struct SimWorker {
     pub id: InstanceId,
     pub address: Arc<str>,
@@ -36,6 +43,10 @@
     pub reachable: bool,
     /// Orders are carried out but not answered.
     pub mute: bool,
+    /// What it runs stands still; it answers.
+    pub hung: bool,
+    /// Its tasks take so many times their guess.
+    pub slow: u64,
     /// Fails all that it starts.
     pub failing: bool,
     /// Not crashed.
@@ -62,6 +73,8 @@
             leaving: false,
             reachable: true,
             mute: false,
+            hung: false,
+            slow: 1,
             failing: false,
             up: true,
             now,
@@ -96,6 +109,13 @@
         if !self.up {
             return;
         }
+        if self.hung {
+            // All times of what runs move on with the clock.
+            for r in self.running.values_mut() {
+                r.since = r.since + Millis(5);
+                r.until = r.until + Millis(5);
+            }
+        }
         let lapsed = self.clock() >= self.lease_until;
         let runs: Vec<_> = self.running.iter().map(|(t, r)| (*t, r.clone())).collect();
         for (task, r) in runs {
@@ -116,6 +136,11 @@
         self.ended.push(End { number, task, run: r.run, kind, saved: "".into() });
     }
 
+    /// Returns how many tasks have ended well here and are not forgotten.
+    pub fn done(&self) -> usize {
+        self.ended.iter().filter(|e| e.kind == EndKind::Done).count()
+    }
+
     /// Crashes and comes back under another id.
     pub fn restart(&mut self, id: &str) {
         let (now, address) = (self.now, self.address.clone());
@@ -148,7 +173,7 @@
             }
             self.starts += 1;
             let room = spec.room();
-            let until = self.now + Millis(spec.estimate_ms);
+            let until = self.now + Millis(spec.estimate_ms * self.slow);
             self.running.insert(task, Run { run, room, until, gang: 0, since: self.now });
         }
         if self.mute { StartAnswer::Unanswered } else { StartAnswer::Runs(self.clock()) }
@@ -185,7 +210,7 @@
             task: *task,
             run: r.run,
             saved: "".into(),
-            pace: 100,
+            progress: r.progress(self.now),
         };
         LookAnswer::Lists(Look {
             clock: self.clock(),
--- a/crates/hollowford-node/src/logs.rs
+++ b/crates/hollowford-node/src/logs.rs
@@ -34,7 +34,7 @@
     std::thread::Builder::new()
         .name("log".to_owned())
         .stack_size(64 << 10)
-        .spawn(move || write_all(&rx, &mut io::stdout().lock()))?;
+        .spawn(move || write_all(&rx, &mut io::stdout()))?;
     Builder::from_env(Env::default().default_filter_or("info"))
         .target(Target::Pipe(Box::new(QueueWriter { tx, line: Vec::new() })))
         .format(|buf, record| {
