Jobs: a worker is used after a second look, which lists what was being carried out at the claim

The claim's answer can miss an order that the worker was just carrying out; the next look, which waits for an end, tells of it up to 1 s later. Test: an_order_that_was_being_carried_out_at_the_claim_is_counted, fails without it. Cost: 40 ms at a takeover.

--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -10,6 +10,9 @@
 
 /// How long a look may wait for an end. Leases are renewed at this pace, three times in one.
 const LOOK_WAIT: Millis = Millis(1_000);
+/// An order of an earlier owner that a worker was just carrying out when it took the new fence
+/// has begun, and is listed, after this time.
+const CONFIRM_AFTER: Millis = Millis(40);
 /// The next look after one that got no answer.
 const LOOK_AGAIN: Millis = Millis(250);
 /// How often to look while ends can't be made durable, so that leases are renewed.
@@ -38,7 +41,7 @@
                 continue;
             }
             w.looking = true;
-            let first = w.clock.is_none() || w.unanswered > 0;
+            let first = !w.claimed || w.unanswered > 0;
             let wait = if first || w.taken > w.forget { Millis(0) } else { LOOK_WAIT };
             out.push(Order::Worker(WorkerCall::Look {
                 worker: w.id.clone(),
@@ -90,18 +93,17 @@
             self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
         }
         w.answered(look.clock, now);
-        let first = !w.claimed;
+        let (first, second) = (!w.fenced, w.fenced && !w.claimed);
         if first {
             self.other_lives_dead(idx, now);
         }
         let Some(w) = self.workers.get_mut(idx) else { return };
         if first {
-            w.claimed = true;
+            w.fenced = true;
             // What an earlier owner ordered may run for so long without a word of this one.
             w.lease_until = w.lease_until.max(look.clock + earlier.0);
             let (running, ended) = (look.running.len(), look.ended.len());
             self.notes.push(Note::Claimed { worker: w.id.clone(), running, ended });
-            self.unsettled.remove(&idx);
         }
         let taken = w.taken;
         for end in look.ended.iter().filter(|e| e.number > taken) {
@@ -110,17 +112,33 @@
         for r in &look.running {
             self.take_running(idx, r, now);
         }
+        if second {
+            self.claim(idx);
+        }
         self.find_vanished(idx, &look, sent, now);
         self.check_stalled(idx, now);
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
         // The next look waits for the batch that makes these ends durable, but for the first
         // one: it could not renew the lease.
-        let wait = !first && w.taken > w.forget;
-        w.look_at = if wait { now + LOOK_STALLED } else { now };
+        w.look_at = if first {
+            now + CONFIRM_AFTER
+        } else if w.taken > w.forget {
+            now + LOOK_STALLED
+        } else {
+            now
+        };
         self.dirty = true;
     }
 
+    /// Takes the worker into use: nothing of an earlier owner can begin there any more.
+    fn claim(&mut self, idx: WorkerIdx) {
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.claimed = true;
+        }
+        self.unsettled.remove(&idx);
+    }
+
     /// Frees what the worker had confirmed before the look and lists no more.
     fn find_vanished(&mut self, idx: WorkerIdx, look: &Look, sent: Millis, now: Millis) {
         let Some(w) = self.workers.get(idx) else { return };
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -86,7 +86,9 @@
     pub leaving: bool,
     /// When it may be gone, once it is leaving.
     pub gone_at: Option<Millis>,
-    /// It has answered a look of this owner.
+    /// It has answered a look of this owner, and so refuses orders of earlier ones.
+    pub fenced: bool,
+    /// It has answered another one since: what was on its way before is listed, too.
     pub claimed: bool,
     pub clock: Option<WorkerClock>,
     /// The latest reading of its clock until which an order let it run.
@@ -129,6 +131,7 @@
             recorded: false,
             leaving: false,
             gone_at: None,
+            fenced: false,
             claimed: false,
             clock: None,
             lease_until: 0,
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -43,6 +43,9 @@
     pub reachable: bool,
     /// Orders are carried out but not answered.
     pub mute: bool,
+    /// An order that was just being carried out when a new fence came: it begins after the
+    /// answer to the look that brought the fence.
+    pub in_progress: Option<(TaskKey, Run)>,
     /// What it runs stands still; it answers.
     pub hung: bool,
     /// Its tasks take so many times their guess.
@@ -73,6 +76,7 @@
             leaving: false,
             reachable: true,
             mute: false,
+            in_progress: None,
             hung: false,
             slow: 1,
             failing: false,
@@ -212,11 +216,15 @@
             saved: "".into(),
             progress: r.progress(self.now),
         };
-        LookAnswer::Lists(Look {
+        let look = Look {
             clock: self.clock(),
             running: self.running.iter().map(running).collect(),
             ended: self.ended.clone(),
-        })
+        };
+        if let Some((task, run)) = self.in_progress.take() {
+            self.running.insert(task, run);
+        }
+        LookAnswer::Lists(look)
     }
 
     /// Time after which a member that waits for its gang would end.
--- a/crates/hollowford-jobs/tests/takeover.rs
+++ b/crates/hollowford-jobs/tests/takeover.rs
@@ -134,3 +134,25 @@
     assert_eq!(cell.running(), 4);
     assert_eq!(cell.workers[0].starts, 4);
 }
+
+#[test]
+fn an_order_that_was_being_carried_out_at_the_claim_is_counted() {
+    let mut cell = Cell::new(2);
+    cell.submit(1, LARGE, job(vec![step(1, 12_000, 60_000)]));
+    cell.run(100);
+    let at = cell.workers.iter().position(|w| w.starts == 1).expect("a worker");
+    let (task, run) = cell.workers[at].running.pop_first().expect("the task");
+    cell.workers[at].in_progress = Some((task, run));
+    cell.take_over();
+    for id in 2..6 {
+        cell.submit(id, QUICK, job(vec![step(2, 8_000, 200)]));
+    }
+    for _ in 0..100 {
+        cell.run(5);
+        cell.judge_room();
+        cell.judge_twice();
+    }
+    cell.run(3_000);
+    assert!((2..6).all(|id| cell.state(id) == Some(JobState::Completed)));
+    assert_eq!(cell.running(), 1);
+}
