Jobs: move work off workers that leave; what left workers held starts at once

A worker that said it leaves, is silent and listed no more has left. Tasks that save their progress and would not end in time move before.

--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -117,6 +117,7 @@
         }
         self.find_vanished(idx, &look, sent, now);
         self.check_stalled(idx, now);
+        self.evacuate(idx, now);
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
         // The next look waits for the batch that makes these ends durable, but for the first
@@ -162,6 +163,10 @@
     /// are not listed and hold nothing.
     pub(crate) fn lapse(&mut self, now: Millis) {
         for idx in self.workers.indexes() {
+            if self.has_left(idx) {
+                self.worker_dead(idx, now);
+                continue;
+            }
             let Some(w) = self.workers.get(idx) else { continue };
             let over = w.lease_over().is_some_and(|at| at + self.bounds.stop_timeout <= now);
             if over && !w.held.is_empty() {
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod choose;
 mod ends;
 mod engine;
+mod evacuate;
 mod gang;
 mod health;
 mod job;
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -87,7 +87,7 @@
     }
 
     /// Stops a task, so that it starts elsewhere; a gang starts again whole.
-    fn move_off(&mut self, idx: WorkerIdx, key: TaskKey) {
+    pub(crate) fn move_off(&mut self, idx: WorkerIdx, key: TaskKey) {
         if self.is_gang(key.step) {
             self.regroup(key.step);
             return;
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -39,6 +39,8 @@
     pub over: BTreeMap<TaskKey, u32>,
     pub listed: bool,
     pub leaving: bool,
+    /// The least time that it stays, once it leaves.
+    pub remaining: Option<Millis>,
     /// Answers arrive; what it runs goes on either way.
     pub reachable: bool,
     /// Orders are carried out but not answered.
@@ -74,6 +76,7 @@
             over: BTreeMap::new(),
             listed: true,
             leaving: false,
+            remaining: None,
             reachable: true,
             mute: false,
             in_progress: None,
@@ -100,7 +103,7 @@
             capacity: self.capacity,
             labels: vec!["a".into(), "r1".into()],
             leaving: self.leaving,
-            remaining: None,
+            remaining: self.remaining,
         }
     }
 
