--- a/crates/hollowford-jobs/tests/leaving.rs
+++ b/crates/hollowford-jobs/tests/leaving.rs
@@ -1,4 +1,5 @@
 //! Workers that leave.
+#![allow(clippy::expect_used)]
 
 mod common;
 
