--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -50,7 +50,7 @@
     /// # Errors
     /// When two of them have one name, which is a fault in the program.
     pub fn new() -> Result<Metrics, prometheus::Error> {
-        let r = Registry::new();
+        let r = Registry::new_custom(Some("hollowford_node".to_owned()), None)?;
         let counters = |name: &str, help: &str, labels: &[&str]| {
             let c = IntCounterVec::new(Opts::new(name, help), labels)?;
             r.register(Box::new(c.clone()))?;
--- a/crates/hollowford/tests/documents.rs
+++ b/crates/hollowford/tests/documents.rs
@@ -47,14 +47,30 @@
 fn every_metric_is_on_the_operators_page() {
     let source = page("crates/hollowford-server/src/metrics.rs");
     let names = source.split('"').filter(|s| s.starts_with("hollowford_") && !s.contains(' '));
-    let operating = page("docs/OPERATING.md");
+    let operating = page("docs/OPERATIONS.md");
     let missing: Vec<&str> = names.filter(|n| !operating.contains(&format!("`{n}`"))).collect();
     assert!(missing.is_empty(), "{missing:?}");
 }
 
+#[test]
+fn every_metric_of_the_platform_process_is_on_the_operators_page() {
+    let source = page("crates/hollowford-node/src/metrics.rs");
+    let makers = ["counters(\"", "counter(\"", "gauge(\"", "seconds(\""];
+    let name = |line: &str| {
+        let rest = makers.iter().find_map(|m| line.split(m).nth(1))?;
+        Some(rest.split('"').next()?.to_owned())
+    };
+    let names: Vec<String> = source.lines().filter_map(name).collect();
+    assert!(names.len() >= 15, "{names:?}");
+    let page = page("docs/OPERATIONS.md");
+    let lacks = |n: &&String| !page.contains(&format!("`hollowford_node_{n}`"));
+    let missing: Vec<&String> = names.iter().filter(lacks).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
 #[test]
 fn every_setting_is_on_the_operators_page() {
-    let operating = page("docs/OPERATING.md");
+    let operating = page("docs/OPERATIONS.md");
     for file in ["settings.rs", "policy.rs"] {
         let source = page(&format!("crates/hollowford-config/src/{file}"));
         let keys = source.split("KEYS: &[&str] = &[").nth(1).unwrap().split("];").next().unwrap();
@@ -71,8 +87,10 @@
     (out.status.code().unwrap(), text(out.stdout), text(out.stderr))
 }
 
-const COMMANDS: [&str; 10] =
-    ["serve", "check", "dev", "submit", "status", "list", "cancel", "config", "drain", "state"];
+const COMMANDS: [&str; 11] = [
+    "serve", "node", "check", "dev", "submit", "status", "list", "cancel", "config", "drain",
+    "state",
+];
 
 #[test]
 fn every_command_has_help_with_an_example_that_names_it() {
