--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -184,6 +184,7 @@
         self.lapse(now);
         self.look(now, out);
         self.resend(now, out);
+        self.order_paces(out);
         if self.dirty || now.since(self.passed_at) >= PASS_EVERY {
             self.dirty = false;
             self.passed_at = now;
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -118,6 +118,7 @@
         self.find_vanished(idx, &look, sent, now);
         self.check_stalled(idx, now);
         self.evacuate(idx, now);
+        self.pace_fillers(idx, &look.running, now);
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
         // The next look waits for the batch that makes these ends durable, but for the first
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod lease;
 mod note;
 mod order;
+mod pacing;
 mod place;
 mod queue;
 mod recover;
--- a/crates/hollowford-jobs/src/order.rs
+++ b/crates/hollowford-jobs/src/order.rs
@@ -53,6 +53,19 @@
         /// Number of the start.
         run: u32,
     },
+    /// Let a task work at a share of its full pace.
+    Pace {
+        /// The worker.
+        worker: InstanceId,
+        /// Its address.
+        address: Arc<str>,
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// The share, in percent.
+        percent: u32,
+    },
     /// Renew the lease, forget ends, and list what runs and has ended.
     Look {
         /// The worker.
@@ -115,6 +128,9 @@
     pub saved: Arc<str>,
     /// How much of its work is done, in percent.
     pub progress: u32,
+    /// Of a task that serves users: the tail of their answer times in milliseconds. Of any
+    /// other: the processors in use.
+    pub load: u32,
 }
 
 /// A task that has ended on a worker.
--- /dev/null
+++ b/crates/hollowford-jobs/src/pacing.rs
@@ -0,0 +1,131 @@
+//! Tasks that only fill what others leave idle, slowed down while they disturb tasks that
+//! serve users.
+//!
+//! What fills a worker disturbs what serves there by amounts that shift within seconds. When
+//! the tail of a serving task's answer times is over its target, all that fills on the same
+//! worker is slowed down at once; it is sped up again step by step.
+
+use crate::engine::Engine;
+use crate::order::{Order, Running, WorkerCall};
+use crate::spec::{StepSpec, TaskKey};
+use crate::worker::Phase;
+use crate::workers::WorkerIdx;
+use hollowford_core::{InstanceId, Millis};
+
+/// What fills may work at this share, in percent, once a target was missed; the next miss
+/// stops it.
+const SLOWED: u32 = 30;
+/// What fills is sped up by this many percent at a time.
+const SPEED_UP: u32 = 20;
+/// It is sped up while tails are below this part of their targets, in percent.
+const CALM_PERCENT: u64 = 70;
+/// Time between two changes on a worker: tails are told over the last half second.
+const SLOW_DOWN_EVERY: Millis = Millis(600);
+/// Time between two steps up, so that a disturbance shows before the next one.
+const SPEED_UP_EVERY: Millis = Millis(1_500);
+
+/// How a worker's serving tasks stand to their targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tails {
+    /// None serves here, or all are well below.
+    Calm,
+    /// Between calm and missed.
+    Near,
+    /// At least one is over.
+    Missed,
+}
+
+impl Engine {
+    /// Decides how fast the worker's filling tasks may work, by what it told of its serving
+    /// ones.
+    pub(crate) fn pace_fillers(&mut self, idx: WorkerIdx, running: &[Running], now: Millis) {
+        let tails = self.tails(running);
+        let fillers: Vec<TaskKey> = running.iter().map(|r| r.task).collect();
+        let fillers: Vec<TaskKey> =
+            fillers.into_iter().filter(|&t| self.step_spec(t).is_some_and(|s| s.filler)).collect();
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        let waited = now.since(w.paced_at);
+        let due = match tails {
+            Tails::Missed => waited >= SLOW_DOWN_EVERY,
+            Tails::Calm => waited >= SPEED_UP_EVERY,
+            Tails::Near => false,
+        };
+        if !due || fillers.is_empty() {
+            return;
+        }
+        let mut changed = false;
+        for h in w.held.iter_mut().filter(|h| fillers.contains(&h.task)) {
+            let wanted = match tails {
+                Tails::Missed if h.pace_wanted > SLOWED => SLOWED,
+                Tails::Missed => 0,
+                _ => (h.pace_wanted + SPEED_UP).min(100),
+            };
+            changed |= wanted != h.pace_wanted;
+            h.pace_wanted = wanted;
+        }
+        if changed {
+            w.paced_at = now;
+        }
+    }
+
+    fn step_spec(&self, key: TaskKey) -> Option<&StepSpec> {
+        self.jobs.get(key.step.job)?.spec.steps.get(key.step.step as usize)
+    }
+
+    fn tails(&self, running: &[Running]) -> Tails {
+        let mut worst = Tails::Calm;
+        for r in running {
+            let Some(spec) = self.step_spec(r.task) else { continue };
+            if !spec.lasting || spec.latency_ms == 0 {
+                continue;
+            }
+            let tail = u64::from(r.load);
+            if tail > spec.latency_ms {
+                return Tails::Missed;
+            }
+            if tail * 100 > spec.latency_ms * CALM_PERCENT {
+                worst = Tails::Near;
+            }
+        }
+        worst
+    }
+
+    /// Orders the paces that are not in force yet.
+    pub(crate) fn order_paces(&mut self, out: &mut Vec<Order>) {
+        for idx in self.workers.indexes() {
+            let Some(w) = self.workers.get_mut(idx) else { continue };
+            let (worker, address) = (w.id.clone(), w.address.clone());
+            let due = |h: &&mut crate::worker::Held| {
+                h.phase == Phase::Running && !h.calling && h.pace != h.pace_wanted
+            };
+            for h in w.held.iter_mut().filter(due) {
+                h.calling = true;
+                out.push(Order::Worker(WorkerCall::Pace {
+                    worker: worker.clone(),
+                    address: address.clone(),
+                    task: h.task,
+                    run: h.run,
+                    percent: h.pace_wanted,
+                }));
+            }
+        }
+    }
+
+    /// Takes in whether an order of a pace was answered.
+    pub fn pace_answered(
+        &mut self,
+        id: &InstanceId,
+        task: TaskKey,
+        run: u32,
+        percent: u32,
+        answered: bool,
+    ) {
+        let Some(idx) = self.workers.find(id) else { return };
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        let Some(h) = w.find_mut(task, run) else { return };
+        h.calling = false;
+        if answered {
+            h.pace = percent;
+        }
+    }
+}
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -86,8 +86,14 @@
         }
     }
 
-    /// Stops a task, so that it starts elsewhere; a gang starts again whole.
+    /// Stops a task, so that it starts elsewhere; a gang starts again whole. A task that lasts
+    /// stays: its users would miss it.
     pub(crate) fn move_off(&mut self, idx: WorkerIdx, key: TaskKey) {
+        let step =
+            self.jobs.get(key.step.job).and_then(|j| j.spec.steps.get(key.step.step as usize));
+        if step.is_none_or(|s| s.lasting) {
+            return;
+        }
         if self.is_gang(key.step) {
             self.regroup(key.step);
             return;
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -39,6 +39,8 @@
             since: now,
             expected_end: now + Millis(spec.estimate_ms),
             progress: 0,
+            pace: 100,
+            pace_wanted: 100,
             progressed_at: now,
             first_seen: None,
             calling: false,
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -33,6 +33,10 @@
     pub expected_end: Millis,
     /// Percent of its work that is done.
     pub progress: u32,
+    /// Share of its full pace that it may work at, in percent, as it was ordered last.
+    pub pace: u32,
+    /// Share that it should work at.
+    pub pace_wanted: u32,
     /// When the progress was seen to change last.
     pub progressed_at: Millis,
     /// Progress and time when it was first seen to run.
@@ -107,6 +111,8 @@
     pub health: Health,
     /// How long its tasks take as a multiple of what their callers guess, smoothed.
     pub slowness: f32,
+    /// When what fills was slowed down or sped up here last.
+    pub paced_at: Millis,
 }
 
 impl Worker {
@@ -143,6 +149,7 @@
             last_answer: now,
             health: Health::default(),
             slowness: 1.0,
+            paced_at: Millis(0),
         }
     }
 
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -192,6 +192,11 @@
                 let answered = self.worker(&worker).is_some_and(|w| w.stop(task, run, fence));
                 self.engine.stop_answered(&worker, task, run, answered, now);
             }
+            WorkerCall::Pace { worker, task, run, percent, .. } => {
+                let paced = |w: &mut SimWorker| w.pace(task, percent, fence);
+                let answered = self.worker(&worker).is_some_and(paced);
+                self.engine.pace_answered(&worker, task, run, percent, answered);
+            }
             WorkerCall::Look { worker, lease_until, forget, .. } => {
                 let look = |w: &mut SimWorker| w.look(lease_until, forget, fence);
                 let answer = self.worker(&worker).map_or(LookAnswer::OtherLife, look);
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -48,6 +48,12 @@
     /// An order that was just being carried out when a new fence came: it begins after the
     /// answer to the look that brought the fence.
     pub in_progress: Option<(TaskKey, Run)>,
+    /// Tasks whose guessed time is zero run until they are ended.
+    pub lasts: bool,
+    /// Shares that tasks were told to work at.
+    pub paces: BTreeMap<TaskKey, u32>,
+    /// Tail of serving tasks' answer times without any disturbance, in milliseconds.
+    pub base_tail: u32,
     /// What it runs stands still; it answers.
     pub hung: bool,
     /// Its tasks take so many times their guess.
@@ -79,6 +85,9 @@
             remaining: None,
             reachable: true,
             mute: false,
+            lasts: false,
+            paces: BTreeMap::new(),
+            base_tail: 50,
             in_progress: None,
             hung: false,
             slow: 1,
@@ -129,7 +138,7 @@
             let failed = self.failing || self.poison.contains(&task.step.job);
             if lapsed {
                 self.end(task, EndKind::Lapsed);
-            } else if r.until <= now {
+            } else if r.until <= now && !(self.lasts && r.until == r.since) {
                 self.end(task, if failed { EndKind::Failed } else { EndKind::Done });
             }
         }
@@ -148,6 +157,22 @@
         self.ended.iter().filter(|e| e.kind == EndKind::Done).count()
     }
 
+    /// Returns the tail that a task's users see: what fills adds to it at its pace.
+    fn tail(&self, task: &TaskKey) -> u32 {
+        let fills = self.running.keys().filter(|t| *t != task);
+        let paces = fills.map(|t| self.paces.get(t).copied().unwrap_or(100));
+        self.base_tail + paces.sum::<u32>()
+    }
+
+    /// Lets a task work at a share of its pace.
+    pub fn pace(&mut self, task: TaskKey, percent: u32, fence: u64) -> bool {
+        if !self.up || !self.reachable || fence < self.fence {
+            return false;
+        }
+        self.paces.insert(task, percent);
+        !self.mute
+    }
+
     /// Crashes and comes back under another id.
     pub fn restart(&mut self, id: &str) {
         let (now, address) = (self.now, self.address.clone());
@@ -218,6 +243,7 @@
             run: r.run,
             saved: "".into(),
             progress: r.progress(self.now),
+            load: self.tail(task),
         };
         let look = Look {
             clock: self.clock(),
--- a/crates/hollowford-node/src/calls.rs
+++ b/crates/hollowford-node/src/calls.rs
@@ -39,6 +39,8 @@
         Called::Start(_) => ("start", "refused"),
         Called::Stop(true) => ("stop", "answered"),
         Called::Stop(false) => ("stop", "unanswered"),
+        Called::Pace(true) => ("pace", "answered"),
+        Called::Pace(false) => ("pace", "unanswered"),
         Called::Look(LookAnswer::Lists(_)) => ("look", "answered"),
         Called::Look(LookAnswer::Unanswered) => ("look", "unanswered"),
         Called::Look(_) => ("look", "refused"),
@@ -54,6 +56,9 @@
         WorkerCall::Stop { worker, task, run, .. } => {
             format!("stop task={task} run={run} worker={worker}")
         }
+        WorkerCall::Pace { worker, task, run, percent, .. } => {
+            format!("pace task={task} run={run} worker={worker} percent={percent}")
+        }
         WorkerCall::Look { worker, .. } => format!("look worker={worker}"),
     }
 }
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -368,6 +368,10 @@
                 self.engine.stop_answered(worker, *task, *run, answered, now);
                 false
             }
+            (WorkerCall::Pace { worker, task, run, percent, .. }, Called::Pace(answered)) => {
+                self.engine.pace_answered(worker, *task, *run, *percent, answered);
+                false
+            }
             (WorkerCall::Look { worker, .. }, Called::Look(answer)) => {
                 self.engine.looked(worker, answer, sent, now)
             }
