--- a/crates/hollowford-jobs/tests/steps.rs
+++ b/crates/hollowford-jobs/tests/steps.rs
@@ -1,4 +1,5 @@
 //! Steps that depend on steps, rounds that repeat, spreading, labels and gangs.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 
