--- a/crates/hollowford-platform/src/lib.rs
+++ b/crates/hollowford-platform/src/lib.rs
@@ -2,8 +2,8 @@
 //! list and the links to workers. All of it by published protocols.
 
 mod link;
+pub mod rows;
 mod store;
-pub mod wire;
 
 pub use link::{ClaimOf, LinkError, Orders, Reports, attach};
 pub use store::{Platform, StoreError, Txn, TxnResult};
--- a/crates/hollowford-server/src/accounts.rs
+++ b/crates/hollowford-server/src/accounts.rs
@@ -242,7 +242,7 @@
     (current == *entry).then(|| head_of(rows.iter().find(|r| r.key == HEAD_KEY)).1)
 }
 
-fn head_of(row: Option<&hollowford_platform::wire::Row>) -> (u64, u64) {
+fn head_of(row: Option<&hollowford_platform::rows::Row>) -> (u64, u64) {
     row.map_or((0, 0), |r| {
         let head = HeadRow::decode(&r.value.0[..]).unwrap_or_default();
         (r.version, head.head)
--- a/crates/hollowford-server/src/decide/owned.rs
+++ b/crates/hollowford-server/src/decide/owned.rs
@@ -11,7 +11,7 @@
 use hollowford_config::PartitionBy;
 use hollowford_core::{Error, ErrorKind, InstanceId, Millis, PartitionId, RequestNo, hash64};
 use hollowford_engine::{Action, Authority, Engine, Listed, Record, Stats};
-use hollowford_platform::wire::Instance;
+use hollowford_platform::rows::Instance;
 use hollowford_protocol::peer::{Said, ViewReply};
 use hollowford_protocol::v1;
 use std::collections::{HashMap, HashSet};
--- a/crates/hollowford-server/src/entry/operator.rs
+++ b/crates/hollowford-server/src/entry/operator.rs
@@ -56,7 +56,7 @@
         let after = format!("{LOG_PREFIX}{:016x}", head.saturating_sub(limit));
         let rows = self.store.scan(LOG_PREFIX, &after, limit as usize).await.map_err(unread)?;
         let change =
-            |r: &hollowford_platform::wire::Row| v1::ConfigChange::decode(&r.value.0[..]).ok();
+            |r: &hollowford_platform::rows::Row| v1::ConfigChange::decode(&r.value.0[..]).ok();
         let mut changes: Vec<v1::ConfigChange> = rows.iter().filter_map(change).collect();
         changes.reverse();
         Ok(v1::ConfigHistoryReply { changes })
--- a/crates/hollowford-server/src/shared.rs
+++ b/crates/hollowford-server/src/shared.rs
@@ -13,7 +13,7 @@
 use arc_swap::ArcSwap;
 use hollowford_config::Settings;
 use hollowford_core::{Clock, Millis};
-use hollowford_platform::wire::Instance;
+use hollowford_platform::rows::Instance;
 use hollowford_platform::{Platform, StoreError};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/hollowford-server/src/watch.rs
+++ b/crates/hollowford-server/src/watch.rs
@@ -103,7 +103,7 @@
     names.dedup();
     let keys: Vec<&str> = names.iter().map(String::as_str).collect();
     let rows = store.read(&keys).await?;
-    let entry = |r: &hollowford_platform::wire::Row| {
+    let entry = |r: &hollowford_platform::rows::Row| {
         AccountEntry::from_row(r.key.trim_start_matches(ACCOUNT_PREFIX), &r.value.0)
     };
     Ok(rows.iter().filter_map(entry).collect())
@@ -135,7 +135,7 @@
     }
 }
 
-async fn learn(shared: &Shared, store: &Platform, rows: &[hollowford_platform::wire::Row]) {
+async fn learn(shared: &Shared, store: &Platform, rows: &[hollowford_platform::rows::Row]) {
     for row in rows {
         let process = row.key.trim_start_matches(MEMBER_PREFIX);
         if process == shared.settings.process {
--- a/crates/hollowford-standin/src/register.rs
+++ b/crates/hollowford-standin/src/register.rs
@@ -3,7 +3,7 @@
 use crate::record::Recorder;
 use crate::worker::{self, Settings, StandinWorker};
 use hollowford_platform::Platform;
-use hollowford_platform::wire::Instance;
+use hollowford_platform::rows::Instance;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/hollowford-standin/src/worker/service.rs
+++ b/crates/hollowford-standin/src/worker/service.rs
@@ -3,7 +3,7 @@
 use super::state::{Settings, StandinWorker};
 use crate::record::Recorder;
 use hollowford_platform::Platform;
-use hollowford_platform::wire::Instance;
+use hollowford_platform::rows::Instance;
 use hollowford_protocol::v1;
 use hollowford_protocol::v1::order::Order;
 use hollowford_protocol::v1::worker_server::{Worker, WorkerServer};
--- a/crates/hollowford-standin/src/worker/state.rs
+++ b/crates/hollowford-standin/src/worker/state.rs
@@ -5,7 +5,7 @@
 use crate::record::{Line, Recorder, What};
 use hollowford_core::Clock;
 use hollowford_platform::Platform;
-use hollowford_platform::wire::Instance;
+use hollowford_platform::rows::Instance;
 use hollowford_protocol::v1;
 use hollowford_protocol::v1::report::Report;
 use std::collections::BTreeMap;
