--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers' requests at the owner, and those that wait for the store.
 
 use crate::front::state_number;
-use crate::owner::Reply;
+use crate::inbox::Reply;
 use crate::wire::{Call, Said, Verb};
 use hollowford_core::Millis;
 use hollowford_jobs::{CancelAnswer, Engine, JobId, JobState, SubmitAnswer, decode_spec};
--- a/crates/hollowford-node/src/calls.rs
+++ b/crates/hollowford-node/src/calls.rs
@@ -1,10 +1,11 @@
 //! Calls to workers and to the service for advice, each in a task of its own.
 
-use crate::owner::{OwnerHandle, OwnerMsg};
+use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::shared::Shared;
+use crate::wire::Advice;
 use hollowford_adapter::{Called, WorkerClient};
 use hollowford_core::Millis;
-use hollowford_jobs::{Advised, LookAnswer, StartAnswer, WorkerCall};
+use hollowford_jobs::{Advised, LookAnswer, Seat, StartAnswer, StepKey, WorkerCall};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -66,3 +67,22 @@
     shared.metrics.advice_calls.with_label_values(&[outcome]).inc();
     answer.inspect_err(|e| log::info!("advice.failed step={step} error=\"{e}\"")).ok()
 }
+
+/// Makes a call for advice from this process and tells its owner what came of it.
+pub async fn advise_here(
+    shared: Arc<Shared>,
+    seat: Seat,
+    step: StepKey,
+    workers: Vec<String>,
+    handle: OwnerHandle,
+) {
+    let answer = advise(&shared, &step.to_string(), &workers).await;
+    handle.send(OwnerMsg::Advised { seat, step, answer }).await;
+}
+
+/// Reads a member's answer to a call for advice.
+pub fn read_advice(msg: Advice) -> Option<(Advised, Millis)> {
+    let rows = msg.workers.iter().zip(&msg.tickets);
+    let rows = rows.map(|(id, t)| (id.as_str().into(), t.as_str().into())).collect();
+    msg.answered.then_some((rows, Millis(msg.validity_ms)))
+}
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! Its duties are tasks of one thread, joined by bounded channels; see docs/PLATFORM.md.
 
+mod batches;
 mod callers;
 mod calls;
 mod front;
+mod inbox;
 mod link;
 pub mod logs;
 mod member;
@@ -14,6 +16,7 @@
 mod owner;
 mod ownership;
 mod peers;
+mod reach;
 mod registry;
 mod relay;
 mod reload;
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -1,8 +1,8 @@
 //! Starts and stops the duties of a process.
 
 use crate::front::{Front, MetricsPage, Readiness};
+use crate::inbox::OwnerMsg;
 use crate::metrics::Metrics;
-use crate::owner::OwnerMsg;
 use crate::shared::{Route, Shared};
 use crate::{ownership, peers, reload, watch};
 use hollowford_adapter::{AdviceClient, CallError, NodeSettings, StoreClient, StoreError};
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -1,8 +1,9 @@
 //! Who owns the partition: following an owner, taking over from it, being it.
 
+use crate::inbox::OwnerHandle;
 use crate::link;
 use crate::member::{Parted, follow};
-use crate::owner::{Owner, OwnerEnd, OwnerHandle, Start};
+use crate::owner::{Owner, OwnerEnd, Start};
 use crate::shared::{Route, Shared};
 use crate::wire::{Body, OwnerInfo, WhoOwns};
 use crate::writer::{OWNER_KEY, TABLE, owner_row, read_owner};
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -1,8 +1,9 @@
 //! Links that other processes open to this one.
 
+use crate::calls::read_advice;
+use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::link::{self, Outbox, Reader};
 use crate::members::LinkId;
-use crate::owner::{OwnerHandle, OwnerMsg, read_advice};
 use crate::shared::{Route, Shared};
 use crate::wire::{Body, Heartbeat, Hello, OwnerInfo};
 use hollowford_jobs::{Seat, TaskKey};
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -1,6 +1,6 @@
 //! Keeps the list of workers up to date while this process owns the partition.
 
-use crate::owner::{OwnerHandle, OwnerMsg};
+use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::shared::Shared;
 use hollowford_adapter::{REGISTRY_TABLE, Row, StoreError, Version, decode_listing};
 use hollowford_core::Millis;
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the duties of a process share.
 
+use crate::inbox::OwnerHandle;
 use crate::metrics::Metrics;
-use crate::owner::OwnerHandle;
 use crate::wire::{ConfigRow, OwnerInfo};
 use arc_swap::ArcSwapOption;
 use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient};
