--- a/crates/hollowford-jobs/src/advice.rs
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -63,6 +63,13 @@
     Lapsed,
 }
 
+impl Standing {
+    /// Tells whether the step may run there, with this ticket or a renewed one.
+    pub fn is_good(self) -> bool {
+        matches!(self, Standing::Ticketed | Standing::Lapsed)
+    }
+}
+
 impl StepAdvice {
     pub fn standing(&self, w: WorkerIdx, now: Millis) -> Standing {
         match self.known.get(&w) {
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -4,63 +4,47 @@
 use crate::choose::Room;
 use crate::engine::Engine;
 use crate::order::Order;
-use crate::place::Pass;
-use crate::queue::Queue;
-use crate::spec::{StepKey, StepSpec};
-use crate::urgency::Waiting;
+use crate::place::{Pass, Placing};
+use crate::spec::StepSpec;
 use crate::workers::WorkerIdx;
 
 /// How many members go to each room, by position in the pass.
 type Seating = Vec<(usize, u32)>;
 
 impl Engine {
-    pub(crate) fn place_gang(
-        &mut self,
-        pass: &mut Pass,
-        waiting: &Waiting,
-        spec: &StepSpec,
-        queue: &Queue,
-        out: &mut Vec<Order>,
-    ) {
-        let key = waiting.key;
-        let now = pass.now;
+    /// Starts a gang if all its members can start; else asks for what it lacks and keeps room
+    /// for it.
+    pub(crate) fn place_gang(&mut self, pass: &mut Pass, gang: Placing<'_>, out: &mut Vec<Order>) {
         let ticketed = |s: Standing| s == Standing::Ticketed;
-        if waiting.kept
-            && let Some(seating) = self.seat_gang(pass, key, spec, queue, &ticketed)
+        if gang.kept
+            && let Some(seating) = self.seat_gang(pass, gang, &ticketed)
         {
-            self.start_gang(pass, key, spec, &seating, out);
+            self.start_gang(pass, gang, &seating, out);
             return;
         }
-        let Some(step) = self.jobs.step(key) else { return };
+        let Some(step) = self.jobs.step(gang.key) else { return };
         let asking = step.advice.asking;
-        if let Some(cost) = queue.advice
+        if let Some(cost) = gang.queue.advice
             && !asking
-            && let Some(workers) = self.gang_to_ask(pass, key, spec, queue)
+            && let Some(workers) = self.gang_to_ask(pass, gang)
         {
-            pass.wants.push(Want { step: key, workers, cost });
+            pass.wants.push(Want { step: gang.key, workers, cost });
         }
-        let may = |s: Standing| matches!(s, Standing::Ticketed | Standing::Lapsed);
-        if let Some(seating) = self.seat_gang(pass, key, spec, queue, &may) {
+        match self.seat_gang(pass, gang, &Standing::is_good) {
             // It fits once its tickets are renewed, or its acceptance is in the store.
-            for (at, n) in seating {
-                let room = &mut pass.rooms[at];
-                for _ in 0..n {
-                    room.reserved = room.reserved.plus(&spec.room());
-                }
-            }
-        } else {
-            self.reserve_gang(pass, key, spec, queue, now);
+            Some(seating) => reserve(pass, gang.spec, &seating),
+            None => self.reserve_gang(pass, gang),
         }
     }
 
     fn start_gang(
         &mut self,
         pass: &mut Pass,
-        key: StepKey,
-        spec: &StepSpec,
+        gang: Placing<'_>,
         seating: &Seating,
         out: &mut Vec<Order>,
     ) {
+        let Placing { key, spec, .. } = gang;
         let floor = self.jobs.get(key.job).map_or(0, |j| j.run_floor(self.epoch));
         let Some(step) = self.jobs.step_mut(key) else { return };
         step.gang_since = pass.now;
@@ -80,14 +64,11 @@
     fn seat_gang(
         &self,
         pass: &Pass,
-        key: StepKey,
-        spec: &StepSpec,
-        queue: &Queue,
+        gang: Placing<'_>,
         may: &dyn Fn(Standing) -> bool,
     ) -> Option<Seating> {
-        let usable = |r: &Room| {
-            may(self.standing(key, r.idx, queue, pass.now)) && self.allowed(r, key, spec, queue)
-        };
+        let spec = gang.spec;
+        let usable = |r: &Room| may(self.standing(gang, r.idx, pass.now)) && self.allowed(r, gang);
         let rooms: Vec<usize> =
             (0..pass.rooms.len()).filter(|&at| usable(&pass.rooms[at])).collect();
         if spec.one_rack {
@@ -95,7 +76,7 @@
                 let of = |&at: &usize| pass.rooms[at].rack.as_ref() == Some(rack);
                 seat(pass, spec, rooms.iter().copied().filter(of).collect())
             };
-            if let Some(seating) = Engine::racks(pass).iter().find_map(in_rack) {
+            if let Some(seating) = pass.racks().iter().find_map(in_rack) {
                 return Some(seating);
             }
         }
@@ -104,32 +85,36 @@
 
     /// Returns the workers to ask about for a gang: all of the pool at first, then those of
     /// which the tickets would let it start.
-    fn gang_to_ask(
-        &self,
-        pass: &Pass,
-        key: StepKey,
-        spec: &StepSpec,
-        queue: &Queue,
-    ) -> Option<Vec<WorkerIdx>> {
-        let standing = |r: &Room| self.standing(key, r.idx, queue, pass.now);
+    fn gang_to_ask(&self, pass: &Pass, gang: Placing<'_>) -> Option<Vec<WorkerIdx>> {
+        let standing = |r: &Room| self.standing(gang, r.idx, pass.now);
         let unknown: Vec<_> = pass
             .rooms
             .iter()
-            .filter(|r| standing(r) == Standing::Unknown && self.allowed(r, key, spec, queue))
+            .filter(|r| standing(r) == Standing::Unknown && self.allowed(r, gang))
             .collect();
-        if self.jobs.step(key)?.advice.nothing_known() {
+        if self.jobs.step(gang.key)?.advice.nothing_known() {
             return some(unknown.iter().map(|r| r.idx).collect());
         }
-        let may = |s: Standing| matches!(s, Standing::Ticketed | Standing::Lapsed);
-        if let Some(seating) = self.seat_gang(pass, key, spec, queue, &may) {
+        if let Some(seating) = self.seat_gang(pass, gang, &Standing::is_good) {
             return some(seating.iter().map(|&(at, _)| pass.rooms[at].idx).collect());
         }
         let any = |s: Standing| s != Standing::Barred;
-        self.seat_gang(pass, key, spec, queue, &any)?;
+        self.seat_gang(pass, gang, &any)?;
         some(unknown.iter().map(|r| r.idx).collect())
     }
 }
 
+/// Keeps the room that a gang is seated in.
+fn reserve(pass: &mut Pass, spec: &StepSpec, seating: &Seating) {
+    for &(at, n) in seating {
+        let room = &mut pass.rooms[at];
+        for _ in 0..n {
+            room.reserved = room.reserved.plus(&spec.room());
+        }
+    }
+}
+
+/// Returns the list unless it is empty.
 fn some(workers: Vec<WorkerIdx>) -> Option<Vec<WorkerIdx>> {
     (!workers.is_empty()).then_some(workers)
 }
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -27,6 +27,26 @@
     pub reservations: usize,
 }
 
+impl Pass {
+    /// Returns the racks of the workers, for gangs that want one.
+    pub fn racks(&self) -> Vec<Arc<str>> {
+        let mut racks: Vec<_> = self.rooms.iter().filter_map(|r| r.rack.clone()).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        racks
+    }
+}
+
+/// The step that is being placed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Placing<'a> {
+    pub key: StepKey,
+    /// The job's acceptance is in the store, so that tasks may start.
+    pub kept: bool,
+    pub spec: &'a StepSpec,
+    pub queue: &'a Queue,
+}
+
 impl Engine {
     /// Starts what can be started, and asks for the advice that is missing.
     pub(crate) fn place(&mut self, now: Millis, out: &mut Vec<Order>) {
@@ -40,78 +60,63 @@
     }
 
     fn place_step(&mut self, pass: &mut Pass, waiting: &Waiting, out: &mut Vec<Order>) {
-        let Some(job) = self.jobs.get(waiting.key.job) else { return };
+        let key = waiting.key;
+        let Some(job) = self.jobs.get(key.job) else { return };
         let Some(queue) = self.queues.get(&job.queue).cloned() else { return };
-        let spec = job.spec.clone();
-        let Some(step) = spec.steps.get(waiting.key.step as usize) else { return };
-        if step.gang {
-            self.place_gang(pass, waiting, step, &queue, out);
+        let job_spec = job.spec.clone();
+        let Some(spec) = job_spec.steps.get(key.step as usize) else { return };
+        let step = Placing { key, kept: waiting.kept, spec, queue: &queue };
+        if spec.gang {
+            self.place_gang(pass, step, out);
         } else {
-            self.place_tasks(pass, waiting, step, &queue, out);
+            self.place_tasks(pass, step, out);
         }
     }
 
-    fn place_tasks(
-        &mut self,
-        pass: &mut Pass,
-        waiting: &Waiting,
-        spec: &StepSpec,
-        queue: &Queue,
-        out: &mut Vec<Order>,
-    ) {
-        let key = waiting.key;
-        let Some(step) = self.jobs.step(key) else { return };
-        let waits = |(i, t): (usize, &crate::job::Task)| {
-            t.waits(pass.now).then_some((i as u32, t.run, t.avoid))
-        };
-        let tasks: Vec<_> = step.tasks.iter().enumerate().filter_map(waits).collect();
-        let floor = self.jobs.get(key.job).map_or(0, |j| j.run_floor(self.epoch));
+    fn place_tasks(&mut self, pass: &mut Pass, step: Placing<'_>, out: &mut Vec<Order>) {
+        let tasks = self.waiting_tasks(step.key, pass.now);
+        let floor = self.jobs.get(step.key.job).map_or(0, |j| j.run_floor(self.epoch));
         let mut left = tasks.len();
         // A worker that a waiting task has failed on: it needs another one.
         let mut shunned = None;
         for (index, run, avoid) in tasks {
-            if !waiting.kept {
+            if !step.kept {
                 break;
             }
-            let avoid = avoid.filter(|&w| self.has_other(pass, key, spec, queue, w));
-            let Some(at) = self.choose(pass, key, spec, queue, avoid) else {
+            let avoid = avoid.filter(|&w| self.has_other(pass, step, w));
+            let Some(at) = self.choose(pass, step, avoid) else {
                 shunned = shunned.or(avoid);
                 break;
             };
-            pass.rooms[at].take(&spec.room());
+            pass.rooms[at].take(&step.spec.room());
             let idx = pass.rooms[at].idx;
-            self.start(idx, key.task(index), run.max(floor) + 1, pass.now, out);
+            self.start(idx, step.key.task(index), run.max(floor) + 1, pass.now, out);
             left -= 1;
         }
         if left > 0
-            && let Some(cost) = queue.advice
-            && let Some(workers) = self.to_ask(pass, key, spec, queue, left, shunned)
+            && let Some(cost) = step.queue.advice
+            && let Some(workers) = self.to_ask(pass, step, left, shunned)
         {
-            pass.wants.push(Want { step: key, workers, cost });
+            pass.wants.push(Want { step: step.key, workers, cost });
         }
     }
 
+    /// Returns the tasks of a step that may be started: index, highest run, worker to avoid.
+    fn waiting_tasks(&self, key: StepKey, now: Millis) -> Vec<(u32, u32, Option<WorkerIdx>)> {
+        let Some(step) = self.jobs.step(key) else { return Vec::new() };
+        let tasks = step.tasks.iter().enumerate().filter(|(_, t)| t.waits(now));
+        tasks.map(|(i, t)| (i as u32, t.run, t.avoid)).collect()
+    }
+
     /// Tells whether the step may run on some worker other than `w`, now or once it has room.
-    fn has_other(
-        &self,
-        pass: &Pass,
-        key: StepKey,
-        spec: &StepSpec,
-        queue: &Queue,
-        w: WorkerIdx,
-    ) -> bool {
-        let may = |r: &Room| self.standing(key, r.idx, queue, pass.now) != Standing::Barred;
-        pass.rooms.iter().any(|r| r.idx != w && may(r) && self.allowed(r, key, spec, queue))
+    fn has_other(&self, pass: &Pass, step: Placing<'_>, w: WorkerIdx) -> bool {
+        let may = |r: &Room| self.standing(step, r.idx, pass.now) != Standing::Barred;
+        pass.rooms.iter().any(|r| r.idx != w && may(r) && self.allowed(r, step))
     }
 
     /// Tells whether the step may run on a worker at all, advice aside.
-    pub(crate) fn allowed(
-        &self,
-        room: &Room,
-        key: StepKey,
-        spec: &StepSpec,
-        queue: &Queue,
-    ) -> bool {
+    pub(crate) fn allowed(&self, room: &Room, step: Placing<'_>) -> bool {
+        let Placing { key, spec, queue, .. } = step;
         if room.pool != queue.pool {
             return false;
         }
@@ -122,38 +127,26 @@
             || self.workers.get(room.idx).is_some_and(|w| w.has_label(&spec.requires))
     }
 
-    pub(crate) fn standing(
-        &self,
-        key: StepKey,
-        idx: WorkerIdx,
-        queue: &Queue,
-        now: Millis,
-    ) -> Standing {
-        if queue.advice.is_none() {
+    /// Returns what advice says of a worker for the step; where none is needed, each may.
+    pub(crate) fn standing(&self, step: Placing<'_>, idx: WorkerIdx, now: Millis) -> Standing {
+        if step.queue.advice.is_none() {
             return Standing::Ticketed;
         }
-        self.jobs.step(key).map_or(Standing::Unknown, |s| s.advice.standing(idx, now))
+        self.jobs.step(step.key).map_or(Standing::Unknown, |s| s.advice.standing(idx, now))
     }
 
     /// Returns the best room for one task.
-    fn choose(
-        &self,
-        pass: &Pass,
-        key: StepKey,
-        spec: &StepSpec,
-        queue: &Queue,
-        avoid: Option<WorkerIdx>,
-    ) -> Option<usize> {
-        let need = spec.room();
-        let ends = pass.now + Millis(spec.estimate_ms);
+    fn choose(&self, pass: &Pass, step: Placing<'_>, avoid: Option<WorkerIdx>) -> Option<usize> {
+        let need = step.spec.room();
+        let ends = pass.now + Millis(step.spec.estimate_ms);
         let fits = |r: &Room| {
             Some(r.idx) != avoid
                 && r.fits(&need, ends)
-                && self.standing(key, r.idx, queue, pass.now) == Standing::Ticketed
-                && self.allowed(r, key, spec, queue)
+                && self.standing(step, r.idx, pass.now) == Standing::Ticketed
+                && self.allowed(r, step)
         };
         let rooms = pass.rooms.iter().enumerate().filter(|(_, r)| fits(r));
-        let costs = rooms.map(|(at, r)| (at, r.cost(spec)));
+        let costs = rooms.map(|(at, r)| (at, r.cost(step.spec)));
         costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
     }
 
@@ -162,27 +155,25 @@
     fn to_ask(
         &self,
         pass: &Pass,
-        key: StepKey,
-        spec: &StepSpec,
-        queue: &Queue,
+        step: Placing<'_>,
         tasks: usize,
         shunned: Option<WorkerIdx>,
     ) -> Option<Vec<WorkerIdx>> {
-        if self.jobs.step(key)?.advice.asking {
+        if self.jobs.step(step.key)?.advice.asking {
             return None;
         }
-        let need = spec.room();
-        let ends = pass.now + Millis(spec.estimate_ms);
+        let need = step.spec.room();
+        let ends = pass.now + Millis(step.spec.estimate_ms);
         let mut lapsed = Vec::new();
         let mut unknown = Vec::new();
         let mut lapsed_room = 0;
         for r in &pass.rooms {
             let skipped = Some(r.idx) == shunned;
-            if skipped || !r.fits(&need, ends) || !self.allowed(r, key, spec, queue) {
+            if skipped || !r.fits(&need, ends) || !self.allowed(r, step) {
                 continue;
             }
-            let cost = r.cost(spec);
-            match self.standing(key, r.idx, queue, pass.now) {
+            let cost = r.cost(step.spec);
+            match self.standing(step, r.idx, pass.now) {
                 Standing::Lapsed => {
                     lapsed_room += r.count(&need).max(1) as usize;
                     lapsed.push((cost, r.idx));
@@ -191,22 +182,16 @@
                 Standing::Ticketed | Standing::Barred => {}
             }
         }
-        let pick = |mut list: Vec<(f32, WorkerIdx)>, most: usize| -> Vec<WorkerIdx> {
-            list.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-            list.into_iter().take(most).map(|(_, w)| w).collect()
-        };
-        let mut workers = pick(lapsed, tasks + tasks / 2 + 1);
+        let mut workers = cheapest(lapsed, tasks + tasks / 2 + 1);
         if lapsed_room < tasks {
-            workers.extend(pick(unknown, (tasks * ASK_FACTOR).max(ASK_LEAST)));
+            workers.extend(cheapest(unknown, (tasks * ASK_FACTOR).max(ASK_LEAST)));
         }
         (!workers.is_empty()).then_some(workers)
     }
+}
 
-    /// Returns the rack of a worker, for gangs that want one.
-    pub(crate) fn racks(pass: &Pass) -> Vec<Arc<str>> {
-        let mut racks: Vec<_> = pass.rooms.iter().filter_map(|r| r.rack.clone()).collect();
-        racks.sort_unstable();
-        racks.dedup();
-        racks
-    }
+/// Returns the workers of the least cost, at most `most`.
+fn cheapest(mut list: Vec<(f32, WorkerIdx)>, most: usize) -> Vec<WorkerIdx> {
+    list.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+    list.into_iter().take(most).map(|(_, w)| w).collect()
 }
--- a/crates/hollowford-jobs/src/reserve.rs
+++ b/crates/hollowford-jobs/src/reserve.rs
@@ -4,35 +4,31 @@
 //! works out which of the workers that may run them are free first, and keeps later steps
 //! off these, unless they end before.
 
-use crate::advice::Standing;
 use crate::choose::copies;
 use crate::engine::Engine;
-use crate::place::Pass;
-use crate::queue::Queue;
-use crate::spec::{StepKey, StepSpec};
+use crate::place::{Pass, Placing};
+use crate::workers::WorkerIdx;
 use hollowford_core::{Millis, Resources};
 
 /// Most gangs for which room is kept at a time: each more leaves less for all others.
 const MOST_RESERVATIONS: usize = 3;
 
+/// Most members that one worker is counted for.
+const MOST_SLOTS: u32 = 64;
+
 impl Engine {
-    pub(crate) fn reserve_gang(
-        &self,
-        pass: &mut Pass,
-        key: StepKey,
-        spec: &StepSpec,
-        queue: &Queue,
-        now: Millis,
-    ) {
+    /// Keeps the room in which all members could start first.
+    pub(crate) fn reserve_gang(&self, pass: &mut Pass, gang: Placing<'_>) {
         if pass.reservations >= MOST_RESERVATIONS {
             return;
         }
+        let Placing { spec, .. } = gang;
+        let now = pass.now;
         let need = spec.room();
         let mut slots = Vec::new();
         for (at, room) in pass.rooms.iter().enumerate() {
-            let standing = self.standing(key, room.idx, queue, now);
-            let may = matches!(standing, Standing::Ticketed | Standing::Lapsed);
-            if !may || !self.allowed(room, key, spec, queue) {
+            let may = self.standing(gang, room.idx, now).is_good();
+            if !may || !self.allowed(room, gang) {
                 continue;
             }
             let free = room.free.minus(&room.reserved);
@@ -56,7 +52,7 @@
     fn slots_of(
         &self,
         at: usize,
-        idx: crate::workers::WorkerIdx,
+        idx: WorkerIdx,
         mut free: Resources,
         need: &Resources,
         now: Millis,
@@ -66,13 +62,13 @@
         let mut ends: Vec<_> = w.held.iter().map(|h| (h.expected_end.max(now), h.room)).collect();
         ends.sort_unstable_by_key(|&(end, _)| end);
         let mut have = copies(need, &free);
-        for _ in 0..have.min(64) {
+        for _ in 0..have.min(MOST_SLOTS) {
             slots.push((now, at));
         }
         for (end, room) in ends {
             free = free.plus(&room);
             let count = copies(need, &free);
-            for _ in have..count.min(64) {
+            for _ in have..count.min(MOST_SLOTS) {
                 slots.push((end, at));
             }
             have = have.max(count);
