Jobs: one constructor of what a worker holds; looks and ends in short functions

Cause: three places wrote out the same twelve fields, and taking in an end or a look was one long function each. An unused public function is gone. No behaviour change.

--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -7,7 +7,7 @@
 use crate::spec::{JobId, StepSpec, TaskKey};
 use crate::worker::{Held, Phase};
 use crate::workers::WorkerIdx;
-use hollowford_core::{Millis, Resources};
+use hollowford_core::Millis;
 use std::sync::Arc;
 
 /// Shortest time between two runs of a task that lasts, after one that failed.
@@ -18,10 +18,7 @@
     pub(crate) fn take_running(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         if let Some(h) = w.find_mut(r.task, r.run) {
-            if h.phase == Phase::Starting {
-                h.phase = Phase::Running;
-                h.since = now;
-            }
+            h.has_begun(now);
             self.note_progress(idx, r, now);
             self.note_saved(r.task, &r.saved);
             return;
@@ -56,18 +53,9 @@
             job.begun = true;
         }
         let held = Held {
-            task: key,
-            run: r.run,
-            room: step_spec.room(),
-            phase: Phase::Running,
-            since: now,
+            // How long it has run already is not known.
             expected_end: now + Millis(step_spec.estimate_ms / 2),
-            progress: 0,
-            progressed_at: now,
-            first_seen: None,
-            calling: false,
-            unsure: false,
-            stop_answered: false,
+            ..Held::new(key, r.run, step_spec.room(), Phase::Running, now)
         };
         if let Some(w) = self.workers.get_mut(idx) {
             w.hold(held);
@@ -82,20 +70,7 @@
         let Some(w) = self.workers.get_mut(idx) else { return };
         // What a job that has ended takes is not known any more.
         let room = step.map_or(w.capacity, StepSpec::room);
-        w.hold(Held {
-            task: r.task,
-            run: r.run,
-            room,
-            phase: Phase::Stopping,
-            since: now,
-            expected_end: now,
-            progress: 0,
-            progressed_at: now,
-            first_seen: None,
-            calling: false,
-            unsure: false,
-            stop_answered: false,
-        });
+        w.hold(Held::new(r.task, r.run, room, Phase::Stopping, now));
         self.notes.push(Note::Foreign { task: r.task, run: r.run, worker: w.id.clone() });
         self.stats.foreign += 1;
     }
@@ -111,16 +86,7 @@
 
     /// Takes in that a task has ended.
     pub(crate) fn take_end(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
-        let Some(w) = self.workers.get_mut(idx) else { return };
-        let held = w.find(end.task, end.run).map(|at| w.release(at));
-        self.notes.push(Note::Ended {
-            task: end.task,
-            run: end.run,
-            worker: w.id.clone(),
-            kind: end.kind,
-            number: end.number,
-            expected: held.is_some(),
-        });
+        self.release_ended(idx, end);
         let key = end.task;
         let Some(job) = self.jobs.get(key.step.job).filter(|j| j.end.is_none()) else {
             return;
@@ -143,14 +109,33 @@
         }
         self.note_saved(key, &end.saved);
         self.note_health(idx, end, now);
+        self.count_end(idx, end, step_spec, now);
+        self.jobs.progressed(key.step.job);
+        self.dirty = true;
+    }
+
+    /// Frees the room of a task that has ended on a worker.
+    fn release_ended(&mut self, idx: WorkerIdx, end: &End) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        let held = w.find(end.task, end.run).map(|at| w.release(at));
+        self.notes.push(Note::Ended {
+            task: end.task,
+            run: end.run,
+            worker: w.id.clone(),
+            kind: end.kind,
+            number: end.number,
+            expected: held.is_some(),
+        });
+    }
+
+    /// Draws from an end what it means for the task and its job.
+    fn count_end(&mut self, idx: WorkerIdx, end: &End, spec: &StepSpec, now: Millis) {
         match end.kind {
-            EndKind::Done if !step_spec.lasting => self.task_done(key, step_spec.gang, now),
-            EndKind::Failed if !step_spec.lasting => self.task_failed(idx, end, step_spec, now),
-            EndKind::Done | EndKind::Failed => self.lasting_ended(key, now),
+            EndKind::Done if !spec.lasting => self.task_done(end.task, spec.gang, now),
+            EndKind::Failed if !spec.lasting => self.task_failed(idx, end, spec, now),
+            EndKind::Done | EndKind::Failed => self.lasting_ended(end.task, now),
             _ => self.stats.interrupted += 1,
         }
-        self.jobs.progressed(key.step.job);
-        self.dirty = true;
     }
 
     fn note_health(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
@@ -249,10 +234,4 @@
             h.phase = Phase::Stopping;
         }
     }
-
-    /// Returns what a worker has, for checks.
-    pub fn worker_room(&self, id: &hollowford_core::InstanceId) -> Option<(Resources, Resources)> {
-        let w = self.workers.get(self.workers.find(id)?)?;
-        Some((w.capacity, w.free))
-    }
 }
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -71,57 +71,80 @@
             LookAnswer::Lists(look) => self.take_lists(idx, look, sent, now),
             LookAnswer::OtherLife => self.worker_dead(idx, now),
             LookAnswer::Fenced => return true,
-            LookAnswer::Unanswered => {
-                if let Some(w) = self.workers.get_mut(idx) {
-                    if w.unanswered == 0 {
-                        let since = now.since(w.last_answer);
-                        self.notes.push(Note::Silent { worker: w.id.clone(), silent: true, since });
-                    }
-                    w.unanswered += 1;
-                    w.look_at = now + LOOK_AGAIN;
-                }
-            }
+            LookAnswer::Unanswered => self.note_unheard(idx, now),
         }
         false
     }
 
-    fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
-        let earlier = self.bounds.earlier_lease;
+    /// Takes in that a worker has not answered a look.
+    fn note_unheard(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
-        if w.unanswered > 0 {
+        if w.unanswered == 0 {
             let since = now.since(w.last_answer);
-            self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
+            self.notes.push(Note::Silent { worker: w.id.clone(), silent: true, since });
         }
-        w.answered(look.clock, now);
+        w.unanswered += 1;
+        w.look_at = now + LOOK_AGAIN;
+    }
+
+    fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
+        let Some(w) = self.workers.get(idx) else { return };
         let (first, second) = (!w.fenced, w.fenced && !w.claimed);
+        self.note_heard(idx, look.clock, now);
         if first {
             self.other_lives_dead(idx, now);
+            self.take_fenced(idx, &look);
         }
+        self.take_listed(idx, &look, now);
+        if second {
+            self.claim(idx);
+        }
+        self.find_vanished(idx, &look, sent, now);
+        self.check_stalled(idx, now);
+        self.evacuate(idx, now);
+        self.plan_look(idx, first, now);
+        self.dirty = true;
+    }
+
+    /// Takes in that a worker has answered a look, with its clock.
+    fn note_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
-        if first {
-            w.fenced = true;
-            // What an earlier owner ordered may run for so long without a word of this one.
-            w.lease_until = w.lease_until.max(look.clock + earlier.0);
-            let (running, ended) = (look.running.len(), look.ended.len());
-            self.notes.push(Note::Claimed { worker: w.id.clone(), running, ended });
+        if w.unanswered > 0 {
+            let since = now.since(w.last_answer);
+            self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
         }
-        let taken = w.taken;
+        w.answered(clock, now);
+    }
+
+    /// Takes in that a worker refuses the orders of earlier owners from now on.
+    fn take_fenced(&mut self, idx: WorkerIdx, look: &Look) {
+        let earlier = self.bounds.earlier_lease;
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        w.fenced = true;
+        // What an earlier owner ordered may run for so long without a word of this one.
+        w.lease_until = w.lease_until.max(look.clock + earlier.0);
+        let (running, ended) = (look.running.len(), look.ended.len());
+        self.notes.push(Note::Claimed { worker: w.id.clone(), running, ended });
+    }
+
+    /// Takes in the ends that are new, then what runs.
+    fn take_listed(&mut self, idx: WorkerIdx, look: &Look, now: Millis) {
+        let Some(taken) = self.workers.get(idx).map(|w| w.taken) else { return };
         for end in look.ended.iter().filter(|e| e.number > taken) {
             self.take_end(idx, end, now);
         }
         for r in &look.running {
             self.take_running(idx, r, now);
         }
-        if second {
-            self.claim(idx);
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
         }
-        self.find_vanished(idx, &look, sent, now);
-        self.check_stalled(idx, now);
-        self.evacuate(idx, now);
+    }
+
+    /// Sets when to look again. The next look waits for the batch that makes the ends durable,
+    /// but for the first one: it could not renew the lease.
+    fn plan_look(&mut self, idx: WorkerIdx, first: bool, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
-        w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
-        // The next look waits for the batch that makes these ends durable, but for the first
-        // one: it could not renew the lease.
         w.look_at = if first {
             now + CONFIRM_AFTER
         } else if w.taken > w.forget {
@@ -129,7 +152,6 @@
         } else {
             now
         };
-        self.dirty = true;
     }
 
     /// Takes the worker into use: nothing of an earlier owner can begin there any more.
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -1,6 +1,7 @@
 //! Orders to start and stop tasks, and what workers say to them.
 
 use crate::engine::Engine;
+use crate::job::Task;
 use crate::note::{GiveUp, Note};
 use crate::order::{Order, StartAnswer, WorkerCall};
 use crate::spec::{StepKey, TaskKey};
@@ -32,18 +33,8 @@
         let age = now.since(job.accepted_at);
         let spec = &job.spec.steps[key.step.step as usize];
         let held = Held {
-            task: key,
-            run,
-            room: spec.room(),
-            phase: Phase::Starting,
-            since: now,
             expected_end: now + Millis(spec.estimate_ms),
-            progress: 0,
-            progressed_at: now,
-            first_seen: None,
-            calling: false,
-            unsure: false,
-            stop_answered: false,
+            ..Held::new(key, run, spec.room(), Phase::Starting, now)
         };
         if let Some(task) = self.jobs.task_mut(key) {
             task.at = Some(idx);
@@ -71,8 +62,9 @@
         let template = job.spec.template.clone();
         let Some(step) = self.jobs.step(task.step) else { return };
         let gang = job.spec.steps[task.step.step as usize].gang;
-        let saved =
-            if gang { gang_saved(&step.tasks) } else { saved_of(&step.tasks[task.index as usize]) };
+        let own = std::slice::from_ref(&step.tasks[task.index as usize]);
+        // All members of a gang bring the same checkpoint.
+        let saved = saved_of(if gang { &step.tasks } else { own });
         let ticket = step.advice.ticket(idx);
         let Some(w) = self.workers.get_mut(idx) else { return };
         let Some(lease_until) = w.extend_lease(now, lease) else { return };
@@ -109,12 +101,7 @@
         let Some(h) = w.find_mut(task, run) else { return answer == StartAnswer::Fenced };
         h.calling = false;
         match answer {
-            StartAnswer::Runs(_) => {
-                if h.phase == Phase::Starting {
-                    h.phase = Phase::Running;
-                    h.since = now;
-                }
-            }
+            StartAnswer::Runs(_) => h.has_begun(now),
             StartAnswer::Unanswered => {
                 h.unsure = true;
                 w.unanswered += 1;
@@ -254,11 +241,7 @@
     }
 }
 
-fn saved_of(task: &crate::job::Task) -> Arc<str> {
-    task.saved.clone().unwrap_or_else(|| "".into())
-}
-
-/// Returns the checkpoint that all members of a gang bring.
-fn gang_saved(tasks: &[crate::job::Task]) -> Arc<str> {
+/// Returns the first checkpoint of these tasks; empty: there is none.
+fn saved_of(tasks: &[Task]) -> Arc<str> {
     tasks.iter().find_map(|t| t.saved.clone()).unwrap_or_else(|| "".into())
 }
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -45,6 +45,35 @@
     pub stop_answered: bool,
 }
 
+impl Held {
+    /// Makes what takes `room` in `phase` from `now` on. Its end is expected at once; callers
+    /// that know better say so.
+    pub fn new(task: TaskKey, run: u32, room: Resources, phase: Phase, now: Millis) -> Held {
+        Held {
+            task,
+            run,
+            room,
+            phase,
+            since: now,
+            expected_end: now,
+            progress: 0,
+            progressed_at: now,
+            first_seen: None,
+            calling: false,
+            unsure: false,
+            stop_answered: false,
+        }
+    }
+
+    /// Takes in that a start that was ordered has come about.
+    pub fn has_begun(&mut self, now: Millis) {
+        if self.phase == Phase::Starting {
+            self.phase = Phase::Running;
+            self.since = now;
+        }
+    }
+}
+
 /// What the owner knows of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerClock {
