--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,12 +1,12 @@
 //! The state of one partition, and what the passing of time does to it.
 
-use crate::advice::Seats;
 use crate::batch::BatchNote;
 use crate::jobs::Jobs;
 use crate::note::Note;
 use crate::order::{Order, WorkerListing};
 use crate::queue::Queue;
 use crate::rows::WorkerAddress;
+use crate::seats::Seats;
 use crate::worker::Worker;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -1,10 +1,11 @@
 //! Gangs: all members start together, or none does.
 
-use crate::advice::{Standing, Want};
+use crate::advice::Standing;
 use crate::choose::Room;
 use crate::engine::Engine;
 use crate::order::Order;
 use crate::place::{Pass, Placing};
+use crate::seats::Want;
 use crate::spec::StepSpec;
 use crate::workers::WorkerIdx;
 
--- /dev/null
+++ b/crates/hollowford-jobs/src/gone.rs
@@ -0,0 +1,85 @@
+//! Workers that are gone, and what they held: it waits again.
+
+use crate::engine::Engine;
+use crate::note::{GiveUp, Note};
+use crate::spec::TaskKey;
+use crate::workers::WorkerIdx;
+use hollowford_core::Millis;
+
+impl Engine {
+    /// Gives up on what workers held whose leases are surely over, and forgets those that
+    /// are not listed and hold nothing.
+    pub(crate) fn lapse(&mut self, now: Millis) {
+        for idx in self.workers.indexes() {
+            if self.has_left(idx) {
+                self.worker_dead(idx, now);
+                continue;
+            }
+            let Some(w) = self.workers.get(idx) else { continue };
+            let over = w.lease_over().is_some_and(|at| at + self.bounds.stop_timeout <= now);
+            if over && !w.held.is_empty() {
+                self.stats.lapsed += w.held.len() as u64;
+                self.free_all(idx, GiveUp::Lapsed, now);
+            }
+            let Some(w) = self.workers.get(idx) else { continue };
+            let silent = w.unanswered > 0 && !w.looking;
+            let known = !w.claimed && now < self.settled_at;
+            if !w.listed && silent && w.held.is_empty() && (over || !w.claimed) && !known {
+                self.forget_worker(idx);
+            }
+        }
+    }
+
+    /// This life of the worker is over: nothing that it held runs any more.
+    pub(crate) fn worker_dead(&mut self, idx: WorkerIdx, now: Millis) {
+        self.free_all(idx, GiveUp::WorkerDead, now);
+        if let Some(w) = self.workers.get(idx) {
+            self.notes.push(Note::Dead { worker: w.id.clone() });
+            self.dead.insert(w.id.clone());
+        }
+        self.forget_worker(idx);
+    }
+
+    /// One address has one life at a time: the others there are over once one answers.
+    pub(crate) fn other_lives_dead(&mut self, idx: WorkerIdx, now: Millis) {
+        let Some(address) = self.workers.get(idx).map(|w| w.address.clone()) else { return };
+        let others = self.workers.iter().filter(|(i, w)| *i != idx && w.address == address);
+        let others: Vec<_> = others.map(|(i, _)| i).collect();
+        for other in others {
+            self.worker_dead(other, now);
+        }
+    }
+
+    fn forget_worker(&mut self, idx: WorkerIdx) {
+        self.unsettled.remove(&idx);
+        self.workers.remove(idx);
+        self.dirty = true;
+    }
+
+    fn free_all(&mut self, idx: WorkerIdx, cause: GiveUp, now: Millis) {
+        let Some(w) = self.workers.get(idx) else { return };
+        let held: Vec<_> = w.held.iter().map(|h| (h.task, h.run)).collect();
+        for (task, run) in held {
+            self.free(idx, task, run, cause, now);
+        }
+    }
+
+    /// Takes a task off a worker on which it can't run any more; it waits again.
+    pub(crate) fn free(
+        &mut self,
+        idx: WorkerIdx,
+        task: TaskKey,
+        run: u32,
+        cause: GiveUp,
+        now: Millis,
+    ) {
+        if let Some(w) = self.workers.get_mut(idx)
+            && let Some(at) = w.find(task, run)
+        {
+            w.release(at);
+            self.notes.push(Note::GivenUp { task, run, worker: w.id.clone(), cause });
+        }
+        self.unplace(idx, task, run, now);
+        self.dirty = true;
+    }
+}
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -1,10 +1,11 @@
 //! A pass over the steps that wait.
 
-use crate::advice::{Standing, Want};
+use crate::advice::Standing;
 use crate::choose::Room;
 use crate::engine::Engine;
 use crate::order::Order;
 use crate::queue::Queue;
+use crate::seats::Want;
 use crate::spec::{StepKey, StepSpec};
 use crate::urgency::Waiting;
 use crate::workers::WorkerIdx;
--- /dev/null
+++ b/crates/hollowford-jobs/src/seats.rs
@@ -0,0 +1,203 @@
+//! Calls for placement advice: which instance makes which.
+//!
+//! The service for advice has one seat for each calling instance and takes its time for each
+//! worker named. A quick check behind the slow call of a large gang would be late before it
+//! is placed, so some seats take quick calls only, and one is kept from the slowest.
+
+use crate::engine::Engine;
+use crate::note::Note;
+use crate::order::{Advised, Order};
+use crate::queue::AdviceCost;
+use crate::spec::StepKey;
+use crate::workers::WorkerIdx;
+use hollowford_core::{InstanceId, Millis};
+use std::sync::Arc;
+
+/// Calls up to this time are quick.
+const QUICK_CALL_MS: f64 = 30.0;
+/// Calls over this time are slow.
+const SLOW_CALL_MS: f64 = 200.0;
+/// One seat in so many takes quick calls only.
+const SEATS_FOR_ONE_QUICK: usize = 3;
+/// Most workers that one call may name (PROTOCOL).
+const MOST_NAMED: usize = 100;
+/// A quick call without an answer is given up after its expected time and this.
+const QUICK_SLACK: Millis = Millis(250);
+/// Another call without an answer is given up after its expected time and this.
+const SLACK: Millis = Millis(700);
+/// A seat whose call failed gets no other one for so long, unless all have failed; twice as
+/// long after each further one.
+const SEAT_RESTS: Millis = Millis(1_000);
+/// Most times that the rest is doubled.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// An instance that can make calls for advice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// The instance's address between processes; empty: this process.
+    pub address: Arc<str>,
+}
+
+/// A call under way.
+#[derive(Clone, Debug)]
+struct Call {
+    step: StepKey,
+    workers: Vec<WorkerIdx>,
+    slow: bool,
+    give_up: Millis,
+}
+
+/// A seat with the call that it makes.
+#[derive(Debug)]
+struct Place {
+    seat: Seat,
+    call: Option<Call>,
+    /// Calls that failed since the last one that was answered.
+    failures: u32,
+    /// It gets no call before, if others do.
+    rests_until: Millis,
+}
+
+impl Place {
+    fn new(seat: Seat) -> Place {
+        Place { seat, call: None, failures: 0, rests_until: Millis(0) }
+    }
+
+    fn is_slow(&self) -> bool {
+        self.call.as_ref().is_some_and(|c| c.slow)
+    }
+
+    fn failed(&mut self, now: Millis) {
+        self.rests_until = now + Millis(SEAT_RESTS.0 << self.failures.min(MOST_DOUBLINGS));
+        self.failures += 1;
+    }
+}
+
+/// The instances that make the calls.
+#[derive(Debug, Default)]
+pub(crate) struct Seats {
+    list: Vec<Place>,
+}
+
+/// A call that a step needs.
+#[derive(Clone, Debug)]
+pub(crate) struct Want {
+    pub step: StepKey,
+    pub workers: Vec<WorkerIdx>,
+    pub cost: AdviceCost,
+}
+
+impl Seats {
+    /// Returns the seat for a call of the given time, if one is free for it.
+    fn free_for(&self, ms: f64, now: Millis) -> Option<usize> {
+        let rested: Vec<usize> =
+            (0..self.list.len()).filter(|&i| self.list[i].rests_until <= now).collect();
+        let all: Vec<usize> = (0..self.list.len()).collect();
+        let seats = if rested.is_empty() { all } else { rested };
+        let n = seats.len();
+        let quick = if n < 2 { 0 } else { n.div_ceil(SEATS_FOR_ONE_QUICK) };
+        let free = |i: &usize| self.list[*i].call.is_none();
+        if ms <= QUICK_CALL_MS {
+            return seats.into_iter().find(free);
+        }
+        if ms > SLOW_CALL_MS {
+            let busy = self.list.iter().filter(|p| p.is_slow()).count();
+            // One seat is left to the calls between quick and slow.
+            if busy + 1 >= n - quick && n - quick > 1 {
+                return None;
+            }
+        }
+        seats.into_iter().skip(quick).rev().find(free)
+    }
+}
+
+impl Engine {
+    /// Sets the instances that can make calls for advice. The first ones take quick calls.
+    pub fn set_seats(&mut self, seats: &[Seat]) {
+        let mut old = std::mem::take(&mut self.seats.list);
+        for seat in seats {
+            let at = old.iter().position(|p| p.seat == *seat);
+            let place = at.map(|at| old.swap_remove(at));
+            self.seats.list.push(place.unwrap_or_else(|| Place::new(seat.clone())));
+        }
+        for place in old {
+            self.advice_failed(place.call.as_ref());
+        }
+    }
+
+    /// Returns the seat at a position.
+    pub fn seat(&self, at: usize) -> Option<&Seat> {
+        self.seats.list.get(at).map(|p| &p.seat)
+    }
+
+    fn advice_failed(&mut self, call: Option<&Call>) {
+        if let Some(step) = call.and_then(|c| self.jobs.step_mut(c.step)) {
+            step.advice.asking = false;
+        }
+    }
+
+    /// Hands the calls to seats that are free for them; the others come again with the
+    /// next pass.
+    pub(crate) fn ask(&mut self, wants: Vec<Want>, now: Millis, out: &mut Vec<Order>) {
+        self.give_up_calls(now);
+        for want in wants {
+            let mut workers = want.workers;
+            workers.truncate(MOST_NAMED);
+            let ms = want.cost.of(workers.len());
+            let Some(seat) = self.seats.free_for(ms, now) else { continue };
+            let Some(step) = self.jobs.step_mut(want.step) else { continue };
+            step.advice.asking = true;
+            let id = |&w: &WorkerIdx| self.workers.get(w).map(|w| w.id.clone());
+            let ids: Vec<_> = workers.iter().filter_map(id).collect();
+            let slack = if ms <= QUICK_CALL_MS { QUICK_SLACK } else { SLACK };
+            let give_up = now + Millis(ms as u64) + slack;
+            let slow = ms > SLOW_CALL_MS;
+            self.seats.list[seat].call = Some(Call { step: want.step, workers, slow, give_up });
+            self.stats.asked += 1;
+            out.push(Order::Advice { seat, step: want.step, workers: ids });
+        }
+    }
+
+    fn give_up_calls(&mut self, now: Millis) {
+        for at in 0..self.seats.list.len() {
+            let place = &mut self.seats.list[at];
+            if let Some(call) = place.call.take_if(|c| c.give_up <= now) {
+                place.failed(now);
+                let asked = call.workers.len();
+                self.notes.push(Note::Advised { step: call.step, asked, good: None });
+                self.advice_failed(Some(&call));
+            }
+        }
+    }
+
+    /// Takes in the answer of a call for advice; none when it failed. The tickets hold from
+    /// the time of the answer.
+    pub fn advised(
+        &mut self,
+        seat: &Seat,
+        key: StepKey,
+        answer: Option<(Advised, Millis)>,
+        now: Millis,
+    ) {
+        let theirs =
+            |p: &&mut Place| p.seat == *seat && p.call.as_ref().is_some_and(|c| c.step == key);
+        let Some(place) = self.seats.list.iter_mut().find(theirs) else { return };
+        let Some(call) = place.call.take() else { return };
+        if answer.is_some() {
+            place.failures = 0;
+        } else {
+            place.failed(now);
+        }
+        self.dirty = true;
+        let (asked, good) = (call.workers.len(), answer.as_ref().map(|(rows, _)| rows.len()));
+        self.notes.push(Note::Advised { step: key, asked, good });
+        let Some((rows, validity)) = answer else {
+            self.advice_failed(Some(&call));
+            return;
+        };
+        let find = |id: &InstanceId| self.workers.find(id);
+        let good: Vec<_> = rows.iter().filter_map(|(id, t)| Some((find(id)?, t.clone()))).collect();
+        let Some(step) = self.jobs.step_mut(key) else { return };
+        step.advice.answered(&call.workers, good, now + validity);
+    }
+}
