--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -5,7 +5,7 @@
 use crate::relay::RemoteOwner;
 use crate::shared::{Route, Shared};
 use crate::watch;
-use crate::wire::{Advice, Ask, Body, Hello, MemberBeat, OwnerInfo};
+use crate::wire::{Advice, Ask, Body, Heartbeat, Hello, MemberBeat, OwnerInfo};
 use hollowford_adapter::Version;
 use hollowford_core::Millis;
 use std::io::ErrorKind;
@@ -60,12 +60,14 @@
 
 /// Follows an owner until they part.
 pub async fn follow(shared: &Arc<Shared>, info: &OwnerInfo) -> Followed {
-    let mut members = Vec::new();
-    let parted = match open(shared, info).await {
-        Ok((reader, outbox)) => serve(shared, info, reader, outbox, &mut members).await,
-        Err(parted) => parted,
+    let (mut reader, outbox) = match open(shared, info).await {
+        Ok(link) => link,
+        Err(parted) => return Followed { parted, members: Vec::new() },
     };
-    Followed { parted, members }
+    let mut link = OwnerLink::new(shared, info, outbox);
+    let parted = link.serve(&mut reader).await;
+    link.end();
+    Followed { parted, members: link.members }
 }
 
 async fn open(shared: &Shared, info: &OwnerInfo) -> Result<(Reader, Outbox), Parted> {
@@ -83,86 +85,128 @@
     Ok((reader, outbox))
 }
 
-async fn serve(
-    shared: &Arc<Shared>,
-    info: &OwnerInfo,
-    mut reader: Reader,
+/// A member's link to its owner.
+struct OwnerLink<'a> {
+    shared: &'a Arc<Shared>,
+    info: &'a OwnerInfo,
     outbox: Outbox,
-    members: &mut Vec<String>,
-) -> Parted {
-    let remote = RemoteOwner::new(outbox.clone());
-    let mut newest = shared.owner.subscribe();
-    let mut ticks = interval(BEAT);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut heard = Instant::now();
-    let mut ticked = Instant::now();
-    let mut following = false;
-    let parted = loop {
-        tokio::select! {
-            body = link::next(&mut reader) => {
-                let Some(body) = body else { break Parted::Gone };
-                heard = Instant::now();
-                match body {
-                    Body::Heartbeat(beat) if beat.epoch == 0 => {}
-                    Body::Heartbeat(beat) => {
-                        if !following {
-                            following = true;
-                            log::info!("owner.following epoch={} address={}", info.epoch, info.address);
-                            shared.route.send_replace(Route::Remote(remote.clone()));
-                        }
-                        shared.note_owner();
-                        if shared.probe_store.swap(beat.store_lost, Ordering::Relaxed) != beat.store_lost {
-                            shared.config_wanted.notify_one();
-                        }
-                        *members = beat.members;
-                    }
-                    Body::Answer(answer) => remote.answered(answer),
-                    Body::Ask(ask) => {
-                        tokio::spawn(answer_ask(shared.clone(), ask, outbox.clone()));
-                    }
-                    Body::Config(row) => watch::take_row(shared, row),
-                    Body::HandOver(h) => break Parted::HandedOver { rev: h.rev },
-                    Body::Owner(other) => {
-                        let newer = shared.note_owner_info(&other);
-                        break if newer { Parted::Newer } else { Parted::Gone };
-                    }
-                    other => log::warn!("link.unexpected frame={other:?}"),
+    remote: RemoteOwner,
+    /// The owner has sent a heartbeat: callers' requests go to it.
+    following: bool,
+    /// See [`Followed::members`].
+    members: Vec<String>,
+    /// When the owner said something last.
+    heard: Instant,
+    /// When this process's own timer came last.
+    ticked: Instant,
+}
+
+impl OwnerLink<'_> {
+    fn new<'a>(shared: &'a Arc<Shared>, info: &'a OwnerInfo, outbox: Outbox) -> OwnerLink<'a> {
+        OwnerLink {
+            shared,
+            info,
+            remote: RemoteOwner::new(outbox.clone()),
+            outbox,
+            following: false,
+            members: Vec::new(),
+            heard: Instant::now(),
+            ticked: Instant::now(),
+        }
+    }
+
+    /// Serves the link until it has to end.
+    async fn serve(&mut self, reader: &mut Reader) -> Parted {
+        let mut newest = self.shared.owner.subscribe();
+        let mut ticks = interval(BEAT);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let parted = tokio::select! {
+                body = link::next(reader) => match body {
+                    Some(body) => self.take_frame(body),
+                    None => Some(Parted::Gone),
+                },
+                _ = ticks.tick() => self.tick(),
+                changed = newest.changed() => {
+                    let newer = changed.is_ok() && newest.borrow().epoch > self.info.epoch;
+                    newer.then_some(Parted::Newer)
                 }
+            };
+            if let Some(parted) = parted {
+                return parted;
             }
-            _ = ticks.tick() => {
-                let now = Instant::now();
-                if now - ticked >= BEAT + OWN_PAUSE {
-                    log::warn!("process.paused for_ms={}", (now - ticked).as_millis());
-                    heard = now;
-                }
-                ticked = now;
-                if now - heard >= OWNER_SILENT {
-                    break Parted::Silent;
-                }
-                beat(shared, &outbox);
+        }
+    }
+
+    /// Takes in what the owner says. Returns why the link ends by it, if it does.
+    fn take_frame(&mut self, body: Body) -> Option<Parted> {
+        self.heard = Instant::now();
+        match body {
+            // Sent by a process that is just becoming the owner.
+            Body::Heartbeat(beat) if beat.epoch == 0 => {}
+            Body::Heartbeat(beat) => self.take_heartbeat(beat),
+            Body::Answer(answer) => self.remote.answered(answer),
+            Body::Ask(ask) => {
+                tokio::spawn(answer_ask(self.shared.clone(), ask, self.outbox.clone()));
             }
-            changed = newest.changed() => {
-                if changed.is_ok() && newest.borrow().epoch > info.epoch {
-                    break Parted::Newer;
-                }
+            Body::Config(row) => watch::take_row(self.shared, row),
+            Body::HandOver(h) => return Some(Parted::HandedOver { rev: h.rev }),
+            Body::Owner(other) => {
+                let newer = self.shared.note_owner_info(&other);
+                return Some(if newer { Parted::Newer } else { Parted::Gone });
             }
+            other => log::warn!("link.unexpected frame={other:?}"),
         }
-    };
-    shared.route.send_replace(Route::None);
-    shared.probe_store.store(false, Ordering::Relaxed);
-    // Whether the store answers decides what callers are told now.
-    shared.config_wanted.notify_one();
-    remote.fail_all();
-    parted
-}
+        None
+    }
 
-fn beat(shared: &Shared, outbox: &Outbox) {
-    outbox.send(Body::MemberBeat(MemberBeat {
-        epoch: shared.owner.borrow().epoch,
-        store_age_ms: shared.store_age().0,
-        config: shared.config_version(),
-        stopping: shared.is_stopping(),
-    }));
+    fn take_heartbeat(&mut self, beat: Heartbeat) {
+        if !self.following {
+            self.following = true;
+            let OwnerInfo { epoch, address, .. } = self.info;
+            log::info!("owner.following epoch={epoch} address={address}");
+            self.shared.route.send_replace(Route::Remote(self.remote.clone()));
+        }
+        self.shared.note_owner();
+        let lost = beat.store_lost;
+        if self.shared.probe_store.swap(lost, Ordering::Relaxed) != lost {
+            self.shared.config_wanted.notify_one();
+        }
+        self.members = beat.members;
+    }
+
+    /// Tells the owner that this process is alive, unless the owner is silent itself.
+    fn tick(&mut self) -> Option<Parted> {
+        let now = Instant::now();
+        if now - self.ticked >= BEAT + OWN_PAUSE {
+            log::warn!("process.paused for_ms={}", (now - self.ticked).as_millis());
+            self.heard = now;
+        }
+        self.ticked = now;
+        if now - self.heard >= OWNER_SILENT {
+            return Some(Parted::Silent);
+        }
+        self.send_beat();
+        None
+    }
+
+    fn send_beat(&self) {
+        self.outbox.send(Body::MemberBeat(MemberBeat {
+            epoch: self.shared.owner.borrow().epoch,
+            store_age_ms: self.shared.store_age().0,
+            config: self.shared.config_version(),
+            stopping: self.shared.is_stopping(),
+        }));
+    }
+
+    /// Takes the owner off the way of callers' requests.
+    fn end(&self) {
+        self.shared.route.send_replace(Route::None);
+        self.shared.probe_store.store(false, Ordering::Relaxed);
+        // Whether the store answers decides what callers are told now.
+        self.shared.config_wanted.notify_one();
+        self.remote.fail_all();
+    }
 }
 
 async fn answer_ask(shared: Arc<Shared>, ask: Ask, outbox: Outbox) {
