--- /dev/null
+++ b/crates/hollowford-node/src/announce.rs
@@ -0,0 +1,59 @@
+//! The list of processes in the store, and new owners that announce themselves to it.
+
+use crate::link;
+use crate::owner_row::{CALL_TIMEOUT, RETRY, TABLE};
+use crate::shared::Shared;
+use crate::wire::{Body, OwnerInfo};
+use hollowford_adapter::{StoreError, Transaction};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Part of the table with a row for each process.
+const NODES: &str = "nodes";
+/// How long an announcement may take.
+const ANNOUNCE: Duration = Duration::from_millis(800);
+
+/// Tells every process that is known to the store who owns the partition.
+pub async fn announce(shared: Arc<Shared>, info: OwnerInfo) {
+    let nodes = match shared.store.read_all(TABLE, NODES, CALL_TIMEOUT).await {
+        Ok(feed) => feed.rows,
+        Err(e) => {
+            log::info!("owner.announce failed error=\"{e}\"");
+            return;
+        }
+    };
+    let addresses = nodes.iter().filter_map(|r| r.key.parse::<SocketAddr>().ok());
+    for addr in addresses.filter(|&a| a != shared.address()) {
+        let info = info.clone();
+        tokio::spawn(async move {
+            if let Ok((mut reader, outbox)) = link::connect(addr).await {
+                outbox.send(Body::Owner(info));
+                // The other side closes the link once it has read the announcement.
+                let _ = timeout(ANNOUNCE, link::next(&mut reader)).await;
+            }
+        });
+    }
+}
+
+/// Writes this process into the list that owners announce themselves to.
+pub async fn register(shared: Arc<Shared>) {
+    let key = shared.address().to_string();
+    let tx = Transaction {
+        expect: Vec::new(),
+        put: vec![(key, shared.boot.to_be_bytes().to_vec())],
+        remove: Vec::new(),
+    };
+    loop {
+        match shared.store.transact(TABLE, NODES, &tx, CALL_TIMEOUT).await {
+            Ok(_) => return shared.note_store(),
+            Err(StoreError::Malformed(e)) => {
+                log::error!("process.register failed error=\"{e}\"");
+                return;
+            }
+            Err(e) => log::debug!("process.register failed error=\"{e}\""),
+        }
+        sleep(RETRY).await;
+    }
+}
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -2,18 +2,21 @@
 //!
 //! Its duties are tasks of one thread, joined by bounded channels; see docs/PLATFORM.md.
 
+mod announce;
 mod batches;
 mod callers;
 mod calls;
 mod front;
 mod inbox;
 mod link;
+mod load;
 pub mod logs;
 mod member;
 mod members;
 mod metrics;
 mod node;
 mod owner;
+mod owner_row;
 mod ownership;
 mod peers;
 mod reach;
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -4,7 +4,7 @@
 use crate::inbox::OwnerMsg;
 use crate::metrics::Metrics;
 use crate::shared::{Route, Shared};
-use crate::{ownership, peers, reload, watch};
+use crate::{announce, ownership, peers, reload, watch};
 use hollowford_adapter::{AdviceClient, CallError, NodeSettings, StoreClient, StoreError};
 use poem::Endpoint;
 use poem::listener::TcpListener as PoemListener;
@@ -84,7 +84,7 @@
     tokio::spawn(peers::accept(shared.clone(), listener));
     tokio::spawn(watch::read_config(shared.clone()));
     tokio::spawn(watch::follow_config(shared.clone()));
-    tokio::spawn(ownership::register(shared.clone()));
+    tokio::spawn(announce::register(shared.clone()));
     tokio::spawn(ownership::run(shared.clone()));
     tokio::spawn(reload::follow_settings(shared.clone(), hup));
     tokio::select! {
--- a/crates/hollowford-node/src/writer.rs
+++ b/crates/hollowford-node/src/writer.rs
@@ -1,21 +1,16 @@
 //! Writes batches to the store, each exactly once.
 
+use crate::owner_row::{OWNER_KEY, TABLE, encode_owner, read_owner};
 use crate::shared::Shared;
-use crate::wire::{OwnerInfo, OwnerRow};
+use crate::wire::OwnerInfo;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hollowford_adapter::{Expect, Row, StoreError, Transaction, TxOutcome, Version};
 use hollowford_jobs::Batch;
-use prost::Message;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Table of the system's rows.
-pub const TABLE: &str = "hollowford";
-/// Key of the row that names the owner.
-pub const OWNER_KEY: &str = "owner";
-
 /// A copy of the batch is sent this long after the one before, while none is answered. The
 /// store's usual answer takes some 10 ms; an answer may be lost, and its channel with it.
 const COPY_AFTER: [Duration; 3] =
@@ -125,22 +120,9 @@
     Written::Inconsistent
 }
 
-/// Reads the owner row.
-pub fn read_owner(row: &Row) -> Option<OwnerRow> {
-    OwnerRow::decode(&row.value[..])
-        .inspect_err(|e| log::error!("owner_row.malformed error=\"{e}\""))
-        .ok()
-}
-
-/// Writes the owner row.
-pub fn owner_row(owner: &OwnerInfo, batch: u64) -> (String, Vec<u8>) {
-    let row = OwnerRow { owner: Some(owner.clone()), batch };
-    (OWNER_KEY.to_owned(), row.encode_to_vec())
-}
-
 fn transaction(owner: &OwnerInfo, rev: Version, batch: &Batch) -> Transaction {
     let expect = vec![Expect { key: OWNER_KEY.to_owned(), version: rev }];
-    let mut put = vec![owner_row(owner, batch.number)];
+    let mut put = vec![encode_owner(owner, batch.number)];
     let mut remove = Vec::new();
     for row in &batch.rows {
         match &row.value {
