--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -3,7 +3,6 @@
 use crate::engine::Engine;
 use crate::job::JobState;
 use crate::jobs::Ended;
-use crate::order::WorkerListing;
 use crate::rows::{JobRow, ProgressRow, RoundRow, RowError, WorkerAddress, decode_workers};
 use crate::spec::JobId;
 use crate::submit::new_job;
@@ -146,15 +145,4 @@
         }
         self.recorded = list;
     }
-
-    /// Returns the listings that the engine was given, for checks.
-    pub fn listed(&self) -> usize {
-        self.workers.iter().filter(|(_, w)| w.listed).count()
-    }
-}
-
-impl From<&WorkerListing> for WorkerAddress {
-    fn from(l: &WorkerListing) -> WorkerAddress {
-        WorkerAddress { id: l.id.clone(), address: l.address.clone() }
-    }
 }
--- a/crates/hollowford-jobs/src/rows.rs
+++ b/crates/hollowford-jobs/src/rows.rs
@@ -185,7 +185,8 @@
 }
 
 impl JobState {
-    pub(crate) fn code(self) -> u32 {
+    /// Returns its number in rows and messages.
+    pub fn code(self) -> u32 {
         match self {
             JobState::Queued => 0,
             JobState::Running => 1,
@@ -195,7 +196,11 @@
         }
     }
 
-    pub(crate) fn from_code(code: u32) -> Result<JobState, RowError> {
+    /// Returns the state of a number.
+    ///
+    /// # Errors
+    /// `State` when no state has it.
+    pub fn from_code(code: u32) -> Result<JobState, RowError> {
         match code {
             0 => Ok(JobState::Queued),
             1 => Ok(JobState::Running),
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -101,7 +101,6 @@
 pub(crate) struct Worker {
     pub id: InstanceId,
     pub address: Arc<str>,
-    pub zone: Arc<str>,
     pub pool: Arc<str>,
     pub labels: Vec<Arc<str>>,
     pub capacity: Resources,
@@ -150,7 +149,6 @@
         Worker {
             id,
             address,
-            zone: "".into(),
             pool: "".into(),
             labels: Vec::new(),
             capacity: Resources::default(),
@@ -177,7 +175,6 @@
 
     /// Takes over what the platform's list says.
     pub fn take_listing(&mut self, l: &WorkerListing, now: Millis) {
-        self.zone = l.zone.clone();
         self.pool = l.pool.clone();
         self.labels = l.labels.clone();
         self.capacity = l.capacity;
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -1,6 +1,5 @@
 //! Callers' requests at the owner, and those that wait for the store.
 
-use crate::front::state_number;
 use crate::inbox::Reply;
 use crate::wire::{Call, Said, Verb};
 use hollowford_core::Millis;
@@ -25,14 +24,14 @@
     /// Answers with what is in the store now.
     fn answer(self, engine: &Engine, job: JobId) {
         match engine.state(job).filter(|_| self.verb == Verb::State) {
-            Some(state) => self.reply.send(self.id, Said::Value, state_number(state)),
+            Some(state) => self.reply.send(self.id, Said::Value, state.code().into()),
             None => self.reply.send(self.id, Said::Done, 0),
         }
     }
 
     fn give_up(self, engine: &Engine, job: JobId) {
         match engine.state(job).filter(|_| self.verb == Verb::State) {
-            Some(state) => self.reply.send(self.id, Said::Value, state_number(state)),
+            Some(state) => self.reply.send(self.id, Said::Value, state.code().into()),
             None => self.reply.send(self.id, Said::Unsure, 0),
         }
     }
@@ -66,7 +65,7 @@
             // Its end is on the way to the store, which takes some milliseconds.
             Verb::State if engine.is_ending(job) => None,
             Verb::State => match engine.state(job) {
-                Some(state) => return reply.send(call.id, Said::Value, state_number(state)),
+                Some(state) => return reply.send(call.id, Said::Value, state.code().into()),
                 None => Some(Said::NoJob),
             },
             Verb::Waiting => {
--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -29,15 +29,6 @@
     shared: Arc<Shared>,
 }
 
-/// A caller's request, understood.
-struct Wanted {
-    verb: Verb,
-    queue: String,
-    job: u64,
-    spec: Vec<u8>,
-    config: u64,
-}
-
 impl Front {
     /// Makes the endpoint.
     pub fn new(shared: Arc<Shared>) -> Front {
@@ -47,21 +38,11 @@
     async fn answer(&self, mut req: Request) -> Response {
         let began = self.shared.clock.now();
         let limit = deadline(&req, began);
-        let wanted = match self.understand(&mut req).await {
-            Ok(wanted) => wanted,
+        let call = match self.understand(&mut req).await {
+            Ok(call) => call,
             Err(status) => return self.plain(status, "refused", began),
         };
-        let verb = wanted.verb;
-        let call = Call {
-            id: 0,
-            verb: verb as i32,
-            job: wanted.job,
-            queue: wanted.queue,
-            spec: wanted.spec,
-            config: wanted.config,
-        };
-        let job = JobId(call.job);
-        let config = call.config;
+        let (verb, job, config) = (call.verb(), JobId(call.job), call.config);
         let relayed = relay(&self.shared, call, limit).await;
         let resp = self.respond(verb, relayed, began);
         let status = resp.status();
@@ -79,35 +60,29 @@
         resp
     }
 
-    /// Reads what the caller wants, or the status that refuses it.
-    async fn understand(&self, req: &mut Request) -> Result<Wanted, StatusCode> {
+    /// Reads what the caller wants of the owner, or the status that refuses it.
+    async fn understand(&self, req: &mut Request) -> Result<Call, StatusCode> {
         let config = self.shared.config.load_full().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
         let (queue, rest) = find_queue(&config, req).ok_or(StatusCode::NOT_FOUND)?;
         let what = parse_request_path(&rest).ok_or(StatusCode::BAD_REQUEST)?;
         let queue = queue.to_string();
-        let mut wanted =
-            Wanted { verb: Verb::Waiting, queue, job: 0, spec: Vec::new(), config: config.version };
+        let mut call = Call { queue, config: config.version, ..Call::default() };
         let CallerRequest::Job(JobId(job)) = what else {
+            call.set_verb(Verb::Waiting);
             let get = *req.method() == Method::GET;
-            return if get { Ok(wanted) } else { Err(StatusCode::METHOD_NOT_ALLOWED) };
+            return if get { Ok(call) } else { Err(StatusCode::METHOD_NOT_ALLOWED) };
         };
-        wanted.job = job;
-        wanted.verb = match *req.method() {
+        call.job = job;
+        call.set_verb(match *req.method() {
             Method::GET => Verb::State,
             Method::DELETE => Verb::Cancel,
             Method::POST => Verb::Submit,
             _ => return Err(StatusCode::METHOD_NOT_ALLOWED),
-        };
-        if wanted.verb == Verb::Submit {
-            let body = req.take_body().into_bytes_limit(config.limits.body_bytes).await;
-            let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
-            let spec = decode_job(&body).map_err(|e| {
-                log::info!("job.invalid job={} error=\"{e}\"", JobId(job));
-                StatusCode::BAD_REQUEST
-            })?;
-            wanted.spec = encode_spec(&spec);
+        });
+        if call.verb() == Verb::Submit {
+            call.spec = read_job(req, JobId(job), config.limits.body_bytes).await?;
         }
-        Ok(wanted)
+        Ok(call)
     }
 
     fn respond(&self, verb: Verb, relayed: Relayed, began: Millis) -> Response {
@@ -189,6 +164,17 @@
     now + limit.map_or(PATIENCE, |l| l.since(WAY_BACK).min(PATIENCE))
 }
 
+/// Reads a job that is handed in, or the status that refuses it.
+async fn read_job(req: &mut Request, job: JobId, most: usize) -> Result<Vec<u8>, StatusCode> {
+    let body = req.take_body().into_bytes_limit(most).await;
+    let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+    let spec = decode_job(&body).map_err(|e| {
+        log::info!("job.invalid job={job} error=\"{e}\"");
+        StatusCode::BAD_REQUEST
+    })?;
+    Ok(encode_spec(&spec))
+}
+
 /// Finds the queue with the longest prefix of the path, and what follows the prefix.
 fn find_queue(config: &Config, req: &Request) -> Option<(Arc<str>, String)> {
     let host = req.header(header::HOST)?;
@@ -199,27 +185,9 @@
     Some((route.queue.clone(), path[route.prefix.len()..].to_owned()))
 }
 
-fn state_of(code: u64) -> Option<JobState> {
-    [
-        JobState::Queued,
-        JobState::Running,
-        JobState::Completed,
-        JobState::Failed,
-        JobState::Cancelled,
-    ]
-    .get(code as usize)
-    .copied()
-}
-
-/// Returns the number of a state in answers between processes.
-pub fn state_number(state: JobState) -> u64 {
-    match state {
-        JobState::Queued => 0,
-        JobState::Running => 1,
-        JobState::Completed => 2,
-        JobState::Failed => 3,
-        JobState::Cancelled => 4,
-    }
+/// Reads a state that the owner told.
+fn state_of(value: u64) -> Option<JobState> {
+    JobState::from_code(u32::try_from(value).ok()?).ok()
 }
 
 /// Answers the balancer.
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -39,8 +39,6 @@
     pub config: ArcSwapOption<Config>,
     /// The row that the configuration was read from last.
     config_row: ArcSwapOption<ConfigRow>,
-    /// Told when `config` has changed.
-    pub config_changed: watch::Sender<u64>,
     /// Asks the watch to read the configuration at once.
     pub config_wanted: Notify,
     /// The newest owner that is known.
@@ -82,7 +80,6 @@
             advice,
             config: ArcSwapOption::empty(),
             config_row: ArcSwapOption::empty(),
-            config_changed: watch::Sender::new(0),
             config_wanted: Notify::new(),
             owner: watch::Sender::new(OwnerInfo::default()),
             route: watch::Sender::new(Route::None),
@@ -179,9 +176,7 @@
         if config.version <= self.config_version() {
             return false;
         }
-        let version = config.version;
         self.config.store(Some(Arc::new(config)));
-        self.config_changed.send_replace(version);
         true
     }
 }
