--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -1,4 +1,4 @@
-//! Looks at workers, their leases, and workers that are gone.
+//! Looks at workers, which renew their leases and claim them for this owner.
 
 use crate::engine::Engine;
 use crate::note::{GiveUp, Note};
@@ -71,58 +71,81 @@
             LookAnswer::Lists(look) => self.take_lists(idx, look, sent, now),
             LookAnswer::OtherLife => self.worker_dead(idx, now),
             LookAnswer::Fenced => return true,
-            LookAnswer::Unanswered => {
-                if let Some(w) = self.workers.get_mut(idx) {
-                    if w.unanswered == 0 {
-                        let since = now.since(w.last_answer);
-                        self.notes.push(Note::Silent { worker: w.id.clone(), silent: true, since });
-                    }
-                    w.unanswered += 1;
-                    w.look_at = now + LOOK_AGAIN;
-                }
-            }
+            LookAnswer::Unanswered => self.note_unheard(idx, now),
         }
         false
     }
 
-    fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
-        let earlier = self.bounds.earlier_lease;
+    /// Takes in that a worker has not answered a look.
+    fn note_unheard(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
-        if w.unanswered > 0 {
+        if w.unanswered == 0 {
             let since = now.since(w.last_answer);
-            self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
+            self.notes.push(Note::Silent { worker: w.id.clone(), silent: true, since });
         }
-        w.answered(look.clock, now);
+        w.unanswered += 1;
+        w.look_at = now + LOOK_AGAIN;
+    }
+
+    fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
+        let Some(w) = self.workers.get(idx) else { return };
         let (first, second) = (!w.fenced, w.fenced && !w.claimed);
+        self.note_heard(idx, look.clock, now);
         if first {
             self.other_lives_dead(idx, now);
+            self.take_fenced(idx, &look);
         }
+        self.take_listed(idx, &look, now);
+        if second {
+            self.claim(idx);
+        }
+        self.find_vanished(idx, &look, sent, now);
+        self.check_stalled(idx, now);
+        self.evacuate(idx, now);
+        self.pace_fillers(idx, &look.running, now);
+        self.plan_look(idx, first, now);
+        self.dirty = true;
+    }
+
+    /// Takes in that a worker has answered a look, with its clock.
+    fn note_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
-        if first {
-            w.fenced = true;
-            // What an earlier owner ordered may run for so long without a word of this one.
-            w.lease_until = w.lease_until.max(look.clock + earlier.0);
-            let (running, ended) = (look.running.len(), look.ended.len());
-            self.notes.push(Note::Claimed { worker: w.id.clone(), running, ended });
+        if w.unanswered > 0 {
+            let since = now.since(w.last_answer);
+            self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
         }
-        let taken = w.taken;
+        w.answered(clock, now);
+    }
+
+    /// Takes in that a worker refuses the orders of earlier owners from now on.
+    fn take_fenced(&mut self, idx: WorkerIdx, look: &Look) {
+        let earlier = self.bounds.earlier_lease;
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        w.fenced = true;
+        // What an earlier owner ordered may run for so long without a word of this one.
+        w.lease_until = w.lease_until.max(look.clock + earlier.0);
+        let (running, ended) = (look.running.len(), look.ended.len());
+        self.notes.push(Note::Claimed { worker: w.id.clone(), running, ended });
+    }
+
+    /// Takes in the ends that are new, then what runs.
+    fn take_listed(&mut self, idx: WorkerIdx, look: &Look, now: Millis) {
+        let Some(taken) = self.workers.get(idx).map(|w| w.taken) else { return };
         for end in look.ended.iter().filter(|e| e.number > taken) {
             self.take_end(idx, end, now);
         }
         for r in &look.running {
             self.take_running(idx, r, now);
         }
-        if second {
-            self.claim(idx);
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
         }
-        self.find_vanished(idx, &look, sent, now);
-        self.check_stalled(idx, now);
-        self.evacuate(idx, now);
-        self.pace_fillers(idx, &look.running, now);
+    }
+
+    /// Sets when to look again. The next look waits for the batch that makes the ends durable,
+    /// but for the first one: it could not renew the lease.
+    fn plan_look(&mut self, idx: WorkerIdx, first: bool, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
-        w.taken = look.ended.iter().map(|e| e.number).fold(w.taken, u64::max);
-        // The next look waits for the batch that makes these ends durable, but for the first
-        // one: it could not renew the lease.
         w.look_at = if first {
             now + CONFIRM_AFTER
         } else if w.taken > w.forget {
@@ -130,7 +153,6 @@
         } else {
             now
         };
-        self.dirty = true;
     }
 
     /// Takes the worker into use: nothing of an earlier owner can begin there any more.
@@ -159,80 +181,4 @@
             self.free(idx, task, run, GiveUp::Vanished, now);
         }
     }
-
-    /// Gives up on what workers held whose leases are surely over, and forgets those that
-    /// are not listed and hold nothing.
-    pub(crate) fn lapse(&mut self, now: Millis) {
-        for idx in self.workers.indexes() {
-            if self.has_left(idx) {
-                self.worker_dead(idx, now);
-                continue;
-            }
-            let Some(w) = self.workers.get(idx) else { continue };
-            let over = w.lease_over().is_some_and(|at| at + self.bounds.stop_timeout <= now);
-            if over && !w.held.is_empty() {
-                self.stats.lapsed += w.held.len() as u64;
-                self.free_all(idx, GiveUp::Lapsed, now);
-            }
-            let Some(w) = self.workers.get(idx) else { continue };
-            let silent = w.unanswered > 0 && !w.looking;
-            let known = !w.claimed && now < self.settled_at;
-            if !w.listed && silent && w.held.is_empty() && (over || !w.claimed) && !known {
-                self.forget_worker(idx);
-            }
-        }
-    }
-
-    /// This life of the worker is over: nothing that it held runs any more.
-    pub(crate) fn worker_dead(&mut self, idx: WorkerIdx, now: Millis) {
-        self.free_all(idx, GiveUp::WorkerDead, now);
-        if let Some(w) = self.workers.get(idx) {
-            self.notes.push(Note::Dead { worker: w.id.clone() });
-            self.dead.insert(w.id.clone());
-        }
-        self.forget_worker(idx);
-    }
-
-    /// One address has one life at a time: the others there are over once one answers.
-    fn other_lives_dead(&mut self, idx: WorkerIdx, now: Millis) {
-        let Some(address) = self.workers.get(idx).map(|w| w.address.clone()) else { return };
-        let others = self.workers.iter().filter(|(i, w)| *i != idx && w.address == address);
-        let others: Vec<_> = others.map(|(i, _)| i).collect();
-        for other in others {
-            self.worker_dead(other, now);
-        }
-    }
-
-    fn forget_worker(&mut self, idx: WorkerIdx) {
-        self.unsettled.remove(&idx);
-        self.workers.remove(idx);
-        self.dirty = true;
-    }
-
-    fn free_all(&mut self, idx: WorkerIdx, cause: GiveUp, now: Millis) {
-        let Some(w) = self.workers.get(idx) else { return };
-        let held: Vec<_> = w.held.iter().map(|h| (h.task, h.run)).collect();
-        for (task, run) in held {
-            self.free(idx, task, run, cause, now);
-        }
-    }
-
-    /// Takes a task off a worker on which it can't run any more; it waits again.
-    pub(crate) fn free(
-        &mut self,
-        idx: WorkerIdx,
-        task: TaskKey,
-        run: u32,
-        cause: GiveUp,
-        now: Millis,
-    ) {
-        if let Some(w) = self.workers.get_mut(idx)
-            && let Some(at) = w.find(task, run)
-        {
-            w.release(at);
-            self.notes.push(Note::GivenUp { task, run, worker: w.id.clone(), cause });
-        }
-        self.unplace(idx, task, run, now);
-        self.dirty = true;
-    }
 }
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -49,6 +49,37 @@
     pub stop_answered: bool,
 }
 
+impl Held {
+    /// Makes what takes `room` in `phase` from `now` on. Its end is expected at once; callers
+    /// that know better say so.
+    pub fn new(task: TaskKey, run: u32, room: Resources, phase: Phase, now: Millis) -> Held {
+        Held {
+            task,
+            run,
+            room,
+            phase,
+            since: now,
+            expected_end: now,
+            progress: 0,
+            pace: 100,
+            pace_wanted: 100,
+            progressed_at: now,
+            first_seen: None,
+            calling: false,
+            unsure: false,
+            stop_answered: false,
+        }
+    }
+
+    /// Takes in that a start that was ordered has come about.
+    pub fn has_begun(&mut self, now: Millis) {
+        if self.phase == Phase::Starting {
+            self.phase = Phase::Running;
+            self.since = now;
+        }
+    }
+}
+
 /// What the owner knows of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerClock {
@@ -76,7 +107,6 @@
 pub(crate) struct Worker {
     pub id: InstanceId,
     pub address: Arc<str>,
-    pub zone: Arc<str>,
     pub pool: Arc<str>,
     pub labels: Vec<Arc<str>>,
     pub capacity: Resources,
@@ -127,7 +157,6 @@
         Worker {
             id,
             address,
-            zone: "".into(),
             pool: "".into(),
             labels: Vec::new(),
             capacity: Resources::default(),
@@ -155,7 +184,6 @@
 
     /// Takes over what the platform's list says.
     pub fn take_listing(&mut self, l: &WorkerListing, now: Millis) {
-        self.zone = l.zone.clone();
         self.pool = l.pool.clone();
         self.labels = l.labels.clone();
         self.capacity = l.capacity;
