--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -78,7 +78,7 @@
     })?;
     outbox.send(Body::Hello(Hello {
         address: shared.address().to_string(),
-        cpu_milli: (shared.settings.cpu_share * 1_000.0) as u32,
+        cpu_milli: shared.cpu_milli(),
         age_ms: shared.clock.now().0,
         owner: Some(info.clone()),
     }));
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -12,6 +12,8 @@
 const SILENT: Millis = Millis(900);
 /// A member that the store has answered within this time is served by it.
 const SERVED: Millis = Millis(500);
+/// An instance is much larger than another from this part of its processors on, in percent.
+const LARGER_PERCENT: u32 = 150;
 /// Longest time for a call for advice that a member makes.
 const ASK_TIMEOUT_MS: u64 = 3_000;
 
@@ -152,6 +154,13 @@
         }
     }
 
+    /// Tells whether an instance of a live member has much more of a core than `cpu_milli`
+    /// thousandths, and is served by the store.
+    pub fn any_larger_than(&self, cpu_milli: u32) -> bool {
+        let larger = |m: &Member| m.cpu_milli * 100 >= cpu_milli * LARGER_PERCENT;
+        self.live().any(|m| larger(m) && m.store_age < SERVED)
+    }
+
     /// Tells whether the store serves a live member.
     pub fn any_served(&self) -> bool {
         self.live().any(|m| m.store_age < SERVED)
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -27,6 +27,8 @@
 const ANSWER_WITHIN: Millis = Millis(1_200);
 /// Members are asked whether the store answers them once a batch hangs for so long.
 const PROBE_AFTER: Millis = Millis(300);
+/// Members have joined a new owner after this time.
+const MEMBERS_JOIN: Millis = Millis(400);
 /// How long a stopping owner waits for its last batch.
 const FLUSH: Millis = Millis(400);
 /// How often the owner's gauges and its line in the log are renewed.
@@ -80,6 +82,10 @@
     viewed: Millis,
     /// Who waits for the partition to be handed over, and since when.
     stop: Option<(oneshot::Sender<()>, Millis)>,
+    /// When this owner began, by the process's clock.
+    began: Millis,
+    /// Since when the partition is being given to a larger instance.
+    moving: Option<Millis>,
     end: Option<OwnerEnd>,
 }
 
@@ -92,6 +98,7 @@
         handle: OwnerHandle,
     ) -> Owner {
         let Start { info, part, rev, engine, offset } = start;
+        let began = shared.clock.now();
         let batches = Batches::new(shared.clone(), info.clone(), part, rev, handle.clone());
         Owner {
             members: Members::new(info.clone()),
@@ -110,6 +117,8 @@
             config: 0,
             viewed: Millis(0),
             stop: None,
+            began,
+            moving: None,
             end: None,
         }
     }
@@ -208,7 +217,7 @@
         if call.config > self.shared.config_version() {
             self.shared.config_wanted.notify_one();
         }
-        if self.stop.is_some() {
+        if self.giving_up_since().is_some() {
             reply.send(call.id, Said::NotOwner, 0);
             return;
         }
@@ -298,6 +307,7 @@
         if let Some(end) = self.reach.check(&self.batches, &self.members, now) {
             self.end = Some(end);
         }
+        self.check_size();
         self.check_stop();
         self.renew_view(now);
     }
@@ -348,10 +358,27 @@
         }
     }
 
-    /// Hands over to a member once a stop is wanted and everything is written.
+    /// Returns since when the partition is being handed over.
+    fn giving_up_since(&self) -> Option<Millis> {
+        self.stop.as_ref().map(|(_, since)| *since).or(self.moving)
+    }
+
+    /// Gives the partition to a much larger instance, where there is one: the first that
+    /// comes may be too small for the owner's work.
+    fn check_size(&mut self) {
+        let now = self.shared.clock.now();
+        let settled = now.since(self.began) >= MEMBERS_JOIN;
+        let own = self.shared.cpu_milli();
+        if self.giving_up_since().is_none() && settled && self.members.any_larger_than(own) {
+            log::info!("owner.moving epoch={} cause=larger_member", self.info.epoch);
+            self.moving = Some(now);
+        }
+    }
+
+    /// Hands over to a member once that is wanted and everything is written.
     fn check_stop(&mut self) {
-        let Some((_, since)) = &self.stop else { return };
-        let waited = self.shared.clock.now().since(*since);
+        let Some(since) = self.giving_up_since() else { return };
+        let waited = self.shared.clock.now().since(since);
         let flushed = self.batches.is_idle() && self.waiters.is_empty();
         if flushed || waited >= FLUSH {
             let rev = self.batches.settled_rev().unwrap_or(0);
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Returns the thousandths of a core that the process gets.
+    pub fn cpu_milli(&self) -> u32 {
+        (self.settings.cpu_share * 1_000.0) as u32
+    }
+
     /// Returns the address between processes.
     pub fn address(&self) -> SocketAddr {
         self.settings.addresses.peers
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -66,7 +66,13 @@
 }
 
 impl Node {
-    fn start(i: usize, platform: SocketAddr, door: Door, ports: Ports, dir: &Path) -> Node {
+    fn start(
+        (i, cpu_share): (usize, f64),
+        platform: SocketAddr,
+        door: Door,
+        ports: Ports,
+        dir: &Path,
+    ) -> Node {
         let name = format!("n{i}");
         let path = dir.join(format!("{name}.toml"));
         let process = Process {
@@ -75,6 +81,7 @@
             callers: ports.callers,
             readiness: ports.readiness,
             peers: ports.peers,
+            cpu_share,
             seeds: vec![ports.ip(0), ports.ip(1)],
         };
         let text = speech::settings(&process, platform, door.addr);
@@ -156,15 +163,19 @@
 impl Cell {
     /// Starts a platform and processes, with a queue `/plain/` and one by advice, `/advised/`.
     pub async fn start(nodes: usize, workers: usize) -> Cell {
+        Cell::of_sizes(&vec![0.25; nodes], workers).await
+    }
+
+    /// Starts one process for each part of a core.
+    pub async fn of_sizes(shares: &[f64], workers: usize) -> Cell {
         let platform = Platform::start(workers).await.expect("the platform");
         platform.configure(1, &[("/plain/", false), ("/advised/", true)]);
         let dir = TempDir::new().expect("a folder");
         let ports = Ports::new();
-        let count = nodes;
         let mut nodes = Vec::new();
-        for i in 0..count {
+        for numbered in shares.iter().copied().enumerate() {
             let door = platform.open_door().await.expect("a way to the store");
-            nodes.push(Node::start(i, platform.addr(), door, ports, dir.path()));
+            nodes.push(Node::start(numbered, platform.addr(), door, ports, dir.path()));
         }
         let http = Client::builder().no_proxy().build().expect("a client");
         let cell = Cell { platform, nodes, http, _dir: dir };
--- a/crates/hollowford/tests/node.rs
+++ b/crates/hollowford/tests/node.rs
@@ -161,6 +161,23 @@
     cell.judge(1);
 }
 
+#[tokio::test]
+async fn the_partition_goes_to_a_much_larger_instance_and_stays_there() {
+    let mut cell = Cell::of_sizes(&[0.12, 0.25, 0.5], 1).await;
+    let largest = 2;
+    let owned = || async { cell.nodes[largest].owns() };
+    assert!(eventually(owned).await, "{}", cell.logs());
+    cell.submit_surely(0, PLAIN, 1, 2, 50).await;
+    cell.await_completed(1, PLAIN, 1).await;
+    assert_eq!(cell.owner(), largest);
+    cell.nodes[largest].kill();
+    let next = || async { cell.nodes[1].owns() };
+    assert!(eventually(next).await, "{}", cell.logs());
+    cell.submit_surely(0, PLAIN, 2, 2, 50).await;
+    cell.await_completed(1, PLAIN, 2).await;
+    cell.judge(1);
+}
+
 #[tokio::test]
 async fn a_slow_store_makes_one_takeover_and_not_many() {
     let mut cell = Cell::start(5, 1).await;
