--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{oneshot, watch as channel};
 use tokio::time::{sleep, timeout};
 
@@ -81,12 +81,7 @@
         let addr = SocketAddr::new(addresses.peers.ip(), port);
         servers.spawn(serve(addr, MetricsPage::new(shared.clone()), stopped));
     }
-    tokio::spawn(peers::accept(shared.clone(), listener));
-    tokio::spawn(watch::read_config(shared.clone()));
-    tokio::spawn(watch::follow_config(shared.clone()));
-    tokio::spawn(announce::register(shared.clone()));
-    tokio::spawn(ownership::run(shared.clone()));
-    tokio::spawn(reload::follow_settings(shared.clone(), hup));
+    start_duties(&shared, listener, hup);
     tokio::select! {
         _ = term.recv() => {}
         Some(ended) = servers.join_next() => {
@@ -96,15 +91,30 @@
             }
         }
     }
+    end(&shared, &stop).await;
+    Ok(())
+}
+
+/// Starts what runs until the process ends.
+fn start_duties(shared: &Arc<Shared>, listener: TcpListener, hup: Signal) {
+    tokio::spawn(peers::accept(shared.clone(), listener));
+    tokio::spawn(watch::read_config(shared.clone()));
+    tokio::spawn(watch::follow_config(shared.clone()));
+    tokio::spawn(announce::register(shared.clone()));
+    tokio::spawn(ownership::run(shared.clone()));
+    tokio::spawn(reload::follow_settings(shared.clone(), hup));
+}
+
+/// Ends the process's service without cutting a request.
+async fn end(shared: &Shared, stop: &channel::Sender<bool>) {
     log::info!("process.stopping");
     shared.stopping.store(true, Ordering::Relaxed);
-    hand_over(&shared).await;
+    hand_over(shared).await;
     sleep(LINGER).await;
     // No new channels from here on, and the channels that are idle are closed.
     let _ = stop.send(true);
-    answer_the_last(&shared).await;
+    answer_the_last(shared).await;
     log::info!("process.stopped");
-    Ok(())
 }
 
 fn make_shared(settings: NodeSettings) -> Result<Arc<Shared>, NodeError> {
--- a/crates/hollowford-node/src/relay.rs
+++ b/crates/hollowford-node/src/relay.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 /// Pause before a call is sent again to an owner that can't serve it yet.
@@ -83,34 +83,24 @@
         if left == Millis(0) {
             return if sent { Relayed::Unsure } else { Relayed::NotSent };
         }
-        let current = route.borrow_and_update().clone();
-        let rx = match current {
-            Route::None => None,
-            Route::Local(owner) => owner.call(&call),
-            Route::Remote(owner) => owner.call(&call),
-        };
-        let Some(rx) = rx else {
+        let Some(rx) = send(&route.borrow_and_update(), &call) else {
             if !sent && shared.store_away(NO_STORE) && shared.owner_age() >= NO_STORE {
                 return Relayed::NotSent;
             }
-            let left = left.min(NO_STORE);
-            // Woken by the next owner, or by the deadline.
-            let _ = timeout(left.duration(), route.changed()).await;
+            next_owner(&mut route, left.min(NO_STORE)).await;
             continue;
         };
-        let answer = match timeout(left.duration(), rx).await {
-            Ok(answer) => answer.ok(),
-            Err(_) => return Relayed::Unsure,
-        };
-        let Some(answer) = answer else {
+        let Ok(answer) = timeout(left.duration(), rx).await else { return Relayed::Unsure };
+        let Ok(answer) = answer else {
+            // The link has ended before the answer.
             sent = true;
-            let _ = timeout(left.duration().min(AGAIN.duration()), route.changed()).await;
+            next_owner(&mut route, left.min(AGAIN)).await;
             continue;
         };
         match answer.said() {
             Said::NotOwner => {
                 sent = true;
-                let _ = timeout(left.duration().min(AGAIN.duration()), route.changed()).await;
+                next_owner(&mut route, left.min(AGAIN)).await;
             }
             Said::NoQueue => sleep(AGAIN.duration()).await,
             said => return Relayed::Said(said, answer.value),
@@ -118,3 +108,18 @@
         shared.metrics.relayed_again.inc();
     }
 }
+
+/// Sends a call on a route; none when it leads to no owner that takes calls.
+fn send(route: &Route, call: &Call) -> Option<oneshot::Receiver<CallAnswer>> {
+    match route {
+        Route::None => None,
+        Route::Local(owner) => owner.call(call),
+        Route::Remote(owner) => owner.call(call),
+    }
+}
+
+/// Waits for the next owner, for `limit` at most.
+async fn next_owner(route: &mut watch::Receiver<Route>, limit: Millis) {
+    // Both ways of waking are good: the route is read again either way.
+    let _ = timeout(limit.duration(), route.changed()).await;
+}
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -31,40 +31,50 @@
 pub async fn read_config(shared: Arc<Shared>) {
     let mut reached = true;
     loop {
-        let read = shared.store.read(OPERATOR_TABLE, "", CONFIG_KEY, READ_TIMEOUT).await;
-        match &read {
-            Ok((row, _)) => {
-                shared.note_store();
-                if let Some(row) = row {
-                    take(&shared, row);
-                }
+        reached = read_once(&shared, reached).await;
+        // Woken early when a peer knows a newer version.
+        if timeout(pause(&shared, reached), shared.config_wanted.notified()).await.is_ok() {
+            log::debug!("config.wanted");
+        }
+    }
+}
+
+/// Reads the configuration. Tells whether the store was reached; `before`: whether it was at
+/// the reading before.
+async fn read_once(shared: &Shared, before: bool) -> bool {
+    match shared.store.read(OPERATOR_TABLE, "", CONFIG_KEY, READ_TIMEOUT).await {
+        Ok((row, _)) => {
+            shared.note_store();
+            if let Some(row) = row {
+                take(shared, &row);
             }
-            Err(e) => {
-                shared.note_store_failure();
-                if reached {
-                    log::warn!("store.lost by=config error=\"{e}\"");
-                }
+            if !before {
+                log::info!("store.regained by=config");
             }
+            true
         }
-        if read.is_ok() && !reached {
-            log::info!("store.regained by=config");
-        }
-        reached = read.is_ok();
-        let told = !shared.owns() && shared.owner_age() < HEARTBEAT_FRESH;
-        let probed = shared.probe_store.load(Ordering::Relaxed);
-        let pause = match (reached, told) {
-            (false, _) => RETRY,
-            _ if probed => READ_EVERY_FOR_OWNER,
-            (true, false) => READ_EVERY,
-            (true, true) => READ_EVERY_AS_MEMBER,
-        };
-        // Woken early when a peer knows a newer version.
-        if timeout(pause, shared.config_wanted.notified()).await.is_ok() {
-            log::debug!("config.wanted");
+        Err(e) => {
+            shared.note_store_failure();
+            if before {
+                log::warn!("store.lost by=config error=\"{e}\"");
+            }
+            false
         }
     }
 }
 
+/// Returns how long to wait for the next reading.
+fn pause(shared: &Shared, reached: bool) -> Duration {
+    let told = !shared.owns() && shared.owner_age() < HEARTBEAT_FRESH;
+    let probed = shared.probe_store.load(Ordering::Relaxed);
+    match (reached, told) {
+        (false, _) => RETRY,
+        _ if probed => READ_EVERY_FOR_OWNER,
+        (true, false) => READ_EVERY,
+        (true, true) => READ_EVERY_AS_MEMBER,
+    }
+}
+
 /// Follows the feed of the operator's table.
 pub async fn follow_config(shared: Arc<Shared>) {
     let mut after = 0;
