--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -6,7 +6,7 @@
 use crate::order::{End, EndKind, Running};
 use crate::spec::{JobId, StepSpec, TaskKey};
 use crate::worker::{Held, Phase};
-use crate::workers::WorkerIdx;
+use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 use std::sync::Arc;
 
@@ -102,7 +102,7 @@
             return;
         }
         if here {
-            self.unplace(idx, key, end.run, now);
+            self.unplace(Placement { idx, task: key, run: end.run }, now);
         }
         if let Some(task) = self.jobs.task_mut(key) {
             task.run = task.run.max(end.run);
@@ -204,13 +204,13 @@
     }
 
     /// Takes note that a task doesn't run on the worker any more.
-    pub(crate) fn unplace(&mut self, idx: WorkerIdx, key: TaskKey, run: u32, now: Millis) {
-        let Some(task) = self.jobs.task_mut(key) else { return };
-        if task.at != Some(idx) || task.run != run {
+    pub(crate) fn unplace(&mut self, p: Placement, now: Millis) {
+        let Some(task) = self.jobs.task_mut(p.task) else { return };
+        if task.at != Some(p.idx) || task.run != p.run {
             return;
         }
         task.at = None;
-        let Some(step) = self.jobs.step_mut(key.step) else { return };
+        let Some(step) = self.jobs.step_mut(p.task.step) else { return };
         if step.tasks.iter().all(|t| t.at.is_none()) {
             step.regroup = false;
         }
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -7,7 +7,7 @@
 use crate::place::{Pass, Placing};
 use crate::seats::Want;
 use crate::spec::StepSpec;
-use crate::workers::WorkerIdx;
+use crate::workers::{Placement, WorkerIdx};
 
 /// How many members go to each room, by position in the pass.
 type Seating = Vec<(usize, u32)>;
@@ -55,7 +55,7 @@
             for _ in 0..n {
                 pass.rooms[at].take(&spec.room());
                 let idx = pass.rooms[at].idx;
-                self.start(idx, key.task(index), run, pass.now, out);
+                self.start(Placement { idx, task: key.task(index), run }, pass.now, out);
                 index += 1;
             }
         }
--- a/crates/hollowford-jobs/src/gone.rs
+++ b/crates/hollowford-jobs/src/gone.rs
@@ -2,8 +2,7 @@
 
 use crate::engine::Engine;
 use crate::note::{GiveUp, Note};
-use crate::spec::TaskKey;
-use crate::workers::WorkerIdx;
+use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 
 impl Engine {
@@ -60,26 +59,20 @@
         let Some(w) = self.workers.get(idx) else { return };
         let held: Vec<_> = w.held.iter().map(|h| (h.task, h.run)).collect();
         for (task, run) in held {
-            self.free(idx, task, run, cause, now);
+            self.free(Placement { idx, task, run }, cause, now);
         }
     }
 
     /// Takes a task off a worker on which it can't run any more; it waits again.
-    pub(crate) fn free(
-        &mut self,
-        idx: WorkerIdx,
-        task: TaskKey,
-        run: u32,
-        cause: GiveUp,
-        now: Millis,
-    ) {
+    pub(crate) fn free(&mut self, p: Placement, cause: GiveUp, now: Millis) {
+        let Placement { idx, task, run } = p;
         if let Some(w) = self.workers.get_mut(idx)
             && let Some(at) = w.find(task, run)
         {
             w.release(at);
             self.notes.push(Note::GivenUp { task, run, worker: w.id.clone(), cause });
         }
-        self.unplace(idx, task, run, now);
+        self.unplace(p, now);
         self.dirty = true;
     }
 }
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -5,7 +5,7 @@
 use crate::order::{Look, Order, WorkerCall};
 use crate::spec::TaskKey;
 use crate::worker::{Held, Phase};
-use crate::workers::WorkerIdx;
+use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::{InstanceId, Millis};
 
 /// How long a look may wait for an end. Leases are renewed at this pace, three times in one.
@@ -178,7 +178,7 @@
         let gone: Vec<_> = w.held.iter().filter(gone).map(|h| (h.task, h.run)).collect();
         for (task, run) in gone {
             self.stats.vanished += 1;
-            self.free(idx, task, run, GiveUp::Vanished, now);
+            self.free(Placement { idx, task, run }, GiveUp::Vanished, now);
         }
     }
 }
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -8,7 +8,7 @@
 use crate::seats::Want;
 use crate::spec::{StepKey, StepSpec};
 use crate::urgency::Waiting;
-use crate::workers::WorkerIdx;
+use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 use std::sync::Arc;
 
@@ -91,7 +91,8 @@
             };
             pass.rooms[at].take(&step.spec.room());
             let idx = pass.rooms[at].idx;
-            self.start(idx, step.key.task(index), run.max(floor) + 1, pass.now, out);
+            let p = Placement { idx, task: step.key.task(index), run: run.max(floor) + 1 };
+            self.start(p, pass.now, out);
             left -= 1;
         }
         if left > 0
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -6,7 +6,7 @@
 use crate::order::{Order, StartAnswer, WorkerCall};
 use crate::spec::{StepKey, TaskKey};
 use crate::worker::{Held, Phase};
-use crate::workers::WorkerIdx;
+use crate::workers::Placement;
 use hollowford_core::{InstanceId, Millis};
 use std::sync::Arc;
 
@@ -20,14 +20,8 @@
 
 impl Engine {
     /// Places a task on a worker and orders its start.
-    pub(crate) fn start(
-        &mut self,
-        idx: WorkerIdx,
-        key: TaskKey,
-        run: u32,
-        now: Millis,
-        out: &mut Vec<Order>,
-    ) {
+    pub(crate) fn start(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
+        let Placement { idx, task: key, run } = p;
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         job.begun = true;
         let age = now.since(job.accepted_at);
@@ -46,17 +40,11 @@
             self.notes.push(Note::Starts { task: key, run, worker, free, age });
         }
         self.stats.started += 1;
-        self.send_start(idx, key, run, now, out);
+        self.send_start(p, now, out);
     }
 
-    fn send_start(
-        &mut self,
-        idx: WorkerIdx,
-        task: TaskKey,
-        run: u32,
-        now: Millis,
-        out: &mut Vec<Order>,
-    ) {
+    fn send_start(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
+        let Placement { idx, task, run } = p;
         let lease = self.bounds.lease;
         let Some(job) = self.jobs.get(task.step.job) else { return };
         let template = job.spec.template.clone();
@@ -121,22 +109,18 @@
             | StartAnswer::NoRoom
             | StartAnswer::Ticket
             | StartAnswer::Unhealthy
-            | StartAnswer::Invalid => self.start_refused(idx, task, run, &answer, now),
+            | StartAnswer::Invalid => {
+                self.start_refused(Placement { idx, task, run }, &answer, now)
+            }
         }
         false
     }
 
     /// The worker has done nothing: the task waits again, or its gang starts again.
-    fn start_refused(
-        &mut self,
-        idx: WorkerIdx,
-        task: TaskKey,
-        run: u32,
-        answer: &StartAnswer,
-        now: Millis,
-    ) {
+    fn start_refused(&mut self, p: Placement, answer: &StartAnswer, now: Millis) {
+        let Placement { idx, task, run } = p;
         self.stats.refused += 1;
-        self.free(idx, task, run, GiveUp::Refused, now);
+        self.free(p, GiveUp::Refused, now);
         if let Some(w) = self.workers.get_mut(idx) {
             let (worker, answer) = (w.id.clone(), answer.clone());
             if answer == StartAnswer::Unhealthy {
@@ -181,22 +165,17 @@
             let due = |h: &&Held| !h.calling && h.phase != Phase::Running && !h.stop_answered;
             let due: Vec<_> = w.held.iter().filter(due).map(|h| (h.task, h.run, h.phase)).collect();
             for (task, run, phase) in due {
+                let p = Placement { idx, task, run };
                 match phase {
-                    Phase::Stopping => self.send_stop(idx, task, run, now, out),
-                    _ => self.start_again(idx, task, run, now, out),
+                    Phase::Stopping => self.send_stop(p, now, out),
+                    _ => self.start_again(p, now, out),
                 }
             }
         }
     }
 
-    fn start_again(
-        &mut self,
-        idx: WorkerIdx,
-        task: TaskKey,
-        run: u32,
-        now: Millis,
-        out: &mut Vec<Order>,
-    ) {
+    fn start_again(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
+        let Placement { idx, task, run } = p;
         let patience = Millis(self.bounds.gang_timeout.0 * GANG_PATIENCE_PERCENT / 100);
         let since = self.workers.get_mut(idx).and_then(|w| w.find_mut(task, run)).map(|h| h.since);
         if self.is_gang(task.step) && since.is_some_and(|s| now.since(s) > patience) {
@@ -204,17 +183,11 @@
             return;
         }
         self.stats.resent += 1;
-        self.send_start(idx, task, run, now, out);
+        self.send_start(p, now, out);
     }
 
-    fn send_stop(
-        &mut self,
-        idx: WorkerIdx,
-        task: TaskKey,
-        run: u32,
-        now: Millis,
-        out: &mut Vec<Order>,
-    ) {
+    fn send_stop(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
+        let Placement { idx, task, run } = p;
         let Some(w) = self.workers.get_mut(idx) else { return };
         let (worker, address) = (w.id.clone(), w.address.clone());
         let Some(h) = w.find_mut(task, run) else { return };
--- a/crates/hollowford-jobs/src/workers.rs
+++ b/crates/hollowford-jobs/src/workers.rs
@@ -1,5 +1,6 @@
 //! All workers of the partition.
 
+use crate::spec::TaskKey;
 use crate::worker::Worker;
 use hollowford_core::InstanceId;
 use rustc_hash::FxHashMap;
@@ -7,6 +8,14 @@
 /// Position of a worker in the owner's table; not used again for another.
 pub(crate) type WorkerIdx = u32;
 
+/// One start of a task on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Placement {
+    pub idx: WorkerIdx,
+    pub task: TaskKey,
+    pub run: u32,
+}
+
 /// The workers, by position and by id.
 #[derive(Debug, Default)]
 pub(crate) struct Workers {
