One place each for the bounds, the slowest clock and the isolated owner's limit

Cause: the times of a lease were written twice, and both have to agree; a second struct of bounds was only there to be compared. No behaviour change.

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -18,7 +18,7 @@
 const PASS_EVERY: Millis = Millis(100);
 
 /// Times that hold for a deployment.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
     /// How long each order lets a worker run what it runs.
     pub lease: Millis,
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -53,3 +53,4 @@
 pub use spec::{JobId, JobSpec, RawJob, RawStep, Schedule, SpecError, StepKey, StepSpec, TaskKey};
 pub use submit::{CancelAnswer, SubmitAnswer};
 pub use view::EngineView;
+pub use worker::SLOWEST_CLOCK_PERCENT;
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 /// The slowest that a worker's steady clock may run, in hundredths of true time (PROTOCOL).
-const SLOWEST_CLOCK_PERCENT: u64 = 98;
+pub const SLOWEST_CLOCK_PERCENT: u64 = 98;
 
 /// How far the owner knows a placement to have come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -42,8 +42,7 @@
         return None;
     }
     let offset = feed.now.0 as i64 - shared.clock.now().0 as i64;
-    let mut engine =
-        Engine::new(info.epoch, shared.settings_changed.borrow().bounds.into(), feed.now);
+    let mut engine = Engine::new(info.epoch, shared.settings_changed.borrow().bounds, feed.now);
     engine.set_unix_offset(shared.clock.unix() as i64 - feed.now.0 as i64);
     if let Some(config) = shared.config.load_full() {
         engine.set_queues(&config.queues);
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -315,7 +315,7 @@
     fn take_config(&mut self) {
         if self.settings.has_changed().unwrap_or(false) {
             let bounds = self.settings.borrow_and_update().bounds;
-            self.engine.set_bounds(bounds.into());
+            self.engine.set_bounds(bounds);
         }
         let version = self.shared.config_version();
         if version != self.config
--- a/crates/hollowford-node/src/reach.rs
+++ b/crates/hollowford-node/src/reach.rs
@@ -4,6 +4,7 @@
 use crate::members::Members;
 use crate::owner::OwnerEnd;
 use crate::shared::Shared;
+use hollowford_adapter::ISOLATED_OWNER;
 use hollowford_core::Millis;
 use std::sync::Arc;
 
@@ -12,8 +13,6 @@
 /// The store has to serve the member for so long: at the end of an outage it is only the
 /// first to notice.
 const STORE_DIVIDED: Millis = Millis(300);
-/// An owner without word from the store and any member for so long gives up.
-const ISOLATED: Millis = Millis(2_000);
 
 /// What the owner has heard of the store and the members.
 #[derive(Debug)]
@@ -67,7 +66,7 @@
     /// Tells whether neither the store nor any member has been heard for long.
     fn is_isolated(&self, members: &Members) -> bool {
         let silent = self.shared.clock.now().since(self.member_heard);
-        let alone = members.had_any() && silent >= ISOLATED;
-        alone && self.shared.store_age() >= ISOLATED
+        let alone = members.had_any() && silent >= ISOLATED_OWNER;
+        alone && self.shared.store_age() >= ISOLATED_OWNER
     }
 }
--- a/crates/hollowford-node/src/writer.rs
+++ b/crates/hollowford-node/src/writer.rs
@@ -55,10 +55,9 @@
     let mut refusals = 0;
     let mut unsure = false;
     loop {
-        let wait = COPY_AFTER[sent.saturating_sub(1).min(COPY_AFTER.len() - 1)];
         let answer = tokio::select! {
             Some(answer) = copies.next() => answer,
-            () = sleep(wait) => {
+            () = sleep(copy_after(sent)) => {
                 if copies.len() <= COPY_AFTER.len() {
                     copies.push(send());
                     sent += 1;
@@ -79,16 +78,22 @@
                 refusals += 1;
             }
         }
-        if copies.is_empty() && !unsure && refusals >= MOST_REFUSALS {
-            return Written::Refused;
+        if !copies.is_empty() {
+            continue;
         }
-        if copies.is_empty() {
-            sleep(REFUSED_PAUSE).await;
-            copies.push(send());
+        if !unsure && refusals >= MOST_REFUSALS {
+            return Written::Refused;
         }
+        sleep(REFUSED_PAUSE).await;
+        copies.push(send());
     }
 }
 
+/// Returns when to send the next copy, after `sent` ones.
+fn copy_after(sent: usize) -> Duration {
+    COPY_AFTER[sent.saturating_sub(1).min(COPY_AFTER.len() - 1)]
+}
+
 fn made(shared: &Shared, version: Version) -> Written {
     shared.note_store();
     shared.metrics.batches.with_label_values(&["made"]).inc();
