--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -15,6 +15,8 @@
 /// One percent of a task may take this part of its guessed time, in hundredths: a worker may
 /// be some times slower than the guess.
 const SLOW_PERCENT: u64 = 8;
+/// A task with so much progress in percent is not taken as standing still: it is about to end.
+const NEARLY_DONE: u32 = 99;
 /// A worker on which all stands still gets nothing for so long, again and again.
 const STALLED_PAUSE: Millis = Millis(500);
 /// A short task that stands still for so long is started elsewhere. The loss is small, and
@@ -66,7 +68,7 @@
         let running: Vec<&Held> = w.held.iter().filter(|h| h.phase == Phase::Running).collect();
         let still = |h: &&&Held| {
             let slow = Millis(self.guess(h.task).0 * SLOW_PERCENT / 100);
-            h.progress < 99 && now.since(h.progressed_at) >= STANDS_STILL.max(slow)
+            h.progress < NEARLY_DONE && now.since(h.progressed_at) >= STANDS_STILL.max(slow)
         };
         let stuck = running.iter().filter(still).count();
         if stuck == 0 || stuck < running.len() {
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -21,18 +21,12 @@
 }
 
 impl Waiter {
-    /// Answers with what is in the store now.
-    fn answer(self, engine: &Engine, job: JobId) {
+    /// Answers a question for a state with what is in the store now, anything else with
+    /// `said`.
+    fn answer(self, engine: &Engine, job: JobId, said: Said) {
         match engine.state(job).filter(|_| self.verb == Verb::State) {
             Some(state) => self.reply.send(self.id, Said::Value, state.code().into()),
-            None => self.reply.send(self.id, Said::Done, 0),
-        }
-    }
-
-    fn give_up(self, engine: &Engine, job: JobId) {
-        match engine.state(job).filter(|_| self.verb == Verb::State) {
-            Some(state) => self.reply.send(self.id, Said::Value, state.code().into()),
-            None => self.reply.send(self.id, Said::Unsure, 0),
+            None => self.reply.send(self.id, said, 0),
         }
     }
 }
@@ -96,7 +90,7 @@
             let kept = engine.is_kept(job) == Some(true);
             let ready = |w: &mut Waiter| if w.verb == Verb::Submit { kept } else { ended };
             for w in waiters.extract_if(.., ready) {
-                w.answer(engine, job);
+                w.answer(engine, job, Said::Done);
             }
             !waiters.is_empty()
         });
@@ -111,7 +105,7 @@
         self.by_job.retain(|&job, waiters| {
             let limit_of = |w: &Waiter| if w.verb == Verb::State { STATE_WITHIN } else { limit };
             for w in waiters.extract_if(.., |w| now.since(w.since) >= limit_of(w)) {
-                w.give_up(engine, job);
+                w.answer(engine, job, Said::Unsure);
             }
             !waiters.is_empty()
         });
--- a/crates/hollowford-node/src/logs.rs
+++ b/crates/hollowford-node/src/logs.rs
@@ -17,6 +17,9 @@
 /// Bytes kept for one line before it is handed over.
 const LINE: usize = 256;
 
+/// Stack of the writing thread in bytes; it only copies lines.
+const STACK: usize = 64 << 10;
+
 /// Lines dropped since the start.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -33,7 +36,7 @@
     let (tx, rx) = sync_channel(QUEUE);
     std::thread::Builder::new()
         .name("log".to_owned())
-        .stack_size(64 << 10)
+        .stack_size(STACK)
         .spawn(move || write_all(&rx, &mut io::stdout()))?;
     Builder::from_env(Env::default().default_filter_or("info"))
         .target(Target::Pipe(Box::new(QueueWriter { tx, line: Vec::new() })))
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -10,8 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+/// Pause after a link could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A link whose opener says nothing for so long is closed.
 const FIRST_FRAME: Duration = Duration::from_millis(2_000);
 /// A member that says nothing for so long is gone.
@@ -31,7 +33,7 @@
             }
             Err(e) => {
                 log::warn!("link.accept failed error={e}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
