--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -1,7 +1,7 @@
 //! All jobs of the partition.
 
 use crate::job::{Job, JobState, Step, Task};
-use crate::spec::{JobId, StepKey, TaskKey};
+use crate::spec::{JobId, StepKey, StepSpec, TaskKey};
 use hollowford_core::Millis;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -82,6 +82,11 @@
         out
     }
 
+    /// Returns what an open job says of one of its steps.
+    pub fn step_spec(&self, key: StepKey) -> Option<&StepSpec> {
+        self.open.get(&key.job)?.spec.steps.get(key.step as usize)
+    }
+
     pub fn step(&self, key: StepKey) -> Option<&Step> {
         self.open.get(&key.job)?.round(key.round)?.steps.get(key.step as usize)
     }
--- a/crates/hollowford-jobs/src/pacing.rs
+++ b/crates/hollowford-jobs/src/pacing.rs
@@ -7,8 +7,8 @@
 
 use crate::engine::Engine;
 use crate::order::{Order, Running, WorkerCall};
-use crate::spec::{StepSpec, TaskKey};
-use crate::worker::Phase;
+use crate::spec::TaskKey;
+use crate::worker::{FULL_PACE, Held, Phase};
 use crate::workers::WorkerIdx;
 use hollowford_core::{InstanceId, Millis};
 
@@ -40,9 +40,8 @@
     /// ones.
     pub(crate) fn pace_fillers(&mut self, idx: WorkerIdx, running: &[Running], now: Millis) {
         let tails = self.tails(running);
-        let fillers: Vec<TaskKey> = running.iter().map(|r| r.task).collect();
-        let fillers: Vec<TaskKey> =
-            fillers.into_iter().filter(|&t| self.step_spec(t).is_some_and(|s| s.filler)).collect();
+        let fills = |t: &TaskKey| self.jobs.step_spec(t.step).is_some_and(|s| s.filler);
+        let fillers: Vec<TaskKey> = running.iter().map(|r| r.task).filter(fills).collect();
         let Some(w) = self.workers.get_mut(idx) else { return };
         let waited = now.since(w.paced_at);
         let due = match tails {
@@ -58,7 +57,7 @@
             let wanted = match tails {
                 Tails::Missed if h.pace_wanted > SLOWED => SLOWED,
                 Tails::Missed => 0,
-                _ => (h.pace_wanted + SPEED_UP).min(100),
+                _ => (h.pace_wanted + SPEED_UP).min(FULL_PACE),
             };
             changed |= wanted != h.pace_wanted;
             h.pace_wanted = wanted;
@@ -68,14 +67,10 @@
         }
     }
 
-    fn step_spec(&self, key: TaskKey) -> Option<&StepSpec> {
-        self.jobs.get(key.step.job)?.spec.steps.get(key.step.step as usize)
-    }
-
     fn tails(&self, running: &[Running]) -> Tails {
         let mut worst = Tails::Calm;
         for r in running {
-            let Some(spec) = self.step_spec(r.task) else { continue };
+            let Some(spec) = self.jobs.step_spec(r.task.step) else { continue };
             if !spec.lasting || spec.latency_ms == 0 {
                 continue;
             }
@@ -95,9 +90,8 @@
         for idx in self.workers.indexes() {
             let Some(w) = self.workers.get_mut(idx) else { continue };
             let (worker, address) = (w.id.clone(), w.address.clone());
-            let due = |h: &&mut crate::worker::Held| {
-                h.phase == Phase::Running && !h.calling && h.pace != h.pace_wanted
-            };
+            let due =
+                |h: &&mut Held| h.phase == Phase::Running && !h.calling && h.pace != h.pace_wanted;
             for h in w.held.iter_mut().filter(due) {
                 h.calling = true;
                 out.push(Order::Worker(WorkerCall::Pace {
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -56,10 +56,9 @@
         }
     }
 
+    /// Returns how long the caller guesses that a task takes; 0: not known.
     fn guess(&self, key: TaskKey) -> Millis {
-        let step =
-            self.jobs.get(key.step.job).and_then(|j| j.spec.steps.get(key.step.step as usize));
-        step.map_or(Millis(0), |s| Millis(s.estimate_ms))
+        self.jobs.step_spec(key.step).map_or(Millis(0), |s| Millis(s.estimate_ms))
     }
 
     /// Gives a worker on which all stands still nothing more, and moves its short tasks.
@@ -91,9 +90,7 @@
     /// Stops a task, so that it starts elsewhere; a gang starts again whole. A task that lasts
     /// stays: its users would miss it.
     pub(crate) fn move_off(&mut self, idx: WorkerIdx, key: TaskKey) {
-        let step =
-            self.jobs.get(key.step.job).and_then(|j| j.spec.steps.get(key.step.step as usize));
-        if step.is_none_or(|s| s.lasting) {
+        if self.jobs.step_spec(key.step).is_none_or(|s| s.lasting) {
             return;
         }
         if self.is_gang(key.step) {
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -49,7 +49,7 @@
         let Some(job) = self.jobs.get(task.step.job) else { return };
         let template = job.spec.template.clone();
         let Some(step) = self.jobs.step(task.step) else { return };
-        let gang = job.spec.steps[task.step.step as usize].gang;
+        let gang = self.is_gang(task.step);
         let own = std::slice::from_ref(&step.tasks[task.index as usize]);
         // All members of a gang bring the same checkpoint.
         let saved = saved_of(if gang { &step.tasks } else { own });
@@ -142,8 +142,7 @@
     }
 
     pub(crate) fn is_gang(&self, step: StepKey) -> bool {
-        let job = self.jobs.get(step.job);
-        job.and_then(|j| j.spec.steps.get(step.step as usize)).is_some_and(|s| s.gang)
+        self.jobs.step_spec(step).is_some_and(|s| s.gang)
     }
 
     /// Stops what runs of a gang, so that it can start again whole.
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -9,6 +9,9 @@
 /// The slowest that a worker's steady clock may run, in hundredths of true time (PROTOCOL).
 pub const SLOWEST_CLOCK_PERCENT: u64 = 98;
 
+/// Pace of a task that nothing slows down, in percent.
+pub(crate) const FULL_PACE: u32 = 100;
+
 /// How far the owner knows a placement to have come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -61,8 +64,8 @@
             since: now,
             expected_end: now,
             progress: 0,
-            pace: 100,
-            pace_wanted: 100,
+            pace: FULL_PACE,
+            pace_wanted: FULL_PACE,
             progressed_at: now,
             first_seen: None,
             calling: false,
