--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -15,6 +15,8 @@
 /// One percent of a task may take this part of its guessed time, in hundredths: a worker may
 /// be some times slower than the guess.
 const SLOW_PERCENT: u64 = 8;
+/// A task with so much progress in percent is not taken as standing still: it is about to end.
+const NEARLY_DONE: u32 = 99;
 /// A worker on which all stands still gets nothing for so long, again and again.
 const STALLED_PAUSE: Millis = Millis(500);
 /// A short task that stands still for so long is started elsewhere. The loss is small, and
@@ -54,10 +56,9 @@
         }
     }
 
+    /// Returns how long the caller guesses that a task takes; 0: not known.
     fn guess(&self, key: TaskKey) -> Millis {
-        let step =
-            self.jobs.get(key.step.job).and_then(|j| j.spec.steps.get(key.step.step as usize));
-        step.map_or(Millis(0), |s| Millis(s.estimate_ms))
+        self.jobs.step_spec(key.step).map_or(Millis(0), |s| Millis(s.estimate_ms))
     }
 
     /// Gives a worker on which all stands still nothing more, and moves its short tasks.
@@ -66,7 +67,7 @@
         let running: Vec<&Held> = w.held.iter().filter(|h| h.phase == Phase::Running).collect();
         let still = |h: &&&Held| {
             let slow = Millis(self.guess(h.task).0 * SLOW_PERCENT / 100);
-            h.progress < 99 && now.since(h.progressed_at) >= STANDS_STILL.max(slow)
+            h.progress < NEARLY_DONE && now.since(h.progressed_at) >= STANDS_STILL.max(slow)
         };
         let stuck = running.iter().filter(still).count();
         if stuck == 0 || stuck < running.len() {
@@ -89,9 +90,7 @@
     /// Stops a task, so that it starts elsewhere; a gang starts again whole. A task that lasts
     /// stays: its users would miss it.
     pub(crate) fn move_off(&mut self, idx: WorkerIdx, key: TaskKey) {
-        let step =
-            self.jobs.get(key.step.job).and_then(|j| j.spec.steps.get(key.step.step as usize));
-        if step.is_none_or(|s| s.lasting) {
+        if self.jobs.step_spec(key.step).is_none_or(|s| s.lasting) {
             return;
         }
         if self.is_gang(key.step) {
