Node: a process that has reached no owner is not ready; the first list of workers is told at once

Cause: the time since an owner was reached began with the process's clock, so a process was ready for its first 2.5 s without any owner; four of 35 and three of 12 runs of the process tests on a busy machine found none (panic: an owner). Test: a_process_that_has_just_started_has_reached_no_owner; the tests' cells also wait for the owner's log line.

--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -24,6 +24,8 @@
 mod relay;
 mod reload;
 mod shared;
+#[cfg(test)]
+mod shared_tests;
 mod watch;
 mod wire;
 mod writer;
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -47,20 +47,19 @@
         believe_missing_at: now,
     };
     while !owner.is_closed() {
-        let changed = match list.next(&shared).await {
+        match list.next(&shared).await {
             Ok(changed) => {
+                // Told before the pause: a new owner waits for its first list.
+                if changed {
+                    let listings = list.rows.values().cloned().collect();
+                    owner.send(OwnerMsg::Listings(listings)).await;
+                }
                 sleep(PAUSE).await;
-                changed
             }
             Err(e) => {
                 log::debug!("workers.list failed error=\"{e}\"");
                 sleep(RETRY).await;
-                false
             }
-        };
-        if changed {
-            let listings = list.rows.values().cloned().collect();
-            owner.send(OwnerMsg::Listings(listings)).await;
         }
     }
 }
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -11,6 +11,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use tokio::sync::{Notify, watch};
 
+/// A reading of the clock that stands for never.
+const NEVER: u64 = 0;
+
 /// How the owner is reached now.
 #[derive(Clone, Debug)]
 pub enum Route {
@@ -88,7 +91,7 @@
             store_answered: AtomicU64::new(0),
             store_failed: AtomicU64::new(0),
             probe_store: AtomicBool::new(false),
-            owner_heard: AtomicU64::new(0),
+            owner_heard: AtomicU64::new(NEVER),
             metrics,
         }
     }
@@ -131,11 +134,14 @@
 
     /// Takes note that the owner was within reach.
     pub fn note_owner(&self) {
-        self.owner_heard.store(self.clock.now().0, Ordering::Relaxed);
+        self.owner_heard.store(self.clock.now().0.max(NEVER + 1), Ordering::Relaxed);
     }
 
-    /// Returns the time since the owner was within reach.
+    /// Returns the time since the owner was within reach; the longest if it never was.
     pub fn owner_age(&self) -> Millis {
+        if self.owner_heard.load(Ordering::Relaxed) == NEVER {
+            return Millis::MAX;
+        }
         self.clock.now().since(Millis(self.owner_heard.load(Ordering::Relaxed)))
     }
 
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -182,6 +182,9 @@
         for n in &cell.nodes {
             cell.await_ready(n).await;
         }
+        // A process writes its log a moment after what it tells others.
+        let owned = || async { cell.nodes.iter().any(Node::owns) };
+        assert!(eventually(owned).await, "no owner:\n{}", cell.logs());
         cell
     }
 
