Jobs: a pass costs little however many steps wait

Each event made a pass over all open jobs, and each waiting step went over all workers, up to four times for a gang, and worked out whom to ask for advice although no seat was free. Ruled out: the store (batches were made), the workers (free), the seats (idle). Now: steps that may wait are kept in a set; a step with advice goes over the workers that it is allowed on; whom to ask is worked out when a seat is free; a pass between two full ones (100 ms) gives up after 200 steps that found nothing; what is due by time at workers is looked at every 5 ms; jobs without a schedule are not gone through for one.

--- a/crates/hollowford-core/src/resources.rs
+++ b/crates/hollowford-core/src/resources.rs
@@ -33,6 +33,15 @@
         }
     }
 
+    /// Returns the larger amount of each resource.
+    pub fn most(&self, rhs: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.max(rhs.cpu_milli),
+            memory_mib: self.memory_mib.max(rhs.memory_mib),
+            accelerators: self.accelerators.max(rhs.accelerators),
+        }
+    }
+
     /// Returns the difference, at least zero.
     pub fn minus(&self, rhs: &Resources) -> Resources {
         Resources {
--- a/crates/hollowford-jobs/src/advice.rs
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -10,11 +10,18 @@
 
 /// A ticket for one worker.
 #[derive(Clone, Debug)]
-struct Ticket {
+pub(crate) struct Ticket {
     text: Arc<str>,
     until: Millis,
 }
 
+impl Ticket {
+    /// Tells whether the ticket holds at `now`.
+    pub fn standing(&self, now: Millis) -> Standing {
+        if self.until > now + TICKET_MARGIN { Standing::Ticketed } else { Standing::Lapsed }
+    }
+}
+
 /// What is known of the workers for one step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
@@ -37,23 +44,20 @@
     Lapsed,
 }
 
-impl Standing {
-    /// Tells whether the step may run there, with this ticket or a renewed one.
-    pub fn is_good(self) -> bool {
-        matches!(self, Standing::Ticketed | Standing::Lapsed)
-    }
-}
-
 impl StepAdvice {
     pub fn standing(&self, w: WorkerIdx, now: Millis) -> Standing {
         match self.known.get(&w) {
             None => Standing::Unknown,
             Some(None) => Standing::Barred,
-            Some(Some(t)) if t.until > now + TICKET_MARGIN => Standing::Ticketed,
-            Some(Some(_)) => Standing::Lapsed,
+            Some(Some(t)) => t.standing(now),
         }
     }
 
+    /// Returns the workers on which the step may run, with their tickets.
+    pub fn allowed(&self) -> impl Iterator<Item = (WorkerIdx, &Ticket)> {
+        self.known.iter().filter_map(|(&w, t)| Some((w, t.as_ref()?)))
+    }
+
     pub fn ticket(&self, w: WorkerIdx) -> Arc<str> {
         let ticket = self.known.get(&w).and_then(|t| t.as_ref());
         ticket.map_or_else(|| "".into(), |t| t.text.clone())
@@ -69,6 +73,7 @@
     pub fn nothing_known(&self) -> bool {
         self.known.is_empty()
     }
+
     /// Takes in the answer of a call that named `asked`: which of them may run the step, with
     /// tickets that hold until `until`.
     pub fn answered(
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -168,10 +168,14 @@
             task.done = true;
             step.left -= 1;
         }
+        let step_done = step.done();
         let elsewhere = step.tasks[key.index as usize].at;
         if let Some(other) = elsewhere.filter(|_| !gang) {
             self.order_stop(other, key);
         }
+        if step_done {
+            self.jobs.rounds_wait(key.step.job);
+        }
         self.job_may_be_done(key.step.job, now);
     }
 
@@ -210,6 +214,7 @@
             return;
         }
         task.at = None;
+        self.jobs.step_waits(p.task.step);
         let Some(step) = self.jobs.step_mut(p.task.step) else { return };
         if step.tasks.iter().all(|t| t.at.is_none()) {
             step.regroup = false;
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -16,6 +16,9 @@
 
 /// Longest time between two passes over the waiting steps, since room is also foreseen.
 const PASS_EVERY: Millis = Millis(100);
+/// Shortest time between two rounds of what is due by time at some worker: each goes over all
+/// of them.
+const TEND_EVERY: Millis = Millis(5);
 
 /// Times that hold for a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +62,8 @@
     pub put_aside: u64,
     /// Calls for advice.
     pub asked: u64,
+    /// Steps that passes tried to place.
+    pub tried: u64,
 }
 
 /// The decisions of one partition. See the crate's description.
@@ -86,7 +91,10 @@
     pub(crate) recorded: Vec<WorkerAddress>,
     /// Something may be placeable that was not at the last pass.
     pub(crate) dirty: bool,
-    pub(crate) passed_at: Millis,
+    /// When what is due by time at workers was looked after last.
+    pub(crate) tended_at: Millis,
+    /// When a pass went over all waiting steps last.
+    pub(crate) full_pass_at: Millis,
     /// Unix time less the engine's, in milliseconds.
     pub(crate) unix_offset: i64,
     pub(crate) stats: Stats,
@@ -112,7 +120,8 @@
             batch_no: 0,
             recorded: Vec::new(),
             dirty: true,
-            passed_at: Millis(0),
+            tended_at: Millis(0),
+            full_pass_at: Millis(0),
             unix_offset: 0,
             stats: Stats::default(),
             notes: Vec::new(),
@@ -179,23 +188,29 @@
 
     /// Does what is due at `now`. Called after every event and some tens of times a second.
     pub fn poll(&mut self, now: Millis, out: &mut Vec<Order>) {
-        self.rounds_due(now);
         self.settle(now);
-        self.lapse(now);
-        self.look(now, out);
-        self.resend(now, out);
-        self.order_paces(out);
-        if self.dirty || now.since(self.passed_at) >= PASS_EVERY {
+        if now.since(self.tended_at) >= TEND_EVERY {
+            self.tended_at = now;
+            self.rounds_due(now);
+            self.lapse(now);
+            self.look(now, out);
+            self.resend(now, out);
+            self.order_paces(out);
+        }
+        let full = now.since(self.full_pass_at) >= PASS_EVERY;
+        if self.dirty || full {
             self.dirty = false;
-            self.passed_at = now;
-            self.place(now, out);
+            if full {
+                self.full_pass_at = now;
+            }
+            self.place(now, full, out);
         }
     }
 
     /// Adds rounds of jobs with a schedule that have fallen due.
     fn rounds_due(&mut self, now: Millis) {
         let unix = now.0 as i64 + self.unix_offset;
-        for id in self.jobs.ids() {
+        for id in self.jobs.scheduled() {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             let Some(s) = job.spec.schedule else { continue };
             if job.due_rounds >= s.rounds || job.end.is_some() {
@@ -207,6 +222,7 @@
             }
             let late = Millis((unix - due as i64) as u64);
             job.add_round(now - late);
+            self.jobs.rounds_wait(id);
             self.jobs.progressed(id);
             self.dirty = true;
         }
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -1,7 +1,6 @@
 //! Gangs: all members start together, or none does.
 
 use crate::advice::Standing;
-use crate::choose::Room;
 use crate::engine::Engine;
 use crate::order::Order;
 use crate::place::{Pass, Placing};
@@ -16,25 +15,26 @@
     /// Starts a gang if all its members can start; else asks for what it lacks and keeps room
     /// for it.
     pub(crate) fn place_gang(&mut self, pass: &mut Pass, gang: Placing<'_>, out: &mut Vec<Order>) {
-        let ticketed = |s: Standing| s == Standing::Ticketed;
+        let ticketed: Vec<usize> = self.rooms_of(pass, gang, Standing::Ticketed).collect();
         if gang.kept
             && let Some(seating) = self.seat_gang(pass, gang, &ticketed)
         {
             self.start_gang(pass, gang, &seating, out);
             return;
         }
-        let Some(step) = self.jobs.step(gang.key) else { return };
-        let asking = step.advice.asking;
-        if let Some(cost) = gang.queue.advice
-            && !asking
+        if let Some(cost) = self.askable(pass, gang)
             && let Some(workers) = self.gang_to_ask(pass, gang)
         {
-            pass.wants.push(Want { step: gang.key, workers, cost });
+            self.ask(Want { step: gang.key, workers, cost }, pass.now, out);
         }
-        match self.seat_gang(pass, gang, &Standing::is_good) {
+        let mut good = ticketed;
+        if gang.queue.advice.is_some() {
+            good.extend(self.rooms_of(pass, gang, Standing::Lapsed));
+        }
+        match self.seat_gang(pass, gang, &good) {
             // It fits once its tickets are renewed, or its acceptance is in the store.
             Some(seating) => reserve(pass, gang.spec, &seating),
-            None => self.reserve_gang(pass, gang),
+            None => self.reserve_gang(pass, gang, &good),
         }
     }
 
@@ -61,23 +61,23 @@
         }
     }
 
-    /// Finds room for all members on workers of a standing that `may` allows.
-    fn seat_gang(
-        &self,
-        pass: &Pass,
-        gang: Placing<'_>,
-        may: &dyn Fn(Standing) -> bool,
-    ) -> Option<Seating> {
+    /// Finds room for all members among these rooms.
+    fn seat_gang(&self, pass: &mut Pass, gang: Placing<'_>, rooms: &[usize]) -> Option<Seating> {
         let spec = gang.spec;
-        let usable = |r: &Room| may(self.standing(gang, r.idx, pass.now)) && self.allowed(r, gang);
-        let rooms: Vec<usize> =
-            (0..pass.rooms.len()).filter(|&at| usable(&pass.rooms[at])).collect();
+        let need = spec.room();
+        if !pass.may_fit(&need) {
+            return None;
+        }
+        let fits = |&at: &usize| need.fits(&pass.rooms[at].free);
+        let usable = |at: &usize| fits(at) && self.allowed(&pass.rooms[*at], gang);
+        let rooms: Vec<usize> = rooms.iter().copied().filter(usable).collect();
         if spec.one_rack {
+            let racks = pass.racks();
             let in_rack = |rack| {
                 let of = |&at: &usize| pass.rooms[at].rack.as_ref() == Some(rack);
                 seat(pass, spec, rooms.iter().copied().filter(of).collect())
             };
-            if let Some(seating) = pass.racks().iter().find_map(in_rack) {
+            if let Some(seating) = racks.iter().find_map(in_rack) {
                 return Some(seating);
             }
         }
@@ -86,22 +86,25 @@
 
     /// Returns the workers to ask about for a gang: all of the pool at first, then those of
     /// which the tickets would let it start.
-    fn gang_to_ask(&self, pass: &Pass, gang: Placing<'_>) -> Option<Vec<WorkerIdx>> {
-        let standing = |r: &Room| self.standing(gang, r.idx, pass.now);
-        let unknown: Vec<_> = pass
-            .rooms
-            .iter()
-            .filter(|r| standing(r) == Standing::Unknown && self.allowed(r, gang))
-            .collect();
-        if self.jobs.step(gang.key)?.advice.nothing_known() {
-            return some(unknown.iter().map(|r| r.idx).collect());
+    fn gang_to_ask(&self, pass: &mut Pass, gang: Placing<'_>) -> Option<Vec<WorkerIdx>> {
+        let (mut good, mut unknown) = (Vec::new(), Vec::new());
+        for (at, room) in pass.rooms.iter().enumerate().filter(|(_, r)| self.allowed(r, gang)) {
+            match self.standing(gang, room.idx, pass.now) {
+                Standing::Unknown => unknown.push(at),
+                Standing::Ticketed | Standing::Lapsed => good.push(at),
+                Standing::Barred => {}
+            }
         }
-        if let Some(seating) = self.seat_gang(pass, gang, &Standing::is_good) {
+        let first = self.jobs.step(gang.key)?.advice.nothing_known();
+        if !first && let Some(seating) = self.seat_gang(pass, gang, &good) {
             return some(seating.iter().map(|&(at, _)| pass.rooms[at].idx).collect());
         }
-        let any = |s: Standing| s != Standing::Barred;
-        self.seat_gang(pass, gang, &any)?;
-        some(unknown.iter().map(|r| r.idx).collect())
+        let asked = unknown.iter().map(|&at| pass.rooms[at].idx).collect();
+        if !first {
+            good.extend(&unknown);
+            self.seat_gang(pass, gang, &good)?;
+        }
+        some(asked)
     }
 }
 
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -90,6 +90,11 @@
         self.left == 0
     }
 
+    /// Tells whether some task is neither done nor placed.
+    pub fn has_unplaced(&self) -> bool {
+        self.left > 0 && self.tasks.iter().any(|t| !t.done && t.at.is_none())
+    }
+
     /// Returns how many tasks could be started at `now`.
     pub fn waiting(&self, now: Millis) -> usize {
         self.tasks.iter().filter(|t| t.waits(now)).count()
--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::job::{Job, JobState, Step, Task};
 use crate::spec::{JobId, StepKey, StepSpec, TaskKey};
 use hollowford_core::Millis;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeSet, VecDeque};
 
 /// How a job ended, and when.
@@ -22,6 +22,10 @@
     by_end: VecDeque<JobId>,
     /// Jobs with something to write.
     pub dirty: BTreeSet<JobId>,
+    /// Steps that may have tasks to start. A step is taken out once a pass finds none.
+    waiting: FxHashSet<StepKey>,
+    /// Open jobs with rounds that fall due.
+    scheduled: BTreeSet<JobId>,
 }
 
 impl Jobs {
@@ -34,13 +38,57 @@
     }
 
     pub fn insert(&mut self, job: Job) {
-        self.open.insert(job.id, job);
+        let id = job.id;
+        if job.spec.schedule.is_some() {
+            self.scheduled.insert(id);
+        }
+        self.open.insert(id, job);
+        self.rounds_wait(id);
     }
 
     /// Removes an open job as if it had never been.
     pub fn remove(&mut self, id: JobId) {
         self.open.remove(&id);
         self.dirty.remove(&id);
+        self.scheduled.remove(&id);
+    }
+
+    /// Takes note that tasks of a step may have to be started.
+    pub fn step_waits(&mut self, key: StepKey) {
+        self.waiting.insert(key);
+    }
+
+    /// Takes note that tasks of any step of a job may have to be started.
+    pub fn rounds_wait(&mut self, id: JobId) {
+        let Some(job) = self.open.get(&id) else { return };
+        for round in &job.rounds {
+            let key = |step| StepKey { job: id, round: round.number, step };
+            self.waiting.extend((0..round.steps.len() as u32).map(key));
+        }
+    }
+
+    /// Returns the steps that may have tasks to start.
+    pub fn waiting(&self) -> impl Iterator<Item = &StepKey> {
+        self.waiting.iter()
+    }
+
+    /// Takes the steps that may have tasks to start; `keep_waiting` gives back those that do.
+    pub fn take_waiting(&mut self) -> FxHashSet<StepKey> {
+        std::mem::take(&mut self.waiting)
+    }
+
+    /// Gives back the steps that do have tasks to start.
+    pub fn keep_waiting(&mut self, steps: FxHashSet<StepKey>) {
+        if self.waiting.is_empty() {
+            self.waiting = steps;
+        } else {
+            self.waiting.extend(steps);
+        }
+    }
+
+    /// Returns the open jobs with a schedule.
+    pub fn scheduled(&self) -> Vec<JobId> {
+        self.scheduled.iter().copied().collect()
     }
 
     pub fn open(&self) -> impl Iterator<Item = &Job> {
@@ -62,6 +110,7 @@
     /// Replaces an open job by how it ended.
     pub fn close(&mut self, id: JobId, ended: Ended) {
         self.open.remove(&id);
+        self.scheduled.remove(&id);
         if self.ended.insert(id, ended).is_none() {
             self.by_end.push_back(id);
         }
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -1,15 +1,17 @@
 //! A pass over the steps that wait.
 
-use crate::advice::Standing;
+use crate::advice::{Standing, StepAdvice};
 use crate::choose::Room;
 use crate::engine::Engine;
 use crate::order::Order;
-use crate::queue::Queue;
+use crate::queue::{AdviceCost, Queue};
 use crate::seats::Want;
 use crate::spec::{StepKey, StepSpec};
 use crate::urgency::Waiting;
 use crate::workers::{Placement, WorkerIdx};
-use hollowford_core::Millis;
+use hollowford_core::{Millis, Resources};
+use rustc_hash::FxHashMap;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// Workers to ask about beyond those that a step needs, as a part of them.
@@ -17,27 +19,56 @@
 /// Fewest workers to ask about at first.
 const ASK_LEAST: usize = 8;
 
+/// Steps that a pass tries without placing any task of theirs, the most urgent first. Passes
+/// come with every event, so each may cost little; every tenth of a second one tries them all.
+const TRIES: usize = 200;
+
 /// What one pass works on.
 pub(crate) struct Pass {
     pub now: Millis,
     /// Workers that may get tasks, with what the pass leaves free.
     pub rooms: Vec<Room>,
-    /// Calls for advice, the most urgent first.
-    pub wants: Vec<Want>,
+    /// Position in `rooms` of each worker that is there.
+    at: FxHashMap<WorkerIdx, usize>,
+    /// No room had more of anything when the pass began: what doesn't fit here fits nowhere.
+    most: Resources,
+    /// Racks of the rooms, made when a gang first asks for one.
+    racks: Option<Rc<[Arc<str>]>>,
     /// Gangs for which room is kept so far.
     pub reservations: usize,
 }
 
 impl Pass {
+    fn new(now: Millis, rooms: Vec<Room>) -> Pass {
+        let at = rooms.iter().enumerate().map(|(at, r)| (r.idx, at)).collect();
+        let most = rooms.iter().fold(Resources::default(), |m, r| m.most(&r.free));
+        Pass { now, rooms, at, most, racks: None, reservations: 0 }
+    }
+
+    /// Returns the position of a worker's room, if it may get tasks.
+    pub fn room_of(&self, idx: WorkerIdx) -> Option<usize> {
+        self.at.get(&idx).copied()
+    }
+
+    /// Tells whether one such task may fit somewhere.
+    pub fn may_fit(&self, need: &Resources) -> bool {
+        need.fits(&self.most)
+    }
+
     /// Returns the racks of the workers, for gangs that want one.
-    pub fn racks(&self) -> Vec<Arc<str>> {
-        let mut racks: Vec<_> = self.rooms.iter().filter_map(|r| r.rack.clone()).collect();
-        racks.sort_unstable();
-        racks.dedup();
-        racks
+    pub fn racks(&mut self) -> Rc<[Arc<str>]> {
+        let rooms = &self.rooms;
+        self.racks.get_or_insert_with(|| racks_of(rooms)).clone()
     }
 }
 
+fn racks_of(rooms: &[Room]) -> Rc<[Arc<str>]> {
+    let mut racks: Vec<_> = rooms.iter().filter_map(|r| r.rack.clone()).collect();
+    racks.sort_unstable();
+    racks.dedup();
+    racks.into()
+}
+
 /// The step that is being placed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Placing<'a> {
@@ -49,15 +80,27 @@
 }
 
 impl Engine {
-    /// Starts what can be started, and asks for the advice that is missing.
-    pub(crate) fn place(&mut self, now: Millis, out: &mut Vec<Order>) {
+    /// Starts what can be started, and asks for the advice that is missing. A full pass tries
+    /// all steps that wait.
+    pub(crate) fn place(&mut self, now: Millis, full: bool, out: &mut Vec<Order>) {
+        self.give_up_calls(now);
+        let steps = self.waiting_steps(now);
+        if steps.is_empty() {
+            return;
+        }
         let usable = self.workers.iter().filter(|(_, w)| w.usable(now) && w.recorded);
         let rooms = usable.map(|(i, w)| Room::of(i, w, now)).collect();
-        let mut pass = Pass { now, rooms, wants: Vec::new(), reservations: 0 };
-        for waiting in self.waiting_steps(now) {
+        let mut pass = Pass::new(now, rooms);
+        let mut tries = if full { usize::MAX } else { TRIES };
+        for waiting in steps {
+            let before = out.len();
             self.place_step(&mut pass, &waiting, out);
+            self.stats.tried += 1;
+            tries -= usize::from(out.len() == before);
+            if tries == 0 {
+                break;
+            }
         }
-        self.ask(pass.wants, now, out);
     }
 
     fn place_step(&mut self, pass: &mut Pass, waiting: &Waiting, out: &mut Vec<Order>) {
@@ -96,10 +139,10 @@
             left -= 1;
         }
         if left > 0
-            && let Some(cost) = step.queue.advice
+            && let Some(cost) = self.askable(pass, step)
             && let Some(workers) = self.to_ask(pass, step, left, shunned)
         {
-            pass.wants.push(Want { step: step.key, workers, cost });
+            self.ask(Want { step: step.key, workers, cost }, pass.now, out);
         }
     }
 
@@ -140,20 +183,45 @@
     /// Returns the best room for one task.
     fn choose(&self, pass: &Pass, step: Placing<'_>, avoid: Option<WorkerIdx>) -> Option<usize> {
         let need = step.spec.room();
+        if !pass.may_fit(&need) {
+            return None;
+        }
         let ends = pass.now + Millis(step.spec.estimate_ms);
-        let fits = |r: &Room| {
-            Some(r.idx) != avoid
-                && r.fits(&need, ends)
-                && self.standing(step, r.idx, pass.now) == Standing::Ticketed
-                && self.allowed(r, step)
+        let fits = |&at: &usize| {
+            let r = &pass.rooms[at];
+            Some(r.idx) != avoid && r.fits(&need, ends) && self.allowed(r, step)
         };
-        let rooms = pass.rooms.iter().enumerate().filter(|(_, r)| fits(r));
-        let costs = rooms.map(|(at, r)| (at, r.cost(step.spec)));
-        costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+        let cost = |at: usize| (at, pass.rooms[at].cost(step.spec));
+        let less = |a: &(usize, f32), b: &(usize, f32)| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0));
+        let rooms = self.rooms_of(pass, step, Standing::Ticketed);
+        rooms.filter(fits).map(cost).min_by(less).map(|(at, _)| at)
     }
 
-    /// Returns the workers to ask about for `tasks` tasks; none when a call is under way or
-    /// there is no worker to ask about.
+    /// Returns the positions of the rooms where the step has that standing. Where advice is
+    /// needed, only the few that it allows are gone through.
+    pub(crate) fn rooms_of(
+        &self,
+        pass: &Pass,
+        step: Placing<'_>,
+        standing: Standing,
+    ) -> impl Iterator<Item = usize> {
+        let advised = step.queue.advice.is_some();
+        let advice = self.jobs.step(step.key).map(|s| &s.advice).filter(|_| advised);
+        let allowed = advice.into_iter().flat_map(StepAdvice::allowed);
+        let now = pass.now;
+        let good = allowed.filter(move |&(_, t)| t.standing(now) == standing);
+        let everywhere = if advised { 0 } else { pass.rooms.len() };
+        (0..everywhere).chain(good.filter_map(|(w, _)| pass.room_of(w)))
+    }
+
+    /// Returns what a call for advice for the step costs, if one can be made now.
+    pub(crate) fn askable(&self, pass: &Pass, step: Placing<'_>) -> Option<AdviceCost> {
+        let cost = step.queue.advice?;
+        let asking = self.jobs.step(step.key)?.advice.asking;
+        (!asking && self.seats.has_free(&cost, pass.now)).then_some(cost)
+    }
+
+    /// Returns the workers to ask about for `tasks` tasks; none when there is no room at any.
     fn to_ask(
         &self,
         pass: &Pass,
@@ -161,10 +229,10 @@
         tasks: usize,
         shunned: Option<WorkerIdx>,
     ) -> Option<Vec<WorkerIdx>> {
-        if self.jobs.step(step.key)?.advice.asking {
+        let need = step.spec.room();
+        if !pass.may_fit(&need) {
             return None;
         }
-        let need = step.spec.room();
         let ends = pass.now + Millis(step.spec.estimate_ms);
         let mut lapsed = Vec::new();
         let mut unknown = Vec::new();
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -100,6 +100,7 @@
         for r in &row.rounds {
             self.recover_round(id, r);
         }
+        self.jobs.rounds_wait(id);
         self.mark_job_unsettled(id, true);
     }
 
--- a/crates/hollowford-jobs/src/reserve.rs
+++ b/crates/hollowford-jobs/src/reserve.rs
@@ -17,8 +17,9 @@
 const MOST_SLOTS: u32 = 64;
 
 impl Engine {
-    /// Keeps the room in which all members could start first.
-    pub(crate) fn reserve_gang(&self, pass: &mut Pass, gang: Placing<'_>) {
+    /// Keeps the room in which all members could start first, among the rooms where the gang
+    /// may run.
+    pub(crate) fn reserve_gang(&self, pass: &mut Pass, gang: Placing<'_>, good: &[usize]) {
         if pass.reservations >= MOST_RESERVATIONS {
             return;
         }
@@ -26,9 +27,9 @@
         let now = pass.now;
         let need = spec.room();
         let mut slots = Vec::new();
-        for (at, room) in pass.rooms.iter().enumerate() {
-            let may = self.standing(gang, room.idx, now).is_good();
-            if !may || !self.allowed(room, gang) {
+        for &at in good {
+            let room = &pass.rooms[at];
+            if !self.allowed(room, gang) {
                 continue;
             }
             let free = room.free.minus(&room.reserved);
--- a/crates/hollowford-jobs/src/seats.rs
+++ b/crates/hollowford-jobs/src/seats.rs
@@ -88,6 +88,11 @@
 }
 
 impl Seats {
+    /// Tells whether a seat may be free for a call at this cost, however few workers it names.
+    pub fn has_free(&self, cost: &AdviceCost, now: Millis) -> bool {
+        self.free_for(cost.of(1), now).is_some()
+    }
+
     /// Returns the seat for a call of the given time, if one is free for it.
     fn free_for(&self, ms: f64, now: Millis) -> Option<usize> {
         let rested: Vec<usize> =
@@ -136,29 +141,27 @@
         }
     }
 
-    /// Hands the calls to seats that are free for them; the others come again with the
-    /// next pass.
-    pub(crate) fn ask(&mut self, wants: Vec<Want>, now: Millis, out: &mut Vec<Order>) {
-        self.give_up_calls(now);
-        for want in wants {
-            let mut workers = want.workers;
-            workers.truncate(MOST_NAMED);
-            let ms = want.cost.of(workers.len());
-            let Some(seat) = self.seats.free_for(ms, now) else { continue };
-            let Some(step) = self.jobs.step_mut(want.step) else { continue };
-            step.advice.asking = true;
-            let id = |&w: &WorkerIdx| self.workers.get(w).map(|w| w.id.clone());
-            let ids: Vec<_> = workers.iter().filter_map(id).collect();
-            let slack = if ms <= QUICK_CALL_MS { QUICK_SLACK } else { SLACK };
-            let give_up = now + Millis(ms as u64) + slack;
-            let slow = ms > SLOW_CALL_MS;
-            self.seats.list[seat].call = Some(Call { step: want.step, workers, slow, give_up });
-            self.stats.asked += 1;
-            out.push(Order::Advice { seat, step: want.step, workers: ids });
-        }
+    /// Hands a call to a seat that is free for it. Without one it comes again with the next
+    /// pass.
+    pub(crate) fn ask(&mut self, want: Want, now: Millis, out: &mut Vec<Order>) {
+        let Want { step: key, mut workers, cost } = want;
+        workers.truncate(MOST_NAMED);
+        let ms = cost.of(workers.len());
+        let Some(seat) = self.seats.free_for(ms, now) else { return };
+        let Some(step) = self.jobs.step_mut(key) else { return };
+        step.advice.asking = true;
+        let id = |&w: &WorkerIdx| self.workers.get(w).map(|w| w.id.clone());
+        let ids: Vec<_> = workers.iter().filter_map(id).collect();
+        let slack = if ms <= QUICK_CALL_MS { QUICK_SLACK } else { SLACK };
+        let give_up = now + Millis(ms as u64) + slack;
+        let slow = ms > SLOW_CALL_MS;
+        self.seats.list[seat].call = Some(Call { step: key, workers, slow, give_up });
+        self.stats.asked += 1;
+        out.push(Order::Advice { seat, step: key, workers: ids });
     }
 
-    fn give_up_calls(&mut self, now: Millis) {
+    /// Gives up on calls that should have been answered by now.
+    pub(crate) fn give_up_calls(&mut self, now: Millis) {
         for at in 0..self.seats.list.len() {
             let place = &mut self.seats.list[at];
             if let Some(call) = place.call.take_if(|c| c.give_up <= now) {
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -36,36 +36,61 @@
 }
 
 impl Engine {
-    /// Returns the steps with tasks that wait, the most urgent first.
-    pub(crate) fn waiting_steps(&self, now: Millis) -> Vec<Waiting> {
-        let mut out = Vec::new();
-        for job in self.jobs.open().filter(|j| j.end.is_none()) {
-            self.waiting_of(job, now, &mut out);
-        }
+    /// Returns the steps with tasks that may start now, the most urgent first.
+    pub(crate) fn waiting_steps(&mut self, now: Millis) -> Vec<Waiting> {
+        let mut steps = self.jobs.take_waiting();
+        let mut out = Vec::with_capacity(steps.len());
+        steps.retain(|&key| match self.wait_of(key, now) {
+            Wait::None => false,
+            Wait::Later => true,
+            Wait::Now(waiting) => {
+                out.push(waiting);
+                true
+            }
+        });
+        self.jobs.keep_waiting(steps);
         out.sort_unstable_by_key(|w| (w.urgency, w.key));
         out
     }
 
-    fn waiting_of(&self, job: &Job, now: Millis, out: &mut Vec<Waiting>) {
-        let Some(queue) = self.queues.get(&job.queue) else { return };
-        for round in &job.rounds {
-            for (i, step) in round.steps.iter().enumerate() {
-                if step.done() || !round.ready(&job.spec, i) {
-                    continue;
-                }
-                let tasks = step.waiting(now);
-                let gang = job.spec.steps[i].gang;
-                if tasks == 0 || (gang && tasks < step.tasks.len()) {
-                    continue;
-                }
-                let key = StepKey { job: job.id, round: round.number, step: i as u32 };
-                let urgency = urgency(job, round.due, i, queue, now);
-                out.push(Waiting { urgency, key, kept: job.kept });
-            }
+    /// Counts the steps with tasks that may start now.
+    pub(crate) fn count_waiting(&self, now: Millis) -> usize {
+        let starts = |&&key: &&StepKey| matches!(self.wait_of(key, now), Wait::Now(_));
+        self.jobs.waiting().filter(starts).count()
+    }
+
+    /// Returns what a step waits for.
+    fn wait_of(&self, key: StepKey, now: Millis) -> Wait {
+        let Some(job) = self.jobs.get(key.job).filter(|j| j.end.is_none()) else {
+            return Wait::None;
+        };
+        let Some(round) = job.round(key.round) else { return Wait::None };
+        let at = key.step as usize;
+        let Some(step) = round.steps.get(at) else { return Wait::None };
+        // A step that is not ready comes back when the one that it depends on is done.
+        if !step.has_unplaced() || !round.ready(&job.spec, at) {
+            return Wait::None;
+        }
+        let Some(queue) = self.queues.get(&job.queue) else { return Wait::Later };
+        let tasks = step.waiting(now);
+        if tasks == 0 || (job.spec.steps[at].gang && tasks < step.tasks.len()) {
+            return Wait::Later;
         }
+        let urgency = urgency(job, round.due, at, queue, now);
+        Wait::Now(Waiting { urgency, key, kept: job.kept })
     }
 }
 
+/// Whether tasks of a step are to be started.
+enum Wait {
+    /// None, until something happens to the step.
+    None,
+    /// Some, but not now.
+    Later,
+    /// Some, now.
+    Now(Waiting),
+}
+
 fn urgency(job: &Job, due: Millis, step: usize, queue: &Queue, now: Millis) -> Urgency {
     let objective = Millis((job.spec.chain() as f64 * queue.stretch) as u64) + queue.slack;
     let work = Millis(job.spec.chain_from(step));
--- a/crates/hollowford-jobs/src/view.rs
+++ b/crates/hollowford-jobs/src/view.rs
@@ -38,7 +38,7 @@
         EngineView {
             epoch: self.epoch,
             open_jobs: self.jobs.open_len(),
-            waiting_steps: self.waiting_steps(now).len(),
+            waiting_steps: self.count_waiting(now),
             workers: self.workers.len(),
             usable_workers: usable().count(),
             unsettled_workers: self.unsettled.len(),
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -131,8 +131,19 @@
 
     /// Polls the engine once and carries out what it wants.
     pub fn turn(&mut self) {
+        let orders = self.poll();
+        self.carry_out_all(orders);
+    }
+
+    /// Polls the engine once.
+    pub fn poll(&mut self) -> Vec<Order> {
         let mut orders = Vec::new();
         self.engine.poll(self.now, &mut orders);
+        orders
+    }
+
+    /// Carries out what the engine wants, and writes its batch.
+    pub fn carry_out_all(&mut self, orders: Vec<Order>) {
         for order in orders {
             self.log.push(order.clone());
             self.carry_out(order);
