--- a/crates/hollowford-jobs/src/choose.rs
+++ b/crates/hollowford-jobs/src/choose.rs
@@ -32,7 +32,7 @@
         Room {
             idx,
             pool: w.pool.clone(),
-            rack: rack_of(w),
+            rack: rack_label(&w.labels).cloned(),
             capacity: w.capacity,
             free: w.room(now),
             reserved: Resources::default(),
@@ -92,7 +92,7 @@
         .min(times(need.accelerators, room.accelerators))
 }
 
-/// Returns the label that names the worker's rack: the one that isn't its kind.
-pub(crate) fn rack_of(w: &Worker) -> Option<Arc<str>> {
-    w.labels.iter().find(|l| l.len() > 1 && l.starts_with('r')).cloned()
+/// Returns the label that names a worker's rack: the one that isn't its kind.
+pub fn rack_label(labels: &[Arc<str>]) -> Option<&Arc<str>> {
+    labels.iter().find(|l| l.len() > 1 && l.starts_with('r'))
 }
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod workers;
 
 pub use batch::{Batch, RowWrite};
+pub use choose::rack_label;
 pub use engine::{Bounds, Engine, Stats};
 pub use job::JobState;
 pub use lease::LookAnswer;
--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -3,6 +3,7 @@
 use crate::relay::{Relayed, relay};
 use crate::shared::Shared;
 use crate::wire::{Call, Said, Verb};
+use futures::future::join_all;
 use hollowford_adapter::{
     CallerRequest, Config, READY_PATH, client_timeout, decode_job, encode_state, encode_waiting,
     parse_request_path,
@@ -43,7 +44,7 @@
             Err(status) => return self.plain(status, "refused", began),
         };
         let (verb, job, config) = (call.verb(), JobId(call.job), call.config);
-        let relayed = relay(&self.shared, call, limit).await;
+        let relayed = self.relay(call, limit).await;
         let resp = self.respond(verb, relayed, began);
         let status = resp.status();
         let changes = matches!(verb, Verb::Submit | Verb::Cancel);
@@ -60,6 +61,31 @@
         resp
     }
 
+    /// Sends a call to the owner of its job's partition, or a count to all owners.
+    async fn relay(&self, call: Call, limit: Millis) -> Relayed {
+        if call.verb() == Verb::Waiting {
+            return self.count(call, limit).await;
+        }
+        match self.shared.partition_of(JobId(call.job)) {
+            Some(partition) => relay(&self.shared, partition, call, limit).await,
+            None => Relayed::NotSent,
+        }
+    }
+
+    /// Adds up the counts of all partitions; if one of them isn't told, none is.
+    async fn count(&self, call: Call, limit: Millis) -> Relayed {
+        let partitions = self.shared.partitions();
+        let counts = partitions.iter().map(|p| relay(&self.shared, p, call.clone(), limit));
+        let mut sum = None;
+        for counted in join_all(counts).await {
+            match counted {
+                Relayed::Said(Said::Value, n) => sum = Some(sum.unwrap_or(0) + n),
+                other => return other,
+            }
+        }
+        sum.map_or(Relayed::NotSent, |n| Relayed::Said(Said::Value, n))
+    }
+
     /// Reads what the caller wants of the owner, or the status that refuses it.
     async fn understand(&self, req: &mut Request) -> Result<Call, StatusCode> {
         let config = self.shared.config.load_full().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
@@ -208,7 +234,7 @@
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
         let s = &self.shared;
-        let reached = s.owner_age() < OWNER_OUT_OF_REACH;
+        let reached = s.owners_age() < OWNER_OUT_OF_REACH;
         let ready = s.config_version() > 0 && !s.is_stopping() && reached;
         let status = match req.uri().path() {
             READY_PATH if ready => StatusCode::OK,
--- /dev/null
+++ b/crates/hollowford-node/src/homes.rs
@@ -0,0 +1,44 @@
+//! Which partition a job or a worker belongs to.
+//!
+//! Every process works it out alike, from the job's id or the worker's rack and the number of
+//! partitions, which never changes in the life of a cell.
+
+use hollowford_jobs::{JobId, WorkerListing, rack_label};
+use std::hash::{BuildHasher, BuildHasherDefault};
+
+/// A hash that is the same in every process.
+type Fixed = BuildHasherDefault<rustc_hash::FxHasher>;
+
+/// Returns the partition of a job.
+pub fn home_of_job(job: JobId, partitions: u32) -> u32 {
+    (hash(&job.0) % u64::from(partitions.max(1))) as u32
+}
+
+/// Returns the partition of a worker. A rack stays whole, since a gang may want one.
+pub fn home_of_worker(worker: &WorkerListing, partitions: u32) -> u32 {
+    deal(rack_label(&worker.labels).unwrap_or(&worker.address), partitions)
+}
+
+/// Returns the partition whose calls for advice the process at `address` makes.
+pub fn home_of_seat(address: &str, partitions: u32) -> u32 {
+    deal(address, partitions)
+}
+
+/// Deals names to partitions. Names are mostly numbered one by one, and a hash of a few dozen
+/// would leave some partitions with half as many again as others: so by their numbers.
+fn deal(name: &str, partitions: u32) -> u32 {
+    let digits = name.split(|c: char| !c.is_ascii_digit()).filter(|d| !d.is_empty());
+    let numbers: Vec<u64> = digits.filter_map(|d| d.parse().ok()).collect();
+    let n = if numbers.is_empty() { hash(&name) } else { numbers.iter().sum() };
+    (n % u64::from(partitions.max(1))) as u32
+}
+
+/// Returns a number that orders processes differently for each partition.
+pub fn preference(address: &str, partition: u32) -> u64 {
+    hash(&(address, partition))
+}
+
+fn hash<T: std::hash::Hash>(value: &T) -> u64 {
+    // The low bits of this hash are poor.
+    Fixed::default().hash_one(value) >> 16
+}
--- /dev/null
+++ b/crates/hollowford-node/src/homes_tests.rs
@@ -0,0 +1,60 @@
+//! Jobs and workers are dealt to partitions alike everywhere, and evenly.
+
+use crate::homes::{home_of_job, home_of_seat, home_of_worker};
+use hollowford_core::{Millis, Resources};
+use hollowford_jobs::{JobId, WorkerListing};
+
+fn worker(labels: &[&str], address: &str) -> WorkerListing {
+    WorkerListing {
+        id: "w".into(),
+        address: address.into(),
+        zone: "z".into(),
+        pool: "pool".into(),
+        capacity: Resources::default(),
+        labels: labels.iter().map(|&l| l.into()).collect(),
+        leaving: false,
+        remaining: None::<Millis>,
+    }
+}
+
+fn counts(homes: impl Iterator<Item = u32>, partitions: u32) -> Vec<usize> {
+    let mut counts = vec![0; partitions as usize];
+    homes.for_each(|h| counts[h as usize] += 1);
+    counts
+}
+
+#[test]
+fn one_partition_has_everything() {
+    assert_eq!(home_of_job(JobId(7), 1), 0);
+    assert_eq!(home_of_worker(&worker(&[], ""), 1), 0);
+    assert_eq!(home_of_seat("10.0.0.1:7000", 1), 0);
+}
+
+#[test]
+fn jobs_are_dealt_evenly_whatever_their_ids() {
+    for step in [1, 16, 1 << 32, 0x1234_5678_9abc_def1] {
+        let ids = (0..9_000_u64).map(|i| JobId(i.wrapping_mul(step)));
+        for n in counts(ids.map(|id| home_of_job(id, 9)), 9) {
+            assert!((850..1_150).contains(&n), "step {step}: {n} of 1,000");
+        }
+    }
+}
+
+#[test]
+fn racks_are_dealt_whole_and_evenly() {
+    let racks = (1..=4).flat_map(|zone| (0..94).map(move |rack| format!("r{zone}-{rack}")));
+    let homes = racks.map(|rack| {
+        let first = home_of_worker(&worker(&["a", &rack], "10.0.0.1:1"), 7);
+        assert_eq!(home_of_worker(&worker(&[&rack, "b"], "10.0.9.9:2"), 7), first);
+        first
+    });
+    for n in counts(homes, 7) {
+        assert!((52..=56).contains(&n), "{n} of 376 racks");
+    }
+}
+
+#[test]
+fn a_worker_without_a_rack_and_a_name_without_numbers_have_a_home() {
+    assert!(home_of_worker(&worker(&["a"], "10.0.0.1:1"), 7) < 7);
+    assert!(home_of_worker(&worker(&["rack-of-the-north"], "10.0.0.1:1"), 7) < 7);
+}
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -1,8 +1,8 @@
 //! What a new owner starts from: the partition's rows.
 
 use crate::owner::Start;
-use crate::owner_row::{OWNER_KEY, PARTITION, RETRY, TABLE, read_owner};
-use crate::shared::Shared;
+use crate::owner_row::{OWNER_KEY, RETRY, TABLE, read_owner};
+use crate::partition::Cx;
 use crate::wire::OwnerInfo;
 use hollowford_adapter::Feed;
 use hollowford_core::Millis;
@@ -16,44 +16,48 @@
 const LOAD_PATIENCE: Millis = Millis(4_000);
 
 /// Reads what the store holds of the partition.
-pub async fn load(shared: &Shared, info: &OwnerInfo) -> Option<Start> {
-    let began = shared.clock.now();
+pub async fn load(cx: &Cx, info: &OwnerInfo) -> Option<Start> {
+    let began = cx.shared.clock.now();
     loop {
-        match shared.store.read_all(TABLE, PARTITION, LOAD_TIMEOUT).await {
+        match cx.shared.store.read_all(TABLE, &cx.partition.part, LOAD_TIMEOUT).await {
             Ok(feed) => {
-                shared.note_store();
-                return start_from(shared, info, feed);
+                cx.shared.note_store();
+                return start_from(cx, info, feed);
             }
             Err(e) => log::warn!("owner.load failed epoch={} error=\"{e}\"", info.epoch),
         }
-        if shared.clock.now().since(began) > LOAD_PATIENCE {
+        if cx.shared.clock.now().since(began) > LOAD_PATIENCE {
             return None;
         }
         sleep(RETRY).await;
     }
 }
 
-fn start_from(shared: &Shared, info: &OwnerInfo, feed: Feed) -> Option<Start> {
+fn start_from(cx: &Cx, info: &OwnerInfo, feed: Feed) -> Option<Start> {
     let owner = feed.rows.iter().find(|r| r.key == OWNER_KEY)?;
     let rev = owner.version;
     let holder = read_owner(owner)?.owner?;
     if holder != *info {
-        shared.note_owner_info(&holder);
+        cx.partition.note_owner_info(&holder);
         return None;
     }
-    let offset = feed.now.0 as i64 - shared.clock.now().0 as i64;
-    let mut engine = Engine::new(info.epoch, shared.settings_changed.borrow().bounds, feed.now);
-    engine.set_unix_offset(shared.clock.unix() as i64 - feed.now.0 as i64);
-    if let Some(config) = shared.config.load_full() {
+    let offset = feed.now.0 as i64 - cx.shared.clock.now().0 as i64;
+    let mut engine = Engine::new(info.epoch, cx.shared.settings_changed.borrow().bounds, feed.now);
+    engine.set_unix_offset(cx.shared.clock.unix() as i64 - feed.now.0 as i64);
+    if let Some(config) = cx.shared.config.load_full() {
         engine.set_queues(&config.queues);
     }
     let rows: Vec<_> = feed.rows.into_iter().map(|r| (r.key, r.value)).collect();
     match engine.recover(&rows, feed.now) {
-        Ok(found) => log::info!("owner.recovered epoch={} {found:?}", info.epoch),
+        Ok(found) => log::info!(
+            "owner.recovered partition={} epoch={} {found:?}",
+            info.partition,
+            info.epoch
+        ),
         Err(e) => {
             log::error!("owner.recover failed epoch={} error=\"{e}\"", info.epoch);
             return None;
         }
     }
-    Some(Start { info: info.clone(), part: PARTITION.to_owned(), rev, engine, offset })
+    Some(Start { info: info.clone(), rev, engine, offset })
 }
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -2,8 +2,9 @@
 
 use crate::calls::advise;
 use crate::link::{self, Outbox, Reader};
+use crate::partition::{Cx, Route};
 use crate::relay::RemoteOwner;
-use crate::shared::{Route, Shared};
+use crate::shared::Shared;
 use crate::watch;
 use crate::wire::{Advice, Ask, Body, Heartbeat, Hello, MemberBeat, OwnerInfo};
 use hollowford_adapter::Version;
@@ -14,10 +15,10 @@
 use std::time::Duration;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-/// How often a member tells the owner that it is alive.
+/// How often a member tells the owner that it is alive, until the owner has told its pace.
 const BEAT: Duration = Duration::from_millis(100);
-/// An owner that says nothing for so long is taken as gone.
-const OWNER_SILENT: Duration = Duration::from_millis(500);
+/// An owner that says nothing for so many heartbeats is taken as gone.
+const OWNER_SILENT_BEATS: u32 = 5;
 /// When this process's own timer comes so late, it was paused itself, and hears anew.
 const OWN_PAUSE: Duration = Duration::from_millis(250);
 
@@ -59,12 +60,12 @@
 }
 
 /// Follows an owner until they part.
-pub async fn follow(shared: &Arc<Shared>, info: &OwnerInfo) -> Followed {
-    let (mut reader, outbox) = match open(shared, info).await {
+pub async fn follow(cx: &Cx, info: &OwnerInfo) -> Followed {
+    let (mut reader, outbox) = match open(&cx.shared, info).await {
         Ok(link) => link,
         Err(parted) => return Followed { parted, members: Vec::new() },
     };
-    let mut link = OwnerLink::new(shared, info, outbox);
+    let mut link = OwnerLink::new(cx, info, outbox);
     let parted = link.serve(&mut reader).await;
     link.end();
     Followed { parted, members: link.members }
@@ -87,7 +88,7 @@
 
 /// A member's link to its owner.
 struct OwnerLink<'a> {
-    shared: &'a Arc<Shared>,
+    cx: &'a Cx,
     info: &'a OwnerInfo,
     outbox: Outbox,
     remote: RemoteOwner,
@@ -99,12 +100,16 @@
     heard: Instant,
     /// When this process's own timer came last.
     ticked: Instant,
+    /// Time between two heartbeats, as the owner told last.
+    every: Duration,
+    /// When the last heartbeat was sent.
+    sent: Option<Instant>,
 }
 
 impl OwnerLink<'_> {
-    fn new<'a>(shared: &'a Arc<Shared>, info: &'a OwnerInfo, outbox: Outbox) -> OwnerLink<'a> {
+    fn new<'a>(cx: &'a Cx, info: &'a OwnerInfo, outbox: Outbox) -> OwnerLink<'a> {
         OwnerLink {
-            shared,
+            cx,
             info,
             remote: RemoteOwner::new(outbox.clone()),
             outbox,
@@ -112,12 +117,14 @@
             members: Vec::new(),
             heard: Instant::now(),
             ticked: Instant::now(),
+            every: BEAT,
+            sent: None,
         }
     }
 
     /// Serves the link until it has to end.
     async fn serve(&mut self, reader: &mut Reader) -> Parted {
-        let mut newest = self.shared.owner.subscribe();
+        let mut newest = self.cx.partition.owner.subscribe();
         let mut ticks = interval(BEAT);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -147,12 +154,12 @@
             Body::Heartbeat(beat) => self.take_heartbeat(beat),
             Body::Answer(answer) => self.remote.answered(answer),
             Body::Ask(ask) => {
-                tokio::spawn(answer_ask(self.shared.clone(), ask, self.outbox.clone()));
+                tokio::spawn(answer_ask(self.cx.shared.clone(), ask, self.outbox.clone()));
             }
-            Body::Config(row) => watch::take_row(self.shared, row),
+            Body::Config(row) => watch::take_row(&self.cx.shared, row),
             Body::HandOver(h) => return Some(Parted::HandedOver { rev: h.rev }),
             Body::Owner(other) => {
-                let newer = self.shared.note_owner_info(&other);
+                let newer = self.cx.partition.note_owner_info(&other);
                 return Some(if newer { Parted::Newer } else { Parted::Gone });
             }
             other => log::warn!("link.unexpected frame={other:?}"),
@@ -165,13 +172,14 @@
             self.following = true;
             let OwnerInfo { epoch, address, .. } = self.info;
             log::info!("owner.following epoch={epoch} address={address}");
-            self.shared.route.send_replace(Route::Remote(self.remote.clone()));
+            self.cx.partition.route.send_replace(Route::Remote(self.remote.clone()));
         }
-        self.shared.note_owner();
+        self.cx.note_owner();
         let lost = beat.store_lost;
-        if self.shared.probe_store.swap(lost, Ordering::Relaxed) != lost {
-            self.shared.config_wanted.notify_one();
+        if self.cx.partition.probe_store.swap(lost, Ordering::Relaxed) != lost {
+            self.cx.shared.config_wanted.notify_one();
         }
+        self.every = Duration::from_millis(beat.every_ms).max(BEAT);
         self.members = beat.members;
     }
 
@@ -183,28 +191,33 @@
             self.heard = now;
         }
         self.ticked = now;
-        if now - self.heard >= OWNER_SILENT {
+        if now - self.heard >= self.every * OWNER_SILENT_BEATS {
             return Some(Parted::Silent);
         }
-        self.send_beat();
+        // Half a tick early is in time: ticks come a little late.
+        if self.sent.is_none_or(|at| now - at + BEAT / 2 >= self.every) {
+            self.sent = Some(now);
+            self.send_beat();
+        }
         None
     }
 
     fn send_beat(&self) {
         self.outbox.send(Body::MemberBeat(MemberBeat {
-            epoch: self.shared.owner.borrow().epoch,
-            store_age_ms: self.shared.store_age().0,
-            config: self.shared.config_version(),
-            stopping: self.shared.is_stopping(),
+            epoch: self.cx.partition.owner.borrow().epoch,
+            store_age_ms: self.cx.shared.store_age().0,
+            config: self.cx.shared.config_version(),
+            stopping: self.cx.shared.is_stopping(),
+            owned: self.cx.shared.owned_count(),
         }));
     }
 
     /// Takes the owner off the way of callers' requests.
     fn end(&self) {
-        self.shared.route.send_replace(Route::None);
-        self.shared.probe_store.store(false, Ordering::Relaxed);
+        self.cx.partition.route.send_replace(Route::None);
+        self.cx.partition.probe_store.store(false, Ordering::Relaxed);
         // Whether the store answers decides what callers are told now.
-        self.shared.config_wanted.notify_one();
+        self.cx.shared.config_wanted.notify_one();
         self.remote.fail_all();
     }
 }
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -1,15 +1,21 @@
 //! The processes that have a link to the owner.
 
+use crate::homes::{home_of_seat, preference};
 use crate::link::Outbox;
 use crate::wire::{Ask, Body, ConfigRow, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
 use hollowford_core::Millis;
 use hollowford_jobs::{Seat, StepKey};
 use std::sync::Arc;
 
-/// How often the owner tells its members that it is alive.
+/// How often the owner tells its members that it is alive, while they are few.
 const HEARTBEAT: Millis = Millis(100);
-/// A member that was not heard for so long gets no work.
-const SILENT: Millis = Millis(900);
+/// With more members than this heartbeats come less often, so that the owner sends and takes
+/// some 500 a second.
+const MEMBERS_AT_FULL_PACE: usize = 50;
+/// They are at most so many times rarer: a member has to be missed in time.
+const RAREST: usize = 5;
+/// A member that was not heard for so many heartbeats gets no work.
+const SILENT_BEATS: u64 = 9;
 /// A member that the store has answered within this time is served by it.
 const SERVED: Millis = Millis(500);
 /// An instance is much larger than another from this part of its processors on, in percent.
@@ -31,12 +37,23 @@
     heard: Millis,
     store_age: Millis,
     stopping: bool,
+    /// How many partitions it owns.
+    owned: u32,
+}
+
+impl Member {
+    /// Returns what one more partition would get of its processor, in thousandths of a core.
+    fn share(&self) -> u32 {
+        self.cpu_milli / (self.owned + 1)
+    }
 }
 
 /// The members.
 #[derive(Debug)]
 pub struct Members {
     owner: OwnerInfo,
+    /// How many partitions there are.
+    partitions: u32,
     list: Vec<Member>,
     sent: Millis,
     store_lost: bool,
@@ -46,9 +63,10 @@
 
 impl Members {
     /// Makes an empty list.
-    pub fn new(owner: OwnerInfo) -> Members {
+    pub fn new(owner: OwnerInfo, partitions: u32) -> Members {
         Members {
             owner,
+            partitions,
             list: Vec::new(),
             sent: Millis(0),
             store_lost: false,
@@ -70,6 +88,7 @@
             heard: now,
             store_age: Millis(0),
             stopping: false,
+            owned: 0,
         });
         // The first one takes over: the largest, then the one that has run longest.
         self.list.sort_by_key(|m| (std::cmp::Reverse(m.cpu_milli), m.since, m.address.clone()));
@@ -92,6 +111,7 @@
             m.heard = now;
             m.store_age = Millis(beat.store_age_ms);
             m.stopping = beat.stopping;
+            m.owned = beat.owned;
         }
     }
 
@@ -99,13 +119,19 @@
     pub fn tick(&mut self, now: Millis, config: u64, store_lost: bool) -> bool {
         self.now = now;
         self.store_lost = store_lost;
-        let due = now.since(self.sent) >= HEARTBEAT;
+        let due = now.since(self.sent) >= self.every();
         if due {
             self.send_heartbeats(config);
         }
         due
     }
 
+    /// Returns the time between two heartbeats.
+    fn every(&self) -> Millis {
+        let times = self.list.len().div_ceil(MEMBERS_AT_FULL_PACE).clamp(1, RAREST);
+        Millis(HEARTBEAT.0 * times as u64)
+    }
+
     /// Sends a heartbeat to every member.
     pub fn send_heartbeats(&mut self, config: u64) {
         self.sent = self.now;
@@ -115,16 +141,19 @@
             members: members.collect(),
             config,
             store_lost: self.store_lost,
+            every_ms: self.every().0,
         };
         for m in &self.list {
             m.outbox.send(Body::Heartbeat(beat.clone()));
         }
     }
 
-    /// Returns the seats for calls for advice, this process first.
+    /// Returns the seats for calls for advice, this process first. Each member makes the calls
+    /// of one partition, since the service takes one call of an instance at a time.
     pub fn seats(&self) -> Vec<Seat> {
         let here = Seat { address: "".into() };
-        let others = self.live().map(|m| Seat { address: m.address.clone() });
+        let ours = |m: &&Member| home_of_seat(&m.address, self.partitions) == self.owner.partition;
+        let others = self.live().filter(ours).map(|m| Seat { address: m.address.clone() });
         std::iter::once(here).chain(others).collect()
     }
 
@@ -136,13 +165,21 @@
     }
 
     fn live(&self) -> impl Iterator<Item = &Member> {
-        self.list.iter().filter(|m| !m.stopping && self.now.since(m.heard) < SILENT)
+        let silent = Millis(self.every().0 * SILENT_BEATS);
+        self.list.iter().filter(move |m| !m.stopping && self.now.since(m.heard) < silent)
     }
 
-    /// Names the youngest live member as the next owner: where processes are restarted in
-    /// turn, its turn is over. Returns its address.
-    pub fn hand_over(&self, rev: u64) -> Option<Arc<str>> {
-        let next = self.live().max_by_key(|m| (m.store_age < SERVED, m.cpu_milli, m.since))?;
+    /// Names the live member with the most processor for the partition as the next owner.
+    /// Of equal ones a stopping owner names the youngest: where processes are restarted in
+    /// turn, its turn is over. One that is `moving` names one by the partition, so that owners
+    /// that move together don't meet again. Returns its address.
+    pub fn hand_over(&self, rev: u64, moving: bool) -> Option<Arc<str>> {
+        let order = |m: &&Member| {
+            let by_partition = preference(&m.address, self.owner.partition);
+            let tie = if moving { by_partition } else { m.since.0 };
+            (m.store_age < SERVED, m.share(), tie)
+        };
+        let next = self.live().max_by_key(order)?;
         next.outbox.send(Body::HandOver(HandOver { rev }));
         Some(next.address.clone())
     }
@@ -154,10 +191,10 @@
         }
     }
 
-    /// Tells whether an instance of a live member has much more of a core than `cpu_milli`
+    /// Tells whether a live member has much more of a core for the partition than `cpu_milli`
     /// thousandths, and is served by the store.
     pub fn any_larger_than(&self, cpu_milli: u32) -> bool {
-        let larger = |m: &Member| m.cpu_milli * 100 >= cpu_milli * LARGER_PERCENT;
+        let larger = |m: &Member| m.share() * 100 >= cpu_milli * LARGER_PERCENT;
         self.live().any(|m| larger(m) && m.store_age < SERVED)
     }
 
@@ -169,7 +206,7 @@
     /// Names a member that the store serves as the next owner. Tells whether there is one.
     pub fn hand_over_to_served(&self) -> bool {
         let served = self.live().filter(|m| m.store_age < SERVED);
-        let next = served.max_by_key(|m| (m.cpu_milli, std::cmp::Reverse(m.store_age)));
+        let next = served.max_by_key(|m| (m.share(), std::cmp::Reverse(m.store_age)));
         next.is_some_and(|m| m.outbox.send(Body::HandOver(HandOver { rev: 0 })))
     }
 }
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms of a process.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency histograms, in seconds.
@@ -18,8 +18,8 @@
     pub call_seconds: Histogram,
     /// Relayed calls that were sent again to another owner.
     pub relayed_again: IntCounter,
-    /// Epoch that this process owns the partition in; 0: it doesn't.
-    pub owned_epoch: IntGauge,
+    /// Epoch that this process owns a partition in, by partition; 0: it doesn't.
+    pub owned_epoch: IntGaugeVec,
     /// Takeovers, by cause.
     pub takeovers: IntCounterVec,
     /// Time from a takeover's write to the first decision.
@@ -36,10 +36,10 @@
     pub advice_calls: IntCounterVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
-    /// Jobs that have not ended, while this process owns the partition.
-    pub open_jobs: IntGauge,
-    /// Workers that may get tasks, while this process owns the partition.
-    pub usable_workers: IntGauge,
+    /// Jobs that have not ended, by partition, while this process owns it.
+    pub open_jobs: IntGaugeVec,
+    /// Workers that may get tasks, by partition, while this process owns it.
+    pub usable_workers: IntGaugeVec,
     /// Log lines that were dropped since the writer was behind.
     log_dropped: IntCounter,
 }
@@ -66,6 +66,11 @@
             r.register(Box::new(g.clone()))?;
             Ok::<_, prometheus::Error>(g)
         };
+        let gauges = |name: &str, help: &str| {
+            let g = IntGaugeVec::new(Opts::new(name, help), &["partition"])?;
+            r.register(Box::new(g.clone()))?;
+            Ok::<_, prometheus::Error>(g)
+        };
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let h = Histogram::with_opts(opts)?;
@@ -76,7 +81,7 @@
             calls: counters("calls_total", "Requests of callers", &["verb", "status"])?,
             call_seconds: seconds("call_seconds", "Time of requests of callers")?,
             relayed_again: counter("relayed_again_total", "Calls sent again to another owner")?,
-            owned_epoch: gauge("owned_epoch", "Epoch owned in, or 0")?,
+            owned_epoch: gauges("owned_epoch", "Epoch owned in, or 0")?,
             takeovers: counters("takeovers_total", "Takeovers made", &["cause"])?,
             takeover_seconds: seconds("takeover_seconds", "From the takeover to decisions")?,
             batches: counters("batches_total", "Batches to the store", &["outcome"])?,
@@ -85,8 +90,8 @@
             start_seconds: seconds("start_seconds", "Time of an answered start")?,
             advice_calls: counters("advice_calls_total", "Calls for advice", &["outcome"])?,
             config_version: gauge("config_version", "Version of the configuration")?,
-            open_jobs: gauge("open_jobs", "Jobs that have not ended")?,
-            usable_workers: gauge("usable_workers", "Workers that may get tasks")?,
+            open_jobs: gauges("open_jobs", "Jobs that have not ended")?,
+            usable_workers: gauges("usable_workers", "Workers that may get tasks")?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -3,8 +3,10 @@
 use crate::front::{Front, MetricsPage, Readiness};
 use crate::inbox::OwnerMsg;
 use crate::metrics::Metrics;
-use crate::shared::{Route, Shared};
-use crate::{announce, ownership, peers, reload, watch};
+use crate::partition::{Cx, Route};
+use crate::shared::Shared;
+use crate::{announce, ownership, peers, plan, reload, watch};
+use futures::future::join_all;
 use hollowford_adapter::{AdviceClient, CallError, NodeSettings, StoreClient, StoreError};
 use poem::Endpoint;
 use poem::listener::TcpListener as PoemListener;
@@ -101,10 +103,19 @@
     tokio::spawn(watch::read_config(shared.clone()));
     tokio::spawn(watch::follow_config(shared.clone()));
     tokio::spawn(announce::register(shared.clone()));
-    tokio::spawn(ownership::run(shared.clone()));
+    tokio::spawn(join_partitions(shared.clone()));
     tokio::spawn(reload::follow_settings(shared.clone(), hup));
 }
 
+/// Learns how many partitions there are, and joins or owns each from then on.
+async fn join_partitions(shared: Arc<Shared>) {
+    shared.set_partitions(plan::learn(&shared).await);
+    for partition in shared.partitions() {
+        let cx = Cx { shared: shared.clone(), partition: partition.clone() };
+        tokio::spawn(ownership::run(cx));
+    }
+}
+
 /// Ends the process's service without cutting a request.
 async fn end(shared: &Shared, stop: &channel::Sender<bool>) {
     log::info!("process.stopping");
@@ -153,12 +164,16 @@
     sleep(LAST_CHECK).await;
 }
 
-/// Hands the partition over, if this process owns it.
+/// Hands over the partitions that this process owns.
 async fn hand_over(shared: &Shared) {
-    let Route::Local(owner) = shared.route.borrow().clone() else { return };
-    let (tx, rx) = oneshot::channel();
-    owner.send(OwnerMsg::Stop(tx)).await;
-    if timeout(HAND_OVER, rx).await.is_err() {
+    let mut handed_over = Vec::new();
+    for partition in shared.partitions() {
+        let Route::Local(owner) = partition.route.borrow().clone() else { continue };
+        let (tx, rx) = oneshot::channel();
+        owner.send(OwnerMsg::Stop(tx)).await;
+        handed_over.push(rx);
+    }
+    if timeout(HAND_OVER, join_all(handed_over)).await.is_err() {
         log::warn!("owner.hand_over timed_out=true");
     }
 }
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -6,6 +6,7 @@
 use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
 use crate::logs::DecisionLog;
 use crate::members::{LinkId, Members};
+use crate::partition::Cx;
 use crate::reach::Reach;
 use crate::registry;
 use crate::shared::Shared;
@@ -49,8 +50,6 @@
 pub struct Start {
     /// Who it is.
     pub info: OwnerInfo,
-    /// The partition's part of the table.
-    pub part: String,
     /// Version of the owner row.
     pub rev: Version,
     /// The engine, with what the store held.
@@ -61,6 +60,7 @@
 
 /// The owner.
 pub struct Owner {
+    cx: Cx,
     shared: Arc<Shared>,
     info: OwnerInfo,
     engine: Engine,
@@ -91,19 +91,16 @@
 
 impl Owner {
     /// Makes an owner.
-    pub fn new(
-        shared: Arc<Shared>,
-        start: Start,
-        workers: WorkerClient,
-        handle: OwnerHandle,
-    ) -> Owner {
-        let Start { info, part, rev, engine, offset } = start;
+    pub fn new(cx: Cx, start: Start, workers: WorkerClient, handle: OwnerHandle) -> Owner {
+        let Start { info, rev, engine, offset } = start;
+        let (shared, part) = (cx.shared.clone(), cx.partition.part.clone());
         let began = shared.clock.now();
         let batches = Batches::new(shared.clone(), info.clone(), part, rev, handle.clone());
         Owner {
-            members: Members::new(info.clone()),
+            members: Members::new(info.clone(), shared.partition_count()),
             reach: Reach::new(shared.clone(), info.epoch),
             settings: shared.settings_changed.subscribe(),
+            cx,
             shared,
             info,
             engine,
@@ -130,7 +127,7 @@
 
     /// Owns the partition until it is lost or given up.
     pub async fn run(mut self, mut rx: mpsc::Receiver<OwnerMsg>) -> OwnerEnd {
-        tokio::spawn(registry::follow(self.shared.clone(), self.handle.clone()));
+        tokio::spawn(registry::follow(self.cx.clone(), self.handle.clone()));
         self.engine.set_seats(&self.members.seats());
         while self.end.is_none() {
             if let Ok(Some(msg)) = timeout(TICK, rx.recv()).await {
@@ -275,7 +272,7 @@
                     by.epoch,
                     by.address
                 );
-                self.shared.note_owner_info(&by);
+                self.cx.partition.note_owner_info(&by);
                 self.end = Some(OwnerEnd::Deposed);
             }
             Written::Refused => self.engine.batch_refused(),
@@ -287,7 +284,7 @@
     fn act(&mut self) {
         let now = self.now();
         self.take_config();
-        self.shared.note_owner();
+        self.cx.note_owner();
         let mut orders = std::mem::take(&mut self.orders);
         if self.end.is_none() {
             self.engine.poll(now, &mut orders);
@@ -368,9 +365,9 @@
     fn check_size(&mut self) {
         let now = self.shared.clock.now();
         let settled = now.since(self.began) >= MEMBERS_JOIN;
-        let own = self.shared.cpu_milli();
+        let own = self.shared.cpu_milli() / self.shared.owned_count().max(1);
         if self.giving_up_since().is_none() && settled && self.members.any_larger_than(own) {
-            log::info!("owner.moving epoch={} cause=larger_member", self.info.epoch);
+            log::info!("owner.moving epoch={} cause=larger_member share={own}", self.info.epoch);
             self.moving = Some(now);
         }
     }
@@ -382,7 +379,7 @@
         let flushed = self.batches.is_idle() && self.waiters.is_empty();
         if flushed || waited >= FLUSH {
             let rev = self.batches.settled_rev().unwrap_or(0);
-            let to = self.members.hand_over(rev);
+            let to = self.members.hand_over(rev, self.moving.is_some());
             log::info!("owner.handed_over epoch={} to={to:?} flushed={flushed}", self.info.epoch);
             self.end = Some(OwnerEnd::HandedOver);
         }
@@ -394,8 +391,9 @@
         }
         self.viewed = now;
         let view = self.engine.view(now);
-        self.shared.metrics.open_jobs.set(view.open_jobs as i64);
-        self.shared.metrics.usable_workers.set(view.usable_workers as i64);
-        log::info!("owner.view {view}");
+        let (metrics, part) = (&self.shared.metrics, [self.cx.partition.part.as_str()]);
+        metrics.open_jobs.with_label_values(&part).set(view.open_jobs as i64);
+        metrics.usable_workers.with_label_values(&part).set(view.usable_workers as i64);
+        log::info!("owner.view partition={} {view}", self.info.partition);
     }
 }
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -1,7 +1,7 @@
 //! The row that names the owner: reading it, and writing this process into it.
 
 use crate::link;
-use crate::shared::Shared;
+use crate::partition::Cx;
 use crate::wire::{Body, OwnerInfo, OwnerRow, WhoOwns};
 use hollowford_adapter::{Expect, Row, Transaction, TxOutcome, Version};
 use prost::Message;
@@ -12,8 +12,6 @@
 pub const TABLE: &str = "hollowford";
 /// Key of the row that names the owner.
 pub const OWNER_KEY: &str = "owner";
-/// The partition's part of the table. There is one partition while the workers are few.
-pub const PARTITION: &str = "0";
 /// Longest time for a call to the store that reads or writes few rows.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause after a call that failed.
@@ -34,34 +32,34 @@
 
 /// Learns of an owner newer than `known`, from the store or from other processes; takes the
 /// partition when there has been none.
-pub async fn find_owner(shared: &Shared, known: u64) {
-    match shared.store.read(TABLE, PARTITION, OWNER_KEY, CALL_TIMEOUT).await {
+pub async fn find_owner(cx: &Cx, known: u64) {
+    match cx.shared.store.read(TABLE, &cx.partition.part, OWNER_KEY, CALL_TIMEOUT).await {
         Ok((Some(row), _)) => {
-            shared.note_store();
+            cx.shared.note_store();
             let owner = read_owner(&row).and_then(|r| r.owner);
-            if owner.is_none_or(|o| !shared.note_owner_info(&o) && o.epoch <= known) {
+            if owner.is_none_or(|o| !cx.partition.note_owner_info(&o) && o.epoch <= known) {
                 sleep(RETRY).await;
             }
         }
         Ok((None, _)) => {
-            shared.note_store();
-            take(shared, 0, 1, "first").await;
+            cx.shared.note_store();
+            take(cx, 0, 1, "first").await;
         }
         Err(e) => {
             log::debug!("owner.find failed error=\"{e}\"");
-            ask_seeds(shared).await;
+            ask_seeds(cx).await;
             sleep(RETRY).await;
         }
     }
 }
 
 /// Asks the seeds who owns the partition.
-async fn ask_seeds(shared: &Shared) {
-    for &seed in shared.settings.seeds.iter().filter(|&&s| s != shared.address()) {
+async fn ask_seeds(cx: &Cx) {
+    for &seed in cx.shared.settings.seeds.iter().filter(|&&s| s != cx.shared.address()) {
         let Ok((mut reader, outbox)) = link::connect(seed).await else { continue };
-        outbox.send(Body::WhoOwns(WhoOwns {}));
+        outbox.send(Body::WhoOwns(WhoOwns { partition: cx.partition.number }));
         if let Ok(Some(Body::Owner(info))) = timeout(CALL_TIMEOUT, link::next(&mut reader)).await
-            && shared.note_owner_info(&info)
+            && cx.partition.note_owner_info(&info)
         {
             log::info!("owner.told epoch={} address={} by={seed}", info.epoch, info.address);
             return;
@@ -70,21 +68,21 @@
 }
 
 /// Returns the version of the owner row, unless it names an owner newer than `info`.
-pub async fn unchanged_owner(shared: &Shared, info: &OwnerInfo) -> Option<Version> {
-    match shared.store.read(TABLE, PARTITION, OWNER_KEY, CALL_TIMEOUT).await {
+pub async fn unchanged_owner(cx: &Cx, info: &OwnerInfo) -> Option<Version> {
+    match cx.shared.store.read(TABLE, &cx.partition.part, OWNER_KEY, CALL_TIMEOUT).await {
         Ok((row, _)) => {
-            shared.note_store();
+            cx.shared.note_store();
             let row = row?;
             let owner = read_owner(&row)?.owner?;
             if owner.epoch > info.epoch {
-                shared.note_owner_info(&owner);
+                cx.partition.note_owner_info(&owner);
                 return None;
             }
             Some(row.version)
         }
         Err(e) => {
             log::debug!("owner.read failed error=\"{e}\"");
-            ask_seeds(shared).await;
+            ask_seeds(cx).await;
             sleep(RETRY).await;
             None
         }
@@ -93,41 +91,42 @@
 
 /// Writes this process into the owner row. A writing without an answer shows when the row
 /// is read next.
-pub async fn take(shared: &Shared, rev: Version, epoch: u64, cause: &str) {
-    let info = shared.as_owner(epoch);
+pub async fn take(cx: &Cx, rev: Version, epoch: u64, cause: &str) {
+    let info = cx.as_owner(epoch);
     let tx = Transaction {
         expect: vec![Expect { key: OWNER_KEY.to_owned(), version: rev }],
         put: vec![encode_owner(&info, 0)],
         remove: Vec::new(),
     };
-    match shared.store.transact(TABLE, PARTITION, &tx, CALL_TIMEOUT).await {
+    match cx.shared.store.transact(TABLE, &cx.partition.part, &tx, CALL_TIMEOUT).await {
         Ok(TxOutcome::Made(_)) => {
-            shared.note_store();
-            log::info!("owner.taken epoch={epoch} cause={cause}");
-            shared.metrics.takeovers.with_label_values(&[cause]).inc();
-            shared.note_owner_info(&info);
+            cx.shared.note_store();
+            log::info!("owner.taken partition={} epoch={epoch} cause={cause}", cx.partition.number);
+            cx.shared.metrics.takeovers.with_label_values(&[cause]).inc();
+            cx.partition.note_owner_info(&info);
         }
         Ok(TxOutcome::Conflict(rows)) => {
-            shared.note_store();
+            cx.shared.note_store();
             let owner = rows.iter().filter_map(read_owner).find_map(|r| r.owner);
             if let Some(owner) = owner {
-                shared.note_owner_info(&owner);
+                cx.partition.note_owner_info(&owner);
             }
         }
         Err(e) => {
             log::info!("owner.take failed epoch={epoch} error=\"{e}\"");
             sleep(RETRY).await;
-            find_owner_again(shared, epoch - 1).await;
+            find_owner_again(cx, epoch - 1).await;
         }
     }
 }
 
 /// Reads the owner row after a writing without an answer.
-async fn find_owner_again(shared: &Shared, known: u64) {
-    if let Ok((Some(row), _)) = shared.store.read(TABLE, PARTITION, OWNER_KEY, CALL_TIMEOUT).await
+async fn find_owner_again(cx: &Cx, known: u64) {
+    let read = cx.shared.store.read(TABLE, &cx.partition.part, OWNER_KEY, CALL_TIMEOUT).await;
+    if let Ok((Some(row), _)) = read
         && let Some(owner) = read_owner(&row).and_then(|r| r.owner)
         && owner.epoch > known
     {
-        shared.note_owner_info(&owner);
+        cx.partition.note_owner_info(&owner);
     }
 }
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -1,91 +1,116 @@
 //! Who owns the partition: following an owner, taking over from it, being it.
 
 use crate::announce::announce;
+use crate::homes::preference;
 use crate::inbox::OwnerHandle;
 use crate::load::load;
 use crate::member::{Parted, follow};
 use crate::owner::{Owner, OwnerEnd};
 use crate::owner_row::{RETRY, find_owner, take, unchanged_owner};
-use crate::shared::{Route, Shared};
+use crate::partition::{Cx, Route};
 use crate::wire::OwnerInfo;
 use hollowford_adapter::{Version, WorkerClient};
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
 /// How much later each next member takes over.
 const STAGGER: Duration = Duration::from_millis(100);
+/// Time between processes that start together and take different partitions first.
+const FIRST_SLOT: Duration = Duration::from_millis(40);
+/// A process that owns other partitions leaves another one to others, so long for each.
+const BUSY_DELAY: Duration = Duration::from_millis(150);
+/// An instance of less than this part of the last owner's, in percent, is small.
+const SMALL_PERCENT: u32 = 70;
+/// A small one that knows of no others waits for a larger one, which may just be starting.
+const SMALL_DELAY: Duration = Duration::from_millis(250);
 /// Between two looks at the row of a silent owner that may be alive.
 const ALIVE_CHECK: Duration = Duration::from_millis(120);
 
 /// Keeps this process joined to the owner, or makes it the owner, until it ends.
-pub async fn run(shared: Arc<Shared>) {
+pub async fn run(cx: Cx) {
+    // With several partitions, processes that start together begin with different ones.
+    sleep(first_delay(&cx)).await;
     // The epoch that this process has owned and given up.
     let mut given_up = 0;
     loop {
-        let info = shared.owner.borrow().clone();
-        if info.epoch == 0 || (info.boot == shared.boot && info.epoch <= given_up) {
-            find_owner(&shared, info.epoch).await;
+        let info = cx.partition.owner.borrow().clone();
+        if info.epoch == 0 || (info.boot == cx.shared.boot && info.epoch <= given_up) {
+            find_owner(&cx, info.epoch).await;
             continue;
         }
-        if info.boot == shared.boot {
-            let end = own(&shared, &info).await;
-            log::info!("owner.ended epoch={} end={end:?}", info.epoch);
-            shared.route.send_replace(Route::None);
-            shared.metrics.owned_epoch.set(0);
+        if info.boot == cx.shared.boot {
+            let end = own(&cx, &info).await;
+            log::info!("owner.ended partition={} epoch={} end={end:?}", info.partition, info.epoch);
+            cx.partition.route.send_replace(Route::None);
+            note_owned(&cx, 0);
             given_up = info.epoch;
             continue;
         }
-        let followed = follow(&shared, &info).await;
+        let followed = follow(&cx, &info).await;
         if followed.parted != Parted::Newer {
             log::info!("owner.parted epoch={} cause={:?}", info.epoch, followed.parted);
-            challenge(&shared, &info, followed.parted, &followed.members).await;
+            challenge(&cx, &info, followed.parted, &followed.members).await;
         }
     }
 }
 
+/// Returns how long a process that starts waits before it takes a partition without an owner.
+fn first_delay(cx: &Cx) -> Duration {
+    let address = cx.shared.address().to_string();
+    let slots = u64::from(cx.shared.partition_count().saturating_sub(1));
+    let slot = preference(&address, cx.partition.number) % (slots + 1);
+    FIRST_SLOT * slot as u32
+}
+
 /// Takes the partition over from an owner, unless another process does or it turns out to
 /// be alive.
-async fn challenge(shared: &Shared, info: &OwnerInfo, cause: Parted, members: &[String]) {
-    if shared.is_stopping() {
+async fn challenge(cx: &Cx, info: &OwnerInfo, cause: Parted, members: &[String]) {
+    if cx.shared.is_stopping() {
         sleep(RETRY).await;
-        find_owner(shared, info.epoch).await;
+        find_owner(cx, info.epoch).await;
         return;
     }
     if let Parted::HandedOver { rev } = cause
         && rev > 0
     {
-        return take(shared, rev, info.epoch + 1, cause.name()).await;
+        return take(cx, rev, info.epoch + 1, cause.name()).await;
     }
     let handed_over = matches!(cause, Parted::HandedOver { .. });
-    if !handed_over && is_outrun(shared, info, members).await {
+    if !handed_over && is_outrun(cx, info, members).await {
         return;
     }
-    let Some(mut rev) = unchanged_owner(shared, info).await else { return };
+    let Some(mut rev) = unchanged_owner(cx, info).await else { return };
     if cause == Parted::Silent {
-        let Some(again) = unchanged_silent_owner(shared, info, rev).await else { return };
+        let Some(again) = unchanged_silent_owner(cx, info, rev).await else { return };
         rev = again;
     }
-    take(shared, rev, info.epoch + 1, cause.name()).await;
+    take(cx, rev, info.epoch + 1, cause.name()).await;
 }
 
 /// Waits for this member's turn to take over. Tells whether another was faster.
-async fn is_outrun(shared: &Shared, info: &OwnerInfo, members: &[String]) -> bool {
-    let me = shared.address().to_string();
+async fn is_outrun(cx: &Cx, info: &OwnerInfo, members: &[String]) -> bool {
+    let me = cx.shared.address().to_string();
     let rank = members.iter().position(|m| *m == me).unwrap_or(members.len());
-    let mut newest = shared.owner.subscribe();
+    let wait = STAGGER * rank as u32 + handicap(cx, info, members.is_empty());
+    let mut newest = cx.partition.owner.subscribe();
     let newer = newest.wait_for(|o| o.epoch > info.epoch);
-    timeout(STAGGER * rank as u32, newer).await.is_ok()
+    timeout(wait, newer).await.is_ok()
+}
+
+/// Returns how much later this process takes over than others should, for which the partition
+/// would be less of a burden.
+fn handicap(cx: &Cx, last: &OwnerInfo, alone: bool) -> Duration {
+    let own = cx.shared.cpu_milli();
+    // A process that has just started knows of no others, and may be too small for the work.
+    let small = alone && own * 100 < last.cpu_milli * SMALL_PERCENT;
+    let busy = BUSY_DELAY * cx.shared.owned_count();
+    if small { SMALL_DELAY + busy } else { busy }
 }
 
 /// Looks at the owner row again after version `rev`; none when the owner goes on writing it.
-async fn unchanged_silent_owner(
-    shared: &Shared,
-    info: &OwnerInfo,
-    rev: Version,
-) -> Option<Version> {
+async fn unchanged_silent_owner(cx: &Cx, info: &OwnerInfo, rev: Version) -> Option<Version> {
     sleep(ALIVE_CHECK).await;
-    let again = unchanged_owner(shared, info).await?;
+    let again = unchanged_owner(cx, info).await?;
     if again != rev {
         log::info!("owner.alive epoch={} though silent here", info.epoch);
         sleep(RETRY).await;
@@ -94,11 +119,17 @@
     Some(again)
 }
 
+/// Takes note of the epoch that this process owns the partition in; 0: it doesn't.
+fn note_owned(cx: &Cx, epoch: u64) {
+    let gauge = cx.shared.metrics.owned_epoch.with_label_values(&[cx.partition.part.as_str()]);
+    gauge.set(epoch as i64);
+}
+
 /// Owns the partition until it is lost or given up.
-async fn own(shared: &Arc<Shared>, info: &OwnerInfo) -> OwnerEnd {
-    let began = shared.clock.now();
-    tokio::spawn(announce(shared.clone(), info.clone()));
-    let Some(start) = load(shared, info).await else { return OwnerEnd::GaveUp };
+async fn own(cx: &Cx, info: &OwnerInfo) -> OwnerEnd {
+    let began = cx.shared.clock.now();
+    tokio::spawn(announce(cx.shared.clone(), info.clone()));
+    let Some(start) = load(cx, info).await else { return OwnerEnd::GaveUp };
     let workers = match WorkerClient::new(info.epoch) {
         Ok(workers) => workers,
         Err(e) => {
@@ -107,10 +138,15 @@
         }
     };
     let (handle, rx) = OwnerHandle::new();
-    shared.route.send_replace(Route::Local(handle.clone()));
-    shared.metrics.owned_epoch.set(info.epoch as i64);
-    let took = shared.clock.now().since(began);
-    shared.metrics.takeover_seconds.observe(took.duration().as_secs_f64());
-    log::info!("owner.serves epoch={} loaded_in_ms={}", info.epoch, took.0);
-    Owner::new(shared.clone(), start, workers, handle).run(rx).await
+    cx.partition.route.send_replace(Route::Local(handle.clone()));
+    note_owned(cx, info.epoch);
+    let took = cx.shared.clock.now().since(began);
+    cx.shared.metrics.takeover_seconds.observe(took.duration().as_secs_f64());
+    log::info!(
+        "owner.serves partition={} epoch={} loaded_in_ms={}",
+        info.partition,
+        info.epoch,
+        took.0
+    );
+    Owner::new(cx.clone(), start, workers, handle).run(rx).await
 }
--- /dev/null
+++ b/crates/hollowford-node/src/partition.rs
@@ -0,0 +1,111 @@
+//! What a process knows of one partition: who owns it, and how the owner is reached.
+
+use crate::inbox::OwnerHandle;
+use crate::relay::RemoteOwner;
+use crate::shared::Shared;
+use crate::wire::OwnerInfo;
+use hollowford_core::Millis;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tokio::sync::watch;
+
+/// A reading of the clock that stands for never.
+const NEVER: u64 = 0;
+
+/// How the owner is reached now.
+#[derive(Clone, Debug)]
+pub enum Route {
+    /// It is not, now.
+    None,
+    /// It is this process.
+    Local(OwnerHandle),
+    /// By a link.
+    Remote(RemoteOwner),
+}
+
+/// What the process knows of one partition.
+#[derive(Debug)]
+pub struct Partition {
+    /// Its number, from 0.
+    pub number: u32,
+    /// Its part of the system's table.
+    pub part: String,
+    /// The newest owner that is known.
+    pub owner: watch::Sender<OwnerInfo>,
+    /// How the owner is reached.
+    pub route: watch::Sender<Route>,
+    /// The owner wants to know whether the store answers this process.
+    pub probe_store: AtomicBool,
+    /// Reading of the clock when the owner was last within reach.
+    owner_heard: AtomicU64,
+}
+
+impl Partition {
+    /// Makes a partition without a known owner.
+    pub fn new(number: u32) -> Partition {
+        Partition {
+            number,
+            part: number.to_string(),
+            owner: watch::Sender::new(OwnerInfo::default()),
+            route: watch::Sender::new(Route::None),
+            probe_store: AtomicBool::new(false),
+            owner_heard: AtomicU64::new(NEVER),
+        }
+    }
+
+    /// Takes note of an owner, if it is newer than the one that is known.
+    pub fn note_owner_info(&self, info: &OwnerInfo) -> bool {
+        self.owner.send_if_modified(|known| {
+            let newer = info.epoch > known.epoch;
+            if newer {
+                *known = info.clone();
+            }
+            newer
+        })
+    }
+
+    /// Tells whether this process owns the partition.
+    pub fn is_owned(&self) -> bool {
+        matches!(*self.route.borrow(), Route::Local(_))
+    }
+
+    /// Takes note that the owner was within reach at `now`.
+    pub fn note_owner(&self, now: Millis) {
+        self.owner_heard.store(now.0.max(NEVER + 1), Ordering::Relaxed);
+    }
+
+    /// Returns the time since the owner was within reach; the longest if it never was.
+    pub fn owner_age(&self, now: Millis) -> Millis {
+        match self.owner_heard.load(Ordering::Relaxed) {
+            NEVER => Millis::MAX,
+            heard => now.since(Millis(heard)),
+        }
+    }
+}
+
+/// One partition, as a duty of the process sees it.
+#[derive(Clone, Debug)]
+pub struct Cx {
+    /// What all duties of the process share.
+    pub shared: Arc<Shared>,
+    /// The partition.
+    pub partition: Arc<Partition>,
+}
+
+impl Cx {
+    /// Takes note that the owner was within reach.
+    pub fn note_owner(&self) {
+        self.partition.note_owner(self.shared.clock.now());
+    }
+
+    /// Returns what this process is as an owner at `epoch`.
+    pub fn as_owner(&self, epoch: u64) -> OwnerInfo {
+        OwnerInfo {
+            epoch,
+            address: self.shared.address().to_string(),
+            boot: self.shared.boot,
+            partition: self.partition.number,
+            cpu_milli: self.shared.cpu_milli(),
+        }
+    }
+}
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -4,8 +4,9 @@
 use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::link::{self, Outbox, Reader};
 use crate::members::LinkId;
-use crate::shared::{Route, Shared};
-use crate::wire::{Body, Heartbeat, Hello, OwnerInfo};
+use crate::partition::{Partition, Route};
+use crate::shared::Shared;
+use crate::wire::{Body, Heartbeat, Hello, OwnerInfo, Plan};
 use hollowford_jobs::{Seat, TaskKey};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A link whose opener says nothing for so long is closed.
 const FIRST_FRAME: Duration = Duration::from_millis(2_000);
-/// A member that says nothing for so long is gone.
+/// A member that says nothing for so long is gone: three heartbeats where they are rarest.
 const MEMBER_SILENT: Duration = Duration::from_millis(1_500);
 /// How long a member waits for a process that is just becoming the owner. With a slow store
 /// its writing and its reading of the rows take seconds.
@@ -45,12 +46,23 @@
     match first {
         Body::Hello(hello) => serve_member(&shared, hello, reader, outbox).await,
         Body::Owner(info) => {
-            if shared.note_owner_info(&info) {
-                log::info!("owner.announced epoch={} address={}", info.epoch, info.address);
+            let partition = partition_of(&shared, &info);
+            if partition.is_some_and(|p| p.note_owner_info(&info)) {
+                log::info!(
+                    "owner.announced partition={} epoch={} address={}",
+                    info.partition,
+                    info.epoch,
+                    info.address
+                );
             }
         }
-        Body::WhoOwns(_) => {
-            outbox.send(Body::Owner(shared.owner.borrow().clone()));
+        Body::WhoOwns(who) => {
+            let partition = shared.partitions().get(who.partition as usize);
+            let info = partition.map(|p| p.owner.borrow().clone()).unwrap_or_default();
+            outbox.send(Body::Owner(info));
+        }
+        Body::WhatPlan(_) => {
+            outbox.send(Body::Plan(Plan { partitions: shared.partition_count() }));
         }
         other => log::warn!("link.unexpected frame={other:?}"),
     }
@@ -58,8 +70,13 @@
 
 /// Serves a member for as long as this process owns the partition.
 async fn serve_member(shared: &Arc<Shared>, hello: Hello, mut reader: Reader, outbox: Outbox) {
-    let Some(owner) = local_owner(shared, &hello, &outbox).await else {
-        let info: OwnerInfo = shared.owner.borrow().clone();
+    let meant = hello.owner.clone().unwrap_or_default();
+    let Some(partition) = partition_of(shared, &meant) else {
+        outbox.send(Body::Owner(OwnerInfo::default()));
+        return;
+    };
+    let Some(owner) = local_owner(shared, partition, &meant, &outbox).await else {
+        let info: OwnerInfo = partition.owner.borrow().clone();
         outbox.send(Body::Owner(info));
         return;
     };
@@ -74,6 +91,11 @@
     owner.send(OwnerMsg::Left(link)).await;
 }
 
+/// Returns the partition that an owner is meant for.
+fn partition_of<'a>(shared: &'a Shared, info: &OwnerInfo) -> Option<&'a Arc<Partition>> {
+    shared.partitions().get(info.partition as usize)
+}
+
 async fn take_frame(owner: &OwnerHandle, link: LinkId, address: &str, outbox: &Outbox, body: Body) {
     match body {
         Body::Call(call) => owner.call_from(call, outbox),
@@ -94,19 +116,22 @@
 
 /// Returns the owner if it is this process, or is just becoming so. The member may know of
 /// that earlier, by the owner row, than this process by the answer to its own writing.
-async fn local_owner(shared: &Shared, hello: &Hello, outbox: &Outbox) -> Option<OwnerHandle> {
-    let mut route = shared.route.subscribe();
-    let meant = hello.owner.as_ref().is_some_and(|o| o.boot == shared.boot);
+async fn local_owner(
+    shared: &Shared,
+    partition: &Partition,
+    meant: &OwnerInfo,
+    outbox: &Outbox,
+) -> Option<OwnerHandle> {
+    let mut route = partition.route.subscribe();
     let began = shared.clock.now();
     loop {
         if let Route::Local(owner) = &*route.borrow_and_update() {
             return Some(owner.clone());
         }
-        let known = shared.owner.borrow().clone();
-        let expected = hello.owner.as_ref().map_or(0, |o| o.epoch);
-        let superseded = known.boot != shared.boot && known.epoch >= expected;
+        let known = partition.owner.borrow().clone();
+        let superseded = known.boot != shared.boot && known.epoch >= meant.epoch;
         let waited = shared.clock.now().since(began).duration();
-        if !meant || superseded || waited >= OWNER_STARTS {
+        if meant.boot != shared.boot || superseded || waited >= OWNER_STARTS {
             return None;
         }
         if !outbox.send(Body::Heartbeat(Heartbeat::default())) {
--- /dev/null
+++ b/crates/hollowford-node/src/plan.rs
@@ -0,0 +1,104 @@
+//! How many partitions the cell has. It is decided once, when the cell first starts, by how
+//! many workers there are, and kept in the store.
+
+use crate::link;
+use crate::owner_row::{CALL_TIMEOUT, RETRY, TABLE};
+use crate::shared::Shared;
+use crate::wire::{Body, Plan, WhatPlan};
+use hollowford_adapter::{Expect, REGISTRY_TABLE, Row, StoreError, Transaction, TxOutcome};
+use hollowford_core::Millis;
+use prost::Message;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Workers that one owner decides for. Half a core carries 350 with 880 starts a second.
+const WORKERS_EACH: usize = 450;
+/// Part of the table, and key of the row.
+const PLAN: &str = "plan";
+/// How often the workers are counted when a cell first starts.
+const COUNT_EVERY: Duration = Duration::from_millis(400);
+/// The count is taken once it has stood for so long, since workers start over some seconds.
+const COUNT_STANDS: Millis = Millis(1_200);
+/// It is taken anyway after this time.
+const COUNT_WITHIN: Millis = Millis(6_000);
+
+/// Learns how many partitions there are, from the store or another process; decides it if
+/// nobody has.
+pub async fn learn(shared: &Shared) -> u32 {
+    let began = shared.clock.now();
+    loop {
+        match try_learn(shared, began).await {
+            Ok(Some(partitions)) => return partitions,
+            Ok(None) => {}
+            Err(e) => {
+                log::debug!("plan.read failed error=\"{e}\"");
+                if let Some(partitions) = ask_seeds(shared).await {
+                    return partitions;
+                }
+            }
+        }
+        sleep(RETRY).await;
+    }
+}
+
+/// Reads the plan, or makes it if there is none.
+async fn try_learn(shared: &Shared, began: Millis) -> Result<Option<u32>, StoreError> {
+    if let (Some(row), _) = shared.store.read(TABLE, PLAN, PLAN, CALL_TIMEOUT).await? {
+        shared.note_store();
+        return Ok(decode(&row));
+    }
+    shared.note_store();
+    let workers = count_workers(shared, began).await?;
+    let partitions = workers.div_ceil(WORKERS_EACH).max(1) as u32;
+    let tx = Transaction {
+        expect: vec![Expect { key: PLAN.to_owned(), version: 0 }],
+        put: vec![(PLAN.to_owned(), Plan { partitions }.encode_to_vec())],
+        remove: Vec::new(),
+    };
+    match shared.store.transact(TABLE, PLAN, &tx, CALL_TIMEOUT).await? {
+        TxOutcome::Made(_) => {
+            log::info!("plan.made partitions={partitions} workers={workers}");
+            Ok(Some(partitions))
+        }
+        TxOutcome::Conflict(rows) => Ok(rows.iter().find_map(decode)),
+    }
+}
+
+/// Counts the workers once their number stands.
+async fn count_workers(shared: &Shared, began: Millis) -> Result<usize, StoreError> {
+    let (mut count, mut since) = (0, shared.clock.now());
+    loop {
+        let feed = shared.store.read_all(REGISTRY_TABLE, "", CALL_TIMEOUT).await?;
+        let now = shared.clock.now();
+        if feed.rows.len() != count {
+            (count, since) = (feed.rows.len(), now);
+        }
+        let stands = count > 0 && now.since(since) >= COUNT_STANDS;
+        if stands || now.since(began) >= COUNT_WITHIN {
+            return Ok(count);
+        }
+        sleep(COUNT_EVERY).await;
+    }
+}
+
+fn decode(row: &Row) -> Option<u32> {
+    Plan::decode(&row.value[..])
+        .inspect_err(|e| log::error!("plan.malformed error=\"{e}\""))
+        .ok()
+        .map(|p| p.partitions.max(1))
+}
+
+/// Asks the seeds, for a process that starts while the store is away.
+async fn ask_seeds(shared: &Shared) -> Option<u32> {
+    for &seed in shared.settings.seeds.iter().filter(|&&s| s != shared.address()) {
+        let Ok((mut reader, outbox)) = link::connect(seed).await else { continue };
+        outbox.send(Body::WhatPlan(WhatPlan {}));
+        if let Ok(Some(Body::Plan(plan))) = timeout(CALL_TIMEOUT, link::next(&mut reader)).await
+            && plan.partitions > 0
+        {
+            log::info!("plan.told partitions={} by={seed}", plan.partitions);
+            return Some(plan.partitions);
+        }
+    }
+    None
+}
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -1,12 +1,13 @@
 //! Keeps the list of workers up to date while this process owns the partition.
 
+use crate::homes::home_of_worker;
 use crate::inbox::{OwnerHandle, OwnerMsg};
+use crate::partition::Cx;
 use crate::shared::Shared;
 use hollowford_adapter::{REGISTRY_TABLE, Row, StoreError, Version, decode_listing};
 use hollowford_core::Millis;
 use hollowford_jobs::WorkerListing;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -37,7 +38,10 @@
 }
 
 /// Follows the list until the owner ends.
-pub async fn follow(shared: Arc<Shared>, owner: OwnerHandle) {
+/// The owner is told of its own partition's workers only.
+pub async fn follow(cx: Cx, owner: OwnerHandle) {
+    let shared = &cx.shared;
+    let count = shared.partition_count();
     let now = shared.clock.now();
     let mut list = Registry {
         rows: BTreeMap::new(),
@@ -47,11 +51,12 @@
         believe_missing_at: now,
     };
     while !owner.is_closed() {
-        match list.next(&shared).await {
+        match list.next(shared).await {
             Ok(changed) => {
                 // Told before the pause: a new owner waits for its first list.
                 if changed {
-                    let listings = list.rows.values().cloned().collect();
+                    let own = |l: &&WorkerListing| home_of_worker(l, count) == cx.partition.number;
+                    let listings = list.rows.values().filter(own).cloned().collect();
                     owner.send(OwnerMsg::Listings(listings)).await;
                 }
                 sleep(PAUSE).await;
--- a/crates/hollowford-node/src/relay.rs
+++ b/crates/hollowford-node/src/relay.rs
@@ -1,7 +1,8 @@
 //! Calls from the entry to the owner, wherever it is.
 
 use crate::link::Outbox;
-use crate::shared::{Route, Shared};
+use crate::partition::{Partition, Route};
+use crate::shared::Shared;
 use crate::wire::{Body, Call, CallAnswer, Said};
 use hollowford_core::Millis;
 use std::collections::HashMap;
@@ -75,8 +76,8 @@
 
 /// Sends a call to the owner, and again to the next one while that is safe, until `deadline`.
 /// Every call is safe to send again: a job's id makes it one job.
-pub async fn relay(shared: &Shared, call: Call, deadline: Millis) -> Relayed {
-    let mut route = shared.route.subscribe();
+pub async fn relay(shared: &Shared, p: &Partition, call: Call, deadline: Millis) -> Relayed {
+    let mut route = p.route.subscribe();
     let mut sent = false;
     loop {
         let left = deadline.since(shared.clock.now());
@@ -84,7 +85,7 @@
             return if sent { Relayed::Unsure } else { Relayed::NotSent };
         }
         let Some(rx) = send(&route.borrow_and_update(), &call) else {
-            if !sent && shared.store_away(NO_STORE) && shared.owner_age() >= NO_STORE {
+            if !sent && shared.store_away(NO_STORE) && p.owner_age(shared.clock.now()) >= NO_STORE {
                 return Relayed::NotSent;
             }
             next_owner(&mut route, left.min(NO_STORE)).await;
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -1,30 +1,18 @@
 //! What the duties of a process share.
 
-use crate::inbox::OwnerHandle;
+use crate::homes::home_of_job;
 use crate::metrics::Metrics;
-use crate::wire::{ConfigRow, OwnerInfo};
+use crate::partition::Partition;
+use crate::wire::ConfigRow;
 use arc_swap::ArcSwapOption;
 use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient};
 use hollowford_core::{Clock, Millis};
+use hollowford_jobs::JobId;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use tokio::sync::{Notify, watch};
 
-/// A reading of the clock that stands for never.
-const NEVER: u64 = 0;
-
-/// How the owner is reached now.
-#[derive(Clone, Debug)]
-pub enum Route {
-    /// It is not, now.
-    None,
-    /// It is this process.
-    Local(OwnerHandle),
-    /// By a link.
-    Remote(crate::relay::RemoteOwner),
-}
-
 /// Shared by all duties of a process.
 #[derive(Debug)]
 pub struct Shared {
@@ -44,10 +32,8 @@
     config_row: ArcSwapOption<ConfigRow>,
     /// Asks the watch to read the configuration at once.
     pub config_wanted: Notify,
-    /// The newest owner that is known.
-    pub owner: watch::Sender<OwnerInfo>,
-    /// How the owner is reached.
-    pub route: watch::Sender<Route>,
+    /// The partitions, once their number is known.
+    partitions: OnceLock<Vec<Arc<Partition>>>,
     /// Told when the settings file has been read again.
     pub settings_changed: watch::Sender<NodeSettings>,
     /// The process is about to stop.
@@ -58,10 +44,6 @@
     store_answered: AtomicU64,
     /// Reading of the clock when a call to the store failed last.
     store_failed: AtomicU64,
-    /// The owner wants to know whether the store answers this process.
-    pub probe_store: AtomicBool,
-    /// Reading of the clock when the owner was last within reach.
-    owner_heard: AtomicU64,
     /// Its metrics.
     pub metrics: Metrics,
 }
@@ -84,14 +66,11 @@
             config: ArcSwapOption::empty(),
             config_row: ArcSwapOption::empty(),
             config_wanted: Notify::new(),
-            owner: watch::Sender::new(OwnerInfo::default()),
-            route: watch::Sender::new(Route::None),
+            partitions: OnceLock::new(),
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             store_answered: AtomicU64::new(0),
             store_failed: AtomicU64::new(0),
-            probe_store: AtomicBool::new(false),
-            owner_heard: AtomicU64::new(NEVER),
             metrics,
         }
     }
@@ -132,38 +111,36 @@
         self.clock.now().since(Millis(self.store_answered.load(Ordering::Relaxed)))
     }
 
-    /// Takes note that the owner was within reach.
-    pub fn note_owner(&self) {
-        self.owner_heard.store(self.clock.now().0.max(NEVER + 1), Ordering::Relaxed);
+    /// Sets how many partitions there are. The first call counts.
+    pub fn set_partitions(&self, count: u32) {
+        self.partitions.get_or_init(|| (0..count).map(|n| Arc::new(Partition::new(n))).collect());
     }
 
-    /// Returns the time since the owner was within reach; the longest if it never was.
-    pub fn owner_age(&self) -> Millis {
-        if self.owner_heard.load(Ordering::Relaxed) == NEVER {
-            return Millis::MAX;
-        }
-        self.clock.now().since(Millis(self.owner_heard.load(Ordering::Relaxed)))
+    /// Returns the partitions; none before their number is known.
+    pub fn partitions(&self) -> &[Arc<Partition>] {
+        self.partitions.get().map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns how many partitions there are; 0: not known yet.
+    pub fn partition_count(&self) -> u32 {
+        self.partitions().len() as u32
     }
 
-    /// Takes note of an owner, if it is newer than the one that is known.
-    pub fn note_owner_info(&self, info: &OwnerInfo) -> bool {
-        self.owner.send_if_modified(|known| {
-            let newer = info.epoch > known.epoch;
-            if newer {
-                *known = info.clone();
-            }
-            newer
-        })
+    /// Returns the partition of a job, once the number of partitions is known.
+    pub fn partition_of(&self, job: JobId) -> Option<&Arc<Partition>> {
+        self.partitions().get(home_of_job(job, self.partition_count()) as usize)
     }
 
-    /// Tells whether this process owns the partition.
-    pub fn owns(&self) -> bool {
-        matches!(*self.route.borrow(), Route::Local(_))
+    /// Returns the longest time that the owner of a partition was not within reach.
+    pub fn owners_age(&self) -> Millis {
+        let now = self.clock.now();
+        let ages = self.partitions().iter().map(|p| p.owner_age(now));
+        ages.max().unwrap_or(Millis::MAX)
     }
 
-    /// Returns what this process is as an owner at `epoch`.
-    pub fn as_owner(&self, epoch: u64) -> OwnerInfo {
-        OwnerInfo { epoch, address: self.address().to_string(), boot: self.boot }
+    /// Returns how many partitions this process owns.
+    pub fn owned_count(&self) -> u32 {
+        self.partitions().iter().filter(|p| p.is_owned()).count() as u32
     }
 
     /// Tells whether a row of the configuration is newer than what was read before.
--- a/crates/hollowford-node/src/shared_tests.rs
+++ b/crates/hollowford-node/src/shared_tests.rs
@@ -16,7 +16,11 @@
 #[test]
 fn a_process_that_has_just_started_has_reached_no_owner() {
     let shared = shared();
-    assert_eq!(shared.owner_age(), Millis::MAX);
-    shared.note_owner();
-    assert!(shared.owner_age() < Millis::MAX);
+    assert_eq!(shared.owners_age(), Millis::MAX, "the plan is not known");
+    shared.set_partitions(2);
+    assert_eq!(shared.owners_age(), Millis::MAX);
+    shared.partitions()[0].note_owner(shared.clock.now());
+    assert_eq!(shared.owners_age(), Millis::MAX, "one of two owners was never reached");
+    shared.partitions()[1].note_owner(shared.clock.now());
+    assert!(shared.owners_age() < Millis::MAX);
 }
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the configuration up to date: by the store's feed, and by reading it besides, since
 //! the feed may go silent.
 
+use crate::partition::Partition;
 use crate::shared::Shared;
 use crate::wire::ConfigRow;
 use hollowford_adapter::{CONFIG_KEY, Config, OPERATOR_TABLE, Row, StoreError};
@@ -65,8 +66,10 @@
 
 /// Returns how long to wait for the next reading.
 fn pause(shared: &Shared, reached: bool) -> Duration {
-    let told = !shared.owns() && shared.owner_age() < HEARTBEAT_FRESH;
-    let probed = shared.probe_store.load(Ordering::Relaxed);
+    let now = shared.clock.now();
+    let tells = |p: &Arc<Partition>| !p.is_owned() && p.owner_age(now) < HEARTBEAT_FRESH;
+    let told = shared.partitions().iter().any(tells);
+    let probed = shared.partitions().iter().any(|p| p.probe_store.load(Ordering::Relaxed));
     match (reached, told) {
         (false, _) => RETRY,
         _ if probed => READ_EVERY_FOR_OWNER,
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -46,11 +46,33 @@
     /// The newest configuration, for a member that lacks it.
     #[prost(message, tag = "11")]
     Config(ConfigRow),
+    /// The sender wants to know how many partitions there are.
+    #[prost(message, tag = "12")]
+    WhatPlan(WhatPlan),
+    /// How many partitions there are.
+    #[prost(message, tag = "13")]
+    Plan(Plan),
+}
+
+/// Asks who owns a partition.
+#[derive(Clone, PartialEq, Message)]
+pub struct WhoOwns {
+    /// Its number.
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
 }
 
 /// A question without content.
 #[derive(Clone, PartialEq, Message)]
-pub struct WhoOwns {}
+pub struct WhatPlan {}
+
+/// What was decided once for the whole cell. Also a row of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct Plan {
+    /// How many partitions there are; 0: the sender doesn't know.
+    #[prost(uint32, tag = "1")]
+    pub partitions: u32,
+}
 
 /// Names a process to the owner.
 #[derive(Clone, PartialEq, Message)]
@@ -81,6 +103,12 @@
     /// Tells this life of the process from another at the same address.
     #[prost(uint64, tag = "3")]
     pub boot: u64,
+    /// Number of the partition that it owns.
+    #[prost(uint32, tag = "4")]
+    pub partition: u32,
+    /// Thousandths of a core that it gets.
+    #[prost(uint32, tag = "5")]
+    pub cpu_milli: u32,
 }
 
 /// The operator's configuration as it stands in the store.
@@ -117,6 +145,9 @@
     /// The store doesn't answer it: members are to find out whether it answers them.
     #[prost(bool, tag = "4")]
     pub store_lost: bool,
+    /// Time between two heartbeats, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub every_ms: u64,
 }
 
 /// A member's heartbeat.
@@ -134,6 +165,9 @@
     /// It is about to stop.
     #[prost(bool, tag = "4")]
     pub stopping: bool,
+    /// How many partitions it owns.
+    #[prost(uint32, tag = "5")]
+    pub owned: u32,
 }
 
 /// What a caller wants.
