--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -35,4 +35,5 @@
 mod wire;
 mod writer;
 
-pub use node::{NodeError, run};
+pub use node::{NodeError, NodeOptions, run};
+pub use plan::WORKERS_EACH;
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -11,6 +11,7 @@
 use poem::Endpoint;
 use poem::listener::TcpListener as PoemListener;
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -56,12 +57,20 @@
     Metrics(#[from] prometheus::Error),
 }
 
-/// Runs a process until it is told to stop. Its metrics are served on `metrics_port` of its
-/// address, if one is given.
+/// What is said on the command line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeOptions {
+    /// Metrics are served on this port of the process's address, if one is given.
+    pub metrics_port: Option<u16>,
+    /// Workers of one partition, when the cell first starts.
+    pub workers_each: NonZeroUsize,
+}
+
+/// Runs a process until it is told to stop.
 ///
 /// # Errors
 /// When an address can't be bound, or a part can't be made.
-pub async fn run(settings: NodeSettings, metrics_port: Option<u16>) -> Result<(), NodeError> {
+pub async fn run(settings: NodeSettings, options: NodeOptions) -> Result<(), NodeError> {
     let mut term = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
     let hup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
     let shared = make_shared(settings)?;
@@ -79,11 +88,11 @@
     let mut servers = tokio::task::JoinSet::new();
     servers.spawn(serve(addresses.callers, Front::new(shared.clone()), stopped.clone()));
     servers.spawn(serve(addresses.readiness, Readiness::new(shared.clone()), stopped.clone()));
-    if let Some(port) = metrics_port {
+    if let Some(port) = options.metrics_port {
         let addr = SocketAddr::new(addresses.peers.ip(), port);
         servers.spawn(serve(addr, MetricsPage::new(shared.clone()), stopped));
     }
-    start_duties(&shared, listener, hup);
+    start_duties(&shared, options.workers_each, listener, hup);
     tokio::select! {
         _ = term.recv() => {}
         Some(ended) = servers.join_next() => {
@@ -98,18 +107,23 @@
 }
 
 /// Starts what runs until the process ends.
-fn start_duties(shared: &Arc<Shared>, listener: TcpListener, hup: Signal) {
+fn start_duties(
+    shared: &Arc<Shared>,
+    workers_each: NonZeroUsize,
+    listener: TcpListener,
+    hup: Signal,
+) {
     tokio::spawn(peers::accept(shared.clone(), listener));
     tokio::spawn(watch::read_config(shared.clone()));
     tokio::spawn(watch::follow_config(shared.clone()));
     tokio::spawn(announce::register(shared.clone()));
-    tokio::spawn(join_partitions(shared.clone()));
+    tokio::spawn(join_partitions(shared.clone(), workers_each));
     tokio::spawn(reload::follow_settings(shared.clone(), hup));
 }
 
 /// Learns how many partitions there are, and joins or owns each from then on.
-async fn join_partitions(shared: Arc<Shared>) {
-    shared.set_partitions(plan::learn(&shared).await);
+async fn join_partitions(shared: Arc<Shared>, workers_each: NonZeroUsize) {
+    shared.set_partitions(plan::learn(&shared, workers_each).await);
     for partition in shared.partitions() {
         let cx = Cx { shared: shared.clone(), partition: partition.clone() };
         tokio::spawn(ownership::run(cx));
--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -8,11 +8,12 @@
 use hollowford_adapter::{Expect, REGISTRY_TABLE, Row, StoreError, Transaction, TxOutcome};
 use hollowford_core::Millis;
 use prost::Message;
+use std::num::NonZeroUsize;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// Workers that one owner decides for. Half a core carries 350 with 880 starts a second.
-const WORKERS_EACH: usize = 450;
+/// Workers that one owner decides for, unless it is set. Half a core carries 350 with 880 starts a second.
+pub const WORKERS_EACH: NonZeroUsize = NonZeroUsize::new(450).unwrap();
 /// Part of the table, and key of the row.
 const PLAN: &str = "plan";
 /// How often the workers are counted when a cell first starts.
@@ -24,10 +25,10 @@
 
 /// Learns how many partitions there are, from the store or another process; decides it if
 /// nobody has.
-pub async fn learn(shared: &Shared) -> u32 {
+pub async fn learn(shared: &Shared, workers_each: NonZeroUsize) -> u32 {
     let began = shared.clock.now();
     loop {
-        match try_learn(shared, began).await {
+        match try_learn(shared, began, workers_each).await {
             Ok(Some(partitions)) => return partitions,
             Ok(None) => {}
             Err(e) => {
@@ -42,14 +43,18 @@
 }
 
 /// Reads the plan, or makes it if there is none.
-async fn try_learn(shared: &Shared, began: Millis) -> Result<Option<u32>, StoreError> {
+async fn try_learn(
+    shared: &Shared,
+    began: Millis,
+    workers_each: NonZeroUsize,
+) -> Result<Option<u32>, StoreError> {
     if let (Some(row), _) = shared.store.read(TABLE, PLAN, PLAN, CALL_TIMEOUT).await? {
         shared.note_store();
         return Ok(decode(&row));
     }
     shared.note_store();
     let workers = count_workers(shared, began).await?;
-    let partitions = workers.div_ceil(WORKERS_EACH).max(1) as u32;
+    let partitions = workers.div_ceil(workers_each.get()).max(1) as u32;
     let tx = Transaction {
         expect: vec![Expect { key: PLAN.to_owned(), version: 0 }],
         put: vec![(PLAN.to_owned(), Plan { partitions }.encode_to_vec())],
--- a/crates/hollowford/src/command/node.rs
+++ b/crates/hollowford/src/command/node.rs
@@ -4,16 +4,18 @@
 use crate::client::finish;
 use crate::error::CliError;
 use hollowford_adapter::NodeSettings;
+use hollowford_node::{NodeOptions, WORKERS_EACH};
 use pico_args::Arguments;
+use std::num::NonZeroUsize;
 
 /// The command.
 pub const COMMAND: Command = Command {
     name: "node",
-    signature: "[--config FILE] [--metrics PORT] [--check]",
+    signature: "[--config FILE] [--metrics PORT] [--workers-each N] [--check]",
     description: "Runs a process on the users' platform until SIGTERM.
 Reads the settings file that the platform lays, whose path HOLLOWFORD_NODE_FILE holds, and
-serves metrics on PORT of the process's address. With --check it only reads and checks the
-file.",
+serves metrics on PORT of the process's address. A cell that first starts gets one partition
+for N workers (450 unless said otherwise). With --check it only reads and checks the file.",
     examples: &[Example {
         line: "hollowford node --check --config platform/examples/settings.toml",
         does: "checks a settings file of the platform",
@@ -24,6 +26,7 @@
 fn run(mut args: Arguments) -> Result<(), CliError> {
     let file: Option<String> = args.opt_value_from_str("--config")?;
     let metrics: Option<u16> = args.opt_value_from_str("--metrics")?;
+    let workers_each: Option<NonZeroUsize> = args.opt_value_from_str("--workers-each")?;
     let check = args.contains("--check");
     finish(args)?;
     let settings = match &file {
@@ -41,6 +44,8 @@
         .enable_all()
         .build()
         .map_err(CliError::io("runtime"))?;
-    let run = hollowford_node::run(settings, metrics);
+    let options =
+        NodeOptions { metrics_port: metrics, workers_each: workers_each.unwrap_or(WORKERS_EACH) };
+    let run = hollowford_node::run(settings, options);
     runtime.block_on(run).map_err(|e| CliError::Run(e.to_string()))
 }
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -1,6 +1,6 @@
 //! Processes of `hollowford node` on the loopback interface, against the stand-in of the
 //! users' platform.
-#![allow(clippy::expect_used)]
+#![allow(clippy::expect_used, dead_code)]
 
 use hollowford_adapter_standin::speech::{self, Process};
 use hollowford_adapter_standin::{Door, Platform};
@@ -28,6 +28,7 @@
     pub store: Door,
     settings: PathBuf,
     log: PathBuf,
+    workers_each: usize,
 }
 
 /// A platform and processes.
@@ -72,6 +73,7 @@
         door: Door,
         ports: Ports,
         dir: &Path,
+        workers_each: usize,
     ) -> Node {
         let name = format!("n{i}");
         let path = dir.join(format!("{name}.toml"));
@@ -87,10 +89,10 @@
         let text = speech::settings(&process, platform, door.addr);
         File::create(&path).and_then(|mut f| f.write_all(text.as_bytes())).expect("settings");
         let log = dir.join(format!("{name}.log"));
-        let child = spawn(&path, &log);
+        let child = spawn(&path, &log, workers_each);
         let at = |port| SocketAddr::from((ports.ip(i), port));
         let (callers, readiness) = (at(ports.callers), at(ports.readiness));
-        Node { child, callers, readiness, store: door, settings: path, log }
+        Node { child, callers, readiness, store: door, settings: path, log, workers_each }
     }
 
     /// Sends the process a signal.
@@ -120,7 +122,7 @@
 
     /// Starts the process again, with the same settings.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.settings, &self.log);
+        self.child = spawn(&self.settings, &self.log, self.workers_each);
     }
 
     /// Tells whether the process runs.
@@ -149,11 +151,12 @@
     }
 }
 
-fn spawn(settings: &Path, log: &Path) -> Child {
+fn spawn(settings: &Path, log: &Path, workers_each: usize) -> Child {
     let out = File::options().create(true).append(true).open(log).expect("log");
     Command::new(env!("CARGO_BIN_EXE_hollowford"))
         .args(["node", "--config"])
         .arg(settings)
+        .args(["--workers-each", &workers_each.to_string()])
         .stdout(Stdio::from(out))
         .stderr(Stdio::inherit())
         .spawn()
@@ -168,6 +171,11 @@
 
     /// Starts one process for each part of a core.
     pub async fn of_sizes(shares: &[f64], workers: usize) -> Cell {
+        Cell::divided(shares, workers, workers).await
+    }
+
+    /// Starts processes with a partition for each `workers_each` workers.
+    pub async fn divided(shares: &[f64], workers: usize, workers_each: usize) -> Cell {
         let platform = Platform::start(workers).await.expect("the platform");
         platform.configure(1, &[("/plain/", false), ("/advised/", true)]);
         let dir = TempDir::new().expect("a folder");
@@ -175,7 +183,9 @@
         let mut nodes = Vec::new();
         for numbered in shares.iter().copied().enumerate() {
             let door = platform.open_door().await.expect("a way to the store");
-            nodes.push(Node::start(numbered, platform.addr(), door, ports, dir.path()));
+            let node =
+                Node::start(numbered, platform.addr(), door, ports, dir.path(), workers_each);
+            nodes.push(node);
         }
         let http = Client::builder().no_proxy().build().expect("a client");
         let cell = Cell { platform, nodes, http, _dir: dir };
--- /dev/null
+++ b/crates/hollowford/tests/partitions.rs
@@ -0,0 +1,128 @@
+//! Processes with more than one partition, each with an owner of its own.
+
+#[path = "common/node.rs"]
+mod node;
+
+use hollowford_adapter_standin::Faults;
+use node::{Cell, eventually};
+use reqwest::Method;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+
+const PLAIN: &str = "/plain/";
+const ADVISED: &str = "/advised/";
+const PARTITIONS: usize = 3;
+
+/// Four processes and six workers, two to a partition.
+async fn cell() -> Cell {
+    Cell::divided(&[0.25; 4], 6, 2).await
+}
+
+/// Returns which process owns each partition, by the logs; none: nobody does.
+fn owners(cell: &Cell) -> Vec<Option<usize>> {
+    let owns = |node: usize, partition: usize| {
+        let log = cell.nodes[node].log();
+        let last = |event: &str| log.rfind(&format!("{event} partition={partition} "));
+        last("owner.serves") > last("owner.ended")
+    };
+    let owner = |p| (0..cell.nodes.len()).find(|&n| owns(n, p));
+    (0..PARTITIONS).map(owner).collect()
+}
+
+async fn await_owners(cell: &Cell) -> Vec<usize> {
+    let all = || async { owners(cell).iter().all(Option::is_some) };
+    assert!(eventually(all).await, "{}", cell.logs());
+    owners(cell).into_iter().flatten().collect()
+}
+
+#[tokio::test]
+async fn jobs_of_all_partitions_are_taken_by_every_process_and_counted_together() {
+    let cell = cell().await;
+    for id in 0..24 {
+        let queue = if id % 2 == 0 { PLAIN } else { ADVISED };
+        cell.submit_surely(id as usize % 4, queue, id, 3, 50).await;
+    }
+    for id in 0..24 {
+        let queue = if id % 2 == 0 { PLAIN } else { ADVISED };
+        cell.await_completed((id as usize + 1) % 4, queue, id).await;
+    }
+    cell.judge(1);
+    let begun = |i: usize| cell.platform.with_worker(&format!("w{i}"), |w| w.begun.len());
+    for partition in 0..PARTITIONS {
+        // Racks are dealt in turn, so each partition has two workers.
+        let used = begun(partition).unwrap_or(0) + begun(partition + PARTITIONS).unwrap_or(0);
+        assert!(used > 0, "partition {partition} has run nothing");
+    }
+    // None of these fits: each waits in its own partition, and one count tells of all.
+    let large = json!({"template": "50", "phases": [
+        {"count": 1, "cpu": 17_000, "mem-mb": 100, "estimate-ms": 50}]});
+    for id in 100..112 {
+        let path = format!("{PLAIN}{id:016x}");
+        assert_eq!(cell.call(0, Method::POST, &path, large.clone()).await.0, 200);
+    }
+    for node in 0..4 {
+        let (status, body) = cell.call(node, Method::GET, PLAIN, Value::Null).await;
+        let waiting = hollowford_adapter_standin::speech::waiting(&body);
+        assert_eq!((status, waiting), (200, Some(12)));
+    }
+}
+
+#[tokio::test]
+async fn equal_processes_share_the_partitions() {
+    let cell = cell().await;
+    let spread = || async {
+        let distinct: BTreeSet<_> = owners(&cell).into_iter().flatten().collect();
+        distinct.len() == PARTITIONS
+    };
+    assert!(eventually(spread).await, "{:?}\n{}", owners(&cell), cell.logs());
+}
+
+#[tokio::test]
+async fn each_partition_outlives_its_owner() {
+    let mut cell = cell().await;
+    let first = await_owners(&cell).await;
+    for id in 0..12 {
+        cell.submit_surely(0, PLAIN, id, 2, 1_500).await;
+    }
+    let victim = first[0];
+    let alive = (0..4).find(|&n| n != victim).expect("another one");
+    cell.nodes[victim].kill();
+    for id in 12..24 {
+        cell.submit_surely(alive, PLAIN, id, 2, 50).await;
+    }
+    for id in 0..24 {
+        cell.await_completed(alive, PLAIN, id).await;
+    }
+    cell.judge(1);
+}
+
+#[tokio::test]
+async fn a_process_that_starts_in_an_outage_learns_all_owners_from_others() {
+    let mut cell = cell().await;
+    let first = await_owners(&cell).await;
+    let late = (0..4).find(|n| !first.contains(n)).unwrap_or(3);
+    cell.submit_surely(late, PLAIN, 1, 1, 20).await;
+    cell.nodes[late].kill();
+    cell.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    cell.nodes[late].restart();
+    let told = || async { cell.call(late, Method::GET, PLAIN, Value::Null).await.0 == 200 };
+    assert!(eventually(told).await, "{}", cell.nodes[late].log());
+}
+
+#[tokio::test]
+async fn the_number_of_partitions_stays_when_workers_are_added() {
+    let mut cell = cell().await;
+    for i in 6..20 {
+        cell.platform.add_worker(&format!("w{i}"), i).expect("a port");
+    }
+    for node in 0..4 {
+        cell.nodes[node].kill();
+        cell.nodes[node].restart();
+    }
+    for id in 0..12 {
+        cell.submit_surely(0, PLAIN, id, 2, 20).await;
+        cell.await_completed(1, PLAIN, id).await;
+    }
+    cell.judge(1);
+    assert!(!cell.logs().contains("owner.serves partition=3"));
+}
