Jobs: what is stopped of an ended job takes all of a worker whose size is not known yet; members open a cut link again

A task found there of a job that had ended (a cancellation just written) was to take all of the worker, whose capacity was still zero: it took nothing, and the room was given away while the task was still being stopped. Test: member_tests.

--- a/crates/hollowford-core/src/resources.rs
+++ b/crates/hollowford-core/src/resources.rs
@@ -12,6 +12,10 @@
 }
 
 impl Resources {
+    /// More than any instance has.
+    pub const ALL: Resources =
+        Resources { cpu_milli: u32::MAX, memory_mib: u32::MAX, accelerators: u32::MAX };
+
     /// Builds an amount from thousandths of a core, mebibytes and accelerators.
     pub fn new(cpu_milli: u32, memory_mib: u32, accelerators: u32) -> Resources {
         Resources { cpu_milli, memory_mib, accelerators }
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -7,7 +7,7 @@
 use crate::spec::{JobId, StepSpec, TaskKey};
 use crate::worker::{Held, Phase};
 use crate::workers::{Placement, WorkerIdx};
-use hollowford_core::Millis;
+use hollowford_core::{Millis, Resources};
 use std::sync::Arc;
 
 /// Shortest time between two runs of a task that lasts, after one that failed.
@@ -68,8 +68,9 @@
         let spec = self.jobs.get(r.task.step.job).map(|j| j.spec.clone());
         let step = spec.as_ref().and_then(|s| s.steps.get(r.task.step.step as usize));
         let Some(w) = self.workers.get_mut(idx) else { return };
-        // What a job that has ended takes is not known any more.
-        let room = step.map_or(w.capacity, StepSpec::room);
+        // What a job that has ended takes is not known any more, and the worker's size may not
+        // be known yet: nothing fits beside it.
+        let room = step.map_or(Resources::ALL, StepSpec::room);
         w.hold(Held::new(r.task, r.run, room, Phase::Stopping, now));
         self.notes.push(Note::Foreign { task: r.task, run: r.run, worker: w.id.clone() });
         self.stats.foreign += 1;
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -152,7 +152,8 @@
         self.judge_room();
     }
 
-    fn write(&mut self) {
+    /// Writes the next batch to the store.
+    pub fn write(&mut self) {
         if self.pending.is_none() {
             self.pending = self.engine.cut_batch(self.now);
         }
@@ -222,13 +223,18 @@
 
     /// A new owner takes over with what the store holds.
     pub fn take_over(&mut self) {
+        self.take_over_unlisted();
+        self.equip();
+    }
+
+    /// A new owner takes over, and is not told the list of workers yet.
+    pub fn take_over_unlisted(&mut self) {
         let epoch = self.engine.epoch() + 1;
         self.pending = None;
         self.engine = Engine::new(epoch, BOUNDS, self.now);
         self.engine.set_queues(&self.queues);
         let rows: Vec<_> = self.rows.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
         self.engine.recover(&rows, self.now).expect("rows that can be read");
-        self.equip();
     }
 
     /// Panics when a worker holds more than it has.
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -60,6 +60,10 @@
     pub slow: u64,
     /// Fails all that it starts.
     pub failing: bool,
+    /// What is stopped ends after so many milliseconds, and is listed as running until then.
+    pub stop_takes: u64,
+    /// When what is being stopped ends.
+    pub stopping: BTreeMap<TaskKey, Millis>,
     /// Not crashed.
     pub up: bool,
     pub now: Millis,
@@ -92,6 +96,8 @@
             hung: false,
             slow: 1,
             failing: false,
+            stop_takes: 0,
+            stopping: BTreeMap::new(),
             up: true,
             now,
             poison: BTreeSet::new(),
@@ -132,6 +138,9 @@
                 r.until = r.until + Millis(5);
             }
         }
+        for (task, _) in self.stopping.extract_if(.., |_, at| *at <= now).collect::<Vec<_>>() {
+            self.end(task, EndKind::Stopped);
+        }
         let lapsed = self.clock() >= self.lease_until;
         let runs: Vec<_> = self.running.iter().map(|(t, r)| (*t, r.clone())).collect();
         for (task, r) in runs {
@@ -217,7 +226,11 @@
         }
         self.fence = fence;
         if self.running.get(&task).is_some_and(|r| r.run == run) {
-            self.end(task, EndKind::Stopped);
+            if self.stop_takes > 0 {
+                self.stopping.entry(task).or_insert(self.now + Millis(self.stop_takes));
+            } else {
+                self.end(task, EndKind::Stopped);
+            }
         } else {
             let over = self.over.entry(task).or_insert(run);
             *over = run.max(*over);
--- a/crates/hollowford-jobs/tests/takeover.rs
+++ b/crates/hollowford-jobs/tests/takeover.rs
@@ -156,3 +156,28 @@
     assert!((2..6).all(|id| cell.state(id) == Some(JobState::Completed)));
     assert_eq!(cell.running(), 1);
 }
+
+#[test]
+fn what_is_being_stopped_of_an_ended_job_counts_before_the_workers_size_is_known() {
+    let mut cell = Cell::new(1);
+    cell.workers[0].stop_takes = 400;
+    cell.submit(1, LARGE, job(vec![step(2, 6_000, 60_000)]));
+    cell.run(100);
+    assert_eq!(cell.running(), 2);
+    // The cancellation is in the store; the owner is lost before it has told the worker.
+    cell.engine.cancel(JobId(1), cell.now);
+    cell.write();
+    assert_eq!(cell.state(1), Some(JobState::Cancelled));
+    cell.take_over_unlisted();
+    cell.run(100);
+    cell.list();
+    for id in 2..6 {
+        cell.submit(id, QUICK, job(vec![step(1, 8_000, 100)]));
+    }
+    for _ in 0..100 {
+        cell.run(5);
+        cell.judge_room();
+    }
+    cell.run(1_000);
+    assert!((2..6).all(|id| cell.state(id) == Some(JobState::Completed)));
+}
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -15,6 +15,8 @@
 mod load;
 pub mod logs;
 mod member;
+#[cfg(test)]
+mod member_tests;
 mod members;
 mod metrics;
 mod node;
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -29,6 +29,8 @@
     Newer,
     /// Nothing answers at its address, or not as the owner any more.
     Gone,
+    /// The link has ended, though the owner had answered: it may still be there.
+    Cut,
     /// It says nothing.
     Silent,
     /// It wants this process to take over.
@@ -44,6 +46,7 @@
         match self {
             Parted::Newer => "newer",
             Parted::Gone => "gone",
+            Parted::Cut => "cut",
             Parted::Silent => "silent",
             Parted::HandedOver { .. } => "handed_over",
         }
@@ -59,8 +62,23 @@
     pub members: Vec<String>,
 }
 
-/// Follows an owner until they part.
+/// Follows an owner until they part, over as many links as it takes: a link that is reset
+/// says nothing of the owner.
 pub async fn follow(cx: &Cx, info: &OwnerInfo) -> Followed {
+    let mut members = Vec::new();
+    loop {
+        let followed = follow_once(cx, info).await;
+        if !followed.members.is_empty() {
+            members = followed.members;
+        }
+        if followed.parted != Parted::Cut {
+            return Followed { parted: followed.parted, members };
+        }
+        log::info!("owner.link_cut partition={} epoch={}", info.partition, info.epoch);
+    }
+}
+
+async fn follow_once(cx: &Cx, info: &OwnerInfo) -> Followed {
     let (mut reader, outbox) = match open(&cx.shared, info).await {
         Ok(link) => link,
         Err(parted) => return Followed { parted, members: Vec::new() },
@@ -131,6 +149,7 @@
             let parted = tokio::select! {
                 body = link::next(reader) => match body {
                     Some(body) => self.take_frame(body),
+                    None if self.following => Some(Parted::Cut),
                     None => Some(Parted::Gone),
                 },
                 _ = ticks.tick() => self.tick(),
--- /dev/null
+++ b/crates/hollowford-node/src/member_tests.rs
@@ -0,0 +1,54 @@
+//! A member that loses its link to the owner.
+#![allow(clippy::expect_used)]
+
+use crate::link::{self, Outbox, Reader};
+use crate::member::{Parted, follow};
+use crate::partition::Cx;
+use crate::shared_tests::shared;
+use crate::wire::{Body, Heartbeat, OwnerInfo};
+use std::sync::Arc;
+use tokio::net::TcpListener;
+
+const EPOCH: u64 = 3;
+
+fn cx() -> Cx {
+    let shared = Arc::new(shared());
+    shared.set_partitions(1);
+    let partition = shared.partitions()[0].clone();
+    Cx { shared, partition }
+}
+
+/// Accepts a link as the owner, whose opener says who it is.
+async fn accept(listener: &TcpListener) -> (Reader, Outbox) {
+    let (stream, _) = listener.accept().await.expect("a link");
+    let (mut reader, outbox) = link::split(stream).expect("its options");
+    let hello = link::next(&mut reader).await;
+    assert!(matches!(hello, Some(Body::Hello(_))), "{hello:?}");
+    (reader, outbox)
+}
+
+fn heartbeat(members: &[&str]) -> Body {
+    let members = members.iter().map(|&m| m.to_owned()).collect();
+    Body::Heartbeat(Heartbeat { epoch: EPOCH, members, ..Heartbeat::default() })
+}
+
+#[tokio::test]
+async fn a_member_whose_link_is_cut_opens_another_before_it_takes_the_owner_for_gone() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    let cx = cx();
+    let info = OwnerInfo { epoch: EPOCH, address, boot: 9, ..OwnerInfo::default() };
+    let member = tokio::spawn(async move { follow(&cx, &info).await });
+    for _ in 0..3 {
+        let (mut reader, outbox) = accept(&listener).await;
+        outbox.send(heartbeat(&["a", "b"]));
+        // Its own heartbeat shows that it has joined.
+        let beat = link::next(&mut reader).await;
+        assert!(matches!(beat, Some(Body::MemberBeat(_))), "{beat:?}");
+    }
+    // This owner has nothing to say any more.
+    drop(accept(&listener).await);
+    let followed = member.await.expect("its end");
+    assert_eq!(followed.parted, Parted::Gone);
+    assert_eq!(followed.members, ["a", "b"], "the order of takeover is still known");
+}
--- a/crates/hollowford-node/src/shared_tests.rs
+++ b/crates/hollowford-node/src/shared_tests.rs
@@ -6,7 +6,8 @@
 use hollowford_adapter::{NodeSettings, StoreClient};
 use hollowford_core::Millis;
 
-fn shared() -> Shared {
+/// Makes what the duties of a process share, from the example of the settings.
+pub fn shared() -> Shared {
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../platform/examples/settings.toml");
     let settings = NodeSettings::from_file(file).expect("the example");
     let store = StoreClient::new(settings.store).expect("a client");
