A fault soak of our own: real processes, proxies, signals and a judge

Judged by what callers and workers see: jobs taken end well and are not lost, no task in two places, none after its noted end, no worker over its room, none begun on a worker that leaves, nothing refused runs, nothing begins long after its cancellation, configuration never goes back. The stand-in's workers have clocks of their own and note what they don't guard against; the process control of the tests moved into the crate.

--- /dev/null
+++ b/crates/hollowford-soak/src/cell.rs
@@ -0,0 +1,205 @@
+//! A cell: the stand-in of the platform, its workers, the processes, and proxies between them.
+
+use crate::SoakError;
+use crate::process::Process;
+use crate::proxy::Proxy;
+use hollowford_adapter_standin::speech::{self, Process as Settings};
+use hollowford_adapter_standin::{Platform, WorkerClock};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use tempfile::TempDir;
+
+/// Prefix of the queue whose workers anybody may name, and of one that goes by advice.
+pub const QUEUES: [&str; 2] = ["/plain/", "/advised/"];
+
+/// How large a cell is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Processes.
+    pub nodes: usize,
+    /// Workers.
+    pub workers: usize,
+    /// Workers of one partition.
+    pub workers_each: usize,
+}
+
+/// One process, and the proxies before and behind it.
+#[derive(Debug)]
+pub struct Node {
+    /// The process.
+    pub process: Process,
+    /// Where its readiness is asked.
+    pub readiness: SocketAddr,
+    /// Between callers and it.
+    pub callers: Proxy,
+    /// Between it and the store.
+    pub store: Proxy,
+}
+
+/// One worker, and the proxy in front of it.
+#[derive(Debug)]
+pub struct Worker {
+    /// Name of its present life.
+    pub id: String,
+    /// Its rack.
+    pub rack: usize,
+    /// Between the processes and it.
+    pub proxy: Proxy,
+    /// It was taken away.
+    pub gone: bool,
+}
+
+/// A cell.
+#[derive(Debug)]
+pub struct Cell {
+    /// The platform.
+    pub platform: Platform,
+    /// The processes.
+    pub nodes: Vec<Node>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// Version of the newest configuration.
+    pub config: u64,
+    lives: usize,
+    dir: TempDir,
+}
+
+/// Finds a port that is free on the loopback interface.
+fn free_port() -> io::Result<u16> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
+
+impl Cell {
+    /// Starts a cell. Its processes have addresses of their own in the loopback range, drawn
+    /// from `rng`, and share their ports.
+    ///
+    /// # Errors
+    /// When a port, a file or a process can't be had.
+    pub async fn start(
+        program: &Path,
+        size: Size,
+        rng: &mut fastrand::Rng,
+    ) -> Result<Cell, SoakError> {
+        let platform = Platform::start(0).await?;
+        let dir = TempDir::new()?;
+        let mut cell =
+            Cell { platform, nodes: Vec::new(), workers: Vec::new(), config: 0, lives: 0, dir };
+        cell.configure();
+        for _ in 0..size.workers {
+            cell.add_worker(rng).await?;
+        }
+        let net = [127, rng.u8(1..), rng.u8(..), 0];
+        let ports = [free_port()?, free_port()?, free_port()?];
+        for i in 0..size.nodes {
+            let node = cell.start_node(program, size.workers_each, net, ports, i).await?;
+            cell.nodes.push(node);
+        }
+        Ok(cell)
+    }
+
+    async fn start_node(
+        &self,
+        program: &Path,
+        workers_each: usize,
+        net: [u8; 4],
+        [callers, readiness, peers]: [u16; 3],
+        i: usize,
+    ) -> Result<Node, SoakError> {
+        let ip = |i: usize| Ipv4Addr::new(net[0], net[1], net[2], i as u8 + 1);
+        let store = Proxy::open(self.platform.addr()).await?;
+        let name = format!("n{i}");
+        let seeds = vec![ip(0), ip(1)];
+        let settings = Settings {
+            name: name.clone(),
+            ip: ip(i),
+            callers,
+            readiness,
+            peers,
+            cpu_share: 0.25,
+            seeds,
+        };
+        let text = speech::settings(&settings, self.platform.addr(), store.addr);
+        let file = self.dir.path().join(format!("{name}.toml"));
+        std::fs::write(&file, text)?;
+        let process = Process::start(program, &file, &self.log_path(i), workers_each)?;
+        Ok(Node {
+            process,
+            readiness: SocketAddr::from((ip(i), readiness)),
+            callers: Proxy::open(SocketAddr::from((ip(i), callers))).await?,
+            store,
+        })
+    }
+
+    fn log_path(&self, node: usize) -> PathBuf {
+        self.dir.path().join(format!("n{node}.log"))
+    }
+
+    fn next_life(&mut self) -> String {
+        self.lives += 1;
+        format!("w{}", self.lives)
+    }
+
+    /// Adds a worker, whose clock begins anywhere and may run slow.
+    ///
+    /// # Errors
+    /// When no port can be had.
+    pub async fn add_worker(&mut self, rng: &mut fastrand::Rng) -> Result<(), SoakError> {
+        let (id, rack) = (self.next_life(), self.workers.len());
+        let addr = self.platform.add_worker(&id, rack)?;
+        let clock = WorkerClock { ahead_ms: rng.u64(0..1_000_000), rate: rng.u64(980..=1_000) };
+        self.platform.with_worker(&id, |w| w.clock = clock);
+        let proxy = Proxy::open(addr).await?;
+        self.platform.list_worker(&id, proxy.addr, rack, false);
+        self.workers.push(Worker { id, rack, proxy, gone: false });
+        Ok(())
+    }
+
+    /// Lets a worker crash and come back as another life.
+    pub fn restart_worker(&mut self, i: usize) {
+        let next = self.next_life();
+        let w = &mut self.workers[i];
+        self.platform.restart_worker(&w.id, &next, w.proxy.addr, w.rack);
+        w.id = next;
+    }
+
+    /// Lets a worker say that it is about to leave.
+    pub fn drain_worker(&self, i: usize) {
+        let w = &self.workers[i];
+        let now = self.platform.now();
+        self.platform.with_worker(&w.id, |x| x.leaving_since = Some(x.clock.at(now)));
+        self.platform.list_worker(&w.id, w.proxy.addr, w.rack, true);
+    }
+
+    /// Takes a worker away.
+    pub fn remove_worker(&mut self, i: usize) {
+        self.workers[i].gone = true;
+        self.platform.remove_worker(&self.workers[i].id);
+    }
+
+    /// Writes the next configuration: the queues, and one that only this version has.
+    pub fn configure(&mut self) {
+        self.config += 1;
+        let own = version_prefix(self.config);
+        let [plain, advised] = QUEUES;
+        let queues = [(plain, false), (advised, true), (own.as_str(), false)];
+        self.platform.configure(self.config, &queues);
+    }
+
+    /// Copies the logs of all processes into a folder.
+    ///
+    /// # Errors
+    /// When a file can't be copied.
+    pub fn keep_logs(&self, to: &Path) -> io::Result<()> {
+        std::fs::create_dir_all(to)?;
+        for i in 0..self.nodes.len() {
+            std::fs::copy(self.log_path(i), to.join(format!("n{i}.log")))?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns the prefix of the queue that only one version of the configuration has.
+pub fn version_prefix(version: u64) -> String {
+    format!("/v{version}/")
+}
--- /dev/null
+++ b/crates/hollowford-soak/src/run.rs
@@ -0,0 +1,294 @@
+//! One run of the soak, from its seed to its report.
+
+use crate::SoakError;
+use crate::callers::{Caller, SharedBook, lock};
+use crate::cell::{Cell, Size};
+use crate::judge::{ConfigWatch, await_ends, judge_starts};
+use crate::proxy::Mode;
+use crate::schedule::{Action, Entry, draw};
+use hollowford_adapter_standin::{Faults, speech};
+use reqwest::Client;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Longest time for a process to become ready.
+const READY_WITHIN: Duration = Duration::from_secs(60);
+/// Between two looks at whether it is.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program under test.
+    pub program: PathBuf,
+    /// How large the cell is.
+    pub size: Size,
+    /// Callers at a time.
+    pub callers: u64,
+    /// How long things go wrong, in milliseconds.
+    pub span_ms: u64,
+    /// Where logs of runs with a finding are kept; none: nowhere.
+    pub keep: Option<PathBuf>,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Its seed.
+    pub seed: u64,
+    /// Things that went wrong from outside.
+    pub actions: usize,
+    /// Jobs handed in.
+    pub jobs: usize,
+    /// Of these, jobs that were taken.
+    pub taken: usize,
+    /// Tasks begun.
+    pub starts: usize,
+    /// Promises that were not kept.
+    pub wrong: Vec<String>,
+}
+
+struct Run {
+    cell: Cell,
+    faults: Faults,
+    lives: Vec<Arc<AtomicU64>>,
+    newest: Arc<AtomicU64>,
+    /// Processes that are down since the run ended them.
+    down: Vec<bool>,
+    wrong: Vec<String>,
+    rng: fastrand::Rng,
+}
+
+/// Runs one seed.
+///
+/// # Errors
+/// When the cell can't be started or changed, which says nothing about the program.
+pub async fn run_seed(seed: u64, o: &Options) -> Result<Report, SoakError> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let schedule = draw(&mut rng, o.size, o.span_ms);
+    let cell = Cell::start(&o.program, o.size, &mut rng).await?;
+    let nodes = cell.nodes.len();
+    let mut run = Run {
+        newest: Arc::new(AtomicU64::new(cell.config)),
+        cell,
+        faults: Faults::default(),
+        lives: (0..nodes).map(|_| Arc::default()).collect(),
+        down: vec![false; nodes],
+        wrong: Vec::new(),
+        rng,
+    };
+    run.await_ready().await?;
+    let book = SharedBook::default();
+    let stop: Arc<AtomicBool> = Arc::default();
+    let mut tasks = run.start_callers(o.callers, &book, &stop)?;
+    run.play(&schedule).await?;
+    run.heal().await?;
+    stop.store(true, Ordering::Relaxed);
+    while tasks.join_next().await.is_some() {}
+    run.finish(seed, schedule.len(), &book, o).await
+}
+
+impl Run {
+    fn start_callers(
+        &mut self,
+        callers: u64,
+        book: &SharedBook,
+        stop: &Arc<AtomicBool>,
+    ) -> Result<JoinSet<()>, SoakError> {
+        let mut tasks = JoinSet::new();
+        let nodes: Vec<_> = self.cell.nodes.iter().map(|n| n.callers.addr).collect();
+        for number in 1..=callers {
+            let caller = Caller {
+                number,
+                nodes: nodes.clone(),
+                client: client()?,
+                rng: self.rng.fork(),
+                book: book.clone(),
+                now: self.cell.platform.clone(),
+                stop: stop.clone(),
+            };
+            tasks.spawn(caller.run());
+        }
+        for (node, life) in nodes.iter().zip(&self.lives) {
+            let watch = ConfigWatch {
+                node: *node,
+                life: life.clone(),
+                newest: self.newest.clone(),
+                book: book.clone(),
+                stop: stop.clone(),
+                client: client()?,
+            };
+            tasks.spawn(watch.run());
+        }
+        Ok(tasks)
+    }
+
+    async fn play(&mut self, schedule: &[Entry]) -> Result<(), SoakError> {
+        let began = Instant::now();
+        for entry in schedule {
+            let at = Duration::from_millis(entry.at_ms);
+            sleep(at.saturating_sub(began.elapsed())).await;
+            self.check_processes()?;
+            self.act(entry.action).await?;
+        }
+        Ok(())
+    }
+
+    /// Notes processes that have ended by themselves.
+    fn check_processes(&mut self) -> Result<(), SoakError> {
+        for (i, node) in self.cell.nodes.iter_mut().enumerate() {
+            if !self.down[i] && node.process.ended()?.is_some() {
+                self.down[i] = true;
+                self.wrong.push(format!("process n{i} has ended by itself"));
+            }
+        }
+        Ok(())
+    }
+
+    async fn act(&mut self, action: Action) -> Result<(), SoakError> {
+        match action {
+            Action::Kill(n) => {
+                self.new_life(n);
+                self.down[n] = true;
+                self.cell.nodes[n].process.kill()?;
+            }
+            Action::Stop(n) if !self.down[n] => {
+                self.new_life(n);
+                self.down[n] = true;
+                self.cell.nodes[n].process.signal("TERM")?;
+            }
+            Action::Start(n) => self.start(n).await?,
+            Action::Pause(n) if !self.down[n] => self.cell.nodes[n].process.signal("STOP")?,
+            Action::Resume(n) if !self.down[n] => self.cell.nodes[n].process.signal("CONT")?,
+            Action::Hangup(n) if !self.down[n] => self.cell.nodes[n].process.signal("HUP")?,
+            Action::Stop(_) | Action::Pause(_) | Action::Resume(_) | Action::Hangup(_) => {}
+            Action::Outage(on) => self.change_store(|f| f.outage = on),
+            Action::Slow(by) => self.change_store(|f| f.slow_ms = by),
+            Action::LoseAnswers(n) => self.change_store(|f| f.lose_answers = n),
+            Action::NoHistory(on) => self.change_store(|f| f.no_history = on),
+            Action::StorePath(n, mode) => self.cell.nodes[n].store.set(mode),
+            Action::CallerPath(n, mode) => self.cell.nodes[n].callers.set(mode),
+            Action::WorkerPath(w, mode) => self.cell.workers[w].proxy.set(mode),
+            Action::CrashWorker(w) if !self.cell.workers[w].gone => self.cell.restart_worker(w),
+            Action::DrainWorker(w) if !self.cell.workers[w].gone => self.cell.drain_worker(w),
+            Action::ReplaceWorker(w) if !self.cell.workers[w].gone => {
+                self.cell.remove_worker(w);
+                self.cell.add_worker(&mut self.rng).await?;
+            }
+            Action::CrashWorker(_) | Action::DrainWorker(_) | Action::ReplaceWorker(_) => {}
+            Action::Configure => {
+                self.cell.configure();
+                self.newest.store(self.cell.config, Ordering::Relaxed);
+            }
+        }
+        Ok(())
+    }
+
+    /// What was known of a process's configuration says nothing of its next life.
+    fn new_life(&self, node: usize) {
+        self.lives[node].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Starts a process that was ended, once it has ended.
+    async fn start(&mut self, node: usize) -> Result<(), SoakError> {
+        if !self.down[node] {
+            return Ok(());
+        }
+        let began = Instant::now();
+        while self.cell.nodes[node].process.ended()?.is_none() {
+            // A paused process takes the signal once it goes on.
+            self.cell.nodes[node].process.signal("CONT")?;
+            if began.elapsed() > READY_WITHIN {
+                self.wrong.push(format!("process n{node} doesn't end when it is told to"));
+                self.cell.nodes[node].process.kill()?;
+            }
+            sleep(PAUSE).await;
+        }
+        self.new_life(node);
+        self.cell.nodes[node].process.restart()?;
+        self.down[node] = false;
+        Ok(())
+    }
+
+    fn change_store(&mut self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.faults);
+        self.cell.platform.set_faults(self.faults.clone());
+        // Lost answers are counted down by the store itself.
+        self.faults.lose_answers = 0;
+    }
+
+    /// Ends everything that is wrong, and waits until all processes are ready.
+    async fn heal(&mut self) -> Result<(), SoakError> {
+        self.change_store(|f| *f = Faults::default());
+        for node in &self.cell.nodes {
+            node.store.set(Mode::Pass);
+            node.callers.set(Mode::Pass);
+        }
+        self.cell.workers.iter().for_each(|w| w.proxy.set(Mode::Pass));
+        for n in 0..self.cell.nodes.len() {
+            if self.down[n] {
+                self.start(n).await?;
+            } else {
+                self.cell.nodes[n].process.signal("CONT")?;
+            }
+        }
+        self.await_ready().await
+    }
+
+    async fn await_ready(&mut self) -> Result<(), SoakError> {
+        let client = client()?;
+        let began = Instant::now();
+        for i in 0..self.cell.nodes.len() {
+            let url = format!("http://{}{}", self.cell.nodes[i].readiness, speech::READY_PATH);
+            loop {
+                let answer = client.get(&url).timeout(READY_WITHIN).send().await;
+                if answer.is_ok_and(|a| a.status().is_success()) {
+                    break;
+                }
+                if began.elapsed() > READY_WITHIN {
+                    self.wrong.push(format!("process n{i} doesn't become ready"));
+                    break;
+                }
+                sleep(PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn finish(
+        mut self,
+        seed: u64,
+        actions: usize,
+        book: &SharedBook,
+        o: &Options,
+    ) -> Result<Report, SoakError> {
+        let nodes: Vec<_> = self.cell.nodes.iter().map(|n| n.callers.addr).collect();
+        let stuck = await_ends(book, &nodes, &client()?).await;
+        self.check_processes()?;
+        let book = lock(book);
+        let mut wrong = std::mem::take(&mut self.wrong);
+        wrong.extend(stuck);
+        wrong.extend(book.wrong.iter().cloned());
+        wrong.extend(self.cell.platform.faults_found());
+        wrong.extend(judge_starts(&self.cell, &book));
+        if let (false, Some(keep)) = (wrong.is_empty(), &o.keep) {
+            self.cell.keep_logs(&keep.join(format!("seed-{seed}")))?;
+        }
+        Ok(Report {
+            seed,
+            actions,
+            jobs: book.jobs.len(),
+            taken: book.jobs.values().filter(|t| t.accepted).count(),
+            starts: self.cell.platform.starts().len(),
+            wrong,
+        })
+    }
+}
+
+fn client() -> Result<Client, SoakError> {
+    Ok(Client::builder().no_proxy().build()?)
+}
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -2,15 +2,15 @@
 //! users' platform.
 #![allow(clippy::expect_used, dead_code)]
 
-use hollowford_adapter_standin::speech::{self, Process};
+use hollowford_adapter_standin::speech::{self, Process as Settings};
 use hollowford_adapter_standin::{Door, Platform};
+use hollowford_soak::process::Process;
 use reqwest::{Client, Method, StatusCode};
 use serde_json::Value;
 use std::fs::File;
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -21,14 +21,11 @@
 
 /// One process.
 pub struct Node {
-    child: Child,
+    process: Process,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     /// Its way to the store.
     pub store: Door,
-    settings: PathBuf,
-    log: PathBuf,
-    workers_each: usize,
 }
 
 /// A platform and processes.
@@ -77,7 +74,7 @@
     ) -> Node {
         let name = format!("n{i}");
         let path = dir.join(format!("{name}.toml"));
-        let process = Process {
+        let process = Settings {
             name: name.clone(),
             ip: ports.ip(i),
             callers: ports.callers,
@@ -89,31 +86,29 @@
         let text = speech::settings(&process, platform, door.addr);
         File::create(&path).and_then(|mut f| f.write_all(text.as_bytes())).expect("settings");
         let log = dir.join(format!("{name}.log"));
-        let child = spawn(&path, &log, workers_each);
+        let program = Path::new(env!("CARGO_BIN_EXE_hollowford"));
+        let process = Process::start(program, &path, &log, workers_each).expect("the program");
         let at = |port| SocketAddr::from((ports.ip(i), port));
         let (callers, readiness) = (at(ports.callers), at(ports.readiness));
-        Node { child, callers, readiness, store: door, settings: path, log, workers_each }
+        Node { process, callers, readiness, store: door }
     }
 
     /// Sends the process a signal.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill");
-        assert!(sent.success(), "signal {name}");
+        self.process.signal(name).expect("a signal");
     }
 
     /// Kills the process without warning.
     pub fn kill(&mut self) {
-        self.child.kill().expect("kill");
-        self.child.wait().expect("its end");
+        self.process.kill().expect("its end");
     }
 
     /// Waits until the process has ended, and tells whether it ended well.
     pub fn wait(&mut self) -> bool {
         let began = Instant::now();
         while began.elapsed() < PATIENCE {
-            if let Some(status) = self.child.try_wait().expect("its state") {
-                return status.success();
+            if let Some(well) = self.process.ended().expect("its state") {
+                return well;
             }
             std::thread::sleep(Duration::from_millis(20));
         }
@@ -122,17 +117,17 @@
 
     /// Starts the process again, with the same settings.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.settings, &self.log, self.workers_each);
+        self.process.restart().expect("the program");
     }
 
     /// Tells whether the process runs.
     pub fn is_up(&mut self) -> bool {
-        self.child.try_wait().expect("its state").is_none()
+        self.process.ended().expect("its state").is_none()
     }
 
     /// Returns what it has logged.
     pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
+        self.process.log()
     }
 
     /// Tells whether it was the last to become the owner, by its log.
@@ -143,26 +138,6 @@
     }
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn spawn(settings: &Path, log: &Path, workers_each: usize) -> Child {
-    let out = File::options().create(true).append(true).open(log).expect("log");
-    Command::new(env!("CARGO_BIN_EXE_hollowford"))
-        .args(["node", "--config"])
-        .arg(settings)
-        .args(["--workers-each", &workers_each.to_string()])
-        .stdout(Stdio::from(out))
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("the program")
-}
-
 impl Cell {
     /// Starts a platform and processes, with a queue `/plain/` and one by advice, `/advised/`.
     pub async fn start(nodes: usize, workers: usize) -> Cell {
