Batches take as many rows as a transaction does, first come first written; what can't be written soon is refused at once

Now: rows are counted, not jobs; jobs are written in the order in which somebody began to wait for them, and one in four is one that nobody waits for; a job that would be kept only after 1.2 s is refused at once with a time to come back; one that has waited so long unsent is taken back and refused as not run, which is true. Heartbeats name the first eight members only.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -10,8 +10,12 @@
 use hollowford_core::Millis;
 use prost::Message;
 
-/// Most jobs in one batch: each writes two rows at most, and a transaction takes 100 entries.
-const MOST_JOBS: usize = 44;
+/// Rows of jobs in one batch, each of which writes two at most. A transaction takes 100
+/// entries; the others are for the owner, the workers, and jobs that are forgotten.
+const MOST_ROWS: usize = 89;
+/// Jobs that somebody waits for in one batch, some: an acceptance writes one row, an end mostly
+/// two, and one job in four is another one.
+pub(crate) const WANTED_IN_BATCH: usize = MOST_ROWS / 2;
 /// Most bytes of values in one batch, before their encoding; a transaction takes 1 MB.
 const MOST_BYTES: usize = 500_000;
 /// Most ended jobs forgotten by one batch.
@@ -61,8 +65,7 @@
     /// Tells whether somebody waits for the next batch: a caller for an acceptance or the
     /// end of a job.
     pub fn batch_is_urgent(&self) -> bool {
-        let waits = |id| self.jobs.get(id).is_some_and(|j| j.unwritten || j.end.is_some());
-        self.in_flight.is_none() && self.jobs.dirty.iter().any(|&id| waits(id))
+        self.in_flight.is_none() && self.jobs.dirty.wanted_len() > 0
     }
 
     /// Returns the next batch; none when one is under way or there is nothing to write.
@@ -125,10 +128,14 @@
             let Some(job) = self.jobs.get_mut(id) else { continue };
             job.unwritten |= accepted;
             job.progressed |= !accepted || job.has_progress;
-            self.jobs.dirty.insert(id);
+            if accepted {
+                self.jobs.dirty.want(id);
+            } else {
+                self.jobs.dirty.add(id);
+            }
         }
         for (id, ..) in note.ended {
-            self.jobs.dirty.insert(id);
+            self.jobs.dirty.want(id);
         }
     }
 
@@ -159,11 +166,8 @@
 
     fn write_jobs(&mut self, now: Millis, rows: &mut Vec<RowWrite>, note: &mut BatchNote) {
         let mut bytes = 0;
-        for _ in 0..MOST_JOBS {
-            if bytes > MOST_BYTES {
-                return;
-            }
-            let Some(id) = self.jobs.dirty.pop_first() else { return };
+        while rows.len() + 2 <= MOST_ROWS && bytes <= MOST_BYTES {
+            let Some(id) = self.jobs.dirty.pop() else { return };
             let start = rows.len();
             self.write_job(id, now, rows, note);
             bytes +=
--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -1,5 +1,6 @@
 //! All jobs of the partition.
 
+use crate::dirty::Dirty;
 use crate::job::{Job, JobState, Step, Task};
 use crate::spec::{JobId, StepKey, StepSpec, TaskKey};
 use hollowford_core::Millis;
@@ -21,7 +22,7 @@
     /// Ended jobs, the first that ended first.
     by_end: VecDeque<JobId>,
     /// Jobs with something to write.
-    pub dirty: BTreeSet<JobId>,
+    pub dirty: Dirty,
     /// Steps that may have tasks to start. A step is taken out once a pass finds none.
     waiting: FxHashSet<StepKey>,
     /// Open jobs with rounds that fall due.
@@ -49,7 +50,7 @@
     /// Removes an open job as if it had never been.
     pub fn remove(&mut self, id: JobId) {
         self.open.remove(&id);
-        self.dirty.remove(&id);
+        self.dirty.remove(id);
         self.scheduled.remove(&id);
     }
 
@@ -156,7 +157,7 @@
     pub fn progressed(&mut self, id: JobId) {
         if let Some(job) = self.open.get_mut(&id) {
             job.progressed = true;
-            self.dirty.insert(id);
+            self.dirty.add(id);
         }
     }
 }
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod advice;
 mod batch;
 mod choose;
+mod dirty;
 mod ends;
 mod engine;
 mod evacuate;
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -1,5 +1,6 @@
 //! Jobs come in, are cancelled, and are asked for.
 
+use crate::batch::WANTED_IN_BATCH;
 use crate::engine::Engine;
 use crate::job::{Job, JobState};
 use crate::jobs::Ended;
@@ -54,7 +55,7 @@
             job.add_round(now);
         }
         self.jobs.insert(job);
-        self.jobs.dirty.insert(id);
+        self.jobs.dirty.want(id);
         self.stats.accepted += 1;
         self.notes.push(Note::Accepted { job: id, queue, steps });
         self.dirty = true;
@@ -105,13 +106,31 @@
     /// of them has run or will.
     pub fn withdraw_unsent(&mut self) -> Vec<JobId> {
         let unsent: Vec<_> = self.jobs.open().filter(|j| j.unwritten).map(|j| j.id).collect();
-        for &id in &unsent {
-            self.jobs.remove(id);
-            self.notes.push(Note::Withdrawn { job: id });
+        unsent.iter().for_each(|&id| self.take_back(id));
+        unsent
+    }
+
+    /// Takes back one job, if its acceptance was not sent to the store. Tells whether it was:
+    /// then nothing of it has run or will.
+    pub fn withdraw(&mut self, id: JobId) -> bool {
+        let unsent = self.jobs.get(id).is_some_and(|j| j.unwritten);
+        if unsent {
+            self.take_back(id);
         }
         unsent
     }
 
+    fn take_back(&mut self, id: JobId) {
+        self.jobs.remove(id);
+        self.notes.push(Note::Withdrawn { job: id });
+    }
+
+    /// Returns how many batches are to be written until an acceptance that comes now is, with
+    /// its own.
+    pub fn batches_ahead(&self) -> u64 {
+        (self.jobs.dirty.wanted_len() / WANTED_IN_BATCH + 1) as u64
+    }
+
     /// Decides how a job ends. It is shown once it is in the store.
     pub(crate) fn end_job(&mut self, id: JobId, state: JobState, now: Millis) {
         let Some(job) = self.jobs.get_mut(id).filter(|j| j.end.is_none()) else {
@@ -120,7 +139,7 @@
         job.end = Some(state);
         let age = now.since(job.accepted_at);
         self.notes.push(Note::JobEnds { job: id, state, age });
-        self.jobs.dirty.insert(id);
+        self.jobs.dirty.want(id);
         if state != JobState::Completed {
             self.stop_job(id);
         }
--- a/crates/hollowford-jobs/tests/batches.rs
+++ b/crates/hollowford-jobs/tests/batches.rs
@@ -65,3 +65,82 @@
     cell.run(500);
     assert_eq!(cell.state(1), Some(JobState::Completed));
 }
+
+/// Ids that are spread over all values, as callers choose them.
+fn scattered(i: u64) -> u64 {
+    i.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+fn kept(cell: &Cell, ids: impl Iterator<Item = u64>) -> Vec<bool> {
+    ids.map(|i| cell.engine.is_kept(JobId(scattered(i))) == Some(true)).collect()
+}
+
+#[test]
+fn what_came_first_is_written_first_and_a_batch_takes_more_than_eighty_jobs() {
+    let mut cell = Cell::new(1);
+    for i in 0..200 {
+        cell.submit(scattered(i), LARGE, job(vec![step(1, 16_000, 60_000)]));
+    }
+    cell.write();
+    let first = kept(&cell, 0..200);
+    let written = first.iter().filter(|&&k| k).count();
+    assert!(written > 80, "{written} in the first batch");
+    assert!(first[..written].iter().all(|&k| k), "in the order of arrival");
+    cell.write();
+    assert!(kept(&cell, 0..2 * written as u64).iter().all(|&k| k));
+}
+
+#[test]
+fn progress_is_written_beside_acceptances_that_never_end() {
+    let mut cell = Cell::new(8);
+    // Each of these has a task that ends and one that goes on.
+    for i in 0..20 {
+        let spec = job(vec![step(1, 1_000, 50), step(1, 1_000, 60_000)]);
+        cell.submit(scattered(i), QUICK, spec);
+    }
+    cell.run(40);
+    cell.store_up = false;
+    cell.run(200);
+    cell.store_up = true;
+    // More is handed in before each batch than one can take.
+    for round in 0..8 {
+        for i in 0..100 {
+            let id = scattered(1_000 + round * 100 + i);
+            cell.submit(id, LARGE, job(vec![step(1, 16_000, 60_000)]));
+        }
+        cell.write();
+    }
+    let progress = cell.rows.keys().filter(|k| k.starts_with("p/")).count();
+    assert_eq!(progress, 20);
+}
+
+#[test]
+fn one_job_is_taken_back_unless_it_was_sent() {
+    let mut cell = Cell::new(1);
+    cell.run(50);
+    cell.store_up = false;
+    cell.submit(1, LARGE, job(vec![step(1, 1_000, 100)]));
+    cell.run(20);
+    cell.submit(2, LARGE, job(vec![step(1, 1_000, 100)]));
+    assert!(!cell.engine.withdraw(JobId(1)), "it is in the batch under way");
+    assert!(cell.engine.withdraw(JobId(2)));
+    cell.store_up = true;
+    cell.run(500);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert_eq!(cell.state(2), None);
+    assert_eq!(cell.workers[0].starts, 1);
+}
+
+#[test]
+fn the_batches_ahead_grow_with_what_waits_to_be_written() {
+    let mut cell = Cell::new(1);
+    cell.run(50);
+    cell.store_up = false;
+    assert_eq!(cell.engine.batches_ahead(), 1);
+    for i in 0..330 {
+        cell.submit(scattered(i), LARGE, job(vec![step(1, 1_000, 100)]));
+    }
+    assert_eq!(cell.engine.batches_ahead(), 8);
+    cell.engine.withdraw_unsent();
+    assert_eq!(cell.engine.batches_ahead(), 1);
+}
--- a/crates/hollowford-node/src/batches.rs
+++ b/crates/hollowford-node/src/batches.rs
@@ -17,6 +17,9 @@
 /// A batch under way for so long means that new jobs are refused at once. A slow store takes
 /// up to 0.4 s for one.
 const BATCH_STALLED: Millis = Millis(600);
+/// A new job whose acceptance would be in the store only after this time is refused at once:
+/// callers wait for 3 s, and the quickest work is late after 1.2 s.
+const ACCEPT_WITHIN: Millis = Millis(1_200);
 /// After the store has refused a batch, new jobs are refused for so long; then one is tried.
 const REFUSING: Millis = Millis(300);
 
@@ -37,6 +40,8 @@
     unmade_since: Option<Millis>,
     /// When the store refused one last, with none made since.
     refused_at: Option<Millis>,
+    /// How long the last one took.
+    took: Millis,
 }
 
 impl Batches {
@@ -58,6 +63,7 @@
             since: None,
             unmade_since: None,
             refused_at: None,
+            took: Millis(0),
         }
     }
 
@@ -89,6 +95,7 @@
         match written {
             Written::Made(rev) => {
                 self.rev = *rev;
+                self.took = now.since(since);
                 self.unmade_since = None;
                 self.refused_at = None;
             }
@@ -103,6 +110,12 @@
         hangs || self.refused_at.is_some_and(|at| now.since(at) < REFUSING)
     }
 
+    /// Tells whether so much waits to be written that a new job's acceptance would come too
+    /// late.
+    pub fn is_behind(&self, engine: &Engine) -> bool {
+        self.took.0.max(BATCH_GAP.0) * engine.batches_ahead() > ACCEPT_WITHIN.0
+    }
+
     /// Tells whether for so long none was made though there was one to make.
     pub fn is_unmade_for(&self, limit: Millis, now: Millis) -> bool {
         self.unmade_since.is_some_and(|s| now.since(s) >= limit)
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -44,15 +44,8 @@
     }
 
     /// Takes a call and answers it, at once or once its batch is made. New jobs are refused
-    /// while the store doesn't take batches.
-    pub fn take(
-        &mut self,
-        engine: &mut Engine,
-        call: Call,
-        reply: Reply,
-        stalled: bool,
-        now: Millis,
-    ) {
+    /// while the store is `full`: it takes no batches, or too few.
+    pub fn take(&mut self, engine: &mut Engine, call: Call, reply: Reply, full: bool, now: Millis) {
         let job = JobId(call.job);
         let verb = call.verb();
         let said = match verb {
@@ -70,7 +63,7 @@
                 CancelAnswer::Unknown => Some(Said::NoJob),
                 CancelAnswer::Pending => None,
             },
-            Verb::Submit if stalled && engine.is_kept(job).is_none() => Some(Said::Unavailable),
+            Verb::Submit if full && engine.is_kept(job).is_none() => Some(Said::Unavailable),
             Verb::Submit => submit(engine, job, &call, now),
         };
         match said {
@@ -96,19 +89,26 @@
         });
     }
 
-    /// Tells those that have waited for too long that the effect is not known, or the state
-    /// as it is in the store.
-    pub fn give_up(&mut self, engine: &Engine, now: Millis, limit: Millis) {
+    /// Tells those that have waited for too long that nothing was done, if that is so, or that
+    /// the effect is not known, or the state as it is in the store.
+    pub fn give_up(&mut self, engine: &mut Engine, now: Millis, limit: Millis) {
         if self.by_job.is_empty() {
             return;
         }
+        let mut unsent = Vec::new();
         self.by_job.retain(|&job, waiters| {
             let limit_of = |w: &Waiter| if w.verb == Verb::State { STATE_WITHIN } else { limit };
-            for w in waiters.extract_if(.., |w| now.since(w.since) >= limit_of(w)) {
+            let late = |w: &Waiter| now.since(w.since) >= limit_of(w);
+            if waiters.iter().any(|w| w.verb == Verb::Submit && late(w)) && engine.withdraw(job) {
+                unsent.push(job);
+                return true;
+            }
+            for w in waiters.extract_if(.., |w| late(w)) {
                 w.answer(engine, job, Said::Unsure);
             }
             !waiters.is_empty()
         });
+        unsent.into_iter().for_each(|job| self.refuse(job));
     }
 
     /// Refuses all that wait for a job that was taken back.
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -14,6 +14,9 @@
 const MEMBERS_AT_FULL_PACE: usize = 50;
 /// They are at most so many times rarer: a member has to be missed in time.
 const RAREST: usize = 5;
+/// Heartbeats name so many members, the first ones to take over: all of them would be some
+/// megabytes a second in a large cell.
+const TOLD: usize = 8;
 /// A member that was not heard for so many heartbeats gets no work.
 const SILENT_BEATS: u64 = 9;
 /// A member that the store has answered within this time is served by it.
@@ -135,7 +138,8 @@
     /// Sends a heartbeat to every member.
     pub fn send_heartbeats(&mut self, config: u64) {
         self.sent = self.now;
-        let members = self.list.iter().filter(|m| !m.stopping).map(|m| m.address.to_string());
+        let members = self.list.iter().filter(|m| !m.stopping).take(TOLD);
+        let members = members.map(|m| m.address.to_string());
         let beat = Heartbeat {
             epoch: self.owner.epoch,
             members: members.collect(),
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -24,7 +24,8 @@
 const DRAIN: usize = 256;
 /// Longest time between two polls of the engine.
 const TICK: Duration = Duration::from_millis(10);
-/// A caller whose batch is under way for so long is told that its effect is not known.
+/// A caller who has waited for so long is told that its effect is not known, or that nothing
+/// was done if its job was not sent to the store yet.
 const ANSWER_WITHIN: Millis = Millis(1_200);
 /// Members are asked whether the store answers them once a batch hangs for so long.
 const PROBE_AFTER: Millis = Millis(300);
@@ -218,8 +219,8 @@
             reply.send(call.id, Said::NotOwner, 0);
             return;
         }
-        let stalled = self.batches.is_stalled(now);
-        self.waiters.take(&mut self.engine, call, reply, stalled, now);
+        let full = self.batches.is_stalled(now) || self.batches.is_behind(&self.engine);
+        self.waiters.take(&mut self.engine, call, reply, full, now);
     }
 
     /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
@@ -296,7 +297,7 @@
         self.log_decisions(now);
         self.refuse_unsent(now);
         self.batches.write_next(&mut self.engine, now);
-        self.waiters.give_up(&self.engine, now, ANSWER_WITHIN);
+        self.waiters.give_up(&mut self.engine, now, ANSWER_WITHIN);
         let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
         if self.members.tick(self.shared.clock.now(), self.shared.config_version(), lost) {
             self.engine.set_seats(&self.members.seats());
