Calls that no owner has taken are refused as not done, and earlier; a stopping owner waits for its last batch

It gave its last batch 0.4 s, handed over without the version of its row, and the next one read the row (0.4 s) and timed out writing it (0.8 s): 2.0 s without an owner. Meanwhile each call that was answered 'not the owner' counted as maybe done, was held for 2.5 s and ended 504. Now: 'not the owner' means that nothing was done; an owner that is deposed says so to those whose batch was under way; a call that nobody has taken is refused after 1.2 s with a time to come back; a stopping owner waits 1.2 s for its batch and writes none that nobody waits for; taking the partition may take 1.5 s. Tests: relay_tests (the first was Unsure before).

--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -121,7 +121,7 @@
     /// Sends all to the next owner.
     pub fn fail_all(&mut self) {
         for w in self.by_job.drain().flat_map(|(_, waiters)| waiters) {
-            w.reply.send(w.id, Said::NotOwner, 0);
+            w.reply.send(w.id, Said::Deposed, 0);
         }
     }
 }
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -29,6 +29,8 @@
 mod reach;
 mod registry;
 mod relay;
+#[cfg(test)]
+mod relay_tests;
 mod reload;
 mod shared;
 #[cfg(test)]
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -23,7 +23,7 @@
 /// Idle channels of callers are closed after this time.
 const CALLER_IDLE: Duration = Duration::from_secs(75);
 /// A stopping owner waits so long for its hand-over.
-const HAND_OVER: Duration = Duration::from_millis(900);
+const HAND_OVER: Duration = Duration::from_millis(1_600);
 /// A stopping process takes new channels for so long: the balancer asks every second, and
 /// stops sending after two refusals.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -134,8 +134,9 @@
 async fn end(shared: &Shared, stop: &channel::Sender<bool>) {
     log::info!("process.stopping");
     shared.stopping.store(true, Ordering::Relaxed);
+    let began = shared.clock.now();
     hand_over(shared).await;
-    sleep(LINGER).await;
+    sleep(LINGER.saturating_sub(shared.clock.now().since(began).duration())).await;
     // No new channels from here on, and the channels that are idle are closed.
     let _ = stop.send(true);
     answer_the_last(shared).await;
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -31,8 +31,9 @@
 const PROBE_AFTER: Millis = Millis(300);
 /// Members have joined a new owner after this time.
 const MEMBERS_JOIN: Millis = Millis(400);
-/// How long a stopping owner waits for its last batch.
-const FLUSH: Millis = Millis(400);
+/// How long a stopping owner waits for its last batch: without it the next one has to read the
+/// owner row first, and callers are told less. A slow store takes 0.9 s.
+const FLUSH: Millis = Millis(1_200);
 /// How often the owner's gauges and its line in the log are renewed.
 const VIEW_EVERY: Millis = Millis(2_000);
 
@@ -296,7 +297,10 @@
         self.orders = orders;
         self.log_decisions(now);
         self.refuse_unsent(now);
-        self.batches.write_next(&mut self.engine, now);
+        let last_sent = self.giving_up_since().is_some() && self.waiters.is_empty();
+        if !last_sent {
+            self.batches.write_next(&mut self.engine, now);
+        }
         self.waiters.give_up(&mut self.engine, now, ANSWER_WITHIN);
         let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
         if self.members.tick(self.shared.clock.now(), self.shared.config_version(), lost) {
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -14,6 +14,9 @@
 pub const OWNER_KEY: &str = "owner";
 /// Longest time for a call to the store that reads or writes few rows.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for the writing that takes the partition. A slow store takes 0.9 s; one that
+/// is given up may still be made, and others lose time by it.
+const TAKE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a call that failed.
 pub const RETRY: Duration = Duration::from_millis(120);
 
@@ -98,7 +101,7 @@
         put: vec![encode_owner(&info, 0)],
         remove: Vec::new(),
     };
-    match cx.shared.store.transact(TABLE, &cx.partition.part, &tx, CALL_TIMEOUT).await {
+    match cx.shared.store.transact(TABLE, &cx.partition.part, &tx, TAKE_TIMEOUT).await {
         Ok(TxOutcome::Made(_)) => {
             cx.shared.note_store();
             log::info!("owner.taken partition={} epoch={epoch} cause={cause}", cx.partition.number);
--- a/crates/hollowford-node/src/relay.rs
+++ b/crates/hollowford-node/src/relay.rs
@@ -13,6 +13,9 @@
 
 /// Pause before a call is sent again to an owner that can't serve it yet.
 const AGAIN: Millis = Millis(30);
+/// A call that no owner has taken for so long is refused as not done. A takeover or a hand-over
+/// is mostly faster.
+const UNSENT_WITHIN: Millis = Millis(1_200);
 /// Without an owner, and with a store that has not answered for so long, nobody can take over
 /// now: the call is refused at once.
 const NO_STORE: Millis = Millis(900);
@@ -78,9 +81,12 @@
 /// Every call is safe to send again: a job's id makes it one job.
 pub async fn relay(shared: &Shared, p: &Partition, call: Call, deadline: Millis) -> Relayed {
     let mut route = p.route.subscribe();
+    // A refusal that comes early lets the caller come back while its work is still wanted.
+    let unsent_until = deadline.min(shared.clock.now() + UNSENT_WITHIN);
     let mut sent = false;
     loop {
-        let left = deadline.since(shared.clock.now());
+        let until = if sent { deadline } else { unsent_until };
+        let left = until.since(shared.clock.now());
         if left == Millis(0) {
             return if sent { Relayed::Unsure } else { Relayed::NotSent };
         }
@@ -91,7 +97,8 @@
             next_owner(&mut route, left.min(NO_STORE)).await;
             continue;
         };
-        let Ok(answer) = timeout(left.duration(), rx).await else { return Relayed::Unsure };
+        let answered = deadline.since(shared.clock.now());
+        let Ok(answer) = timeout(answered.duration(), rx).await else { return Relayed::Unsure };
         let Ok(answer) = answer else {
             // The link has ended before the answer.
             sent = true;
@@ -99,7 +106,8 @@
             continue;
         };
         match answer.said() {
-            Said::NotOwner => {
+            Said::NotOwner => next_owner(&mut route, left.min(AGAIN)).await,
+            Said::Deposed => {
                 sent = true;
                 next_owner(&mut route, left.min(AGAIN)).await;
             }
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -231,12 +231,14 @@
     NoQueue = 2,
     /// Nothing was done; come back later.
     Unavailable = 3,
-    /// The sender doesn't own the partition, or no longer.
+    /// The sender doesn't own the partition, or no longer: it has done nothing.
     NotOwner = 4,
     /// The state or count that was asked for.
     Value = 5,
     /// It may take effect: the store has not answered.
     Unsure = 6,
+    /// The sender owned the partition and no longer does: what it did may stand.
+    Deposed = 7,
 }
 
 /// The owner's answer to a call.
