--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -133,7 +133,7 @@
     if slots.iter().map(|&(_, n)| u64::from(n)).sum::<u64>() < u64::from(spec.count) {
         return None;
     }
-    let left = |at: usize| pass.rooms[at].left_after(&need) + pass.rooms[at].slow_cost();
+    let left = |at: usize| pass.rooms[at].left_after(&need) + pass.rooms[at].risk_cost();
     slots.sort_unstable_by(|a, b| left(a.0).total_cmp(&left(b.0)));
     let mut open = spec.count;
     let mut out = Vec::new();
--- a/crates/hollowford-jobs/tests/attempts.rs
+++ b/crates/hollowford-jobs/tests/attempts.rs
@@ -82,3 +82,20 @@
     cell.run(4_000);
     assert_eq!(cell.state(1), Some(JobState::Completed));
 }
+
+#[test]
+fn a_gang_keeps_off_a_worker_whose_last_task_has_failed() {
+    let mut cell = Cell::new(3);
+    // The first task goes to one of them, which fails it and all that comes.
+    cell.submit(1, LARGE, job(vec![step(1, 1_000, 50)]));
+    cell.run(20);
+    cell.workers.iter_mut().for_each(|w| w.failing = w.starts > 0);
+    cell.run(400);
+    assert_eq!(cell.workers.iter().filter(|w| w.failing).count(), 1, "one has failed a task");
+    let gang = StepSpec { gang: true, ..step(2, 9_000, 200) };
+    cell.submit(9, LARGE, job(vec![gang]));
+    cell.run(400);
+    assert_eq!(cell.state(9), Some(JobState::Completed));
+    let failing = cell.workers.iter().find(|w| w.failing).map(|w| w.starts);
+    assert_eq!(failing, Some(1), "nothing more was begun there");
+}
--- a/crates/hollowford/tests/documents.rs
+++ b/crates/hollowford/tests/documents.rs
@@ -55,7 +55,7 @@
 #[test]
 fn every_metric_of_the_platform_process_is_on_the_operators_page() {
     let source = page("crates/hollowford-node/src/metrics.rs");
-    let makers = ["counters(\"", "counter(\"", "gauge(\"", "seconds(\""];
+    let makers = ["counters(\"", "counter(\"", "gauges(\"", "gauge(\"", "seconds(\""];
     let name = |line: &str| {
         let rest = makers.iter().find_map(|m| line.split(m).nth(1))?;
         Some(rest.split('"').next()?.to_owned())
