--- a/crates/hollowford-jobs/src/choose.rs
+++ b/crates/hollowford-jobs/src/choose.rs
@@ -8,9 +8,6 @@
 
 /// What a worker that takes twice as long costs in the choice.
 const SLOW_COST: f32 = 1.0;
-/// What a worker costs whose last task has failed. It may fail all that it starts, and one
-/// failure ends a whole gang.
-const SUSPECT_COST: f32 = 1.0;
 /// What a worker off the data's rack costs in the choice, against a full worker's 2.0.
 const FAR_COST: f32 = 4.0;
 
@@ -28,8 +25,6 @@
     pub reserved_until: Millis,
     /// See [`Worker::slowness`].
     pub slowness: f32,
-    /// The last task to end there has failed.
-    pub suspect: bool,
 }
 
 impl Room {
@@ -43,7 +38,6 @@
             reserved: Resources::default(),
             reserved_until: Millis(0),
             slowness: w.slowness,
-            suspect: w.health.is_suspect(),
         }
     }
 
@@ -77,13 +71,12 @@
     /// Returns the cost of placing one task here; the least is taken.
     pub fn cost(&self, spec: &StepSpec) -> f32 {
         let far = if self.is_far(spec) { FAR_COST } else { 0.0 };
-        self.left_after(&spec.room()) + far + self.risk_cost()
+        self.left_after(&spec.room()) + far + self.slow_cost()
     }
 
-    /// Returns what the worker's slowness and last failure cost in the choice.
-    pub fn risk_cost(&self) -> f32 {
-        let suspect = if self.suspect { SUSPECT_COST } else { 0.0 };
-        (self.slowness - 1.0).max(0.0) * SLOW_COST + suspect
+    /// Returns what the worker's slowness costs in the choice.
+    pub fn slow_cost(&self) -> f32 {
+        (self.slowness - 1.0).max(0.0) * SLOW_COST
     }
 
     fn is_far(&self, spec: &StepSpec) -> bool {
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -192,7 +192,6 @@
         let most = self.max_attempts(key.step.job);
         let Some(step) = self.jobs.step_mut(key.step) else { return };
         let failures = if spec.gang {
-            step.gang_avoids.push(idx);
             count_failure(&mut step.gang_failed, run)
         } else {
             let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -8,10 +8,6 @@
 use crate::spec::StepSpec;
 use crate::workers::{Placement, WorkerIdx};
 
-/// What a worker costs on which a member of the same gang has failed, against an empty one's
-/// 2.0.
-const FAILED_COST: f32 = 8.0;
-
 /// How many members go to each room, by position in the pass.
 type Seating = Vec<(usize, u32)>;
 
@@ -75,18 +71,17 @@
         let fits = |&at: &usize| need.fits(&pass.rooms[at].free);
         let usable = |at: &usize| fits(at) && self.allowed(&pass.rooms[*at], gang);
         let rooms: Vec<usize> = rooms.iter().copied().filter(usable).collect();
-        let avoids = self.jobs.step(gang.key).map_or(&[][..], |s| &s.gang_avoids);
         if spec.one_rack {
             let racks = pass.racks();
             let in_rack = |rack| {
                 let of = |&at: &usize| pass.rooms[at].rack.as_ref() == Some(rack);
-                seat(pass, spec, avoids, rooms.iter().copied().filter(of).collect())
+                seat(pass, spec, rooms.iter().copied().filter(of).collect())
             };
             if let Some(seating) = racks.iter().find_map(in_rack) {
                 return Some(seating);
             }
         }
-        seat(pass, spec, avoids, rooms)
+        seat(pass, spec, rooms)
     }
 
     /// Returns the workers to ask about for a gang: all of the pool at first, then those of
@@ -128,8 +123,8 @@
     (!workers.is_empty()).then_some(workers)
 }
 
-/// Seats all members in the given rooms: the fullest first, and where a member has failed last.
-fn seat(pass: &Pass, spec: &StepSpec, avoids: &[WorkerIdx], rooms: Vec<usize>) -> Option<Seating> {
+/// Seats all members in the given rooms, the fullest rooms first.
+fn seat(pass: &Pass, spec: &StepSpec, rooms: Vec<usize>) -> Option<Seating> {
     let need = spec.room();
     let limit = if spec.spread > 0 { spec.spread } else { u32::MAX };
     let mut slots: Vec<_> =
@@ -138,12 +133,8 @@
     if slots.iter().map(|&(_, n)| u64::from(n)).sum::<u64>() < u64::from(spec.count) {
         return None;
     }
-    let cost = |at: usize| {
-        let room = &pass.rooms[at];
-        let failed = if avoids.contains(&room.idx) { FAILED_COST } else { 0.0 };
-        room.left_after(&need) + room.risk_cost() + failed
-    };
-    slots.sort_unstable_by(|a, b| cost(a.0).total_cmp(&cost(b.0)));
+    let left = |at: usize| pass.rooms[at].left_after(&need) + pass.rooms[at].slow_cost();
+    slots.sort_unstable_by(|a, b| left(a.0).total_cmp(&left(b.0)));
     let mut open = spec.count;
     let mut out = Vec::new();
     for (at, n) in slots {
--- a/crates/hollowford-jobs/src/health.rs
+++ b/crates/hollowford-jobs/src/health.rs
@@ -32,11 +32,6 @@
         self.aside_until.is_some_and(|until| until <= now)
     }
 
-    /// Tells whether the last task to end here has failed.
-    pub fn is_suspect(&self) -> bool {
-        !self.failed.is_empty()
-    }
-
     /// Tells whether the worker is paused or put aside at `now`.
     pub fn is_aside(&self, now: Millis) -> bool {
         !self.ok(now)
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -67,8 +67,6 @@
     pub left: u32,
     /// Runs of the gang that failed.
     pub gang_failed: Vec<u32>,
-    /// Workers on which a member of the gang has failed.
-    pub gang_avoids: Vec<WorkerIdx>,
     pub advice: StepAdvice,
     /// When the current run of the gang was started.
     pub gang_since: Millis,
@@ -82,7 +80,6 @@
             tasks: vec![Task::default(); spec.count as usize],
             left: spec.count,
             gang_failed: Vec::new(),
-            gang_avoids: Vec::new(),
             advice: StepAdvice::default(),
             gang_since: Millis(0),
             regroup: false,
