--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -20,8 +20,11 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a failure.
 const RETRY: Duration = Duration::from_millis(200);
-/// The list is read whole at least so often.
+/// The list is read whole so often while workers are few: a feed may go silent.
 const READ_EVERY: Millis = Millis(2_000);
+/// With many workers it is read more rarely, so that all owners together don't take megabytes
+/// a second: a row has some 600 bytes. A feed whose history is lost says so.
+const READ_EVERY_FOR_EACH: Millis = Millis(4);
 /// After the store was away, entries that lapsed meanwhile are back within 2 s.
 const TRUST_MISSING_AFTER: Millis = Millis(2_500);
 /// The store counts as having been away when it did not answer for so long.
@@ -73,7 +76,7 @@
     /// Waits for a change, or reads the whole list. Tells whether something changed.
     async fn next(&mut self, shared: &Shared) -> Result<bool, StoreError> {
         let now = shared.clock.now();
-        if self.version == 0 || now.since(self.read_at) >= READ_EVERY {
+        if self.version == 0 || now.since(self.read_at) >= self.read_every() {
             let feed = shared.store.read_all(REGISTRY_TABLE, "", READ_TIMEOUT).await?;
             self.note_answer(shared);
             self.version = feed.version;
@@ -96,6 +99,11 @@
         }
     }
 
+    /// Returns the longest time between two readings of the whole list.
+    fn read_every(&self) -> Millis {
+        READ_EVERY.max(Millis(READ_EVERY_FOR_EACH.0 * self.rows.len() as u64))
+    }
+
     fn note_answer(&mut self, shared: &Shared) {
         shared.note_store();
         let now = shared.clock.now();
