--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -21,8 +21,9 @@
 const BUSY_DELAY: Duration = Duration::from_millis(150);
 /// An instance of less than this part of the last owner's, in percent, is small.
 const SMALL_PERCENT: u32 = 70;
-/// A small one that knows of no others waits for a larger one, which may just be starting.
-const SMALL_DELAY: Duration = Duration::from_millis(250);
+/// A small one that knows of no others waits for a larger one, which may just be starting, or
+/// be waiting for an answer of the owner's address (0.5 s and two looks at the row).
+const SMALL_DELAY: Duration = Duration::from_millis(700);
 /// Between two looks at the row of a silent owner that may be alive.
 const ALIVE_CHECK: Duration = Duration::from_millis(120);
 
