--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -9,10 +9,6 @@
 /// An answer later than this multiple of the objective is worth nothing (RULES).
 const WORTHLESS_AFTER: u64 = 3;
 
-/// A step whose latest start is further away than this can wait. In the grown deployments a
-/// large gang that is late finds its place within some seconds if it goes first.
-const CAN_WAIT: Millis = Millis(5_000);
-
 /// How urgent a step is. Smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Urgency {
@@ -21,14 +17,12 @@
     latest_start: Millis,
 }
 
-/// Of those in time the first priority goes before all others. What is late already goes
-/// before what can wait: that loses nothing by it.
+/// In time before late, and of those in time the first priority before all others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
     First,
     InTime,
     Late,
-    CanWait,
     Worthless,
 }
 
@@ -108,8 +102,6 @@
         Rank::Late
     } else if queue.priority == 0 {
         Rank::First
-    } else if latest_start.since(now) > CAN_WAIT {
-        Rank::CanWait
     } else {
         Rank::InTime
     };
