Giving a partition up has a file of its own

The owner's file had a second job: whether the partition is given up, since when and why, and when it is handed over. Only that code read three of the owner's fields and two of its constants. It stands beside the reach check now, which ends an owner in the same way. No behaviour changes.

--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod calls;
 mod front;
+mod giving_up;
 mod homes;
 #[cfg(test)]
 mod homes_tests;
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -3,6 +3,7 @@
 use crate::batches::Batches;
 use crate::callers::Waiters;
 use crate::calls::{advise_here, call_worker};
+use crate::giving_up::GivingUp;
 use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
 use crate::logs::DecisionLog;
 use crate::members::{LinkId, Members};
@@ -17,7 +18,7 @@
 use hollowford_jobs::{Engine, Order, WorkerCall};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 /// Messages taken before the engine is polled.
@@ -29,11 +30,6 @@
 const ANSWER_WITHIN: Millis = Millis(1_200);
 /// Members are asked whether the store answers them once a batch hangs for so long.
 const PROBE_AFTER: Millis = Millis(300);
-/// Members have joined a new owner after this time.
-const MEMBERS_JOIN: Millis = Millis(400);
-/// How long a stopping owner waits for its last batch: without it the next one has to read the
-/// owner row first, and callers are told less. A slow store takes 0.9 s.
-const FLUSH: Millis = Millis(1_200);
 /// How often the owner's gauges and its line in the log are renewed.
 const VIEW_EVERY: Millis = Millis(2_000);
 
@@ -82,12 +78,7 @@
     settings: watch::Receiver<NodeSettings>,
     /// When the gauges were renewed last.
     viewed: Millis,
-    /// Who waits for the partition to be handed over, and since when.
-    stop: Option<(oneshot::Sender<()>, Millis)>,
-    /// When this owner began, by the process's clock.
-    began: Millis,
-    /// Since when the partition is being given to a larger instance.
-    moving: Option<Millis>,
+    giving_up: GivingUp,
     end: Option<OwnerEnd>,
 }
 
@@ -96,7 +87,7 @@
     pub fn new(cx: Cx, start: Start, workers: WorkerClient, handle: OwnerHandle) -> Owner {
         let Start { info, rev, engine, offset } = start;
         let (shared, part) = (cx.shared.clone(), cx.partition.part.clone());
-        let began = shared.clock.now();
+        let giving_up = GivingUp::new(shared.clone(), info.epoch);
         let batches = Batches::new(shared.clone(), info.clone(), part, rev, handle.clone());
         Owner {
             members: Members::new(info.clone(), shared.partition_count()),
@@ -115,9 +106,7 @@
             batches,
             config: 0,
             viewed: Millis(0),
-            stop: None,
-            began,
-            moving: None,
+            giving_up,
             end: None,
         }
     }
@@ -153,10 +142,7 @@
             }
         }
         self.waiters.fail_all();
-        if let Some((done, _)) = self.stop.take() {
-            // The stopping process may have given up waiting.
-            let _ = done.send(());
-        }
+        self.giving_up.tell_ended();
         self.end.unwrap_or(OwnerEnd::GaveUp)
     }
 
@@ -182,10 +168,7 @@
                 self.members_changed();
             }
             OwnerMsg::Beat(link, beat) => self.take_beat(link, &beat),
-            OwnerMsg::Stop(done) => {
-                log::info!("owner.stopping epoch={}", self.info.epoch);
-                self.stop = Some((done, self.shared.clock.now()));
-            }
+            OwnerMsg::Stop(done) => self.giving_up.stop(done),
         }
     }
 
@@ -216,7 +199,7 @@
         if call.config > self.shared.config_version() {
             self.shared.config_wanted.notify_one();
         }
-        if self.giving_up_since().is_some() {
+        if self.giving_up.since().is_some() {
             reply.send(call.id, Said::NotOwner, 0);
             return;
         }
@@ -297,7 +280,7 @@
         self.orders = orders;
         self.log_decisions(now);
         self.refuse_unsent(now);
-        let last_sent = self.giving_up_since().is_some() && self.waiters.is_empty();
+        let last_sent = self.giving_up.since().is_some() && self.waiters.is_empty();
         if !last_sent {
             self.batches.write_next(&mut self.engine, now);
         }
@@ -309,8 +292,11 @@
         if let Some(end) = self.reach.check(&self.batches, &self.members, now) {
             self.end = Some(end);
         }
-        self.check_size();
-        self.check_stop();
+        self.giving_up.check_size(&self.members);
+        let end = self.giving_up.hand_over_if_due(&self.batches, &self.waiters, &self.members);
+        if let Some(end) = end {
+            self.end = Some(end);
+        }
         self.renew_view(now);
     }
 
@@ -360,36 +346,6 @@
         }
     }
 
-    /// Returns since when the partition is being handed over.
-    fn giving_up_since(&self) -> Option<Millis> {
-        self.stop.as_ref().map(|(_, since)| *since).or(self.moving)
-    }
-
-    /// Gives the partition to a much larger instance, where there is one: the first that
-    /// comes may be too small for the owner's work.
-    fn check_size(&mut self) {
-        let now = self.shared.clock.now();
-        let settled = now.since(self.began) >= MEMBERS_JOIN;
-        let own = self.shared.cpu_milli() / self.shared.owned_count().max(1);
-        if self.giving_up_since().is_none() && settled && self.members.any_larger_than(own) {
-            log::info!("owner.moving epoch={} cause=larger_member share={own}", self.info.epoch);
-            self.moving = Some(now);
-        }
-    }
-
-    /// Hands over to a member once that is wanted and everything is written.
-    fn check_stop(&mut self) {
-        let Some(since) = self.giving_up_since() else { return };
-        let waited = self.shared.clock.now().since(since);
-        let flushed = self.batches.is_idle() && self.waiters.is_empty();
-        if flushed || waited >= FLUSH {
-            let rev = self.batches.settled_rev().unwrap_or(0);
-            let to = self.members.hand_over(rev, self.moving.is_some());
-            log::info!("owner.handed_over epoch={} to={to:?} flushed={flushed}", self.info.epoch);
-            self.end = Some(OwnerEnd::HandedOver);
-        }
-    }
-
     fn renew_view(&mut self, now: Millis) {
         if now.since(self.viewed) < VIEW_EVERY {
             return;
