The log of decisions writes its lines itself

The owner knew how the log counts what it leaves out. It hands over what was decided now, and the limit, the count and the line that tells it stand together in logs.rs. No behaviour changes.

--- a/crates/hollowford-node/src/logs.rs
+++ b/crates/hollowford-node/src/logs.rs
@@ -6,6 +6,7 @@
 
 use env_logger::{Builder, Env, Target};
 use hollowford_core::Millis;
+use std::fmt::Display;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -107,6 +108,19 @@
         DecisionLog { limit, second: Millis(0), written: 0, left_out: 0 }
     }
 
+    /// Writes what was decided, one line each, as far as the limit allows.
+    pub fn write(&mut self, decisions: &[impl Display], now: Millis) {
+        let left_out = self.take_left_out(now);
+        if left_out > 0 {
+            log::warn!("log.left_out lines={left_out}");
+        }
+        for decision in decisions {
+            if self.admit(now) {
+                log::info!("{decision}");
+            }
+        }
+    }
+
     /// Tells whether a line may be written at `now`, and counts it.
     pub fn admit(&mut self, now: Millis) -> bool {
         if now.since(self.second) >= Millis(1_000) {
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -278,7 +278,7 @@
             self.carry_out(order, now);
         }
         self.orders = orders;
-        self.log_decisions(now);
+        self.decisions.write(&self.engine.take_notes(), now);
         self.refuse_unsent(now);
         let last_sent = self.giving_up.since().is_some() && self.waiters.is_empty();
         if !last_sent {
@@ -314,19 +314,6 @@
         }
     }
 
-    /// Writes what was decided to the log, as far as its limit allows.
-    fn log_decisions(&mut self, now: Millis) {
-        let left_out = self.decisions.take_left_out(now);
-        if left_out > 0 {
-            log::warn!("log.left_out lines={left_out}");
-        }
-        for note in self.engine.take_notes() {
-            if self.decisions.admit(now) {
-                log::info!("{note}");
-            }
-        }
-    }
-
     fn carry_out(&self, order: Order, now: Millis) {
         match order {
             Order::Worker(call) => {
