--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -10,13 +10,11 @@
 use crate::partition::Cx;
 use crate::reach::Reach;
 use crate::registry;
-use crate::shared::Shared;
 use crate::wire::{Call, MemberBeat, OwnerInfo, Said};
 use crate::writer::Written;
 use hollowford_adapter::{Called, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
 use hollowford_jobs::{Engine, Order, WorkerCall};
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -59,7 +57,6 @@
 /// The owner.
 pub struct Owner {
     cx: Cx,
-    shared: Arc<Shared>,
     info: OwnerInfo,
     engine: Engine,
     /// The engine's time less the process's.
@@ -86,7 +83,7 @@
     /// Makes an owner.
     pub fn new(cx: Cx, start: Start, workers: WorkerClient, handle: OwnerHandle) -> Owner {
         let Start { info, rev, engine, offset } = start;
-        let (shared, part) = (cx.shared.clone(), cx.partition.part.clone());
+        let (shared, part) = (&cx.shared, cx.partition.part.clone());
         let giving_up = GivingUp::new(shared.clone(), info.epoch);
         let batches = Batches::new(shared.clone(), info.clone(), part, rev, handle.clone());
         Owner {
@@ -94,7 +91,6 @@
             reach: Reach::new(shared.clone(), info.epoch),
             settings: shared.settings_changed.subscribe(),
             cx,
-            shared,
             info,
             engine,
             offset,
@@ -113,7 +109,7 @@
 
     /// Returns the engine's time.
     fn now(&self) -> Millis {
-        Millis((self.shared.clock.now().0 as i64 + self.offset).max(0) as u64)
+        Millis((self.cx.shared.clock.now().0 as i64 + self.offset).max(0) as u64)
     }
 
     /// Owns the partition until it is lost or given up.
@@ -159,7 +155,7 @@
             OwnerMsg::Joined(link, hello, outbox) => {
                 let (address, age) = (&hello.address, hello.age_ms);
                 log::info!("member.joined link={link} address={address} age_ms={age}");
-                self.members.join(link, hello, outbox, self.shared.clock.now());
+                self.members.join(link, hello, outbox, self.cx.shared.clock.now());
                 self.members_changed();
             }
             OwnerMsg::Left(link) => {
@@ -174,18 +170,18 @@
 
     fn members_changed(&mut self) {
         self.engine.set_seats(&self.members.seats());
-        self.members.send_heartbeats(self.shared.config_version());
+        self.members.send_heartbeats(self.cx.shared.config_version());
     }
 
     fn take_beat(&mut self, link: LinkId, beat: &MemberBeat) {
-        let heard = self.shared.clock.now();
+        let heard = self.cx.shared.clock.now();
         self.reach.member_heard(heard);
         self.members.beat(link, beat, heard);
-        let version = self.shared.config_version();
+        let version = self.cx.shared.config_version();
         if beat.config > version {
-            self.shared.config_wanted.notify_one();
+            self.cx.shared.config_wanted.notify_one();
         } else if beat.config < version
-            && let Some(row) = self.shared.config_row()
+            && let Some(row) = self.cx.shared.config_row()
         {
             self.members.send_config(link, &row);
         }
@@ -196,8 +192,8 @@
     }
 
     fn take_call(&mut self, call: Call, reply: Reply, now: Millis) {
-        if call.config > self.shared.config_version() {
-            self.shared.config_wanted.notify_one();
+        if call.config > self.cx.shared.config_version() {
+            self.cx.shared.config_wanted.notify_one();
         }
         if self.giving_up.since().is_some() {
             reply.send(call.id, Said::NotOwner, 0);
@@ -286,7 +282,7 @@
         }
         self.waiters.give_up(&mut self.engine, now, ANSWER_WITHIN);
         let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
-        if self.members.tick(self.shared.clock.now(), self.shared.config_version(), lost) {
+        if self.members.tick(self.cx.shared.clock.now(), self.cx.shared.config_version(), lost) {
             self.engine.set_seats(&self.members.seats());
         }
         if let Some(end) = self.reach.check(&self.batches, &self.members, now) {
@@ -305,9 +301,9 @@
             let bounds = self.settings.borrow_and_update().bounds;
             self.engine.set_bounds(bounds);
         }
-        let version = self.shared.config_version();
+        let version = self.cx.shared.config_version();
         if version != self.config
-            && let Some(config) = self.shared.config.load_full()
+            && let Some(config) = self.cx.shared.config.load_full()
         {
             self.config = version;
             self.engine.set_queues(&config.queues);
@@ -317,14 +313,14 @@
     fn carry_out(&self, order: Order, now: Millis) {
         match order {
             Order::Worker(call) => {
-                let (shared, workers) = (self.shared.clone(), self.workers.clone());
+                let (shared, workers) = (self.cx.shared.clone(), self.workers.clone());
                 tokio::spawn(call_worker(shared, workers, call, now, self.handle.clone()));
             }
             Order::Advice { seat, step, workers } => {
                 let Some(seat) = self.engine.seat(seat).cloned() else { return };
                 let ids: Vec<String> = workers.iter().map(|w| w.as_str().to_owned()).collect();
                 if seat.address.is_empty() {
-                    let (shared, handle) = (self.shared.clone(), self.handle.clone());
+                    let (shared, handle) = (self.cx.shared.clone(), self.handle.clone());
                     tokio::spawn(advise_here(shared, seat, step, ids, handle));
                 } else if !self.members.ask(&seat.address, step, ids) {
                     log::debug!("advice.not_sent seat={} step={step}", seat.address);
@@ -339,7 +335,7 @@
         }
         self.viewed = now;
         let view = self.engine.view(now);
-        let (metrics, part) = (&self.shared.metrics, [self.cx.partition.part.as_str()]);
+        let (metrics, part) = (&self.cx.shared.metrics, [self.cx.partition.part.as_str()]);
         metrics.open_jobs.with_label_values(&part).set(view.open_jobs as i64);
         metrics.usable_workers.with_label_values(&part).set(view.usable_workers as i64);
         log::info!("owner.view partition={} {view}", self.info.partition);
