A free seat is found without two lists for each question

free_for() made a list of the seats that have rested and one of all, for every step that may need advice in a pass. It counts and filters the places instead; the rule for slow calls has a name now. No behaviour changes.

--- a/crates/hollowford-jobs/src/seats.rs
+++ b/crates/hollowford-jobs/src/seats.rs
@@ -63,6 +63,11 @@
         Place { seat, call: None, failures: 0, rests_until: Millis(0) }
     }
 
+    /// Tells whether it may get a call though others could take it.
+    fn has_rested(&self, now: Millis) -> bool {
+        self.rests_until <= now
+    }
+
     fn is_slow(&self) -> bool {
         self.call.as_ref().is_some_and(|c| c.slow)
     }
@@ -95,24 +100,29 @@
 
     /// Returns the seat for a call of the given time, if one is free for it.
     fn free_for(&self, ms: f64, now: Millis) -> Option<usize> {
-        let rested: Vec<usize> =
-            (0..self.list.len()).filter(|&i| self.list[i].rests_until <= now).collect();
-        let all: Vec<usize> = (0..self.list.len()).collect();
-        let seats = if rested.is_empty() { all } else { rested };
-        let n = seats.len();
+        let rested = self.list.iter().filter(|p| p.has_rested(now)).count();
+        // While all seats rest, each may take a call.
+        let all_rest = rested == 0;
+        let n = if all_rest { self.list.len() } else { rested };
         let quick = if n < 2 { 0 } else { n.div_ceil(SEATS_FOR_ONE_QUICK) };
-        let free = |i: &usize| self.list[*i].call.is_none();
+        let places = self.list.iter().enumerate();
+        let mut seats = places.filter(|(_, p)| all_rest || p.has_rested(now));
+        let free = |(_, p): &(usize, &Place)| p.call.is_none();
         if ms <= QUICK_CALL_MS {
-            return seats.into_iter().find(free);
+            return seats.find(free).map(|(at, _)| at);
         }
-        if ms > SLOW_CALL_MS {
-            let busy = self.list.iter().filter(|p| p.is_slow()).count();
-            // One seat is left to the calls between quick and slow.
-            if busy + 1 >= n - quick && n - quick > 1 {
-                return None;
-            }
+        if ms > SLOW_CALL_MS && !self.may_be_slow(n - quick) {
+            return None;
         }
-        seats.into_iter().skip(quick).rev().find(free)
+        // The last ones first, since quick calls take the first ones.
+        seats.skip(quick).filter(free).last().map(|(at, _)| at)
+    }
+
+    /// Tells whether one more of so many seats for longer calls may take a slow one: one is
+    /// left to the calls between quick and slow.
+    fn may_be_slow(&self, seats: usize) -> bool {
+        let busy = self.list.iter().filter(|p| p.is_slow()).count();
+        busy + 1 < seats || seats <= 1
     }
 }
 
