The addresses of a soak's cell stand together

start_node() had five parameters, of which two were arrays that only it took apart: the network's bytes and the three ports. They are a Net now, which also knows a process's settings. The draws from the seed come in the same order. No behaviour changes.

--- a/crates/hollowford-soak/src/cell.rs
+++ b/crates/hollowford-soak/src/cell.rs
@@ -1,12 +1,13 @@
 //! A cell: the stand-in of the platform, its workers, the processes, and proxies between them.
 
 use crate::SoakError;
+use crate::net::Net;
 use crate::process::Process;
 use crate::proxy::Proxy;
-use hollowford_adapter_standin::speech::{self, Process as Settings};
+use hollowford_adapter_standin::speech;
 use hollowford_adapter_standin::{Platform, WorkerClock};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use tempfile::TempDir;
 
@@ -65,14 +66,8 @@
     dir: TempDir,
 }
 
-/// Finds a port that is free on the loopback interface.
-fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
-}
-
 impl Cell {
-    /// Starts a cell. Its processes have addresses of their own in the loopback range, drawn
-    /// from `rng`, and share their ports.
+    /// Starts a cell. Its workers' clocks and its processes' addresses are drawn from `rng`.
     ///
     /// # Errors
     /// When a port, a file or a process can't be had.
@@ -89,10 +84,9 @@
         for _ in 0..size.workers {
             cell.add_worker(rng).await?;
         }
-        let net = [127, rng.u8(1..), rng.u8(..), 0];
-        let ports = [free_port()?, free_port()?, free_port()?];
+        let net = Net::draw(rng)?;
         for i in 0..size.nodes {
-            let node = cell.start_node(program, size.workers_each, net, ports, i).await?;
+            let node = cell.start_node(program, size.workers_each, &net, i).await?;
             cell.nodes.push(node);
         }
         Ok(cell)
@@ -102,31 +96,19 @@
         &self,
         program: &Path,
         workers_each: usize,
-        net: [u8; 4],
-        [callers, readiness, peers]: [u16; 3],
+        net: &Net,
         i: usize,
     ) -> Result<Node, SoakError> {
-        let ip = |i: usize| Ipv4Addr::new(net[0], net[1], net[2], i as u8 + 1);
         let store = Proxy::open(self.platform.addr()).await?;
-        let name = format!("n{i}");
-        let seeds = vec![ip(0), ip(1)];
-        let settings = Settings {
-            name: name.clone(),
-            ip: ip(i),
-            callers,
-            readiness,
-            peers,
-            cpu_share: 0.25,
-            seeds,
-        };
+        let settings = net.settings(i);
         let text = speech::settings(&settings, self.platform.addr(), store.addr);
-        let file = self.dir.path().join(format!("{name}.toml"));
+        let file = self.dir.path().join(format!("{}.toml", settings.name));
         std::fs::write(&file, text)?;
         let process = Process::start(program, &file, &self.log_path(i), workers_each)?;
         Ok(Node {
             process,
-            readiness: SocketAddr::from((ip(i), readiness)),
-            callers: Proxy::open(SocketAddr::from((ip(i), callers))).await?,
+            readiness: SocketAddr::from((settings.ip, settings.readiness)),
+            callers: Proxy::open(SocketAddr::from((settings.ip, settings.callers))).await?,
             store,
         })
     }
--- a/crates/hollowford-soak/src/lib.rs
+++ b/crates/hollowford-soak/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod cell;
 pub mod judge;
+mod net;
 pub mod process;
 pub mod proxy;
 pub mod run;
--- /dev/null
+++ b/crates/hollowford-soak/src/net.rs
@@ -0,0 +1,49 @@
+//! Where the processes of a cell are reached, and the settings that say so.
+
+use hollowford_adapter_standin::speech::Process as Settings;
+use std::io;
+use std::net::{Ipv4Addr, TcpListener};
+
+/// Cores of each process, as the instances of the measured deployments have (docs/PLATFORM.md).
+const CPU_SHARE: f64 = 0.25;
+
+/// The addresses of a cell's processes: each has one of its own in the loopback range, and all
+/// share their ports.
+pub(crate) struct Net {
+    /// The part of the addresses that they share.
+    prefix: [u8; 3],
+    callers: u16,
+    readiness: u16,
+    peers: u16,
+}
+
+impl Net {
+    /// Draws the addresses, and finds ports that are free.
+    pub fn draw(rng: &mut fastrand::Rng) -> io::Result<Net> {
+        let prefix = [127, rng.u8(1..), rng.u8(..)];
+        Ok(Net { prefix, callers: free_port()?, readiness: free_port()?, peers: free_port()? })
+    }
+
+    fn ip(&self, node: usize) -> Ipv4Addr {
+        let [a, b, c] = self.prefix;
+        Ipv4Addr::new(a, b, c, node as u8 + 1)
+    }
+
+    /// Returns the settings of a process.
+    pub fn settings(&self, node: usize) -> Settings {
+        Settings {
+            name: format!("n{node}"),
+            ip: self.ip(node),
+            callers: self.callers,
+            readiness: self.readiness,
+            peers: self.peers,
+            cpu_share: CPU_SHARE,
+            seeds: vec![self.ip(0), self.ip(1)],
+        }
+    }
+}
+
+/// Finds a port that is free on the loopback interface.
+fn free_port() -> io::Result<u16> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
