The judge asks for a job in a function of its own

await_ends() did three things and looked at the status of a forgotten job twice, to end the wait for it in both branches. The status has one name for callers and judge. No behaviour changes.

--- a/crates/hollowford-soak/src/callers.rs
+++ b/crates/hollowford-soak/src/callers.rs
@@ -24,6 +24,9 @@
 /// One job in so many is cancelled.
 const CANCELLED: u32 = 8;
 
+/// Status of the answer about a job that is not known any more.
+pub(crate) const FORGOTTEN: u16 = 410;
+
 /// What one caller knows of a job.
 #[derive(Clone, Debug, Default)]
 pub struct Told {
@@ -194,7 +197,7 @@
 pub fn judge_answer(book: &mut Book, id: u64, status: u16, state: &str) -> bool {
     let Some(told) = book.jobs.get_mut(&id) else { return true };
     let wrong = match (status, state) {
-        (410, _) => Some("is not known any more"),
+        (FORGOTTEN, _) => Some("is not known any more"),
         (200, "failed") => Some("is told to have failed"),
         (200, "cancelled") if !told.cancelling => Some("is cancelled though nobody asked"),
         (200, "completed") => None,
--- a/crates/hollowford-soak/src/judge.rs
+++ b/crates/hollowford-soak/src/judge.rs
@@ -1,6 +1,6 @@
 //! The promises, checked from what callers and workers have seen.
 
-use crate::callers::{Book, SharedBook, call, judge_answer, lock};
+use crate::callers::{Book, FORGOTTEN, SharedBook, call, judge_answer, lock};
 use crate::cell::{Cell, version_prefix};
 use reqwest::{Client, Method};
 use serde_json::Value;
@@ -75,9 +75,6 @@
 /// Waits until every job that was taken has ended, and returns those that don't.
 pub async fn await_ends(book: &SharedBook, nodes: &[SocketAddr], client: &Client) -> Vec<String> {
     let began = Instant::now();
-    let taken = |b: &Book| -> Vec<(u64, &'static str)> {
-        b.jobs.iter().filter(|(_, t)| t.accepted).map(|(id, t)| (*id, t.queue)).collect()
-    };
     let mut open = taken(&lock(book));
     let mut asked = 0;
     while !open.is_empty() && began.elapsed() < PATIENCE {
@@ -85,12 +82,8 @@
         for (id, queue) in open {
             asked += 1;
             let url = format!("http://{}{queue}{id:016x}", nodes[asked % nodes.len()]);
-            let (status, body) = call(client, Method::GET, &url, &Value::Null).await;
-            let state = body["state"].as_str().unwrap_or("");
-            if status != 410 && !judge_answer(&mut lock(book), id, status, state) {
+            if goes_on(book, client, &url, id).await {
                 left.push((id, queue));
-            } else if status == 410 {
-                judge_answer(&mut lock(book), id, status, state);
             }
         }
         open = left;
@@ -99,6 +92,21 @@
     open.iter().map(|(id, _)| format!("job {id:016x} was taken and doesn't end")).collect()
 }
 
+/// Returns the jobs that were taken, with the prefixes of their queues.
+fn taken(book: &Book) -> Vec<(u64, &'static str)> {
+    let taken = book.jobs.iter().filter(|(_, told)| told.accepted);
+    taken.map(|(id, told)| (*id, told.queue)).collect()
+}
+
+/// Asks for a job and judges the answer. Tells whether the job may still end.
+async fn goes_on(book: &SharedBook, client: &Client, url: &str, id: u64) -> bool {
+    let (status, body) = call(client, Method::GET, url, &Value::Null).await;
+    let state = body["state"].as_str().unwrap_or("");
+    let ended = judge_answer(&mut lock(book), id, status, state);
+    // Of a job that is not known any more no end will be told.
+    !ended && status != FORGOTTEN
+}
+
 /// Returns what is wrong with the tasks that were begun, by what callers were told.
 pub fn judge_starts(cell: &Cell, book: &Book) -> Vec<String> {
     let mut wrong = Vec::new();
