--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -3,7 +3,8 @@
 use crate::advice::Standing;
 use crate::engine::Engine;
 use crate::order::Order;
-use crate::place::{Pass, Placing};
+use crate::pass::Pass;
+use crate::place::Placing;
 use crate::seats::Want;
 use crate::spec::StepSpec;
 use crate::workers::{Placement, WorkerIdx};
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -24,6 +24,7 @@
 mod note;
 mod order;
 mod pacing;
+mod pass;
 mod place;
 mod queue;
 mod recover;
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -1,74 +1,25 @@
-//! A pass over the steps that wait.
+//! Placing the tasks of the steps that wait.
 
 use crate::advice::{Standing, StepAdvice};
 use crate::choose::Room;
 use crate::engine::Engine;
 use crate::order::Order;
+use crate::pass::Pass;
 use crate::queue::{AdviceCost, Queue};
 use crate::seats::Want;
 use crate::spec::{StepKey, StepSpec};
 use crate::urgency::Waiting;
 use crate::workers::{Placement, WorkerIdx};
-use hollowford_core::{Millis, Resources};
-use rustc_hash::FxHashMap;
-use std::rc::Rc;
-use std::sync::Arc;
+use hollowford_core::Millis;
 
 /// Workers to ask about beyond those that a step needs, as a part of them.
 const ASK_FACTOR: usize = 3;
 /// Fewest workers to ask about at first.
 const ASK_LEAST: usize = 8;
-
 /// Steps that a pass tries without placing any task of theirs, the most urgent first. Passes
 /// come with every event, so each may cost little; every tenth of a second one tries them all.
 const TRIES: usize = 200;
 
-/// What one pass works on.
-pub(crate) struct Pass {
-    pub now: Millis,
-    /// Workers that may get tasks, with what the pass leaves free.
-    pub rooms: Vec<Room>,
-    /// Position in `rooms` of each worker that is there.
-    at: FxHashMap<WorkerIdx, usize>,
-    /// No room had more of anything when the pass began: what doesn't fit here fits nowhere.
-    most: Resources,
-    /// Racks of the rooms, made when a gang first asks for one.
-    racks: Option<Rc<[Arc<str>]>>,
-    /// Gangs for which room is kept so far.
-    pub reservations: usize,
-}
-
-impl Pass {
-    fn new(now: Millis, rooms: Vec<Room>) -> Pass {
-        let at = rooms.iter().enumerate().map(|(at, r)| (r.idx, at)).collect();
-        let most = rooms.iter().fold(Resources::default(), |m, r| m.most(&r.free));
-        Pass { now, rooms, at, most, racks: None, reservations: 0 }
-    }
-
-    /// Returns the position of a worker's room, if it may get tasks.
-    pub fn room_of(&self, idx: WorkerIdx) -> Option<usize> {
-        self.at.get(&idx).copied()
-    }
-
-    /// Tells whether one such task may fit somewhere.
-    pub fn may_fit(&self, need: &Resources) -> bool {
-        need.fits(&self.most)
-    }
-
-    /// Returns the racks of the workers, for gangs that want one.
-    pub fn racks(&mut self) -> Rc<[Arc<str>]> {
-        let rooms = &self.rooms;
-        self.racks.get_or_insert_with(|| racks_of(rooms)).clone()
-    }
-}
-
-fn racks_of(rooms: &[Room]) -> Rc<[Arc<str>]> {
-    let mut racks: Vec<_> = rooms.iter().filter_map(|r| r.rack.clone()).collect();
-    racks.sort_unstable();
-    racks.dedup();
-    racks.into()
-}
-
 /// The step that is being placed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Placing<'a> {
--- a/crates/hollowford-jobs/src/reserve.rs
+++ b/crates/hollowford-jobs/src/reserve.rs
@@ -6,7 +6,8 @@
 
 use crate::choose::copies;
 use crate::engine::Engine;
-use crate::place::{Pass, Placing};
+use crate::pass::Pass;
+use crate::place::Placing;
 use crate::workers::WorkerIdx;
 use hollowford_core::{Millis, Resources};
 
