Starting a step's tasks and asking for advice are two functions

place_tasks() did both in one loop, with two variables that only a break connected. Tasks of a job whose acceptance isn't in the store are told apart once, not for each task. No behaviour changes.

--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -70,31 +70,39 @@
 
     fn place_tasks(&mut self, pass: &mut Pass, step: Placing<'_>, out: &mut Vec<Order>) {
         let tasks = self.waiting_tasks(step.key, pass.now);
+        let waiting = tasks.len();
+        let (started, shunned) =
+            if step.kept { self.start_tasks(pass, step, tasks, out) } else { (0, None) };
+        let left = waiting - started;
+        if left > 0
+            && let Some(cost) = self.askable(pass, step)
+            && let Some(workers) = self.to_ask(pass, step, left, shunned)
+        {
+            self.ask(Want { step: step.key, workers, cost }, pass.now, out);
+        }
+    }
+
+    /// Starts tasks of a step for as long as there is room. Returns how many, and the worker
+    /// that the first one without room has failed on, if it needs another one.
+    fn start_tasks(
+        &mut self,
+        pass: &mut Pass,
+        step: Placing<'_>,
+        tasks: Vec<(u32, u32, Option<WorkerIdx>)>,
+        out: &mut Vec<Order>,
+    ) -> (usize, Option<WorkerIdx>) {
         let floor = self.jobs.get(step.key.job).map_or(0, |j| j.run_floor(self.epoch));
-        let mut left = tasks.len();
-        // A worker that a waiting task has failed on: it needs another one.
-        let mut shunned = None;
+        let mut started = 0;
         for (index, run, avoid) in tasks {
-            if !step.kept {
-                break;
-            }
             let avoid = avoid.filter(|&w| self.has_other(pass, step, w));
-            let Some(at) = self.choose(pass, step, avoid) else {
-                shunned = shunned.or(avoid);
-                break;
-            };
+            let Some(at) = self.choose(pass, step, avoid) else { return (started, avoid) };
             pass.rooms[at].take(&step.spec.room());
             let idx = pass.rooms[at].idx;
             let p = Placement { idx, task: step.key.task(index), run: run.max(floor) + 1 };
             self.start(p, pass.now, out);
-            left -= 1;
-        }
-        if left > 0
-            && let Some(cost) = self.askable(pass, step)
-            && let Some(workers) = self.to_ask(pass, step, left, shunned)
-        {
-            self.ask(Want { step: step.key, workers, cost }, pass.now, out);
+            started += 1;
         }
+        (started, None)
     }
 
     /// Returns the tasks of a step that may be started: index, highest run, worker to avoid.
