Processes are asked one question in one way

plan.rs and owner_row.rs each went over the seeds, opened a link, sent a frame and waited for one. The link asks now, and what is shared knows which seeds are others. No behaviour changes.

--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -45,6 +45,14 @@
     split(stream)
 }
 
+/// Asks the process at `addr` a question, on a link of its own; none without an answer within
+/// `limit`.
+pub async fn ask(addr: SocketAddr, question: Body, limit: Duration) -> Option<Body> {
+    let (mut reader, outbox) = connect(addr).await.ok()?;
+    outbox.send(question);
+    timeout(limit, next(&mut reader)).await.ok().flatten()
+}
+
 /// Puts frames on a stream, and starts its writer.
 ///
 /// # Errors
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -6,7 +6,7 @@
 use hollowford_adapter::{Expect, Row, Transaction, TxOutcome, Version};
 use prost::Message;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Table of the system's rows.
 pub const TABLE: &str = "hollowford";
@@ -58,10 +58,10 @@
 
 /// Asks the seeds who owns the partition.
 async fn ask_seeds(cx: &Cx) {
-    for &seed in cx.shared.settings.seeds.iter().filter(|&&s| s != cx.shared.address()) {
-        let Ok((mut reader, outbox)) = link::connect(seed).await else { continue };
-        outbox.send(Body::WhoOwns(WhoOwns { partition: cx.partition.number }));
-        if let Ok(Some(Body::Owner(info))) = timeout(CALL_TIMEOUT, link::next(&mut reader)).await
+    for seed in cx.shared.other_seeds() {
+        let question = WhoOwns { partition: cx.partition.number };
+        let answer = link::ask(seed, Body::WhoOwns(question), CALL_TIMEOUT).await;
+        if let Some(Body::Owner(info)) = answer
             && cx.partition.note_owner_info(&info)
         {
             log::info!("owner.told epoch={} address={} by={seed}", info.epoch, info.address);
--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use std::num::NonZeroUsize;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Workers that one owner decides for, unless it is set. Half a core carries 350 with 880 starts a second.
 pub const WORKERS_EACH: NonZeroUsize = NonZeroUsize::new(450).unwrap();
@@ -95,10 +95,9 @@
 
 /// Asks the seeds, for a process that starts while the store is away.
 async fn ask_seeds(shared: &Shared) -> Option<u32> {
-    for &seed in shared.settings.seeds.iter().filter(|&&s| s != shared.address()) {
-        let Ok((mut reader, outbox)) = link::connect(seed).await else { continue };
-        outbox.send(Body::WhatPlan(WhatPlan {}));
-        if let Ok(Some(Body::Plan(plan))) = timeout(CALL_TIMEOUT, link::next(&mut reader)).await
+    for seed in shared.other_seeds() {
+        let answer = link::ask(seed, Body::WhatPlan(WhatPlan {}), CALL_TIMEOUT).await;
+        if let Some(Body::Plan(plan)) = answer
             && plan.partitions > 0
         {
             log::info!("plan.told partitions={} by={seed}", plan.partitions);
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -85,6 +85,12 @@
         self.settings.addresses.peers
     }
 
+    /// Returns the processes to ask while the store is away.
+    pub fn other_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        let own = self.address();
+        self.settings.seeds.iter().copied().filter(move |&seed| seed != own)
+    }
+
     /// Tells whether the process is about to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
