--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -3,7 +3,7 @@
 use crate::link;
 use crate::partition::Cx;
 use crate::wire::{Body, OwnerInfo, OwnerRow, WhoOwns};
-use hollowford_adapter::{Expect, Row, Transaction, TxOutcome, Version};
+use hollowford_adapter::{Expect, Row, StoreError, Transaction, TxOutcome, Version};
 use prost::Message;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -20,7 +20,7 @@
 /// Pause after a call that failed.
 pub const RETRY: Duration = Duration::from_millis(120);
 
-/// Reads the owner row.
+/// Reads what the owner row says.
 pub fn read_owner(row: &Row) -> Option<OwnerRow> {
     OwnerRow::decode(&row.value[..])
         .inspect_err(|e| log::error!("owner_row.malformed error=\"{e}\""))
@@ -33,18 +33,23 @@
     (OWNER_KEY.to_owned(), row.encode_to_vec())
 }
 
+async fn read_row(cx: &Cx) -> Result<Option<Row>, StoreError> {
+    let read = cx.shared.store.read(TABLE, &cx.partition.part, OWNER_KEY, CALL_TIMEOUT).await;
+    read.map(|(row, _)| row)
+}
+
 /// Learns of an owner newer than `known`, from the store or from other processes; takes the
 /// partition when there has been none.
 pub async fn find_owner(cx: &Cx, known: u64) {
-    match cx.shared.store.read(TABLE, &cx.partition.part, OWNER_KEY, CALL_TIMEOUT).await {
-        Ok((Some(row), _)) => {
+    match read_row(cx).await {
+        Ok(Some(row)) => {
             cx.shared.note_store();
             let owner = read_owner(&row).and_then(|r| r.owner);
             if owner.is_none_or(|o| !cx.partition.note_owner_info(&o) && o.epoch <= known) {
                 sleep(RETRY).await;
             }
         }
-        Ok((None, _)) => {
+        Ok(None) => {
             cx.shared.note_store();
             take(cx, 0, 1, "first").await;
         }
@@ -72,8 +77,8 @@
 
 /// Returns the version of the owner row, unless it names an owner newer than `info`.
 pub async fn unchanged_owner(cx: &Cx, info: &OwnerInfo) -> Option<Version> {
-    match cx.shared.store.read(TABLE, &cx.partition.part, OWNER_KEY, CALL_TIMEOUT).await {
-        Ok((row, _)) => {
+    match read_row(cx).await {
+        Ok(row) => {
             cx.shared.note_store();
             let row = row?;
             let owner = read_owner(&row)?.owner?;
@@ -125,8 +130,7 @@
 
 /// Reads the owner row after a writing without an answer.
 async fn find_owner_again(cx: &Cx, known: u64) {
-    let read = cx.shared.store.read(TABLE, &cx.partition.part, OWNER_KEY, CALL_TIMEOUT).await;
-    if let Ok((Some(row), _)) = read
+    if let Ok(Some(row)) = read_row(cx).await
         && let Some(owner) = read_owner(&row).and_then(|r| r.owner)
         && owner.epoch > known
     {
