--- a/crates/hollowford-soak/src/callers.rs
+++ b/crates/hollowford-soak/src/callers.rs
@@ -2,6 +2,7 @@
 //! and write down what they were told.
 
 use crate::cell::QUEUES;
+use hollowford_adapter_standin::{Platform, speech};
 use reqwest::{Client, Method};
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -76,8 +77,8 @@
     pub rng: fastrand::Rng,
     /// What it was told.
     pub book: SharedBook,
-    /// Reads the platform's clock.
-    pub now: hollowford_adapter_standin::Platform,
+    /// Tells the time by which cancellations are noted.
+    pub platform: Platform,
     /// It is to end.
     pub stop: Arc<AtomicBool>,
 }
@@ -124,7 +125,7 @@
             self.note(id, |t| t.cancelling = true);
             let (status, _) = self.call(node, Method::DELETE, queue, id, &Value::Null).await;
             if status == 200 {
-                let now = self.now.now();
+                let now = self.platform.now();
                 self.note(id, |t| t.cancelled_at = Some(now));
             }
         }
@@ -184,7 +185,7 @@
 
 /// Makes a request; status 0: no answer.
 pub async fn call(client: &Client, method: Method, url: &str, body: &Value) -> (u16, Value) {
-    let req = client.request(method, url).header("host", hollowford_adapter_standin::speech::HOST);
+    let req = client.request(method, url).header("host", speech::HOST);
     let req = req.timeout(TIMEOUT).body(body.to_string());
     let Ok(answer) = req.send().await else { return (0, Value::Null) };
     let status = answer.status().as_u16();
--- a/crates/hollowford-soak/src/run.rs
+++ b/crates/hollowford-soak/src/run.rs
@@ -108,7 +108,7 @@
                 client: client()?,
                 rng: self.rng.fork(),
                 book: book.clone(),
-                now: self.cell.platform.clone(),
+                platform: self.cell.platform.clone(),
                 stop: stop.clone(),
             };
             tasks.spawn(caller.run());
