What a soak does to its cell has a file of its own

run.rs held the course of a run and every action on the cell, in one long match whose guards were repeated by arms that did nothing. Whether an action has something to act on is asked once, before. No behaviour changes.

--- a/crates/hollowford-soak/src/lib.rs
+++ b/crates/hollowford-soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! A randomized soak: real processes on one machine, failures brought about from outside, and
 //! the promises checked from what callers and workers see. See docs/SOAK.md.
 
+mod actions;
 pub mod callers;
 pub mod cell;
 pub mod judge;
--- a/crates/hollowford-soak/src/run.rs
+++ b/crates/hollowford-soak/src/run.rs
@@ -4,8 +4,7 @@
 use crate::callers::{Caller, SharedBook, lock};
 use crate::cell::{Cell, Size};
 use crate::judge::{ConfigWatch, await_ends, judge_starts};
-use crate::proxy::Mode;
-use crate::schedule::{Action, Entry, draw};
+use crate::schedule::{Entry, draw};
 use hollowford_adapter_standin::{Faults, speech};
 use reqwest::Client;
 use std::path::PathBuf;
@@ -16,9 +15,9 @@
 use tokio::time::sleep;
 
 /// Longest time for a process to become ready.
-const READY_WITHIN: Duration = Duration::from_secs(60);
-/// Between two looks at whether it is.
-const PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const READY_WITHIN: Duration = Duration::from_secs(60);
+/// Between two looks at whether a process is ready, or has ended.
+pub(crate) const PAUSE: Duration = Duration::from_millis(20);
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -52,15 +51,20 @@
     pub wrong: Vec<String>,
 }
 
-struct Run {
-    cell: Cell,
-    faults: Faults,
-    lives: Vec<Arc<AtomicU64>>,
-    newest: Arc<AtomicU64>,
-    /// Processes that are down since the run ended them.
-    down: Vec<bool>,
-    wrong: Vec<String>,
-    rng: fastrand::Rng,
+/// A run under way.
+pub(crate) struct Run {
+    pub cell: Cell,
+    /// Faults of the store that are in force.
+    pub faults: Faults,
+    /// Counts what happens to each process, see [`ConfigWatch::life`].
+    pub lives: Vec<Arc<AtomicU64>>,
+    /// Newest version of the configuration that was written.
+    pub newest: Arc<AtomicU64>,
+    /// Processes that are down, ended by the run or by themselves.
+    pub down: Vec<bool>,
+    /// What is wrong, apart from what callers were told.
+    pub wrong: Vec<String>,
+    pub rng: fastrand::Rng,
 }
 
 /// Runs one seed.
@@ -149,97 +153,8 @@
         Ok(())
     }
 
-    async fn act(&mut self, action: Action) -> Result<(), SoakError> {
-        match action {
-            Action::Kill(n) => {
-                self.new_life(n);
-                self.down[n] = true;
-                self.cell.nodes[n].process.kill()?;
-            }
-            Action::Stop(n) if !self.down[n] => {
-                self.new_life(n);
-                self.down[n] = true;
-                self.cell.nodes[n].process.signal("TERM")?;
-            }
-            Action::Start(n) => self.start(n).await?,
-            Action::Pause(n) if !self.down[n] => self.cell.nodes[n].process.signal("STOP")?,
-            Action::Resume(n) if !self.down[n] => self.cell.nodes[n].process.signal("CONT")?,
-            Action::Hangup(n) if !self.down[n] => self.cell.nodes[n].process.signal("HUP")?,
-            Action::Stop(_) | Action::Pause(_) | Action::Resume(_) | Action::Hangup(_) => {}
-            Action::Outage(on) => self.change_store(|f| f.outage = on),
-            Action::Slow(by) => self.change_store(|f| f.slow_ms = by),
-            Action::LoseAnswers(n) => self.change_store(|f| f.lose_answers = n),
-            Action::NoHistory(on) => self.change_store(|f| f.no_history = on),
-            Action::StorePath(n, mode) => self.cell.nodes[n].store.set(mode),
-            Action::CallerPath(n, mode) => self.cell.nodes[n].callers.set(mode),
-            Action::WorkerPath(w, mode) => self.cell.workers[w].proxy.set(mode),
-            Action::CrashWorker(w) if !self.cell.workers[w].gone => self.cell.restart_worker(w),
-            Action::DrainWorker(w) if !self.cell.workers[w].gone => self.cell.drain_worker(w),
-            Action::ReplaceWorker(w) if !self.cell.workers[w].gone => {
-                self.cell.remove_worker(w);
-                self.cell.add_worker(&mut self.rng).await?;
-            }
-            Action::CrashWorker(_) | Action::DrainWorker(_) | Action::ReplaceWorker(_) => {}
-            Action::Configure => {
-                self.cell.configure();
-                self.newest.store(self.cell.config, Ordering::Relaxed);
-            }
-        }
-        Ok(())
-    }
-
-    /// What was known of a process's configuration says nothing of its next life.
-    fn new_life(&self, node: usize) {
-        self.lives[node].fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Starts a process that was ended, once it has ended.
-    async fn start(&mut self, node: usize) -> Result<(), SoakError> {
-        if !self.down[node] {
-            return Ok(());
-        }
-        let began = Instant::now();
-        while self.cell.nodes[node].process.ended()?.is_none() {
-            // A paused process takes the signal once it goes on.
-            self.cell.nodes[node].process.signal("CONT")?;
-            if began.elapsed() > READY_WITHIN {
-                self.wrong.push(format!("process n{node} doesn't end when it is told to"));
-                self.cell.nodes[node].process.kill()?;
-            }
-            sleep(PAUSE).await;
-        }
-        self.new_life(node);
-        self.cell.nodes[node].process.restart()?;
-        self.down[node] = false;
-        Ok(())
-    }
-
-    fn change_store(&mut self, change: impl FnOnce(&mut Faults)) {
-        change(&mut self.faults);
-        self.cell.platform.set_faults(self.faults.clone());
-        // Lost answers are counted down by the store itself.
-        self.faults.lose_answers = 0;
-    }
-
-    /// Ends everything that is wrong, and waits until all processes are ready.
-    async fn heal(&mut self) -> Result<(), SoakError> {
-        self.change_store(|f| *f = Faults::default());
-        for node in &self.cell.nodes {
-            node.store.set(Mode::Pass);
-            node.callers.set(Mode::Pass);
-        }
-        self.cell.workers.iter().for_each(|w| w.proxy.set(Mode::Pass));
-        for n in 0..self.cell.nodes.len() {
-            if self.down[n] {
-                self.start(n).await?;
-            } else {
-                self.cell.nodes[n].process.signal("CONT")?;
-            }
-        }
-        self.await_ready().await
-    }
-
-    async fn await_ready(&mut self) -> Result<(), SoakError> {
+    /// Waits until all processes are ready, and notes those that don't become so.
+    pub async fn await_ready(&mut self) -> Result<(), SoakError> {
         let client = client()?;
         let began = Instant::now();
         for i in 0..self.cell.nodes.len() {
