--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -6,7 +6,7 @@
 use crate::members::LinkId;
 use crate::partition::{Partition, Route};
 use crate::shared::Shared;
-use crate::wire::{Body, Heartbeat, Hello, OwnerInfo, Plan};
+use crate::wire::{Advice, Body, Heartbeat, Hello, OwnerInfo, Plan};
 use hollowford_jobs::{Seat, TaskKey};
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,14 +81,15 @@
         return;
     };
     let link = fastrand::u64(..);
-    let address = hello.address.clone();
+    let address = hello.address.as_str().into();
     owner.send(OwnerMsg::Joined(link, hello, outbox.clone())).await;
-    while !owner.is_closed() {
+    let member = MemberLink { owner, link, address, outbox };
+    while !member.owner.is_closed() {
         let Ok(Some(body)) = timeout(MEMBER_SILENT, link::next(&mut reader)).await else { break };
-        take_frame(&owner, link, &address, &outbox, body).await;
+        member.take_frame(body).await;
     }
     // The link ends with its last sender; the owner drops its own on hearing this.
-    owner.send(OwnerMsg::Left(link)).await;
+    member.owner.send(OwnerMsg::Left(link)).await;
 }
 
 /// Returns the partition that an owner is meant for.
@@ -96,21 +97,35 @@
     shared.partitions().get(info.partition as usize)
 }
 
-async fn take_frame(owner: &OwnerHandle, link: LinkId, address: &str, outbox: &Outbox, body: Body) {
-    match body {
-        Body::Call(call) => owner.call_from(call, outbox),
-        Body::MemberBeat(beat) => owner.send(OwnerMsg::Beat(link, beat)).await,
-        Body::Advice(advice) => {
-            let step = format!("{}.0", advice.step).parse::<TaskKey>().map(|t| t.step);
-            let Ok(step) = step else {
-                log::warn!("advice.malformed step={}", advice.step);
-                return;
-            };
-            let seat = Seat { address: address.into() };
-            let answer = read_advice(advice);
-            owner.send(OwnerMsg::Advised { seat, step, answer }).await;
+/// The owner's end of a member's link.
+struct MemberLink {
+    owner: OwnerHandle,
+    link: LinkId,
+    /// The member's address between processes.
+    address: Arc<str>,
+    outbox: Outbox,
+}
+
+impl MemberLink {
+    /// Hands on what the member says.
+    async fn take_frame(&self, body: Body) {
+        match body {
+            Body::Call(call) => self.owner.call_from(call, &self.outbox),
+            Body::MemberBeat(beat) => self.owner.send(OwnerMsg::Beat(self.link, beat)).await,
+            Body::Advice(advice) => self.take_advice(advice).await,
+            other => log::warn!("link.unexpected frame={other:?}"),
         }
-        other => log::warn!("link.unexpected frame={other:?}"),
+    }
+
+    async fn take_advice(&self, advice: Advice) {
+        let step = format!("{}.0", advice.step).parse::<TaskKey>().map(|t| t.step);
+        let Ok(step) = step else {
+            log::warn!("advice.malformed step={}", advice.step);
+            return;
+        };
+        let seat = Seat { address: self.address.clone() };
+        let answer = read_advice(advice);
+        self.owner.send(OwnerMsg::Advised { seat, step, answer }).await;
     }
 }
 
