A batch's steps read one by one

The rows that a job may write have a name, the size of a row is asked of the row, and the ends that may be forgotten are collected only where they count. No behaviour changes.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -6,12 +6,15 @@
 use crate::job::JobState;
 use crate::rows::{JobRow, ProgressRow, WorkerAddress, encode_workers};
 use crate::spec::JobId;
+use crate::worker::Worker;
 use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
 use prost::Message;
 
-/// Rows of jobs in one batch, each of which writes two at most. A transaction takes 100
-/// entries; the others are for the owner, the workers, and jobs that are forgotten.
+/// Most rows that one job writes: its own and its progress.
+const ROWS_OF_JOB: usize = 2;
+/// Rows of jobs in one batch. A transaction takes 100 entries; the others are for the owner, the
+/// workers, and jobs that are forgotten.
 const MOST_ROWS: usize = 89;
 /// Jobs that somebody waits for in one batch, some: an acceptance writes one row, an end mostly
 /// two, and one job in four is another one.
@@ -30,6 +33,13 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl RowWrite {
+    /// Returns the bytes of its value.
+    fn bytes(&self) -> usize {
+        self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
 /// Rows that are written together, or not at all.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
@@ -81,12 +91,10 @@
         for id in self.jobs.expire(old, MOST_EXPIRED) {
             rows.push(RowWrite { key: job_key(id), value: None });
         }
-        let complete = self.jobs.dirty.is_empty();
-        for (idx, w) in self.workers.iter().filter(|(_, w)| w.taken > w.forget) {
-            // What an end changed may be in the part that is left for the next batch.
-            if complete {
-                note.taken.push((idx, w.taken));
-            }
+        // Else what an end changed may be in the part that is left for the next batch.
+        if self.jobs.dirty.is_empty() {
+            let taken = self.workers.iter().filter(|(_, w)| w.taken > w.forget);
+            note.taken = taken.map(|(idx, w)| (idx, w.taken)).collect();
         }
         if rows.is_empty() && note.taken.is_empty() {
             return None;
@@ -145,10 +153,7 @@
         if !lacking {
             return;
         }
-        let address = |w: &crate::worker::Worker| WorkerAddress {
-            id: w.id.clone(),
-            address: w.address.clone(),
-        };
+        let address = |w: &Worker| WorkerAddress { id: w.id.clone(), address: w.address.clone() };
         let list: Vec<_> = self.workers.iter().map(|(_, w)| address(w)).collect();
         rows.push(RowWrite { key: WORKERS_KEY.to_owned(), value: Some(encode_workers(&list)) });
         note.workers = Some(list);
@@ -166,12 +171,11 @@
 
     fn write_jobs(&mut self, now: Millis, rows: &mut Vec<RowWrite>, note: &mut BatchNote) {
         let mut bytes = 0;
-        while rows.len() + 2 <= MOST_ROWS && bytes <= MOST_BYTES {
+        while rows.len() + ROWS_OF_JOB <= MOST_ROWS && bytes <= MOST_BYTES {
             let Some(id) = self.jobs.dirty.pop() else { return };
             let start = rows.len();
             self.write_job(id, now, rows, note);
-            bytes +=
-                rows[start..].iter().map(|r| r.value.as_ref().map_or(0, Vec::len)).sum::<usize>();
+            bytes += rows[start..].iter().map(RowWrite::bytes).sum::<usize>();
         }
     }
 
