--- a/crates/hollowford-soak/src/net.rs
+++ b/crates/hollowford-soak/src/net.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{Ipv4Addr, TcpListener};
 
-/// Cores of each process, as the instances of the measured deployments have (docs/PLATFORM.md).
+/// Cores of each process: as many as on the quiet day that docs/PLATFORM.md tells of.
 const CPU_SHARE: f64 = 0.25;
 
 /// The addresses of a cell's processes: each has one of its own in the loopback range, and all
