--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -1,74 +1,25 @@
-//! A pass over the steps that wait.
+//! Placing the tasks of the steps that wait.
 
 use crate::advice::{Standing, StepAdvice};
 use crate::choose::Room;
 use crate::engine::Engine;
 use crate::order::Order;
+use crate::pass::Pass;
 use crate::queue::{AdviceCost, Queue};
 use crate::seats::Want;
 use crate::spec::{StepKey, StepSpec};
 use crate::urgency::Waiting;
 use crate::workers::{Placement, WorkerIdx};
-use hollowford_core::{Millis, Resources};
-use rustc_hash::FxHashMap;
-use std::rc::Rc;
-use std::sync::Arc;
+use hollowford_core::Millis;
 
 /// Workers to ask about beyond those that a step needs, as a part of them.
 const ASK_FACTOR: usize = 3;
 /// Fewest workers to ask about at first.
 const ASK_LEAST: usize = 8;
-
 /// Steps that a pass tries without placing any task of theirs, the most urgent first. Passes
 /// come with every event, so each may cost little; every tenth of a second one tries them all.
 const TRIES: usize = 200;
 
-/// What one pass works on.
-pub(crate) struct Pass {
-    pub now: Millis,
-    /// Workers that may get tasks, with what the pass leaves free.
-    pub rooms: Vec<Room>,
-    /// Position in `rooms` of each worker that is there.
-    at: FxHashMap<WorkerIdx, usize>,
-    /// No room had more of anything when the pass began: what doesn't fit here fits nowhere.
-    most: Resources,
-    /// Racks of the rooms, made when a gang first asks for one.
-    racks: Option<Rc<[Arc<str>]>>,
-    /// Gangs for which room is kept so far.
-    pub reservations: usize,
-}
-
-impl Pass {
-    fn new(now: Millis, rooms: Vec<Room>) -> Pass {
-        let at = rooms.iter().enumerate().map(|(at, r)| (r.idx, at)).collect();
-        let most = rooms.iter().fold(Resources::default(), |m, r| m.most(&r.free));
-        Pass { now, rooms, at, most, racks: None, reservations: 0 }
-    }
-
-    /// Returns the position of a worker's room, if it may get tasks.
-    pub fn room_of(&self, idx: WorkerIdx) -> Option<usize> {
-        self.at.get(&idx).copied()
-    }
-
-    /// Tells whether one such task may fit somewhere.
-    pub fn may_fit(&self, need: &Resources) -> bool {
-        need.fits(&self.most)
-    }
-
-    /// Returns the racks of the workers, for gangs that want one.
-    pub fn racks(&mut self) -> Rc<[Arc<str>]> {
-        let rooms = &self.rooms;
-        self.racks.get_or_insert_with(|| racks_of(rooms)).clone()
-    }
-}
-
-fn racks_of(rooms: &[Room]) -> Rc<[Arc<str>]> {
-    let mut racks: Vec<_> = rooms.iter().filter_map(|r| r.rack.clone()).collect();
-    racks.sort_unstable();
-    racks.dedup();
-    racks.into()
-}
-
 /// The step that is being placed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Placing<'a> {
@@ -119,31 +70,39 @@
 
     fn place_tasks(&mut self, pass: &mut Pass, step: Placing<'_>, out: &mut Vec<Order>) {
         let tasks = self.waiting_tasks(step.key, pass.now);
+        let waiting = tasks.len();
+        let (started, shunned) =
+            if step.kept { self.start_tasks(pass, step, tasks, out) } else { (0, None) };
+        let left = waiting - started;
+        if left > 0
+            && let Some(cost) = self.askable(pass, step)
+            && let Some(workers) = self.to_ask(pass, step, left, shunned)
+        {
+            self.ask(Want { step: step.key, workers, cost }, pass.now, out);
+        }
+    }
+
+    /// Starts tasks of a step for as long as there is room. Returns how many, and the worker
+    /// that the first one without room has failed on, if it needs another one.
+    fn start_tasks(
+        &mut self,
+        pass: &mut Pass,
+        step: Placing<'_>,
+        tasks: Vec<(u32, u32, Option<WorkerIdx>)>,
+        out: &mut Vec<Order>,
+    ) -> (usize, Option<WorkerIdx>) {
         let floor = self.jobs.get(step.key.job).map_or(0, |j| j.run_floor(self.epoch));
-        let mut left = tasks.len();
-        // A worker that a waiting task has failed on: it needs another one.
-        let mut shunned = None;
+        let mut started = 0;
         for (index, run, avoid) in tasks {
-            if !step.kept {
-                break;
-            }
             let avoid = avoid.filter(|&w| self.has_other(pass, step, w));
-            let Some(at) = self.choose(pass, step, avoid) else {
-                shunned = shunned.or(avoid);
-                break;
-            };
+            let Some(at) = self.choose(pass, step, avoid) else { return (started, avoid) };
             pass.rooms[at].take(&step.spec.room());
             let idx = pass.rooms[at].idx;
             let p = Placement { idx, task: step.key.task(index), run: run.max(floor) + 1 };
             self.start(p, pass.now, out);
-            left -= 1;
-        }
-        if left > 0
-            && let Some(cost) = self.askable(pass, step)
-            && let Some(workers) = self.to_ask(pass, step, left, shunned)
-        {
-            self.ask(Want { step: step.key, workers, cost }, pass.now, out);
+            started += 1;
         }
+        (started, None)
     }
 
     /// Returns the tasks of a step that may be started: index, highest run, worker to avoid.
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -3,21 +3,20 @@
 use crate::batches::Batches;
 use crate::callers::Waiters;
 use crate::calls::{advise_here, call_worker};
+use crate::giving_up::GivingUp;
 use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
 use crate::logs::DecisionLog;
 use crate::members::{LinkId, Members};
 use crate::partition::Cx;
 use crate::reach::Reach;
 use crate::registry;
-use crate::shared::Shared;
 use crate::wire::{Call, MemberBeat, OwnerInfo, Said};
 use crate::writer::Written;
 use hollowford_adapter::{Called, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
 use hollowford_jobs::{Engine, Order, WorkerCall};
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 /// Messages taken before the engine is polled.
@@ -29,11 +28,6 @@
 const ANSWER_WITHIN: Millis = Millis(1_200);
 /// Members are asked whether the store answers them once a batch hangs for so long.
 const PROBE_AFTER: Millis = Millis(300);
-/// Members have joined a new owner after this time.
-const MEMBERS_JOIN: Millis = Millis(400);
-/// How long a stopping owner waits for its last batch: without it the next one has to read the
-/// owner row first, and callers are told less. A slow store takes 0.9 s.
-const FLUSH: Millis = Millis(1_200);
 /// How often the owner's gauges and its line in the log are renewed.
 const VIEW_EVERY: Millis = Millis(2_000);
 
@@ -63,7 +57,6 @@
 /// The owner.
 pub struct Owner {
     cx: Cx,
-    shared: Arc<Shared>,
     info: OwnerInfo,
     engine: Engine,
     /// The engine's time less the process's.
@@ -82,12 +75,7 @@
     settings: watch::Receiver<NodeSettings>,
     /// When the gauges were renewed last.
     viewed: Millis,
-    /// Who waits for the partition to be handed over, and since when.
-    stop: Option<(oneshot::Sender<()>, Millis)>,
-    /// When this owner began, by the process's clock.
-    began: Millis,
-    /// Since when the partition is being given to a larger instance.
-    moving: Option<Millis>,
+    giving_up: GivingUp,
     end: Option<OwnerEnd>,
 }
 
@@ -95,15 +83,14 @@
     /// Makes an owner.
     pub fn new(cx: Cx, start: Start, workers: WorkerClient, handle: OwnerHandle) -> Owner {
         let Start { info, rev, engine, offset } = start;
-        let (shared, part) = (cx.shared.clone(), cx.partition.part.clone());
-        let began = shared.clock.now();
+        let (shared, part) = (&cx.shared, cx.partition.part.clone());
+        let giving_up = GivingUp::new(shared.clone(), info.epoch);
         let batches = Batches::new(shared.clone(), info.clone(), part, rev, handle.clone());
         Owner {
             members: Members::new(info.clone(), shared.partition_count()),
             reach: Reach::new(shared.clone(), info.epoch),
             settings: shared.settings_changed.subscribe(),
             cx,
-            shared,
             info,
             engine,
             offset,
@@ -115,16 +102,14 @@
             batches,
             config: 0,
             viewed: Millis(0),
-            stop: None,
-            began,
-            moving: None,
+            giving_up,
             end: None,
         }
     }
 
     /// Returns the engine's time.
     fn now(&self) -> Millis {
-        Millis((self.shared.clock.now().0 as i64 + self.offset).max(0) as u64)
+        Millis((self.cx.shared.clock.now().0 as i64 + self.offset).max(0) as u64)
     }
 
     /// Owns the partition until it is lost or given up.
@@ -153,10 +138,7 @@
             }
         }
         self.waiters.fail_all();
-        if let Some((done, _)) = self.stop.take() {
-            // The stopping process may have given up waiting.
-            let _ = done.send(());
-        }
+        self.giving_up.tell_ended();
         self.end.unwrap_or(OwnerEnd::GaveUp)
     }
 
@@ -173,7 +155,7 @@
             OwnerMsg::Joined(link, hello, outbox) => {
                 let (address, age) = (&hello.address, hello.age_ms);
                 log::info!("member.joined link={link} address={address} age_ms={age}");
-                self.members.join(link, hello, outbox, self.shared.clock.now());
+                self.members.join(link, hello, outbox, self.cx.shared.clock.now());
                 self.members_changed();
             }
             OwnerMsg::Left(link) => {
@@ -182,27 +164,24 @@
                 self.members_changed();
             }
             OwnerMsg::Beat(link, beat) => self.take_beat(link, &beat),
-            OwnerMsg::Stop(done) => {
-                log::info!("owner.stopping epoch={}", self.info.epoch);
-                self.stop = Some((done, self.shared.clock.now()));
-            }
+            OwnerMsg::Stop(done) => self.giving_up.stop(done),
         }
     }
 
     fn members_changed(&mut self) {
         self.engine.set_seats(&self.members.seats());
-        self.members.send_heartbeats(self.shared.config_version());
+        self.members.send_heartbeats(self.cx.shared.config_version());
     }
 
     fn take_beat(&mut self, link: LinkId, beat: &MemberBeat) {
-        let heard = self.shared.clock.now();
+        let heard = self.cx.shared.clock.now();
         self.reach.member_heard(heard);
         self.members.beat(link, beat, heard);
-        let version = self.shared.config_version();
+        let version = self.cx.shared.config_version();
         if beat.config > version {
-            self.shared.config_wanted.notify_one();
+            self.cx.shared.config_wanted.notify_one();
         } else if beat.config < version
-            && let Some(row) = self.shared.config_row()
+            && let Some(row) = self.cx.shared.config_row()
         {
             self.members.send_config(link, &row);
         }
@@ -213,10 +192,10 @@
     }
 
     fn take_call(&mut self, call: Call, reply: Reply, now: Millis) {
-        if call.config > self.shared.config_version() {
-            self.shared.config_wanted.notify_one();
+        if call.config > self.cx.shared.config_version() {
+            self.cx.shared.config_wanted.notify_one();
         }
-        if self.giving_up_since().is_some() {
+        if self.giving_up.since().is_some() {
             reply.send(call.id, Said::NotOwner, 0);
             return;
         }
@@ -295,22 +274,25 @@
             self.carry_out(order, now);
         }
         self.orders = orders;
-        self.log_decisions(now);
+        self.decisions.write(&self.engine.take_notes(), now);
         self.refuse_unsent(now);
-        let last_sent = self.giving_up_since().is_some() && self.waiters.is_empty();
+        let last_sent = self.giving_up.since().is_some() && self.waiters.is_empty();
         if !last_sent {
             self.batches.write_next(&mut self.engine, now);
         }
         self.waiters.give_up(&mut self.engine, now, ANSWER_WITHIN);
         let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
-        if self.members.tick(self.shared.clock.now(), self.shared.config_version(), lost) {
+        if self.members.tick(self.cx.shared.clock.now(), self.cx.shared.config_version(), lost) {
             self.engine.set_seats(&self.members.seats());
         }
         if let Some(end) = self.reach.check(&self.batches, &self.members, now) {
             self.end = Some(end);
         }
-        self.check_size();
-        self.check_stop();
+        self.giving_up.check_size(&self.members);
+        let end = self.giving_up.hand_over_if_due(&self.batches, &self.waiters, &self.members);
+        if let Some(end) = end {
+            self.end = Some(end);
+        }
         self.renew_view(now);
     }
 
@@ -319,39 +301,26 @@
             let bounds = self.settings.borrow_and_update().bounds;
             self.engine.set_bounds(bounds);
         }
-        let version = self.shared.config_version();
+        let version = self.cx.shared.config_version();
         if version != self.config
-            && let Some(config) = self.shared.config.load_full()
+            && let Some(config) = self.cx.shared.config.load_full()
         {
             self.config = version;
             self.engine.set_queues(&config.queues);
         }
     }
 
-    /// Writes what was decided to the log, as far as its limit allows.
-    fn log_decisions(&mut self, now: Millis) {
-        let left_out = self.decisions.take_left_out(now);
-        if left_out > 0 {
-            log::warn!("log.left_out lines={left_out}");
-        }
-        for note in self.engine.take_notes() {
-            if self.decisions.admit(now) {
-                log::info!("{note}");
-            }
-        }
-    }
-
     fn carry_out(&self, order: Order, now: Millis) {
         match order {
             Order::Worker(call) => {
-                let (shared, workers) = (self.shared.clone(), self.workers.clone());
+                let (shared, workers) = (self.cx.shared.clone(), self.workers.clone());
                 tokio::spawn(call_worker(shared, workers, call, now, self.handle.clone()));
             }
             Order::Advice { seat, step, workers } => {
                 let Some(seat) = self.engine.seat(seat).cloned() else { return };
                 let ids: Vec<String> = workers.iter().map(|w| w.as_str().to_owned()).collect();
                 if seat.address.is_empty() {
-                    let (shared, handle) = (self.shared.clone(), self.handle.clone());
+                    let (shared, handle) = (self.cx.shared.clone(), self.handle.clone());
                     tokio::spawn(advise_here(shared, seat, step, ids, handle));
                 } else if !self.members.ask(&seat.address, step, ids) {
                     log::debug!("advice.not_sent seat={} step={step}", seat.address);
@@ -360,43 +329,13 @@
         }
     }
 
-    /// Returns since when the partition is being handed over.
-    fn giving_up_since(&self) -> Option<Millis> {
-        self.stop.as_ref().map(|(_, since)| *since).or(self.moving)
-    }
-
-    /// Gives the partition to a much larger instance, where there is one: the first that
-    /// comes may be too small for the owner's work.
-    fn check_size(&mut self) {
-        let now = self.shared.clock.now();
-        let settled = now.since(self.began) >= MEMBERS_JOIN;
-        let own = self.shared.cpu_milli() / self.shared.owned_count().max(1);
-        if self.giving_up_since().is_none() && settled && self.members.any_larger_than(own) {
-            log::info!("owner.moving epoch={} cause=larger_member share={own}", self.info.epoch);
-            self.moving = Some(now);
-        }
-    }
-
-    /// Hands over to a member once that is wanted and everything is written.
-    fn check_stop(&mut self) {
-        let Some(since) = self.giving_up_since() else { return };
-        let waited = self.shared.clock.now().since(since);
-        let flushed = self.batches.is_idle() && self.waiters.is_empty();
-        if flushed || waited >= FLUSH {
-            let rev = self.batches.settled_rev().unwrap_or(0);
-            let to = self.members.hand_over(rev, self.moving.is_some());
-            log::info!("owner.handed_over epoch={} to={to:?} flushed={flushed}", self.info.epoch);
-            self.end = Some(OwnerEnd::HandedOver);
-        }
-    }
-
     fn renew_view(&mut self, now: Millis) {
         if now.since(self.viewed) < VIEW_EVERY {
             return;
         }
         self.viewed = now;
         let view = self.engine.view(now);
-        let (metrics, part) = (&self.shared.metrics, [self.cx.partition.part.as_str()]);
+        let (metrics, part) = (&self.cx.shared.metrics, [self.cx.partition.part.as_str()]);
         metrics.open_jobs.with_label_values(&part).set(view.open_jobs as i64);
         metrics.usable_workers.with_label_values(&part).set(view.usable_workers as i64);
         log::info!("owner.view partition={} {view}", self.info.partition);
--- a/crates/hollowford-soak/src/lib.rs
+++ b/crates/hollowford-soak/src/lib.rs
@@ -1,9 +1,11 @@
 //! A randomized soak: real processes on one machine, failures brought about from outside, and
 //! the promises checked from what callers and workers see. See docs/SOAK.md.
 
+mod actions;
 pub mod callers;
 pub mod cell;
 pub mod judge;
+mod net;
 pub mod process;
 pub mod proxy;
 pub mod run;
