--- a/crates/hollowford-soak/src/callers.rs
+++ b/crates/hollowford-soak/src/callers.rs
@@ -4,7 +4,7 @@
 use crate::cell::QUEUES;
 use hollowford_adapter_standin::{Platform, speech};
 use reqwest::{Client, Method};
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -98,8 +98,7 @@
 
     async fn one_job(&mut self, id: u64) {
         let queue = QUEUES[self.rng.usize(..QUEUES.len())];
-        let body = self.draw_job();
-        let tasks = count_tasks(&body);
+        let (tasks, body) = self.draw_job();
         lock(&self.book).jobs.insert(id, Told { queue, tasks, ..Told::default() });
         let mut node = self.rng.usize(..self.nodes.len());
         for _ in 0..TRIES {
@@ -149,20 +148,12 @@
         lock(&self.book).jobs.entry(id).and_modify(change);
     }
 
-    fn draw_job(&mut self) -> Value {
+    /// Draws the tasks of each step, their time and what they take, and returns the job.
+    fn draw_job(&mut self) -> (u32, Value) {
         let ms = self.rng.u64(10..500);
-        let cpu = [500, 1_000, 4_000, 9_000][self.rng.usize(..4)];
-        let steps = self.rng.usize(1..=3);
-        let step = |i: usize, count: u32| {
-            let mut step =
-                json!({"count": count, "cpu": cpu, "mem-mb": 64, "estimate-ms": ms, "gang": false});
-            if i > 0 {
-                step["depends-on"] = json!([i - 1]);
-            }
-            step
-        };
-        let phases: Vec<_> = (0..steps).map(|i| step(i, self.rng.u32(1..5))).collect();
-        json!({"template": format!("{ms} {cpu}"), "phases": phases})
+        let cpu_milli = [500, 1_000, 4_000, 9_000][self.rng.usize(..4)];
+        let counts: Vec<u32> = (0..self.rng.usize(1..=3)).map(|_| self.rng.u32(1..5)).collect();
+        (counts.iter().sum(), speech::chain(&counts, ms, cpu_milli))
     }
 
     async fn call(
@@ -178,11 +169,6 @@
     }
 }
 
-fn count_tasks(job: &Value) -> u32 {
-    let steps = job["phases"].as_array().into_iter().flatten();
-    steps.filter_map(|s| s["count"].as_u64()).sum::<u64>() as u32
-}
-
 /// Makes a request; status 0: no answer.
 pub async fn call(client: &Client, method: Method, url: &str, body: &Value) -> (u16, Value) {
     let req = client.request(method, url).header("host", speech::HOST);
--- a/crates/hollowford-soak/src/judge.rs
+++ b/crates/hollowford-soak/src/judge.rs
@@ -4,7 +4,7 @@
 use crate::cell::{Cell, version_prefix};
 use reqwest::{Client, Method};
 use serde_json::Value;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -111,6 +111,7 @@
 pub fn judge_starts(cell: &Cell, book: &Book) -> Vec<String> {
     let mut wrong = Vec::new();
     let mut refused = HashSet::new();
+    let mut begun: HashMap<u64, HashSet<String>> = HashMap::new();
     for (task, at) in cell.platform.starts() {
         let id = task.get(..16).and_then(|id| u64::from_str_radix(id, 16).ok());
         let Some((id, told)) = id.and_then(|id| Some((id, book.jobs.get(&id)?))) else {
@@ -123,6 +124,13 @@
         if told.cancelled_at.is_some_and(|c| at > c + CANCEL_GRACE_MS) {
             wrong.push(format!("{task} begins long after it was cancelled"));
         }
+        begun.entry(id).or_default().insert(task);
+    }
+    for (id, told) in book.jobs.iter().filter(|(_, t)| t.completed) {
+        let tasks = begun.get(id).map_or(0, HashSet::len);
+        if tasks != told.tasks as usize {
+            wrong.push(format!("job {id:016x} is completed with {tasks} of {} tasks", told.tasks));
+        }
     }
     wrong
 }
--- a/crates/hollowford/tests/partitions.rs
+++ b/crates/hollowford/tests/partitions.rs
@@ -3,10 +3,10 @@
 #[path = "common/node.rs"]
 mod node;
 
-use hollowford_adapter_standin::Faults;
+use hollowford_adapter_standin::{Faults, speech};
 use node::{Cell, eventually};
 use reqwest::Method;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::collections::BTreeSet;
 
 const PLAIN: &str = "/plain/";
@@ -54,15 +54,14 @@
         assert!(used > 0, "partition {partition} has run nothing");
     }
     // None of these fits: each waits in its own partition, and one count tells of all.
-    let large = json!({"template": "50", "phases": [
-        {"count": 1, "cpu": 17_000, "mem-mb": 100, "estimate-ms": 50}]});
+    let large = speech::chain(&[1], 50, 17_000);
     for id in 100..112 {
         let path = format!("{PLAIN}{id:016x}");
         assert_eq!(cell.call(0, Method::POST, &path, large.clone()).await.0, 200);
     }
     for node in 0..4 {
         let (status, body) = cell.call(node, Method::GET, PLAIN, Value::Null).await;
-        let waiting = hollowford_adapter_standin::speech::waiting(&body);
+        let waiting = speech::waiting(&body);
         assert_eq!((status, waiting), (200, Some(12)));
     }
 }
