Fewer partitions where some pool or label would be missing from one

Cause: read once more: a job stays in its home, and a pool whose workers stand in one rack is in one partition only; jobs of it with another home would wait for ever. Tests: homes_tests (three partitions for a pool of three racks, one for one).

--- a/crates/hollowford-node/src/homes.rs
+++ b/crates/hollowford-node/src/homes.rs
@@ -4,11 +4,38 @@
 //! partitions, which never changes in the life of a cell.
 
 use hollowford_jobs::{JobId, WorkerListing, rack_label};
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::hash::{BuildHasher, BuildHasherDefault};
+use std::num::NonZeroUsize;
+
+/// Stands for a step that requires no label.
+const ANY_LABEL: &str = "";
 
 /// A hash that is the same in every process.
 type Fixed = BuildHasherDefault<rustc_hash::FxHasher>;
 
+/// Returns how many partitions a cell with these workers gets: one for each `workers_each`,
+/// but so few that each has workers of every pool, with every label that there is in it. A job
+/// never leaves its partition, and would wait there for ever.
+pub fn count_partitions(workers: &[WorkerListing], workers_each: NonZeroUsize) -> u32 {
+    let wanted = workers.len().div_ceil(workers_each.get()).max(1) as u32;
+    (1..=wanted).rev().find(|&count| are_alike(workers, count)).unwrap_or(1)
+}
+
+/// Tells whether each of so many partitions would have workers of every pool and label.
+fn are_alike(workers: &[WorkerListing], partitions: u32) -> bool {
+    let mut homes: FxHashMap<(&str, &str), FxHashSet<u32>> = FxHashMap::default();
+    for w in workers {
+        let home = home_of_worker(w, partitions);
+        let rack = rack_label(&w.labels);
+        let labels = w.labels.iter().filter(|&l| Some(l) != rack).map(|l| &**l);
+        for label in labels.chain([ANY_LABEL]) {
+            homes.entry((&w.pool, label)).or_default().insert(home);
+        }
+    }
+    homes.values().all(|h| h.len() == partitions as usize)
+}
+
 /// Returns the partition of a job.
 pub fn home_of_job(job: JobId, partitions: u32) -> u32 {
     (hash(&job.0) % u64::from(partitions.max(1))) as u32
--- a/crates/hollowford-node/src/homes_tests.rs
+++ b/crates/hollowford-node/src/homes_tests.rs
@@ -1,8 +1,9 @@
 //! Jobs and workers are dealt to partitions alike everywhere, and evenly.
 
-use crate::homes::{home_of_job, home_of_seat, home_of_worker};
+use crate::homes::{count_partitions, home_of_job, home_of_seat, home_of_worker};
 use hollowford_core::{Millis, Resources};
 use hollowford_jobs::{JobId, WorkerListing};
+use std::num::NonZeroUsize;
 
 fn worker(labels: &[&str], address: &str) -> WorkerListing {
     WorkerListing {
@@ -58,3 +59,35 @@
     assert!(home_of_worker(&worker(&["a"], "10.0.0.1:1"), 7) < 7);
     assert!(home_of_worker(&worker(&["rack-of-the-north"], "10.0.0.1:1"), 7) < 7);
 }
+
+/// Returns `racks` racks of eight workers of a pool, every other one with the label `b`.
+fn pool(name: &str, racks: usize) -> Vec<WorkerListing> {
+    let of_rack = |rack: usize| {
+        let label = format!("r1-{rack}");
+        let one = move |i: usize| worker(&[if i.is_multiple_of(2) { "a" } else { "b" }, &label], "x:1");
+        (0..8).map(one)
+    };
+    let all = (0..racks).flat_map(of_rack);
+    all.map(|w| WorkerListing { pool: name.into(), ..w }).collect()
+}
+
+fn count(workers: &[WorkerListing]) -> u32 {
+    count_partitions(workers, NonZeroUsize::new(100).unwrap_or(NonZeroUsize::MIN))
+}
+
+#[test]
+fn there_is_a_partition_for_so_many_workers() {
+    assert_eq!(count(&[]), 1);
+    assert_eq!(count(&pool("p", 12)), 1);
+    assert_eq!(count(&pool("p", 13)), 2);
+    assert_eq!(count(&pool("p", 100)), 8);
+}
+
+#[test]
+fn every_partition_has_workers_of_every_pool_and_label() {
+    let large = || pool("p", 100);
+    assert_eq!(count(&[large(), pool("small", 3)].concat()), 3);
+    assert_eq!(count(&[large(), pool("one-rack", 1)].concat()), 1);
+    let special = WorkerListing { pool: "p".into(), ..worker(&["fast", "r1-7"], "x:1") };
+    assert_eq!(count(&[large(), vec![special]].concat()), 1, "one worker has the label");
+}
--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -1,18 +1,23 @@
 //! How many partitions the cell has. It is decided once, when the cell first starts, by how
 //! many workers there are, and kept in the store.
 
+use crate::homes::count_partitions;
 use crate::link;
 use crate::owner_row::{CALL_TIMEOUT, RETRY, TABLE};
 use crate::shared::Shared;
 use crate::wire::{Body, Plan, WhatPlan};
-use hollowford_adapter::{Expect, REGISTRY_TABLE, Row, StoreError, Transaction, TxOutcome};
+use hollowford_adapter::{
+    Expect, REGISTRY_TABLE, Row, StoreError, Transaction, TxOutcome, decode_listing,
+};
 use hollowford_core::Millis;
+use hollowford_jobs::WorkerListing;
 use prost::Message;
 use std::num::NonZeroUsize;
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Workers that one owner decides for, unless it is set. Half a core carries 350 with 880 starts a second.
+/// Workers that one owner decides for, unless it is set. Half a core carries 350 with 880
+/// starts a second.
 pub const WORKERS_EACH: NonZeroUsize = NonZeroUsize::new(450).unwrap();
 /// Part of the table, and key of the row.
 const PLAN: &str = "plan";
@@ -53,8 +58,8 @@
         return Ok(decode(&row));
     }
     shared.note_store();
-    let workers = count_workers(shared, began).await?;
-    let partitions = workers.div_ceil(workers_each.get()).max(1) as u32;
+    let listings = read_workers(shared, began).await?;
+    let (workers, partitions) = (listings.len(), count_partitions(&listings, workers_each));
     let tx = Transaction {
         expect: vec![Expect { key: PLAN.to_owned(), version: 0 }],
         put: vec![(PLAN.to_owned(), Plan { partitions }.encode_to_vec())],
@@ -69,8 +74,8 @@
     }
 }
 
-/// Counts the workers once their number stands.
-async fn count_workers(shared: &Shared, began: Millis) -> Result<usize, StoreError> {
+/// Reads the list of workers once their number stands.
+async fn read_workers(shared: &Shared, began: Millis) -> Result<Vec<WorkerListing>, StoreError> {
     let (mut count, mut since) = (0, shared.clock.now());
     loop {
         let feed = shared.store.read_all(REGISTRY_TABLE, "", CALL_TIMEOUT).await?;
@@ -80,12 +85,18 @@
         }
         let stands = count > 0 && now.since(since) >= COUNT_STANDS;
         if stands || now.since(began) >= COUNT_WITHIN {
-            return Ok(count);
+            return Ok(feed.rows.iter().filter_map(listing).collect());
         }
         sleep(COUNT_EVERY).await;
     }
 }
 
+fn listing(row: &Row) -> Option<WorkerListing> {
+    decode_listing(&row.key, &row.value)
+        .inspect_err(|e| log::error!("worker.malformed worker={} error=\"{e}\"", row.key))
+        .ok()
+}
+
 fn decode(row: &Row) -> Option<u32> {
     Plan::decode(&row.value[..])
         .inspect_err(|e| log::error!("plan.malformed error=\"{e}\""))
