--- a/crates/hollowford-node/src/homes_tests.rs
+++ b/crates/hollowford-node/src/homes_tests.rs
@@ -64,7 +64,8 @@
 fn pool(name: &str, racks: usize) -> Vec<WorkerListing> {
     let of_rack = |rack: usize| {
         let label = format!("r1-{rack}");
-        let one = move |i: usize| worker(&[if i.is_multiple_of(2) { "a" } else { "b" }, &label], "x:1");
+        let one =
+            move |i: usize| worker(&[if i.is_multiple_of(2) { "a" } else { "b" }, &label], "x:1");
         (0..8).map(one)
     };
     let all = (0..racks).flat_map(of_rack);
--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -18,7 +18,10 @@
 
 /// Workers that one owner decides for, unless it is set. Half a core carries 350 with 880
 /// starts a second.
-pub const WORKERS_EACH: NonZeroUsize = NonZeroUsize::new(450).unwrap();
+pub const WORKERS_EACH: NonZeroUsize = match NonZeroUsize::new(450) {
+    Some(n) => n,
+    None => NonZeroUsize::MIN,
+};
 /// Part of the table, and key of the row.
 const PLAN: &str = "plan";
 /// How often the workers are counted when a cell first starts.
