--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -16,8 +16,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Workers that one owner decides for, unless it is set. Half a core carries 350 with 880
-/// starts a second.
+/// Workers that one owner decides for, unless it is set. Half a core carried 350, with 785
+/// starts in the busiest second that was counted (docs/CAPACITY.md).
 pub const WORKERS_EACH: NonZeroUsize = match NonZeroUsize::new(450) {
     Some(n) => n,
     None => NonZeroUsize::MIN,
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -23,7 +23,7 @@
 /// The list is read whole so often while workers are few: a feed may go silent.
 const READ_EVERY: Millis = Millis(2_000);
 /// With many workers it is read more rarely, so that all owners together don't take megabytes
-/// a second: a row has some 600 bytes. A feed whose history is lost says so.
+/// a second. A feed whose history is lost says so.
 const READ_EVERY_FOR_EACH: Millis = Millis(4);
 /// After the store was away, entries that lapsed meanwhile are back within 2 s.
 const TRUST_MISSING_AFTER: Millis = Millis(2_500);
