--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -195,7 +195,7 @@
             count_failure(&mut step.gang_failed, run)
         } else {
             let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
-            task.avoid = Some(idx);
+            task.keep_off(idx, now);
             count_failure(&mut task.failed_runs, run)
         };
         if failures >= most {
--- a/crates/hollowford-jobs/src/evacuate.rs
+++ b/crates/hollowford-jobs/src/evacuate.rs
@@ -17,7 +17,7 @@
         let late: Vec<_> = w.held.iter().filter(too_late).map(|h| h.task).collect();
         for key in late {
             if self.jobs.step_spec(key.step).is_some_and(|s| s.checkpoints) {
-                self.move_off(idx, key);
+                self.move_off(idx, key, now);
             }
         }
     }
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -44,15 +44,36 @@
     pub saved: Option<Arc<str>>,
     /// Where it runs, or may run.
     pub at: Option<WorkerIdx>,
-    /// Not tried here next, since it failed here last.
-    pub avoid: Option<WorkerIdx>,
+    /// Where it failed last: tried elsewhere first.
+    pub avoid: Option<Avoid>,
     /// It may run on a worker that this owner has not claimed yet.
     pub unsettled: bool,
     /// Not started again before.
     pub not_before: Millis,
 }
 
+/// A worker that a task keeps off for a while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Avoid {
+    pub worker: WorkerIdx,
+    pub until: Millis,
+}
+
+/// A task keeps off the worker that it failed on for so long, if it may run elsewhere: another
+/// one that never has room must not hold it up for ever.
+const AVOIDED_FOR: Millis = Millis(1_000);
+
 impl Task {
+    /// Keeps off a worker for a while.
+    pub fn keep_off(&mut self, worker: WorkerIdx, now: Millis) {
+        self.avoid = Some(Avoid { worker, until: now + AVOIDED_FOR });
+    }
+
+    /// Returns the worker that the task keeps off at `now`.
+    pub fn avoided(&self, now: Millis) -> Option<WorkerIdx> {
+        self.avoid.filter(|a| now < a.until).map(|a| a.worker)
+    }
+
     /// Tells whether the task may be started at `now`.
     pub fn waits(&self, now: Millis) -> bool {
         !self.done && self.at.is_none() && !self.unsettled && self.not_before <= now
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -109,7 +109,10 @@
     fn waiting_tasks(&self, key: StepKey, now: Millis) -> Vec<(u32, u32, Option<WorkerIdx>)> {
         let Some(step) = self.jobs.step(key) else { return Vec::new() };
         let tasks = step.tasks.iter().enumerate().filter(|(_, t)| t.waits(now));
-        tasks.map(|(i, t)| (i as u32, t.run, t.avoid)).collect()
+        let mut tasks: Vec<_> = tasks.map(|(i, t)| (i as u32, t.run, t.avoided(now))).collect();
+        // Those that may go anywhere first: one that keeps off a worker holds up none of them.
+        tasks.sort_by_key(|(_, _, avoided)| avoided.is_some());
+        tasks
     }
 
     /// Tells whether the step may run on some worker other than `w`, now or once it has room.
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -83,13 +83,13 @@
         }
         w.health.pause(now + STALLED_PAUSE);
         for key in moved {
-            self.move_off(idx, key);
+            self.move_off(idx, key, now);
         }
     }
 
     /// Stops a task, so that it starts elsewhere; a gang starts again whole. A task that lasts
     /// stays: its users would miss it.
-    pub(crate) fn move_off(&mut self, idx: WorkerIdx, key: TaskKey) {
+    pub(crate) fn move_off(&mut self, idx: WorkerIdx, key: TaskKey, now: Millis) {
         if self.jobs.step_spec(key.step).is_none_or(|s| s.lasting) {
             return;
         }
@@ -98,7 +98,7 @@
             return;
         }
         if let Some(task) = self.jobs.task_mut(key) {
-            task.avoid = Some(idx);
+            task.keep_off(idx, now);
         }
         self.order_stop(idx, key);
     }
--- a/crates/hollowford-jobs/tests/attempts.rs
+++ b/crates/hollowford-jobs/tests/attempts.rs
@@ -72,6 +72,35 @@
     assert_eq!(starts(&cell), 12);
 }
 
+#[test]
+fn a_task_returns_to_the_worker_that_has_failed_it_while_no_other_has_room() {
+    let mut cell = Cell::new(2);
+    cell.submit(1, QUICK, job(vec![step(1, 16_000, 60_000)]));
+    cell.run(50);
+    let free = cell.workers.iter().position(|w| w.running.is_empty()).expect("a free worker");
+    cell.workers[free].failing = true;
+    cell.submit(2, QUICK, job(vec![step(2, 1_000, 100)]));
+    cell.run(150);
+    cell.workers[free].failing = false;
+    cell.run(4_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+}
+
+#[test]
+fn a_task_that_has_failed_keeps_no_other_task_of_its_step_back() {
+    let mut cell = Cell::new(2);
+    cell.submit(1, QUICK, job(vec![step(1, 16_000, 60_000)]));
+    cell.run(50);
+    let free = cell.workers.iter().position(|w| w.running.is_empty()).expect("a free worker");
+    cell.workers[free].failing = true;
+    // Two of the tasks fit at a time: the first ones fail, and the others are still to come.
+    cell.submit(2, QUICK, job(vec![step(4, 8_000, 100)]));
+    cell.run(115);
+    cell.workers[free].failing = false;
+    cell.run(300);
+    assert_eq!(cell.engine.stats().done, 2);
+}
+
 #[test]
 fn a_task_may_return_to_the_only_worker_that_has_failed_it() {
     let mut cell = Cell::new(1);
