Time limits of calls to workers are learned from their answers

With limits from each worker's own answer times (RFC 6298, 60 to 400 ms, doubled while it is silent) and looks that wait for less the more answers are lost, the loss is found in some tens of milliseconds. A really silent worker is called no more often than before.

--- /dev/null
+++ b/crates/hollowford-jobs/src/answers.rs
@@ -0,0 +1,100 @@
+//! How fast workers answer, and how often an answer doesn't come.
+//!
+//! Orders and looks that get no answer are made again. How long to wait for an answer follows
+//! each worker's own answer times; how long a look may wait for an end follows how often
+//! answers were lost lately, since a lost one tells of no end until its time is up.
+
+use hollowford_core::Millis;
+
+/// Shortest time limit of a call. Workers answer within some milliseconds; the owner itself may
+/// be late by some tens.
+const LEAST_LIMIT: Millis = Millis(60);
+/// Longest time limit of a call, and the one of a worker that has not answered yet.
+const MOST_LIMIT: Millis = Millis(400);
+/// The limit doubles with each call without an answer, so many times at most.
+const MOST_DOUBLINGS: u32 = 3;
+/// Weight of the newest answer in the smoothed time (RFC 6298).
+const SMOOTHED_WEIGHT: f32 = 0.125;
+/// Weight of the newest answer in the deviation (RFC 6298).
+const DEVIATION_WEIGHT: f32 = 0.25;
+/// Deviations that the limit lies above the smoothed time (RFC 6298).
+const DEVIATIONS: f32 = 4.0;
+
+/// The pause after the first look without an answer; it doubles with each further one.
+const FIRST_PAUSE: Millis = Millis(40);
+/// The longest pause after a look without an answer.
+const MOST_PAUSE: Millis = Millis(250);
+
+/// Weight of the newest call in the share of lost answers: some 250 calls are remembered, which
+/// is about a second of a cell of 48 workers.
+const LOSS_WEIGHT: f32 = 1.0 / 256.0;
+/// Up to this share of lost answers looks wait for the longest time.
+const RARE_LOSS: f32 = 0.005;
+/// How long a look may wait for an end. Leases are renewed at this pace, three times in one.
+pub(crate) const LONGEST_WAIT: Millis = Millis(1_000);
+/// How long a look may wait for an end however many answers are lost.
+const SHORTEST_WAIT: Millis = Millis(150);
+
+/// The answer times of one worker.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AnswerTimes {
+    /// Smoothed time and smoothed deviation from it, in milliseconds; none before an answer.
+    times: Option<(f32, f32)>,
+}
+
+impl AnswerTimes {
+    /// Takes in how long an answer took.
+    pub fn note(&mut self, took: Millis) {
+        let took = took.0 as f32;
+        self.times = Some(match self.times {
+            None => (took, took / 2.0),
+            Some((smoothed, deviation)) => (
+                smoothed + (took - smoothed) * SMOOTHED_WEIGHT,
+                deviation + ((took - smoothed).abs() - deviation) * DEVIATION_WEIGHT,
+            ),
+        });
+    }
+
+    /// Returns how long to wait for the next answer, after `unanswered` calls without one.
+    pub fn limit(&self, unanswered: u32) -> Millis {
+        let Some((smoothed, deviation)) = self.times else { return MOST_LIMIT };
+        let limit = Millis((smoothed + deviation * DEVIATIONS) as u64);
+        let doubled = limit.max(LEAST_LIMIT).0 << unanswered.min(MOST_DOUBLINGS);
+        Millis(doubled).min(MOST_LIMIT)
+    }
+}
+
+/// Returns the pause until the next look, after `unanswered` calls without an answer.
+pub(crate) fn pause_after(unanswered: u32) -> Millis {
+    let doublings = unanswered.saturating_sub(1).min(MOST_DOUBLINGS);
+    Millis(FIRST_PAUSE.0 << doublings).min(MOST_PAUSE)
+}
+
+/// The share of calls whose answers were lost lately: workers that answered the next call had
+/// not answered these.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Losses {
+    share: f32,
+}
+
+impl Losses {
+    /// Takes in a call that was answered, or not.
+    pub fn note(&mut self, lost: bool) {
+        let newest = if lost { 1.0 } else { 0.0 };
+        self.share += (newest - self.share) * LOSS_WEIGHT;
+    }
+
+    /// Returns the share, in thousandths.
+    pub fn permille(&self) -> u32 {
+        (self.share * 1_000.0) as u32
+    }
+
+    /// Returns how long a look may wait for an end.
+    pub fn look_wait(&self) -> Millis {
+        if self.share <= RARE_LOSS {
+            return LONGEST_WAIT;
+        }
+        let wait = LONGEST_WAIT.0 as f32 * RARE_LOSS / self.share;
+        Millis(wait as u64).max(SHORTEST_WAIT)
+    }
+}
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,5 +1,6 @@
 //! The state of one partition, and what the passing of time does to it.
 
+use crate::answers::Losses;
 use crate::batch::BatchNote;
 use crate::jobs::Jobs;
 use crate::note::Note;
@@ -77,6 +78,8 @@
     pub(crate) dead: HashSet<InstanceId>,
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
     pub(crate) seats: Seats,
+    /// How often workers' answers are lost.
+    pub(crate) losses: Losses,
     /// Workers that may still run what an earlier owner ordered.
     pub(crate) unsettled: BTreeSet<WorkerIdx>,
     /// When none of them can any more.
@@ -113,6 +116,7 @@
             dead: HashSet::new(),
             queues: FxHashMap::default(),
             seats: Seats::default(),
+            losses: Losses::default(),
             unsettled: BTreeSet::new(),
             settled_at: now + bounds.earlier_lease,
             tasks_unsettled: false,
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -1,5 +1,6 @@
 //! Looks at workers, which renew their leases and claim them for this owner.
 
+use crate::answers::pause_after;
 use crate::engine::Engine;
 use crate::note::{GiveUp, Note};
 use crate::order::{Look, Order, WorkerCall};
@@ -8,13 +9,9 @@
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::{InstanceId, Millis};
 
-/// How long a look may wait for an end. Leases are renewed at this pace, three times in one.
-const LOOK_WAIT: Millis = Millis(1_000);
 /// An order of an earlier owner that a worker was just carrying out when it took the new fence
 /// has begun, and is listed, after this time.
 const CONFIRM_AFTER: Millis = Millis(40);
-/// The next look after one that got no answer.
-const LOOK_AGAIN: Millis = Millis(250);
 /// How often to look while ends can't be made durable, so that leases are renewed.
 const LOOK_STALLED: Millis = Millis(900);
 
@@ -35,6 +32,7 @@
     /// Orders the looks that are due.
     pub(crate) fn look(&mut self, now: Millis, out: &mut Vec<Order>) {
         let lease = self.bounds.lease;
+        let longest = self.losses.look_wait();
         for idx in self.workers.indexes() {
             let Some(w) = self.workers.get_mut(idx) else { continue };
             if w.looking || w.look_at > now {
@@ -42,14 +40,15 @@
             }
             w.looking = true;
             let first = !w.claimed || w.unanswered > 0;
-            let wait = if first || w.taken > w.forget { Millis(0) } else { LOOK_WAIT };
-            out.push(Order::Worker(WorkerCall::Look {
+            let wait = if first || w.taken > w.forget { Millis(0) } else { longest };
+            let call = WorkerCall::Look {
                 worker: w.id.clone(),
                 address: w.address.clone(),
                 lease_until: w.extend_lease(now, lease),
                 forget: w.forget,
                 wait,
-            }));
+            };
+            out.push(Order::Worker { call, limit: w.answer_limit() });
         }
     }
 
@@ -71,20 +70,29 @@
             LookAnswer::Lists(look) => self.take_lists(idx, look, sent, now),
             LookAnswer::OtherLife => self.worker_dead(idx, now),
             LookAnswer::Fenced => return true,
-            LookAnswer::Unanswered => self.note_unheard(idx, now),
+            LookAnswer::Unanswered => {
+                self.note_unheard(idx, now);
+                self.look_after_pause(idx, now);
+            }
         }
         false
     }
 
-    /// Takes in that a worker has not answered a look.
-    fn note_unheard(&mut self, idx: WorkerIdx, now: Millis) {
+    /// Takes in that a worker has not answered a call.
+    pub(crate) fn note_unheard(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         if w.unanswered == 0 {
             let since = now.since(w.last_answer);
             self.notes.push(Note::Silent { worker: w.id.clone(), silent: true, since });
         }
         w.unanswered += 1;
-        w.look_at = now + LOOK_AGAIN;
+    }
+
+    /// Sets when to look again at a worker that has not answered a look.
+    fn look_after_pause(&mut self, idx: WorkerIdx, now: Millis) {
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.look_at = now + pause_after(w.unanswered);
+        }
     }
 
     fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
@@ -107,9 +115,10 @@
         self.dirty = true;
     }
 
-    /// Takes in that a worker has answered a look, with its clock.
-    fn note_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
+    /// Takes in that a worker has answered a call, with its clock.
+    pub(crate) fn note_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
+        self.losses.note(w.unanswered > 0);
         if w.unanswered > 0 {
             let since = now.since(w.last_answer);
             self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 //! earlier one wrote down.
 
 mod advice;
+mod answers;
 mod batch;
 mod choose;
 mod dirty;
--- a/crates/hollowford-jobs/src/order.rs
+++ b/crates/hollowford-jobs/src/order.rs
@@ -8,7 +8,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
     /// Call a worker.
-    Worker(WorkerCall),
+    Worker {
+        /// The call.
+        call: WorkerCall,
+        /// How long to wait for the answer, beyond the time that the call itself lets the
+        /// worker wait.
+        limit: Millis,
+    },
     /// Ask which of these workers may run a step.
     Advice {
         /// Position of the instance that makes the call, in the list of seats.
--- a/crates/hollowford-jobs/src/pacing.rs
+++ b/crates/hollowford-jobs/src/pacing.rs
@@ -89,18 +89,19 @@
     pub(crate) fn order_paces(&mut self, out: &mut Vec<Order>) {
         for idx in self.workers.indexes() {
             let Some(w) = self.workers.get_mut(idx) else { continue };
-            let (worker, address) = (w.id.clone(), w.address.clone());
+            let (worker, address, limit) = (w.id.clone(), w.address.clone(), w.answer_limit());
             let due =
                 |h: &&mut Held| h.phase == Phase::Running && !h.calling && h.pace != h.pace_wanted;
             for h in w.held.iter_mut().filter(due) {
                 h.calling = true;
-                out.push(Order::Worker(WorkerCall::Pace {
+                let call = WorkerCall::Pace {
                     worker: worker.clone(),
                     address: address.clone(),
                     task: h.task,
                     run: h.run,
                     percent: h.pace_wanted,
-                }));
+                };
+                out.push(Order::Worker { call, limit });
             }
         }
     }
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -59,7 +59,8 @@
         if let Some(h) = w.find_mut(task, run) {
             h.calling = true;
         }
-        out.push(Order::Worker(WorkerCall::Start {
+        let limit = w.answer_limit();
+        let call = WorkerCall::Start {
             worker: w.id.clone(),
             address: w.address.clone(),
             task,
@@ -68,32 +69,36 @@
             template,
             saved,
             ticket,
-        }));
+        };
+        out.push(Order::Worker { call, limit });
     }
 
-    /// Takes in a worker's answer to a start. Tells whether a newer owner has claimed it.
+    /// Takes in a worker's answer to a start that was sent at `sent`. Tells whether a newer owner
+    /// has claimed it.
     pub fn start_answered(
         &mut self,
         id: &InstanceId,
-        task: TaskKey,
-        run: u32,
+        (task, run): (TaskKey, u32),
         answer: StartAnswer,
+        sent: Millis,
         now: Millis,
     ) -> bool {
         let Some(idx) = self.workers.find(id) else { return false };
         self.dirty = true;
+        match answer {
+            StartAnswer::Runs(clock) => self.note_heard(idx, clock, now),
+            StartAnswer::Unanswered => self.note_unheard(idx, now),
+            _ => {}
+        }
         let Some(w) = self.workers.get_mut(idx) else { return false };
-        if let StartAnswer::Runs(clock) = answer {
-            w.answered(clock, now);
+        if answer != StartAnswer::Unanswered {
+            w.answer_times.note(now.since(sent));
         }
         let Some(h) = w.find_mut(task, run) else { return answer == StartAnswer::Fenced };
         h.calling = false;
         match answer {
             StartAnswer::Runs(_) => h.has_begun(now),
-            StartAnswer::Unanswered => {
-                h.unsure = true;
-                w.unanswered += 1;
-            }
+            StartAnswer::Unanswered => h.unsure = true,
             // Its end is listed, or was already.
             StartAnswer::Old => {
                 h.phase = Phase::Running;
@@ -188,11 +193,11 @@
     fn send_stop(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
         let Placement { idx, task, run } = p;
         let Some(w) = self.workers.get_mut(idx) else { return };
-        let (worker, address) = (w.id.clone(), w.address.clone());
+        let (worker, address, limit) = (w.id.clone(), w.address.clone(), w.answer_limit());
         let Some(h) = w.find_mut(task, run) else { return };
         h.calling = true;
         h.since = now;
-        out.push(Order::Worker(WorkerCall::Stop { worker, address, task, run }));
+        out.push(Order::Worker { call: WorkerCall::Stop { worker, address, task, run }, limit });
     }
 
     /// Takes in whether a stop was answered.
--- a/crates/hollowford-jobs/src/view.rs
+++ b/crates/hollowford-jobs/src/view.rs
@@ -23,6 +23,8 @@
     pub cores_milli: u64,
     /// Of these, free ones.
     pub free_milli: u64,
+    /// Share of workers' answers that were lost lately, in thousandths.
+    pub lost_permille: u32,
     /// Tasks that hold room.
     pub held: usize,
     /// Batches cut.
@@ -44,6 +46,7 @@
             unsettled_workers: self.unsettled.len(),
             cores_milli: usable().map(|w| u64::from(w.capacity.cpu_milli)).sum(),
             free_milli: usable().map(|w| u64::from(w.free.cpu_milli)).sum(),
+            lost_permille: self.losses.permille(),
             held: self.workers.iter().map(|(_, w)| w.held.len()).sum(),
             batches: self.batch_no,
             stats: self.stats,
@@ -56,7 +59,7 @@
         write!(
             f,
             "epoch={} open_jobs={} waiting_steps={} workers={} usable={} unsettled={} \
-             cores_milli={} free_milli={} held={} batches={} {:?}",
+             cores_milli={} free_milli={} lost_permille={} held={} batches={} {:?}",
             self.epoch,
             self.open_jobs,
             self.waiting_steps,
@@ -65,6 +68,7 @@
             self.unsettled_workers,
             self.cores_milli,
             self.free_milli,
+            self.lost_permille,
             self.held,
             self.batches,
             self.stats
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -1,5 +1,6 @@
 //! One worker as the owner knows it.
 
+use crate::answers::AnswerTimes;
 use crate::health::Health;
 use crate::order::WorkerListing;
 use crate::spec::TaskKey;
@@ -140,6 +141,7 @@
     pub look_at: Millis,
     /// Calls without an answer since the last that got one.
     pub unanswered: u32,
+    pub answer_times: AnswerTimes,
     pub last_answer: Millis,
     pub health: Health,
     /// How long its tasks take as a multiple of what their callers guess, smoothed.
@@ -178,6 +180,7 @@
             looking: false,
             look_at: now,
             unanswered: 0,
+            answer_times: AnswerTimes::default(),
             last_answer: now,
             health: Health::default(),
             slowness: 1.0,
@@ -239,6 +242,11 @@
         held
     }
 
+    /// Returns how long to wait for the answer to a call that is made now.
+    pub fn answer_limit(&self) -> Millis {
+        self.answer_times.limit(self.unanswered)
+    }
+
     /// Takes note of an answer with the worker's clock.
     pub fn answered(&mut self, reading: u64, now: Millis) {
         self.unanswered = 0;
--- /dev/null
+++ b/crates/hollowford-jobs/tests/answers.rs
@@ -0,0 +1,113 @@
+//! Calls to workers whose answers don't come.
+
+mod common;
+
+use common::*;
+use hollowford_core::Millis;
+use hollowford_jobs::*;
+
+/// How long a look of the engine may wait while no answers are lost.
+const LONG_WAIT: Millis = Millis(1_000);
+
+/// Returns the wait of each look in the log, and empties it.
+fn waits(cell: &mut Cell) -> Vec<Millis> {
+    let wait = |order: Order| match order {
+        Order::Worker { call: WorkerCall::Look { wait, .. }, .. } => Some(wait),
+        _ => None,
+    };
+    std::mem::take(&mut cell.log).into_iter().filter_map(wait).collect()
+}
+
+/// Returns the time limit of the newest start in the log.
+fn start_limit(cell: &Cell) -> Millis {
+    let limit = |order: &Order| match order {
+        Order::Worker { call: WorkerCall::Start { .. }, limit } => Some(*limit),
+        _ => None,
+    };
+    cell.log.iter().rev().find_map(limit).expect("a start")
+}
+
+/// Tells the engine of one start that was answered after `took`.
+fn start_once(cell: &mut Cell, id: u64, took: u64) {
+    cell.submit(id, QUICK, job(vec![step(1, 1_000, 60_000)]));
+    cell.write();
+    for order in cell.poll() {
+        cell.log.push(order.clone());
+        if let Order::Worker { call: WorkerCall::Start { worker, task, run, .. }, .. } = order {
+            let sent = cell.now;
+            cell.now = cell.now + Millis(took);
+            let clock = cell.workers[0].clock() + took;
+            let answer = StartAnswer::Runs(clock);
+            cell.engine.start_answered(&worker, (task, run), answer, sent, cell.now);
+        }
+    }
+    cell.now = cell.now + Millis(5);
+}
+
+#[test]
+fn the_time_limit_of_an_order_follows_the_answers_of_its_worker() {
+    let mut cell = Cell::new(1);
+    for id in 0..10 {
+        start_once(&mut cell, id, 4);
+    }
+    let quick = start_limit(&cell);
+    assert!(quick < Millis(100), "{quick:?} at a worker that answers in 4 ms");
+    for id in 10..30 {
+        start_once(&mut cell, id, 200);
+    }
+    let slow = start_limit(&cell);
+    assert!(slow > Millis(200), "{slow:?} at a worker that answers in 200 ms");
+}
+
+#[test]
+fn a_worker_that_is_silent_is_called_ever_more_rarely() {
+    let mut cell = Cell::new(1);
+    cell.run(500);
+    cell.workers[0].reachable = false;
+    cell.run(1_000);
+    cell.log.clear();
+    // The cell answers for a silent worker at once, so that only the pauses count.
+    cell.run(1_000);
+    let looks = cell.log.len();
+    assert!((2..=5).contains(&looks), "{looks} looks in a second");
+}
+
+#[test]
+fn looks_wait_for_less_while_answers_are_lost_and_for_long_again_afterwards() {
+    let mut cell = Cell::new(4);
+    cell.run(200);
+    let calm = waits(&mut cell);
+    assert!(calm.contains(&LONG_WAIT), "{calm:?}");
+    // Half of the time the answers of one worker are lost; the next ones come.
+    for turn in 0..400 {
+        cell.workers[turn % 4].mute = true;
+        cell.run(5);
+        cell.workers[turn % 4].mute = false;
+        cell.run(5);
+    }
+    waits(&mut cell);
+    cell.run(50);
+    let lossy = waits(&mut cell);
+    assert!(lossy.iter().all(|w| *w < Millis(500)), "{lossy:?}");
+    cell.run(10_000);
+    waits(&mut cell);
+    cell.run(50);
+    let calm = waits(&mut cell);
+    assert!(calm.contains(&LONG_WAIT), "{calm:?}");
+}
+
+#[test]
+fn lost_answers_make_no_task_run_twice() {
+    let mut cell = Cell::new(4);
+    for id in 0..40 {
+        cell.submit(id, QUICK, job(vec![step(2, 1_000, 100)]));
+        cell.workers[id as usize % 4].mute = true;
+        cell.run(15);
+        cell.workers[id as usize % 4].mute = false;
+        cell.run(15);
+    }
+    cell.run(1_000);
+    let done = (0..40).filter(|&id| cell.state(id) == Some(JobState::Completed)).count();
+    assert_eq!(done, 40);
+    assert_eq!(cell.workers.iter().map(|w| w.starts).sum::<u64>(), 80);
+}
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -174,7 +174,7 @@
     fn carry_out(&mut self, order: Order) {
         let fence = self.engine.epoch();
         match order {
-            Order::Worker(call) => self.call(call, fence),
+            Order::Worker { call, .. } => self.call(call, fence),
             Order::Advice { seat, step, workers } => {
                 let seat = self.engine.seat(seat).expect("a seat").clone();
                 if self.dead_seats.contains(&*seat.address) {
@@ -198,7 +198,7 @@
                     w.start(task, run, lease_until, fence, &need, saved)
                 });
                 self.judge_twice();
-                self.engine.start_answered(&worker, task, run, answer, now);
+                self.engine.start_answered(&worker, (task, run), answer, now, now);
             }
             WorkerCall::Stop { worker, task, run, .. } => {
                 let answered = self.worker(&worker).is_some_and(|w| w.stop(task, run, fence));
--- a/crates/hollowford-node/src/calls.rs
+++ b/crates/hollowford-node/src/calls.rs
@@ -17,11 +17,12 @@
     shared: Arc<Shared>,
     workers: WorkerClient,
     call: WorkerCall,
+    limit: Millis,
     sent: Millis,
     owner: OwnerHandle,
 ) {
     let began = shared.clock.now();
-    let (called, error) = workers.call(&call).await;
+    let (called, error) = workers.call(&call, limit).await;
     let took = shared.clock.now().since(began);
     note(&shared, &called, took);
     if let Some(e) = error {
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -40,6 +40,8 @@
     pub open_jobs: IntGaugeVec,
     /// Workers that may get tasks, by partition, while this process owns it.
     pub usable_workers: IntGaugeVec,
+    /// Share of workers' answers that were lost lately, in thousandths, by partition.
+    pub lost_permille: IntGaugeVec,
     /// Log lines that were dropped since the writer was behind.
     log_dropped: IntCounter,
 }
@@ -92,6 +94,7 @@
             config_version: gauge("config_version", "Version of the configuration")?,
             open_jobs: gauges("open_jobs", "Jobs that have not ended")?,
             usable_workers: gauges("usable_workers", "Workers that may get tasks")?,
+            lost_permille: gauges("lost_answers_permille", "Workers' answers lost lately")?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -215,7 +215,7 @@
     fn take_worker(&mut self, call: &WorkerCall, called: Called, sent: Millis, now: Millis) {
         let fenced = match (call, called) {
             (WorkerCall::Start { worker, task, run, .. }, Called::Start(answer)) => {
-                self.engine.start_answered(worker, *task, *run, answer, now)
+                self.engine.start_answered(worker, (*task, *run), answer, sent, now)
             }
             (WorkerCall::Stop { worker, task, run, .. }, Called::Stop(answered)) => {
                 self.engine.stop_answered(worker, *task, *run, answered, now);
@@ -312,9 +312,10 @@
 
     fn carry_out(&self, order: Order, now: Millis) {
         match order {
-            Order::Worker(call) => {
+            Order::Worker { call, limit } => {
                 let (shared, workers) = (self.cx.shared.clone(), self.workers.clone());
-                tokio::spawn(call_worker(shared, workers, call, now, self.handle.clone()));
+                let handle = self.handle.clone();
+                tokio::spawn(call_worker(shared, workers, call, limit, now, handle));
             }
             Order::Advice { seat, step, workers } => {
                 let Some(seat) = self.engine.seat(seat).cloned() else { return };
@@ -337,6 +338,7 @@
         let view = self.engine.view(now);
         let (metrics, part) = (&self.cx.shared.metrics, [self.cx.partition.part.as_str()]);
         metrics.open_jobs.with_label_values(&part).set(view.open_jobs as i64);
+        metrics.lost_permille.with_label_values(&part).set(i64::from(view.lost_permille));
         metrics.usable_workers.with_label_values(&part).set(view.usable_workers as i64);
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
