Two lanes of batches, and a look at the row before a batch is sent again

Hypothesis: on a slow store (answers take 99 times as long) new jobs are refused since one batch at a time is under way. Found on the way, by the log's new line batch.slow: the store makes the transactions of a part one after the other, some 0.48 s each then, and a call has as long a way besides. Change: the writer reads its lane's row before it sends a copy; a reading takes no turn, shows a batch sooner than its own answer, and how slow the store is. Two lanes: one batch waits while one is made. A takeover writes the rows of all lanes, so that it fences each. Ends are forgotten at a worker one by one as their rows are made, not once nothing is left to write; while some are on their way, a worker is looked at each 100 ms. Callers wait for as long as they say, jobs are refused at once by how long the store takes now. Tests: writer_tests (lanes, takeover, lost and late calls in random order, a slow store), batches made in any order; each was seen failing with its mechanism taken out. Lanes in other parts would need a takeover across parts: not tried.

--- a/crates/hollowford-core/src/lib.rs
+++ b/crates/hollowford-core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types that every part of hollowford shares: time, identifiers, resources,
 //! checked request specifications and the closed list of error kinds.
 
+mod answer_times;
 mod error;
 mod id;
 pub mod prelude;
@@ -8,6 +9,7 @@
 mod spec;
 mod time;
 
+pub use answer_times::AnswerTimes;
 pub use error::{Answer, Error, ErrorKind, Ran};
 pub use id::{AccountId, Epoch, InstanceId, PartitionId, RequestKey, RequestNo, TaskId, hash64};
 pub use resources::{Resources, Totals};
--- a/crates/hollowford-jobs/src/answers.rs
+++ b/crates/hollowford-jobs/src/answers.rs
@@ -4,7 +4,7 @@
 //! each worker's own answer times; how long a look may wait for an end follows how often
 //! answers were lost lately, since a lost one tells of no end until its time is up.
 
-use hollowford_core::Millis;
+use hollowford_core::{AnswerTimes, Millis};
 
 /// Shortest time limit of a call. Workers answer within some milliseconds; the owner itself may
 /// be late by some tens.
@@ -13,13 +13,6 @@
 const MOST_LIMIT: Millis = Millis(400);
 /// The limit doubles with each call without an answer, so many times at most.
 const MOST_DOUBLINGS: u32 = 3;
-/// Weight of the newest answer in the smoothed time (RFC 6298).
-const SMOOTHED_WEIGHT: f32 = 0.125;
-/// Weight of the newest answer in the deviation (RFC 6298).
-const DEVIATION_WEIGHT: f32 = 0.25;
-/// Deviations that the limit lies above the smoothed time (RFC 6298).
-const DEVIATIONS: f32 = 4.0;
-
 /// The pause after the first look without an answer; it doubles with each further one.
 const FIRST_PAUSE: Millis = Millis(40);
 /// The longest pause after a look without an answer.
@@ -35,33 +28,11 @@
 /// How long a look may wait for an end however many answers are lost.
 const SHORTEST_WAIT: Millis = Millis(150);
 
-/// The answer times of one worker.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct AnswerTimes {
-    /// Smoothed time and smoothed deviation from it, in milliseconds; none before an answer.
-    times: Option<(f32, f32)>,
-}
-
-impl AnswerTimes {
-    /// Takes in how long an answer took.
-    pub fn note(&mut self, took: Millis) {
-        let took = took.0 as f32;
-        self.times = Some(match self.times {
-            None => (took, took / 2.0),
-            Some((smoothed, deviation)) => (
-                smoothed + (took - smoothed) * SMOOTHED_WEIGHT,
-                deviation + ((took - smoothed).abs() - deviation) * DEVIATION_WEIGHT,
-            ),
-        });
-    }
-
-    /// Returns how long to wait for the next answer, after `unanswered` calls without one.
-    pub fn limit(&self, unanswered: u32) -> Millis {
-        let Some((smoothed, deviation)) = self.times else { return MOST_LIMIT };
-        let limit = Millis((smoothed + deviation * DEVIATIONS) as u64);
-        let doubled = limit.max(LEAST_LIMIT).0 << unanswered.min(MOST_DOUBLINGS);
-        Millis(doubled).min(MOST_LIMIT)
-    }
+/// Returns how long to wait for the next answer of a worker, after `unanswered` calls without one.
+pub(crate) fn limit(times: &AnswerTimes, unanswered: u32) -> Millis {
+    let Some(expected) = times.expected() else { return MOST_LIMIT };
+    let doubled = expected.max(LEAST_LIMIT).0 << unanswered.min(MOST_DOUBLINGS);
+    Millis(doubled).min(MOST_LIMIT)
 }
 
 /// Returns the pause until the next look, after `unanswered` calls without an answer.
--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -1,15 +1,19 @@
 //! Batches of rows for the store.
 //!
-//! One batch is under way at a time. What changes meanwhile goes into the next one.
+//! Several may be under way side by side, and may be made in any order. What belongs to one job
+//! is in one of them at a time, so that its rows are written in order; what changes of it
+//! meanwhile goes into a later one.
 
 use crate::engine::Engine;
+use crate::job::EndAt;
 use crate::job::JobState;
 use crate::rows::{JobRow, ProgressRow, WorkerAddress, encode_workers};
 use crate::spec::JobId;
 use crate::worker::Worker;
-use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
 use prost::Message;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::BTreeMap;
 
 /// Most rows that one job writes: its own and its progress.
 const ROWS_OF_JOB: usize = 2;
@@ -49,17 +53,38 @@
     pub rows: Vec<RowWrite>,
 }
 
-/// What the batch under way will have made durable.
+/// What a batch under way will have made durable.
 #[derive(Debug, Default)]
 pub(crate) struct BatchNote {
     accepted: Vec<JobId>,
     progressed: Vec<JobId>,
     ended: Vec<(JobId, JobState, Millis)>,
-    /// Ends taken in, by worker.
-    taken: Vec<(WorkerIdx, u64)>,
+    /// Jobs whose rows are removed.
+    expired: Vec<JobId>,
+    /// Ends at workers that the rows contain, with the job of each.
+    ends: Vec<(JobId, EndAt)>,
     workers: Option<Vec<WorkerAddress>>,
 }
 
+impl BatchNote {
+    /// Returns the jobs that have rows in the batch, some of them twice.
+    fn jobs(&self) -> impl Iterator<Item = JobId> {
+        let ended = self.ended.iter().map(|&(id, ..)| id);
+        let written = self.accepted.iter().chain(&self.progressed).chain(&self.expired);
+        written.copied().chain(ended)
+    }
+}
+
+/// Batches that are cut and not made yet.
+#[derive(Debug, Default)]
+pub(crate) struct InFlight {
+    notes: BTreeMap<u64, BatchNote>,
+    /// Jobs with rows in one of them.
+    jobs: FxHashSet<JobId>,
+    /// Jobs that have something to write once that one is made, and whether somebody waits.
+    waiting: FxHashMap<JobId, bool>,
+}
+
 /// Key of the row of workers.
 pub(crate) const WORKERS_KEY: &str = "workers";
 
@@ -75,14 +100,11 @@
     /// Tells whether somebody waits for the next batch: a caller for an acceptance or the
     /// end of a job.
     pub fn batch_is_urgent(&self) -> bool {
-        self.in_flight.is_none() && self.jobs.dirty.wanted_len() > 0
+        self.jobs.dirty.wanted_len() > 0
     }
 
-    /// Returns the next batch; none when one is under way or there is nothing to write.
+    /// Returns the next batch; none when there is nothing to write.
     pub fn cut_batch(&mut self, now: Millis) -> Option<Batch> {
-        if self.in_flight.is_some() {
-            return None;
-        }
         let mut note = BatchNote::default();
         let mut rows = Vec::new();
         self.write_workers(&mut rows, &mut note);
@@ -90,36 +112,33 @@
         let old = now - self.bounds.keep_ended;
         for id in self.jobs.expire(old, MOST_EXPIRED) {
             rows.push(RowWrite { key: job_key(id), value: None });
+            note.expired.push(id);
         }
-        // Else what an end changed may be in the part that is left for the next batch.
-        if self.jobs.dirty.is_empty() {
-            let taken = self.workers.iter().filter(|(_, w)| w.taken > w.forget);
-            note.taken = taken.map(|(idx, w)| (idx, w.taken)).collect();
-        }
-        if rows.is_empty() && note.taken.is_empty() {
+        if rows.is_empty() {
             return None;
         }
         self.batch_no += 1;
-        self.in_flight = Some(note);
+        self.in_flight.jobs.extend(note.jobs());
+        self.in_flight.notes.insert(self.batch_no, note);
         Some(Batch { number: self.batch_no, rows })
     }
 
-    /// The batch under way is in the store.
-    pub fn committed(&mut self, now: Millis) {
-        let Some(note) = self.in_flight.take() else { return };
-        for id in note.accepted {
+    /// A batch is in the store.
+    pub fn committed(&mut self, number: u64, now: Millis) {
+        let Some(note) = self.take_in_flight(number) else { return };
+        for &id in &note.accepted {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.kept = true;
             }
         }
-        for (id, state, at) in note.ended {
-            self.close_job(id, state, at);
+        for &(_, end) in &note.ends {
+            self.end_durable(end, now);
         }
-        for (idx, taken) in note.taken {
-            if let Some(w) = self.workers.get_mut(idx) {
-                w.forget = w.forget.max(taken);
-                w.look_at = now;
-            }
+        for &(id, state, at) in &note.ended {
+            // What was told of it after its end was decided needs no row.
+            let told = self.jobs.get_mut(id).map(|j| std::mem::take(&mut j.ends));
+            told.into_iter().flatten().for_each(|end| self.end_durable(end, now));
+            self.close_job(id, state, at);
         }
         if let Some(list) = note.workers {
             self.workers_recorded(list);
@@ -127,10 +146,37 @@
         self.dirty = true;
     }
 
-    /// The batch under way was refused and will never be made: its changes are to be written
-    /// again.
-    pub fn batch_refused(&mut self) {
-        let Some(note) = self.in_flight.take() else { return };
+    /// Takes a batch out of those under way; what waited for it may be written next.
+    fn take_in_flight(&mut self, number: u64) -> Option<BatchNote> {
+        let note = self.in_flight.notes.remove(&number)?;
+        for id in note.jobs() {
+            self.in_flight.jobs.remove(&id);
+            match self.in_flight.waiting.remove(&id) {
+                Some(true) => self.jobs.dirty.want(id),
+                Some(false) => self.jobs.dirty.add(id),
+                None => {}
+            }
+        }
+        Some(note)
+    }
+
+    /// An end at a worker is in the store, or needs not be.
+    fn end_durable(&mut self, end: EndAt, now: Millis) {
+        let Some(w) = self.workers.get_mut(end.worker) else { return };
+        w.unwritten_ends.remove(&end.number);
+        if w.unwritten_ends.is_empty() {
+            w.look_at = now;
+        }
+    }
+
+    /// A batch was refused and will never be made: its changes are to be written again.
+    pub fn batch_refused(&mut self, number: u64) {
+        let Some(note) = self.take_in_flight(number) else { return };
+        for &(id, end) in &note.ends {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.ends.push(end);
+            }
+        }
         for &id in note.accepted.iter().chain(&note.progressed) {
             let accepted = note.accepted.contains(&id);
             let Some(job) = self.jobs.get_mut(id) else { continue };
@@ -149,8 +195,10 @@
 
     /// Writes the row of workers when it lacks one that may get work.
     fn write_workers(&mut self, rows: &mut Vec<RowWrite>, note: &mut BatchNote) {
+        // Two lists under way could be made in the wrong order.
+        let under_way = self.in_flight.notes.values().any(|n| n.workers.is_some());
         let lacking = self.workers.iter().any(|(_, w)| !w.recorded && w.listed);
-        if !lacking {
+        if under_way || !lacking {
             return;
         }
         let address = |w: &Worker| WorkerAddress { id: w.id.clone(), address: w.address.clone() };
@@ -172,7 +220,11 @@
     fn write_jobs(&mut self, now: Millis, rows: &mut Vec<RowWrite>, note: &mut BatchNote) {
         let mut bytes = 0;
         while rows.len() + ROWS_OF_JOB <= MOST_ROWS && bytes <= MOST_BYTES {
-            let Some(id) = self.jobs.dirty.pop() else { return };
+            let Some((id, wanted)) = self.jobs.dirty.pop() else { return };
+            if self.in_flight.jobs.contains(&id) {
+                *self.in_flight.waiting.entry(id).or_default() |= wanted;
+                continue;
+            }
             let start = rows.len();
             self.write_job(id, now, rows, note);
             bytes += rows[start..].iter().map(RowWrite::bytes).sum::<usize>();
@@ -187,6 +239,7 @@
         note: &mut BatchNote,
     ) {
         let Some(job) = self.jobs.get_mut(id) else { return };
+        note.ends.extend(job.ends.drain(..).map(|end| (id, end)));
         if let Some(state) = job.end {
             rows.push(put(job_key(id), JobRow::ended(state, now.0).encode_to_vec()));
             if job.has_progress {
--- a/crates/hollowford-jobs/src/dirty.rs
+++ b/crates/hollowford-jobs/src/dirty.rs
@@ -49,21 +49,17 @@
         }
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.queued.is_empty()
-    }
-
     /// Returns how many jobs somebody waits for.
     pub fn wanted_len(&self) -> usize {
         self.wanted_len
     }
 
-    /// Takes the next job out.
-    pub fn pop(&mut self) -> Option<JobId> {
+    /// Takes the next job out, and tells whether somebody waits for it.
+    pub fn pop(&mut self) -> Option<(JobId, bool)> {
         self.popped = self.popped.wrapping_add(1);
         let rest_first = self.popped.is_multiple_of(ONE_IN);
-        let first = self.pop_of(!rest_first);
-        first.or_else(|| self.pop_of(rest_first))
+        let first = self.pop_of(!rest_first).map(|id| (id, !rest_first));
+        first.or_else(|| self.pop_of(rest_first).map(|id| (id, rest_first)))
     }
 
     fn pop_of(&mut self, wanted: bool) -> Option<JobId> {
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,7 +1,7 @@
 //! The state of one partition, and what the passing of time does to it.
 
 use crate::answers::Losses;
-use crate::batch::BatchNote;
+use crate::batch::InFlight;
 use crate::jobs::Jobs;
 use crate::note::Note;
 use crate::order::{Order, WorkerListing};
@@ -86,8 +86,8 @@
     pub(crate) settled_at: Millis,
     /// Some tasks wait for the workers above.
     pub(crate) tasks_unsettled: bool,
-    /// What the batch under way holds.
-    pub(crate) in_flight: Option<BatchNote>,
+    /// Batches that are under way.
+    pub(crate) in_flight: InFlight,
     /// Number of the last batch.
     pub(crate) batch_no: u64,
     /// The row of workers as it was written last.
@@ -120,7 +120,7 @@
             unsettled: BTreeSet::new(),
             settled_at: now + bounds.earlier_lease,
             tasks_unsettled: false,
-            in_flight: None,
+            in_flight: InFlight::default(),
             batch_no: 0,
             recorded: Vec::new(),
             dirty: true,
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -32,6 +32,14 @@
     }
 }
 
+/// An end that a worker keeps until it need not any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct EndAt {
+    pub worker: WorkerIdx,
+    /// Its number in the worker's list.
+    pub number: u64,
+}
+
 /// One task.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
@@ -172,6 +180,8 @@
     pub progressed: bool,
     /// A row with its progress is in the store.
     pub has_progress: bool,
+    /// Ends of its tasks that are in no batch yet.
+    pub ends: Vec<EndAt>,
 }
 
 impl Job {
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -2,8 +2,9 @@
 
 use crate::answers::pause_after;
 use crate::engine::Engine;
+use crate::job::EndAt;
 use crate::note::{GiveUp, Note};
-use crate::order::{Look, Order, WorkerCall};
+use crate::order::{End, Look, Order, WorkerCall};
 use crate::spec::TaskKey;
 use crate::worker::{Held, Phase};
 use crate::workers::{Placement, WorkerIdx};
@@ -12,8 +13,13 @@
 /// An order of an earlier owner that a worker was just carrying out when it took the new fence
 /// has begun, and is listed, after this time.
 const CONFIRM_AFTER: Millis = Millis(40);
-/// How often to look while ends can't be made durable, so that leases are renewed.
-const LOOK_STALLED: Millis = Millis(900);
+/// How often to look at a worker while ends of it are on the way to the store: a look can't wait
+/// for the next end meanwhile. A store of usual speed is faster, and each such look is saved.
+const LOOK_UNWRITTEN: Millis = Millis(100);
+/// Looks of that kind at all workers in a second, which bounds them in large cells.
+const MOST_UNWRITTEN_LOOKS: u64 = 1_000;
+/// The longest time between two such looks, so that leases are renewed.
+const LOOK_UNWRITTEN_MOST: Millis = Millis(900);
 
 /// What came of a look.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,12 +46,12 @@
             }
             w.looking = true;
             let first = !w.claimed || w.unanswered > 0;
-            let wait = if first || w.taken > w.forget { Millis(0) } else { longest };
+            let wait = if first || !w.unwritten_ends.is_empty() { Millis(0) } else { longest };
             let call = WorkerCall::Look {
                 worker: w.id.clone(),
                 address: w.address.clone(),
                 lease_until: w.extend_lease(now, lease),
-                forget: w.forget,
+                forget: w.forget(),
                 wait,
             };
             out.push(Order::Worker { call, limit: w.answer_limit() });
@@ -142,6 +148,7 @@
         let Some(taken) = self.workers.get(idx).map(|w| w.taken) else { return };
         for end in look.ended.iter().filter(|e| e.number > taken) {
             self.take_end(idx, end, now);
+            self.keep_end(idx, end);
         }
         for r in &look.running {
             self.take_running(idx, r, now);
@@ -151,14 +158,30 @@
         }
     }
 
+    /// Has the worker keep an end until what it changed is in the store. A job that is not open
+    /// needs none: it has ended, or was never accepted.
+    fn keep_end(&mut self, worker: WorkerIdx, end: &End) {
+        let Some(job) = self.jobs.get_mut(end.task.step.job) else { return };
+        if !job.progressed && job.end.is_none() {
+            return;
+        }
+        let number = end.number;
+        job.ends.push(EndAt { worker, number });
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.unwritten_ends.insert(number);
+        }
+    }
+
     /// Sets when to look again. The next look waits for the batch that makes the ends durable,
     /// but for the first one: it could not renew the lease.
     fn plan_look(&mut self, idx: WorkerIdx, first: bool, now: Millis) {
+        let all_in_turn = Millis(self.workers.len() as u64 * 1_000 / MOST_UNWRITTEN_LOOKS);
+        let unwritten = all_in_turn.max(LOOK_UNWRITTEN).min(LOOK_UNWRITTEN_MOST);
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.look_at = if first {
             now + CONFIRM_AFTER
-        } else if w.taken > w.forget {
-            now + LOOK_STALLED
+        } else if !w.unwritten_ends.is_empty() {
+            now + unwritten
         } else {
             now
         };
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -174,5 +174,6 @@
         unwritten: true,
         progressed: false,
         has_progress: false,
+        ends: Vec::new(),
     }
 }
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -1,10 +1,11 @@
 //! One worker as the owner knows it.
 
-use crate::answers::AnswerTimes;
+use crate::answers;
 use crate::health::Health;
 use crate::order::WorkerListing;
 use crate::spec::TaskKey;
-use hollowford_core::{InstanceId, Millis, Resources};
+use hollowford_core::{AnswerTimes, InstanceId, Millis, Resources};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// The slowest that a worker's steady clock may run, in hundredths of true time (PROTOCOL).
@@ -131,8 +132,8 @@
     pub clock: Option<WorkerClock>,
     /// The latest reading of its clock until which an order let it run.
     pub lease_until: u64,
-    /// Ends up to this number are durable.
-    pub forget: u64,
+    /// Ends that are taken in and have to be written down before they may be forgotten.
+    pub unwritten_ends: BTreeSet<u64>,
     /// Ends up to this number are taken in.
     pub taken: u64,
     /// A look is under way.
@@ -175,7 +176,7 @@
             claimed: false,
             clock: None,
             lease_until: 0,
-            forget: 0,
+            unwritten_ends: BTreeSet::new(),
             taken: 0,
             looking: false,
             look_at: now,
@@ -242,9 +243,14 @@
         held
     }
 
+    /// Returns the number up to which the worker may forget ends.
+    pub fn forget(&self) -> u64 {
+        self.unwritten_ends.first().map_or(self.taken, |first| first - 1)
+    }
+
     /// Returns how long to wait for the answer to a call that is made now.
     pub fn answer_limit(&self) -> Millis {
-        self.answer_times.limit(self.unanswered)
+        answers::limit(&self.answer_times, self.unanswered)
     }
 
     /// Takes note of an answer with the worker's clock.
--- a/crates/hollowford-jobs/tests/batches.rs
+++ b/crates/hollowford-jobs/tests/batches.rs
@@ -15,8 +15,7 @@
     // The two short tasks have ended, and a second job came.
     cell.submit(2, LARGE, job(vec![step(1, 1_000, 60_000)]));
     for _ in 0..3 {
-        cell.pending = None;
-        cell.engine.batch_refused();
+        cell.refuse_pending();
         cell.run(20);
     }
     cell.store_up = true;
@@ -35,8 +34,7 @@
     cell.run(50);
     cell.store_up = false;
     cell.run(200);
-    cell.pending = None;
-    cell.engine.batch_refused();
+    cell.refuse_pending();
     cell.run(50);
     assert_eq!(cell.state(1), Some(JobState::Running));
     cell.store_up = true;
@@ -54,8 +52,7 @@
     cell.submit(2, LARGE, job(vec![step(1, 1_000, 100)]));
     // The first one is in the batch under way and has to stay.
     assert_eq!(cell.engine.withdraw_unsent(), vec![JobId(2)]);
-    cell.pending = None;
-    cell.engine.batch_refused();
+    cell.refuse_pending();
     assert_eq!(cell.engine.withdraw_unsent(), vec![JobId(1)]);
     cell.store_up = true;
     cell.run(500);
@@ -144,3 +141,63 @@
     cell.engine.withdraw_unsent();
     assert_eq!(cell.engine.batches_ahead(), 1);
 }
+
+/// Batches under way at a time, at most.
+const SIDE_BY_SIDE: usize = 3;
+/// Jobs handed in for each seed.
+const JOBS: u64 = 60;
+
+/// Does one random thing to the batches under way, or to the owner.
+fn disturb(cell: &mut Cell, random: &mut fastrand::Rng) {
+    let under_way = cell.pending.len();
+    match random.u32(0..12) {
+        0..=3 if under_way < SIDE_BY_SIDE => {
+            cell.cut();
+        }
+        4..=8 if under_way > 0 => cell.write_one(random.usize(..under_way)),
+        9 if under_way > 0 => {
+            let batch = cell.pending.swap_remove(random.usize(..under_way));
+            cell.engine.batch_refused(batch.number);
+        }
+        10 if random.u32(0..4) == 0 => {
+            // Of the batches under way some were made, in any order, and nobody was told.
+            for _ in 0..random.usize(..=under_way) {
+                let left = cell.pending.len();
+                cell.write_unheard(random.usize(..left));
+            }
+            cell.take_over();
+        }
+        _ => {}
+    }
+}
+
+/// Several batches under way, made or refused in any order, with takeovers between: what was
+/// kept once is kept, and no task is started again whose end was forgotten by its worker.
+#[test]
+fn batches_made_in_any_order_lose_nothing_and_start_nothing_twice() {
+    for seed in 1..=40 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut cell = Cell::new(4);
+        cell.store_up = false;
+        let mut kept = std::collections::BTreeSet::new();
+        for turn in 0..2_000 {
+            if turn % 20 == 0 && turn / 20 < JOBS {
+                // They run side by side on different workers, and each end is written as it comes.
+                let steps = (0..3).map(|_| step(1, 9_000, random.u64(5..150)));
+                cell.submit(turn / 20, QUICK, job(steps.collect()));
+            }
+            cell.run(5);
+            disturb(&mut cell, &mut random);
+            kept.extend((0..JOBS).filter(|&id| cell.engine.is_kept(JobId(id)) == Some(true)));
+        }
+        cell.store_up = true;
+        cell.run(10_000);
+        assert!(!kept.is_empty(), "seed {seed}");
+        for id in &kept {
+            assert_eq!(cell.state(*id), Some(JobState::Completed), "seed {seed}: job {id}");
+        }
+        let completed = (0..JOBS).filter(|&id| cell.state(id) == Some(JobState::Completed)).count();
+        let starts: u64 = cell.workers.iter().map(|w| w.starts).sum();
+        assert_eq!(starts, 3 * completed as u64, "seed {seed}");
+    }
+}
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -60,7 +60,8 @@
     pub dead_seats: BTreeSet<String>,
     /// Batches are not made while false.
     pub store_up: bool,
-    pub pending: Option<Batch>,
+    /// Batches under way; `run` has one at a time.
+    pub pending: Vec<Batch>,
     pub specs: BTreeMap<JobId, Arc<JobSpec>>,
     /// Entries of lives that are over, which the list still shows.
     pub stale: Vec<WorkerListing>,
@@ -81,7 +82,7 @@
             barred: BTreeSet::new(),
             dead_seats: BTreeSet::new(),
             store_up: true,
-            pending: None,
+            pending: Vec::new(),
             specs: BTreeMap::new(),
             stale: Vec::new(),
             log: Vec::new(),
@@ -154,20 +155,51 @@
 
     /// Writes the next batch to the store.
     pub fn write(&mut self) {
-        if self.pending.is_none() {
-            self.pending = self.engine.cut_batch(self.now);
+        if self.pending.is_empty() {
+            self.pending.extend(self.engine.cut_batch(self.now));
         }
-        if !self.store_up {
-            return;
+        if self.store_up {
+            self.write_pending();
         }
-        if let Some(batch) = self.pending.take() {
-            for row in batch.rows {
-                match row.value {
-                    Some(value) => self.rows.insert(row.key, value),
-                    None => self.rows.remove(&row.key),
-                };
-            }
-            self.engine.committed(self.now);
+    }
+
+    /// Cuts one more batch beside those under way. Tells whether there was one to cut.
+    pub fn cut(&mut self) -> bool {
+        let batch = self.engine.cut_batch(self.now);
+        let cut = batch.is_some();
+        self.pending.extend(batch);
+        cut
+    }
+
+    /// Writes all batches under way.
+    pub fn write_pending(&mut self) {
+        while !self.pending.is_empty() {
+            self.write_one(0);
+        }
+    }
+
+    /// Writes one of the batches under way.
+    pub fn write_one(&mut self, at: usize) {
+        let number = self.write_unheard(at);
+        self.engine.committed(number, self.now);
+    }
+
+    /// Writes one of the batches under way, and its answer is lost. Returns its number.
+    pub fn write_unheard(&mut self, at: usize) -> u64 {
+        let batch = self.pending.remove(at);
+        for row in batch.rows {
+            match row.value {
+                Some(value) => self.rows.insert(row.key, value),
+                None => self.rows.remove(&row.key),
+            };
+        }
+        batch.number
+    }
+
+    /// The store refuses all batches under way.
+    pub fn refuse_pending(&mut self) {
+        for batch in std::mem::take(&mut self.pending) {
+            self.engine.batch_refused(batch.number);
         }
     }
 
@@ -230,7 +262,7 @@
     /// A new owner takes over, and is not told the list of workers yet.
     pub fn take_over_unlisted(&mut self) {
         let epoch = self.engine.epoch() + 1;
-        self.pending = None;
+        self.pending.clear();
         self.engine = Engine::new(epoch, BOUNDS, self.now);
         self.engine.set_queues(&self.queues);
         let rows: Vec<_> = self.rows.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -7,6 +7,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// A caller is answered so long before its time is up, so that the answer reaches it in time.
+const WAY_BACK: Millis = Millis(20);
+/// How long a caller waits that doesn't tell.
+const UNTOLD: Millis = Millis(1_200);
 /// A question for a state waits so long for an end that is decided to be in the store, since
 /// a caller that is told an older state asks again much later.
 const STATE_WITHIN: Millis = Millis(150);
@@ -17,7 +21,8 @@
     id: u64,
     verb: Verb,
     reply: Reply,
-    since: Millis,
+    /// When it is answered as things stand then.
+    until: Millis,
 }
 
 impl Waiter {
@@ -43,9 +48,16 @@
         self.by_job.is_empty()
     }
 
-    /// Takes a call and answers it, at once or once its batch is made. New jobs are refused
-    /// while the store is `full`: it takes no batches, or too few.
-    pub fn take(&mut self, engine: &mut Engine, call: Call, reply: Reply, full: bool, now: Millis) {
+    /// Takes a call and answers it, at once or once its batch is made. A new job is refused
+    /// unless `admitted`.
+    pub fn take(
+        &mut self,
+        engine: &mut Engine,
+        call: Call,
+        reply: Reply,
+        admitted: bool,
+        now: Millis,
+    ) {
         let job = JobId(call.job);
         let verb = call.verb();
         let said = match verb {
@@ -63,13 +75,14 @@
                 CancelAnswer::Unknown => Some(Said::NoJob),
                 CancelAnswer::Pending => None,
             },
-            Verb::Submit if full && engine.is_kept(job).is_none() => Some(Said::Unavailable),
+            Verb::Submit if !admitted && engine.is_kept(job).is_none() => Some(Said::Unavailable),
             Verb::Submit => submit(engine, job, &call, now),
         };
         match said {
             Some(said) => reply.send(call.id, said, 0),
             None => {
-                let waiter = Waiter { id: call.id, verb, reply, since: now };
+                let until = now + patience(&call);
+                let waiter = Waiter { id: call.id, verb, reply, until };
                 self.by_job.entry(job).or_default().push(waiter);
             }
         }
@@ -91,14 +104,13 @@
 
     /// Tells those that have waited for too long that nothing was done, if that is so, or that
     /// the effect is not known, or the state as it is in the store.
-    pub fn give_up(&mut self, engine: &mut Engine, now: Millis, limit: Millis) {
+    pub fn give_up(&mut self, engine: &mut Engine, now: Millis) {
         if self.by_job.is_empty() {
             return;
         }
         let mut unsent = Vec::new();
         self.by_job.retain(|&job, waiters| {
-            let limit_of = |w: &Waiter| if w.verb == Verb::State { STATE_WITHIN } else { limit };
-            let late = |w: &Waiter| now.since(w.since) >= limit_of(w);
+            let late = |w: &Waiter| w.until <= now;
             if waiters.iter().any(|w| w.verb == Verb::Submit && late(w)) && engine.withdraw(job) {
                 unsent.push(job);
                 return true;
@@ -126,6 +138,15 @@
     }
 }
 
+/// Returns how long a call may wait for the store.
+pub fn patience(call: &Call) -> Millis {
+    match (call.verb(), call.limit_ms) {
+        (Verb::State, _) => STATE_WITHIN,
+        (_, 0) => UNTOLD,
+        (_, ms) => Millis(ms).since(WAY_BACK),
+    }
+}
+
 fn submit(engine: &mut Engine, job: JobId, call: &Call, now: Millis) -> Option<Said> {
     let spec = match decode_spec(&call.spec) {
         Ok(spec) => Arc::new(spec),
--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-/// Longest time that a call is tried for. Takeovers take less; callers wait 3 s.
+/// How long a call is tried for whose caller doesn't tell how long it waits. Takeovers take less.
 const PATIENCE: Millis = Millis(2_500);
 /// Left of a caller's own time limit for the answer's way back.
 const WAY_BACK: Millis = Millis(60);
@@ -52,10 +52,11 @@
             let took = self.shared.clock.now().since(began);
             log::info!(
                 "call.answered verb={} job={job} status={} config={config} owner={relayed:?} \
-                 took_ms={}",
+                 took_ms={} limit_ms={}",
                 verb.name(),
                 status.as_u16(),
-                took.0
+                took.0,
+                limit.since(began).0
             );
         }
         resp
@@ -187,7 +188,7 @@
 /// Returns until when a call is tried for.
 fn deadline(req: &Request, now: Millis) -> Millis {
     let limit = client_timeout(|name| req.header(name));
-    now + limit.map_or(PATIENCE, |l| l.since(WAY_BACK).min(PATIENCE))
+    now + limit.map_or(PATIENCE, |l| l.since(WAY_BACK))
 }
 
 /// Reads a job that is handed in, or the status that refuses it.
--- a/crates/hollowford-node/src/inbox.rs
+++ b/crates/hollowford-node/src/inbox.rs
@@ -35,8 +35,13 @@
         /// Who may run it, and how long the tickets hold.
         answer: Option<(Advised, Millis)>,
     },
-    /// What came of the batch under way.
-    Written(Written),
+    /// What came of a batch.
+    Written {
+        /// Its number.
+        batch: u64,
+        /// What came of it.
+        written: Written,
+    },
     /// The platform's list of workers.
     Listings(Vec<WorkerListing>),
     /// A process has opened a link.
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 mod homes_tests;
 mod inbox;
+mod lane;
 mod link;
 mod load;
 pub mod logs;
@@ -39,6 +40,8 @@
 mod watch;
 mod wire;
 mod writer;
+#[cfg(test)]
+mod writer_tests;
 
 pub use node::{NodeError, NodeOptions, run};
 pub use plan::WORKERS_EACH;
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -1,5 +1,6 @@
 //! What a new owner starts from: the partition's rows.
 
+use crate::lane::lane_versions;
 use crate::owner::Start;
 use crate::owner_row::{OWNER_KEY, RETRY, TABLE, read_owner};
 use crate::partition::Cx;
@@ -35,7 +36,7 @@
 
 fn start_from(cx: &Cx, info: &OwnerInfo, feed: Feed) -> Option<Start> {
     let owner = feed.rows.iter().find(|r| r.key == OWNER_KEY)?;
-    let rev = owner.version;
+    let lanes = lane_versions(&feed.rows);
     let holder = read_owner(owner)?.owner?;
     if holder != *info {
         cx.partition.note_owner_info(&holder);
@@ -59,5 +60,5 @@
             return None;
         }
     }
-    Some(Start { info: info.clone(), rev, engine, offset })
+    Some(Start { info: info.clone(), lanes, engine, offset })
 }
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -1,10 +1,11 @@
 //! The owner of the partition: one task that drives the engine and carries out its orders.
 
 use crate::batches::Batches;
-use crate::callers::Waiters;
+use crate::callers::{Waiters, patience};
 use crate::calls::{advise_here, call_worker};
 use crate::giving_up::GivingUp;
 use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
+use crate::lane::LANES;
 use crate::logs::DecisionLog;
 use crate::members::{LinkId, Members};
 use crate::partition::Cx;
@@ -23,9 +24,6 @@
 const DRAIN: usize = 256;
 /// Longest time between two polls of the engine.
 const TICK: Duration = Duration::from_millis(10);
-/// A caller who has waited for so long is told that its effect is not known, or that nothing
-/// was done if its job was not sent to the store yet.
-const ANSWER_WITHIN: Millis = Millis(1_200);
 /// Members are asked whether the store answers them once a batch hangs for so long.
 const PROBE_AFTER: Millis = Millis(300);
 /// How often the owner's gauges and its line in the log are renewed.
@@ -46,8 +44,8 @@
 pub struct Start {
     /// Who it is.
     pub info: OwnerInfo,
-    /// Version of the owner row.
-    pub rev: Version,
+    /// Version of each lane's row.
+    pub lanes: [Version; LANES],
     /// The engine, with what the store held.
     pub engine: Engine,
     /// The engine's time less the process's.
@@ -82,10 +80,10 @@
 impl Owner {
     /// Makes an owner.
     pub fn new(cx: Cx, start: Start, workers: WorkerClient, handle: OwnerHandle) -> Owner {
-        let Start { info, rev, engine, offset } = start;
+        let Start { info, lanes, engine, offset } = start;
         let (shared, part) = (&cx.shared, cx.partition.part.clone());
         let giving_up = GivingUp::new(shared.clone(), info.epoch);
-        let batches = Batches::new(shared.clone(), info.clone(), part, rev, handle.clone());
+        let batches = Batches::new(shared.clone(), info.clone(), part, lanes, handle.clone());
         Owner {
             members: Members::new(info.clone(), shared.partition_count()),
             reach: Reach::new(shared.clone(), info.epoch),
@@ -150,7 +148,7 @@
             OwnerMsg::Advised { seat, step, answer } => {
                 self.engine.advised(&seat, step, answer, now);
             }
-            OwnerMsg::Written(written) => self.take_written(written, now),
+            OwnerMsg::Written { batch, written } => self.take_written(batch, written, now),
             OwnerMsg::Listings(list) => self.engine.list_workers(&list, now),
             OwnerMsg::Joined(link, hello, outbox) => {
                 let (address, age) = (&hello.address, hello.age_ms);
@@ -199,8 +197,9 @@
             reply.send(call.id, Said::NotOwner, 0);
             return;
         }
-        let full = self.batches.is_stalled(now) || self.batches.is_behind(&self.engine);
-        self.waiters.take(&mut self.engine, call, reply, full, now);
+        let limit = patience(&call);
+        let admitted = self.batches.admits(&self.engine, limit, now);
+        self.waiters.take(&mut self.engine, call, reply, admitted, now);
     }
 
     /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
@@ -239,11 +238,11 @@
         }
     }
 
-    fn take_written(&mut self, written: Written, now: Millis) {
-        self.batches.note(&written, now);
+    fn take_written(&mut self, batch: u64, written: Written, now: Millis) {
+        self.batches.note(batch, &written, now);
         match written {
-            Written::Made(_) => {
-                self.engine.committed(now);
+            Written::Made { .. } => {
+                self.engine.committed(batch, now);
                 self.waiters.committed(&self.engine);
             }
             Written::Deposed(by) => {
@@ -256,7 +255,7 @@
                 self.cx.partition.note_owner_info(&by);
                 self.end = Some(OwnerEnd::Deposed);
             }
-            Written::Refused => self.engine.batch_refused(),
+            Written::Refused => self.engine.batch_refused(batch),
             Written::Inconsistent => self.end = Some(OwnerEnd::GaveUp),
         }
     }
@@ -280,7 +279,7 @@
         if !last_sent {
             self.batches.write_next(&mut self.engine, now);
         }
-        self.waiters.give_up(&mut self.engine, now, ANSWER_WITHIN);
+        self.waiters.give_up(&mut self.engine, now);
         let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
         if self.members.tick(self.cx.shared.clock.now(), self.cx.shared.config_version(), lost) {
             self.engine.set_seats(&self.members.seats());
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -1,5 +1,6 @@
 //! The row that names the owner: reading it, and writing this process into it.
 
+use crate::lane::taken_rows;
 use crate::link;
 use crate::partition::Cx;
 use crate::wire::{Body, OwnerInfo, OwnerRow, WhoOwns};
@@ -27,10 +28,9 @@
         .ok()
 }
 
-/// Returns the owner row, as a batch or a takeover writes it.
-pub fn encode_owner(owner: &OwnerInfo, batch: u64) -> (String, Vec<u8>) {
-    let row = OwnerRow { owner: Some(owner.clone()), batch };
-    (OWNER_KEY.to_owned(), row.encode_to_vec())
+/// Returns the value of the owner row or of another lane's, as a batch or a takeover writes it.
+pub fn encode_owner(owner: &OwnerInfo, batch: u64) -> Vec<u8> {
+    OwnerRow { owner: Some(owner.clone()), batch }.encode_to_vec()
 }
 
 async fn read_row(cx: &Cx) -> Result<Option<Row>, StoreError> {
@@ -103,7 +103,7 @@
     let info = cx.as_owner(epoch);
     let tx = Transaction {
         expect: vec![Expect { key: OWNER_KEY.to_owned(), version: rev }],
-        put: vec![encode_owner(&info, 0)],
+        put: taken_rows(&info),
         remove: Vec::new(),
     };
     match cx.shared.store.transact(TABLE, &cx.partition.part, &tx, TAKE_TIMEOUT).await {
--- a/crates/hollowford-node/src/relay.rs
+++ b/crates/hollowford-node/src/relay.rs
@@ -79,7 +79,7 @@
 
 /// Sends a call to the owner, and again to the next one while that is safe, until `deadline`.
 /// Every call is safe to send again: a job's id makes it one job.
-pub async fn relay(shared: &Shared, p: &Partition, call: Call, deadline: Millis) -> Relayed {
+pub async fn relay(shared: &Shared, p: &Partition, mut call: Call, deadline: Millis) -> Relayed {
     let mut route = p.route.subscribe();
     // A refusal that comes early lets the caller come back while its work is still wanted.
     let unsent_until = deadline.min(shared.clock.now() + UNSENT_WITHIN);
@@ -90,6 +90,7 @@
         if left == Millis(0) {
             return if sent { Relayed::Unsure } else { Relayed::NotSent };
         }
+        call.limit_ms = deadline.since(shared.clock.now()).0;
         let Some(rx) = send(&route.borrow_and_update(), &call) else {
             if !sent && shared.store_away(NO_STORE) && p.owner_age(shared.clock.now()) >= NO_STORE {
                 return Relayed::NotSent;
--- a/crates/hollowford-node/src/shared_tests.rs
+++ b/crates/hollowford-node/src/shared_tests.rs
@@ -5,12 +5,18 @@
 use crate::shared::Shared;
 use hollowford_adapter::{NodeSettings, StoreClient};
 use hollowford_core::Millis;
+use std::net::SocketAddr;
 
 /// Makes what the duties of a process share, from the example of the settings.
 pub fn shared() -> Shared {
+    shared_with(None)
+}
+
+/// Makes the same with the store at another address.
+pub fn shared_with(store: Option<SocketAddr>) -> Shared {
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../platform/examples/settings.toml");
     let settings = NodeSettings::from_file(file).expect("the example");
-    let store = StoreClient::new(settings.store).expect("a client");
+    let store = StoreClient::new(store.unwrap_or(settings.store)).expect("a client");
     Shared::new(settings, store, None, Metrics::new().expect("metrics"))
 }
 
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -217,6 +217,9 @@
     /// Version of the configuration by which the queue was found.
     #[prost(uint64, tag = "6")]
     pub config: u64,
+    /// How long the caller waits for the answer, in milliseconds; 0: not told.
+    #[prost(uint64, tag = "7")]
+    pub limit_ms: u64,
 }
 
 /// What the owner says to a call.
