A process that has given its partition up says so to members that come

Members whose takeover failed with the store away opened links to it again, and it told them for up to 5 s that it was about to become the owner: the store was back at 34.3 s, taken over at 35.8 s, when the process had ended. Ruled out: the store (regained by all members at 34.4 s). The test fails without the change (a heartbeat in place of the owner's word).

--- a/crates/hollowford-node/src/member_tests.rs
+++ b/crates/hollowford-node/src/member_tests.rs
@@ -4,8 +4,9 @@
 use crate::link::{self, Outbox, Reader};
 use crate::member::{Parted, follow};
 use crate::partition::Cx;
+use crate::peers;
 use crate::shared_tests::shared;
-use crate::wire::{Body, Heartbeat, OwnerInfo};
+use crate::wire::{Body, Heartbeat, Hello, OwnerInfo};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -57,3 +58,20 @@
     assert_eq!(followed.parted, Parted::Gone);
     assert_eq!(followed.members, ["a", "b"], "the order of takeover is still known");
 }
+
+/// A process that stops goes on with its last answers for a while after it has given the
+/// partition up.
+#[tokio::test]
+async fn a_process_that_has_given_the_partition_up_does_not_pass_for_one_that_is_about_to_own_it() {
+    let cx = cx();
+    let info = cx.as_owner(EPOCH);
+    cx.partition.note_owner_info(&info);
+    cx.partition.give_up(EPOCH);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    tokio::spawn(peers::accept(cx.shared.clone(), listener));
+    let (mut reader, outbox) = link::connect(address).await.expect("a link");
+    outbox.send(Body::Hello(Hello { owner: Some(info.clone()), ..Hello::default() }));
+    let said = timeout(PATIENCE, link::next(&mut reader)).await.expect("an answer");
+    assert_eq!(said, Some(Body::Owner(info)));
+}
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -31,20 +31,19 @@
 pub async fn run(cx: Cx) {
     // With several partitions, processes that start together begin with different ones.
     sleep(first_delay(&cx)).await;
-    // The epoch that this process has owned and given up.
-    let mut given_up = 0;
     loop {
         let info = cx.partition.owner.borrow().clone();
-        if info.epoch == 0 || (info.boot == cx.shared.boot && info.epoch <= given_up) {
+        if info.epoch == 0 || (info.boot == cx.shared.boot && cx.partition.has_given_up(info.epoch))
+        {
             find_owner(&cx, info.epoch).await;
             continue;
         }
         if info.boot == cx.shared.boot {
             let end = own(&cx, &info).await;
             log::info!("owner.ended partition={} epoch={} end={end:?}", info.partition, info.epoch);
+            cx.partition.give_up(info.epoch);
             cx.partition.route.send_replace(Route::None);
             note_owned(&cx, 0);
-            given_up = info.epoch;
             continue;
         }
         let followed = follow(&cx, &info).await;
--- a/crates/hollowford-node/src/partition.rs
+++ b/crates/hollowford-node/src/partition.rs
@@ -34,6 +34,8 @@
     pub owner: watch::Sender<OwnerInfo>,
     /// How the owner is reached.
     pub route: watch::Sender<Route>,
+    /// The newest epoch in which this process has owned it and no longer does; 0: none.
+    given_up: AtomicU64,
     /// The owner wants to know whether the store answers this process.
     pub probe_store: AtomicBool,
     /// Reading of the clock when the owner was last within reach.
@@ -48,6 +50,7 @@
             part: number.to_string(),
             owner: watch::Sender::new(OwnerInfo::default()),
             route: watch::Sender::new(Route::None),
+            given_up: AtomicU64::new(0),
             probe_store: AtomicBool::new(false),
             owner_heard: AtomicU64::new(NEVER),
         }
@@ -64,6 +67,17 @@
         })
     }
 
+    /// Takes note that this process doesn't own the partition at `epoch` any more.
+    pub fn give_up(&self, epoch: u64) {
+        self.given_up.fetch_max(epoch, Ordering::Relaxed);
+    }
+
+    /// Tells whether this process has owned the partition at `epoch` or later, and doesn't any
+    /// more.
+    pub fn has_given_up(&self, epoch: u64) -> bool {
+        epoch <= self.given_up.load(Ordering::Relaxed)
+    }
+
     /// Tells whether this process owns the partition.
     pub fn is_owned(&self) -> bool {
         matches!(*self.route.borrow(), Route::Local(_))
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -146,7 +146,8 @@
         let known = partition.owner.borrow().clone();
         let superseded = known.boot != shared.boot && known.epoch >= meant.epoch;
         let waited = shared.clock.now().since(began).duration();
-        if meant.boot != shared.boot || superseded || waited >= OWNER_STARTS {
+        let was_owner = partition.has_given_up(meant.epoch);
+        if meant.boot != shared.boot || was_owner || superseded || waited >= OWNER_STARTS {
             return None;
         }
         if !outbox.send(Body::Heartbeat(Heartbeat::default())) {
