Room is kept for large tasks, and a first call for advice names full workers too

Change: where a task takes 40% of a worker or more, the room that it could have first is kept for it, as for gangs; smaller tasks that end before go first. The first call for a step names workers without room as well, as far as that lengthens it by a quarter.

--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -14,6 +14,9 @@
 
 /// Workers to ask about beyond those that a step needs, as a part of them.
 const ASK_FACTOR: usize = 3;
+/// The first call for a step also names workers without room, for as long as that lengthens it
+/// by so much at most, in hundredths of the time that any call takes.
+const ASK_MORE_PERCENT: u32 = 25;
 /// Fewest workers to ask about at first.
 const ASK_LEAST: usize = 8;
 /// Steps that a pass tries without placing any task of theirs, the most urgent first. Passes
@@ -74,12 +77,18 @@
         let (started, shunned) =
             if step.kept { self.start_tasks(pass, step, tasks, out) } else { (0, None) };
         let left = waiting - started;
-        if left > 0
-            && let Some(cost) = self.askable(pass, step)
+        if left == 0 {
+            return;
+        }
+        if let Some(cost) = self.askable(pass, step)
             && let Some(workers) = self.to_ask(pass, step, left, shunned)
         {
             self.ask(Want { step: step.key, workers, cost }, pass.now, out);
         }
+        // After asking, which goes by the room that is not kept for others.
+        if step.kept {
+            self.reserve_for_large(pass, step, left);
+        }
     }
 
     /// Starts tasks of a step for as long as there is room. Returns how many, and the worker
@@ -198,14 +207,21 @@
         let ends = pass.now + Millis(step.spec.estimate_ms);
         let mut lapsed = Vec::new();
         let mut unknown = Vec::new();
+        let mut full = Vec::new();
         let mut lapsed_room = 0;
         for r in &pass.rooms {
-            let skipped = Some(r.idx) == shunned;
-            if skipped || !r.fits(&need, ends) || !self.allowed(r, step) {
+            if Some(r.idx) == shunned || !self.allowed(r, step) {
                 continue;
             }
             let cost = r.cost(step.spec);
-            match self.standing(step, r.idx, pass.now) {
+            let standing = self.standing(step, r.idx, pass.now);
+            if !r.fits(&need, ends) {
+                if standing == Standing::Unknown && need.fits(&r.capacity) {
+                    full.push((cost, r.idx));
+                }
+                continue;
+            }
+            match standing {
                 Standing::Lapsed => {
                     lapsed_room += r.count(&need).max(1) as usize;
                     lapsed.push((cost, r.idx));
@@ -218,7 +234,15 @@
         if lapsed_room < tasks {
             workers.extend(cheapest(unknown, (tasks * ASK_FACTOR).max(ASK_LEAST)));
         }
-        (!workers.is_empty()).then_some(workers)
+        if workers.is_empty() {
+            return None;
+        }
+        if self.jobs.step(step.key).is_some_and(|s| s.advice.nothing_known()) {
+            // Where few have room, others will sooner than a second call would be answered.
+            let more = step.queue.advice.map_or(0, |cost| cost.more_workers(ASK_MORE_PERCENT));
+            workers.extend(cheapest(full, more));
+        }
+        Some(workers)
     }
 }
 
--- a/crates/hollowford-jobs/src/queue.rs
+++ b/crates/hollowford-jobs/src/queue.rs
@@ -15,6 +15,15 @@
 }
 
 impl AdviceCost {
+    /// Returns how many more workers a call may name if that is to lengthen it by `percent`
+    /// hundredths of the time that any call takes.
+    pub fn more_workers(&self, percent: u32) -> usize {
+        if self.per_worker_ms <= 0.0 {
+            return usize::MAX;
+        }
+        (self.decide_ms * f64::from(percent) / 100.0 / self.per_worker_ms) as usize
+    }
+
     /// Returns the time of a call that names `workers`.
     pub fn of(&self, workers: usize) -> f64 {
         self.decide_ms + self.per_worker_ms * workers as f64
--- a/crates/hollowford-jobs/src/reserve.rs
+++ b/crates/hollowford-jobs/src/reserve.rs
@@ -1,9 +1,10 @@
-//! Room kept for gangs that don't fit yet.
+//! Room kept for gangs and large tasks that don't fit yet.
 //!
-//! Without it small tasks would fill every gap for ever. For the most urgent gangs the pass
+//! Without it small tasks would fill every gap for ever. For the most urgent of them the pass
 //! works out which of the workers that may run them are free first, and keeps later steps
 //! off these, unless they end before.
 
+use crate::advice::Standing;
 use crate::choose::copies;
 use crate::engine::Engine;
 use crate::pass::Pass;
@@ -11,43 +12,69 @@
 use crate::workers::WorkerIdx;
 use hollowford_core::{Millis, Resources};
 
-/// Most gangs for which room is kept at a time: each more leaves less for all others.
+/// Most steps for which room is kept at a time: each more leaves less for all others.
 const MOST_RESERVATIONS: usize = 3;
 
 /// Most members that one worker is counted for.
 const MOST_SLOTS: u32 = 64;
 
+/// A task that takes this part of a worker in some dimension, in hundredths, is large.
+const LARGE_PERCENT: u64 = 40;
+
 impl Engine {
     /// Keeps the room in which all members could start first, among the rooms where the gang
     /// may run.
     pub(crate) fn reserve_gang(&self, pass: &mut Pass, gang: Placing<'_>, good: &[usize]) {
-        if pass.reservations >= MOST_RESERVATIONS {
+        let count = gang.spec.count as usize;
+        let slots = self.first_slots(pass, gang, good, count);
+        if slots.len() < count {
             return;
         }
-        let Placing { spec, .. } = gang;
-        let now = pass.now;
-        let need = spec.room();
+        let Some(&(begin, _)) = slots.last() else { return };
+        let together = slots.into_iter().map(|(_, at)| (begin, at)).collect();
+        keep(pass, &gang.spec.room(), together);
+    }
+
+    /// Keeps the room that tasks of a step could have first, if one of them takes a large part of
+    /// a worker: smaller ones would take each part of it as it comes free.
+    pub(crate) fn reserve_for_large(&self, pass: &mut Pass, step: Placing<'_>, left: usize) {
+        let mut good: Vec<usize> = self.rooms_of(pass, step, Standing::Ticketed).collect();
+        if step.queue.advice.is_some() {
+            good.extend(self.rooms_of(pass, step, Standing::Lapsed));
+        }
+        let need = step.spec.room();
+        good.retain(|&at| takes_large_part(&need, &pass.rooms[at].capacity));
+        let slots = self.first_slots(pass, step, &good, left);
+        if !slots.is_empty() {
+            keep(pass, &need, slots);
+        }
+    }
+
+    /// Returns the first times at which tasks of a step could start among the given rooms, at
+    /// most `count`, with the room of each; none when room is kept for others already.
+    fn first_slots(
+        &self,
+        pass: &Pass,
+        step: Placing<'_>,
+        rooms: &[usize],
+        count: usize,
+    ) -> Vec<(Millis, usize)> {
         let mut slots = Vec::new();
-        for &at in good {
+        if pass.reservations >= MOST_RESERVATIONS {
+            return slots;
+        }
+        let need = step.spec.room();
+        for &at in rooms {
             let room = &pass.rooms[at];
-            if !self.allowed(room, gang) {
+            if !self.allowed(room, step) {
                 continue;
             }
             let free = room.free.minus(&room.reserved);
-            self.slots_of(at, room.idx, free, &need, now, &mut slots);
-        }
-        if slots.len() < spec.count as usize {
-            return;
+            self.slots_of(at, room.idx, free, &need, pass.now, &mut slots);
         }
         slots.sort_unstable();
-        slots.truncate(spec.count as usize);
-        let Some(&(begin, _)) = slots.last() else { return };
-        for (_, at) in slots {
-            let room = &mut pass.rooms[at];
-            room.reserved = room.reserved.plus(&need);
-            room.reserved_until = begin;
-        }
-        pass.reservations += 1;
+        slots.truncate(count);
+        slots
     }
 
     /// Adds the times at which the worker has room for one more member.
@@ -77,3 +104,20 @@
         }
     }
 }
+
+/// Keeps room for a task at each of these times and rooms.
+fn keep(pass: &mut Pass, need: &Resources, slots: Vec<(Millis, usize)>) {
+    for (begin, at) in slots {
+        let room = &mut pass.rooms[at];
+        room.reserved = room.reserved.plus(need);
+        room.reserved_until = begin;
+    }
+    pass.reservations += 1;
+}
+
+fn takes_large_part(need: &Resources, of: &Resources) -> bool {
+    let large = |n: u32, o: u32| n > 0 && u64::from(n) * 100 >= u64::from(o) * LARGE_PERCENT;
+    large(need.cpu_milli, of.cpu_milli)
+        || large(need.memory_mib, of.memory_mib)
+        || large(need.accelerators, of.accelerators)
+}
--- a/crates/hollowford-jobs/tests/advice.rs
+++ b/crates/hollowford-jobs/tests/advice.rs
@@ -53,3 +53,45 @@
     cell.run(300);
     assert_eq!(cell.state(1), Some(JobState::Completed));
 }
+
+/// Returns how many workers each call for advice has named.
+fn named(cell: &Cell) -> Vec<usize> {
+    let count = |order: &Order| match order {
+        Order::Advice { workers, .. } => Some(workers.len()),
+        Order::Worker { .. } => None,
+    };
+    cell.log.iter().filter_map(count).collect()
+}
+
+#[test]
+fn the_first_call_names_full_workers_too_where_that_costs_little() {
+    for (per_worker_ms, first) in [(10.0, 3), (100.0, 1)] {
+        let mut cell = Cell::new(3);
+        cell.submit(1, LARGE, job(vec![step(2, 16_000, 60_000)]));
+        cell.run(50);
+        cell.set_queues(advised(100.0, per_worker_ms));
+        cell.submit(2, LARGE, job(vec![step(1, 8_000, 100)]));
+        cell.run(50);
+        assert_eq!(named(&cell), [first], "at {per_worker_ms} ms for each worker");
+    }
+}
+
+#[test]
+fn a_large_task_keeps_the_room_for_which_its_ticket_is_renewed() {
+    let mut cell = Cell::new(2);
+    let slow = AdviceCost { decide_ms: 400.0, per_worker_ms: 1.0, validity: Millis(300) };
+    cell.set_queues(vec![queue(QUICK, 0, None), queue(LARGE, 1, Some(slow))]);
+    cell.barred.insert("w1".into());
+    cell.submit(1, QUICK, job(vec![step(1, 16_000, 1_000)]));
+    cell.run(50);
+    let on_first = !cell.workers[0].running.is_empty();
+    cell.barred = [if on_first { "w1" } else { "w0" }.into()].into();
+    // It may run on the full worker only, and its ticket lapses before that has room.
+    cell.submit(2, LARGE, job(vec![step(1, 12_000, 500)]));
+    for i in 10..100 {
+        cell.submit(i, LARGE, job(vec![step(1, 6_000, 100)]));
+        cell.run(20);
+    }
+    cell.run(1_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+}
--- a/crates/hollowford-jobs/tests/backlog.rs
+++ b/crates/hollowford-jobs/tests/backlog.rs
@@ -57,3 +57,33 @@
     let done = (0..600).filter(|id| cell.state(100 + id) == Some(JobState::Completed)).count();
     assert_eq!(done, 600);
 }
+
+#[test]
+fn a_large_task_is_not_passed_over_for_ever_by_small_ones() {
+    let mut cell = Cell::new(1);
+    for i in 0..100 {
+        // More small ones come than fit, and each end leaves room for one of them only.
+        cell.submit(i, LARGE, job(vec![step(1, 4_000, 100)]));
+        if i == 10 {
+            cell.submit(1_000, LARGE, job(vec![step(1, 14_000, 100)]));
+        }
+        cell.run(20);
+    }
+    assert_eq!(cell.state(1_000), Some(JobState::Completed));
+}
+
+#[test]
+fn small_tasks_that_end_in_time_go_before_a_large_one() {
+    let mut cell = Cell::new(1);
+    cell.submit(1, LARGE, job(vec![step(1, 8_000, 1_000)]));
+    cell.run(50);
+    cell.submit(2, LARGE, job(vec![step(1, 12_000, 100)]));
+    cell.run(50);
+    cell.submit(3, LARGE, job(vec![step(1, 4_000, 100)]));
+    cell.submit(4, LARGE, job(vec![step(1, 4_000, 60_000)]));
+    cell.run(300);
+    assert_eq!(cell.state(3), Some(JobState::Completed), "it ends before the room is needed");
+    assert_eq!(cell.state(4), Some(JobState::Queued), "it would be in the way");
+    cell.run(1_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+}
