--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -13,6 +13,9 @@
 /// An order of an earlier owner that a worker was just carrying out when it took the new fence
 /// has begun, and is listed, after this time.
 const CONFIRM_AFTER: Millis = Millis(40);
+/// A worker that leaves so many calls unanswered one after the other is logged as silent. Single
+/// answers that are lost are many at times, and are told as a share.
+const SILENT_AFTER: u32 = 2;
 /// How often to look at a worker while ends of it are on the way to the store: a look can't wait
 /// for the next end meanwhile. A store of usual speed is faster, and each such look is saved.
 const LOOK_UNWRITTEN: Millis = Millis(100);
@@ -87,11 +90,11 @@
     /// Takes in that a worker has not answered a call.
     pub(crate) fn note_unheard(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
-        if w.unanswered == 0 {
+        w.unanswered += 1;
+        if w.unanswered == SILENT_AFTER {
             let since = now.since(w.last_answer);
             self.notes.push(Note::Silent { worker: w.id.clone(), silent: true, since });
         }
-        w.unanswered += 1;
     }
 
     /// Sets when to look again at a worker that has not answered a look.
@@ -125,7 +128,7 @@
     pub(crate) fn note_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         self.losses.note(w.unanswered > 0);
-        if w.unanswered > 0 {
+        if w.unanswered >= SILENT_AFTER {
             let since = now.since(w.last_answer);
             self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
         }
