--- a/crates/hollowford-jobs/benches/ledger.rs
+++ b/crates/hollowford-jobs/benches/ledger.rs
@@ -144,7 +144,7 @@
     let mut waiting = std::collections::VecDeque::new();
     let mut times = Vec::new();
     while ledger.now < LASTS {
-        if ledger.now % (1_000 / RATE) == 0 {
+        if ledger.now.is_multiple_of(1_000 / RATE) {
             ledger.submit(ledger.now);
             waiting.push_back(ledger.now);
         }
--- /dev/null
+++ b/crates/hollowford-jobs/src/asking.rs
@@ -0,0 +1,94 @@
+//! Which workers to ask advice about for a step.
+
+use crate::advice::Standing;
+use crate::engine::Engine;
+use crate::pass::Pass;
+use crate::place::Placing;
+use crate::queue::AdviceCost;
+use crate::workers::WorkerIdx;
+use hollowford_core::Millis;
+
+/// Workers to ask about beyond those that a step needs, as a part of them.
+const ASK_FACTOR: usize = 3;
+/// The first call for a step also names workers without room, for as long as that lengthens it
+/// by so much at most, in hundredths of the time that any call takes.
+const ASK_MORE_PERCENT: u32 = 25;
+/// Fewest workers to ask about at first.
+const ASK_LEAST: usize = 8;
+
+impl Engine {
+    /// Returns what a call for advice for the step costs, if one can be made now.
+    pub(crate) fn askable(&self, pass: &Pass, step: Placing<'_>) -> Option<AdviceCost> {
+        let cost = step.queue.advice?;
+        let asking = self.jobs.step(step.key)?.advice.asking;
+        (!asking && self.seats.has_free(&cost, pass.now)).then_some(cost)
+    }
+
+    /// Returns the workers to ask about for `tasks` tasks; none when no call would help now.
+    pub(crate) fn to_ask(
+        &self,
+        pass: &Pass,
+        step: Placing<'_>,
+        tasks: usize,
+        shunned: Option<WorkerIdx>,
+    ) -> Option<Vec<WorkerIdx>> {
+        if !pass.may_fit(&step.spec.room()) {
+            return None;
+        }
+        let c = self.candidates(pass, step, shunned);
+        let mut workers = cheapest(c.lapsed, tasks + tasks / 2 + 1);
+        if c.lapsed_room < tasks {
+            workers.extend(cheapest(c.unknown, (tasks * ASK_FACTOR).max(ASK_LEAST)));
+        }
+        let first = self.jobs.step(step.key)?.advice.nothing_known();
+        if first && !workers.is_empty() {
+            // Where few have room, others will sooner than a second call would be answered.
+            let more = step.queue.advice.map_or(0, |cost| cost.more_workers(ASK_MORE_PERCENT));
+            workers.extend(cheapest(c.full, more));
+        }
+        (!workers.is_empty()).then_some(workers)
+    }
+
+    /// Returns the workers that a call for the step may name.
+    fn candidates(&self, pass: &Pass, step: Placing<'_>, shunned: Option<WorkerIdx>) -> Candidates {
+        let need = step.spec.room();
+        let ends = pass.now + Millis(step.spec.estimate_ms);
+        let mut out = Candidates::default();
+        for r in &pass.rooms {
+            if Some(r.idx) == shunned || !self.allowed(r, step) {
+                continue;
+            }
+            let named = (r.cost(step.spec), r.idx);
+            let standing = self.standing(step, r.idx, pass.now);
+            match standing {
+                Standing::Unknown if r.fits(&need, ends) => out.unknown.push(named),
+                Standing::Unknown if need.fits(&r.capacity) => out.full.push(named),
+                Standing::Lapsed if r.fits(&need, ends) => {
+                    out.lapsed_room += r.count(&need).max(1) as usize;
+                    out.lapsed.push(named);
+                }
+                _ => {}
+            }
+        }
+        out
+    }
+}
+
+/// Workers that a call for advice may name, each with what it costs to place a task there.
+#[derive(Debug, Default)]
+struct Candidates {
+    /// With room, and a ticket that has lapsed.
+    lapsed: Vec<(f32, WorkerIdx)>,
+    /// How many tasks they have room for.
+    lapsed_room: usize,
+    /// With room, and not asked about.
+    unknown: Vec<(f32, WorkerIdx)>,
+    /// Without room, and not asked about.
+    full: Vec<(f32, WorkerIdx)>,
+}
+
+/// Returns the workers of the least cost, at most `most`.
+fn cheapest(mut list: Vec<(f32, WorkerIdx)>, most: usize) -> Vec<WorkerIdx> {
+    list.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+    list.into_iter().take(most).map(|(_, w)| w).collect()
+}
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod advice;
 mod answers;
+mod asking;
 mod batch;
 mod choose;
 mod dirty;
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -5,20 +5,13 @@
 use crate::engine::Engine;
 use crate::order::Order;
 use crate::pass::Pass;
-use crate::queue::{AdviceCost, Queue};
+use crate::queue::Queue;
 use crate::seats::Want;
 use crate::spec::{StepKey, StepSpec};
 use crate::urgency::Waiting;
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 
-/// Workers to ask about beyond those that a step needs, as a part of them.
-const ASK_FACTOR: usize = 3;
-/// The first call for a step also names workers without room, for as long as that lengthens it
-/// by so much at most, in hundredths of the time that any call takes.
-const ASK_MORE_PERCENT: u32 = 25;
-/// Fewest workers to ask about at first.
-const ASK_LEAST: usize = 8;
 /// Steps that a pass tries without placing any task of theirs, the most urgent first. Passes
 /// come with every event, so each may cost little; every tenth of a second one tries them all.
 const TRIES: usize = 200;
@@ -184,70 +177,4 @@
         let everywhere = if advised { 0 } else { pass.rooms.len() };
         (0..everywhere).chain(good.filter_map(|(w, _)| pass.room_of(w)))
     }
-
-    /// Returns what a call for advice for the step costs, if one can be made now.
-    pub(crate) fn askable(&self, pass: &Pass, step: Placing<'_>) -> Option<AdviceCost> {
-        let cost = step.queue.advice?;
-        let asking = self.jobs.step(step.key)?.advice.asking;
-        (!asking && self.seats.has_free(&cost, pass.now)).then_some(cost)
-    }
-
-    /// Returns the workers to ask about for `tasks` tasks; none when there is no room at any.
-    fn to_ask(
-        &self,
-        pass: &Pass,
-        step: Placing<'_>,
-        tasks: usize,
-        shunned: Option<WorkerIdx>,
-    ) -> Option<Vec<WorkerIdx>> {
-        let need = step.spec.room();
-        if !pass.may_fit(&need) {
-            return None;
-        }
-        let ends = pass.now + Millis(step.spec.estimate_ms);
-        let mut lapsed = Vec::new();
-        let mut unknown = Vec::new();
-        let mut full = Vec::new();
-        let mut lapsed_room = 0;
-        for r in &pass.rooms {
-            if Some(r.idx) == shunned || !self.allowed(r, step) {
-                continue;
-            }
-            let cost = r.cost(step.spec);
-            let standing = self.standing(step, r.idx, pass.now);
-            if !r.fits(&need, ends) {
-                if standing == Standing::Unknown && need.fits(&r.capacity) {
-                    full.push((cost, r.idx));
-                }
-                continue;
-            }
-            match standing {
-                Standing::Lapsed => {
-                    lapsed_room += r.count(&need).max(1) as usize;
-                    lapsed.push((cost, r.idx));
-                }
-                Standing::Unknown => unknown.push((cost, r.idx)),
-                Standing::Ticketed | Standing::Barred => {}
-            }
-        }
-        let mut workers = cheapest(lapsed, tasks + tasks / 2 + 1);
-        if lapsed_room < tasks {
-            workers.extend(cheapest(unknown, (tasks * ASK_FACTOR).max(ASK_LEAST)));
-        }
-        if workers.is_empty() {
-            return None;
-        }
-        if self.jobs.step(step.key).is_some_and(|s| s.advice.nothing_known()) {
-            // Where few have room, others will sooner than a second call would be answered.
-            let more = step.queue.advice.map_or(0, |cost| cost.more_workers(ASK_MORE_PERCENT));
-            workers.extend(cheapest(full, more));
-        }
-        Some(workers)
-    }
-}
-
-/// Returns the workers of the least cost, at most `most`.
-fn cheapest(mut list: Vec<(f32, WorkerIdx)>, most: usize) -> Vec<WorkerIdx> {
-    list.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-    list.into_iter().take(most).map(|(_, w)| w).collect()
 }
--- a/crates/hollowford-jobs/src/reserve.rs
+++ b/crates/hollowford-jobs/src/reserve.rs
@@ -115,6 +115,7 @@
     pass.reservations += 1;
 }
 
+/// Tells whether a task takes a large part of a worker in some dimension.
 fn takes_large_part(need: &Resources, of: &Resources) -> bool {
     let large = |n: u32, o: u32| n > 0 && u64::from(n) * 100 >= u64::from(o) * LARGE_PERCENT;
     large(need.cpu_milli, of.cpu_milli)
--- a/crates/hollowford-jobs/tests/answers.rs
+++ b/crates/hollowford-jobs/tests/answers.rs
@@ -1,5 +1,7 @@
 //! Calls to workers whose answers don't come.
 
+#![allow(clippy::expect_used)]
+
 mod common;
 
 use common::*;
