--- a/crates/hollowford-node/src/batches.rs
+++ b/crates/hollowford-node/src/batches.rs
@@ -34,6 +34,8 @@
 #[derive(Clone, Copy, Debug)]
 struct UnderWay {
     number: u64,
+    /// Rows that it writes, but for its lane's.
+    rows: usize,
     since: Millis,
 }
 
@@ -98,7 +100,8 @@
         let Some(batch) = engine.cut_batch(now) else { return };
         self.cut_at = now;
         self.unmade_since.get_or_insert(now);
-        self.lanes[lane].under_way = Some(UnderWay { number: batch.number, since: now });
+        self.lanes[lane].under_way =
+            Some(UnderWay { number: batch.number, rows: batch.rows.len(), since: now });
         self.start_writing(lane, batch);
     }
 
@@ -131,11 +134,14 @@
         let of = |l: &Lane| l.under_way.is_some_and(|u| u.number == batch);
         let Some(at) = self.lanes.iter().position(of) else { return };
         let lane = &mut self.lanes[at];
-        let since = lane.under_way.take().map_or(now, |u| u.since);
+        let Some(UnderWay { rows, since, .. }) = lane.under_way.take() else { return };
         let took = now.since(since);
         self.shared.metrics.batch_seconds.observe(took.duration().as_secs_f64());
         if took >= BATCH_SLOW {
-            log::info!("batch.slow batch={batch} lane={at} took_ms={} outcome={written:?}", took.0);
+            log::info!(
+                "batch.slow batch={batch} lane={at} rows={rows} took_ms={} outcome={written:?}",
+                took.0
+            );
         }
         match written {
             Written::Made { rev, answered_in } => {
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -34,6 +34,9 @@
 #[cfg(test)]
 mod relay_tests;
 mod reload;
+mod retries;
+#[cfg(test)]
+mod retries_tests;
 mod shared;
 #[cfg(test)]
 mod shared_tests;
