--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -4,6 +4,7 @@
 //! is in one of them at a time, so that its rows are written in order; what changes of it
 //! meanwhile goes into a later one.
 
+use crate::dirty::ONE_IN;
 use crate::engine::Engine;
 use crate::job::EndAt;
 use crate::job::JobState;
@@ -20,9 +21,10 @@
 /// Rows of jobs in one batch. A transaction takes 100 entries; the others are for the owner, the
 /// workers, and jobs that are forgotten.
 const MOST_ROWS: usize = 89;
-/// Jobs that somebody waits for in one batch, some: an acceptance writes one row, an end mostly
-/// two, and one job in four is another one.
-pub(crate) const WANTED_IN_BATCH: usize = MOST_ROWS / 2;
+/// Jobs that somebody waits for in one batch, some: one in [`ONE_IN`] is another one, and as many
+/// write one row, for an acceptance, as write two, for an end.
+pub(crate) const WANTED_IN_BATCH: usize =
+    MOST_ROWS * (ONE_IN as usize - 1) / ONE_IN as usize * 2 / 3;
 /// Most bytes of values in one batch, before their encoding; a transaction takes 1 MB.
 const MOST_BYTES: usize = 500_000;
 /// Most ended jobs forgotten by one batch.
--- a/crates/hollowford-jobs/src/dirty.rs
+++ b/crates/hollowford-jobs/src/dirty.rs
@@ -10,7 +10,7 @@
 use std::collections::hash_map::Entry;
 
 /// One job in so many is one that nobody waits for, while both kinds are there.
-const ONE_IN: u32 = 4;
+pub(crate) const ONE_IN: u32 = 4;
 
 /// The jobs, each once.
 #[derive(Debug, Default)]
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -130,10 +130,14 @@
 
 /// Reads the owner row after a writing without an answer.
 async fn find_owner_again(cx: &Cx, known: u64) {
-    if let Ok(Some(row)) = read_row(cx).await
-        && let Some(owner) = read_owner(&row).and_then(|r| r.owner)
-        && owner.epoch > known
-    {
-        cx.partition.note_owner_info(&owner);
+    match read_row(cx).await {
+        Ok(row) => {
+            cx.shared.note_store();
+            let owner = row.as_ref().and_then(read_owner).and_then(|r| r.owner);
+            if let Some(owner) = owner.filter(|o| o.epoch > known) {
+                cx.partition.note_owner_info(&owner);
+            }
+        }
+        Err(e) => log::debug!("owner.read failed error=\"{e}\""),
     }
 }
