Rows of old jobs are removed though the batch that should have done it was refused

Cause, found in reading: a refused batch put back what it wrote, but not what it removed, so the row of a job that ended long ago stayed until the next takeover found it. A job that has come anew under the same id meanwhile keeps its row. The test fails without the change.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -83,6 +83,8 @@
     notes: BTreeMap<u64, BatchNote>,
     /// Jobs with rows in one of them.
     jobs: FxHashSet<JobId>,
+    /// Ended jobs whose rows were to be removed by a batch that was refused.
+    unremoved: Vec<JobId>,
     /// Jobs that have something to write once that one is made, and whether somebody waits.
     waiting: FxHashMap<JobId, bool>,
 }
@@ -111,11 +113,7 @@
         let mut rows = Vec::new();
         self.write_workers(&mut rows, &mut note);
         self.write_jobs(now, &mut rows, &mut note);
-        let old = now - self.bounds.keep_ended;
-        for id in self.jobs.expire(old, MOST_EXPIRED) {
-            rows.push(RowWrite { key: job_key(id), value: None });
-            note.expired.push(id);
-        }
+        self.remove_expired(now, &mut rows, &mut note);
         if rows.is_empty() {
             return None;
         }
@@ -125,6 +123,19 @@
         Some(Batch { number: self.batch_no, rows })
     }
 
+    /// Removes the rows of jobs that ended long ago.
+    fn remove_expired(&mut self, now: Millis, rows: &mut Vec<RowWrite>, note: &mut BatchNote) {
+        let old = now - self.bounds.keep_ended;
+        let mut expired = std::mem::take(&mut self.in_flight.unremoved);
+        // A job that came anew under the same id has a row of its own.
+        expired.retain(|&id| self.jobs.get(id).is_none() && self.jobs.ended(id).is_none());
+        expired.extend(self.jobs.expire(old, MOST_EXPIRED));
+        for id in expired {
+            rows.push(RowWrite { key: job_key(id), value: None });
+            note.expired.push(id);
+        }
+    }
+
     /// A batch is in the store.
     pub fn committed(&mut self, number: u64, now: Millis) {
         let Some(note) = self.take_in_flight(number) else { return };
@@ -190,6 +201,7 @@
                 self.jobs.dirty.add(id);
             }
         }
+        self.in_flight.unremoved.extend(note.expired);
         for (id, ..) in note.ended {
             self.jobs.dirty.want(id);
         }
--- a/crates/hollowford-jobs/tests/batches.rs
+++ b/crates/hollowford-jobs/tests/batches.rs
@@ -201,3 +201,17 @@
         assert_eq!(starts, 3 * completed as u64, "seed {seed}");
     }
 }
+
+#[test]
+fn rows_of_old_jobs_are_removed_though_the_batch_that_should_is_refused() {
+    let mut cell = Cell::new(1);
+    cell.submit(1, LARGE, job(vec![step(1, 1_000, 20)]));
+    cell.run(200);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    cell.now = cell.now + BOUNDS.keep_ended + BOUNDS.keep_ended;
+    assert!(cell.cut());
+    cell.refuse_pending();
+    assert!(cell.rows.keys().any(|k| k.starts_with("j/")));
+    cell.write();
+    assert!(!cell.rows.keys().any(|k| k.starts_with("j/")), "{:?}", cell.rows.keys());
+}
