--- a/crates/hollowford-jobs/src/advice.rs
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -2,7 +2,7 @@
 
 use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::sync::Arc;
 
 /// A ticket is not used when less time is left, since the start has to arrive before it ends.
@@ -22,13 +22,53 @@
     }
 }
 
+/// The share of the workers named in calls for a queue's steps that may run them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GoodShare {
+    asked: f32,
+    good: f32,
+}
+
+/// What is assumed before any answer: half of them, as one call of so many workers would tell.
+const ASSUMED: GoodShare = GoodShare { asked: 20.0, good: 10.0 };
+/// Beyond so many workers, older answers count less.
+const REMEMBERED: f32 = 2_000.0;
+
+impl Default for GoodShare {
+    fn default() -> GoodShare {
+        ASSUMED
+    }
+}
+
+impl GoodShare {
+    /// Takes in an answer about workers that were not known before.
+    pub fn note(&mut self, asked: usize, good: usize) {
+        self.asked += asked as f32;
+        self.good += good as f32;
+        if self.asked > REMEMBERED {
+            self.asked /= 2.0;
+            self.good /= 2.0;
+        }
+    }
+
+    /// Returns the share, from 0 to 1.
+    pub fn share(&self) -> f32 {
+        self.good / self.asked
+    }
+
+    /// Returns how many workers have to be asked about to find `wanted` that may run a step.
+    pub fn to_find(&self, wanted: f32) -> usize {
+        (wanted * self.asked / self.good.max(1.0)).ceil() as usize
+    }
+}
+
 /// What is known of the workers for one step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
     /// Workers that were named in a call that was answered; with a ticket: it may run there.
     known: FxHashMap<WorkerIdx, Option<Ticket>>,
-    /// A call is under way.
-    pub asking: bool,
+    /// Workers named in calls that are under way.
+    asked: FxHashSet<WorkerIdx>,
 }
 
 /// What advice says of one worker.
@@ -74,6 +114,38 @@
         self.known.is_empty()
     }
 
+    /// Tells whether a call is under way.
+    pub fn is_asking(&self) -> bool {
+        !self.asked.is_empty()
+    }
+
+    /// Tells whether a call under way names the worker.
+    pub fn is_asked(&self, w: WorkerIdx) -> bool {
+        self.asked.contains(&w)
+    }
+
+    /// Returns how many workers are named in calls under way that were not known before.
+    pub fn asked_unknown(&self) -> usize {
+        self.asked.iter().filter(|w| !self.known.contains_key(w)).count()
+    }
+
+    /// Tells whether the worker's ticket holds at `at`, with some time to spare.
+    pub fn holds_at(&self, w: WorkerIdx, at: Millis) -> bool {
+        self.standing(w, at) == Standing::Ticketed
+    }
+
+    /// A call that names these workers is under way.
+    pub fn asks(&mut self, workers: &[WorkerIdx]) {
+        self.asked.extend(workers);
+    }
+
+    /// A call that named these workers has failed.
+    pub fn unanswered(&mut self, workers: &[WorkerIdx]) {
+        for w in workers {
+            self.asked.remove(w);
+        }
+    }
+
     /// Takes in the answer of a call that named `asked`: which of them may run the step, with
     /// tickets that hold until `until`.
     pub fn answered(
@@ -82,7 +154,7 @@
         good: Vec<(WorkerIdx, Arc<str>)>,
         until: Millis,
     ) {
-        self.asking = false;
+        self.unanswered(asked);
         for &w in asked {
             self.known.entry(w).or_insert(None);
         }
--- a/crates/hollowford-jobs/src/asking.rs
+++ b/crates/hollowford-jobs/src/asking.rs
@@ -17,10 +17,11 @@
 const ASK_LEAST: usize = 8;
 
 impl Engine {
-    /// Returns what a call for advice for the step costs, if one can be made now.
+    /// Returns what a call for advice for the step costs, if one can be made now. A step whose
+    /// tasks start one by one has one call at a time.
     pub(crate) fn askable(&self, pass: &Pass, step: Placing<'_>) -> Option<AdviceCost> {
         let cost = step.queue.advice?;
-        let asking = self.jobs.step(step.key)?.advice.asking;
+        let asking = self.jobs.step(step.key)?.advice.is_asking();
         (!asking && self.seats.has_free(&cost, pass.now)).then_some(cost)
     }
 
--- a/crates/hollowford-jobs/src/choose.rs
+++ b/crates/hollowford-jobs/src/choose.rs
@@ -21,7 +21,7 @@
     pub free: Resources,
     /// Room that is kept for gangs.
     pub reserved: Resources,
-    /// When the gangs are expected to take it.
+    /// When the first of the gangs is expected to take its part.
     pub reserved_until: Millis,
     /// See [`Worker::slowness`].
     pub slowness: f32,
@@ -54,6 +54,13 @@
         copies(need, &self.free.minus(&self.reserved))
     }
 
+    /// Keeps room for a task that is expected to begin at `begin`.
+    pub fn keep(&mut self, need: &Resources, begin: Millis) {
+        let first = self.reserved == Resources::default();
+        self.reserved = self.reserved.plus(need);
+        self.reserved_until = if first { begin } else { self.reserved_until.min(begin) };
+    }
+
     pub fn take(&mut self, need: &Resources) {
         self.free = self.free.minus(need);
     }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,5 +1,6 @@
 //! The state of one partition, and what the passing of time does to it.
 
+use crate::advice::GoodShare;
 use crate::answers::Losses;
 use crate::batch::InFlight;
 use crate::jobs::Jobs;
@@ -78,6 +79,8 @@
     pub(crate) dead: HashSet<InstanceId>,
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
     pub(crate) seats: Seats,
+    /// Which share of the workers may run a step, by queue.
+    pub(crate) good_shares: FxHashMap<Arc<str>, GoodShare>,
     /// How often workers' answers are lost.
     pub(crate) losses: Losses,
     /// Workers that may still run what an earlier owner ordered.
@@ -116,6 +119,7 @@
             dead: HashSet::new(),
             queues: FxHashMap::default(),
             seats: Seats::default(),
+            good_shares: FxHashMap::default(),
             losses: Losses::default(),
             unsettled: BTreeSet::new(),
             settled_at: now + bounds.earlier_lease,
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -5,9 +5,9 @@
 use crate::order::Order;
 use crate::pass::Pass;
 use crate::place::Placing;
-use crate::seats::Want;
+use crate::reserve::Plan;
 use crate::spec::StepSpec;
-use crate::workers::{Placement, WorkerIdx};
+use crate::workers::Placement;
 
 /// How many members go to each room, by position in the pass.
 type Seating = Vec<(usize, u32)>;
@@ -23,20 +23,27 @@
             self.start_gang(pass, gang, &seating, out);
             return;
         }
-        if let Some(cost) = self.askable(pass, gang)
-            && let Some(workers) = self.gang_to_ask(pass, gang)
-        {
-            self.ask(Want { step: gang.key, workers, cost }, pass.now, out);
-        }
         let mut good = ticketed;
         if gang.queue.advice.is_some() {
             good.extend(self.rooms_of(pass, gang, Standing::Lapsed));
         }
-        match self.seat_gang(pass, gang, &good) {
-            // It fits once its tickets are renewed, or its acceptance is in the store.
-            Some(seating) => reserve(pass, gang.spec, &seating),
-            None => self.reserve_gang(pass, gang, &good),
+        let plan = self.plan_gang(pass, gang, &good);
+        self.ask_for_gang(pass, gang, plan.as_ref(), out);
+        if let Some(plan) = plan {
+            plan.keep(pass, &gang.spec.room());
+            pass.reservations += usize::from(plan.begin > pass.now);
+        }
+    }
+
+    /// Returns when and where the gang is expected to start: now, once its tickets are renewed
+    /// or its acceptance is in the store, or when enough of its workers are free.
+    fn plan_gang(&self, pass: &mut Pass, gang: Placing<'_>, good: &[usize]) -> Option<Plan> {
+        if let Some(seating) = self.seat_gang(pass, gang, good) {
+            let members = |(at, n): (usize, u32)| std::iter::repeat_n(at, n as usize);
+            let rooms = seating.into_iter().flat_map(members).collect();
+            return Some(Plan { begin: pass.now, rooms });
         }
+        self.first_start(pass, gang, good)
     }
 
     fn start_gang(
@@ -71,11 +78,18 @@
         }
         let fits = |&at: &usize| need.fits(&pass.rooms[at].free);
         let usable = |at: &usize| fits(at) && self.allowed(&pass.rooms[*at], gang);
-        let rooms: Vec<usize> = rooms.iter().copied().filter(usable).collect();
+        let mut rooms: Vec<(bool, usize)> = rooms
+            .iter()
+            .copied()
+            .filter(usable)
+            .map(|at| (self.is_unready(pass, gang, at), at))
+            .collect();
+        // Stable between passes: the rooms whose tickets are there, or on their way, first.
+        rooms.sort_by_key(|&(unready, _)| unready);
         if spec.one_rack {
             let racks = pass.racks();
             let in_rack = |rack| {
-                let of = |&at: &usize| pass.rooms[at].rack.as_ref() == Some(rack);
+                let of = |(_, at): &(bool, usize)| pass.rooms[*at].rack.as_ref() == Some(rack);
                 seat(pass, spec, rooms.iter().copied().filter(of).collect())
             };
             if let Some(seating) = racks.iter().find_map(in_rack) {
@@ -85,60 +99,31 @@
         seat(pass, spec, rooms)
     }
 
-    /// Returns the workers to ask about for a gang: all of the pool at first, then those of
-    /// which the tickets would let it start.
-    fn gang_to_ask(&self, pass: &mut Pass, gang: Placing<'_>) -> Option<Vec<WorkerIdx>> {
-        let (mut good, mut unknown) = (Vec::new(), Vec::new());
-        for (at, room) in pass.rooms.iter().enumerate().filter(|(_, r)| self.allowed(r, gang)) {
-            match self.standing(gang, room.idx, pass.now) {
-                Standing::Unknown => unknown.push(at),
-                Standing::Ticketed | Standing::Lapsed => good.push(at),
-                Standing::Barred => {}
-            }
-        }
-        let first = self.jobs.step(gang.key)?.advice.nothing_known();
-        if !first && let Some(seating) = self.seat_gang(pass, gang, &good) {
-            return some(seating.iter().map(|&(at, _)| pass.rooms[at].idx).collect());
-        }
-        let asked = unknown.iter().map(|&at| pass.rooms[at].idx).collect();
-        if !first {
-            good.extend(&unknown);
-            self.seat_gang(pass, gang, &good)?;
-        }
-        some(asked)
+    /// Tells whether the gang has no ticket for a room and has not asked for one.
+    fn is_unready(&self, pass: &Pass, gang: Placing<'_>, at: usize) -> bool {
+        let idx = pass.rooms[at].idx;
+        let asked = self.jobs.step(gang.key).is_some_and(|s| s.advice.is_asked(idx));
+        !asked && self.standing(gang, idx, pass.now) != Standing::Ticketed
     }
 }
 
-/// Keeps the room that a gang is seated in.
-fn reserve(pass: &mut Pass, spec: &StepSpec, seating: &Seating) {
-    for &(at, n) in seating {
-        let room = &mut pass.rooms[at];
-        for _ in 0..n {
-            room.reserved = room.reserved.plus(&spec.room());
-        }
-    }
-}
-
-/// Returns the list unless it is empty.
-fn some(workers: Vec<WorkerIdx>) -> Option<Vec<WorkerIdx>> {
-    (!workers.is_empty()).then_some(workers)
-}
-
-/// Seats all members in the given rooms, the fullest rooms first.
-fn seat(pass: &Pass, spec: &StepSpec, rooms: Vec<usize>) -> Option<Seating> {
+/// Seats all members in the given rooms: those that are ready first, and of these the fullest.
+fn seat(pass: &Pass, spec: &StepSpec, rooms: Vec<(bool, usize)>) -> Option<Seating> {
     let need = spec.room();
     let limit = if spec.spread > 0 { spec.spread } else { u32::MAX };
-    let mut slots: Vec<_> =
-        rooms.into_iter().map(|at| (at, pass.rooms[at].count(&need).min(limit))).collect();
-    slots.retain(|&(_, n)| n > 0);
-    if slots.iter().map(|&(_, n)| u64::from(n)).sum::<u64>() < u64::from(spec.count) {
+    let mut slots: Vec<_> = rooms
+        .into_iter()
+        .map(|(unready, at)| (unready, at, pass.rooms[at].count(&need).min(limit)))
+        .collect();
+    slots.retain(|&(_, _, n)| n > 0);
+    if slots.iter().map(|&(_, _, n)| u64::from(n)).sum::<u64>() < u64::from(spec.count) {
         return None;
     }
     let left = |at: usize| pass.rooms[at].left_after(&need) + pass.rooms[at].slow_cost();
-    slots.sort_unstable_by(|a, b| left(a.0).total_cmp(&left(b.0)));
+    slots.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(left(a.1).total_cmp(&left(b.1))));
     let mut open = spec.count;
     let mut out = Vec::new();
-    for (at, n) in slots {
+    for (_, at, n) in slots {
         let n = n.min(open);
         open -= n;
         out.push((at, n));
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod engine;
 mod evacuate;
 mod gang;
+mod gang_asking;
 mod gone;
 mod health;
 mod job;
--- a/crates/hollowford-jobs/src/reserve.rs
+++ b/crates/hollowford-jobs/src/reserve.rs
@@ -21,18 +21,34 @@
 /// A task that takes this part of a worker in some dimension, in hundredths, is large.
 const LARGE_PERCENT: u64 = 40;
 
+/// When and where a gang is expected to start.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub begin: Millis,
+    /// Position of the room of each member.
+    pub rooms: Vec<usize>,
+}
+
+impl Plan {
+    /// Keeps the room.
+    pub fn keep(&self, pass: &mut Pass, need: &Resources) {
+        self.rooms.iter().for_each(|&at| pass.rooms[at].keep(need, self.begin));
+    }
+}
+
 impl Engine {
-    /// Keeps the room in which all members could start first, among the rooms where the gang
-    /// may run.
-    pub(crate) fn reserve_gang(&self, pass: &mut Pass, gang: Placing<'_>, good: &[usize]) {
+    /// Returns when and where all members could start first, among the rooms where the gang may
+    /// run; none when they can't, or room is kept for others already.
+    pub(crate) fn first_start(
+        &self,
+        pass: &Pass,
+        gang: Placing<'_>,
+        good: &[usize],
+    ) -> Option<Plan> {
         let count = gang.spec.count as usize;
         let slots = self.first_slots(pass, gang, good, count);
-        if slots.len() < count {
-            return;
-        }
-        let Some(&(begin, _)) = slots.last() else { return };
-        let together = slots.into_iter().map(|(_, at)| (begin, at)).collect();
-        keep(pass, &gang.spec.room(), together);
+        let &(begin, _) = slots.last().filter(|_| slots.len() == count)?;
+        Some(Plan { begin, rooms: slots.into_iter().map(|(_, at)| at).collect() })
     }
 
     /// Keeps the room that tasks of a step could have first, if one of them takes a large part of
@@ -46,7 +62,8 @@
         good.retain(|&at| takes_large_part(&need, &pass.rooms[at].capacity));
         let slots = self.first_slots(pass, step, &good, left);
         if !slots.is_empty() {
-            keep(pass, &need, slots);
+            slots.into_iter().for_each(|(begin, at)| pass.rooms[at].keep(&need, begin));
+            pass.reservations += 1;
         }
     }
 
@@ -105,16 +122,6 @@
     }
 }
 
-/// Keeps room for a task at each of these times and rooms.
-fn keep(pass: &mut Pass, need: &Resources, slots: Vec<(Millis, usize)>) {
-    for (begin, at) in slots {
-        let room = &mut pass.rooms[at];
-        room.reserved = room.reserved.plus(need);
-        room.reserved_until = begin;
-    }
-    pass.reservations += 1;
-}
-
 /// Tells whether a task takes a large part of a worker in some dimension.
 fn takes_large_part(need: &Resources, of: &Resources) -> bool {
     let large = |n: u32, o: u32| n > 0 && u64::from(n) * 100 >= u64::from(o) * LARGE_PERCENT;
--- a/crates/hollowford-jobs/src/seats.rs
+++ b/crates/hollowford-jobs/src/seats.rs
@@ -4,6 +4,7 @@
 //! worker named. A quick check behind the slow call of a large gang would be late before it
 //! is placed, so some seats take quick calls only, and one is kept from the slowest.
 
+use crate::advice::Standing;
 use crate::engine::Engine;
 use crate::note::Note;
 use crate::order::{Advised, Order};
@@ -19,6 +20,8 @@
 const SLOW_CALL_MS: f64 = 200.0;
 /// One seat in so many takes quick calls only.
 const SEATS_FOR_ONE_QUICK: usize = 3;
+/// Calls side by side for one step take one free seat in so many.
+const SEATS_SHARE: usize = 4;
 /// Most workers that one call may name (PROTOCOL).
 const MOST_NAMED: usize = 100;
 /// A quick call without an answer is given up after its expected time and this.
@@ -118,6 +121,15 @@
         seats.skip(quick).filter(free).last().map(|(at, _)| at)
     }
 
+    /// Returns how many seats are free for calls of the given time, at least about.
+    fn free_count(&self, ms: f64, now: Millis) -> usize {
+        let free = self.list.iter().filter(|p| p.call.is_none() && p.has_rested(now)).count();
+        if ms <= QUICK_CALL_MS {
+            return free;
+        }
+        free.saturating_sub(self.list.len().div_ceil(SEATS_FOR_ONE_QUICK))
+    }
+
     /// Tells whether one more of so many seats for longer calls may take a slow one: one is
     /// left to the calls between quick and slow.
     fn may_be_slow(&self, seats: usize) -> bool {
@@ -135,8 +147,8 @@
             let place = at.map(|at| old.swap_remove(at));
             self.seats.list.push(place.unwrap_or_else(|| Place::new(seat.clone())));
         }
-        for place in old {
-            self.advice_failed(place.call.as_ref());
+        for call in old.into_iter().filter_map(|place| place.call) {
+            self.advice_failed(&call);
         }
     }
 
@@ -145,9 +157,20 @@
         self.seats.list.get(at).map(|p| &p.seat)
     }
 
-    fn advice_failed(&mut self, call: Option<&Call>) {
-        if let Some(step) = call.and_then(|c| self.jobs.step_mut(c.step)) {
-            step.advice.asking = false;
+    fn advice_failed(&mut self, call: &Call) {
+        if let Some(step) = self.jobs.step_mut(call.step) {
+            step.advice.unanswered(&call.workers);
+        }
+    }
+
+    /// Hands the calls to as many seats as help and are free for them, the workers named first
+    /// before others. What is not asked for comes again with the next pass.
+    pub(crate) fn ask_side_by_side(&mut self, want: Want, now: Millis, out: &mut Vec<Order>) {
+        let Want { step, workers, cost } = want;
+        let free = self.seats.free_count(cost.of(workers.len()), now);
+        let calls = calls_for(workers.len(), &cost, free);
+        for part in workers.chunks(workers.len().div_ceil(calls.max(1)).max(1)) {
+            self.ask(Want { step, workers: part.to_vec(), cost }, now, out);
         }
     }
 
@@ -159,7 +182,7 @@
         let ms = cost.of(workers.len());
         let Some(seat) = self.seats.free_for(ms, now) else { return };
         let Some(step) = self.jobs.step_mut(key) else { return };
-        step.advice.asking = true;
+        step.advice.asks(&workers);
         let id = |&w: &WorkerIdx| self.workers.get(w).map(|w| w.id.clone());
         let ids: Vec<_> = workers.iter().filter_map(id).collect();
         let slack = if ms <= QUICK_CALL_MS { QUICK_SLACK } else { SLACK };
@@ -178,7 +201,7 @@
                 place.failed(now);
                 let asked = call.workers.len();
                 self.notes.push(Note::Advised { step: call.step, asked, good: None });
-                self.advice_failed(Some(&call));
+                self.advice_failed(&call);
             }
         }
     }
@@ -205,12 +228,38 @@
         let (asked, good) = (call.workers.len(), answer.as_ref().map(|(rows, _)| rows.len()));
         self.notes.push(Note::Advised { step: key, asked, good });
         let Some((rows, validity)) = answer else {
-            self.advice_failed(Some(&call));
+            self.advice_failed(&call);
             return;
         };
         let find = |id: &InstanceId| self.workers.find(id);
         let good: Vec<_> = rows.iter().filter_map(|(id, t)| Some((find(id)?, t.clone()))).collect();
+        self.note_good_share(key, &call.workers, &good);
         let Some(step) = self.jobs.step_mut(key) else { return };
         step.advice.answered(&call.workers, good, now + validity);
     }
+
+    /// Learns from an answer which share of a queue's workers may run one of its steps. Calls
+    /// that renew tickets tell nothing of it.
+    fn note_good_share(
+        &mut self,
+        key: StepKey,
+        asked: &[WorkerIdx],
+        good: &[(WorkerIdx, Arc<str>)],
+    ) {
+        let Some(step) = self.jobs.step(key) else { return };
+        let is_new = |w: WorkerIdx| step.advice.standing(w, Millis(0)) == Standing::Unknown;
+        let asked = asked.iter().filter(|&&w| is_new(w)).count();
+        let good = good.iter().filter(|&&(w, _)| is_new(w)).count();
+        let Some(queue) = self.jobs.get(key.job).map(|j| j.queue.clone()) else { return };
+        self.good_shares.entry(queue).or_default().note(asked, good);
+    }
+}
+
+/// Returns over how many calls to spread so many workers, with so many seats free: as many as
+/// make the part of a call that grows with its workers half of the part that doesn't. One step
+/// takes a fourth of the free seats at most.
+fn calls_for(workers: usize, cost: &AdviceCost, free: usize) -> usize {
+    let least = workers.div_ceil(MOST_NAMED);
+    let useful = 2.0 * cost.per_worker_ms * workers as f64 / cost.decide_ms.max(1.0);
+    (useful.ceil() as usize).min(free / SEATS_SHARE).max(least)
 }
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -47,6 +47,14 @@
     Arc::new(JobSpec::try_from(raw).expect("a valid job"))
 }
 
+/// An answer of the service for advice that is on its way.
+pub struct AdviceDue {
+    pub at: Millis,
+    pub seat: Seat,
+    pub step: StepKey,
+    pub rows: Advised,
+}
+
 /// An engine with its surroundings.
 pub struct Cell {
     pub engine: Engine,
@@ -58,11 +66,17 @@
     pub barred: BTreeSet<InstanceId>,
     /// Instances that make no calls for advice, though asked to.
     pub dead_seats: BTreeSet<String>,
+    /// Answers of the service for advice take the time that the queue tells; else none.
+    pub advice_takes_time: bool,
+    /// Answers of that service that are on their way.
+    pub advice_due: Vec<AdviceDue>,
     /// Batches are not made while false.
     pub store_up: bool,
     /// Batches under way; `run` has one at a time.
     pub pending: Vec<Batch>,
     pub specs: BTreeMap<JobId, Arc<JobSpec>>,
+    /// The queue of each job.
+    pub queue_of: BTreeMap<JobId, Arc<str>>,
     /// Entries of lives that are over, which the list still shows.
     pub stale: Vec<WorkerListing>,
     /// Orders carried out, for tests that look at them.
@@ -81,9 +95,12 @@
             queues,
             barred: BTreeSet::new(),
             dead_seats: BTreeSet::new(),
+            advice_takes_time: false,
+            advice_due: Vec::new(),
             store_up: true,
             pending: Vec::new(),
             specs: BTreeMap::new(),
+            queue_of: BTreeMap::new(),
             stale: Vec::new(),
             log: Vec::new(),
         };
@@ -112,6 +129,7 @@
 
     pub fn submit(&mut self, id: u64, queue: &str, spec: Arc<JobSpec>) -> SubmitAnswer {
         self.specs.insert(JobId(id), spec.clone());
+        self.queue_of.insert(JobId(id), queue.into());
         self.engine.submit(JobId(id), queue, spec, self.now)
     }
 
@@ -132,6 +150,7 @@
 
     /// Polls the engine once and carries out what it wants.
     pub fn turn(&mut self) {
+        self.answer_advice();
         let orders = self.poll();
         self.carry_out_all(orders);
     }
@@ -214,11 +233,29 @@
                 }
                 let good = workers.iter().filter(|w| !self.barred.contains(w));
                 let rows = good.map(|w| (w.clone(), "ticket".into())).collect();
-                self.engine.advised(&seat, step, Some((rows, Millis(2_000))), self.now);
+                let at = self.now + self.advice_time(step.job, workers.len());
+                self.advice_due.push(AdviceDue { at, seat, step, rows });
+                self.answer_advice();
             }
         }
     }
 
+    /// Returns how long a call for advice takes that names so many workers.
+    fn advice_time(&self, job: JobId, workers: usize) -> Millis {
+        let queue = self.queue_of.get(&job).filter(|_| self.advice_takes_time);
+        let queue = queue.and_then(|name| self.queues.iter().find(|q| q.name == *name));
+        queue.and_then(|q| q.advice).map_or(Millis(0), |cost| Millis(cost.of(workers) as u64))
+    }
+
+    /// Hands over the answers of the service for advice that are there.
+    fn answer_advice(&mut self) {
+        let now = self.now;
+        for due in self.advice_due.extract_if(.., |d| d.at <= now).collect::<Vec<_>>() {
+            let answer = Some((due.rows, Millis(2_000)));
+            self.engine.advised(&due.seat, due.step, answer, now);
+        }
+    }
+
     /// Carries out a call at once. A life that is over is answered for by the next one.
     pub fn call(&mut self, call: WorkerCall, fence: u64) {
         let now = self.now;
