Members make the owner's calls to workers

Cause: one owner's link, channels and wake-ups carried all looks and starts of its partition. Starts alone take all of such a link, a template of 1 to 2.4 kB each. Change: from 100 workers on the owner hands its calls to members, each those to a share of the workers of its availability zone, in frames that hold each template once. The fence is the owner's, so a call that a member makes late is refused like any call that was long on its way. A member that says nothing, or doesn't reach a worker, is passed over. One client of the workers for all epochs: channels outlast a takeover. Tests: delegation_tests, delegate_wire_tests.

--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -6,7 +6,7 @@
 use crate::note::{GiveUp, Note};
 use crate::order::{End, Look, Order, WorkerCall};
 use crate::spec::TaskKey;
-use crate::worker::{Held, Phase};
+use crate::worker::{Held, Phase, Worker};
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::{InstanceId, Millis};
 
@@ -87,6 +87,31 @@
         false
     }
 
+    /// Takes in the answer to a look that came after it was told that there was none: it still
+    /// tells what runs and has ended, unless a newer one has. Tells whether a newer owner has
+    /// claimed the worker.
+    pub fn looked_late(
+        &mut self,
+        id: &InstanceId,
+        answer: LookAnswer,
+        sent: Millis,
+        now: Millis,
+    ) -> bool {
+        let Some(idx) = self.workers.find(id) else { return false };
+        match answer {
+            LookAnswer::Lists(look) => {
+                let newer = |w: &Worker| look.clock > w.looked_clock;
+                if self.workers.get(idx).is_some_and(newer) {
+                    self.take_lists(idx, look, sent, now);
+                }
+            }
+            LookAnswer::OtherLife => self.worker_dead(idx, now),
+            LookAnswer::Fenced => return true,
+            LookAnswer::Unanswered => {}
+        }
+        false
+    }
+
     /// Takes in that a worker has not answered a call.
     pub(crate) fn note_unheard(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
@@ -106,11 +131,15 @@
 
     fn take_lists(&mut self, idx: WorkerIdx, look: Look, sent: Millis, now: Millis) {
         let Some(w) = self.workers.get(idx) else { return };
-        let (first, second) = (!w.fenced, w.fenced && !w.claimed);
+        let first = !w.fenced;
+        let second = w.fenced && !w.claimed && sent >= w.fenced_at + CONFIRM_AFTER;
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.looked_clock = look.clock;
+        }
         self.note_heard(idx, look.clock, now);
         if first {
             self.other_lives_dead(idx, now);
-            self.take_fenced(idx, &look);
+            self.take_fenced(idx, &look, now);
         }
         self.take_listed(idx, &look, now);
         if second {
@@ -136,10 +165,11 @@
     }
 
     /// Takes in that a worker refuses the orders of earlier owners from now on.
-    fn take_fenced(&mut self, idx: WorkerIdx, look: &Look) {
+    fn take_fenced(&mut self, idx: WorkerIdx, look: &Look, now: Millis) {
         let earlier = self.bounds.earlier_lease;
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.fenced = true;
+        w.fenced_at = now;
         // What an earlier owner ordered may run for so long without a word of this one.
         w.lease_until = w.lease_until.max(look.clock + earlier.0);
         let (running, ended) = (look.running.len(), look.ended.len());
--- a/crates/hollowford-jobs/src/order.rs
+++ b/crates/hollowford-jobs/src/order.rs
@@ -87,6 +87,28 @@
     },
 }
 
+impl WorkerCall {
+    /// Returns the worker that is called.
+    pub fn worker(&self) -> &InstanceId {
+        match self {
+            WorkerCall::Start { worker, .. }
+            | WorkerCall::Stop { worker, .. }
+            | WorkerCall::Pace { worker, .. }
+            | WorkerCall::Look { worker, .. } => worker,
+        }
+    }
+
+    /// Returns its address.
+    pub fn address(&self) -> &Arc<str> {
+        match self {
+            WorkerCall::Start { address, .. }
+            | WorkerCall::Stop { address, .. }
+            | WorkerCall::Pace { address, .. }
+            | WorkerCall::Look { address, .. } => address,
+        }
+    }
+}
+
 /// What a worker said to a start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StartAnswer {
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -121,6 +121,31 @@
         false
     }
 
+    /// Takes in an answer to a start that came after it was told that there was none. Only that
+    /// the task runs is of use: a newer copy may be under way, which a refusal says nothing of.
+    /// Tells whether a newer owner has claimed the worker.
+    pub fn start_answered_late(
+        &mut self,
+        id: &InstanceId,
+        (task, run): (TaskKey, u32),
+        answer: &StartAnswer,
+        sent: Millis,
+        now: Millis,
+    ) -> bool {
+        let Some(idx) = self.workers.find(id) else { return false };
+        if let StartAnswer::Runs(clock) = *answer {
+            self.note_heard(idx, clock, now);
+            self.dirty = true;
+            if let Some(w) = self.workers.get_mut(idx) {
+                w.answer_times.note(now.since(sent));
+                if let Some(h) = w.find_mut(task, run) {
+                    h.has_begun(now);
+                }
+            }
+        }
+        *answer == StartAnswer::Fenced
+    }
+
     /// The worker has done nothing: the task waits again, or its gang starts again.
     fn start_refused(&mut self, p: Placement, answer: &StartAnswer, now: Millis) {
         let Placement { idx, task, run } = p;
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -127,6 +127,10 @@
     pub gone_at: Option<Millis>,
     /// It has answered a look of this owner, and so refuses orders of earlier ones.
     pub fenced: bool,
+    /// When it first did.
+    pub fenced_at: Millis,
+    /// Reading of its clock in the newest lists that were taken in.
+    pub looked_clock: u64,
     /// It has answered another one since: what was on its way before is listed, too.
     pub claimed: bool,
     pub clock: Option<WorkerClock>,
@@ -173,6 +177,8 @@
             leaving: false,
             gone_at: None,
             fenced: false,
+            fenced_at: now,
+            looked_clock: 0,
             claimed: false,
             clock: None,
             lease_until: 0,
--- a/crates/hollowford-node/src/calls.rs
+++ b/crates/hollowford-node/src/calls.rs
@@ -8,12 +8,72 @@
 use hollowford_jobs::{Advised, LookAnswer, Seat, StartAnswer, StepKey, WorkerCall};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Longest time for a call for advice. The slowest name a hundred workers.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Calls a worker and tells the owner what came of it.
-pub async fn call_worker(
+/// A call is waited for so much longer than its time limit. It is made again meanwhile, but an
+/// answer that comes late still tells what runs and what has ended.
+const LATE: Millis = Millis(3_000);
+
+/// When an answer has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerAt {
+    /// Within the call's time limit; that there was none by then counts as well.
+    InTime,
+    /// After it, when it was already told that there was none.
+    Late,
+}
+
+/// Calls a worker and tells what came of it: once the limit has passed that there was no answer,
+/// and the answer, if it still comes.
+pub async fn call_worker<F: Future<Output = ()>>(
+    shared: &Shared,
+    workers: &WorkerClient,
+    call: &WorkerCall,
+    limit: Millis,
+    tell: impl Fn(Called, AnswerAt) -> F,
+) {
+    let began = shared.clock.now();
+    let waits = match call {
+        WorkerCall::Look { wait, .. } => *wait,
+        _ => Millis(0),
+    };
+    let mut answer = std::pin::pin!(workers.call(call, limit + LATE));
+    let in_time = timeout((waits + limit).duration(), &mut answer).await;
+    let (called, error, at) = match in_time {
+        Ok((called, error)) => (called, error, AnswerAt::InTime),
+        Err(_) => {
+            let called = unanswered(call);
+            note(shared, &called, limit);
+            tell(called, AnswerAt::InTime).await;
+            let (called, error) = answer.await;
+            (called, error, AnswerAt::Late)
+        }
+    };
+    if let Some(e) = error {
+        log::debug!("worker.unanswered call={} error=\"{e}\"", describe(call));
+        if at == AnswerAt::Late {
+            return;
+        }
+    }
+    note(shared, &called, shared.clock.now().since(began));
+    tell(called, at).await;
+}
+
+/// Returns what is told of a call without an answer.
+pub fn unanswered(call: &WorkerCall) -> Called {
+    match call {
+        WorkerCall::Start { .. } => Called::Start(StartAnswer::Unanswered),
+        WorkerCall::Stop { .. } => Called::Stop(false),
+        WorkerCall::Pace { .. } => Called::Pace(false),
+        WorkerCall::Look { .. } => Called::Look(LookAnswer::Unanswered),
+    }
+}
+
+/// Calls a worker from this process and tells its owner what came of it.
+pub async fn call_from_here(
     shared: Arc<Shared>,
     workers: WorkerClient,
     call: WorkerCall,
@@ -21,14 +81,11 @@
     sent: Millis,
     owner: OwnerHandle,
 ) {
-    let began = shared.clock.now();
-    let (called, error) = workers.call(&call, limit).await;
-    let took = shared.clock.now().since(began);
-    note(&shared, &called, took);
-    if let Some(e) = error {
-        log::debug!("worker.unanswered call={} error=\"{e}\"", describe(&call));
-    }
-    owner.send(OwnerMsg::Worker { call, called, sent }).await;
+    let tell = |called, at| {
+        let msg = OwnerMsg::Worker { call: call.clone(), called, sent, at };
+        owner.send(msg)
+    };
+    call_worker(&shared, &workers, &call, limit, tell).await;
 }
 
 fn note(shared: &Shared, called: &Called, took: Millis) {
--- /dev/null
+++ b/crates/hollowford-node/src/delegate_wire_tests.rs
@@ -0,0 +1,115 @@
+//! Calls that members make are read as they were written.
+#![allow(clippy::expect_used)]
+
+use crate::delegate_wire::{Delegated, Outcome};
+use hollowford_adapter::Called;
+use hollowford_core::Millis;
+use hollowford_jobs::{
+    End, EndKind, JobId, Look, LookAnswer, Running, StartAnswer, StepKey, TaskKey, WorkerCall,
+};
+use prost::Message;
+use std::sync::Arc;
+
+fn task(index: u32) -> TaskKey {
+    StepKey { job: JobId(7), round: 1, step: 2 }.task(index)
+}
+
+fn start(index: u32, template: &str) -> WorkerCall {
+    WorkerCall::Start {
+        worker: "w".into(),
+        address: "10.0.0.1:1".into(),
+        task: task(index),
+        run: 3,
+        lease_until: 99,
+        template: template.into(),
+        saved: "s".into(),
+        ticket: "t".into(),
+    }
+}
+
+#[test]
+fn calls_are_read_as_they_were_written() {
+    let (worker, address): (_, Arc<str>) = ("w".into(), "10.0.0.1:1".into());
+    let calls = [
+        start(0, "one"),
+        start(1, "one"),
+        WorkerCall::Stop { worker, address: address.clone(), task: task(1), run: 2 },
+        start(2, "two"),
+        WorkerCall::Pace {
+            worker: "w".into(),
+            address: address.clone(),
+            task: task(1),
+            run: 2,
+            percent: 40,
+        },
+        WorkerCall::Look {
+            worker: "w".into(),
+            address,
+            lease_until: None,
+            forget: 5,
+            wait: Millis(700),
+        },
+    ];
+    let mut frame = Delegated::new(4);
+    for (id, call) in calls.iter().enumerate() {
+        frame.add(id as u64, call, Millis(60));
+    }
+    let bytes = frame.encode_to_vec();
+    let read = Delegated::decode(&bytes[..]).expect("a frame");
+    assert_eq!(read.epoch, 4);
+    assert_eq!(read.templates, ["one", "two"], "each template once");
+    let templates: Vec<Arc<str>> = read.templates.iter().map(|t| t.as_str().into()).collect();
+    let back: Vec<_> = read.calls.iter().map(|c| c.read(&templates).expect("a call")).collect();
+    assert_eq!(back, calls);
+}
+
+#[test]
+fn a_start_without_its_template_is_an_error() {
+    let mut frame = Delegated::new(4);
+    frame.add(0, &start(0, "one"), Millis(60));
+    assert!(frame.calls[0].read(&[]).is_err());
+    frame.calls[0].what = None;
+    assert!(frame.calls[0].read(&[]).is_err());
+}
+
+#[test]
+fn outcomes_are_read_as_they_were_written() {
+    let kinds = [
+        EndKind::Done,
+        EndKind::Failed,
+        EndKind::Stopped,
+        EndKind::Lapsed,
+        EndKind::Broken,
+        EndKind::Alone,
+    ];
+    let end = |(i, kind): (usize, &EndKind)| End {
+        number: i as u64,
+        task: task(i as u32),
+        run: 2,
+        kind: *kind,
+        saved: "c".into(),
+    };
+    let running = Running { task: task(9), run: 1, saved: "".into(), progress: 40, load: 2 };
+    let ended = kinds.iter().enumerate().map(end).collect();
+    let lists = LookAnswer::Lists(Look { clock: 12, running: vec![running], ended });
+    let looks = [lists, LookAnswer::OtherLife, LookAnswer::Fenced, LookAnswer::Unanswered];
+    let starts = [
+        StartAnswer::Runs(5),
+        StartAnswer::Fenced,
+        StartAnswer::Old,
+        StartAnswer::Late,
+        StartAnswer::NoRoom,
+        StartAnswer::Ticket,
+        StartAnswer::Unhealthy,
+        StartAnswer::OtherLife,
+        StartAnswer::Invalid,
+        StartAnswer::Unanswered,
+    ];
+    let all = looks.map(Called::Look).into_iter().chain(starts.map(Called::Start));
+    for called in all.chain([Called::Stop(true), Called::Stop(false), Called::Pace(true)]) {
+        let bytes = Outcome::new(8, &called).encode_to_vec();
+        let read = Outcome::decode(&bytes[..]).expect("an outcome");
+        assert_eq!(read.id, 8);
+        assert_eq!(read.read().expect("content"), called);
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/delegation.rs
@@ -0,0 +1,347 @@
+//! Which member makes which of the owner's calls to workers.
+//!
+//! In a cell of hundreds of workers the owner's own link, channels and wake-ups would bound it.
+//! So its members make the calls, each those to a share of the workers, with the owner's fence.
+//! A worker has one member, of its own availability zone where there is one; only what a member
+//! that comes or goes has to do with changes. A member that says nothing of a call, and one that
+//! doesn't reach a worker twice in a row, are passed over for a while. The owner takes a call
+//! whose outcome doesn't come for one without an answer: it may have been made, or may be made
+//! later, as with any call that is lost on its way.
+
+use crate::calls::{AnswerAt, unanswered};
+use crate::delegate_wire::{Delegated, Outcomes};
+use crate::link::Outbox;
+use crate::members::LinkId;
+use crate::wire::Body;
+use hollowford_adapter::Called;
+use hollowford_core::{AnswerTimes, InstanceId, Millis};
+use hollowford_jobs::{LookAnswer, StartAnswer, WorkerCall, WorkerListing};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// From so many workers on, members make the calls. Below, the owner's own channels cost less
+/// than another hop.
+const DELEGATE_FROM: usize = 100;
+/// Fewest members for it: one that is lost takes its share of calls under way with it.
+const LEAST_MEMBERS: usize = 3;
+/// A member's word on a call is waited for so much longer than the call's own time limit, at
+/// least: the way there and back, and some tens of milliseconds in which it may be busy.
+const LEAST_SLACK: Millis = Millis(300);
+/// The same at most, however late members' words have come.
+const MOST_SLACK: Millis = Millis(1_500);
+/// What comes so long after that is of no use any more.
+const FORGET_AFTER: Millis = Millis(4_000);
+/// A member that says nothing of so many calls in a row gets no others for a while.
+const SILENT_AFTER: u32 = 2;
+/// For so long.
+const SILENT_REST: Millis = Millis(1_500);
+/// A worker that doesn't answer so many calls in a row gets another member.
+const REROUTE_AFTER: u32 = 2;
+/// A new owner waits for its members until none has come for so long...
+const JOINED_AFTER: Millis = Millis(60);
+/// ...and for so long at most: else it would open channels to all workers itself.
+const AWAIT_MEMBERS: Millis = Millis(300);
+
+/// A member that can make calls.
+#[derive(Clone, Debug)]
+pub struct Delegate {
+    /// Its link.
+    pub link: LinkId,
+    /// Its address.
+    pub address: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where frames to it go.
+    pub outbox: Outbox,
+}
+
+/// What is known of a member's words.
+#[derive(Clone, Copy, Debug, Default)]
+struct Words {
+    /// Calls in a row that it has said nothing of.
+    missed: u32,
+    /// It gets no calls before.
+    rests_until: Millis,
+}
+
+/// How a worker is reached.
+#[derive(Clone, Copy, Debug, Default)]
+struct Route {
+    /// Calls in a row that it has not answered.
+    unanswered: u32,
+    /// How many members are passed over for it.
+    passed_over: usize,
+}
+
+/// A call that a member is making.
+#[derive(Debug)]
+struct Pending {
+    call: WorkerCall,
+    link: LinkId,
+    sent: Millis,
+    /// When the member's word is not waited for any more.
+    due: Millis,
+    /// It was told that there was no answer.
+    told: bool,
+}
+
+/// What came of a call that a member has made.
+#[derive(Debug)]
+pub struct Delivered {
+    /// The call.
+    pub call: WorkerCall,
+    /// What came of it.
+    pub called: Called,
+    /// When it was handed to the member, by the engine's clock.
+    pub sent: Millis,
+    /// Whether it came in time.
+    pub at: AnswerAt,
+}
+
+/// The calls that members make. All times are the engine's.
+#[derive(Debug)]
+pub struct Delegation {
+    epoch: u64,
+    began: Millis,
+    joined: Millis,
+    members: Vec<Delegate>,
+    words: FxHashMap<LinkId, Words>,
+    /// Availability zone of each worker.
+    zones: FxHashMap<InstanceId, Arc<str>>,
+    routes: FxHashMap<Arc<str>, Route>,
+    next: u64,
+    pending: FxHashMap<u64, Pending>,
+    due: BTreeSet<(Millis, u64)>,
+    /// Calls that are not sent yet.
+    frames: BTreeMap<LinkId, Delegated>,
+    /// How long members' words take.
+    times: AnswerTimes,
+}
+
+impl Delegation {
+    /// Starts without members or workers.
+    pub fn new(epoch: u64, now: Millis) -> Delegation {
+        Delegation {
+            epoch,
+            began: now,
+            joined: now,
+            members: Vec::new(),
+            words: FxHashMap::default(),
+            zones: FxHashMap::default(),
+            routes: FxHashMap::default(),
+            next: 0,
+            pending: FxHashMap::default(),
+            due: BTreeSet::new(),
+            frames: BTreeMap::new(),
+            times: AnswerTimes::default(),
+        }
+    }
+
+    /// Sets the members that can make calls.
+    pub fn set_members(&mut self, members: Vec<Delegate>, now: Millis) {
+        if members.len() > self.members.len() {
+            self.joined = now;
+        }
+        let words = std::mem::take(&mut self.words);
+        let kept = members.iter().filter_map(|m| Some((m.link, *words.get(&m.link)?)));
+        self.words = kept.collect();
+        self.members = members;
+    }
+
+    /// Takes over the list of workers.
+    pub fn set_workers(&mut self, list: &[WorkerListing]) {
+        self.zones = list.iter().map(|l| (l.id.clone(), l.zone.clone())).collect();
+        self.routes.retain(|address, _| list.iter().any(|l| l.address == *address));
+    }
+
+    /// Tells whether members are to make the calls, if there are any.
+    fn is_large(&self) -> bool {
+        self.zones.len() >= DELEGATE_FROM
+    }
+
+    /// Tells whether calls should wait a little for members that are just joining.
+    pub fn awaits_members(&self, now: Millis) -> bool {
+        self.is_large()
+            && now.since(self.began) < AWAIT_MEMBERS
+            && (self.members.len() < LEAST_MEMBERS || now.since(self.joined) < JOINED_AFTER)
+    }
+
+    /// Hands a call to a member with the next frame; gives it back when the owner has to make it
+    /// itself.
+    pub fn delegate(&mut self, call: WorkerCall, limit: Millis, now: Millis) -> Option<WorkerCall> {
+        let Some(link) = self.member_for(&call, now) else { return Some(call) };
+        let id = self.next;
+        self.next += 1;
+        let frame = self.frames.entry(link).or_insert_with(|| Delegated::new(self.epoch));
+        frame.add(id, &call, limit);
+        let due = now + wait_of(&call) + limit + self.slack();
+        self.due.insert((due, id));
+        self.pending.insert(id, Pending { call, link, sent: now, due, told: false });
+        None
+    }
+
+    /// Returns the link of the member that makes a call; none: the owner does.
+    fn member_for(&self, call: &WorkerCall, now: Millis) -> Option<LinkId> {
+        if !self.is_large() || self.members.len() < LEAST_MEMBERS {
+            return None;
+        }
+        let rests = |m: &&Delegate| self.words.get(&m.link).is_some_and(|w| w.rests_until > now);
+        let zone = self.zones.get(call.worker());
+        let near = |m: &&Delegate| zone.is_some_and(|z| *z == m.zone);
+        let passed_over = self.routes.get(call.address()).map_or(0, |r| r.passed_over);
+        let awake = || self.members.iter().filter(|m| !rests(m));
+        let of_zone = pick(awake().filter(near), call.address(), passed_over);
+        of_zone.or_else(|| pick(awake(), call.address(), passed_over)).map(|m| m.link)
+    }
+
+    /// Returns how much longer than a call's own time limit a member's word is waited for.
+    fn slack(&self) -> Millis {
+        let usual = self.times.expected().unwrap_or_default();
+        usual.clamp(LEAST_SLACK, MOST_SLACK)
+    }
+
+    /// Returns the link of the call that was handed over last.
+    #[cfg(test)]
+    pub fn last_link(&self) -> Option<LinkId> {
+        self.pending.get(&self.next.checked_sub(1)?).map(|p| p.link)
+    }
+
+    /// Sends the calls that were handed over since the last time.
+    pub fn send(&mut self, now: Millis) {
+        for (link, frame) in std::mem::take(&mut self.frames) {
+            let ids: Vec<u64> = frame.calls.iter().map(|c| c.id).collect();
+            let member = self.members.iter().find(|m| m.link == link);
+            let sent = member.is_some_and(|m| m.outbox.send(Body::Delegated(frame)));
+            if !sent {
+                log::debug!("delegate.not_sent link={link} calls={}", ids.len());
+                ids.into_iter().for_each(|id| self.is_due(id, now));
+            }
+        }
+    }
+
+    /// A call's outcome won't come.
+    fn is_due(&mut self, id: u64, now: Millis) {
+        if let Some(p) = self.pending.get_mut(&id) {
+            self.due.remove(&(p.due, id));
+            p.due = now;
+            self.due.insert((now, id));
+        }
+    }
+
+    /// The link of a member has ended: nothing more comes of its calls.
+    pub fn left(&mut self, link: LinkId, now: Millis) {
+        let ids: Vec<u64> =
+            self.pending.iter().filter(|(_, p)| p.link == link).map(|(&id, _)| id).collect();
+        ids.into_iter().for_each(|id| self.is_due(id, now));
+        self.members.retain(|m| m.link != link);
+    }
+
+    /// Takes in what a member says of its calls.
+    pub fn take(&mut self, link: LinkId, outcomes: Outcomes, now: Millis) -> Vec<Delivered> {
+        self.words.insert(link, Words::default());
+        outcomes.list.into_iter().filter_map(|o| self.take_one(o.id, o.read().ok()?, now)).collect()
+    }
+
+    fn take_one(&mut self, id: u64, called: Called, now: Millis) -> Option<Delivered> {
+        let p = self.pending.get_mut(&id)?;
+        let at = if p.told { AnswerAt::Late } else { AnswerAt::InTime };
+        let answered = is_answer(&called);
+        if !answered && p.told {
+            return None;
+        }
+        if answered && !matches!(p.call, WorkerCall::Look { .. }) {
+            self.times.note(now.since(p.sent));
+        }
+        let route = self.routes.entry(p.call.address().clone()).or_default();
+        note_route(route, answered);
+        if !answered {
+            // The answer may still come.
+            p.told = true;
+            let (call, sent) = (p.call.clone(), p.sent);
+            return Some(Delivered { call, called, sent, at });
+        }
+        let p = self.pending.remove(&id)?;
+        self.due.remove(&(p.due, id));
+        Some(Delivered { call: p.call, called, sent: p.sent, at })
+    }
+
+    /// Returns the calls of which no word has come in time, as unanswered.
+    pub fn overdue(&mut self, now: Millis) -> Vec<Delivered> {
+        let mut out = Vec::new();
+        while let Some(&(at, id)) = self.due.first().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, id));
+            let Some(p) = self.pending.get_mut(&id) else { continue };
+            if p.told {
+                self.pending.remove(&id);
+                continue;
+            }
+            p.told = true;
+            p.due = now + FORGET_AFTER;
+            self.due.insert((p.due, id));
+            let (call, sent, link) = (p.call.clone(), p.sent, p.link);
+            let called = unanswered(&call);
+            out.push(Delivered { call, called, sent, at: AnswerAt::InTime });
+            self.note_missed(link, now);
+        }
+        out
+    }
+
+    /// A member has said nothing of a call.
+    fn note_missed(&mut self, link: LinkId, now: Millis) {
+        let words = self.words.entry(link).or_default();
+        words.missed += 1;
+        if words.missed == SILENT_AFTER {
+            words.missed = 0;
+            words.rests_until = now + SILENT_REST;
+            log::info!("delegate.silent link={link} rests_ms={}", SILENT_REST.0);
+        }
+    }
+}
+
+/// Takes note of whether a worker has answered, and passes over its member once it has not twice.
+fn note_route(route: &mut Route, answered: bool) {
+    route.unanswered = if answered { 0 } else { route.unanswered + 1 };
+    if route.unanswered == REROUTE_AFTER {
+        route.unanswered = 0;
+        route.passed_over += 1;
+    }
+}
+
+fn is_answer(called: &Called) -> bool {
+    !matches!(
+        called,
+        Called::Start(StartAnswer::Unanswered)
+            | Called::Look(LookAnswer::Unanswered)
+            | Called::Stop(false)
+            | Called::Pace(false)
+    )
+}
+
+fn wait_of(call: &WorkerCall) -> Millis {
+    match call {
+        WorkerCall::Look { wait, .. } => *wait,
+        _ => Millis(0),
+    }
+}
+
+/// Picks the member for an address, after passing over so many: the one with the highest hash of
+/// both, so that a member that comes or goes changes only its own share.
+fn pick<'a>(
+    members: impl Iterator<Item = &'a Delegate>,
+    address: &str,
+    passed_over: usize,
+) -> Option<&'a Delegate> {
+    let weight = |m: &Delegate| {
+        let seed = xxh3_64(m.address.as_bytes());
+        xxh3_64_with_seed(address.as_bytes(), seed)
+    };
+    if passed_over == 0 {
+        return members.max_by_key(|m| weight(m));
+    }
+    let mut all: Vec<_> = members.collect();
+    all.sort_by_key(|m| std::cmp::Reverse(weight(m)));
+    let at = passed_over % all.len().max(1);
+    all.into_iter().nth(at)
+}
--- a/crates/hollowford-node/src/inbox.rs
+++ b/crates/hollowford-node/src/inbox.rs
@@ -1,5 +1,7 @@
 //! What the owner is told, and how it is reached.
 
+use crate::calls::AnswerAt;
+use crate::delegate_wire::Outcomes;
 use crate::link::Outbox;
 use crate::members::LinkId;
 use crate::wire::{Body, Call, CallAnswer, Hello, MemberBeat, Said};
@@ -25,7 +27,11 @@
         called: Called,
         /// When it was sent.
         sent: Millis,
+        /// Whether it came in time.
+        at: AnswerAt,
     },
+    /// What came of calls to workers that a member has made.
+    Outcomes(LinkId, Outcomes),
     /// An answer of the service for advice.
     Advised {
         /// Who asked.
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -6,6 +6,13 @@
 mod batches;
 mod callers;
 mod calls;
+mod delegate;
+mod delegate_wire;
+#[cfg(test)]
+mod delegate_wire_tests;
+mod delegation;
+#[cfg(test)]
+mod delegation_tests;
 mod front;
 mod giving_up;
 mod homes;
--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -30,6 +30,12 @@
 }
 
 impl Outbox {
+    /// Makes one whose frames nobody reads.
+    #[cfg(test)]
+    pub fn to_nowhere() -> Outbox {
+        Outbox { tx: mpsc::channel(OUTBOX).0 }
+    }
+
     /// Sends a frame. Tells whether the link still takes frames.
     pub fn send(&self, body: Body) -> bool {
         self.tx.try_send(body.into()).is_ok()
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -1,6 +1,7 @@
 //! A process that doesn't own the partition: its link to the owner.
 
 use crate::calls::advise;
+use crate::delegate;
 use crate::link::{self, Outbox, Reader};
 use crate::partition::{Cx, Route};
 use crate::relay::RemoteOwner;
@@ -100,6 +101,7 @@
         cpu_milli: shared.cpu_milli(),
         age_ms: shared.clock.now().0,
         owner: Some(info.clone()),
+        zone: shared.settings.zone.clone(),
     }));
     Ok((reader, outbox))
 }
@@ -175,6 +177,9 @@
             Body::Ask(ask) => {
                 tokio::spawn(answer_ask(self.cx.shared.clone(), ask, self.outbox.clone()));
             }
+            Body::Delegated(frame) => {
+                delegate::carry_out(&self.cx.shared, frame, &self.outbox);
+            }
             Body::Config(row) => watch::take_row(&self.cx.shared, row),
             Body::HandOver(h) => return Some(Parted::HandedOver { rev: h.rev }),
             Body::Owner(other) => {
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -1,5 +1,6 @@
 //! The processes that have a link to the owner.
 
+use crate::delegation::Delegate;
 use crate::homes::{home_of_seat, preference};
 use crate::link::Outbox;
 use crate::wire::{Ask, Body, ConfigRow, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
@@ -33,6 +34,7 @@
 struct Member {
     link: LinkId,
     address: Arc<str>,
+    zone: Arc<str>,
     cpu_milli: u32,
     /// When its process was started, by the owner's clock.
     since: Millis,
@@ -85,6 +87,7 @@
         self.list.push(Member {
             link,
             address: hello.address.into(),
+            zone: hello.zone.into(),
             cpu_milli: hello.cpu_milli,
             since: now - Millis(hello.age_ms),
             outbox,
@@ -161,6 +164,17 @@
         std::iter::once(here).chain(others).collect()
     }
 
+    /// Returns the members that can make calls to workers.
+    pub fn delegates(&self) -> Vec<Delegate> {
+        let delegate = |m: &Member| Delegate {
+            link: m.link,
+            address: m.address.clone(),
+            zone: m.zone.clone(),
+            outbox: m.outbox.clone(),
+        };
+        self.live().map(delegate).collect()
+    }
+
     /// Has a member make a call for advice. Tells whether it was sent.
     pub fn ask(&self, address: &str, step: StepKey, workers: Vec<String>) -> bool {
         let Some(m) = self.list.iter().find(|m| &*m.address == address) else { return false };
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -7,7 +7,9 @@
 use crate::shared::Shared;
 use crate::{announce, ownership, peers, plan, reload, watch};
 use futures::future::join_all;
-use hollowford_adapter::{AdviceClient, CallError, NodeSettings, StoreClient, StoreError};
+use hollowford_adapter::{
+    AdviceClient, CallError, NodeSettings, StoreClient, StoreError, WorkerClient,
+};
 use poem::Endpoint;
 use poem::listener::TcpListener as PoemListener;
 use std::net::SocketAddr;
@@ -49,9 +51,9 @@
     /// No client of the store can be made.
     #[error(transparent)]
     Store(#[from] StoreError),
-    /// No client of the service for advice can be made.
+    /// No client of the service for advice, or of the workers, can be made.
     #[error(transparent)]
-    Advice(#[from] CallError),
+    Client(#[from] CallError),
     /// The metrics can't be registered.
     #[error("metrics: {0}")]
     Metrics(#[from] prometheus::Error),
@@ -146,7 +148,8 @@
 fn make_shared(settings: NodeSettings) -> Result<Arc<Shared>, NodeError> {
     let store = StoreClient::new(settings.store)?;
     let advice = settings.advice.map(AdviceClient::new).transpose()?;
-    Ok(Arc::new(Shared::new(settings, store, advice, Metrics::new()?)))
+    let workers = WorkerClient::new()?;
+    Ok(Arc::new(Shared::new(settings, store, advice, workers, Metrics::new()?)))
 }
 
 async fn serve<E>(
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -2,7 +2,8 @@
 
 use crate::batches::Batches;
 use crate::callers::{Waiters, patience};
-use crate::calls::{advise_here, call_worker};
+use crate::calls::{AnswerAt, advise_here, call_from_here};
+use crate::delegation::{Delegation, Delivered};
 use crate::giving_up::GivingUp;
 use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
 use crate::lane::LANES;
@@ -11,6 +12,7 @@
 use crate::partition::Cx;
 use crate::reach::Reach;
 use crate::registry;
+use crate::shared::Shared;
 use crate::wire::{Call, MemberBeat, OwnerInfo, Said};
 use crate::writer::Written;
 use hollowford_adapter::{Called, NodeSettings, Version, WorkerClient};
@@ -60,6 +62,7 @@
     /// The engine's time less the process's.
     offset: i64,
     workers: WorkerClient,
+    delegation: Delegation,
     handle: OwnerHandle,
     members: Members,
     waiters: Waiters,
@@ -79,10 +82,12 @@
 
 impl Owner {
     /// Makes an owner.
-    pub fn new(cx: Cx, start: Start, workers: WorkerClient, handle: OwnerHandle) -> Owner {
+    pub fn new(cx: Cx, start: Start, handle: OwnerHandle) -> Owner {
         let Start { info, lanes, engine, offset } = start;
         let (shared, part) = (&cx.shared, cx.partition.part.clone());
         let giving_up = GivingUp::new(shared.clone(), info.epoch);
+        let workers = shared.workers.with_fence(info.epoch);
+        let delegation = Delegation::new(info.epoch, engine_time(shared, offset));
         let batches = Batches::new(shared.clone(), info.clone(), part, lanes, handle.clone());
         Owner {
             members: Members::new(info.clone(), shared.partition_count()),
@@ -93,6 +98,7 @@
             engine,
             offset,
             workers,
+            delegation,
             handle,
             waiters: Waiters::default(),
             orders: Vec::new(),
@@ -107,7 +113,7 @@
 
     /// Returns the engine's time.
     fn now(&self) -> Millis {
-        Millis((self.cx.shared.clock.now().0 as i64 + self.offset).max(0) as u64)
+        engine_time(&self.cx.shared, self.offset)
     }
 
     /// Owns the partition until it is lost or given up.
@@ -144,12 +150,22 @@
         let now = self.now();
         match msg {
             OwnerMsg::Call(call, reply) => self.take_call(call, reply, now),
-            OwnerMsg::Worker { call, called, sent } => self.take_worker(&call, called, sent, now),
+            OwnerMsg::Worker { call, called, sent, at } => {
+                self.take_worker(Delivered { call, called, sent, at }, now);
+            }
+            OwnerMsg::Outcomes(link, outcomes) => {
+                for delivered in self.delegation.take(link, outcomes, now) {
+                    self.take_worker(delivered, now);
+                }
+            }
             OwnerMsg::Advised { seat, step, answer } => {
                 self.engine.advised(&seat, step, answer, now);
             }
             OwnerMsg::Written { batch, written } => self.take_written(batch, written, now),
-            OwnerMsg::Listings(list) => self.engine.list_workers(&list, now),
+            OwnerMsg::Listings(list) => {
+                self.delegation.set_workers(&list);
+                self.engine.list_workers(&list, now);
+            }
             OwnerMsg::Joined(link, hello, outbox) => {
                 let (address, age) = (&hello.address, hello.age_ms);
                 log::info!("member.joined link={link} address={address} age_ms={age}");
@@ -159,6 +175,7 @@
             OwnerMsg::Left(link) => {
                 log::info!("member.left link={link}");
                 self.members.leave(link);
+                self.delegation.left(link, now);
                 self.members_changed();
             }
             OwnerMsg::Beat(link, beat) => self.take_beat(link, &beat),
@@ -167,10 +184,16 @@
     }
 
     fn members_changed(&mut self) {
-        self.engine.set_seats(&self.members.seats());
+        self.set_members();
         self.members.send_heartbeats(self.cx.shared.config_version());
     }
 
+    /// Tells those who use the members which of them can be used.
+    fn set_members(&mut self) {
+        self.engine.set_seats(&self.members.seats());
+        self.delegation.set_members(self.members.delegates(), self.now());
+    }
+
     fn take_beat(&mut self, link: LinkId, beat: &MemberBeat) {
         let heard = self.cx.shared.clock.now();
         self.reach.member_heard(heard);
@@ -211,10 +234,17 @@
         }
     }
 
-    fn take_worker(&mut self, call: &WorkerCall, called: Called, sent: Millis, now: Millis) {
-        let fenced = match (call, called) {
+    fn take_worker(&mut self, delivered: Delivered, now: Millis) {
+        let Delivered { call, called, sent, at } = delivered;
+        let late = at == AnswerAt::Late;
+        let fenced = match (&call, called) {
             (WorkerCall::Start { worker, task, run, .. }, Called::Start(answer)) => {
-                self.engine.start_answered(worker, (*task, *run), answer, sent, now)
+                let (engine, started) = (&mut self.engine, (*task, *run));
+                if late {
+                    engine.start_answered_late(worker, started, &answer, sent, now)
+                } else {
+                    engine.start_answered(worker, started, answer, sent, now)
+                }
             }
             (WorkerCall::Stop { worker, task, run, .. }, Called::Stop(answered)) => {
                 self.engine.stop_answered(worker, *task, *run, answered, now);
@@ -224,6 +254,9 @@
                 self.engine.pace_answered(worker, *task, *run, *percent, answered);
                 false
             }
+            (WorkerCall::Look { worker, .. }, Called::Look(answer)) if late => {
+                self.engine.looked_late(worker, answer, sent, now)
+            }
             (WorkerCall::Look { worker, .. }, Called::Look(answer)) => {
                 self.engine.looked(worker, answer, sent, now)
             }
@@ -265,14 +298,18 @@
         let now = self.now();
         self.take_config();
         self.cx.note_owner();
+        for delivered in self.delegation.overdue(now) {
+            self.take_worker(delivered, now);
+        }
         let mut orders = std::mem::take(&mut self.orders);
-        if self.end.is_none() {
+        if self.end.is_none() && !self.delegation.awaits_members(now) {
             self.engine.poll(now, &mut orders);
         }
         for order in orders.drain(..) {
             self.carry_out(order, now);
         }
         self.orders = orders;
+        self.delegation.send(now);
         self.decisions.write(&self.engine.take_notes(), now);
         self.refuse_unsent(now);
         let last_sent = self.giving_up.since().is_some() && self.waiters.is_empty();
@@ -282,7 +319,7 @@
         self.waiters.give_up(&mut self.engine, now);
         let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
         if self.members.tick(self.cx.shared.clock.now(), self.cx.shared.config_version(), lost) {
-            self.engine.set_seats(&self.members.seats());
+            self.set_members();
         }
         if let Some(end) = self.reach.check(&self.batches, &self.members, now) {
             self.end = Some(end);
@@ -309,12 +346,13 @@
         }
     }
 
-    fn carry_out(&self, order: Order, now: Millis) {
+    fn carry_out(&mut self, order: Order, now: Millis) {
         match order {
             Order::Worker { call, limit } => {
+                let Some(call) = self.delegation.delegate(call, limit, now) else { return };
                 let (shared, workers) = (self.cx.shared.clone(), self.workers.clone());
                 let handle = self.handle.clone();
-                tokio::spawn(call_worker(shared, workers, call, limit, now, handle));
+                tokio::spawn(call_from_here(shared, workers, call, limit, now, handle));
             }
             Order::Advice { seat, step, workers } => {
                 let Some(seat) = self.engine.seat(seat).cloned() else { return };
@@ -342,3 +380,8 @@
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
 }
+
+/// Returns the engine's time, which is ahead of the process's by `offset`.
+fn engine_time(shared: &Shared, offset: i64) -> Millis {
+    Millis((shared.clock.now().0 as i64 + offset).max(0) as u64)
+}
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -9,7 +9,7 @@
 use crate::owner_row::{RETRY, find_owner, take, unchanged_owner};
 use crate::partition::{Cx, Route};
 use crate::wire::OwnerInfo;
-use hollowford_adapter::{Version, WorkerClient};
+use hollowford_adapter::Version;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -130,13 +130,6 @@
     let began = cx.shared.clock.now();
     tokio::spawn(announce(cx.shared.clone(), info.clone()));
     let Some(start) = load(cx, info).await else { return OwnerEnd::GaveUp };
-    let workers = match WorkerClient::new(info.epoch) {
-        Ok(workers) => workers,
-        Err(e) => {
-            log::error!("owner.no_client error=\"{e}\"");
-            return OwnerEnd::GaveUp;
-        }
-    };
     let (handle, rx) = OwnerHandle::new();
     cx.partition.route.send_replace(Route::Local(handle.clone()));
     note_owned(cx, info.epoch);
@@ -148,5 +141,5 @@
         info.epoch,
         took.0
     );
-    Owner::new(cx.clone(), start, workers, handle).run(rx).await
+    Owner::new(cx.clone(), start, handle).run(rx).await
 }
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -113,6 +113,7 @@
             Body::Call(call) => self.owner.call_from(call, &self.outbox),
             Body::MemberBeat(beat) => self.owner.send(OwnerMsg::Beat(self.link, beat)).await,
             Body::Advice(advice) => self.take_advice(advice).await,
+            Body::Outcomes(o) => self.owner.send(OwnerMsg::Outcomes(self.link, o)).await,
             other => log::warn!("link.unexpected frame={other:?}"),
         }
     }
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -5,7 +5,7 @@
 use crate::partition::Partition;
 use crate::wire::ConfigRow;
 use arc_swap::ArcSwapOption;
-use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient};
+use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient, WorkerClient};
 use hollowford_core::{Clock, Millis};
 use hollowford_jobs::JobId;
 use std::net::SocketAddr;
@@ -26,6 +26,8 @@
     pub store: StoreClient,
     /// Client of the service for advice.
     pub advice: Option<AdviceClient>,
+    /// Client of the workers, without a fence.
+    pub workers: WorkerClient,
     /// The newest configuration.
     pub config: ArcSwapOption<Config>,
     /// The row that the configuration was read from last.
@@ -54,6 +56,7 @@
         settings: NodeSettings,
         store: StoreClient,
         advice: Option<AdviceClient>,
+        workers: WorkerClient,
         metrics: Metrics,
     ) -> Shared {
         Shared {
@@ -63,6 +66,7 @@
             boot: fastrand::u64(1..),
             store,
             advice,
+            workers,
             config: ArcSwapOption::empty(),
             config_row: ArcSwapOption::empty(),
             config_wanted: Notify::new(),
--- a/crates/hollowford-node/src/shared_tests.rs
+++ b/crates/hollowford-node/src/shared_tests.rs
@@ -3,7 +3,7 @@
 
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-use hollowford_adapter::{NodeSettings, StoreClient};
+use hollowford_adapter::{NodeSettings, StoreClient, WorkerClient};
 use hollowford_core::Millis;
 use std::net::SocketAddr;
 
@@ -17,7 +17,8 @@
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../platform/examples/settings.toml");
     let settings = NodeSettings::from_file(file).expect("the example");
     let store = StoreClient::new(store.unwrap_or(settings.store)).expect("a client");
-    Shared::new(settings, store, None, Metrics::new().expect("metrics"))
+    let workers = WorkerClient::new().expect("a client");
+    Shared::new(settings, store, None, workers, Metrics::new().expect("metrics"))
 }
 
 #[test]
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -1,12 +1,13 @@
 //! Messages between the system's own processes.
 
+use crate::delegate_wire::{Delegated, Outcomes};
 use prost::{Message, Oneof};
 
 /// One frame on a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub body: Option<Body>,
 }
 
@@ -52,6 +53,12 @@
     /// How many partitions there are.
     #[prost(message, tag = "13")]
     Plan(Plan),
+    /// Calls to workers that the member is to make.
+    #[prost(message, tag = "14")]
+    Delegated(Delegated),
+    /// What came of them.
+    #[prost(message, tag = "15")]
+    Outcomes(Outcomes),
 }
 
 /// Asks who owns a partition.
@@ -89,6 +96,9 @@
     /// The owner that it takes the receiver for.
     #[prost(message, optional, tag = "4")]
     pub owner: Option<OwnerInfo>,
+    /// Its availability zone.
+    #[prost(string, tag = "5")]
+    pub zone: String,
 }
 
 /// An owner, by its epoch.
