One partition for up to 1,200 workers; cheaper passes; no step waits for ever

Since members make the calls, one owner carries all workers. Change: a partition for each 1,200 workers. A pass is made where room came free or a step is new, not after every answer; choosing whom to name in calls for advice is left to full passes; pools are compared by address. The step that is overdue by 12 s goes before all others, one at a time. Members read the configuration every 3 s, since heartbeats tell of newer ones. Tests: gangs.rs a_gang_that_came_too_late (fails without), cancels.rs (tasks of cancelled jobs that begin late, also with their owner gone: held already, no fault found). The harness of the tests copied all specifications for each call: mended, 17 s to 5. Conclusion: one partition kept, for the wide gangs.

--- a/crates/hollowford-jobs/benches/passes.rs
+++ b/crates/hollowford-jobs/benches/passes.rs
@@ -12,10 +12,10 @@
 use hollowford_jobs::{AdviceCost, Seat, StepSpec};
 use std::time::{Duration, Instant};
 
-/// Workers of one cell: those of the grown deployments.
-const WORKERS: usize = 350;
+/// Workers of one cell: those of the large deployment, in one partition.
+const WORKERS: usize = 1_100;
 /// Instances that make calls for advice.
-const SEATS: usize = 42;
+const SEATS: usize = 146;
 /// Polls that are measured, 5 ms of the cell's time apart.
 const POLLS: u32 = 200;
 /// Tasks of one job, and the processors of each: the means of the grown deployments.
--- a/crates/hollowford-jobs/src/asking.rs
+++ b/crates/hollowford-jobs/src/asking.rs
@@ -1,6 +1,7 @@
 //! Which workers to ask advice about for a step.
 
 use crate::advice::Standing;
+use crate::choose::Room;
 use crate::engine::Engine;
 use crate::pass::Pass;
 use crate::place::Placing;
@@ -20,9 +21,19 @@
     /// Returns what a call for advice for the step costs, if one can be made now. A step whose
     /// tasks start one by one has one call at a time.
     pub(crate) fn askable(&self, pass: &Pass, step: Placing<'_>) -> Option<AdviceCost> {
-        let cost = step.queue.advice?;
+        let cost = self.may_ask(pass, step)?;
         let asking = self.jobs.step(step.key)?.advice.is_asking();
-        (!asking && self.seats.has_free(&cost, pass.now)).then_some(cost)
+        (!asking).then_some(cost)
+    }
+
+    /// Returns what a call for advice for the step costs, if this pass may make one: choosing
+    /// whom to name goes over all workers, so only full passes do it for a step that has asked
+    /// before, unless the answer is quick.
+    pub(crate) fn may_ask(&self, pass: &Pass, step: Placing<'_>) -> Option<AdviceCost> {
+        let cost = step.queue.advice?;
+        let first = self.jobs.step(step.key)?.advice.nothing_known();
+        let now = pass.full || first || cost.is_quick();
+        (now && self.seats.has_free(&cost, pass.now)).then_some(cost)
     }
 
     /// Returns the workers to ask about for `tasks` tasks; none when no call would help now.
@@ -41,8 +52,7 @@
         if c.lapsed_room < tasks {
             workers.extend(cheapest(c.unknown, (tasks * ASK_FACTOR).max(ASK_LEAST)));
         }
-        let first = self.jobs.step(step.key)?.advice.nothing_known();
-        if first && !workers.is_empty() {
+        if !c.full.is_empty() && !workers.is_empty() {
             // Where few have room, others will sooner than a second call would be answered.
             let more = step.queue.advice.map_or(0, |cost| cost.more_workers(ASK_MORE_PERCENT));
             workers.extend(cheapest(c.full, more));
@@ -55,18 +65,21 @@
         let need = step.spec.room();
         let ends = pass.now + Millis(step.spec.estimate_ms);
         let mut out = Candidates::default();
+        let Some(advice) = self.jobs.step(step.key).map(|s| &s.advice) else { return out };
+        let first = advice.nothing_known();
+        let named = |r: &Room| (r.cost(step.spec), r.idx);
         for r in &pass.rooms {
             if Some(r.idx) == shunned || !self.allowed(r, step) {
                 continue;
             }
-            let named = (r.cost(step.spec), r.idx);
-            let standing = self.standing(step, r.idx, pass.now);
-            match standing {
-                Standing::Unknown if r.fits(&need, ends) => out.unknown.push(named),
-                Standing::Unknown if need.fits(&r.capacity) => out.full.push(named),
+            match advice.standing(r.idx, pass.now) {
+                Standing::Unknown if r.fits(&need, ends) => out.unknown.push(named(r)),
+                Standing::Unknown if first && need.fits(&r.capacity) => {
+                    out.full.push(named(r));
+                }
                 Standing::Lapsed if r.fits(&need, ends) => {
                     out.lapsed_room += r.count(&need).max(1) as usize;
-                    out.lapsed.push(named);
+                    out.lapsed.push(named(r));
                 }
                 _ => {}
             }
@@ -84,7 +97,7 @@
     lapsed_room: usize,
     /// With room, and not asked about.
     unknown: Vec<(f32, WorkerIdx)>,
-    /// Without room, and not asked about.
+    /// Without room, and not asked about; only for a step's first call.
     full: Vec<(f32, WorkerIdx)>,
 }
 
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -119,6 +119,7 @@
     fn release_ended(&mut self, idx: WorkerIdx, end: &End) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         let held = w.find(end.task, end.run).map(|at| w.release(at));
+        self.dirty |= held.is_some();
         self.notes.push(Note::Ended {
             task: end.task,
             run: end.run,
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -18,6 +18,8 @@
 
 /// Longest time between two passes over the waiting steps, since room is also foreseen.
 const PASS_EVERY: Millis = Millis(100);
+/// Passes are at least a millisecond apart for each so many workers: each goes over all of them.
+const WORKERS_FOR_GAP_MS: usize = 250;
 /// Shortest time between two rounds of what is due by time at some worker: each goes over all
 /// of them.
 const TEND_EVERY: Millis = Millis(5);
@@ -99,6 +101,8 @@
     pub(crate) dirty: bool,
     /// When what is due by time at workers was looked after last.
     pub(crate) tended_at: Millis,
+    /// When the last pass was.
+    pub(crate) passed_at: Millis,
     /// When a pass went over all waiting steps last.
     pub(crate) full_pass_at: Millis,
     /// Unix time less the engine's, in milliseconds.
@@ -129,6 +133,7 @@
             recorded: Vec::new(),
             dirty: true,
             tended_at: Millis(0),
+            passed_at: Millis(0),
             full_pass_at: Millis(0),
             unix_offset: 0,
             stats: Stats::default(),
@@ -153,7 +158,12 @@
 
     /// Puts the queues of a configuration in force.
     pub fn set_queues(&mut self, queues: &[Queue]) {
-        self.queues = queues.iter().map(|q| (q.name.clone(), Arc::new(q.clone()))).collect();
+        self.queues.clear();
+        for q in queues {
+            let pool = self.workers.pool_name(&q.pool);
+            let queue = Queue { pool, ..q.clone() };
+            self.queues.insert(q.name.clone(), Arc::new(queue));
+        }
         self.dirty = true;
     }
 
@@ -176,6 +186,8 @@
             }
         }
         for l in listings {
+            let pool = self.workers.pool_name(&l.pool);
+            let l = &WorkerListing { pool, ..l.clone() };
             match self.workers.find(&l.id) {
                 Some(idx) => {
                     if let Some(w) = self.workers.get_mut(idx) {
@@ -206,8 +218,10 @@
             self.order_paces(out);
         }
         let full = now.since(self.full_pass_at) >= PASS_EVERY;
-        if self.dirty || full {
+        let gap = Millis((self.workers.len() / WORKERS_FOR_GAP_MS) as u64);
+        if full || (self.dirty && now.since(self.passed_at) >= gap) {
             self.dirty = false;
+            self.passed_at = now;
             if full {
                 self.full_pass_at = now;
             }
--- a/crates/hollowford-jobs/src/gang_asking.rs
+++ b/crates/hollowford-jobs/src/gang_asking.rs
@@ -37,10 +37,7 @@
         plan: Option<&Plan>,
         out: &mut Vec<Order>,
     ) {
-        let Some(cost) = gang.queue.advice else { return };
-        if !self.seats.has_free(&cost, pass.now) {
-            return;
-        }
+        let Some(cost) = self.may_ask(pass, gang) else { return };
         let mut workers = self.to_renew(pass, gang, plan, &cost);
         if workers.is_empty() {
             workers = self.more_for_gang(pass, gang);
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -150,13 +150,14 @@
         self.evacuate(idx, now);
         self.pace_fillers(idx, &look.running, now);
         self.plan_look(idx, first, now);
-        self.dirty = true;
     }
 
     /// Takes in that a worker has answered a call, with its clock.
     pub(crate) fn note_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         self.losses.note(w.unanswered > 0);
+        // A worker that answers again may get tasks.
+        self.dirty |= w.unanswered > 0;
         if w.unanswered >= SILENT_AFTER {
             let since = now.since(w.last_answer);
             self.notes.push(Note::Silent { worker: w.id.clone(), silent: false, since });
@@ -225,6 +226,7 @@
         if let Some(w) = self.workers.get_mut(idx) {
             w.claimed = true;
         }
+        self.dirty = true;
         self.unsettled.remove(&idx);
     }
 
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -11,6 +11,7 @@
 use crate::urgency::Waiting;
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
+use std::sync::Arc;
 
 /// Steps that a pass tries without placing any task of theirs, the most urgent first. Passes
 /// come with every event, so each may cost little; every tenth of a second one tries them all.
@@ -37,7 +38,7 @@
         }
         let usable = self.workers.iter().filter(|(_, w)| w.usable(now) && w.recorded);
         let rooms = usable.map(|(i, w)| Room::of(i, w, now)).collect();
-        let mut pass = Pass::new(now, rooms);
+        let mut pass = Pass::new(now, full, rooms);
         let mut tries = if full { usize::MAX } else { TRIES };
         for waiting in steps {
             let before = out.len();
@@ -126,7 +127,7 @@
     /// Tells whether the step may run on a worker at all, advice aside.
     pub(crate) fn allowed(&self, room: &Room, step: Placing<'_>) -> bool {
         let Placing { key, spec, queue, .. } = step;
-        if room.pool != queue.pool {
+        if !Arc::ptr_eq(&room.pool, &queue.pool) && room.pool != queue.pool {
             return false;
         }
         if spec.spread > 0 && self.jobs.step(key).is_some_and(|s| s.on(room.idx) >= spec.spread) {
--- a/crates/hollowford-jobs/src/queue.rs
+++ b/crates/hollowford-jobs/src/queue.rs
@@ -3,6 +3,9 @@
 use hollowford_core::Millis;
 use std::sync::Arc;
 
+/// Calls up to this time are quick.
+pub(crate) const QUICK_CALL_MS: f64 = 30.0;
+
 /// What a call for placement advice costs, and how long its tickets hold.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdviceCost {
@@ -24,6 +27,11 @@
         (self.decide_ms * f64::from(percent) / 100.0 / self.per_worker_ms) as usize
     }
 
+    /// Tells whether a call that names few workers is answered quickly.
+    pub fn is_quick(&self) -> bool {
+        self.of(1) <= QUICK_CALL_MS
+    }
+
     /// Returns the time of a call that names `workers`.
     pub fn of(&self, workers: usize) -> f64 {
         self.decide_ms + self.per_worker_ms * workers as f64
--- a/crates/hollowford-jobs/src/seats.rs
+++ b/crates/hollowford-jobs/src/seats.rs
@@ -8,14 +8,12 @@
 use crate::engine::Engine;
 use crate::note::Note;
 use crate::order::{Advised, Order};
-use crate::queue::AdviceCost;
+use crate::queue::{AdviceCost, QUICK_CALL_MS};
 use crate::spec::StepKey;
 use crate::workers::WorkerIdx;
 use hollowford_core::{InstanceId, Millis};
 use std::sync::Arc;
 
-/// Calls up to this time are quick.
-const QUICK_CALL_MS: f64 = 30.0;
 /// Calls over this time are slow.
 const SLOW_CALL_MS: f64 = 200.0;
 /// One seat in so many takes quick calls only.
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -84,7 +84,6 @@
         now: Millis,
     ) -> bool {
         let Some(idx) = self.workers.find(id) else { return false };
-        self.dirty = true;
         match answer {
             StartAnswer::Runs(clock) => self.note_heard(idx, clock, now),
             StartAnswer::Unanswered => self.note_unheard(idx, now),
@@ -135,7 +134,6 @@
         let Some(idx) = self.workers.find(id) else { return false };
         if let StartAnswer::Runs(clock) = *answer {
             self.note_heard(idx, clock, now);
-            self.dirty = true;
             if let Some(w) = self.workers.get_mut(idx) {
                 w.answer_times.note(now.since(sent));
                 if let Some(h) = w.find_mut(task, run) {
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -9,6 +9,9 @@
 /// An answer later than this multiple of the objective is worth nothing (RULES).
 const WORTHLESS_AFTER: u64 = 3;
 
+/// A step whose latest start in time is so long ago goes before others, one at a time.
+const OVERDUE: Millis = Millis(12_000);
+
 /// How urgent a step is. Smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Urgency {
@@ -50,6 +53,7 @@
         });
         self.jobs.keep_waiting(steps);
         out.sort_unstable_by_key(|w| (w.urgency, w.key));
+        longest_first(&mut out, now);
         out
     }
 
@@ -81,6 +85,17 @@
     }
 }
 
+/// Puts the step that has waited longest before all others, if that is very long: what is worth
+/// nothing any more has still been accepted, and would never run while other work keeps coming.
+/// It is one step at a time, so that a backlog doesn't make all others late as well.
+fn longest_first(steps: &mut [Waiting], now: Millis) {
+    let worthless = steps.iter().position(|w| w.urgency.rank == Rank::Worthless);
+    let Some(at) = worthless else { return };
+    if steps[at].urgency.latest_start + OVERDUE <= now {
+        steps[..=at].rotate_right(1);
+    }
+}
+
 /// Whether tasks of a step are to be started.
 enum Wait {
     /// None, until something happens to the step.
--- a/crates/hollowford-jobs/src/workers.rs
+++ b/crates/hollowford-jobs/src/workers.rs
@@ -4,6 +4,7 @@
 use crate::worker::Worker;
 use hollowford_core::InstanceId;
 use rustc_hash::FxHashMap;
+use std::sync::Arc;
 
 /// Position of a worker in the owner's table; not used again for another.
 pub(crate) type WorkerIdx = u32;
@@ -21,6 +22,8 @@
 pub(crate) struct Workers {
     list: Vec<Option<Box<Worker>>>,
     by_id: FxHashMap<InstanceId, WorkerIdx>,
+    /// Names of pools, each once, so that most comparisons are of addresses.
+    pools: Vec<Arc<str>>,
 }
 
 impl Workers {
@@ -31,6 +34,15 @@
         idx
     }
 
+    /// Returns the one copy of a pool's name.
+    pub fn pool_name(&mut self, name: &Arc<str>) -> Arc<str> {
+        if let Some(known) = self.pools.iter().find(|p| *p == name) {
+            return known.clone();
+        }
+        self.pools.push(name.clone());
+        name.clone()
+    }
+
     pub fn find(&self, id: &InstanceId) -> Option<WorkerIdx> {
         self.by_id.get(id).copied()
     }
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -170,6 +170,7 @@
         }
         self.write();
         self.judge_room();
+        self.judge_twice();
     }
 
     /// Writes the next batch to the store.
@@ -259,14 +260,14 @@
     /// Carries out a call at once. A life that is over is answered for by the next one.
     pub fn call(&mut self, call: WorkerCall, fence: u64) {
         let now = self.now;
-        let specs = self.specs.clone();
         match call {
             WorkerCall::Start { worker, task, run, lease_until, saved, .. } => {
-                let need = specs[&task.step.job].steps[task.step.step as usize].clone();
+                let spec = self.specs[&task.step.job].clone();
+                let need = &spec.steps[task.step.step as usize];
                 let answer = self.worker(&worker).map_or(StartAnswer::OtherLife, |w| {
-                    w.start(task, run, lease_until, fence, &need, saved)
+                    w.start(task, run, lease_until, fence, need, saved)
                 });
-                self.judge_twice();
+                self.judge_once(task);
                 self.engine.start_answered(&worker, (task, run), answer, now, now);
             }
             WorkerCall::Stop { worker, task, run, .. } => {
@@ -313,7 +314,13 @@
         }
     }
 
-    /// Panics when a task runs in two places.
+    /// Panics when this task runs in two places.
+    pub fn judge_once(&self, task: TaskKey) {
+        let runs = self.workers.iter().filter(|w| w.up && w.running.contains_key(&task)).count();
+        assert!(runs <= 1, "{task} runs {runs} times");
+    }
+
+    /// Panics when any task runs in two places.
     pub fn judge_twice(&self) {
         let mut seen = BTreeSet::new();
         for w in self.workers.iter().filter(|w| w.up) {
--- a/crates/hollowford-jobs/tests/gangs.rs
+++ b/crates/hollowford-jobs/tests/gangs.rs
@@ -107,3 +107,26 @@
     let took = until_begun(&mut cell, 1, 10_000).unwrap();
     assert!(took < 2_500, "{took} ms");
 }
+
+#[test]
+fn a_gang_that_came_too_late_still_runs_while_others_keep_coming() {
+    let mut cell = Cell::new(20);
+    let mut next = 100;
+    // Ten gangs of 4 every 1.02 s, each of one second: nearly all of the 40 places, always, and
+    // most of them wait for some moments, in time.
+    let mut burst = |cell: &mut Cell| {
+        for _ in 0..10 {
+            next += 1;
+            cell.submit(next, QUICK, job(vec![RawStep { gang: true, ..step(4, 7_600, 1_000) }]));
+            cell.run(40);
+        }
+        cell.run(620);
+    };
+    (0..2).for_each(|_| burst(&mut cell));
+    cell.submit(1, LARGE, job(vec![RawStep { gang: true, ..step(30, 7_600, 1_000) }]));
+    let began = cell.now;
+    while cell.state(1) != Some(JobState::Running) {
+        assert!(cell.now.since(began).0 < 40_000, "it has waited for 40 s");
+        burst(&mut cell);
+    }
+}
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -20,8 +20,11 @@
 const TOLD: usize = 8;
 /// A member that was not heard for so many heartbeats gets no work.
 const SILENT_BEATS: u64 = 9;
-/// A member that the store has answered within this time is served by it.
+/// A member that the store has answered within this time is served by it, when members are asked
+/// to find out.
 const SERVED: Millis = Millis(500);
+/// The same for members that are not asked: they read the configuration every 3 s.
+const SERVED_LATELY: Millis = Millis(3_500);
 /// An instance is much larger than another from this part of its processors on, in percent.
 const LARGER_PERCENT: u32 = 150;
 /// Longest time for a call for advice that a member makes.
@@ -195,7 +198,7 @@
         let order = |m: &&Member| {
             let by_partition = preference(&m.address, self.owner.partition);
             let tie = if moving { by_partition } else { m.since.0 };
-            (m.store_age < SERVED, m.share(), tie)
+            (m.store_age < SERVED_LATELY, m.share(), tie)
         };
         let next = self.live().max_by_key(order)?;
         next.outbox.send(Body::HandOver(HandOver { rev }));
@@ -213,7 +216,7 @@
     /// thousandths, and is served by the store.
     pub fn any_larger_than(&self, cpu_milli: u32) -> bool {
         let larger = |m: &Member| m.share() * 100 >= cpu_milli * LARGER_PERCENT;
-        self.live().any(|m| larger(m) && m.store_age < SERVED)
+        self.live().any(|m| larger(m) && m.store_age < SERVED_LATELY)
     }
 
     /// Tells whether the store serves a live member.
--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -16,9 +16,10 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Workers that one owner decides for, unless it is set. Half a core carried 350, with 785
-/// starts in the busiest second that was counted (docs/CAPACITY.md).
-pub const WORKERS_EACH: NonZeroUsize = match NonZeroUsize::new(450) {
+/// Workers that one owner decides for, unless it is set. Half a core carries 1,100 with 1,100
+/// starts a second, since members make the calls (docs/CAPACITY.md); and a gang that may run on
+/// three workers of ten finds room in a partition of that size which it doesn't find in a third.
+pub const WORKERS_EACH: NonZeroUsize = match NonZeroUsize::new(1_200) {
     Some(n) => n,
     None => NonZeroUsize::MIN,
 };
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -14,8 +14,10 @@
 /// How often the configuration is read beside the feed. It has to be in force after 2 s, also
 /// when the feed is silent for a second and one reading gets no answer.
 const READ_EVERY: Duration = Duration::from_millis(650);
-/// How often it is read by a member, which the owner's heartbeats tell of a newer version.
-const READ_EVERY_AS_MEMBER: Duration = Duration::from_millis(1_600);
+/// How often it is read by a member, which the owner's heartbeats tell of a newer version, and of
+/// a store that the owner can't reach. Readings of all members were a third of all calls to the
+/// store in a cell of 147 instances.
+const READ_EVERY_AS_MEMBER: Duration = Duration::from_millis(3_000);
 /// How often it is read while the owner can't reach the store, to learn whether this process
 /// can.
 const READ_EVERY_FOR_OWNER: Duration = Duration::from_millis(200);
--- a/crates/hollowford/src/command/node.rs
+++ b/crates/hollowford/src/command/node.rs
@@ -15,7 +15,7 @@
     description: "Runs a process on the users' platform until SIGTERM.
 Reads the settings file that the platform lays, whose path HOLLOWFORD_NODE_FILE holds, and
 serves metrics on PORT of the process's address. A cell that first starts gets one partition
-for N workers (450 unless said otherwise). With --check it only reads and checks the file.",
+for N workers (1,200 unless said otherwise). With --check it only reads and checks the file.",
     examples: &[Example {
         line: "hollowford node --check --config platform/examples/settings.toml",
         does: "checks a settings file of the platform",
