--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -46,6 +46,8 @@
     store_answered: AtomicU64,
     /// Reading of the clock when a call to the store failed last.
     store_failed: AtomicU64,
+    /// Epoch of the owner for which this process made calls to workers last.
+    pub delegate_of: AtomicU64,
     /// Its metrics.
     pub metrics: Metrics,
 }
@@ -75,6 +77,7 @@
             open_calls: AtomicUsize::new(0),
             store_answered: AtomicU64::new(0),
             store_failed: AtomicU64::new(0),
+            delegate_of: AtomicU64::new(0),
             metrics,
         }
     }
