Gangs keep off workers whose last task has failed; first members hear at full pace

Change: a gang uses a worker on which a task has failed and none has ended well since only where it doesn't fit without it; how many failures in a row put a worker aside follows from how often tasks fail in the whole partition (two where one in a hundred does, four at most); the eight members that take over first get heartbeats every 0.1 s. Tests: failing.rs (first fails without), health_tests, members_tests (fails without).

--- a/crates/hollowford-jobs/src/choose.rs
+++ b/crates/hollowford-jobs/src/choose.rs
@@ -25,6 +25,8 @@
     pub reserved_until: Millis,
     /// See [`Worker::slowness`].
     pub slowness: f32,
+    /// Tasks have failed here and none has ended well since.
+    pub suspect: bool,
 }
 
 impl Room {
@@ -38,6 +40,7 @@
             reserved: Resources::default(),
             reserved_until: Millis(0),
             slowness: w.slowness,
+            suspect: w.health.is_suspect(),
         }
     }
 
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -141,10 +141,14 @@
     }
 
     fn note_health(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
+        if matches!(end.kind, EndKind::Done | EndKind::Failed) {
+            self.failures.note(end.kind == EndKind::Failed);
+        }
+        let telling = self.failures.telling();
         let Some(w) = self.workers.get_mut(idx) else { return };
         match end.kind {
             EndKind::Done => w.health.success(),
-            EndKind::Failed if w.health.failure(end.task.step.job, now) => {
+            EndKind::Failed if w.health.failure(end.task.step.job, telling, now) => {
                 self.notes.push(Note::PutAside { worker: w.id.clone() });
                 self.stats.put_aside += 1;
             }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::advice::GoodShare;
 use crate::answers::Losses;
 use crate::batch::InFlight;
+use crate::health::Failures;
 use crate::jobs::Jobs;
 use crate::note::Note;
 use crate::order::{Order, WorkerListing};
@@ -85,6 +86,8 @@
     pub(crate) good_shares: FxHashMap<Arc<str>, GoodShare>,
     /// How often workers' answers are lost.
     pub(crate) losses: Losses,
+    /// How often tasks fail.
+    pub(crate) failures: Failures,
     /// Workers that may still run what an earlier owner ordered.
     pub(crate) unsettled: BTreeSet<WorkerIdx>,
     /// When none of them can any more.
@@ -125,6 +128,7 @@
             seats: Seats::default(),
             good_shares: FxHashMap::default(),
             losses: Losses::default(),
+            failures: Failures::default(),
             unsettled: BTreeSet::new(),
             settled_at: now + bounds.earlier_lease,
             tasks_unsettled: false,
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -14,20 +14,30 @@
 
 impl Engine {
     /// Starts a gang if all its members can start; else asks for what it lacks and keeps room
-    /// for it.
+    /// for it. One member that fails ends all, so workers on which tasks have failed lately are
+    /// used only where there is no room for it without them.
     pub(crate) fn place_gang(&mut self, pass: &mut Pass, gang: Placing<'_>, out: &mut Vec<Order>) {
         let ticketed: Vec<usize> = self.rooms_of(pass, gang, Standing::Ticketed).collect();
+        let mut good = ticketed.clone();
+        if gang.queue.advice.is_some() {
+            good.extend(self.rooms_of(pass, gang, Standing::Lapsed));
+        }
+        let sound = |pass: &Pass, rooms: &[usize]| -> Vec<usize> {
+            rooms.iter().copied().filter(|&at| !pass.rooms[at].suspect).collect()
+        };
+        let (sound_ticketed, sound_good) = (sound(pass, &ticketed), sound(pass, &good));
+        let seated = self.seat_gang(pass, gang, &sound_good);
+        let (ticketed, good) = match seated {
+            Some(_) => (sound_ticketed, sound_good),
+            None => (ticketed, good),
+        };
         if gang.kept
             && let Some(seating) = self.seat_gang(pass, gang, &ticketed)
         {
             self.start_gang(pass, gang, &seating, out);
             return;
         }
-        let mut good = ticketed;
-        if gang.queue.advice.is_some() {
-            good.extend(self.rooms_of(pass, gang, Standing::Lapsed));
-        }
-        let plan = self.plan_gang(pass, gang, &good);
+        let plan = self.plan_gang(pass, gang, seated, &good);
         self.ask_for_gang(pass, gang, plan.as_ref(), out);
         if let Some(plan) = plan {
             plan.keep(pass, &gang.spec.room());
@@ -37,8 +47,14 @@
 
     /// Returns when and where the gang is expected to start: now, once its tickets are renewed
     /// or its acceptance is in the store, or when enough of its workers are free.
-    fn plan_gang(&self, pass: &mut Pass, gang: Placing<'_>, good: &[usize]) -> Option<Plan> {
-        if let Some(seating) = self.seat_gang(pass, gang, good) {
+    fn plan_gang(
+        &self,
+        pass: &mut Pass,
+        gang: Placing<'_>,
+        seated: Option<Seating>,
+        good: &[usize],
+    ) -> Option<Plan> {
+        if let Some(seating) = seated.or_else(|| self.seat_gang(pass, gang, good)) {
             let members = |(at, n): (usize, u32)| std::iter::repeat_n(at, n as usize);
             let rooms = seating.into_iter().flat_map(members).collect();
             return Some(Plan { begin: pass.now, rooms });
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -21,6 +21,8 @@
 mod gang_asking;
 mod gone;
 mod health;
+#[cfg(test)]
+mod health_tests;
 mod job;
 mod jobs;
 mod lease;
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -27,6 +27,8 @@
 #[cfg(test)]
 mod member_tests;
 mod members;
+#[cfg(test)]
+mod members_tests;
 mod metrics;
 mod node;
 mod owner;
--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -33,7 +33,14 @@
     /// Makes one whose frames nobody reads.
     #[cfg(test)]
     pub fn to_nowhere() -> Outbox {
-        Outbox { tx: mpsc::channel(OUTBOX).0 }
+        Outbox::to_test().0
+    }
+
+    /// Makes one whose frames a test reads.
+    #[cfg(test)]
+    pub fn to_test() -> (Outbox, mpsc::Receiver<Frame>) {
+        let (tx, rx) = mpsc::channel(OUTBOX);
+        (Outbox { tx }, rx)
     }
 
     /// Sends a frame. Tells whether the link still takes frames.
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -63,7 +63,10 @@
     /// How many partitions there are.
     partitions: u32,
     list: Vec<Member>,
+    /// When all got a heartbeat last.
     sent: Millis,
+    /// When the first ones did.
+    sent_first: Millis,
     store_lost: bool,
     now: Millis,
     had_any: bool,
@@ -77,6 +80,7 @@
             partitions,
             list: Vec::new(),
             sent: Millis(0),
+            sent_first: Millis(0),
             store_lost: false,
             now: Millis(0),
             had_any: false,
@@ -124,15 +128,26 @@
         }
     }
 
-    /// Sends the heartbeats if they are due, and tells whether they were.
+    /// Sends the heartbeats that are due, and tells whether all members got one. Those that take
+    /// over first get theirs at full pace, so that they miss an owner soon in a large cell, too.
     pub fn tick(&mut self, now: Millis, config: u64, store_lost: bool) -> bool {
         self.now = now;
         self.store_lost = store_lost;
-        let due = now.since(self.sent) >= self.every();
-        if due {
+        if now.since(self.sent) >= self.every() {
             self.send_heartbeats(config);
+            return true;
         }
-        due
+        if now.since(self.sent_first) >= HEARTBEAT {
+            self.sent_first = now;
+            self.send_to(config, self.first_end());
+        }
+        false
+    }
+
+    /// Returns the end of the part of the list that holds the first ones to take over.
+    fn first_end(&self) -> usize {
+        let first = self.list.iter().enumerate().filter(|(_, m)| !m.stopping);
+        first.take(TOLD).last().map_or(0, |(at, _)| at + 1)
     }
 
     /// Returns the time between two heartbeats.
@@ -144,6 +159,12 @@
     /// Sends a heartbeat to every member.
     pub fn send_heartbeats(&mut self, config: u64) {
         self.sent = self.now;
+        self.sent_first = self.now;
+        self.send_to(config, self.list.len());
+    }
+
+    /// Sends a heartbeat to the first `count` of the list.
+    fn send_to(&self, config: u64, count: usize) {
         let members = self.list.iter().filter(|m| !m.stopping).take(TOLD);
         let members = members.map(|m| m.address.to_string());
         let beat = Heartbeat {
@@ -153,7 +174,10 @@
             store_lost: self.store_lost,
             every_ms: self.every().0,
         };
-        for m in &self.list {
+        let first = Heartbeat { every_ms: HEARTBEAT.0, ..beat.clone() };
+        let first_end = self.first_end();
+        for (at, m) in self.list.iter().take(count).enumerate() {
+            let beat = if at < first_end { &first } else { &beat };
             m.outbox.send(Body::Heartbeat(beat.clone()));
         }
     }
