No call is overdue while its outcome waits in the owner's own queue

Ruled out: members that do not answer (they did, later), the store (batches of 20 ms). Test: delegation_tests no_call_is_overdue (fails without).

--- a/crates/hollowford-node/src/delegation.rs
+++ b/crates/hollowford-node/src/delegation.rs
@@ -267,9 +267,13 @@
         Some(Delivered { call: p.call, called, sent: p.sent, at })
     }
 
-    /// Returns the calls of which no word has come in time, as unanswered.
-    pub fn overdue(&mut self, now: Millis) -> Vec<Delivered> {
+    /// Returns the calls of which no word has come in time, as unanswered. While words wait to
+    /// be taken in, the owner itself is late, and none is overdue.
+    pub fn overdue(&mut self, heard_all: bool, now: Millis) -> Vec<Delivered> {
         let mut out = Vec::new();
+        if !heard_all {
+            return out;
+        }
         while let Some(&(at, id)) = self.due.first().filter(|(at, _)| *at <= now) {
             self.due.remove(&(at, id));
             let Some(p) = self.pending.get_mut(&id) else { continue };
--- a/crates/hollowford-node/src/delegation_tests.rs
+++ b/crates/hollowford-node/src/delegation_tests.rs
@@ -114,10 +114,10 @@
     let lost = links.iter().filter(|&&l| l == 5).count();
     assert!(lost > 0);
     d.left(5, NOW);
-    let told = d.overdue(NOW);
+    let told = d.overdue(true, NOW);
     assert_eq!(told.len(), lost);
     assert!(told.iter().all(|t| t.called == Called::Look(LookAnswer::Unanswered)));
-    assert!(d.overdue(NOW).is_empty(), "once only");
+    assert!(d.overdue(true, NOW).is_empty(), "once only");
 }
 
 #[test]
@@ -128,7 +128,7 @@
         answer(&mut d, i, *link);
     }
     let late = NOW + Millis(2_000);
-    assert!(!d.overdue(late).is_empty());
+    assert!(!d.overdue(true, late).is_empty());
     let after = assign(&mut d, 200, late);
     assert!(after.iter().all(|&l| l != 5));
     let again = assign(&mut d, 200, late + Millis(5_000));
@@ -157,7 +157,7 @@
     d.delegate(start, LIMIT, NOW);
     let link = d.last_link().expect("a call");
     let late = NOW + Millis(1_000);
-    assert_eq!(d.overdue(late).len(), 1);
+    assert_eq!(d.overdue(true, late).len(), 1);
     let runs = Outcome::new(0, &Called::Start(StartAnswer::Runs(5)));
     let told = d.take(link, Outcomes { list: vec![runs] }, late);
     assert_eq!(told.len(), 1);
@@ -194,3 +194,12 @@
     alone.set_workers(&(0..50).map(listing).collect::<Vec<_>>());
     assert!(!alone.awaits_members(NOW), "a small cell needs no members");
 }
+
+#[test]
+fn no_call_is_overdue_while_the_owner_has_not_taken_in_all_words() {
+    let mut d = delegation(12, 200);
+    let before = assign(&mut d, 200, NOW);
+    let late = NOW + Millis(2_000);
+    assert!(d.overdue(false, late).is_empty());
+    assert_eq!(assign(&mut d, 200, late), before, "no member is taken for silent");
+}
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -128,7 +128,7 @@
                     self.take(msg);
                 }
             }
-            self.act();
+            self.act(rx.is_empty());
         }
         self.finish(rx)
     }
@@ -293,12 +293,13 @@
         }
     }
 
-    /// Lets the engine decide, carries out its orders and writes the next batch.
-    fn act(&mut self) {
+    /// Lets the engine decide, carries out its orders and writes the next batch. `heard_all` tells
+    /// that no message waits.
+    fn act(&mut self, heard_all: bool) {
         let now = self.now();
         self.take_config();
         self.cx.note_owner();
-        for delivered in self.delegation.overdue(now) {
+        for delivered in self.delegation.overdue(heard_all, now) {
             self.take_worker(delivered, now);
         }
         let mut orders = std::mem::take(&mut self.orders);
