--- a/crates/hollowford-jobs/src/advice.rs
+++ b/crates/hollowford-jobs/src/advice.rs
@@ -52,12 +52,12 @@
     }
 
     /// Returns the share, from 0 to 1.
-    pub fn share(&self) -> f32 {
+    pub fn share(self) -> f32 {
         self.good / self.asked
     }
 
     /// Returns how many workers have to be asked about to find `wanted` that may run a step.
-    pub fn to_find(&self, wanted: f32) -> usize {
+    pub fn needed_for(self, wanted: f32) -> usize {
         (wanted * self.asked / self.good.max(1.0)).ceil() as usize
     }
 }
--- a/crates/hollowford-jobs/src/gang_asking.rs
+++ b/crates/hollowford-jobs/src/gang_asking.rs
@@ -83,7 +83,7 @@
         let most = |at: &usize| copies(&need, &pass.rooms[*at].capacity).max(1);
         let per_worker = unknown.iter().map(most).max().unwrap_or(1);
         let share = self.good_shares.get(&gang.queue.name).copied().unwrap_or_default();
-        let workers = share.to_find(missing / per_worker as f32).max(LEAST_NAMED);
+        let workers = share.needed_for(missing / per_worker as f32).max(LEAST_NAMED);
         unknown.sort_by_key(|&at| std::cmp::Reverse(pass.rooms[at].count(&need)));
         unknown.into_iter().take(workers).map(|at| pass.rooms[at].idx).collect()
     }
