--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -1,8 +1,9 @@
 //! The owner of the partition: one task that drives the engine and carries out its orders.
 
+mod worker_calls;
+
 use crate::batches::Batches;
 use crate::callers::{Waiters, patience};
-use crate::calls::{AnswerAt, advise_here, call_from_here};
 use crate::delegation::{Delegation, Delivered};
 use crate::giving_up::GivingUp;
 use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
@@ -15,9 +16,9 @@
 use crate::shared::Shared;
 use crate::wire::{Call, MemberBeat, OwnerInfo, Said};
 use crate::writer::Written;
-use hollowford_adapter::{Called, NodeSettings, Version, WorkerClient};
+use hollowford_adapter::{NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
-use hollowford_jobs::{Engine, Order, WorkerCall};
+use hollowford_jobs::{Engine, Order};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -234,43 +235,6 @@
         }
     }
 
-    fn take_worker(&mut self, delivered: Delivered, now: Millis) {
-        let Delivered { call, called, sent, at } = delivered;
-        let late = at == AnswerAt::Late;
-        let fenced = match (&call, called) {
-            (WorkerCall::Start { worker, task, run, .. }, Called::Start(answer)) => {
-                let (engine, started) = (&mut self.engine, (*task, *run));
-                if late {
-                    engine.start_answered_late(worker, started, &answer, sent, now)
-                } else {
-                    engine.start_answered(worker, started, answer, sent, now)
-                }
-            }
-            (WorkerCall::Stop { worker, task, run, .. }, Called::Stop(answered)) => {
-                self.engine.stop_answered(worker, *task, *run, answered, now);
-                false
-            }
-            (WorkerCall::Pace { worker, task, run, percent, .. }, Called::Pace(answered)) => {
-                self.engine.pace_answered(worker, *task, *run, *percent, answered);
-                false
-            }
-            (WorkerCall::Look { worker, .. }, Called::Look(answer)) if late => {
-                self.engine.looked_late(worker, answer, sent, now)
-            }
-            (WorkerCall::Look { worker, .. }, Called::Look(answer)) => {
-                self.engine.looked(worker, answer, sent, now)
-            }
-            (call, called) => {
-                log::error!("worker.answer call={call:?} answer={called:?}");
-                false
-            }
-        };
-        if fenced {
-            log::warn!("owner.fenced epoch={}", self.info.epoch);
-            self.end = Some(OwnerEnd::Deposed);
-        }
-    }
-
     fn take_written(&mut self, batch: u64, written: Written, now: Millis) {
         self.batches.note(batch, &written, now);
         match written {
@@ -347,27 +311,6 @@
         }
     }
 
-    fn carry_out(&mut self, order: Order, now: Millis) {
-        match order {
-            Order::Worker { call, limit } => {
-                let Some(call) = self.delegation.delegate(call, limit, now) else { return };
-                let (shared, workers) = (self.cx.shared.clone(), self.workers.clone());
-                let handle = self.handle.clone();
-                tokio::spawn(call_from_here(shared, workers, call, limit, now, handle));
-            }
-            Order::Advice { seat, step, workers } => {
-                let Some(seat) = self.engine.seat(seat).cloned() else { return };
-                let ids: Vec<String> = workers.iter().map(|w| w.as_str().to_owned()).collect();
-                if seat.address.is_empty() {
-                    let (shared, handle) = (self.cx.shared.clone(), self.handle.clone());
-                    tokio::spawn(advise_here(shared, seat, step, ids, handle));
-                } else if !self.members.ask(&seat.address, step, ids) {
-                    log::debug!("advice.not_sent seat={} step={step}", seat.address);
-                }
-            }
-        }
-    }
-
     fn renew_view(&mut self, now: Millis) {
         if now.since(self.viewed) < VIEW_EVERY {
             return;
