Tests of late answers at the engine; what was seen with mechanisms taken out

Late lists older than what is known taken in: late_lists_that_are_older fails. Late lists dropped: an_end_that_is_listed_late fails.

--- a/crates/hollowford-jobs/tests/answers.rs
+++ b/crates/hollowford-jobs/tests/answers.rs
@@ -113,3 +113,64 @@
     assert_eq!(done, 40);
     assert_eq!(cell.workers.iter().map(|w| w.starts).sum::<u64>(), 80);
 }
+
+/// Has the worker's lists answered now, whatever is lost on the way.
+fn lists_of(cell: &mut Cell, at: usize) -> LookAnswer {
+    let w = &mut cell.workers[at];
+    let mute = std::mem::replace(&mut w.mute, false);
+    let answer = w.look(None, 0, 1);
+    w.mute = mute;
+    answer
+}
+
+#[test]
+fn an_end_that_is_listed_late_is_taken_in_and_its_task_runs_once() {
+    let mut cell = Cell::new(2);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 300)]));
+    cell.run(50);
+    let at = usize::from(cell.workers[0].running.is_empty());
+    let id = cell.workers[at].id.clone();
+    // From here on its answers come after their time limits.
+    cell.workers[at].mute = true;
+    cell.run(1_000);
+    let late = lists_of(&mut cell, at);
+    let sent = cell.now;
+    cell.run(400);
+    assert!(!cell.engine.looked_late(&id, late, sent, cell.now));
+    cell.run(6_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert_eq!(cell.workers.iter().map(|w| w.starts).sum::<u64>(), 1);
+}
+
+#[test]
+fn late_lists_that_are_older_than_what_is_known_change_nothing() {
+    let mut cell = Cell::new(1);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 300)]));
+    cell.run(50);
+    let old = lists_of(&mut cell, 0);
+    let sent = cell.now;
+    cell.run(600);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    cell.engine.looked_late(&"w0".into(), old, sent, cell.now);
+    cell.run(100);
+    assert_eq!(cell.engine.stats().foreign, 0);
+}
+
+#[test]
+fn a_start_that_is_confirmed_late_counts_and_a_late_refusal_does_not() {
+    let mut cell = Cell::new(1);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 2_000)]));
+    cell.workers[0].mute = true;
+    cell.run(60);
+    cell.workers[0].mute = false;
+    let (id, task) =
+        (cell.workers[0].id.clone(), StepKey { job: JobId(1), round: 0, step: 0 }.task(0));
+    let clock = cell.workers[0].clock();
+    let (sent, now) = (cell.now, cell.now);
+    let runs = StartAnswer::Runs(clock);
+    assert!(!cell.engine.start_answered_late(&id, (task, 1), &runs, sent, now));
+    assert!(!cell.engine.start_answered_late(&id, (task, 1), &StartAnswer::NoRoom, sent, now));
+    cell.run(2_500);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert!(cell.engine.start_answered_late(&id, (task, 1), &StartAnswer::Fenced, sent, now));
+}
