--- a/crates/hollowford-node/src/delegation.rs
+++ b/crates/hollowford-node/src/delegation.rs
@@ -26,10 +26,10 @@
 const DELEGATE_FROM: usize = 100;
 /// Fewest members for it: one that is lost takes its share of calls under way with it.
 const LEAST_MEMBERS: usize = 3;
-/// A member's word on a call is waited for so much longer than the call's own time limit, at
+/// A member's report on a call is waited for so much longer than the call's own time limit, at
 /// least: the way there and back, and some tens of milliseconds in which it may be busy.
 const LEAST_SLACK: Millis = Millis(300);
-/// The same at most, however late members' words have come.
+/// The same at most, however late members' reports have come.
 const MOST_SLACK: Millis = Millis(1_500);
 /// What comes so long after that is of no use any more.
 const FORGET_AFTER: Millis = Millis(4_000);
@@ -39,9 +39,10 @@
 const SILENT_REST: Millis = Millis(1_500);
 /// A worker that doesn't answer so many calls in a row gets another member.
 const REROUTE_AFTER: u32 = 2;
-/// A new owner waits for its members until none has come for so long...
+/// A new owner makes no calls until no member has joined for so long: else it would open channels
+/// to all workers itself, or give them all to the first that come.
 const JOINED_AFTER: Millis = Millis(60);
-/// ...and for so long at most: else it would open channels to all workers itself.
+/// It waits for members no longer than this.
 const AWAIT_MEMBERS: Millis = Millis(300);
 
 /// A member that can make calls.
@@ -57,9 +58,9 @@
     pub outbox: Outbox,
 }
 
-/// What is known of a member's words.
+/// What is known of a member's reports on its calls.
 #[derive(Clone, Copy, Debug, Default)]
-struct Words {
+struct Reports {
     /// Calls in a row that it has said nothing of.
     missed: u32,
     /// It gets no calls before.
@@ -81,7 +82,7 @@
     call: WorkerCall,
     link: LinkId,
     sent: Millis,
-    /// When the member's word is not waited for any more.
+    /// When the member's report is not waited for any more.
     due: Millis,
     /// It was told that there was no answer.
     told: bool,
@@ -107,7 +108,7 @@
     began: Millis,
     joined: Millis,
     members: Vec<Delegate>,
-    words: FxHashMap<LinkId, Words>,
+    reports: FxHashMap<LinkId, Reports>,
     /// Availability zone of each worker.
     zones: FxHashMap<InstanceId, Arc<str>>,
     routes: FxHashMap<Arc<str>, Route>,
@@ -116,7 +117,7 @@
     due: BTreeSet<(Millis, u64)>,
     /// Calls that are not sent yet.
     frames: BTreeMap<LinkId, Delegated>,
-    /// How long members' words take.
+    /// How long members' reports take.
     times: AnswerTimes,
 }
 
@@ -128,7 +129,7 @@
             began: now,
             joined: now,
             members: Vec::new(),
-            words: FxHashMap::default(),
+            reports: FxHashMap::default(),
             zones: FxHashMap::default(),
             routes: FxHashMap::default(),
             next: 0,
@@ -144,9 +145,9 @@
         if members.len() > self.members.len() {
             self.joined = now;
         }
-        let words = std::mem::take(&mut self.words);
-        let kept = members.iter().filter_map(|m| Some((m.link, *words.get(&m.link)?)));
-        self.words = kept.collect();
+        let known = std::mem::take(&mut self.reports);
+        let kept = members.iter().filter_map(|m| Some((m.link, *known.get(&m.link)?)));
+        self.reports = kept.collect();
         self.members = members;
     }
 
@@ -187,7 +188,7 @@
         if !self.is_large() || self.members.len() < LEAST_MEMBERS {
             return None;
         }
-        let rests = |m: &&Delegate| self.words.get(&m.link).is_some_and(|w| w.rests_until > now);
+        let rests = |m: &&Delegate| self.reports.get(&m.link).is_some_and(|r| r.rests_until > now);
         let zone = self.zones.get(call.worker());
         let near = |m: &&Delegate| zone.is_some_and(|z| *z == m.zone);
         let passed_over = self.routes.get(call.address()).map_or(0, |r| r.passed_over);
@@ -196,7 +197,7 @@
         of_zone.or_else(|| pick(awake(), call.address(), passed_over)).map(|m| m.link)
     }
 
-    /// Returns how much longer than a call's own time limit a member's word is waited for.
+    /// Returns how much longer than a call's own time limit a member's report is waited for.
     fn slack(&self) -> Millis {
         let usual = self.times.expected().unwrap_or_default();
         usual.clamp(LEAST_SLACK, MOST_SLACK)
@@ -240,7 +241,7 @@
 
     /// Takes in what a member says of its calls.
     pub fn take(&mut self, link: LinkId, outcomes: Outcomes, now: Millis) -> Vec<Delivered> {
-        self.words.insert(link, Words::default());
+        self.reports.insert(link, Reports::default());
         outcomes.list.into_iter().filter_map(|o| self.take_one(o.id, o.read().ok()?, now)).collect()
     }
 
@@ -267,7 +268,7 @@
         Some(Delivered { call: p.call, called, sent: p.sent, at })
     }
 
-    /// Returns the calls of which no word has come in time, as unanswered. While words wait to
+    /// Returns the calls on which no report has come in time, as unanswered. While reports wait to
     /// be taken in, the owner itself is late, and none is overdue.
     pub fn overdue(&mut self, heard_all: bool, now: Millis) -> Vec<Delivered> {
         let mut out = Vec::new();
@@ -294,11 +295,11 @@
 
     /// A member has said nothing of a call.
     fn note_missed(&mut self, link: LinkId, now: Millis) {
-        let words = self.words.entry(link).or_default();
-        words.missed += 1;
-        if words.missed == SILENT_AFTER {
-            words.missed = 0;
-            words.rests_until = now + SILENT_REST;
+        let reports = self.reports.entry(link).or_default();
+        reports.missed += 1;
+        if reports.missed == SILENT_AFTER {
+            reports.missed = 0;
+            reports.rests_until = now + SILENT_REST;
             log::info!("delegate.silent link={link} rests_ms={}", SILENT_REST.0);
         }
     }
--- a/crates/hollowford-node/src/delegation_tests.rs
+++ b/crates/hollowford-node/src/delegation_tests.rs
@@ -196,7 +196,7 @@
 }
 
 #[test]
-fn no_call_is_overdue_while_the_owner_has_not_taken_in_all_words() {
+fn no_call_is_overdue_while_the_owner_has_not_taken_in_all_reports() {
     let mut d = delegation(12, 200);
     let before = assign(&mut d, 200, NOW);
     let late = NOW + Millis(2_000);
