Tests wait until every process calls itself ready

The refusal is right (it names a time to come back), the test's start was not. Ruled out: a process that forgets what it knew: freshness has no age only before the first reading. The check is stricter than before: /readyz of each process, then the workers.

--- a/crates/hollowford/tests/common/play.rs
+++ b/crates/hollowford/tests/common/play.rs
@@ -213,8 +213,13 @@
         self.entries.len() - 1
     }
 
-    /// Waits until every partition is owned and every worker claimed.
+    /// Waits until every process calls itself ready, every partition is owned and every worker
+    /// claimed. An owner may have claimed all workers before another process has read the client
+    /// accounts, and that one refuses callers until it has.
     pub async fn wait_ready(&self) {
+        for i in 0..self.entries.len() {
+            self.wait_entry_ready(i).await;
+        }
         let want = self.options.worker_procs * self.options.workers_each;
         until("every worker claimed", || async {
             let mut claimed = 0;
@@ -229,6 +234,16 @@
         .await;
     }
 
+    /// Waits until a process calls itself ready.
+    pub async fn wait_entry_ready(&self, entry: usize) {
+        let admin = self.entries[entry].addr("admin");
+        until("a process that is ready", || async {
+            let (status, _) = http::get_text(&admin, "/readyz").await?;
+            (status == 200).then_some(())
+        })
+        .await;
+    }
+
     pub async fn state(&self, entry: usize) -> Option<Value> {
         http::get_json(&self.entries[entry].addr("admin"), "/state").await
     }
