The configuration goes to a member once, not with each of its heartbeats

An owner sent the whole row to a member at each of its heartbeats (0.1 s) until the member said that it had it; on a link of 10 Mbit/s one copy of its 181 kB takes 0.15 s, so several copies of each version were on their way, links were full for ten seconds, reports on workers' calls came seconds late, and leases of live workers ran out. The new test was seen failing with the copies sent at each heartbeat.

--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -47,6 +47,8 @@
     stopping: bool,
     /// How many partitions it owns.
     owned: u32,
+    /// Version of the configuration that was sent to it last; 0: none was.
+    config_sent: u64,
 }
 
 impl Member {
@@ -102,6 +104,7 @@
             store_age: Millis(0),
             stopping: false,
             owned: 0,
+            config_sent: 0,
         });
         // The first one takes over: the largest, then the one that has run longest.
         self.list.sort_by_key(|m| (std::cmp::Reverse(m.cpu_milli), m.since, m.address.clone()));
@@ -229,10 +232,14 @@
         Some(next.address.clone())
     }
 
-    /// Sends a member the configuration that it lacks.
-    pub fn send_config(&self, link: LinkId, row: &ConfigRow) {
-        if let Some(m) = self.list.iter().find(|m| m.link == link) {
-            m.outbox.send(Body::Config(row.clone()));
+    /// Sends a member that has version `has` the newer one in `row`, once: a link loses nothing,
+    /// and a configuration of a thousand routes takes longer to arrive than the next heartbeat of
+    /// the member. While one is on its way no other follows, or quick changes would fill the link.
+    pub fn send_config(&mut self, link: LinkId, has: u64, version: u64, row: &ConfigRow) {
+        let Some(m) = self.list.iter_mut().find(|m| m.link == link) else { return };
+        let on_its_way = has < m.config_sent;
+        if has < version && !on_its_way && m.outbox.send(Body::Config(row.clone())) {
+            m.config_sent = version;
         }
     }
 
--- a/crates/hollowford-node/src/members_tests.rs
+++ b/crates/hollowford-node/src/members_tests.rs
@@ -1,9 +1,9 @@
-//! How often members hear of their owner.
+//! How often members hear of their owner, and how often they are sent the configuration.
 #![allow(clippy::expect_used)]
 
 use crate::link::Outbox;
 use crate::members::Members;
-use crate::wire::{Body, Frame, Hello, OwnerInfo};
+use crate::wire::{Body, ConfigRow, Frame, Hello, OwnerInfo};
 use hollowford_core::Millis;
 use tokio::sync::mpsc::Receiver;
 
@@ -56,3 +56,55 @@
         assert_eq!(paces(rx).len(), 10);
     }
 }
+
+/// Reads the versions of the configuration rows that were sent so far.
+fn rows_sent(rx: &mut Receiver<Frame>) -> Vec<u64> {
+    let mut sent = Vec::new();
+    while let Ok(frame) = rx.try_recv() {
+        if let Some(Body::Config(row)) = frame.body {
+            sent.push(row.row_version);
+        }
+    }
+    sent
+}
+
+/// A row whose version is ten times that of the configuration in it.
+fn row_of(version: u64) -> ConfigRow {
+    ConfigRow { row_version: version * 10, value: vec![0; 181_000] }
+}
+
+/// Pattern: a configuration of a thousand routes (181 kB) changes every 0.4 s, and a member's link
+/// takes 0.15 s for each (10 Mbit/s). With a copy at each heartbeat of 0.1 s the links of a cell
+/// were full for ten seconds, and leases of live workers ran out (ortaksahne-grown trouble-3).
+#[test]
+fn a_configuration_goes_to_a_member_once_however_long_it_takes_to_arrive() {
+    let mut members = Members::new(OwnerInfo::default(), 1);
+    let mut rx = join(&mut members, 1, JOINED);
+    for _ in 0..4 {
+        members.send_config(1, 1, 2, &row_of(2));
+    }
+    assert_eq!(rows_sent(&mut rx), [20]);
+    // Changes that come while it is on its way wait, and only the newest follows.
+    for version in [3, 4] {
+        members.send_config(1, 1, version, &row_of(version));
+    }
+    assert!(rows_sent(&mut rx).is_empty());
+    members.send_config(1, 2, 4, &row_of(4));
+    members.send_config(1, 2, 4, &row_of(4));
+    assert_eq!(rows_sent(&mut rx), [40]);
+    // It has it.
+    members.send_config(1, 4, 4, &row_of(4));
+    assert!(rows_sent(&mut rx).is_empty());
+}
+
+#[test]
+fn a_member_that_comes_again_on_another_link_gets_the_configuration_again() {
+    let mut members = Members::new(OwnerInfo::default(), 1);
+    let mut rx = join(&mut members, 1, JOINED);
+    members.send_config(1, 0, 2, &row_of(2));
+    assert_eq!(rows_sent(&mut rx), [20]);
+    members.leave(1);
+    let mut rx = join(&mut members, 1, JOINED);
+    members.send_config(1, 0, 2, &row_of(2));
+    assert_eq!(rows_sent(&mut rx), [20]);
+}
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -202,10 +202,8 @@
         let version = self.cx.shared.config_version();
         if beat.config > version {
             self.cx.shared.config_wanted.notify_one();
-        } else if beat.config < version
-            && let Some(row) = self.cx.shared.config_row()
-        {
-            self.members.send_config(link, &row);
+        } else if let Some(row) = self.cx.shared.config_row() {
+            self.members.send_config(link, beat.config, version, &row);
         }
         if beat.epoch > self.info.epoch {
             log::warn!("owner.deposed epoch={} newer={}", self.info.epoch, beat.epoch);
