Members take the configuration from an owner that vouches for it

Change: heartbeats tell how long ago the owner has read the configuration. While they come, and that is 1.2 s at most, a member neither follows the feed nor reads the row; every 3 s it reads a small row only, to know whether the store serves it. Owners send a new configuration at once, packed (181 kB), to members that have told of an older one. A store that was away is asked for a small row first.

--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -6,6 +6,9 @@
 mod batches;
 mod callers;
 mod calls;
+mod config_told;
+#[cfg(test)]
+mod config_told_tests;
 mod delegate;
 mod delegate_wire;
 #[cfg(test)]
@@ -34,6 +37,9 @@
 mod owner;
 mod owner_row;
 mod ownership;
+mod packed;
+#[cfg(test)]
+mod packed_tests;
 mod partition;
 mod peers;
 mod plan;
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -1,6 +1,7 @@
 //! A process that doesn't own the partition: its link to the owner.
 
 use crate::calls::advise;
+use crate::config_told::{ConfigTold, Told};
 use crate::delegate;
 use crate::link::{self, Outbox, Reader};
 use crate::partition::{Cx, Route};
@@ -180,7 +181,7 @@
             Body::Delegated(frame) => {
                 delegate::carry_out(&self.cx.shared, frame, &self.outbox);
             }
-            Body::Config(row) => watch::take_row(&self.cx.shared, row),
+            Body::Config(row) => watch::take_packed(&self.cx.shared, row),
             Body::HandOver(h) => return Some(Parted::HandedOver { rev: h.rev }),
             Body::Owner(other) => {
                 let newer = self.cx.partition.note_owner_info(&other);
@@ -204,9 +205,23 @@
             self.cx.shared.config_wanted.notify_one();
         }
         self.every = Duration::from_millis(beat.every_ms).max(BEAT);
+        self.take_told(&beat);
         self.members = beat.members;
     }
 
+    /// Takes in what the owner knows of the configuration.
+    fn take_told(&self, beat: &Heartbeat) {
+        let (shared, partition) = (&self.cx.shared, &self.cx.partition);
+        let mut told = partition.config_told();
+        let beat = Told {
+            version: beat.config,
+            age: Millis(beat.config_age_ms),
+            every: Millis(self.every.as_millis() as u64),
+        };
+        told.note(beat, shared.config_version(), shared.clock.now());
+        partition.set_config_told(told);
+    }
+
     /// Tells the owner that this process is alive, unless the owner is silent itself.
     fn tick(&mut self) -> Option<Parted> {
         let now = Instant::now();
@@ -240,6 +255,7 @@
     fn end(&self) {
         self.cx.partition.route.send_replace(Route::None);
         self.cx.partition.probe_store.store(false, Ordering::Relaxed);
+        self.cx.partition.set_config_told(ConfigTold::default());
         // Whether the store answers decides what callers are told now.
         self.cx.shared.config_wanted.notify_one();
         self.remote.fail_all();
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -47,6 +47,8 @@
     stopping: bool,
     /// How many partitions it owns.
     owned: u32,
+    /// Version of the configuration that it has, once it has told.
+    config: Option<u64>,
     /// Version of the configuration that was sent to it last; 0: none was.
     config_sent: u64,
 }
@@ -58,6 +60,15 @@
     }
 }
 
+/// What the owner knows of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigKnown {
+    /// Its version.
+    pub version: u64,
+    /// Time since the owner read it in the store.
+    pub age: Millis,
+}
+
 /// The members.
 #[derive(Debug)]
 pub struct Members {
@@ -104,6 +115,7 @@
             store_age: Millis(0),
             stopping: false,
             owned: 0,
+            config: None,
             config_sent: 0,
         });
         // The first one takes over: the largest, then the one that has run longest.
@@ -128,12 +140,13 @@
             m.store_age = Millis(beat.store_age_ms);
             m.stopping = beat.stopping;
             m.owned = beat.owned;
+            m.config = Some(beat.config);
         }
     }
 
     /// Sends the heartbeats that are due, and tells whether all members got one. Those that take
     /// over first get theirs at full pace, so that they miss an owner soon in a large cell, too.
-    pub fn tick(&mut self, now: Millis, config: u64, store_lost: bool) -> bool {
+    pub fn tick(&mut self, now: Millis, config: ConfigKnown, store_lost: bool) -> bool {
         self.now = now;
         self.store_lost = store_lost;
         if now.since(self.sent) >= self.every() {
@@ -160,20 +173,21 @@
     }
 
     /// Sends a heartbeat to every member.
-    pub fn send_heartbeats(&mut self, config: u64) {
+    pub fn send_heartbeats(&mut self, config: ConfigKnown) {
         self.sent = self.now;
         self.sent_first = self.now;
         self.send_to(config, self.list.len());
     }
 
     /// Sends a heartbeat to the first `count` of the list.
-    fn send_to(&self, config: u64, count: usize) {
+    fn send_to(&self, config: ConfigKnown, count: usize) {
         let members = self.list.iter().filter(|m| !m.stopping).take(TOLD);
         let members = members.map(|m| m.address.to_string());
         let beat = Heartbeat {
             epoch: self.owner.epoch,
             members: members.collect(),
-            config,
+            config: config.version,
+            config_age_ms: config.age.0,
             store_lost: self.store_lost,
             every_ms: self.every().0,
         };
@@ -232,14 +246,17 @@
         Some(next.address.clone())
     }
 
-    /// Sends a member that has version `has` the newer one in `row`, once: a link loses nothing,
-    /// and a configuration of a thousand routes takes longer to arrive than the next heartbeat of
-    /// the member. While one is on its way no other follows, or quick changes would fill the link.
-    pub fn send_config(&mut self, link: LinkId, has: u64, version: u64, row: &ConfigRow) {
-        let Some(m) = self.list.iter_mut().find(|m| m.link == link) else { return };
-        let on_its_way = has < m.config_sent;
-        if has < version && !on_its_way && m.outbox.send(Body::Config(row.clone())) {
-            m.config_sent = version;
+    /// Sends the configuration in `row` to the members that have told of an older one than
+    /// `version`, to each once: a link loses nothing, and a configuration of a thousand routes may
+    /// take longer to arrive than the member's next heartbeat. While one is on its way no other
+    /// follows, or quick changes would fill the link.
+    pub fn send_config(&mut self, version: u64, row: &ConfigRow) {
+        for m in &mut self.list {
+            let Some(has) = m.config else { continue };
+            let on_its_way = has < m.config_sent;
+            if has < version && !on_its_way && m.outbox.send(Body::Config(row.clone())) {
+                m.config_sent = version;
+            }
         }
     }
 
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -186,7 +186,7 @@
 
     fn members_changed(&mut self) {
         self.set_members();
-        self.members.send_heartbeats(self.cx.shared.config_version());
+        self.members.send_heartbeats(self.cx.shared.config_known());
     }
 
     /// Tells those who use the members which of them can be used.
@@ -202,8 +202,8 @@
         let version = self.cx.shared.config_version();
         if beat.config > version {
             self.cx.shared.config_wanted.notify_one();
-        } else if let Some(row) = self.cx.shared.config_row() {
-            self.members.send_config(link, beat.config, version, &row);
+        } else if beat.config < version {
+            self.send_config();
         }
         if beat.epoch > self.info.epoch {
             log::warn!("owner.deposed epoch={} newer={}", self.info.epoch, beat.epoch);
@@ -281,7 +281,7 @@
         }
         self.waiters.give_up(&mut self.engine, now);
         let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
-        if self.members.tick(self.cx.shared.clock.now(), self.cx.shared.config_version(), lost) {
+        if self.members.tick(self.cx.shared.clock.now(), self.cx.shared.config_known(), lost) {
             self.set_members();
         }
         if let Some(end) = self.reach.check(&self.batches, &self.members, now) {
@@ -306,6 +306,13 @@
         {
             self.config = version;
             self.engine.set_queues(&config.queues);
+            self.send_config();
+        }
+    }
+
+    fn send_config(&mut self) {
+        if let Some(row) = self.cx.shared.config_row() {
+            self.members.send_config(self.cx.shared.config_version(), &row);
         }
     }
 
--- a/crates/hollowford-node/src/partition.rs
+++ b/crates/hollowford-node/src/partition.rs
@@ -1,9 +1,11 @@
 //! What a process knows of one partition: who owns it, and how the owner is reached.
 
+use crate::config_told::ConfigTold;
 use crate::inbox::OwnerHandle;
 use crate::relay::RemoteOwner;
 use crate::shared::Shared;
 use crate::wire::OwnerInfo;
+use arc_swap::ArcSwap;
 use hollowford_core::Millis;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -40,6 +42,8 @@
     pub probe_store: AtomicBool,
     /// Reading of the clock when the owner was last within reach.
     owner_heard: AtomicU64,
+    /// What the owner tells of the configuration.
+    config_told: ArcSwap<ConfigTold>,
 }
 
 impl Partition {
@@ -53,9 +57,20 @@
             given_up: AtomicU64::new(0),
             probe_store: AtomicBool::new(false),
             owner_heard: AtomicU64::new(NEVER),
+            config_told: ArcSwap::default(),
         }
     }
 
+    /// Returns what the owner's heartbeats have told of the configuration.
+    pub fn config_told(&self) -> ConfigTold {
+        **self.config_told.load()
+    }
+
+    /// Sets what they have told; only the task that follows the owner does.
+    pub fn set_config_told(&self, told: ConfigTold) {
+        self.config_told.store(Arc::new(told));
+    }
+
     /// Takes note of an owner, if it is newer than the one that is known.
     pub fn note_owner_info(&self, info: &OwnerInfo) -> bool {
         self.owner.send_if_modified(|known| {
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the duties of a process share.
 
 use crate::homes::home_of_job;
+use crate::members::ConfigKnown;
 use crate::metrics::Metrics;
 use crate::partition::Partition;
 use crate::wire::ConfigRow;
@@ -46,6 +47,8 @@
     store_answered: AtomicU64,
     /// Reading of the clock when a call to the store failed last.
     store_failed: AtomicU64,
+    /// Reading of the clock when this process read the configuration last.
+    config_read: AtomicU64,
     /// Epoch of the owner for which this process made calls to workers last.
     pub delegate_of: AtomicU64,
     /// Its metrics.
@@ -77,6 +80,7 @@
             open_calls: AtomicUsize::new(0),
             store_answered: AtomicU64::new(0),
             store_failed: AtomicU64::new(0),
+            config_read: AtomicU64::new(0),
             delegate_of: AtomicU64::new(0),
             metrics,
         }
@@ -156,6 +160,31 @@
         self.partitions().iter().filter(|p| p.is_owned()).count() as u32
     }
 
+    /// Takes note that this process has read the configuration.
+    pub fn note_config_read(&self) {
+        self.config_read.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since this process read the configuration, counted from its start before
+    /// it first has.
+    pub fn config_age(&self) -> Millis {
+        self.clock.now().since(Millis(self.config_read.load(Ordering::Relaxed)))
+    }
+
+    /// Returns what this process knows of the configuration.
+    pub fn config_known(&self) -> ConfigKnown {
+        ConfigKnown { version: self.config_version(), age: self.config_age() }
+    }
+
+    /// Tells whether an owner vouches for the configuration that this process knows. Owners read
+    /// it themselves.
+    pub fn config_is_told(&self) -> bool {
+        let now = self.clock.now();
+        self.config_version() > 0
+            && self.owned_count() == 0
+            && self.partitions().iter().any(|p| p.config_told().is_enough(now))
+    }
+
     /// Tells whether a row of the configuration is newer than what was read before.
     pub fn is_new_config_row(&self, version: u64) -> bool {
         self.config_row.load().as_ref().is_none_or(|r| r.row_version < version)
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -1,7 +1,8 @@
 //! Keeps the configuration up to date: by the store's feed, and by reading it besides, since
-//! the feed may go silent.
+//! the feed may go silent. A member whose owner vouches for what it knows does neither.
 
-use crate::partition::Partition;
+use crate::owner_row::{OWNER_KEY, TABLE};
+use crate::packed::{pack, unpack};
 use crate::shared::Shared;
 use crate::wire::ConfigRow;
 use hollowford_adapter::{CONFIG_KEY, Config, OPERATOR_TABLE, Row, StoreError};
@@ -14,69 +15,97 @@
 /// How often the configuration is read beside the feed. It has to be in force after 2 s, also
 /// when the feed is silent for a second and one reading gets no answer.
 const READ_EVERY: Duration = Duration::from_millis(650);
-/// How often it is read by a member, which the owner's heartbeats tell of a newer version, and of
-/// a store that the owner can't reach. Readings of all members were a third of all calls to the
-/// store in a cell of 147 instances.
-const READ_EVERY_AS_MEMBER: Duration = Duration::from_millis(3_000);
-/// How often it is read while the owner can't reach the store, to learn whether this process
-/// can.
-const READ_EVERY_FOR_OWNER: Duration = Duration::from_millis(200);
-/// A heartbeat that is older doesn't count for that.
-const HEARTBEAT_FRESH: Millis = Millis(400);
+/// How often a member whose owner vouches for the configuration finds out whether the store
+/// answers it: an owner that the store turns away hands over to one that it serves. Readings of
+/// all members were a third of all calls to the store in a cell of 147 instances.
+const PROBE_EVERY: Millis = Millis(3_000);
+/// How often while the owner can't reach the store, to learn whether this process can.
+const PROBE_EVERY_FOR_OWNER: Duration = Duration::from_millis(200);
 /// Longest time for a reading.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a call to the feed waits for a change.
 const FEED_WAIT: Duration = Duration::from_millis(10_000);
-/// Pause after a failure.
+/// Pause after a failure, and between two looks whether the owner still vouches.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// Reads the configuration again and again.
+/// What is known of the store by this duty.
+#[derive(Debug)]
+struct Reach {
+    /// It answered the last call.
+    answers: bool,
+    /// When the last call was made.
+    asked: Millis,
+}
+
+/// Reads the configuration again and again, or only finds out whether the store answers while an
+/// owner vouches for what this process knows.
 pub async fn read_config(shared: Arc<Shared>) {
-    let mut reached = true;
+    let mut reach = Reach { answers: true, asked: Millis(0) };
     loop {
-        reached = read_once(&shared, reached).await;
+        let told = shared.config_is_told();
+        let now = shared.clock.now();
+        if !told || is_probed(&shared) || now.since(reach.asked) >= PROBE_EVERY {
+            let answers = ask(&shared, told || !reach.answers).await;
+            note(&shared, reach.answers, &answers);
+            reach = Reach { answers: answers.is_ok(), asked: now };
+        }
         // Woken early when a peer knows a newer version.
-        if timeout(pause(&shared, reached), shared.config_wanted.notified()).await.is_ok() {
+        let pause = pause(&shared, reach.answers);
+        if timeout(pause, shared.config_wanted.notified()).await.is_ok() {
             log::debug!("config.wanted");
         }
     }
 }
 
-/// Reads the configuration. Tells whether the store was reached; `before`: whether it was at
-/// the reading before.
-async fn read_once(shared: &Shared, before: bool) -> bool {
-    match shared.store.read(OPERATOR_TABLE, "", CONFIG_KEY, READ_TIMEOUT).await {
-        Ok((row, _)) => {
+/// Asks the store for the configuration; with `probe` for a small row, only to learn whether it
+/// answers: a store that was away doesn't have to send all members a large one as it returns.
+async fn ask(shared: &Shared, probe: bool) -> Result<(), StoreError> {
+    match shared.partitions().first().filter(|_| probe) {
+        Some(p) => shared.store.read(TABLE, &p.part, OWNER_KEY, READ_TIMEOUT).await.map(drop),
+        None => read_once(shared).await,
+    }
+}
+
+async fn read_once(shared: &Shared) -> Result<(), StoreError> {
+    let (row, _) = shared.store.read(OPERATOR_TABLE, "", CONFIG_KEY, READ_TIMEOUT).await?;
+    shared.note_config_read();
+    if let Some(row) = row {
+        take(shared, &row);
+    }
+    Ok(())
+}
+
+/// Takes note of whether the store has answered; `before`: whether it had the time before.
+fn note(shared: &Shared, before: bool, answers: &Result<(), StoreError>) {
+    match answers {
+        Ok(()) => {
             shared.note_store();
-            if let Some(row) = row {
-                take(shared, &row);
-            }
             if !before {
                 log::info!("store.regained by=config");
             }
-            true
         }
         Err(e) => {
             shared.note_store_failure();
             if before {
                 log::warn!("store.lost by=config error=\"{e}\"");
             }
-            false
         }
     }
 }
 
-/// Returns how long to wait for the next reading.
-fn pause(shared: &Shared, reached: bool) -> Duration {
-    let now = shared.clock.now();
-    let tells = |p: &Arc<Partition>| !p.is_owned() && p.owner_age(now) < HEARTBEAT_FRESH;
-    let told = shared.partitions().iter().any(tells);
-    let probed = shared.partitions().iter().any(|p| p.probe_store.load(Ordering::Relaxed));
-    match (reached, told) {
-        (false, _) => RETRY,
-        _ if probed => READ_EVERY_FOR_OWNER,
-        (true, false) => READ_EVERY,
-        (true, true) => READ_EVERY_AS_MEMBER,
+/// Tells whether an owner wants to know whether the store answers this process.
+fn is_probed(shared: &Shared) -> bool {
+    shared.partitions().iter().any(|p| p.probe_store.load(Ordering::Relaxed))
+}
+
+/// Returns how long to wait before the next look at what is due.
+fn pause(shared: &Shared, answers: bool) -> Duration {
+    if !answers {
+        RETRY
+    } else if is_probed(shared) {
+        PROBE_EVERY_FOR_OWNER
+    } else {
+        READ_EVERY
     }
 }
 
@@ -84,6 +113,10 @@
 pub async fn follow_config(shared: Arc<Shared>) {
     let mut after = 0;
     loop {
+        if shared.config_is_told() {
+            sleep(RETRY).await;
+            continue;
+        }
         match shared.store.feed(OPERATOR_TABLE, after, FEED_WAIT).await {
             Ok(feed) => {
                 shared.note_store();
@@ -110,22 +143,40 @@
     read.map(|f| f.version).ok()
 }
 
+/// Puts the configuration of a row of the store in force, if it is new.
 fn take(shared: &Shared, row: &Row) {
-    take_row(shared, ConfigRow { row_version: row.version, value: row.value.clone() });
+    if !shared.is_new_config_row(row.version) {
+        return;
+    }
+    match pack(row.version, &row.value) {
+        Ok(packed) => put_in_force(shared, &row.value, packed),
+        Err(e) => log::error!("config.not_packed row_version={} error=\"{e}\"", row.version),
+    }
 }
 
-/// Puts the configuration of a row in force, if it is new.
-pub fn take_row(shared: &Shared, row: ConfigRow) {
+/// Puts the configuration that a peer has sent in force, if it is new.
+pub fn take_packed(shared: &Shared, row: ConfigRow) {
     if !shared.is_new_config_row(row.row_version) {
         return;
     }
-    match Config::try_from(&row.value[..]) {
+    match unpack(&row) {
+        Ok(value) => put_in_force(shared, &value, row),
+        Err(e) => log::error!("config.malformed row_version={} error=\"{e}\"", row.row_version),
+    }
+}
+
+fn put_in_force(shared: &Shared, value: &[u8], row: ConfigRow) {
+    match Config::try_from(value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
+            let (bytes, packed) = (value.len(), row.packed.len());
             let before = shared.config_version();
             if shared.take_config(config, row) {
                 shared.metrics.config_version.set(version as i64);
-                log::info!("config.taken version={version} before={before} routes={routes}");
+                log::info!(
+                    "config.taken version={version} before={before} routes={routes} \
+                     bytes={bytes} packed={packed}"
+                );
             }
         }
         Err(e) => log::error!("config.malformed row_version={} error=\"{e}\"", row.row_version),
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -127,9 +127,9 @@
     /// Version of its row.
     #[prost(uint64, tag = "1")]
     pub row_version: u64,
-    /// Its bytes.
+    /// Its bytes, packed.
     #[prost(bytes = "vec", tag = "2")]
-    pub value: Vec<u8>,
+    pub packed: Vec<u8>,
 }
 
 /// An owner gives the partition to a member.
@@ -158,6 +158,9 @@
     /// Time between two heartbeats, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub every_ms: u64,
+    /// Time since it read the configuration in the store, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub config_age_ms: u64,
 }
 
 /// A member's heartbeat.
