One process counts the workers when a cell first starts

Change: the first process that says so in the plan's part counts; the others look for the plan, and count themselves if it isn't there after 8 s. The test read the list 48 times for 12 processes before, 16 at most now.

--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -45,6 +45,8 @@
 mod partition;
 mod peers;
 mod plan;
+#[cfg(test)]
+mod plan_tests;
 mod reach;
 mod registry;
 mod relay;
--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -23,9 +23,16 @@
     Some(n) => n,
     None => NonZeroUsize::MIN,
 };
-/// Part of the table, and key of the row.
-const PLAN: &str = "plan";
-/// How often the workers are counted when a cell first starts.
+/// Part of the table that holds the plan.
+pub const PART: &str = "plan";
+/// Key of the plan.
+const PLAN_KEY: &str = "plan";
+/// Key of the row that names the process which counts the workers: hundreds of processes that
+/// start at once would each read the whole list several times.
+const COUNTING_KEY: &str = "counting";
+/// A process that has said that it counts is waited for so long: somewhat more than it may take.
+const COUNTED_WITHIN: Millis = Millis(8_000);
+/// How often the workers are counted when a cell first starts, and the others look for the plan.
 const COUNT_EVERY: Duration = Duration::from_millis(400);
 /// The count is taken once it has stood for so long, since workers start over some seconds.
 const COUNT_STANDS: Millis = Millis(1_200);
@@ -57,19 +64,23 @@
     began: Millis,
     workers_each: NonZeroUsize,
 ) -> Result<Option<u32>, StoreError> {
-    if let (Some(row), _) = shared.store.read(TABLE, PLAN, PLAN, CALL_TIMEOUT).await? {
-        shared.note_store();
-        return Ok(decode(&row));
-    }
+    let rows = shared.store.read_all(TABLE, PART, CALL_TIMEOUT).await?.rows;
     shared.note_store();
+    if let Some(row) = rows.iter().find(|r| r.key == PLAN_KEY) {
+        return Ok(decode(row));
+    }
+    if !counts_here(shared, &rows, began).await? {
+        sleep(COUNT_EVERY).await;
+        return Ok(None);
+    }
     let listings = read_workers(shared, began).await?;
     let (workers, partitions) = (listings.len(), count_partitions(&listings, workers_each));
     let tx = Transaction {
-        expect: vec![Expect { key: PLAN.to_owned(), version: 0 }],
-        put: vec![(PLAN.to_owned(), Plan { partitions }.encode_to_vec())],
+        expect: vec![Expect { key: PLAN_KEY.to_owned(), version: 0 }],
+        put: vec![(PLAN_KEY.to_owned(), Plan { partitions }.encode_to_vec())],
         remove: Vec::new(),
     };
-    match shared.store.transact(TABLE, PLAN, &tx, CALL_TIMEOUT).await? {
+    match shared.store.transact(TABLE, PART, &tx, CALL_TIMEOUT).await? {
         TxOutcome::Made(_) => {
             log::info!("plan.made partitions={partitions} workers={workers}");
             Ok(Some(partitions))
@@ -78,6 +89,23 @@
     }
 }
 
+/// Tells whether this process is to count the workers: the first one that says so does, and any
+/// once that one has been waited for too long.
+async fn counts_here(shared: &Shared, rows: &[Row], began: Millis) -> Result<bool, StoreError> {
+    let own = shared.boot.to_be_bytes();
+    if let Some(counting) = rows.iter().find(|r| r.key == COUNTING_KEY) {
+        let waited = shared.clock.now().since(began);
+        return Ok(counting.value == own || waited >= COUNTED_WITHIN);
+    }
+    let tx = Transaction {
+        expect: vec![Expect { key: COUNTING_KEY.to_owned(), version: 0 }],
+        put: vec![(COUNTING_KEY.to_owned(), own.to_vec())],
+        remove: Vec::new(),
+    };
+    let outcome = shared.store.transact(TABLE, PART, &tx, CALL_TIMEOUT).await?;
+    Ok(matches!(outcome, TxOutcome::Made(_)))
+}
+
 /// Reads the list of workers once their number stands.
 async fn read_workers(shared: &Shared, began: Millis) -> Result<Vec<WorkerListing>, StoreError> {
     let (mut count, mut since) = (0, shared.clock.now());
