A batch removes a bounded number of rows after many refused ones, too

Cause: what refused batches were to remove came on top of each other, eight rows each, beside eight new ones. After three refusals in a row a batch could have more than the 100 entries that a transaction takes (the test saw 104), and the store would never have taken one again.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -129,7 +129,9 @@
         let mut expired = std::mem::take(&mut self.in_flight.unremoved);
         // A job that came anew under the same id has a row of its own.
         expired.retain(|&id| self.jobs.get(id).is_none() && self.jobs.ended(id).is_none());
-        expired.extend(self.jobs.expire(old, MOST_EXPIRED));
+        // What several refused batches were to remove may be more than one takes.
+        self.in_flight.unremoved = expired.split_off(expired.len().min(MOST_EXPIRED));
+        expired.extend(self.jobs.expire(old, MOST_EXPIRED - expired.len()));
         for id in expired {
             rows.push(RowWrite { key: job_key(id), value: None });
             note.expired.push(id);
--- a/crates/hollowford-jobs/tests/batches.rs
+++ b/crates/hollowford-jobs/tests/batches.rs
@@ -215,3 +215,34 @@
     cell.write();
     assert!(!cell.rows.keys().any(|k| k.starts_with("j/")), "{:?}", cell.rows.keys());
 }
+
+/// Entries of a transaction (the platform takes 100), less two for the row of the batch's lane and
+/// one for the row of workers.
+const MOST_ENTRIES: usize = 97;
+
+/// Pattern: the store refuses batch after batch while old jobs fall due to be forgotten. What the
+/// refused ones were to remove came on top of each other, until no transaction could hold it.
+#[test]
+fn a_batch_after_many_refused_ones_still_fits_a_transaction() {
+    let mut cell = Cell::new(8);
+    for i in 0..200 {
+        cell.submit(scattered(i), LARGE, job(vec![step(1, 100, 20)]));
+    }
+    cell.run(2_000);
+    assert_eq!(cell.rows.keys().filter(|k| k.starts_with("j/")).count(), 200);
+    cell.now = cell.now + BOUNDS.keep_ended + BOUNDS.keep_ended;
+    for i in 200..400 {
+        cell.submit(scattered(i), LARGE, job(vec![step(1, 16_000, 60_000)]));
+    }
+    for _ in 0..20 {
+        assert!(cell.cut());
+        let entries = cell.pending[0].rows.len();
+        assert!(entries <= MOST_ENTRIES, "{entries}");
+        cell.refuse_pending();
+    }
+    for _ in 0..60 {
+        cell.write();
+    }
+    assert_eq!(kept(&cell, 200..400), [true; 200]);
+    assert_eq!(cell.rows.keys().filter(|k| k.starts_with("j/")).count(), 200, "the new ones");
+}
