--- a/crates/hollowford-jobs/benches/ledger.rs
+++ b/crates/hollowford-jobs/benches/ledger.rs
@@ -76,7 +76,7 @@
             slack: Millis(250),
             advice: None,
         };
-        engine.set_queues(&[queue]);
+        engine.set_queues(&[queue], Millis(0));
         let turn = answer / 2;
         Ledger {
             engine,
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -208,6 +208,17 @@
         }
     }
 
+    /// Ends the jobs that have failed as often as their queues allow: when they did, this owner may
+    /// not have known their queues yet.
+    pub(crate) fn end_exhausted(&mut self, now: Millis) {
+        for id in self.jobs.ids() {
+            let most = self.max_attempts(id);
+            if self.jobs.get(id).is_some_and(|j| j.is_exhausted(most)) {
+                self.end_job(id, JobState::Failed, now);
+            }
+        }
+    }
+
     fn max_attempts(&self, id: JobId) -> u32 {
         let queue = self.jobs.get(id).and_then(|j| self.queues.get(&j.queue));
         queue.map_or(u32::MAX, |q| q.max_attempts.max(1))
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -161,13 +161,14 @@
     }
 
     /// Puts the queues of a configuration in force.
-    pub fn set_queues(&mut self, queues: &[Queue]) {
+    pub fn set_queues(&mut self, queues: &[Queue], now: Millis) {
         self.queues.clear();
         for q in queues {
             let pool = self.workers.pool_name(&q.pool);
             let queue = Queue { pool, ..q.clone() };
             self.queues.insert(q.name.clone(), Arc::new(queue));
         }
+        self.end_exhausted(now);
         self.dirty = true;
     }
 
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -205,6 +205,14 @@
         self.due_rounds == self.spec.rounds() && self.rounds.iter().all(Round::done)
     }
 
+    /// Tells whether a task that is neither done nor running, or a gang, has failed `most` times.
+    pub fn is_exhausted(&self, most: u32) -> bool {
+        let failed = |runs: &[u32]| runs.len() as u32 >= most;
+        let task = |t: &Task| !t.done && t.at.is_none() && failed(&t.failed_runs);
+        let step = |s: &Step| failed(&s.gang_failed) || s.tasks.iter().any(task);
+        self.rounds.iter().any(|r| r.steps.iter().any(step))
+    }
+
     /// Returns the run number after which the next start of a task has to come.
     pub fn run_floor(&self, epoch: u64) -> u32 {
         (epoch.saturating_sub(self.epoch) as u32).saturating_mul(RUNS_PER_EPOCH)
--- a/crates/hollowford-jobs/tests/attempts.rs
+++ b/crates/hollowford-jobs/tests/attempts.rs
@@ -111,3 +111,23 @@
     cell.run(4_000);
     assert_eq!(cell.state(1), Some(JobState::Completed));
 }
+
+/// Pattern: all processes were killed in an outage of the store. The next owner has claimed the
+/// workers before it has read the configuration, and learns of both failures without knowing
+/// how many the queue allows (ortaksahne hunt-d986-15).
+#[test]
+fn attempts_that_are_told_before_the_queues_are_known_count() {
+    let mut cell = poisoned(4);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 100)]));
+    cell.run(20);
+    cell.store_up = false;
+    cell.run(1_000);
+    assert_eq!(starts(&cell), 3);
+    cell.store_up = true;
+    cell.take_over_without_queues();
+    cell.run(200);
+    cell.set_queues(cell.queues.clone());
+    cell.run(3_000);
+    assert_eq!(cell.state(1), Some(JobState::Failed));
+    assert_eq!(starts(&cell), 3);
+}
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -110,7 +110,7 @@
     }
 
     fn equip(&mut self) {
-        self.engine.set_queues(&self.queues);
+        self.engine.set_queues(&self.queues, self.now);
         self.engine.set_seats(&[Seat { address: "".into() }]);
         self.list();
     }
@@ -124,7 +124,7 @@
 
     pub fn set_queues(&mut self, queues: Vec<Queue>) {
         self.queues = queues;
-        self.engine.set_queues(&self.queues);
+        self.engine.set_queues(&self.queues, self.now);
     }
 
     pub fn submit(&mut self, id: u64, queue: &str, spec: Arc<JobSpec>) -> SubmitAnswer {
@@ -297,12 +297,19 @@
         self.equip();
     }
 
+    /// A new owner takes over that doesn't know the queues yet.
+    pub fn take_over_without_queues(&mut self) {
+        let queues = std::mem::take(&mut self.queues);
+        self.take_over();
+        self.queues = queues;
+    }
+
     /// A new owner takes over, and is not told the list of workers yet.
     pub fn take_over_unlisted(&mut self) {
         let epoch = self.engine.epoch() + 1;
         self.pending.clear();
         self.engine = Engine::new(epoch, BOUNDS, self.now);
-        self.engine.set_queues(&self.queues);
+        self.engine.set_queues(&self.queues, self.now);
         let rows: Vec<_> = self.rows.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
         self.engine.recover(&rows, self.now).expect("rows that can be read");
     }
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -46,7 +46,7 @@
     let mut engine = Engine::new(info.epoch, cx.shared.settings_changed.borrow().bounds, feed.now);
     engine.set_unix_offset(cx.shared.clock.unix() as i64 - feed.now.0 as i64);
     if let Some(config) = cx.shared.config.load_full() {
-        engine.set_queues(&config.queues);
+        engine.set_queues(&config.queues, feed.now);
     }
     let rows: Vec<_> = feed.rows.into_iter().map(|r| (r.key, r.value)).collect();
     match engine.recover(&rows, feed.now) {
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -259,7 +259,7 @@
     /// that no message waits.
     fn act(&mut self, heard_all: bool) {
         let now = self.now();
-        self.take_config();
+        self.take_config(now);
         self.cx.note_owner();
         for delivered in self.delegation.overdue(heard_all, now) {
             self.take_worker(delivered, now);
@@ -295,7 +295,7 @@
         self.renew_view(now);
     }
 
-    fn take_config(&mut self) {
+    fn take_config(&mut self, now: Millis) {
         if self.settings.has_changed().unwrap_or(false) {
             let bounds = self.settings.borrow_and_update().bounds;
             self.engine.set_bounds(bounds);
@@ -305,7 +305,7 @@
             && let Some(config) = self.cx.shared.config.load_full()
         {
             self.config = version;
-            self.engine.set_queues(&config.queues);
+            self.engine.set_queues(&config.queues, now);
             self.send_config();
         }
     }
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -38,22 +38,27 @@
     answers: bool,
     /// When the last call was made.
     asked: Millis,
+    /// It read the configuration, and not only a small row.
+    read: bool,
 }
 
 /// Reads the configuration again and again, or only finds out whether the store answers while an
 /// owner vouches for what this process knows.
 pub async fn read_config(shared: Arc<Shared>) {
-    let mut reach = Reach { answers: true, asked: Millis(0) };
+    let mut reach = Reach { answers: true, asked: Millis(0), read: true };
     loop {
         let told = shared.config_is_told();
         let now = shared.clock.now();
         if !told || is_probed(&shared) || now.since(reach.asked) >= PROBE_EVERY {
-            let answers = ask(&shared, told || !reach.answers).await;
+            // Without any configuration nothing can be served, so no call is spent on a probe.
+            let known = shared.config_version() > 0;
+            let probe = told || (known && !reach.answers);
+            let answers = ask(&shared, probe).await;
             note(&shared, reach.answers, &answers);
-            reach = Reach { answers: answers.is_ok(), asked: now };
+            reach = Reach { answers: answers.is_ok(), asked: now, read: !probe };
         }
         // Woken early when a peer knows a newer version.
-        let pause = pause(&shared, reach.answers);
+        let pause = pause(&shared, &reach);
         if timeout(pause, shared.config_wanted.notified()).await.is_ok() {
             log::debug!("config.wanted");
         }
@@ -102,8 +107,8 @@
 }
 
 /// Returns how long to wait before the next look at what is due.
-fn pause(shared: &Shared, answers: bool) -> Duration {
-    if !answers {
+fn pause(shared: &Shared, reach: &Reach) -> Duration {
+    if !reach.answers || (!reach.read && !shared.config_is_told()) {
         RETRY
     } else if is_probed(shared) {
         PROBE_EVERY_FOR_OWNER
