--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -89,6 +89,7 @@
 pub(crate) fn encode(frame: &Frame) -> Bytes {
     let plain = frame.encode_to_vec();
     let worth_it = plain.len() >= PACK_FROM && matches!(frame.body, Some(Body::Delegated(_)));
+    // A buffer in memory takes all that is written to it; if not, the frame goes as it is.
     let packed = worth_it.then(|| pack(&plain)).and_then(Result::ok);
     let packed = packed.map(|bytes| Frame::from(Body::Packed(bytes)).encode_to_vec());
     match packed.filter(|p| p.len() < plain.len()) {
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -31,13 +31,13 @@
 /// Pause after a failure, and between two looks whether the owner still vouches.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// What is known of the store by this duty.
+/// The last call to the store that this duty has made.
 #[derive(Debug)]
-struct Reach {
-    /// It answered the last call.
-    answers: bool,
-    /// When the last call was made.
-    asked: Millis,
+struct LastCall {
+    /// The store answered it.
+    answered: bool,
+    /// When it was made.
+    at: Millis,
     /// It read the configuration, and not only a small row.
     read: bool,
 }
@@ -45,20 +45,20 @@
 /// Reads the configuration again and again, or only finds out whether the store answers while an
 /// owner vouches for what this process knows.
 pub async fn read_config(shared: Arc<Shared>) {
-    let mut reach = Reach { answers: true, asked: Millis(0), read: true };
+    let mut last = LastCall { answered: true, at: Millis(0), read: true };
     loop {
         let told = shared.config_is_told();
         let now = shared.clock.now();
-        if !told || is_probed(&shared) || now.since(reach.asked) >= PROBE_EVERY {
+        if !told || is_probed(&shared) || now.since(last.at) >= PROBE_EVERY {
             // Without any configuration nothing can be served, so no call is spent on a probe.
             let known = shared.config_version() > 0;
-            let probe = told || (known && !reach.answers);
-            let answers = ask(&shared, probe).await;
-            note(&shared, reach.answers, &answers);
-            reach = Reach { answers: answers.is_ok(), asked: now, read: !probe };
+            let probe = told || (known && !last.answered);
+            let answer = ask(&shared, probe).await;
+            note(&shared, last.answered, &answer);
+            last = LastCall { answered: answer.is_ok(), at: now, read: !probe };
         }
         // Woken early when a peer knows a newer version.
-        let pause = pause(&shared, &reach);
+        let pause = pause(&shared, &last);
         if timeout(pause, shared.config_wanted.notified()).await.is_ok() {
             log::debug!("config.wanted");
         }
@@ -84,8 +84,8 @@
 }
 
 /// Takes note of whether the store has answered; `before`: whether it had the time before.
-fn note(shared: &Shared, before: bool, answers: &Result<(), StoreError>) {
-    match answers {
+fn note(shared: &Shared, before: bool, answer: &Result<(), StoreError>) {
+    match answer {
         Ok(()) => {
             shared.note_store();
             if !before {
@@ -107,8 +107,8 @@
 }
 
 /// Returns how long to wait before the next look at what is due.
-fn pause(shared: &Shared, reach: &Reach) -> Duration {
-    if !reach.answers || (!reach.read && !shared.config_is_told()) {
+fn pause(shared: &Shared, last: &LastCall) -> Duration {
+    if !last.answered || (!last.read && !shared.config_is_told()) {
         RETRY
     } else if is_probed(shared) {
         PROBE_EVERY_FOR_OWNER
