--- a/crates/hollowford-node/src/packed_tests.rs
+++ b/crates/hollowford-node/src/packed_tests.rs
@@ -6,12 +6,12 @@
 /// More than any of these tests unpacks.
 const MOST: usize = 1 << 20;
 
-/// A configuration of so many routes, as the operator writes it.
+/// A text of so many routes, as much alike as those of a configuration are.
 fn routes(count: u32) -> Vec<u8> {
     let route = |i| {
         format!(
-            r#"{{"name":"r-{i:x}","host":"host{i}.example","path-prefix":"/q{i}/","backend":"takvim",
-"priority":1,"max-attempts":4,"stretch":2.5,"target-latency-ms":1000}}"#
+            r#"{{"name":"r-{i:x}","host":"host{i}.example","prefix":"/q{i}/","pool":"calendars",
+"priority":1,"attempts":4,"stretch":2.5,"slack":1000}}"#
         )
     };
     let all: Vec<String> = (0..count).map(route).collect();
