--- a/crates/hollowford-core/src/resources.rs
+++ b/crates/hollowford-core/src/resources.rs
@@ -68,6 +68,32 @@
 }
 
 impl Totals {
+    /// Returns `count` times an amount.
+    pub fn of(r: &Resources, count: u32) -> Totals {
+        let count = u64::from(count);
+        Totals {
+            cpu_milli: u64::from(r.cpu_milli) * count,
+            memory_mib: u64::from(r.memory_mib) * count,
+            accelerators: u64::from(r.accelerators) * count,
+        }
+    }
+
+    /// Adds another sum.
+    pub fn plus(&mut self, rhs: &Totals) {
+        self.cpu_milli += rhs.cpu_milli;
+        self.memory_mib += rhs.memory_mib;
+        self.accelerators += rhs.accelerators;
+    }
+
+    /// Returns the smaller amount of each resource.
+    pub fn least(&self, rhs: &Totals) -> Totals {
+        Totals {
+            cpu_milli: self.cpu_milli.min(rhs.cpu_milli),
+            memory_mib: self.memory_mib.min(rhs.memory_mib),
+            accelerators: self.accelerators.min(rhs.accelerators),
+        }
+    }
+
     /// Adds one amount.
     pub fn add(&mut self, r: &Resources) {
         self.cpu_milli += u64::from(r.cpu_milli);
--- a/crates/hollowford-engine/src/account.rs
+++ b/crates/hollowford-engine/src/account.rs
@@ -1,29 +1,13 @@
 //! Client accounts as the engine sees them: configuration, use and queues.
 
 use crate::request::{Class, Lane};
+use hollowford_accounts::AccountPolicy;
 use hollowford_core::{AccountId, Kind, Millis, RequestNo, Resources, Spec, Totals};
 use std::collections::{HashMap, VecDeque};
 
 /// Position of a client account in the engine's table.
 pub(crate) type AccountIdx = u32;
 
-/// What the configuration grants to a client account.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AccountPolicy {
-    /// Share relative to other accounts.
-    pub weight: u32,
-    /// Most that its tasks hold at once; zeros: no limit.
-    pub quota: Totals,
-    /// Requests that may wait at once; 0: the policy's default.
-    pub max_queued: u32,
-}
-
-impl Default for AccountPolicy {
-    fn default() -> AccountPolicy {
-        AccountPolicy { weight: 1, quota: Totals::default(), max_queued: 0 }
-    }
-}
-
 /// One client account.
 #[derive(Debug)]
 pub(crate) struct Account {
@@ -122,12 +106,7 @@
 
     /// Tells whether one more `r`, `count` times, stays within the quota.
     pub fn allows(&self, r: &Resources, count: u32) -> bool {
-        let more = Resources::new(
-            r.cpu_milli.saturating_mul(count),
-            r.memory_mib.saturating_mul(count),
-            r.accelerators.saturating_mul(count),
-        );
-        self.used.within(&more, &self.policy.quota)
+        self.policy.allows(&self.used, r, count)
     }
 }
 
--- a/crates/hollowford-engine/src/engine.rs
+++ b/crates/hollowford-engine/src/engine.rs
@@ -1,12 +1,13 @@
 //! The state of one partition and the parts that every event shares.
 
-use crate::account::{AccountPolicy, Accounts};
+use crate::account::Accounts;
 use crate::event::{Action, Change, Record};
 use crate::gang::Reservation;
 use crate::policy::Policy;
 use crate::preempt::PreemptBudget;
 use crate::request::Requests;
 use crate::worker::{WorkerIdx, Workers};
+use hollowford_accounts::AccountPolicy;
 use hollowford_core::{
     AccountId, Epoch, InstanceId, Millis, PartitionId, RequestKey, RequestNo, TaskId,
 };
--- a/crates/hollowford-engine/src/lib.rs
+++ b/crates/hollowford-engine/src/lib.rs
@@ -30,11 +30,11 @@
 mod unledgered;
 mod worker;
 
-pub use account::AccountPolicy;
 pub use engine::{Authority, Engine, Stats};
 pub use event::{
     Action, Change, Claim, ClaimedTask, EndReport, FinalAnswer, Listed, Outcome, Record, TaskEnd,
     TaskResult, TaskUsage,
 };
+pub use hollowford_accounts::AccountPolicy;
 pub use policy::Policy;
 pub use query::{AccountView, View, WorkerView};
