Keys and quotas of client accounts are in force on the users' path

Cause: nothing on that path knew a client account. Callers without a known key were served, accounts ran over their caps. Ruled out for keys: the entry alone (one that is behind serves a key that was taken away), the owner alone (an unknown key waits for an owner). Both check; the newer configuration decides. A job belongs to the account that handed it in, by its row; another account can't ask for it or cancel it. Quotas are counted anew for each pass, from all that workers hold or may hold; after a takeover the worst case of the workers that were not heard counts. Ruled out: waiting for all claims (a silent worker would hold up every start for seconds), holdings in the ledger (a write before each start). A gang's part of the quota is kept for it. Partitions grant equal parts.

--- a/crates/hollowford-jobs/benches/ledger.rs
+++ b/crates/hollowford-jobs/benches/ledger.rs
@@ -5,7 +5,7 @@
 //! after the other; half of its answer time is the turn of a transaction, half the way there.
 
 use hollowford_core::{Millis, Resources};
-use hollowford_jobs::{Batch, Bounds, Engine, JobId, JobSpec, Queue, RawJob, RawStep};
+use hollowford_jobs::{Batch, Bounds, Engine, JobId, JobSpec, NO_ACCOUNT, Queue, RawJob, RawStep};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -95,7 +95,7 @@
     fn submit(&mut self, id: u64) {
         // Ids spread as callers choose them.
         let id = JobId(id.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        self.engine.submit(id, "q", self.spec.clone(), Millis(self.now));
+        self.engine.submit(id, NO_ACCOUNT, "q", self.spec.clone(), Millis(self.now));
     }
 
     /// Takes in the answers that are due, and cuts the next batch. Returns how many rows were
--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -255,9 +255,10 @@
         note: &mut BatchNote,
     ) {
         let Some(job) = self.jobs.get_mut(id) else { return };
+        let account = self.accounts.name(job.account);
         note.ends.extend(job.ends.drain(..).map(|end| (id, end)));
         if let Some(state) = job.end {
-            rows.push(put(job_key(id), JobRow::ended(state, now.0).encode_to_vec()));
+            rows.push(put(job_key(id), JobRow::ended(state, now.0, account).encode_to_vec()));
             if job.has_progress {
                 rows.push(RowWrite { key: progress_key(id), value: None });
             }
@@ -265,7 +266,7 @@
             return;
         }
         if std::mem::take(&mut job.unwritten) {
-            rows.push(put(job_key(id), JobRow::open(job).encode_to_vec()));
+            rows.push(put(job_key(id), JobRow::open(job, account).encode_to_vec()));
             note.accepted.push(id);
         }
         if std::mem::take(&mut job.progressed) {
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -1,5 +1,6 @@
 //! Tasks that run and end, as the workers tell it.
 
+use crate::accounts::NO_ACCOUNT;
 use crate::engine::Engine;
 use crate::job::{JobState, count_failure};
 use crate::note::Note;
@@ -39,7 +40,7 @@
         let Some(job) = self.jobs.get_mut(key.step.job).filter(|j| j.end.is_none()) else {
             return false;
         };
-        let spec = job.spec.clone();
+        let (spec, account) = (job.spec.clone(), job.account);
         let Some(step_spec) = spec.steps.get(key.step.step as usize) else { return false };
         let Some(step) = self.jobs.step_mut(key.step) else { return false };
         let Some(task) = step.tasks.get_mut(key.index as usize) else { return false };
@@ -55,7 +56,7 @@
         let held = Held {
             // How long it has run already is not known.
             expected_end: now + Millis(step_spec.estimate_ms / 2),
-            ..Held::new(key, r.run, step_spec.room(), Phase::Running, now)
+            ..Held::new((key, r.run), account, step_spec.room(), Phase::Running, now)
         };
         if let Some(w) = self.workers.get_mut(idx) {
             w.hold(held);
@@ -65,13 +66,16 @@
 
     /// Keeps a worker from new work while it runs what it should not, and stops that.
     fn hold_foreign(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
-        let spec = self.jobs.get(r.task.step.job).map(|j| j.spec.clone());
+        let id = r.task.step.job;
+        let name = self.account_of(id).unwrap_or(NO_ACCOUNT).to_owned();
+        let account = self.accounts.intern(&name);
+        let spec = self.jobs.get(id).map(|j| j.spec.clone());
         let step = spec.as_ref().and_then(|s| s.steps.get(r.task.step.step as usize));
         let Some(w) = self.workers.get_mut(idx) else { return };
         // What a job that has ended takes is not known any more, and the worker's size may not
         // be known yet: nothing fits beside it.
         let room = step.map_or(Resources::ALL, StepSpec::room);
-        w.hold(Held::new(r.task, r.run, room, Phase::Stopping, now));
+        w.hold(Held::new((r.task, r.run), account, room, Phase::Stopping, now));
         self.notes.push(Note::Foreign { task: r.task, run: r.run, worker: w.id.clone() });
         self.stats.foreign += 1;
     }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,5 +1,6 @@
 //! The state of one partition, and what the passing of time does to it.
 
+use crate::accounts::Accounts;
 use crate::advice::GoodShare;
 use crate::answers::Losses;
 use crate::batch::InFlight;
@@ -81,6 +82,7 @@
     /// Lives of workers that are over; the list may go on naming them for a while.
     pub(crate) dead: HashSet<InstanceId>,
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
+    pub(crate) accounts: Accounts,
     pub(crate) seats: Seats,
     /// Which share of the workers may run a step, by queue.
     pub(crate) good_shares: FxHashMap<Arc<str>, GoodShare>,
@@ -125,6 +127,7 @@
             workers: Workers::default(),
             dead: HashSet::new(),
             queues: FxHashMap::default(),
+            accounts: Accounts::default(),
             seats: Seats::default(),
             good_shares: FxHashMap::default(),
             losses: Losses::default(),
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -17,6 +17,13 @@
     /// for it. One member that fails ends all, so workers on which tasks have failed lately are
     /// used only where there is no room for it without them.
     pub(crate) fn place_gang(&mut self, pass: &mut Pass, gang: Placing<'_>, out: &mut Vec<Order>) {
+        let (account, need) = (gang.account, gang.spec.room());
+        if !self.accounts.allows(account, &need, gang.spec.count) {
+            self.accounts.keep(account, &need, gang.spec.count);
+            // The answers are slow: the gang gets to know its workers meanwhile.
+            self.ask_for_gang(pass, gang, None, out);
+            return;
+        }
         let ticketed: Vec<usize> = self.rooms_of(pass, gang, Standing::Ticketed).collect();
         let mut good = ticketed.clone();
         if gang.queue.advice.is_some() {
@@ -37,6 +44,7 @@
             self.start_gang(pass, gang, &seating, out);
             return;
         }
+        self.accounts.keep(account, &need, gang.spec.count);
         let plan = self.plan_gang(pass, gang, seated, &good);
         self.ask_for_gang(pass, gang, plan.as_ref(), out);
         if let Some(plan) = plan {
@@ -69,7 +77,7 @@
         seating: &Seating,
         out: &mut Vec<Order>,
     ) {
-        let Placing { key, spec, .. } = gang;
+        let Placing { key, account, spec, .. } = gang;
         let floor = self.jobs.get(key.job).map_or(0, |j| j.run_floor(self.epoch));
         let Some(step) = self.jobs.step_mut(key) else { return };
         step.gang_since = pass.now;
@@ -78,6 +86,7 @@
         for &(at, n) in seating {
             for _ in 0..n {
                 pass.rooms[at].take(&spec.room());
+                self.accounts.take(account, &spec.room());
                 let idx = pass.rooms[at].idx;
                 self.start(Placement { idx, task: key.task(index), run }, pass.now, out);
                 index += 1;
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -1,5 +1,6 @@
 //! A job and its parts.
 
+use crate::accounts::AccountIdx;
 use crate::advice::StepAdvice;
 use crate::spec::{JobId, JobSpec, StepSpec};
 use crate::workers::WorkerIdx;
@@ -160,6 +161,8 @@
 pub(crate) struct Job {
     pub id: JobId,
     pub queue: Arc<str>,
+    /// The client account that handed it in.
+    pub account: AccountIdx,
     pub spec: Arc<JobSpec>,
     /// Epoch of the owner that accepted it.
     pub epoch: u64,
--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -1,5 +1,6 @@
 //! All jobs of the partition.
 
+use crate::accounts::AccountIdx;
 use crate::dirty::Dirty;
 use crate::job::{Job, JobState, Step, Task};
 use crate::spec::{JobId, StepKey, StepSpec, TaskKey};
@@ -12,6 +13,7 @@
 pub(crate) struct Ended {
     pub state: JobState,
     pub at: Millis,
+    pub account: AccountIdx,
 }
 
 /// Open jobs, and how the others ended.
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //! Time is the store's steady clock in milliseconds, so that an owner can compare what an
 //! earlier one wrote down.
 
+mod accounts;
 mod advice;
 mod answers;
 mod asking;
@@ -45,6 +46,7 @@
 mod worker;
 mod workers;
 
+pub use accounts::{Account, AccountUse, NO_ACCOUNT};
 pub use batch::{Batch, RowWrite};
 pub use choose::rack_label;
 pub use engine::{Bounds, Engine, Stats};
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -1,5 +1,6 @@
 //! Placing the tasks of the steps that wait.
 
+use crate::accounts::AccountIdx;
 use crate::advice::{Standing, StepAdvice};
 use crate::choose::Room;
 use crate::engine::Engine;
@@ -21,6 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Placing<'a> {
     pub key: StepKey,
+    /// The client account of its job.
+    pub account: AccountIdx,
     /// The job's acceptance is in the store, so that tasks may start.
     pub kept: bool,
     pub spec: &'a StepSpec,
@@ -36,6 +39,7 @@
         if steps.is_empty() {
             return;
         }
+        self.count_use();
         let usable = self.workers.iter().filter(|(_, w)| w.usable(now) && w.recorded);
         let rooms = usable.map(|(i, w)| Room::of(i, w, now)).collect();
         let mut pass = Pass::new(now, full, rooms);
@@ -55,9 +59,9 @@
         let key = waiting.key;
         let Some(job) = self.jobs.get(key.job) else { return };
         let Some(queue) = self.queues.get(&job.queue).cloned() else { return };
-        let job_spec = job.spec.clone();
+        let (job_spec, account) = (job.spec.clone(), job.account);
         let Some(spec) = job_spec.steps.get(key.step as usize) else { return };
-        let step = Placing { key, kept: waiting.kept, spec, queue: &queue };
+        let step = Placing { key, account, kept: waiting.kept, spec, queue: &queue };
         if spec.gang {
             self.place_gang(pass, step, out);
         } else {
@@ -70,7 +74,9 @@
         let waiting = tasks.len();
         let (started, shunned) =
             if step.kept { self.start_tasks(pass, step, tasks, out) } else { (0, None) };
-        let left = waiting - started;
+        // What the account's quota holds back needs neither advice nor room.
+        let room = step.spec.room();
+        let left = self.accounts.room_for(step.account, &room, waiting - started);
         if left == 0 {
             return;
         }
@@ -97,9 +103,13 @@
         let floor = self.jobs.get(step.key.job).map_or(0, |j| j.run_floor(self.epoch));
         let mut started = 0;
         for (index, run, avoid) in tasks {
+            if !self.accounts.allows(step.account, &step.spec.room(), 1) {
+                return (started, None);
+            }
             let avoid = avoid.filter(|&w| self.has_other(pass, step, w));
             let Some(at) = self.choose(pass, step, avoid) else { return (started, avoid) };
             pass.rooms[at].take(&step.spec.room());
+            self.accounts.take(step.account, &step.spec.room());
             let idx = pass.rooms[at].idx;
             let p = Placement { idx, task: step.key.task(index), run: run.max(floor) + 1 };
             self.start(p, pass.now, out);
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -69,13 +69,15 @@
         let state = JobState::from_code(row.state)?;
         if state.is_final() {
             found.ended += 1;
-            self.jobs.close(id, Ended { state, at: Millis(row.ended_at) });
+            let account = self.accounts.intern(&row.account);
+            self.jobs.close(id, Ended { state, at: Millis(row.ended_at), account });
             return Ok(());
         }
         found.open += 1;
         let spec = Arc::new(row.spec()?);
         let name: Arc<str> = row.queue.as_str().into();
-        let mut job = new_job(id, name, spec, row.epoch, Millis(row.accepted_at));
+        let account = self.accounts.intern(&row.account);
+        let mut job = new_job(id, (account, name), spec, row.epoch, Millis(row.accepted_at));
         job.kept = true;
         job.unwritten = false;
         if job.spec.schedule.is_none() {
--- a/crates/hollowford-jobs/src/rows.rs
+++ b/crates/hollowford-jobs/src/rows.rs
@@ -20,7 +20,7 @@
     State(u32),
 }
 
-/// A job. One that has ended keeps `state` and `ended_at` only.
+/// A job. One that has ended keeps `state`, `ended_at` and `account` only.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct JobRow {
     #[prost(uint32, tag = "1")]
@@ -39,6 +39,9 @@
     pub epoch: u64,
     #[prost(uint64, tag = "8")]
     pub accepted_at: u64,
+    /// The client account that handed it in; empty: none, or a row of a version before.
+    #[prost(string, tag = "9")]
+    pub account: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -262,7 +265,7 @@
 
 impl JobRow {
     /// Returns the row of an open job.
-    pub fn open(job: &Job) -> JobRow {
+    pub fn open(job: &Job, account: &str) -> JobRow {
         let schedule = job.spec.schedule.map(ScheduleRow::from);
         JobRow {
             state: JobState::Queued.code(),
@@ -273,12 +276,14 @@
             schedule,
             epoch: job.epoch,
             accepted_at: job.accepted_at.0,
+            account: account.to_owned(),
         }
     }
 
     /// Returns the row of a job that has ended.
-    pub fn ended(state: JobState, at: u64) -> JobRow {
-        JobRow { state: state.code(), ended_at: at, ..JobRow::default() }
+    pub fn ended(state: JobState, at: u64, account: &str) -> JobRow {
+        let account = account.to_owned();
+        JobRow { state: state.code(), ended_at: at, account, ..JobRow::default() }
     }
 
     /// Returns the job that the row describes.
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -28,7 +28,7 @@
         let spec = &job.spec.steps[key.step.step as usize];
         let held = Held {
             expected_end: now + Millis(spec.estimate_ms),
-            ..Held::new(key, run, spec.room(), Phase::Starting, now)
+            ..Held::new((key, run), job.account, spec.room(), Phase::Starting, now)
         };
         if let Some(task) = self.jobs.task_mut(key) {
             task.at = Some(idx);
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -1,5 +1,6 @@
 //! Jobs come in, are cancelled, and are asked for.
 
+use crate::accounts::{AccountIdx, NO_ACCOUNT};
 use crate::batch::WANTED_IN_BATCH;
 use crate::engine::Engine;
 use crate::job::{Job, JobState};
@@ -18,6 +19,8 @@
     Pending,
     /// There is no such queue.
     NoQueue,
+    /// The id is that of another account's job. Nothing was taken.
+    NotYours,
 }
 
 /// What came of cancelling a job.
@@ -32,14 +35,19 @@
 }
 
 impl Engine {
-    /// Takes a job. A job that is known already remains as it is.
+    /// Takes a job of a client account. A job that is known already remains as it is, and is told
+    /// of to its own account only.
     pub fn submit(
         &mut self,
         id: JobId,
+        account: &str,
         queue: &str,
         spec: Arc<JobSpec>,
         now: Millis,
     ) -> SubmitAnswer {
+        if !self.may_touch(id, account) {
+            return SubmitAnswer::NotYours;
+        }
         if self.jobs.ended(id).is_some() {
             return SubmitAnswer::Kept;
         }
@@ -50,7 +58,8 @@
             return SubmitAnswer::NoQueue;
         };
         let steps = spec.steps.len();
-        let mut job = new_job(id, queue.clone(), spec, self.epoch, now);
+        let account = self.accounts.intern(account);
+        let mut job = new_job(id, (account, queue.clone()), spec, self.epoch, now);
         if job.spec.schedule.is_none() {
             job.add_round(now);
         }
@@ -74,6 +83,12 @@
         CancelAnswer::Pending
     }
 
+    /// Tells whether an account may ask for a job or cancel it: its own, one that isn't known, and
+    /// one that belongs to none.
+    pub fn may_touch(&self, id: JobId, account: &str) -> bool {
+        self.account_of(id).is_none_or(|owner| owner == account || owner == NO_ACCOUNT)
+    }
+
     /// Tells whether a job's acceptance is in the store; none when it is not known.
     pub fn is_kept(&self, id: JobId) -> Option<bool> {
         if self.jobs.ended(id).is_some() {
@@ -148,14 +163,15 @@
 
     /// Replaces a job whose end is in the store.
     pub(crate) fn close_job(&mut self, id: JobId, state: JobState, at: Millis) {
-        self.jobs.close(id, Ended { state, at });
+        let Some(account) = self.jobs.get(id).map(|j| j.account) else { return };
+        self.jobs.close(id, Ended { state, at, account });
     }
 }
 
 /// Makes a job without rounds.
 pub(crate) fn new_job(
     id: JobId,
-    queue: Arc<str>,
+    (account, queue): (AccountIdx, Arc<str>),
     spec: Arc<JobSpec>,
     epoch: u64,
     accepted_at: Millis,
@@ -163,6 +179,7 @@
     Job {
         id,
         queue,
+        account,
         spec,
         epoch,
         accepted_at,
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -1,5 +1,6 @@
 //! One worker as the owner knows it.
 
+use crate::accounts::AccountIdx;
 use crate::answers;
 use crate::health::Health;
 use crate::order::WorkerListing;
@@ -30,6 +31,8 @@
 pub(crate) struct Held {
     pub task: TaskKey,
     pub run: u32,
+    /// The client account that it runs for.
+    pub account: AccountIdx,
     pub room: Resources,
     pub phase: Phase,
     /// When it was ordered, or found.
@@ -55,12 +58,19 @@
 }
 
 impl Held {
-    /// Makes what takes `room` in `phase` from `now` on. Its end is expected at once; callers
-    /// that know better say so.
-    pub fn new(task: TaskKey, run: u32, room: Resources, phase: Phase, now: Millis) -> Held {
+    /// Makes what takes `room` for an account in `phase` from `now` on. Its end is expected at
+    /// once; callers that know better say so.
+    pub fn new(
+        (task, run): (TaskKey, u32),
+        account: AccountIdx,
+        room: Resources,
+        phase: Phase,
+        now: Millis,
+    ) -> Held {
         Held {
             task,
             run,
+            account,
             room,
             phase,
             since: now,
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -77,6 +77,8 @@
     pub specs: BTreeMap<JobId, Arc<JobSpec>>,
     /// The queue of each job.
     pub queue_of: BTreeMap<JobId, Arc<str>>,
+    /// The client account of each job.
+    pub account_of: BTreeMap<JobId, String>,
     /// Entries of lives that are over, which the list still shows.
     pub stale: Vec<WorkerListing>,
     /// Orders carried out, for tests that look at them.
@@ -101,6 +103,7 @@
             pending: Vec::new(),
             specs: BTreeMap::new(),
             queue_of: BTreeMap::new(),
+            account_of: BTreeMap::new(),
             stale: Vec::new(),
             log: Vec::new(),
         };
@@ -128,9 +131,21 @@
     }
 
     pub fn submit(&mut self, id: u64, queue: &str, spec: Arc<JobSpec>) -> SubmitAnswer {
+        self.submit_for(NO_ACCOUNT, id, queue, spec)
+    }
+
+    /// Hands in a job of a client account.
+    pub fn submit_for(
+        &mut self,
+        account: &str,
+        id: u64,
+        queue: &str,
+        spec: Arc<JobSpec>,
+    ) -> SubmitAnswer {
         self.specs.insert(JobId(id), spec.clone());
         self.queue_of.insert(JobId(id), queue.into());
-        self.engine.submit(JobId(id), queue, spec, self.now)
+        self.account_of.insert(JobId(id), account.to_owned());
+        self.engine.submit(JobId(id), account, queue, spec, self.now)
     }
 
     pub fn state(&self, id: u64) -> Option<JobState> {
--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -60,6 +60,12 @@
     ) {
         let job = JobId(call.job);
         let verb = call.verb();
+        if verb != Verb::Waiting && !engine.may_touch(job, &call.account) {
+            // Nobody is told of another account's job, nor whether there is one, but by handing in
+            // the same id.
+            let said = if verb == Verb::Submit { Said::NotYours } else { Said::NoJob };
+            return reply.send(call.id, said, 0);
+        }
         let said = match verb {
             // Its end is on the way to the store, which takes some milliseconds.
             Verb::State if engine.is_ending(job) => None,
@@ -155,9 +161,10 @@
             return Some(Said::Unavailable);
         }
     };
-    match engine.submit(job, &call.queue, spec, now) {
+    match engine.submit(job, &call.account, &call.queue, spec, now) {
         SubmitAnswer::Kept => Some(Said::Done),
         SubmitAnswer::Pending => None,
         SubmitAnswer::NoQueue => Some(Said::NoQueue),
+        SubmitAnswer::NotYours => Some(Said::NotYours),
     }
 }
--- a/crates/hollowford-node/src/config_told.rs
+++ b/crates/hollowford-node/src/config_told.rs
@@ -52,6 +52,11 @@
         };
     }
 
+    /// Tells whether the owner has told of a newer configuration that has not arrived.
+    pub fn is_behind(&self) -> bool {
+        self.behind.is_some()
+    }
+
     /// Tells whether the owner vouches at `now` for what this process knows, or is about to send
     /// what is newer.
     pub fn is_enough(&self, now: Millis) -> bool {
--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -1,12 +1,13 @@
 //! Callers' HTTP.
 
+use crate::access::{self, Access};
 use crate::relay::{Relayed, relay};
 use crate::shared::Shared;
 use crate::wire::{Call, Said, Verb};
 use futures::future::join_all;
 use hollowford_adapter::{
-    CallerRequest, Config, READY_PATH, client_timeout, decode_job, encode_state, encode_waiting,
-    parse_request_path,
+    CallerRequest, Config, READY_PATH, Route, client_credential, client_timeout, decode_job,
+    encode_state, encode_waiting, parse_request_path,
 };
 use hollowford_core::Millis;
 use hollowford_jobs::{JobId, JobState, encode_spec};
@@ -90,10 +91,9 @@
     /// Reads what the caller wants of the owner, or the status that refuses it.
     async fn understand(&self, req: &mut Request) -> Result<Call, StatusCode> {
         let config = self.shared.config.load_full().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-        let (queue, rest) = find_queue(&config, req).ok_or(StatusCode::NOT_FOUND)?;
+        let (route, rest) = find_route(&config, req).ok_or(StatusCode::NOT_FOUND)?;
         let what = parse_request_path(&rest).ok_or(StatusCode::BAD_REQUEST)?;
-        let queue = queue.to_string();
-        let mut call = Call { queue, config: config.version, ..Call::default() };
+        let mut call = self.identify(&config, route, req)?;
         let CallerRequest::Job(JobId(job)) = what else {
             call.set_verb(Verb::Waiting);
             let get = *req.method() == Method::GET;
@@ -112,6 +112,21 @@
         Ok(call)
     }
 
+    /// Begins a call with the client account that it is made for. An unknown key is refused at once,
+    /// unless this process knows that it is behind: then the owner decides.
+    fn identify(&self, config: &Config, route: &Route, req: &Request) -> Result<Call, StatusCode> {
+        let credential = client_credential(|name| req.header(name));
+        let mut call =
+            Call { queue: route.queue.to_string(), config: config.version, ..Call::default() };
+        match access::check(config, Some(route), credential.as_ref()) {
+            Access::Granted(account) => call.account = account.to_owned(),
+            Access::Unknown if self.shared.config_is_behind() => call.unknown_key = true,
+            Access::Unknown => return Err(StatusCode::UNAUTHORIZED),
+        }
+        call.credential = credential.map_or_else(Vec::new, |c| c.as_bytes().to_vec());
+        Ok(call)
+    }
+
     fn respond(&self, verb: Verb, relayed: Relayed, began: Millis) -> Response {
         let verb_name = verb.name();
         match relayed {
@@ -127,6 +142,10 @@
                     None => self.plain(StatusCode::INTERNAL_SERVER_ERROR, verb_name, began),
                 }
             }
+            Relayed::Said(Said::UnknownKey, _) => {
+                self.plain(StatusCode::UNAUTHORIZED, verb_name, began)
+            }
+            Relayed::Said(Said::NotYours, _) => self.plain(StatusCode::CONFLICT, verb_name, began),
             Relayed::Said(Said::NoJob, _) => self.plain(StatusCode::GONE, verb_name, began),
             Relayed::Said(Said::Unavailable, _) | Relayed::NotSent => {
                 self.plain(StatusCode::SERVICE_UNAVAILABLE, verb_name, began)
@@ -202,14 +221,14 @@
     Ok(encode_spec(&spec))
 }
 
-/// Finds the queue with the longest prefix of the path, and what follows the prefix.
-fn find_queue(config: &Config, req: &Request) -> Option<(Arc<str>, String)> {
+/// Finds the route with the longest prefix of the path, and what follows the prefix.
+fn find_route<'a>(config: &'a Config, req: &Request) -> Option<(&'a Route, String)> {
     let host = req.header(header::HOST)?;
     let host = host.split(':').next()?;
     let path = req.uri().path();
-    let matches = |r: &&hollowford_adapter::Route| r.host == host && path.starts_with(&r.prefix);
+    let matches = |r: &&Route| r.host == host && path.starts_with(&r.prefix);
     let route = config.routes.iter().filter(matches).max_by_key(|r| r.prefix.len())?;
-    Some((route.queue.clone(), path[route.prefix.len()..].to_owned()))
+    Some((route, path[route.prefix.len()..].to_owned()))
 }
 
 /// Reads a state that the owner told.
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! Its duties are tasks of one thread, joined by bounded channels; see docs/PLATFORM.md.
 
+mod access;
+#[cfg(test)]
+mod access_tests;
 mod announce;
 mod batches;
 mod callers;
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -2,6 +2,7 @@
 
 mod worker_calls;
 
+use crate::access::{self, Access, VOUCHES_FOR};
 use crate::batches::Batches;
 use crate::callers::{Waiters, patience};
 use crate::delegation::{Delegation, Delivered};
@@ -16,7 +17,7 @@
 use crate::shared::Shared;
 use crate::wire::{Call, MemberBeat, OwnerInfo, Said};
 use crate::writer::Written;
-use hollowford_adapter::{NodeSettings, Version, WorkerClient};
+use hollowford_adapter::{Config, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
 use hollowford_jobs::{Engine, Order};
 use std::time::Duration;
@@ -219,11 +220,33 @@
             reply.send(call.id, Said::NotOwner, 0);
             return;
         }
+        let call = match self.admit(call) {
+            Ok(call) => call,
+            Err((id, said)) => return reply.send(id, said, 0),
+        };
         let limit = patience(&call);
         let admitted = self.batches.admits(&self.engine, limit, now);
         self.waiters.take(&mut self.engine, call, reply, admitted, now);
     }
 
+    /// Checks for whom a call is made, and names that account in it; else tells the answer.
+    fn admit(&self, mut call: Call) -> Result<Call, (u64, Said)> {
+        let config = self.cx.shared.config.load();
+        let config = config.as_deref();
+        let has_accounts = config.is_some_and(|c| c.accounts.is_some());
+        if has_accounts && self.cx.shared.config_age() >= VOUCHES_FOR {
+            return Err((call.id, Said::Unavailable));
+        }
+        match access::recheck(config, &call) {
+            Access::Granted(account) if account == call.account => Ok(call),
+            Access::Granted(account) => {
+                call.account = account.to_owned();
+                Ok(call)
+            }
+            Access::Unknown => Err((call.id, Said::UnknownKey)),
+        }
+    }
+
     /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
     fn refuse_unsent(&mut self, now: Millis) {
         if self.batches.is_stalled(now) {
@@ -306,10 +329,16 @@
         {
             self.config = version;
             self.engine.set_queues(&config.queues, now);
+            self.set_accounts(&config);
             self.send_config();
         }
     }
 
+    fn set_accounts(&mut self, config: &Config) {
+        let accounts = config.accounts.as_deref().unwrap_or_default();
+        self.engine.set_accounts(accounts, self.cx.shared.partition_count());
+    }
+
     fn send_config(&mut self) {
         if let Some(row) = self.cx.shared.config_row() {
             self.members.send_config(self.cx.shared.config_version(), &row);
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -185,6 +185,11 @@
             && self.partitions().iter().any(|p| p.config_told().is_enough(now))
     }
 
+    /// Tells whether this process knows that there is a newer configuration than its own.
+    pub fn config_is_behind(&self) -> bool {
+        self.partitions().iter().any(|p| p.config_told().is_behind())
+    }
+
     /// Tells whether a row of the configuration is newer than what was read before.
     pub fn is_new_config_row(&self, version: u64) -> bool {
         self.config_row.load().as_ref().is_none_or(|r| r.row_version < version)
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -236,6 +236,15 @@
     /// How long the caller waits for the answer, in milliseconds; 0: not told.
     #[prost(uint64, tag = "7")]
     pub limit_ms: u64,
+    /// The client account that the entry found; empty: none is needed.
+    #[prost(string, tag = "8")]
+    pub account: String,
+    /// Digest of the caller's key; empty: it bears none.
+    #[prost(bytes = "vec", tag = "9")]
+    pub credential: Vec<u8>,
+    /// The entry knows no account for the key, and knows that it is behind.
+    #[prost(bool, tag = "10")]
+    pub unknown_key: bool,
 }
 
 /// What the owner says to a call.
@@ -258,6 +267,10 @@
     Unsure = 6,
     /// The sender owned the partition and no longer does: what it did may stand.
     Deposed = 7,
+    /// The key is missing or unknown. Nothing was done.
+    UnknownKey = 8,
+    /// The job is another account's. Nothing was done.
+    NotYours = 9,
 }
 
 /// The owner's answer to a call.
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -190,8 +190,23 @@
 
     /// Makes a request of a process; no status when there is no answer.
     pub async fn call(&self, node: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
+        self.call_as("", node, method, path, body).await
+    }
+
+    /// Makes the same with a caller's key; empty: without one.
+    pub async fn call_as(
+        &self,
+        key: &str,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: Value,
+    ) -> (u16, Value) {
         let url = format!("http://{}{path}", self.nodes[node].callers);
-        let req = self.http.request(method, url).header("host", speech::HOST);
+        let mut req = self.http.request(method, url).header("host", speech::HOST);
+        if !key.is_empty() {
+            req = req.bearer_auth(key);
+        }
         let req = req.timeout(Duration::from_secs(10)).body(body.to_string());
         match req.send().await {
             Ok(answer) => {
--- /dev/null
+++ b/crates/hollowford/tests/keys.rs
@@ -0,0 +1,101 @@
+//! Callers' keys, on processes of `hollowford node`.
+
+#[path = "common/node.rs"]
+mod node;
+
+use hollowford_adapter_standin::{AccountKeys, Faults, speech};
+use node::{Cell, eventually};
+use reqwest::Method;
+use serde_json::Value;
+
+const PREFIXES: &[(&str, bool)] = &[("/plain/", false), ("/advised/", true)];
+const JOB: &str = "/plain/0000000000000001";
+
+/// Names an account with these keys and no quota.
+fn account(name: &str, keys: &[&str]) -> AccountKeys {
+    let keys = keys.iter().map(|&k| k.to_owned()).collect();
+    AccountKeys { name: name.into(), keys, cpu_milli: 0 }
+}
+
+/// Waits until a process answers a question with this key with `status`.
+async fn await_status(cell: &Cell, node: usize, key: &str, status: u16) {
+    let told =
+        || async { cell.call_as(key, node, Method::GET, "/plain/", Value::Null).await.0 == status };
+    assert!(eventually(told).await, "no {status} for {key}:\n{}", cell.logs());
+}
+
+/// Starts processes that all know the keys of `a` and `b`.
+async fn keyed(nodes: usize) -> Cell {
+    let cell = Cell::start(nodes, 2).await;
+    let accounts = [account("a", &["a1", "a2"]), account("b", &["b1"])];
+    cell.platform.configure_accounts(2, PREFIXES, &accounts);
+    for node in 0..nodes {
+        await_status(&cell, node, "", 401).await;
+        await_status(&cell, node, "b1", 200).await;
+    }
+    cell
+}
+
+#[tokio::test]
+async fn every_call_needs_a_key_and_a_job_is_its_accounts_own() {
+    let cell = keyed(2).await;
+    let call = async |key, method| cell.call_as(key, 1, method, JOB, Value::Null).await.0;
+    let submit = async |key, node| {
+        cell.call_as(key, node, Method::POST, JOB, speech::job(1, 600_000)).await.0
+    };
+    for key in ["", "wrong", "A1"] {
+        assert_eq!(submit(key, 0).await, 401);
+        assert_eq!(call(key, Method::GET).await, 401);
+        assert_eq!(call(key, Method::DELETE).await, 401);
+        assert_eq!(cell.call_as(key, 0, Method::GET, "/plain/", Value::Null).await.0, 401);
+    }
+    assert_eq!(call("a1", Method::GET).await, 410, "nothing of those has run");
+    assert_eq!(submit("a1", 0).await, 200);
+    assert_eq!(call("a2", Method::GET).await, 200, "another key of the account");
+    assert_eq!(call("b1", Method::GET).await, 410);
+    assert_eq!(call("b1", Method::DELETE).await, 410);
+    assert_eq!(submit("b1", 1).await, 409);
+    assert_eq!(call("a1", Method::DELETE).await, 200);
+    assert_eq!(call("b1", Method::GET).await, 410, "nor how it ended");
+}
+
+#[tokio::test]
+async fn a_key_that_is_taken_away_ends_and_accepted_work_goes_on() {
+    let cell = keyed(3).await;
+    let submit = |key| cell.call_as(key, 0, Method::POST, JOB, speech::job(1, 600_000));
+    assert_eq!(submit("a1").await.0, 200);
+    // The last key of `b` goes, too, and `a` has a new one.
+    let accounts = [account("a", &["a2", "a3"]), account("b", &[])];
+    cell.platform.configure_accounts(3, PREFIXES, &accounts);
+    for node in 0..3 {
+        await_status(&cell, node, "a1", 401).await;
+        await_status(&cell, node, "b1", 401).await;
+        await_status(&cell, node, "a3", 200).await;
+    }
+    let (status, body) = cell.call_as("a3", 1, Method::GET, JOB, Value::Null).await;
+    assert_eq!(status, 200);
+    assert!(["queued", "running"].contains(&&*speech::state(&body)));
+}
+
+#[tokio::test]
+async fn an_entry_without_the_store_hears_of_keys_from_the_owner() {
+    let cell = keyed(3).await;
+    let away = (cell.owner() + 1) % 3;
+    cell.nodes[away].store.shut(true);
+    let accounts = [account("a", &["a3"]), account("b", &["b1"])];
+    cell.platform.configure_accounts(3, PREFIXES, &accounts);
+    await_status(&cell, away, "a1", 401).await;
+    await_status(&cell, away, "a3", 200).await;
+}
+
+#[tokio::test]
+async fn unknown_keys_are_refused_at_once_while_the_store_is_away_and_no_owner_lives() {
+    let mut cell = keyed(3).await;
+    cell.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    let owner = cell.owner();
+    cell.nodes[owner].kill();
+    let other = (owner + 1) % 3;
+    assert_eq!(cell.call_as("wrong", other, Method::GET, JOB, Value::Null).await.0, 401);
+    let (status, _) = cell.call_as("a1", other, Method::POST, JOB, speech::job(1, 50)).await;
+    assert_eq!(status, 503);
+}
