Rows of another writer on the list of workers name no worker

A whole reading compares by a set (3,000 workers: 9 million comparisons of keys before, counted on paper).

--- a/crates/hollowford-node/src/access_tests.rs
+++ b/crates/hollowford-node/src/access_tests.rs
@@ -25,6 +25,7 @@
         version,
         routes: vec![route(QUEUE, false), route(OPEN_QUEUE, true)],
         queues: Vec::new(),
+        pools: Vec::new(),
         limits: Limits { body_bytes: 1_000, idle: Millis(1_000) },
         accounts: Some(vec![Account { name: "a".into(), policy: AccountPolicy::default() }]),
         credentials,
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -52,6 +52,8 @@
 mod plan_tests;
 mod reach;
 mod registry;
+#[cfg(test)]
+mod registry_tests;
 mod relay;
 #[cfg(test)]
 mod relay_tests;
--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -117,7 +117,10 @@
         }
         let stands = count > 0 && now.since(since) >= COUNT_STANDS;
         if stands || now.since(began) >= COUNT_WITHIN {
-            return Ok(feed.rows.iter().filter_map(listing).collect());
+            let config = shared.config.load_full();
+            // A pool of another writer's rows would have to be in each partition.
+            let named = |l: &WorkerListing| config.as_ref().is_none_or(|c| c.names_pool(&l.pool));
+            return Ok(feed.rows.iter().filter_map(listing).filter(named).collect());
         }
         sleep(COUNT_EVERY).await;
     }
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -7,6 +7,7 @@
 use hollowford_adapter::{REGISTRY_TABLE, Row, StoreError, Version, decode_listing};
 use hollowford_core::Millis;
 use hollowford_jobs::WorkerListing;
+use rustc_hash::FxHashSet;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -31,13 +32,16 @@
 const AWAY: Millis = Millis(1_000);
 
 /// The list, and what the store's absence means for it.
-struct Registry {
+#[derive(Debug)]
+pub(crate) struct Registry {
     rows: BTreeMap<String, WorkerListing>,
     version: Version,
     read_at: Millis,
     answered_at: Millis,
     /// Missing entries are not believed before.
     believe_missing_at: Millis,
+    /// Rows that could not be read and have been logged.
+    malformed: FxHashSet<String>,
 }
 
 /// Follows the list until the owner ends.
@@ -46,20 +50,16 @@
     let shared = &cx.shared;
     let count = shared.partition_count();
     let now = shared.clock.now();
-    let mut list = Registry {
-        rows: BTreeMap::new(),
-        version: 0,
-        read_at: Millis(0),
-        answered_at: now,
-        believe_missing_at: now,
-    };
+    let mut list = Registry::new(now);
+    let mut config = 0;
     while !owner.is_closed() {
         match list.next(shared).await {
             Ok(changed) => {
                 // Told before the pause: a new owner waits for its first list.
-                if changed {
+                if changed || shared.config_version() != config {
+                    config = shared.config_version();
                     let own = |l: &&WorkerListing| home_of_worker(l, count) == cx.partition.number;
-                    let listings = list.rows.values().filter(own).cloned().collect();
+                    let listings = list.workers(shared).filter(own).cloned().collect();
                     owner.send(OwnerMsg::Listings(listings)).await;
                 }
                 sleep(PAUSE).await;
@@ -73,6 +73,26 @@
 }
 
 impl Registry {
+    /// Makes an empty list.
+    pub fn new(now: Millis) -> Registry {
+        Registry {
+            rows: BTreeMap::new(),
+            version: 0,
+            read_at: Millis(0),
+            answered_at: now,
+            believe_missing_at: now,
+            malformed: FxHashSet::default(),
+        }
+    }
+
+    /// Returns the workers on the list. A row of a pool that the configuration doesn't name is
+    /// another writer's.
+    pub fn workers(&self, shared: &Shared) -> impl Iterator<Item = &WorkerListing> {
+        let config = shared.config.load_full();
+        let named = move |l: &&WorkerListing| config.as_ref().is_none_or(|c| c.names_pool(&l.pool));
+        self.rows.values().filter(named)
+    }
+
     /// Waits for a change, or reads the whole list. Tells whether something changed.
     async fn next(&mut self, shared: &Shared) -> Result<bool, StoreError> {
         let now = shared.clock.now();
@@ -113,18 +133,23 @@
         self.answered_at = now;
     }
 
-    /// Takes the whole list.
-    fn replace(&mut self, rows: &[Row]) -> bool {
+    /// Takes the whole list. Tells whether something changed.
+    pub fn replace(&mut self, rows: &[Row]) -> bool {
         let mut changed = false;
         if self.answered_at >= self.believe_missing_at {
+            let there: FxHashSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
             let before = self.rows.len();
-            self.rows.retain(|id, _| rows.iter().any(|r| r.key == *id));
+            self.rows.retain(|id, _| there.contains(id.as_str()));
+            self.malformed.retain(|id| there.contains(id.as_str()));
             changed = self.rows.len() != before;
         }
         rows.iter().fold(changed, |changed, r| self.apply(r) | changed)
     }
 
-    fn apply(&mut self, row: &Row) -> bool {
+    /// Takes one row. One that can't be read names no worker: the one that it named before is not
+    /// on the list any more, so nothing new is started there, and what runs goes on under its
+    /// lease. Tells whether something changed.
+    pub fn apply(&mut self, row: &Row) -> bool {
         if row.removed {
             let believed = self.answered_at >= self.believe_missing_at;
             return believed && self.rows.remove(&row.key).is_some();
@@ -135,8 +160,12 @@
                 old.as_ref() != Some(&listing)
             }
             Err(e) => {
-                log::error!("worker.malformed worker={} error=\"{e}\"", row.key);
-                false
+                let known = self.rows.remove(&row.key).is_some();
+                // Once for each row: it is read again and again.
+                if known || self.malformed.insert(row.key.clone()) {
+                    log::error!("worker.malformed worker={} error=\"{e}\"", row.key);
+                }
+                known
             }
         }
     }
--- a/crates/hollowford/tests/node.rs
+++ b/crates/hollowford/tests/node.rs
@@ -254,3 +254,29 @@
         assert!(eventually(gone).await);
     }
 }
+
+#[tokio::test]
+async fn a_worker_whose_row_turns_unreadable_gets_nothing_new_and_keeps_what_it_runs() {
+    let cell = Cell::start(2, 2).await;
+    cell.submit_surely(0, PLAIN, 1, 32, 600_000).await;
+    let running = |id: &str| cell.platform.with_worker(id, |w| w.running().count());
+    let full = || async { running("w0") == Some(16) && running("w1") == Some(16) };
+    assert!(eventually(full).await);
+    cell.platform.list_raw("w0", b"\xff not a row");
+    cell.platform.list_raw("another", br#"{"backend":"pool","address":"127.0.0.1:1"}"#);
+    let seen = || async { cell.logs().contains("worker.malformed worker=w0") };
+    assert!(eventually(seen).await);
+    // All room comes free, and only the other worker's is used.
+    let cancel = cell.call(0, Method::DELETE, "/plain/0000000000000001", Value::Null).await;
+    assert_eq!(cancel.0, 200);
+    let idle = || async { running("w0") == Some(0) && running("w1") == Some(0) };
+    assert!(eventually(idle).await);
+    cell.submit_surely(0, PLAIN, 2, 32, 300).await;
+    cell.await_completed(0, PLAIN, 2).await;
+    let begun = |id: &str| {
+        let of_second = |task: &&String| task.starts_with("0000000000000002");
+        cell.platform.with_worker(id, |w| w.begun.keys().filter(of_second).count())
+    };
+    assert_eq!((begun("w0"), begun("w1")), (Some(0), Some(32)));
+    cell.judge(1);
+}
