What an account sends beyond what it is owed goes behind what is owed of the same rank

Ways: alike (standing), behind all that is owed, behind what is owed of the same rank after 2 s and after 5 s and 20 jobs. The last is kept.

Accounts that stand at their quota are logged and told as gauges; refused calls are logged.

--- a/crates/hollowford-jobs/src/accounts.rs
+++ b/crates/hollowford-jobs/src/accounts.rs
@@ -9,10 +9,17 @@
 use crate::job::Job;
 use crate::spec::JobId;
 use hollowford_accounts::AccountPolicy;
-use hollowford_core::{Resources, Totals};
+use hollowford_core::{Millis, Resources, Totals};
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 
+/// What an account is owed and has not handed in is kept for so long, in seconds: its jobs don't
+/// come evenly. The users' bounds count what is beyond a limit over this span.
+const OWED_FOR_S: f64 = 5.0;
+
+/// And so many jobs besides, by the same bounds: a small account is owed one job a second.
+const OWED_BESIDES: f64 = 20.0;
+
 /// Position of a client account in the engine's table.
 pub(crate) type AccountIdx = u32;
 
@@ -26,6 +33,9 @@
     pub name: Arc<str>,
     /// What it is granted.
     pub policy: AccountPolicy,
+    /// Jobs of it a second that are owed an answer in time; what comes beyond them goes behind all
+    /// that is owed. 0: all are.
+    pub owed_per_s: u32,
 }
 
 /// What the engine knows of one account.
@@ -37,12 +47,26 @@
     used: Totals,
     /// Part of its quota that is kept for a gang of its own.
     kept: Option<Totals>,
+    /// Jobs a second that are owed an answer in time, here; 0: all are.
+    owed_per_s: f64,
+    /// Jobs that may come now and are owed one.
+    owed: f64,
+    /// When that was counted.
+    owed_at: Millis,
 }
 
 impl State {
     fn new(name: Arc<str>) -> State {
         let policy = AccountPolicy::default();
-        State { name, policy, used: Totals::default(), kept: None }
+        State {
+            name,
+            policy,
+            used: Totals::default(),
+            kept: None,
+            owed_per_s: 0.0,
+            owed: 0.0,
+            owed_at: Millis(0),
+        }
     }
 }
 
@@ -71,8 +95,26 @@
     pub fn set(&mut self, accounts: &[Account], parts: u32) {
         for a in accounts {
             let idx = self.intern(&a.name);
-            self.list[idx as usize].policy = a.policy.part_of(parts);
+            let state = &mut self.list[idx as usize];
+            state.policy = a.policy.part_of(parts);
+            state.owed_per_s = f64::from(a.owed_per_s) / f64::from(parts.max(1));
+        }
+    }
+
+    /// Counts a job that an account hands in. Tells whether it is owed an answer in time, or comes
+    /// beyond what the account is owed.
+    pub fn note_job(&mut self, idx: AccountIdx, now: Millis) -> bool {
+        let a = &mut self.list[idx as usize];
+        if a.owed_per_s <= 0.0 {
+            return true;
         }
+        let most = a.owed_per_s * OWED_FOR_S + OWED_BESIDES;
+        let earned = a.owed_per_s * now.since(a.owed_at).0 as f64 / 1_000.0;
+        a.owed = (a.owed + earned).min(most);
+        a.owed_at = now;
+        let owed = a.owed >= 1.0;
+        a.owed -= f64::from(u8::from(owed));
+        owed
     }
 
     pub fn name(&self, idx: AccountIdx) -> &Arc<str> {
@@ -151,6 +193,16 @@
     pub quota: Totals,
 }
 
+impl AccountUse {
+    /// Tells whether the account holds so much of its quota, in percent, of some resource.
+    pub fn is_over(&self, percent: u64) -> bool {
+        let over = |used: u64, quota: u64| quota > 0 && used * 100 >= quota * percent;
+        over(self.used.cpu_milli, self.quota.cpu_milli)
+            || over(self.used.memory_mib, self.quota.memory_mib)
+            || over(self.used.accelerators, self.quota.accelerators)
+    }
+}
+
 impl Engine {
     /// Puts the client accounts of a configuration in force, of whose quotas this partition grants
     /// one of `parts` equal parts: partitions decide by themselves, and a quota holds for them
@@ -167,8 +219,9 @@
         Some(self.accounts.name(idx))
     }
 
-    /// Returns what each account with a quota holds of it, as the last pass counted.
-    pub fn account_uses(&self) -> Vec<AccountUse> {
+    /// Returns what each account with a quota holds of it.
+    pub fn account_uses(&mut self) -> Vec<AccountUse> {
+        self.count_use();
         self.accounts.uses().collect()
     }
 
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -46,6 +46,8 @@
 pub struct Stats {
     /// Jobs accepted.
     pub accepted: u64,
+    /// Of these, jobs beyond what their accounts are owed.
+    pub unowed: u64,
     /// Starts ordered, without those that were sent again.
     pub started: u64,
     /// Starts sent again after no answer.
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -163,6 +163,8 @@
     pub queue: Arc<str>,
     /// The client account that handed it in.
     pub account: AccountIdx,
+    /// It is within what its account is owed.
+    pub owed: bool,
     pub spec: Arc<JobSpec>,
     /// Epoch of the owner that accepted it.
     pub epoch: u64,
--- a/crates/hollowford-jobs/src/note.rs
+++ b/crates/hollowford-jobs/src/note.rs
@@ -14,6 +14,8 @@
     Accepted {
         /// The job.
         job: JobId,
+        /// The client account that handed it in; empty: none.
+        account: Arc<str>,
         /// Its queue.
         queue: Arc<str>,
         /// Its steps.
@@ -173,8 +175,8 @@
 impl Display for Note {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Note::Accepted { job, queue, steps } => {
-                write!(f, "job.accepted job={job} queue={queue} steps={steps}")
+            Note::Accepted { job, account, queue, steps } => {
+                write!(f, "job.accepted job={job} account={account} queue={queue} steps={steps}")
             }
             Note::Withdrawn { job } => write!(f, "job.withdrawn job={job}"),
             Note::JobEnds { job, state, age } => {
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -59,14 +59,18 @@
         };
         let steps = spec.steps.len();
         let account = self.accounts.intern(account);
+        let name = self.accounts.name(account).clone();
+        let owed = self.accounts.note_job(account, now);
         let mut job = new_job(id, (account, queue.clone()), spec, self.epoch, now);
+        job.owed = owed;
         if job.spec.schedule.is_none() {
             job.add_round(now);
         }
         self.jobs.insert(job);
         self.jobs.dirty.want(id);
         self.stats.accepted += 1;
-        self.notes.push(Note::Accepted { job: id, queue, steps });
+        self.stats.unowed += u64::from(!owed);
+        self.notes.push(Note::Accepted { job: id, account: name, queue, steps });
         self.dirty = true;
         SubmitAnswer::Pending
     }
@@ -180,6 +184,7 @@
         id,
         queue,
         account,
+        owed: true,
         spec,
         epoch,
         accepted_at,
--- a/crates/hollowford-jobs/tests/accounts.rs
+++ b/crates/hollowford-jobs/tests/accounts.rs
@@ -8,7 +8,7 @@
 
 use common::*;
 use hollowford_accounts::AccountPolicy;
-use hollowford_core::Totals;
+use hollowford_core::{Millis, Totals};
 use hollowford_jobs::*;
 use std::collections::BTreeMap;
 use yare::parameterized;
@@ -18,7 +18,11 @@
 
 fn account(name: &str, cores: u64) -> Account {
     let quota = Totals { cpu_milli: cores * 1_000, ..Totals::default() };
-    Account { name: name.into(), policy: AccountPolicy { quota, ..AccountPolicy::default() } }
+    Account {
+        name: name.into(),
+        policy: AccountPolicy { quota, ..AccountPolicy::default() },
+        owed_per_s: 0,
+    }
 }
 
 /// A cell in which both accounts may hold so many cores.
@@ -203,3 +207,59 @@
     let busy = uses.iter().find(|u| &*u.name == BUSY).unwrap();
     assert_eq!((busy.used.cpu_milli, busy.quota.cpu_milli), (6_000, 40_000));
 }
+
+/// Makes a cell in which each account is owed so many jobs a second, and has no quota.
+fn owing_cell(workers: usize, owed_per_s: u32) -> Cell {
+    let mut cell = Cell::new(workers);
+    let account = |name| Account { owed_per_s, ..account(name, 0) };
+    cell.engine.set_accounts(&[account(BUSY), account(CALM)], 1);
+    cell
+}
+
+// The pattern: one account sends 6 times its usual for 14 s in a cell that is nearly full, as on the
+// day quota-lowered. Jobs beyond what an account is owed for 5 s, and 20 more, go behind what is owed.
+#[test]
+fn what_a_noisy_account_sends_beyond_what_it_is_owed_goes_behind_the_others_work() {
+    let mut cell = owing_cell(2, 10);
+    // All are in time for long, so that the first that came would go first.
+    cell.set_queues(vec![Queue { slack: Millis(100_000), ..queue(LARGE, 1, None) }]);
+    // Each job takes a worker for half a second: four a second fit. 200 come at once, 70 of them
+    // owed, and then one a second of the other account.
+    for id in 1..=200 {
+        cell.submit_for(BUSY, id, LARGE, job(vec![step(1, 16_000, 500)]));
+    }
+    assert_eq!(cell.engine.stats().unowed, 130);
+    cell.run(18_000);
+    for id in 1_000..1_010 {
+        cell.submit_for(CALM, id, LARGE, job(vec![step(1, 16_000, 500)]));
+        cell.run(1_200);
+        assert_eq!(cell.state(id), Some(JobState::Completed), "job {id} waits");
+    }
+    // What is not owed is kept all the same, and runs.
+    cell.run(30_000);
+    assert!((1..=200).all(|id| cell.state(id) == Some(JobState::Completed)));
+}
+
+#[test]
+fn accounts_within_what_they_are_owed_are_served_as_if_nothing_were_counted() {
+    let mut cell = owing_cell(8, 10);
+    for id in 1..=100 {
+        cell.submit_for(
+            if id % 2 == 0 { BUSY } else { CALM },
+            id,
+            QUICK,
+            job(vec![step(1, 1_000, 50)]),
+        );
+        cell.run(50);
+    }
+    assert_eq!(cell.engine.stats().unowed, 0);
+}
+
+#[test]
+fn an_account_without_a_bound_is_owed_all() {
+    let mut cell = owing_cell(2, 0);
+    for id in 1..=200 {
+        cell.submit_for(BUSY, id, LARGE, job(vec![step(1, 1_000, 50)]));
+    }
+    assert_eq!(cell.engine.stats().unowed, 0);
+}
--- a/crates/hollowford-node/src/access_tests.rs
+++ b/crates/hollowford-node/src/access_tests.rs
@@ -27,7 +27,11 @@
         queues: Vec::new(),
         pools: Vec::new(),
         limits: Limits { body_bytes: 1_000, idle: Millis(1_000) },
-        accounts: Some(vec![Account { name: "a".into(), policy: AccountPolicy::default() }]),
+        accounts: Some(vec![Account {
+            name: "a".into(),
+            policy: AccountPolicy::default(),
+            owed_per_s: 0,
+        }]),
         credentials,
     }
 }
--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -42,7 +42,10 @@
         let limit = deadline(&req, began);
         let call = match self.understand(&mut req).await {
             Ok(call) => call,
-            Err(status) => return self.plain(status, "refused", began),
+            Err(status) => {
+                log::info!("call.refused path={} status={}", req.uri().path(), status.as_u16());
+                return self.plain(status, "refused", began);
+            }
         };
         let (verb, job, config) = (call.verb(), JobId(call.job), call.config);
         let relayed = self.relay(call, limit).await;
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -40,6 +40,9 @@
     pub open_jobs: IntGaugeVec,
     /// Workers that may get tasks, by partition, while this process owns it.
     pub usable_workers: IntGaugeVec,
+    /// Thousandths of a core that a client account with a quota holds, by partition and account,
+    /// while this process owns it.
+    pub account_used_milli: IntGaugeVec,
     /// Share of workers' answers that were lost lately, in thousandths, by partition.
     pub lost_permille: IntGaugeVec,
     /// Log lines that were dropped since the writer was behind.
@@ -68,11 +71,12 @@
             r.register(Box::new(g.clone()))?;
             Ok::<_, prometheus::Error>(g)
         };
-        let gauges = |name: &str, help: &str| {
-            let g = IntGaugeVec::new(Opts::new(name, help), &["partition"])?;
+        let gauges_by = |name: &str, help: &str, labels: &[&str]| {
+            let g = IntGaugeVec::new(Opts::new(name, help), labels)?;
             r.register(Box::new(g.clone()))?;
             Ok::<_, prometheus::Error>(g)
         };
+        let gauges = |name: &str, help: &str| gauges_by(name, help, &["partition"]);
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let h = Histogram::with_opts(opts)?;
@@ -94,6 +98,11 @@
             config_version: gauge("config_version", "Version of the configuration")?,
             open_jobs: gauges("open_jobs", "Jobs that have not ended")?,
             usable_workers: gauges("usable_workers", "Workers that may get tasks")?,
+            account_used_milli: gauges_by(
+                "account_used_milli",
+                "Thousandths of a core that an account holds",
+                &["partition", "account"],
+            )?,
             lost_permille: gauges("lost_answers_permille", "Workers' answers lost lately")?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -32,6 +32,10 @@
 const PROBE_AFTER: Millis = Millis(300);
 /// How often the owner's gauges and its line in the log are renewed.
 const VIEW_EVERY: Millis = Millis(2_000);
+/// An account that holds so much of its quota is logged.
+const AT_QUOTA_PERCENT: u64 = 95;
+/// Most accounts that are logged so at a time.
+const MOST_QUOTA_LINES: usize = 8;
 
 /// Why an owner ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -355,10 +359,32 @@
         metrics.open_jobs.with_label_values(&part).set(view.open_jobs as i64);
         metrics.lost_permille.with_label_values(&part).set(i64::from(view.lost_permille));
         metrics.usable_workers.with_label_values(&part).set(view.usable_workers as i64);
+        self.renew_account_view();
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
 }
 
+impl Owner {
+    /// Renews the gauges of the client accounts with a quota, and logs those that are at theirs.
+    fn renew_account_view(&mut self) {
+        let part = self.cx.partition.part.clone();
+        let gauge = &self.cx.shared.metrics.account_used_milli;
+        let mut lines = 0;
+        for a in self.engine.account_uses() {
+            gauge.with_label_values(&[part.as_str(), &a.name]).set(a.used.cpu_milli as i64);
+            if a.is_over(AT_QUOTA_PERCENT) && lines < MOST_QUOTA_LINES {
+                lines += 1;
+                log::info!(
+                    "account.at_quota partition={part} account={} used={:?} quota={:?}",
+                    a.name,
+                    a.used,
+                    a.quota
+                );
+            }
+        }
+    }
+}
+
 /// Returns the engine's time, which is ahead of the process's by `offset`.
 fn engine_time(shared: &Shared, offset: i64) -> Millis {
     Millis((shared.clock.now().0 as i64 + offset).max(0) as u64)
