--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -1,13 +1,14 @@
 //! The owner of the partition: one task that drives the engine and carries out its orders.
 
+mod caller_calls;
+mod view;
 mod worker_calls;
 
-use crate::access::{self, Access, VOUCHES_FOR};
 use crate::batches::Batches;
-use crate::callers::{Waiters, patience};
+use crate::callers::Waiters;
 use crate::delegation::{Delegation, Delivered};
 use crate::giving_up::GivingUp;
-use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
+use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::lane::LANES;
 use crate::logs::DecisionLog;
 use crate::members::{LinkId, Members};
@@ -15,7 +16,7 @@
 use crate::reach::Reach;
 use crate::registry;
 use crate::shared::Shared;
-use crate::wire::{Call, MemberBeat, OwnerInfo, Said};
+use crate::wire::{MemberBeat, OwnerInfo, Said};
 use crate::writer::Written;
 use hollowford_adapter::{Config, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
@@ -30,12 +31,6 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Members are asked whether the store answers them once a batch hangs for so long.
 const PROBE_AFTER: Millis = Millis(300);
-/// How often the owner's gauges and its line in the log are renewed.
-const VIEW_EVERY: Millis = Millis(2_000);
-/// An account that holds so much of its quota is logged.
-const AT_QUOTA_PERCENT: u64 = 95;
-/// Most accounts that are logged so at a time.
-const MOST_QUOTA_LINES: usize = 8;
 
 /// Why an owner ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -216,50 +211,6 @@
         }
     }
 
-    fn take_call(&mut self, call: Call, reply: Reply, now: Millis) {
-        if call.config > self.cx.shared.config_version() {
-            self.cx.shared.config_wanted.notify_one();
-        }
-        if self.giving_up.since().is_some() {
-            reply.send(call.id, Said::NotOwner, 0);
-            return;
-        }
-        let call = match self.admit(call) {
-            Ok(call) => call,
-            Err((id, said)) => return reply.send(id, said, 0),
-        };
-        let limit = patience(&call);
-        let admitted = self.batches.admits(&self.engine, limit, now);
-        self.waiters.take(&mut self.engine, call, reply, admitted, now);
-    }
-
-    /// Checks for whom a call is made, and names that account in it; else tells the answer.
-    fn admit(&self, mut call: Call) -> Result<Call, (u64, Said)> {
-        let config = self.cx.shared.config.load();
-        let config = config.as_deref();
-        let has_accounts = config.is_some_and(|c| c.accounts.is_some());
-        if has_accounts && self.cx.shared.config_age() >= VOUCHES_FOR {
-            return Err((call.id, Said::Unavailable));
-        }
-        match access::recheck(config, &call) {
-            Access::Granted(account) if account == call.account => Ok(call),
-            Access::Granted(account) => {
-                call.account = account.to_owned();
-                Ok(call)
-            }
-            Access::Unknown => Err((call.id, Said::UnknownKey)),
-        }
-    }
-
-    /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
-    fn refuse_unsent(&mut self, now: Millis) {
-        if self.batches.is_stalled(now) {
-            for job in self.engine.withdraw_unsent() {
-                self.waiters.refuse(job);
-            }
-        }
-    }
-
     fn take_written(&mut self, batch: u64, written: Written, now: Millis) {
         self.batches.note(batch, &written, now);
         match written {
@@ -348,41 +299,6 @@
             self.members.send_config(self.cx.shared.config_version(), &row);
         }
     }
-
-    fn renew_view(&mut self, now: Millis) {
-        if now.since(self.viewed) < VIEW_EVERY {
-            return;
-        }
-        self.viewed = now;
-        let view = self.engine.view(now);
-        let (metrics, part) = (&self.cx.shared.metrics, [self.cx.partition.part.as_str()]);
-        metrics.open_jobs.with_label_values(&part).set(view.open_jobs as i64);
-        metrics.lost_permille.with_label_values(&part).set(i64::from(view.lost_permille));
-        metrics.usable_workers.with_label_values(&part).set(view.usable_workers as i64);
-        self.renew_account_view();
-        log::info!("owner.view partition={} {view}", self.info.partition);
-    }
-}
-
-impl Owner {
-    /// Renews the gauges of the client accounts with a quota, and logs those that are at theirs.
-    fn renew_account_view(&mut self) {
-        let part = self.cx.partition.part.clone();
-        let gauge = &self.cx.shared.metrics.account_used_milli;
-        let mut lines = 0;
-        for a in self.engine.account_uses() {
-            gauge.with_label_values(&[part.as_str(), &a.name]).set(a.used.cpu_milli as i64);
-            if a.is_over(AT_QUOTA_PERCENT) && lines < MOST_QUOTA_LINES {
-                lines += 1;
-                log::info!(
-                    "account.at_quota partition={part} account={} used={:?} quota={:?}",
-                    a.name,
-                    a.used,
-                    a.quota
-                );
-            }
-        }
-    }
 }
 
 /// Returns the engine's time, which is ahead of the process's by `offset`.
--- /dev/null
+++ b/crates/hollowford-node/src/owner/caller_calls.rs
@@ -0,0 +1,54 @@
+//! Callers' requests: for whom they are made, and whether they are taken now.
+
+use super::Owner;
+use crate::access::{self, Access, VOUCHES_FOR};
+use crate::callers::patience;
+use crate::inbox::Reply;
+use crate::wire::{Call, Said};
+use hollowford_core::Millis;
+
+impl Owner {
+    pub(super) fn take_call(&mut self, call: Call, reply: Reply, now: Millis) {
+        if call.config > self.cx.shared.config_version() {
+            self.cx.shared.config_wanted.notify_one();
+        }
+        if self.giving_up.since().is_some() {
+            reply.send(call.id, Said::NotOwner, 0);
+            return;
+        }
+        let call = match self.admit(call) {
+            Ok(call) => call,
+            Err((id, said)) => return reply.send(id, said, 0),
+        };
+        let limit = patience(&call);
+        let admitted = self.batches.admits(&self.engine, limit, now);
+        self.waiters.take(&mut self.engine, call, reply, admitted, now);
+    }
+
+    /// Checks for whom a call is made, and names that account in it; else tells the answer.
+    fn admit(&self, mut call: Call) -> Result<Call, (u64, Said)> {
+        let config = self.cx.shared.config.load();
+        let config = config.as_deref();
+        let has_accounts = config.is_some_and(|c| c.accounts.is_some());
+        if has_accounts && self.cx.shared.config_age() >= VOUCHES_FOR {
+            return Err((call.id, Said::Unavailable));
+        }
+        match access::recheck(config, &call) {
+            Access::Granted(account) if account == call.account => Ok(call),
+            Access::Granted(account) => {
+                call.account = account.to_owned();
+                Ok(call)
+            }
+            Access::Unknown => Err((call.id, Said::UnknownKey)),
+        }
+    }
+
+    /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
+    pub(super) fn refuse_unsent(&mut self, now: Millis) {
+        if self.batches.is_stalled(now) {
+            for job in self.engine.withdraw_unsent() {
+                self.waiters.refuse(job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollowford-node/src/owner/view.rs
@@ -0,0 +1,47 @@
+//! What an owner shows of itself: gauges, and lines in the log.
+
+use super::Owner;
+use hollowford_core::Millis;
+
+/// How often the owner's gauges and its line in the log are renewed.
+const VIEW_EVERY: Millis = Millis(2_000);
+/// An account that holds so much of its quota is logged.
+const AT_QUOTA_PERCENT: u64 = 95;
+/// Most accounts that are logged so at a time.
+const MOST_QUOTA_LINES: usize = 8;
+
+impl Owner {
+    /// Renews the gauges and the lines in the log, every now and then.
+    pub(super) fn renew_view(&mut self, now: Millis) {
+        if now.since(self.viewed) < VIEW_EVERY {
+            return;
+        }
+        self.viewed = now;
+        let view = self.engine.view(now);
+        let (metrics, part) = (&self.cx.shared.metrics, [self.cx.partition.part.as_str()]);
+        metrics.open_jobs.with_label_values(&part).set(view.open_jobs as i64);
+        metrics.lost_permille.with_label_values(&part).set(i64::from(view.lost_permille));
+        metrics.usable_workers.with_label_values(&part).set(view.usable_workers as i64);
+        self.renew_account_view();
+        log::info!("owner.view partition={} {view}", self.info.partition);
+    }
+
+    /// Renews the gauges of the client accounts with a quota, and logs those that are at theirs.
+    fn renew_account_view(&mut self) {
+        let part = self.cx.partition.part.clone();
+        let gauge = &self.cx.shared.metrics.account_used_milli;
+        let mut lines = 0;
+        for a in self.engine.account_uses() {
+            gauge.with_label_values(&[part.as_str(), &a.name]).set(a.used.cpu_milli as i64);
+            if a.is_over(AT_QUOTA_PERCENT) && lines < MOST_QUOTA_LINES {
+                lines += 1;
+                log::info!(
+                    "account.at_quota partition={part} account={} used={:?} quota={:?}",
+                    a.name,
+                    a.used,
+                    a.quota
+                );
+            }
+        }
+    }
+}
