--- a/crates/hollowford-jobs/src/accounts.rs
+++ b/crates/hollowford-jobs/src/accounts.rs
@@ -8,18 +8,11 @@
 use crate::engine::Engine;
 use crate::job::Job;
 use crate::spec::JobId;
-use hollowford_accounts::AccountPolicy;
+use hollowford_accounts::{AccountPolicy, Allowance};
 use hollowford_core::{Millis, Resources, Totals};
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 
-/// What an account is owed and has not handed in is kept for so long, in seconds: its jobs don't
-/// come evenly. The users' bounds count what is beyond a limit over this span.
-const OWED_FOR_S: f64 = 5.0;
-
-/// And so many jobs besides, by the same bounds: a small account is owed one job a second.
-const OWED_BESIDES: f64 = 20.0;
-
 /// Position of a client account in the engine's table.
 pub(crate) type AccountIdx = u32;
 
@@ -33,8 +26,8 @@
     pub name: Arc<str>,
     /// What it is granted.
     pub policy: AccountPolicy,
-    /// Jobs of it a second that are owed an answer in time; what comes beyond them goes behind all
-    /// that is owed. 0: all are.
+    /// Jobs of it a second that are owed an answer in time; what comes beyond them goes behind what
+    /// is owed. 0: all are.
     pub owed_per_s: u32,
 }
 
@@ -47,26 +40,13 @@
     used: Totals,
     /// Part of its quota that is kept for a gang of its own.
     kept: Option<Totals>,
-    /// Jobs a second that are owed an answer in time, here; 0: all are.
-    owed_per_s: f64,
-    /// Jobs that may come now and are owed one.
-    owed: f64,
-    /// When that was counted.
-    owed_at: Millis,
+    allowance: Allowance,
 }
 
 impl State {
     fn new(name: Arc<str>) -> State {
         let policy = AccountPolicy::default();
-        State {
-            name,
-            policy,
-            used: Totals::default(),
-            kept: None,
-            owed_per_s: 0.0,
-            owed: 0.0,
-            owed_at: Millis(0),
-        }
+        State { name, policy, used: Totals::default(), kept: None, allowance: Allowance::default() }
     }
 }
 
@@ -97,24 +77,14 @@
             let idx = self.intern(&a.name);
             let state = &mut self.list[idx as usize];
             state.policy = a.policy.part_of(parts);
-            state.owed_per_s = f64::from(a.owed_per_s) / f64::from(parts.max(1));
+            state.allowance.set(f64::from(a.owed_per_s) / f64::from(parts.max(1)));
         }
     }
 
     /// Counts a job that an account hands in. Tells whether it is owed an answer in time, or comes
     /// beyond what the account is owed.
     pub fn note_job(&mut self, idx: AccountIdx, now: Millis) -> bool {
-        let a = &mut self.list[idx as usize];
-        if a.owed_per_s <= 0.0 {
-            return true;
-        }
-        let most = a.owed_per_s * OWED_FOR_S + OWED_BESIDES;
-        let earned = a.owed_per_s * now.since(a.owed_at).0 as f64 / 1_000.0;
-        a.owed = (a.owed + earned).min(most);
-        a.owed_at = now;
-        let owed = a.owed >= 1.0;
-        a.owed -= f64::from(u8::from(owed));
-        owed
+        self.list[idx as usize].allowance.note(now)
     }
 
     pub fn name(&self, idx: AccountIdx) -> &Arc<str> {
