A refusal by key says nothing of what an earlier owner has done

Traced: handed in at 7.13 s, its batch was made without an answer as the owner was cut off, handed over at 8.05 s; the key was taken away meanwhile, and the next owner answered the same call with 401 without looking whether the job was there. Ruled out: the entry (it had the older configuration), the first owner (it told nothing). A call that an earlier owner may have taken is told 504 now. The same for owners that take no call at all: they don't look either. An answer that a process doesn't know counts as unsure; it passed for done.

Tests failed first.

--- a/crates/hollowford-node/src/inbox.rs
+++ b/crates/hollowford-node/src/inbox.rs
@@ -107,7 +107,7 @@
         match self.tx.try_send(msg) {
             Ok(()) => {}
             Err(mpsc::error::TrySendError::Full(_)) => {
-                Reply::Link(outbox.clone()).send(id, Said::Unavailable, 0);
+                Reply::Link(outbox.clone()).send(id, Said::NotTaken, 0);
             }
             Err(mpsc::error::TrySendError::Closed(_)) => {
                 Reply::Link(outbox.clone()).send(id, Said::NotOwner, 0);
--- a/crates/hollowford-node/src/owner/caller_calls.rs
+++ b/crates/hollowford-node/src/owner/caller_calls.rs
@@ -31,7 +31,7 @@
         let config = config.as_deref();
         let has_accounts = config.is_some_and(|c| c.accounts.is_some());
         if has_accounts && self.cx.shared.config_age() >= VOUCHES_FOR {
-            return Err((call.id, Said::Unavailable));
+            return Err((call.id, Said::NotTaken));
         }
         match access::recheck(config, &call) {
             Access::Granted(account) if account == call.account => Ok(call),
--- a/crates/hollowford-node/src/relay.rs
+++ b/crates/hollowford-node/src/relay.rs
@@ -106,13 +106,16 @@
             next_owner(&mut route, left.min(AGAIN)).await;
             continue;
         };
-        match answer.said() {
+        match answer.outcome() {
             Said::NotOwner => next_owner(&mut route, left.min(AGAIN)).await,
             Said::Deposed => {
                 sent = true;
                 next_owner(&mut route, left.min(AGAIN)).await;
             }
             Said::NoQueue => sleep(AGAIN.duration()).await,
+            // Neither says what an earlier owner, which had taken the call, has done.
+            Said::UnknownKey | Said::NotTaken if sent => return Relayed::Unsure,
+            Said::NotTaken => return Relayed::NotSent,
             said => return Relayed::Said(said, answer.value),
         }
         shared.metrics.relayed_again.inc();
--- a/crates/hollowford-node/src/relay_tests.rs
+++ b/crates/hollowford-node/src/relay_tests.rs
@@ -6,7 +6,7 @@
 use crate::relay::{Relayed, relay};
 use crate::shared::Shared;
 use crate::shared_tests::shared;
-use crate::wire::{Call, Said};
+use crate::wire::{Call, CallAnswer, Said};
 use hollowford_core::Millis;
 
 /// Calls are tried for so long.
@@ -14,13 +14,22 @@
 
 /// Makes a call of an owner that says the same to each try.
 async fn told(said: Said) -> Relayed {
+    told_in_turn(&[said]).await
+}
+
+/// Makes a call of owners that say these things to its tries, the last one to all further ones.
+async fn told_in_turn(said: &[Said]) -> Relayed {
+    let said = said.to_vec();
     let shared = shared();
     shared.set_partitions(1);
     let (owner, mut rx) = OwnerHandle::new();
     shared.partitions()[0].route.send_replace(Route::Local(owner));
     tokio::spawn(async move {
+        let mut said = said.into_iter();
+        let mut now = Said::NotOwner;
         while let Some(OwnerMsg::Call(call, reply)) = rx.recv().await {
-            reply.send(call.id, said, 0);
+            now = said.next().unwrap_or(now);
+            reply.send(call.id, now, 0);
         }
     });
     call(&shared).await
@@ -52,3 +61,25 @@
 async fn an_owner_that_answers_is_believed() {
     assert_eq!(told(Said::Done).await, Relayed::Said(Said::Done, 0));
 }
+
+// The pattern: a job is on its way to the store as its owner is cut off and its key is taken away; the
+// next owner knows the newer configuration, and the job (own day keys-owner-cut, seed 519922496590).
+#[tokio::test]
+async fn a_key_that_was_taken_away_meanwhile_says_nothing_of_what_an_earlier_owner_did() {
+    assert_eq!(told(Said::UnknownKey).await, Relayed::Said(Said::UnknownKey, 0));
+    assert_eq!(told_in_turn(&[Said::Deposed, Said::UnknownKey]).await, Relayed::Unsure);
+    let not_taken = told_in_turn(&[Said::NotOwner, Said::UnknownKey]).await;
+    assert_eq!(not_taken, Relayed::Said(Said::UnknownKey, 0));
+}
+
+#[tokio::test]
+async fn an_owner_that_takes_no_call_has_done_nothing_and_knows_of_no_earlier_one() {
+    assert_eq!(told(Said::NotTaken).await, Relayed::NotSent);
+    assert_eq!(told_in_turn(&[Said::Deposed, Said::NotTaken]).await, Relayed::Unsure);
+}
+
+#[test]
+fn what_a_later_version_says_and_this_one_does_not_know_may_have_been_done() {
+    let answer = CallAnswer { said: 99, ..CallAnswer::default() };
+    assert_eq!(answer.outcome(), Said::Unsure);
+}
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -271,6 +271,9 @@
     UnknownKey = 8,
     /// The job is another account's. Nothing was done.
     NotYours = 9,
+    /// The owner has done nothing, and didn't look what an earlier one may have: too much waits for
+    /// it, or it has not read the configuration for too long to vouch for any key.
+    NotTaken = 10,
 }
 
 /// The owner's answer to a call.
@@ -321,6 +324,14 @@
     pub validity_ms: u64,
 }
 
+impl CallAnswer {
+    /// Returns what came of the call. What a later version says and this one doesn't know may have
+    /// been done.
+    pub fn outcome(&self) -> Said {
+        Said::try_from(self.said).unwrap_or(Said::Unsure)
+    }
+}
+
 impl From<Body> for Frame {
     fn from(body: Body) -> Frame {
         Frame { body: Some(body) }
