All jobs of a client account have one home, and its quota holds whole there

Jobs are homed by their account now, not by their id, so one owner counts for the whole cell. An owner to which an entry that is behind sent the call of another home's account takes nothing.

Cost: large accounts may fill one partition.

--- a/crates/hollowford-accounts/src/policy.rs
+++ b/crates/hollowford-accounts/src/policy.rs
@@ -34,17 +34,4 @@
         );
         used.within(&more, &self.quota)
     }
-
-    /// Returns the policy of one of `parts` equal parts that decide by themselves. A resource
-    /// with a limit keeps one: the parts together never grant more than the whole.
-    pub fn part_of(&self, parts: u32) -> AccountPolicy {
-        let parts = u64::from(parts.max(1));
-        let part = |limit: u64| if limit == 0 { 0 } else { (limit / parts).max(1) };
-        let quota = Totals {
-            cpu_milli: part(self.quota.cpu_milli),
-            memory_mib: part(self.quota.memory_mib),
-            accelerators: part(self.quota.accelerators),
-        };
-        AccountPolicy { quota, ..*self }
-    }
 }
--- a/crates/hollowford-jobs/src/accounts.rs
+++ b/crates/hollowford-jobs/src/accounts.rs
@@ -72,12 +72,12 @@
 
     /// Puts what the configuration grants in force. An account that it doesn't name any more keeps
     /// what it was granted last, since its accepted jobs go on.
-    pub fn set(&mut self, accounts: &[Account], parts: u32) {
+    pub fn set(&mut self, accounts: &[Account]) {
         for a in accounts {
             let idx = self.intern(&a.name);
             let state = &mut self.list[idx as usize];
-            state.policy = a.policy.part_of(parts);
-            state.allowance.set(f64::from(a.owed_per_s) / f64::from(parts.max(1)));
+            state.policy = a.policy;
+            state.allowance.set(f64::from(a.owed_per_s));
         }
     }
 
@@ -174,11 +174,10 @@
 }
 
 impl Engine {
-    /// Puts the client accounts of a configuration in force, of whose quotas this partition grants
-    /// one of `parts` equal parts: partitions decide by themselves, and a quota holds for them
-    /// together.
-    pub fn set_accounts(&mut self, accounts: &[Account], parts: u32) {
-        self.accounts.set(accounts, parts);
+    /// Puts the client accounts of a configuration in force. All jobs of an account belong to one
+    /// partition, which grants it all of its quota.
+    pub fn set_accounts(&mut self, accounts: &[Account]) {
+        self.accounts.set(accounts);
         self.dirty = true;
     }
 
--- a/crates/hollowford-node/src/front.rs
+++ b/crates/hollowford-node/src/front.rs
@@ -71,7 +71,7 @@
         if call.verb() == Verb::Waiting {
             return self.count(call, limit).await;
         }
-        match self.shared.partition_of(JobId(call.job)) {
+        match self.shared.partition_of(&call.account, JobId(call.job)) {
             Some(partition) => relay(&self.shared, partition, call, limit).await,
             None => Relayed::NotSent,
         }
--- a/crates/hollowford-node/src/homes.rs
+++ b/crates/hollowford-node/src/homes.rs
@@ -36,11 +36,18 @@
     homes.values().all(|h| h.len() == partitions as usize)
 }
 
-/// Returns the partition of a job.
+/// Returns the partition of a job that belongs to no client account.
 pub fn home_of_job(job: JobId, partitions: u32) -> u32 {
     (hash(&job.0) % u64::from(partitions.max(1))) as u32
 }
 
+/// Returns the partition of a client account: all its jobs are homed there, so that one owner counts
+/// what the account has running, and a gang may have all of its quota. With equal parts of the
+/// quota in each of three partitions, gangs that were larger than a part never ran.
+pub fn home_of_account(account: &str, partitions: u32) -> u32 {
+    (hash(&account) % u64::from(partitions.max(1))) as u32
+}
+
 /// Returns the partition of a worker. A rack stays whole, since a gang may want one.
 pub fn home_of_worker(worker: &WorkerListing, partitions: u32) -> u32 {
     deal(rack_label(&worker.labels).unwrap_or(&worker.address), partitions)
--- a/crates/hollowford-node/src/homes_tests.rs
+++ b/crates/hollowford-node/src/homes_tests.rs
@@ -1,6 +1,7 @@
 //! Jobs and workers are dealt to partitions alike everywhere, and evenly.
 
 use crate::homes::{count_partitions, home_of_job, home_of_seat, home_of_worker};
+use crate::shared_tests::shared;
 use hollowford_core::{Millis, Resources};
 use hollowford_jobs::{JobId, WorkerListing};
 use std::num::NonZeroUsize;
@@ -92,3 +93,21 @@
     let special = WorkerListing { pool: "p".into(), ..worker(&["fast", "r1-7"], "x:1") };
     assert_eq!(count(&[large(), vec![special]].concat()), 1, "one worker has the label");
 }
+
+// The pattern: three partitions of 1,000 workers and 20 accounts; relocations of 12 tasks of 9 cores are
+// larger than a third of a small account's quota.
+#[test]
+fn an_account_has_one_home_whatever_its_jobs_ids_are_and_accounts_are_spread() {
+    let shared = shared();
+    shared.set_partitions(3);
+    let mut homes = [0; 3];
+    for account in (0..60).map(|i| format!("account{i}")) {
+        let home = |job| shared.partition_of(&account, JobId(job)).map(|p| p.number);
+        let first = home(0);
+        assert!((1..200).all(|job| home(job * 0x9e37_79b9) == first));
+        homes[first.unwrap_or(0) as usize] += 1;
+    }
+    assert!(homes.iter().all(|&n| n >= 10), "{homes:?}");
+    let of_none = |job| shared.partition_of("", JobId(job)).map(|p| p.number);
+    assert!((1..200).any(|job| of_none(job) != of_none(0)), "jobs of no account are spread by id");
+}
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -48,7 +48,7 @@
     if let Some(config) = cx.shared.config.load_full() {
         engine.set_queues(&config.queues, feed.now);
         let accounts = config.accounts.as_deref().unwrap_or_default();
-        engine.set_accounts(accounts, cx.shared.partition_count());
+        engine.set_accounts(accounts);
     }
     let rows: Vec<_> = feed.rows.into_iter().map(|r| (r.key, r.value)).collect();
     match engine.recover(&rows, feed.now) {
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -291,7 +291,7 @@
 
     fn set_accounts(&mut self, config: &Config) {
         let accounts = config.accounts.as_deref().unwrap_or_default();
-        self.engine.set_accounts(accounts, self.cx.shared.partition_count());
+        self.engine.set_accounts(accounts);
     }
 
     fn send_config(&mut self) {
--- a/crates/hollowford-node/src/owner/caller_calls.rs
+++ b/crates/hollowford-node/src/owner/caller_calls.rs
@@ -4,8 +4,9 @@
 use crate::access::{self, Access, VOUCHES_FOR};
 use crate::callers::patience;
 use crate::inbox::Reply;
-use crate::wire::{Call, Said};
+use crate::wire::{Call, Said, Verb};
 use hollowford_core::Millis;
+use hollowford_jobs::JobId;
 
 impl Owner {
     pub(super) fn take_call(&mut self, call: Call, reply: Reply, now: Millis) {
@@ -35,14 +36,22 @@
         }
         match access::recheck(config, &call) {
             Access::Granted(account) if account == call.account => Ok(call),
-            Access::Granted(account) => {
+            Access::Granted(account) if self.is_home(account, &call) => {
                 call.account = account.to_owned();
                 Ok(call)
             }
+            // The entry didn't know the account, and so came to another home.
+            Access::Granted(_) => Err((call.id, Said::NotTaken)),
             Access::Unknown => Err((call.id, Said::UnknownKey)),
         }
     }
 
+    /// Tells whether jobs of an account belong here; a count is asked of all partitions.
+    fn is_home(&self, account: &str, call: &Call) -> bool {
+        let home = self.cx.shared.partition_of(account, JobId(call.job));
+        call.verb() == Verb::Waiting || home.is_some_and(|p| p.number == self.info.partition)
+    }
+
     /// Refuses the jobs that wait behind a batch that hangs: of them nothing was sent.
     pub(super) fn refuse_unsent(&mut self, now: Millis) {
         if self.batches.is_stalled(now) {
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the duties of a process share.
 
-use crate::homes::home_of_job;
+use crate::homes::{home_of_account, home_of_job};
 use crate::members::ConfigKnown;
 use crate::metrics::Metrics;
 use crate::partition::Partition;
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwapOption;
 use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient, WorkerClient};
 use hollowford_core::{Clock, Millis};
-use hollowford_jobs::JobId;
+use hollowford_jobs::{JobId, NO_ACCOUNT};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -143,9 +143,14 @@
         self.partitions().len() as u32
     }
 
-    /// Returns the partition of a job, once the number of partitions is known.
-    pub fn partition_of(&self, job: JobId) -> Option<&Arc<Partition>> {
-        self.partitions().get(home_of_job(job, self.partition_count()) as usize)
+    /// Returns the partition of a job of a client account, once the number of partitions is known.
+    pub fn partition_of(&self, account: &str, job: JobId) -> Option<&Arc<Partition>> {
+        let partitions = self.partition_count();
+        let home = match account {
+            NO_ACCOUNT => home_of_job(job, partitions),
+            account => home_of_account(account, partitions),
+        };
+        self.partitions().get(home as usize)
     }
 
     /// Returns the longest time that the owner of a partition was not within reach.
