--- a/crates/hollowford-node/src/owner/caller_calls.rs
+++ b/crates/hollowford-node/src/owner/caller_calls.rs
@@ -9,6 +9,8 @@
 use hollowford_jobs::JobId;
 
 impl Owner {
+    /// Takes a request, or answers it at once: when it is made for nobody that is known, when this
+    /// owner gives up, or when its acceptance could not be in the store in time.
     pub(super) fn take_call(&mut self, call: Call, reply: Reply, now: Millis) {
         if call.config > self.cx.shared.config_version() {
             self.cx.shared.config_wanted.notify_one();
