--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -68,6 +68,8 @@
     pub foreign: u64,
     /// Workers put aside.
     pub put_aside: u64,
+    /// Lives of workers that ended without a word.
+    pub crashes: u64,
     /// Calls for advice.
     pub asked: u64,
     /// Steps that passes tried to place.
--- a/crates/hollowford-jobs/src/gone.rs
+++ b/crates/hollowford-jobs/src/gone.rs
@@ -1,7 +1,7 @@
 //! Workers that are gone, and what they held: it waits again.
 
 use crate::engine::Engine;
-use crate::note::{GiveUp, Note};
+use crate::note::{GiveUp, LifeEnd, Note};
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 
@@ -31,11 +31,15 @@
 
     /// This life of the worker is over: nothing that it held runs any more.
     pub(crate) fn worker_dead(&mut self, idx: WorkerIdx, now: Millis) {
-        self.free_all(idx, GiveUp::WorkerDead, now);
-        if let Some(w) = self.workers.get(idx) {
-            self.notes.push(Note::Dead { worker: w.id.clone() });
-            self.dead.insert(w.id.clone());
+        let Some(w) = self.workers.get(idx) else { return };
+        let (worker, tasks) = (w.id.clone(), w.held.len());
+        let how = if w.leaving { LifeEnd::Left } else { LifeEnd::Crashed };
+        if how == LifeEnd::Crashed {
+            self.note_crash(idx);
         }
+        self.free_all(idx, GiveUp::WorkerDead, now);
+        self.dead.insert(worker.clone());
+        self.notes.push(Note::Dead { worker, how, tasks });
         self.forget_worker(idx);
     }
 
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -50,6 +50,8 @@
     /// Runs that ended by failing. An end may be told twice, by a worker that a new owner
     /// claims, and has to count once.
     pub failed_runs: Vec<u32>,
+    /// Runs under which the worker crashed.
+    pub crashed_runs: Vec<u32>,
     pub saved: Option<Arc<str>>,
     /// Where it runs, or may run.
     pub at: Option<WorkerIdx>,
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod asking;
 mod batch;
 mod choose;
+mod crashes;
 mod dirty;
 mod ends;
 mod engine;
@@ -52,7 +53,7 @@
 pub use engine::{Bounds, Engine, Stats};
 pub use job::JobState;
 pub use lease::LookAnswer;
-pub use note::{GiveUp, Note};
+pub use note::{GiveUp, LifeEnd, Note};
 pub use order::{
     Advised, End, EndKind, Look, Order, Running, StartAnswer, WorkerCall, WorkerListing,
 };
--- a/crates/hollowford-jobs/src/note.rs
+++ b/crates/hollowford-jobs/src/note.rs
@@ -137,6 +137,21 @@
     Dead {
         /// The worker.
         worker: InstanceId,
+        /// How it ended.
+        how: LifeEnd,
+        /// Tasks that it held.
+        tasks: usize,
+    },
+    /// A worker has crashed while a task was on it.
+    CrashedUnder {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// The worker.
+        worker: InstanceId,
+        /// Workers that have crashed under the task, this one among them.
+        crashes: usize,
     },
     /// A worker is leaving.
     Leaving {
@@ -159,6 +174,15 @@
     },
 }
 
+/// How a life of a worker has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeEnd {
+    /// It was said to be leaving.
+    Left,
+    /// Another life answers at its address, and nobody had said that it would leave.
+    Crashed,
+}
+
 /// Why a task was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GiveUp {
@@ -215,7 +239,13 @@
             Note::Stalled { worker, tasks } => {
                 write!(f, "worker.stalled worker={worker} tasks={tasks}")
             }
-            Note::Dead { worker } => write!(f, "worker.dead worker={worker}"),
+            Note::Dead { worker, how, tasks } => {
+                write!(f, "worker.dead worker={worker} how={how:?} tasks={tasks}")
+            }
+            Note::CrashedUnder { task, run, worker, crashes } => write!(
+                f,
+                "task.crashed_under task={task} run={run} worker={worker} crashes={crashes}"
+            ),
             Note::Leaving { worker } => write!(f, "worker.leaving worker={worker}"),
             Note::Advised { step, asked, good } => match good {
                 Some(good) => write!(f, "advice.answered step={step} asked={asked} good={good}"),
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -45,6 +45,8 @@
     pub account_used_milli: IntGaugeVec,
     /// Share of workers' answers that were lost lately, in thousandths, by partition.
     pub lost_permille: IntGaugeVec,
+    /// Workers that crashed, by partition.
+    pub worker_crashes: IntCounterVec,
     /// Log lines that were dropped since the writer was behind.
     log_dropped: IntCounter,
 }
@@ -104,6 +106,11 @@
                 &["partition", "account"],
             )?,
             lost_permille: gauges("lost_answers_permille", "Workers' answers lost lately")?,
+            worker_crashes: counters(
+                "worker_crashes_total",
+                "Workers that came back under another id without having said that they leave",
+                &["partition"],
+            )?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -20,7 +20,7 @@
 use crate::writer::Written;
 use hollowford_adapter::{Config, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
-use hollowford_jobs::{Engine, Order};
+use hollowford_jobs::{Engine, Order, Stats};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -77,6 +77,8 @@
     settings: watch::Receiver<NodeSettings>,
     /// When the gauges were renewed last.
     viewed: Millis,
+    /// The engine's counters as they were then.
+    shown: Stats,
     giving_up: GivingUp,
     end: Option<OwnerEnd>,
 }
@@ -107,6 +109,7 @@
             batches,
             config: 0,
             viewed: Millis(0),
+            shown: Stats::default(),
             giving_up,
             end: None,
         }
