--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -2,8 +2,10 @@
 //! clock. The workers judge: they panic when an order breaks what must always hold.
 #![allow(dead_code, clippy::expect_used)]
 
+pub mod crashes;
 pub mod worker;
 
+use crashes::Crashes;
 use hollowford_core::{InstanceId, Millis, Resources};
 use hollowford_jobs::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -83,6 +85,8 @@
     pub stale: Vec<WorkerListing>,
     /// Orders carried out, for tests that look at them.
     pub log: Vec<Order>,
+    /// Tasks that crash the workers that start them.
+    pub crashes: Crashes,
 }
 
 impl Cell {
@@ -106,6 +110,7 @@
             account_of: BTreeMap::new(),
             stale: Vec::new(),
             log: Vec::new(),
+            crashes: Crashes::default(),
         };
         cell.equip();
         cell.run(100);
@@ -159,6 +164,9 @@
             self.now = self.now + Millis(5);
             let now = self.now;
             self.workers.iter_mut().for_each(|w| w.tick(now));
+            if self.crashes.tick(&mut self.workers, now) {
+                self.list();
+            }
             self.turn();
         }
     }
@@ -279,9 +287,13 @@
             WorkerCall::Start { worker, task, run, lease_until, saved, .. } => {
                 let spec = self.specs[&task.step.job].clone();
                 let need = &spec.steps[task.step.step as usize];
+                let starts = self.starts();
                 let answer = self.worker(&worker).map_or(StartAnswer::OtherLife, |w| {
                     w.start(task, run, lease_until, fence, need, saved)
                 });
+                if self.starts() > starts {
+                    self.crashes.judge_start(task);
+                }
                 self.judge_once(task);
                 self.engine.start_answered(&worker, (task, run), answer, now, now);
             }
@@ -352,6 +364,11 @@
         }
     }
 
+    /// Returns how many runs the workers of today have begun.
+    pub fn starts(&self) -> u64 {
+        self.workers.iter().map(|w| w.starts).sum()
+    }
+
     pub fn running(&self) -> usize {
         self.workers.iter().map(|w| w.running.len()).sum()
     }
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -66,6 +66,8 @@
     pub stopping: BTreeMap<TaskKey, Millis>,
     /// Not crashed.
     pub up: bool,
+    /// When it crashed, while it is down.
+    pub down_since: Option<Millis>,
     pub now: Millis,
     /// Tasks that fail wherever they run.
     pub poison: BTreeSet<JobId>,
@@ -99,6 +101,7 @@
             stop_takes: 0,
             stopping: BTreeMap::new(),
             up: true,
+            down_since: None,
             now,
             poison: BTreeSet::new(),
             starts: 0,
@@ -182,6 +185,13 @@
         !self.mute
     }
 
+    /// Crashes, and is silent until it is started again.
+    pub fn crash(&mut self) {
+        self.up = false;
+        self.down_since = Some(self.now);
+        self.running.clear();
+    }
+
     /// Crashes and comes back under another id.
     pub fn restart(&mut self, id: &str) {
         let (now, address) = (self.now, self.address.clone());
