--- a/crates/hollowford-engine/tests/recovery.rs
+++ b/crates/hollowford-engine/tests/recovery.rs
@@ -171,6 +171,56 @@
     assert_eq!(world.answer("again").unwrap().outcome, Outcome::Done);
 }
 
+/// Restarts the first worker that runs something, until the request has its answer. Returns how often.
+fn restart_until_answered(world: &mut World, id: &str) -> usize {
+    for restarts in 0..20 {
+        if world.answer(id).is_some() {
+            return restarts;
+        }
+        world.run(3_000);
+        let World { workers, judge, .. } = &mut *world;
+        if let Some(w) = workers.values_mut().find(|w| !w.running.is_empty()) {
+            w.restart(judge);
+        }
+        world.run(3_000);
+    }
+    panic!("no answer after twenty restarts");
+}
+
+// What it runs restarts the worker, and a restarted worker knows of no task: nobody tells that it failed.
+#[test]
+fn a_repeatable_task_that_restarts_its_workers_is_given_up() {
+    for tasks in [1, 2] {
+        for kind in [Kind::Batch, Kind::Gang] {
+            let mut world = World::new(policy(), 2);
+            world.submit("restarts", &spec(kind, tasks, 1_000, 60_000)).unwrap();
+            let restarts = restart_until_answered(&mut world, "restarts");
+            assert_eq!(world.answer("restarts").unwrap().outcome, Outcome::Failed);
+            assert!(restarts <= 5, "{restarts} restarts");
+        }
+    }
+}
+
+// Each restart is followed by a takeover, so that the count has to come from the ledger.
+#[test]
+fn restarts_under_a_task_count_across_takeovers() {
+    let mut world = World::new(policy(), 2);
+    world.submit("restarts", &spec(Kind::Batch, 1, 1_000, 60_000)).unwrap();
+    for _ in 0..20 {
+        if world.answer("restarts").is_some() {
+            break;
+        }
+        world.run(3_000);
+        let World { workers, judge, .. } = &mut world;
+        if let Some(w) = workers.values_mut().find(|w| !w.running.is_empty()) {
+            w.restart(judge);
+        }
+        world.run(3_000);
+        world.takeover();
+    }
+    assert_eq!(world.answer("restarts").unwrap().outcome, Outcome::Failed);
+}
+
 #[test]
 fn tasks_that_the_ledger_does_not_know_are_stopped_and_their_room_is_not_given_away() {
     let mut engine = Engine::new(PartitionId(0), Epoch(3), policy());
