--- a/crates/hollowford-engine/src/claim.rs
+++ b/crates/hollowford-engine/src/claim.rs
@@ -7,6 +7,10 @@
 use hollowford_core::{InstanceId, Millis, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A worker that restarts within this time of a start, its own time to come back included, may have
+/// crashed by it; later, a task that runs for hours must not be ended for restarts that are days apart.
+const CRASHES_WITHIN: Millis = Millis(20_000);
+
 impl Engine {
     /// Takes in the partition's part of the instance list.
     pub fn listed(&mut self, now: Millis, list: &[Listed], out: &mut Vec<Action>) {
@@ -128,7 +132,10 @@
         if unsent || (same && !ran) {
             self.withdraw(now, &held.task, out);
         } else {
-            self.end_attempt(now, &held.task, TaskEnd::Lost, out);
+            let started = r.tasks[held.task.index as usize].since;
+            let soon = !same && now.since(started) < CRASHES_WITHIN;
+            let end = if soon { TaskEnd::Crashed } else { TaskEnd::Lost };
+            self.end_attempt(now, &held.task, end, out);
         }
     }
 
--- a/crates/hollowford-engine/src/event.rs
+++ b/crates/hollowford-engine/src/event.rs
@@ -53,6 +53,8 @@
         task: TaskId,
         /// Attempts that failed.
         failures: u32,
+        /// Attempts under which the worker restarted.
+        crashes: u32,
         /// Object from which the next attempt goes on; empty: from the start.
         checkpoint: Arc<str>,
         /// Whether a task of the request had started.
@@ -71,6 +73,8 @@
     Stopped(Arc<str>),
     /// It may have run, and no one can tell any more.
     Lost,
+    /// The same, since the worker restarted shortly after its start.
+    Crashed,
 }
 
 /// What a task gave back.
--- a/crates/hollowford-engine/src/gang.rs
+++ b/crates/hollowford-engine/src/gang.rs
@@ -10,7 +10,7 @@
 use crate::event::{Action, Change};
 use crate::feasible::{times, zone_allows};
 use crate::place::{Pass, Tried};
-use crate::request::{Class, Placing, Request, TaskState, Wait};
+use crate::request::{Class, Placing, Request, Task, TaskState, Wait};
 use crate::worker::{Worker, WorkerIdx};
 use hollowford_core::{Kind, Millis, RequestNo, Resources, Spread};
 use std::cmp::Reverse;
@@ -257,8 +257,9 @@
             return;
         };
         let task = r.task_id(index);
-        let failures = r.tasks[index as usize].failures;
-        let change = Change::Queued { task, failures, checkpoint: "".into(), begun: r.begun };
+        let Task { failures, crashes, .. } = r.tasks[index as usize];
+        let checkpoint = "".into();
+        let change = Change::Queued { task, failures, crashes, checkpoint, begun: r.begun };
         self.append(no, change, out);
         self.apply_queued(no, index);
     }
--- a/crates/hollowford-engine/src/health.rs
+++ b/crates/hollowford-engine/src/health.rs
@@ -27,7 +27,7 @@
                 w.probing = false;
             }
             TaskEnd::Failed(_) => self.mark_failure(now, idx, task.request),
-            TaskEnd::Stopped(_) | TaskEnd::Lost => {}
+            TaskEnd::Stopped(_) | TaskEnd::Lost | TaskEnd::Crashed => {}
         }
     }
 
--- a/crates/hollowford-engine/src/recover.rs
+++ b/crates/hollowford-engine/src/recover.rs
@@ -32,8 +32,8 @@
                 self.drop_waiting(no);
                 self.apply_close(now, no, answer, 0);
             }
-            Change::Queued { task, failures, checkpoint, begun } => {
-                self.replay_queued(&task, failures, checkpoint);
+            Change::Queued { task, failures, crashes, checkpoint, begun } => {
+                self.replay_queued(&task, (failures, crashes), checkpoint);
                 if let Some(r) = self.requests.get_mut(&no) {
                     r.begun |= begun;
                 }
@@ -109,7 +109,12 @@
         }
     }
 
-    fn replay_queued(&mut self, task: &TaskId, failures: u32, checkpoint: Arc<str>) {
+    fn replay_queued(
+        &mut self,
+        task: &TaskId,
+        (failures, crashes): (u32, u32),
+        checkpoint: Arc<str>,
+    ) {
         let Some(r) = self.requests.get_mut(&task.request) else {
             return;
         };
@@ -118,6 +123,7 @@
         };
         t.attempt = task.attempt;
         t.failures = failures;
+        t.crashes = crashes;
         t.checkpoint = Some(checkpoint).filter(|c| !c.is_empty());
         if t.state == TaskState::Ended {
             self.apply_queued(task.request, task.index);
@@ -186,8 +192,8 @@
                 continue;
             }
             let checkpoint = t.checkpoint.clone().unwrap_or_else(|| "".into());
-            let (failures, begun) = (t.failures, r.begun);
-            push(Change::Queued { task, failures, checkpoint, begun });
+            let (failures, crashes, begun) = (t.failures, t.crashes, r.begun);
+            push(Change::Queued { task, failures, crashes, checkpoint, begun });
             if let Some(w) = t.state.worker() {
                 let worker = self.workers.get(w);
                 let held = worker.held.iter().find(|h| h.task == task);
--- a/crates/hollowford-engine/src/request.rs
+++ b/crates/hollowford-engine/src/request.rs
@@ -101,6 +101,8 @@
     /// Number of the last attempt; 0: none yet.
     pub attempt: u32,
     pub failures: u32,
+    /// Attempts under which the worker restarted shortly after the start.
+    pub crashes: u32,
     /// When the task was placed or started, whichever came last.
     pub since: Millis,
     pub checkpoint: Option<Arc<str>>,
@@ -112,6 +114,7 @@
             state: TaskState::Waiting,
             attempt: 0,
             failures: 0,
+            crashes: 0,
             since: Millis(0),
             checkpoint: None,
         }
--- a/crates/hollowford-engine/src/settle.rs
+++ b/crates/hollowford-engine/src/settle.rs
@@ -4,7 +4,11 @@
 use crate::event::{Action, Change, FinalAnswer, Outcome, TaskEnd};
 use crate::request::{Request, TaskState};
 use crate::worker::WorkerIdx;
-use hollowford_core::{ErrorKind, Millis, RequestNo, TaskId};
+use hollowford_core::{ErrorKind, Kind, Millis, RequestNo, TaskId};
+
+/// A repeatable task under which so many workers have restarted has failed: it would go on to take one
+/// after the other down, with what runs beside it.
+const MOST_CRASHES: u32 = 4;
 
 impl Engine {
     /// Finds the worker that holds this very attempt.
@@ -91,7 +95,7 @@
         match end {
             TaskEnd::Done(_) => self.stats.done += 1,
             TaskEnd::Failed(_) => self.stats.failed += 1,
-            TaskEnd::Lost => self.stats.lost += 1,
+            TaskEnd::Lost | TaskEnd::Crashed => self.stats.lost += 1,
             TaskEnd::Stopped(_) => {}
         }
     }
@@ -135,6 +139,7 @@
                 }
                 may_repeat
             }
+            TaskEnd::Crashed => crashed_again(r, task.index, may_repeat),
         }
     }
 
@@ -164,7 +169,8 @@
         let Some(r) = self.requests.get_mut(&task.request) else {
             return;
         };
-        let failures = r.tasks[task.index as usize].failures;
+        let t = &r.tasks[task.index as usize];
+        let failures = t.failures + t.crashes;
         if failures == 0 {
             return;
         }
@@ -236,6 +242,22 @@
     may_repeat
 }
 
+/// Books a restart of the worker. A task under which too many have restarted has failed; a service
+/// runs again, more and more rarely.
+fn crashed_again(r: &mut Request, index: u32, may_repeat: bool) -> bool {
+    let crashes = &mut r.tasks[index as usize].crashes;
+    *crashes += 1;
+    let bounded = r.spec.kind != Kind::Service && *crashes >= MOST_CRASHES;
+    if !r.spec.repeatable {
+        r.unsure += 1;
+    } else if may_repeat && bounded {
+        r.failed += 1;
+        r.message =
+            format!("{MOST_CRASHES} workers restarted shortly after they had started it").into();
+    }
+    may_repeat && !bounded
+}
+
 fn final_answer(r: &Request) -> FinalAnswer {
     let (outcome, reason) = if r.unsure > 0 {
         (Outcome::MayHaveRun, ErrorKind::Unknown.answer().name)
--- a/crates/hollowford-engine/tests/recovery.rs
+++ b/crates/hollowford-engine/tests/recovery.rs
@@ -171,17 +171,22 @@
     assert_eq!(world.answer("again").unwrap().outcome, Outcome::Done);
 }
 
-/// Restarts the first worker that runs something, until the request has its answer. Returns how often.
+/// Restarts the first worker that runs something.
+fn restart_busy(world: &mut World) {
+    let World { workers, judge, .. } = world;
+    if let Some(w) = workers.values_mut().find(|w| !w.running.is_empty()) {
+        w.restart(judge);
+    }
+}
+
+/// Restarts workers that run something, until the request has its answer. Returns how often.
 fn restart_until_answered(world: &mut World, id: &str) -> usize {
     for restarts in 0..20 {
         if world.answer(id).is_some() {
             return restarts;
         }
         world.run(3_000);
-        let World { workers, judge, .. } = &mut *world;
-        if let Some(w) = workers.values_mut().find(|w| !w.running.is_empty()) {
-            w.restart(judge);
-        }
+        restart_busy(world);
         world.run(3_000);
     }
     panic!("no answer after twenty restarts");
@@ -204,21 +209,36 @@
 // Each restart is followed by a takeover, so that the count has to come from the ledger.
 #[test]
 fn restarts_under_a_task_count_across_takeovers() {
-    let mut world = World::new(policy(), 2);
-    world.submit("restarts", &spec(Kind::Batch, 1, 1_000, 60_000)).unwrap();
-    for _ in 0..20 {
-        if world.answer("restarts").is_some() {
-            break;
-        }
-        world.run(3_000);
-        let World { workers, judge, .. } = &mut world;
-        if let Some(w) = workers.values_mut().find(|w| !w.running.is_empty()) {
-            w.restart(judge);
+    for from_snapshot in [false, true] {
+        let mut world = World::new(policy(), 2);
+        world.submit("restarts", &spec(Kind::Batch, 1, 1_000, 60_000)).unwrap();
+        for _ in 0..20 {
+            if world.answer("restarts").is_some() {
+                break;
+            }
+            world.run(3_000);
+            restart_busy(&mut world);
+            world.run(3_000);
+            if from_snapshot {
+                world.ledger = world.engine().snapshot();
+            }
+            world.takeover();
         }
-        world.run(3_000);
-        world.takeover();
+        assert_eq!(world.answer("restarts").unwrap().outcome, Outcome::Failed);
+    }
+}
+
+#[test]
+fn restarts_long_after_a_start_are_not_counted() {
+    let mut world = World::new(policy(), 2);
+    world.submit("long", &spec(Kind::Batch, 1, 1_000, 60_000)).unwrap();
+    for _ in 0..6 {
+        world.run(25_000);
+        restart_busy(&mut world);
     }
-    assert_eq!(world.answer("restarts").unwrap().outcome, Outcome::Failed);
+    assert!(world.answer("long").is_none());
+    world.run(70_000);
+    assert_eq!(world.answer("long").unwrap().outcome, Outcome::Done);
 }
 
 #[test]
--- a/crates/hollowford-protocol/src/ledger.rs
+++ b/crates/hollowford-protocol/src/ledger.rs
@@ -150,4 +150,7 @@
     /// Whether a task of the request had started.
     #[prost(bool, tag = "3")]
     pub begun: bool,
+    /// Attempts under which the worker restarted.
+    #[prost(uint32, tag = "4")]
+    pub crashes: u32,
 }
--- a/crates/hollowford-server/src/codec.rs
+++ b/crates/hollowford-server/src/codec.rs
@@ -12,6 +12,7 @@
 const END_FAILED: u32 = 2;
 const END_STOPPED: u32 = 3;
 const END_LOST: u32 = 4;
+const END_CRASHED: u32 = 5;
 
 /// Turns a record into its ledger message.
 pub fn record_to_wire(record: &Record) -> ledger::Record {
@@ -47,10 +48,11 @@
         Change::Ended { task, end } => (Some(*task), ledger::Change::Ended(end_to_wire(end))),
         Change::Cancel => (None, ledger::Change::Cancel(ledger::Cancel {})),
         Change::Close(answer) => (None, ledger::Change::Close(answer_to_ledger(answer))),
-        Change::Queued { task, failures, checkpoint, begun } => (
+        Change::Queued { task, failures, crashes, checkpoint, begun } => (
             Some(*task),
             ledger::Change::Queued(ledger::Queued {
                 failures: *failures,
+                crashes: *crashes,
                 checkpoint: checkpoint.to_string(),
                 begun: *begun,
             }),
@@ -77,6 +79,7 @@
             ..Default::default()
         },
         TaskEnd::Lost => ledger::Ended { end: END_LOST, ..Default::default() },
+        TaskEnd::Crashed => ledger::Ended { end: END_CRASHED, ..Default::default() },
     }
 }
 
@@ -141,6 +144,7 @@
         ledger::Change::Queued(q) => Change::Queued {
             task,
             failures: q.failures,
+            crashes: q.crashes,
             checkpoint: q.checkpoint.as_str().into(),
             begun: q.begun,
         },
@@ -158,6 +162,7 @@
         }),
         END_FAILED => TaskEnd::Failed(e.message),
         END_STOPPED => TaskEnd::Stopped(e.checkpoint.as_str().into()),
+        END_CRASHED => TaskEnd::Crashed,
         _ => TaskEnd::Lost,
     }
 }
