A start that its worker never confirmed tells nothing against its task

Its second start was sent to a worker that had crashed 0.2 s before, which nobody knew yet, so the task was never there. Such a crash counts towards the four of any kind only.

Test: a_start_that_came_after_the_crash_...; without the change it fails.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -21,9 +21,10 @@
 /// A crashed worker is back within this time, or not soon enough to tell that it crashed. Workers
 /// were seen back after 3.2 to 3.4 s; the platform says "some seconds".
 const BACK_WITHIN: Millis = Millis(15_000);
-/// A run is fresh while its worker was not heard for so long after its start: what crashes a worker
-/// does so when it is started, and most of what stands beside it has run for longer. Members make the
-/// calls in large cells, which adds some 50 ms.
+/// A run that its worker has confirmed is fresh while the worker was not heard for so long after its start: what crashes a worker
+/// does so when it is started, and most of what stands beside it has run for longer. A start that was
+/// not confirmed may have come after the crash. Members make the calls in large cells, which adds some
+/// 50 ms.
 pub(crate) const FRESH_FOR: Millis = Millis(300);
 /// A run that has worked for so long clears its task: what crashes a worker does so when it is
 /// started. It keeps crashes that are years apart from adding up for tasks that last.
@@ -43,7 +44,7 @@
 impl LostRun {
     /// Makes what is known of a run at `now` whose worker was heard last at `heard`.
     fn of(h: &Held, heard: Millis, now: Millis) -> LostRun {
-        let fresh = heard < h.since + FRESH_FOR;
+        let fresh = h.phase == Phase::Running && heard < h.since + FRESH_FOR;
         LostRun { task: h.task, run: h.run, fresh, since: now }
     }
 }
--- a/crates/hollowford-jobs/tests/crashes.rs
+++ b/crates/hollowford-jobs/tests/crashes.rs
@@ -171,6 +171,28 @@
     assert_eq!(cell.engine.stats().crashes, 1);
 }
 
+// Both workers have crashed just before the task was sent to them, and nobody knew: it never ran there.
+#[test]
+fn a_start_that_came_after_the_crash_tells_nothing_against_its_task() {
+    let mut cell = cell(2, 3_300);
+    cell.submit(2, QUICK, job(vec![step(1, 1_000, 600)]));
+    cell.run(5);
+    cell.crashes.crash(&mut cell.workers[0]);
+    while cell.workers[0].down_since.is_some() {
+        cell.run(5);
+    }
+    cell.crashes.crash(&mut cell.workers[1]);
+    cell.run(10_000);
+    assert_eq!(cell.crashes.under.len(), 0);
+    let under = |n: &Note| matches!(n, Note::CrashedUnder { .. });
+    assert_eq!(
+        cell.engine.take_notes().iter().filter(|n| under(n)).count(),
+        2,
+        "it was sent twice"
+    );
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+}
+
 // Workers say that they leave, and their addresses are another's soon after.
 #[test]
 fn a_worker_that_leaves_has_not_crashed() {
