Soak: jobs that crash the workers that start them

A job that is told as failed must have had two workers crash under one of its tasks, by the stand-in's count; one that is never given up doesn't end, which the soak tells.

--- a/crates/hollowford-soak/src/callers.rs
+++ b/crates/hollowford-soak/src/callers.rs
@@ -24,6 +24,8 @@
 const QUESTIONS: u32 = 30;
 /// One job in so many is cancelled.
 const CANCELLED: u32 = 8;
+/// One job in so many crashes the workers that start it.
+const CRASHING: u32 = 60;
 
 /// Status of the answer about a job that is not known any more.
 pub(crate) const FORGOTTEN: u16 = 410;
@@ -45,6 +47,8 @@
     pub cancelled_at: Option<u64>,
     /// It was told to be completed.
     pub completed: bool,
+    /// It was told to have failed.
+    pub failed: bool,
 }
 
 /// What all callers were told.
@@ -152,6 +156,9 @@
     fn draw_job(&mut self) -> (u32, Value) {
         let ms = self.rng.u64(10..500);
         let cpu_milli = [500, 1_000, 4_000, 9_000][self.rng.usize(..4)];
+        if self.rng.u32(..CRASHING) == 0 {
+            return (1, speech::crashing_job(cpu_milli));
+        }
         let counts: Vec<u32> = (0..self.rng.usize(1..=3)).map(|_| self.rng.u32(1..5)).collect();
         (counts.iter().sum(), speech::chain(&counts, ms, cpu_milli))
     }
@@ -185,13 +192,13 @@
     let Some(told) = book.jobs.get_mut(&id) else { return true };
     let wrong = match (status, state) {
         (FORGOTTEN, _) => Some("is not known any more"),
-        (200, "failed") => Some("is told to have failed"),
         (200, "cancelled") if !told.cancelling => Some("is cancelled though nobody asked"),
         (200, "completed") => None,
         (200, _) if told.completed => Some("goes on after it was completed"),
         _ => None,
     };
     told.completed |= status == 200 && state == "completed";
+    told.failed |= status == 200 && state == "failed";
     if let Some(wrong) = wrong {
         book.wrong.push(format!("job {id:016x} {wrong}"));
     }
--- a/crates/hollowford-soak/src/cell.rs
+++ b/crates/hollowford-soak/src/cell.rs
@@ -137,26 +137,37 @@
         Ok(())
     }
 
+    /// Returns a worker, whose life may have ended by a task's doing.
+    fn worker(&mut self, i: usize) -> &mut Worker {
+        let w = &mut self.workers[i];
+        w.id = self.platform.present_life(&w.id);
+        w
+    }
+
     /// Lets a worker crash and come back as another life.
     pub fn restart_worker(&mut self, i: usize) {
         let next = self.next_life();
-        let w = &mut self.workers[i];
-        self.platform.restart_worker(&w.id, &next, w.proxy.addr, w.rack);
+        let platform = self.platform.clone();
+        let w = self.worker(i);
+        platform.restart_worker(&w.id, &next, w.proxy.addr, w.rack);
         w.id = next;
     }
 
     /// Lets a worker say that it is about to leave.
-    pub fn drain_worker(&self, i: usize) {
-        let w = &self.workers[i];
-        let now = self.platform.now();
-        self.platform.with_worker(&w.id, |x| x.leaving_since = Some(x.clock.at(now)));
-        self.platform.list_worker(&w.id, w.proxy.addr, w.rack, true);
+    pub fn drain_worker(&mut self, i: usize) {
+        let platform = self.platform.clone();
+        let w = self.worker(i);
+        let now = platform.now();
+        platform.with_worker(&w.id, |x| x.leaving_since = Some(x.clock.at(now)));
+        platform.list_worker(&w.id, w.proxy.addr, w.rack, true);
     }
 
     /// Takes a worker away.
     pub fn remove_worker(&mut self, i: usize) {
-        self.workers[i].gone = true;
-        self.platform.remove_worker(&self.workers[i].id);
+        let platform = self.platform.clone();
+        let w = self.worker(i);
+        w.gone = true;
+        platform.remove_worker(&w.id);
     }
 
     /// Writes the next configuration: the queues, and one that only this version has.
--- a/crates/hollowford-soak/src/judge.rs
+++ b/crates/hollowford-soak/src/judge.rs
@@ -19,6 +19,8 @@
 /// A task may begin so long after its job's cancellation was confirmed: an order that was on
 /// its way may be carried out late, behind a cut that lasts some seconds.
 const CANCEL_GRACE_MS: u64 = 9_000;
+/// A job may be given up once so many workers have crashed under one of its tasks.
+const CRASHES_TO_FAIL: u32 = 2;
 /// Versions of the configuration that are asked for, the newest first.
 const VERSIONS: u64 = 3;
 
@@ -126,6 +128,13 @@
         }
         begun.entry(id).or_default().insert(task);
     }
+    for id in book.jobs.iter().filter(|(_, t)| t.failed).map(|(id, _)| id) {
+        let tasks = begun.get(id).into_iter().flatten();
+        let crashes = tasks.map(|t| cell.platform.crashes_under(t)).max().unwrap_or(0);
+        if crashes < CRASHES_TO_FAIL {
+            wrong.push(format!("job {id:016x} is told to have failed after {crashes} crashes"));
+        }
+    }
     for (id, told) in book.jobs.iter().filter(|(_, t)| t.completed) {
         let tasks = begun.get(id).map_or(0, HashSet::len);
         if tasks != told.tasks as usize {
