--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -33,6 +33,7 @@
 mod pacing;
 mod pass;
 mod place;
+mod progress_rows;
 mod queue;
 mod recover;
 mod reserve;
--- /dev/null
+++ b/crates/hollowford-jobs/src/progress_rows.rs
@@ -0,0 +1,142 @@
+//! The rows that tell how far jobs have come, as bytes.
+
+use crate::job::{Job, Round, Step, Task};
+use crate::suspicion::{OpenRun, Suspicion};
+use prost::Message;
+
+/// How far a job has come.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ProgressRow {
+    /// Rounds that have fallen due.
+    #[prost(uint32, tag = "1")]
+    pub due_rounds: u32,
+    /// Rounds that are not done, with the tasks that differ from a fresh one.
+    #[prost(message, repeated, tag = "2")]
+    pub rounds: Vec<RoundRow>,
+    #[prost(bool, tag = "3")]
+    pub begun: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RoundRow {
+    #[prost(uint32, tag = "1")]
+    pub number: u32,
+    #[prost(uint64, tag = "2")]
+    pub due: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub tasks: Vec<TaskRow>,
+    /// Runs of gangs that failed.
+    #[prost(message, repeated, tag = "4")]
+    pub gangs: Vec<GangRow>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct GangRow {
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    #[prost(uint32, repeated, tag = "2")]
+    pub failed_runs: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct TaskRow {
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    #[prost(bool, tag = "3")]
+    pub done: bool,
+    #[prost(uint32, tag = "4")]
+    pub run: u32,
+    #[prost(uint32, repeated, tag = "5")]
+    pub failed_runs: Vec<u32>,
+    #[prost(string, tag = "6")]
+    pub saved: String,
+    /// A worker has crashed under it, or may have.
+    #[prost(message, optional, tag = "7")]
+    pub suspicion: Option<SuspicionRow>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct SuspicionRow {
+    /// Runs under which a worker has crashed.
+    #[prost(uint32, repeated, tag = "1")]
+    pub crashed_runs: Vec<u32>,
+    /// Those of them that had been started shortly before.
+    #[prost(uint32, repeated, tag = "2")]
+    pub fresh_runs: Vec<u32>,
+    /// Runs of which it isn't known yet.
+    #[prost(message, repeated, tag = "3")]
+    pub open_runs: Vec<OpenRunRow>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct OpenRunRow {
+    #[prost(uint32, tag = "1")]
+    pub run: u32,
+    /// The life of the worker.
+    #[prost(string, tag = "2")]
+    pub worker: String,
+}
+impl ProgressRow {
+    /// Returns the row of a job's progress.
+    pub fn of(job: &Job) -> ProgressRow {
+        let rounds = job.rounds.iter().filter(|r| !r.done()).map(RoundRow::of).collect();
+        ProgressRow { due_rounds: job.due_rounds, rounds, begun: job.begun }
+    }
+}
+
+impl TaskRow {
+    fn of(step: usize, index: usize, t: &Task) -> TaskRow {
+        TaskRow {
+            step: step as u32,
+            index: index as u32,
+            done: t.done,
+            run: t.run,
+            failed_runs: t.failed_runs.clone(),
+            saved: if t.done { String::new() } else { t.saved.as_deref().unwrap_or("").into() },
+            suspicion: t.suspicion.as_deref().filter(|_| !t.done).map(SuspicionRow::from),
+        }
+    }
+}
+
+impl From<&Suspicion> for SuspicionRow {
+    fn from(s: &Suspicion) -> SuspicionRow {
+        let open = |r: &OpenRun| OpenRunRow { run: r.run, worker: r.worker.as_str().to_owned() };
+        SuspicionRow {
+            crashed_runs: s.crashed_runs.clone(),
+            fresh_runs: s.fresh_runs.clone(),
+            open_runs: s.open_runs.iter().map(open).collect(),
+        }
+    }
+}
+
+impl From<&SuspicionRow> for Suspicion {
+    fn from(row: &SuspicionRow) -> Suspicion {
+        let open = |r: &OpenRunRow| OpenRun { run: r.run, worker: r.worker.as_str().into() };
+        Suspicion {
+            crashed_runs: row.crashed_runs.clone(),
+            fresh_runs: row.fresh_runs.clone(),
+            open_runs: row.open_runs.iter().map(open).collect(),
+        }
+    }
+}
+
+impl RoundRow {
+    fn of(round: &Round) -> RoundRow {
+        let mut tasks = Vec::new();
+        for (step, s) in round.steps.iter().enumerate() {
+            for (index, t) in s.tasks.iter().enumerate() {
+                if t.run > 0 || t.done || t.suspicion.is_some() {
+                    tasks.push(TaskRow::of(step, index, t));
+                }
+            }
+        }
+        let gang = |(step, s): (usize, &Step)| {
+            let row = GangRow { step: step as u32, failed_runs: s.gang_failed.clone() };
+            (!s.gang_failed.is_empty()).then_some(row)
+        };
+        let gangs = round.steps.iter().enumerate().filter_map(gang).collect();
+        RoundRow { number: round.number, due: round.due.0, tasks, gangs }
+    }
+}
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -3,7 +3,8 @@
 use crate::engine::Engine;
 use crate::job::JobState;
 use crate::jobs::Ended;
-use crate::rows::{JobRow, ProgressRow, RoundRow, RowError, WorkerAddress, decode_workers};
+use crate::progress_rows::{ProgressRow, RoundRow};
+use crate::rows::{JobRow, RowError, WorkerAddress, decode_workers};
 use crate::spec::{JobId, StepKey};
 use crate::submit::new_job;
 use crate::worker::Worker;
@@ -130,8 +131,8 @@
     fn recover_suspicions(&mut self, job: JobId, row: &RoundRow, now: Millis) {
         for t in &row.tasks {
             let step = StepKey { job, round: row.number, step: t.step };
-            if let Some(suspicion) = t.suspicion() {
-                self.recover_suspicion(step.task(t.index), suspicion, now);
+            if let Some(suspicion) = &t.suspicion {
+                self.recover_suspicion(step.task(t.index), suspicion.into(), now);
             }
         }
     }
--- a/crates/hollowford-jobs/src/rows.rs
+++ b/crates/hollowford-jobs/src/rows.rs
@@ -1,8 +1,7 @@
-//! The rows of the store, as bytes.
+//! The rows of jobs and workers in the store, as bytes.
 
-use crate::job::{Job, JobState, Round, Step, Task};
+use crate::job::{Job, JobState};
 use crate::spec::{JobSpec, RawJob, RawStep, Schedule, SpecError};
-use crate::suspicion::{OpenRun, Suspicion};
 use hollowford_core::{InstanceId, Resources};
 use prost::Message;
 use std::sync::Arc;
@@ -95,77 +94,6 @@
     pub latency_ms: u64,
 }
 
-/// How far a job has come.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct ProgressRow {
-    /// Rounds that have fallen due.
-    #[prost(uint32, tag = "1")]
-    pub due_rounds: u32,
-    /// Rounds that are not done, with the tasks that differ from a fresh one.
-    #[prost(message, repeated, tag = "2")]
-    pub rounds: Vec<RoundRow>,
-    #[prost(bool, tag = "3")]
-    pub begun: bool,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct RoundRow {
-    #[prost(uint32, tag = "1")]
-    pub number: u32,
-    #[prost(uint64, tag = "2")]
-    pub due: u64,
-    #[prost(message, repeated, tag = "3")]
-    pub tasks: Vec<TaskRow>,
-    /// Runs of gangs that failed.
-    #[prost(message, repeated, tag = "4")]
-    pub gangs: Vec<GangRow>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct GangRow {
-    #[prost(uint32, tag = "1")]
-    pub step: u32,
-    #[prost(uint32, repeated, tag = "2")]
-    pub failed_runs: Vec<u32>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct TaskRow {
-    #[prost(uint32, tag = "1")]
-    pub step: u32,
-    #[prost(uint32, tag = "2")]
-    pub index: u32,
-    #[prost(bool, tag = "3")]
-    pub done: bool,
-    #[prost(uint32, tag = "4")]
-    pub run: u32,
-    #[prost(uint32, repeated, tag = "5")]
-    pub failed_runs: Vec<u32>,
-    #[prost(string, tag = "6")]
-    pub saved: String,
-    /// Runs under which a worker has crashed.
-    #[prost(uint32, repeated, tag = "7")]
-    pub crashed_runs: Vec<u32>,
-    /// Those of them that had been started shortly before.
-    #[prost(uint32, repeated, tag = "10")]
-    pub fresh_runs: Vec<u32>,
-    /// Runs of which it isn't known yet.
-    #[prost(message, repeated, tag = "8")]
-    pub open_runs: Vec<OpenRunRow>,
-    /// A worker may have crashed under it; each start is written down.
-    #[prost(bool, tag = "9")]
-    pub watched: bool,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct OpenRunRow {
-    #[prost(uint32, tag = "1")]
-    pub run: u32,
-    /// The life of the worker.
-    #[prost(string, tag = "2")]
-    pub worker: String,
-}
-
 /// The workers that may hold a lease.
 #[derive(Clone, PartialEq, Message)]
 struct WorkersRow {
@@ -320,61 +248,6 @@
     }
 }
 
-impl ProgressRow {
-    /// Returns the row of a job's progress.
-    pub fn of(job: &Job) -> ProgressRow {
-        let rounds = job.rounds.iter().filter(|r| !r.done()).map(round_row).collect();
-        ProgressRow { due_rounds: job.due_rounds, rounds, begun: job.begun }
-    }
-}
-
-impl TaskRow {
-    fn of(step: usize, index: usize, t: &Task) -> TaskRow {
-        let suspicion = t.suspicion.as_deref().filter(|_| !t.done);
-        let open = |r: &OpenRun| OpenRunRow { run: r.run, worker: r.worker.as_str().to_owned() };
-        TaskRow {
-            step: step as u32,
-            index: index as u32,
-            done: t.done,
-            run: t.run,
-            failed_runs: t.failed_runs.clone(),
-            saved: if t.done { String::new() } else { t.saved.as_deref().unwrap_or("").into() },
-            crashed_runs: suspicion.map_or_else(Vec::new, |s| s.crashed_runs.clone()),
-            fresh_runs: suspicion.map_or_else(Vec::new, |s| s.fresh_runs.clone()),
-            open_runs: suspicion.map_or_else(Vec::new, |s| s.open_runs.iter().map(open).collect()),
-            watched: suspicion.is_some(),
-        }
-    }
-
-    /// Returns what it says of crashes; none: nothing.
-    pub fn suspicion(&self) -> Option<Suspicion> {
-        let open = |r: &OpenRunRow| OpenRun { run: r.run, worker: r.worker.as_str().into() };
-        let suspicion = || Suspicion {
-            crashed_runs: self.crashed_runs.clone(),
-            fresh_runs: self.fresh_runs.clone(),
-            open_runs: self.open_runs.iter().map(open).collect(),
-        };
-        self.watched.then(suspicion)
-    }
-}
-
-fn round_row(round: &Round) -> RoundRow {
-    let mut tasks = Vec::new();
-    for (step, s) in round.steps.iter().enumerate() {
-        for (index, t) in s.tasks.iter().enumerate() {
-            if t.run > 0 || t.done || t.suspicion.is_some() {
-                tasks.push(TaskRow::of(step, index, t));
-            }
-        }
-    }
-    let gang = |(step, s): (usize, &Step)| {
-        let row = GangRow { step: step as u32, failed_runs: s.gang_failed.clone() };
-        (!s.gang_failed.is_empty()).then_some(row)
-    };
-    let gangs = round.steps.iter().enumerate().filter_map(gang).collect();
-    RoundRow { number: round.number, due: round.due.0, tasks, gangs }
-}
-
 /// Writes a job's specification, for messages between processes.
 pub fn encode_spec(spec: &JobSpec) -> Vec<u8> {
     let schedule = spec.schedule.map(ScheduleRow::from);
--- a/crates/hollowford/tests/crashes.rs
+++ b/crates/hollowford/tests/crashes.rs
@@ -1,4 +1,5 @@
 //! Workers that crash under a task and come back, with whole processes.
+#![allow(clippy::expect_used)]
 
 #[path = "common/node.rs"]
 mod node;
