Runs on a worker that has left are closed

Found reading the change: what a worker that was cut off had lost stayed open for ever once it left unheard, and four such runs would have held their task back for good. Test: workers_that_leave_unheard_..., fails without.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -21,10 +21,10 @@
 /// A crashed worker is back within this time, or not soon enough to tell that it crashed. Workers
 /// were seen back after 3.2 to 3.4 s; the platform says "some seconds".
 const BACK_WITHIN: Millis = Millis(15_000);
-/// A run that its worker has confirmed is fresh while the worker was not heard for so long after its start: what crashes a worker
-/// does so when it is started, and most of what stands beside it has run for longer. A start that was
-/// not confirmed may have come after the crash. Members make the calls in large cells, which adds some
-/// 50 ms.
+/// A run that its worker has confirmed is fresh while the worker was not heard for so long after its
+/// start: what crashes a worker does so when it is started, and most of what stands beside it has run for
+/// longer. A start that was not confirmed may have come after the crash. Members make the calls in large
+/// cells, which adds some 50 ms.
 pub(crate) const FRESH_FOR: Millis = Millis(300);
 /// A run that has worked for so long clears its task: what crashes a worker does so when it is
 /// started. It keeps crashes that are years apart from adding up for tasks that last.
@@ -113,8 +113,8 @@
         }
     }
 
-    /// Takes note that a worker lives: it has not crashed under what was given up.
-    pub(crate) fn note_alive(&mut self, idx: WorkerIdx) {
+    /// Takes note that a worker has not crashed under what was given up: it lives, or has left.
+    pub(crate) fn close_lost(&mut self, idx: WorkerIdx) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         for lost in std::mem::take(&mut w.lost) {
             self.close_run(lost.task, lost.run);
--- a/crates/hollowford-jobs/src/gone.rs
+++ b/crates/hollowford-jobs/src/gone.rs
@@ -37,8 +37,9 @@
         let Some(w) = self.workers.get(idx) else { return };
         let (worker, tasks) = (w.id.clone(), w.held.len());
         let how = if w.leaving { LifeEnd::Left } else { LifeEnd::Crashed };
-        if how == LifeEnd::Crashed {
-            self.note_crash(idx, now);
+        match how {
+            LifeEnd::Crashed => self.note_crash(idx, now),
+            LifeEnd::Left => self.close_lost(idx),
         }
         self.free_all(idx, GiveUp::WorkerDead, now);
         self.dead.insert(worker.clone());
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -164,7 +164,7 @@
         }
         w.answered(clock, now);
         if !w.lost.is_empty() {
-            self.note_alive(idx);
+            self.close_lost(idx);
         }
     }
 
--- a/crates/hollowford-jobs/src/suspicion.rs
+++ b/crates/hollowford-jobs/src/suspicion.rs
@@ -14,6 +14,7 @@
 /// The platform lets a task be given up after two, and bears two starts after the third: five in all. A
 /// takeover can hide one crash (see `watch_unsettled`), so four that are known keep within it.
 const MOST_CRASHES: usize = 4;
+
 /// A run of which the owner can't know yet whether its worker crashes under it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct OpenRun {
--- a/crates/hollowford-jobs/tests/crashes.rs
+++ b/crates/hollowford-jobs/tests/crashes.rs
@@ -228,6 +228,28 @@
     assert_eq!(cell.state(2), Some(JobState::Completed));
 }
 
+// Five workers are cut off one after the other, then leave without being heard again.
+#[test]
+fn workers_that_leave_unheard_hold_no_task_up() {
+    let mut cell = cell(6, 3_300);
+    cell.submit(2, LARGE, job(vec![step(1, 1_000, 3_000)]));
+    for _ in 0..5 {
+        cell.run(200);
+        let at = cell.workers.iter().position(|w| w.listed && !w.running.is_empty());
+        let w = &mut cell.workers[at.expect("it runs")];
+        w.reachable = false;
+        let id = w.id.clone();
+        cell.run(3_750);
+        let w = cell.worker(&id).expect("the worker");
+        w.leaving = true;
+        cell.list();
+        cell.worker(&id).expect("the worker").listed = false;
+        cell.list();
+    }
+    cell.run(4_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+}
+
 // Workers crash under it by and by, for reasons of their own.
 #[test]
 fn a_task_that_lasts_is_not_given_up_for_crashes_far_apart() {
