--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -10,11 +10,11 @@
 //! stay open until then.
 
 use crate::engine::Engine;
+use crate::held::{Held, Phase};
 use crate::job::{JobState, Task};
 use crate::note::Note;
 use crate::spec::TaskKey;
 use crate::suspicion::Suspicion;
-use crate::worker::{Held, Phase};
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::{InstanceId, Millis};
 
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -2,11 +2,11 @@
 
 use crate::accounts::NO_ACCOUNT;
 use crate::engine::Engine;
+use crate::held::{Held, Phase};
 use crate::job::{JobState, count_failure};
 use crate::note::Note;
 use crate::order::{End, EndKind, Running};
 use crate::spec::{JobId, StepSpec, TaskKey};
-use crate::worker::{Held, Phase};
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::{Millis, Resources};
 use std::sync::Arc;
--- a/crates/hollowford-jobs/src/evacuate.rs
+++ b/crates/hollowford-jobs/src/evacuate.rs
@@ -1,7 +1,7 @@
 //! Workers that leave: what can't end there in time moves while it can take its progress along.
 
 use crate::engine::Engine;
-use crate::worker::{Held, Phase};
+use crate::held::{Held, Phase};
 use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
 
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -2,11 +2,12 @@
 
 use crate::answers::pause_after;
 use crate::engine::Engine;
+use crate::held::{Held, Phase};
 use crate::job::EndAt;
 use crate::note::{GiveUp, Note};
 use crate::order::{End, Look, Order, WorkerCall};
 use crate::spec::TaskKey;
-use crate::worker::{Held, Phase, Worker};
+use crate::worker::Worker;
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::{InstanceId, Millis};
 
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -25,6 +25,7 @@
 mod health;
 #[cfg(test)]
 mod health_tests;
+mod held;
 mod job;
 mod jobs;
 mod lease;
--- a/crates/hollowford-jobs/src/pacing.rs
+++ b/crates/hollowford-jobs/src/pacing.rs
@@ -6,9 +6,9 @@
 //! worker is slowed down at once; it is sped up again step by step.
 
 use crate::engine::Engine;
+use crate::held::{FULL_PACE, Held, Phase};
 use crate::order::{Order, Running, WorkerCall};
 use crate::spec::TaskKey;
-use crate::worker::{FULL_PACE, Held, Phase};
 use crate::workers::WorkerIdx;
 use hollowford_core::{InstanceId, Millis};
 
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -2,10 +2,10 @@
 //! workers on which all stands still.
 
 use crate::engine::Engine;
+use crate::held::{Held, Phase};
 use crate::note::Note;
 use crate::order::Running;
 use crate::spec::TaskKey;
-use crate::worker::{Held, Phase};
 use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
 
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -1,11 +1,11 @@
 //! Orders to start and stop tasks, and what workers say to them.
 
 use crate::engine::Engine;
+use crate::held::{Held, Phase};
 use crate::job::Task;
 use crate::note::{GiveUp, Note};
 use crate::order::{Order, StartAnswer, WorkerCall};
 use crate::spec::{StepKey, TaskKey};
-use crate::worker::{Held, Phase};
 use crate::workers::Placement;
 use hollowford_core::{InstanceId, Millis};
 use std::sync::Arc;
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -1,9 +1,9 @@
 //! One worker as the owner knows it.
 
-use crate::accounts::AccountIdx;
 use crate::answers;
-use crate::crashes::{CLEARED_AFTER, FRESH_FOR, LostRun};
+use crate::crashes::{FRESH_FOR, LostRun};
 use crate::health::Health;
+use crate::held::Held;
 use crate::order::WorkerListing;
 use crate::spec::TaskKey;
 use hollowford_core::{AnswerTimes, InstanceId, Millis, Resources};
@@ -13,102 +13,6 @@
 /// The slowest that a worker's steady clock may run, in hundredths of true time (PROTOCOL).
 pub const SLOWEST_CLOCK_PERCENT: u64 = 98;
 
-/// Pace of a task that nothing slows down, in percent.
-pub(crate) const FULL_PACE: u32 = 100;
-
-/// How far the owner knows a placement to have come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Phase {
-    /// Ordered, not answered yet.
-    Starting,
-    /// The worker has said that it runs.
-    Running,
-    /// A stop was ordered.
-    Stopping,
-}
-
-/// A task that takes room on a worker.
-#[derive(Clone, Debug)]
-pub(crate) struct Held {
-    pub task: TaskKey,
-    pub run: u32,
-    /// The client account that it runs for.
-    pub account: AccountIdx,
-    pub room: Resources,
-    /// Workers have crashed under it before.
-    pub suspect: bool,
-    /// It has worked for long enough not to be.
-    pub proven: bool,
-    pub phase: Phase,
-    /// When it was ordered, or found.
-    pub since: Millis,
-    /// When it is expected to end.
-    pub expected_end: Millis,
-    /// Percent of its work that is done.
-    pub progress: u32,
-    /// Share of its full pace that it may work at, in percent, as it was ordered last.
-    pub pace: u32,
-    /// Share that it should work at.
-    pub pace_wanted: u32,
-    /// When the progress was seen to change last.
-    pub progressed_at: Millis,
-    /// Progress and time when it was first seen to run.
-    pub first_seen: Option<(u32, Millis)>,
-    /// An order for it is under way.
-    pub calling: bool,
-    /// A start got no answer: that copy may be carried out later.
-    pub unsure: bool,
-    /// A stop was answered: it ends, or will never start.
-    pub stop_answered: bool,
-}
-
-impl Held {
-    /// Makes what takes `room` for an account in `phase` from `now` on. Its end is expected at
-    /// once; callers that know better say so.
-    pub fn new(
-        (task, run): (TaskKey, u32),
-        account: AccountIdx,
-        room: Resources,
-        phase: Phase,
-        now: Millis,
-    ) -> Held {
-        Held {
-            task,
-            run,
-            account,
-            room,
-            suspect: false,
-            proven: false,
-            phase,
-            since: now,
-            expected_end: now,
-            progress: 0,
-            pace: FULL_PACE,
-            pace_wanted: FULL_PACE,
-            progressed_at: now,
-            first_seen: None,
-            calling: false,
-            unsure: false,
-            stop_answered: false,
-        }
-    }
-
-    /// Takes in that a start that was ordered has come about.
-    pub fn has_begun(&mut self, now: Millis) {
-        if self.phase == Phase::Starting {
-            self.phase = Phase::Running;
-            self.since = now;
-        }
-    }
-
-    /// Tells once that it has worked for so long that its start has crashed nothing.
-    pub fn is_newly_proven(&mut self, now: Millis) -> bool {
-        let newly = !self.proven && now.since(self.since) >= CLEARED_AFTER;
-        self.proven |= newly;
-        newly
-    }
-}
-
 /// What the owner knows of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerClock {
--- a/crates/hollowford-jobs/tests/crashes.rs
+++ b/crates/hollowford-jobs/tests/crashes.rs
@@ -13,6 +13,7 @@
 //!
 //! What proved it: such runs went on within one epoch, without a takeover or a lost answer, 10 ms
 //! after each `task.given_up ... cause=WorkerDead`.
+#![allow(clippy::expect_used)]
 
 mod common;
 
@@ -32,6 +33,11 @@
     cell
 }
 
+/// Returns the position of the first worker that runs something.
+fn running_at(cell: &Cell) -> usize {
+    cell.workers.iter().position(|w| !w.running.is_empty()).expect("it runs")
+}
+
 /// Lets time pass until the next worker has crashed, or the job has ended.
 fn until_crash(cell: &mut Cell) {
     let before = cell.crashes.count;
@@ -141,7 +147,7 @@
     cell.submit(2, LARGE, job(vec![step(1, 1_000, 7_000)]));
     for _ in 0..6 {
         cell.run(1_000);
-        let at = cell.workers.iter().position(|w| !w.running.is_empty()).expect("it runs");
+        let at = running_at(&cell);
         cell.workers[at].reachable = false;
         cell.run(4_500);
         cell.workers[at].reachable = true;
@@ -158,7 +164,7 @@
     let mut cell = cell(2, 3_300);
     cell.submit(2, LARGE, job(vec![step(1, 1_000, 20_000)]));
     cell.run(1_000);
-    let at = cell.workers.iter().position(|w| !w.running.is_empty()).expect("it runs");
+    let at = running_at(&cell);
     cell.workers[at].reachable = false;
     cell.run(5_000);
     cell.workers[at].reachable = true;
@@ -200,7 +206,7 @@
     cell.submit(2, LARGE, job(vec![step(1, 1_000, 7_000)]));
     for life in 0..6 {
         cell.run(1_000);
-        let at = cell.workers.iter().position(|w| !w.running.is_empty()).expect("it runs");
+        let at = running_at(&cell);
         cell.workers[at].leaving = true;
         cell.list();
         cell.run(500);
@@ -220,7 +226,7 @@
     cell.submit(2, LARGE, job(vec![step(1, 1_000, 3_500)]));
     for _ in 0..4 {
         cell.run(1_000);
-        let at = cell.workers.iter().position(|w| !w.running.is_empty()).expect("it runs");
+        let at = running_at(&cell);
         cell.crashes.crash(&mut cell.workers[at]);
         cell.run(4_000);
     }
@@ -259,7 +265,7 @@
     cell.submit(2, LARGE, job(vec![lasting]));
     for _ in 0..6 {
         cell.run(12_000);
-        let at = cell.workers.iter().position(|w| !w.running.is_empty()).expect("it runs");
+        let at = running_at(&cell);
         cell.crashes.crash(&mut cell.workers[at]);
         cell.run(5_000);
     }
