--- a/crates/hollowford/tests/soak.rs
+++ b/crates/hollowford/tests/soak.rs
@@ -5,13 +5,14 @@
 use hollowford_soak::{Options, run_seed};
 use std::path::Path;
 
-/// Seeds of every run, and how long things go wrong in each.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=2;
-const SPAN_MS: u64 = 5_000;
+/// Size, callers and time of every short run.
+const SHORT: (Size, u64, u64) = (Size { nodes: 3, workers: 6, workers_each: 3 }, 6, 5_000);
+/// The same of the runs in which faults were found by hand.
+const FOUND: (Size, u64, u64) = (Size { nodes: 4, workers: 8, workers_each: 4 }, 12, 12_000);
 
-async fn soak(seed: u64, size: Size, span_ms: u64) {
+async fn soak(seed: u64, (size, callers, span_ms): (Size, u64, u64)) {
     let program = Path::new(env!("CARGO_BIN_EXE_hollowford")).to_owned();
-    let options = Options { program, size, callers: 6, span_ms, keep: None };
+    let options = Options { program, size, callers, span_ms, keep: None };
     let report = run_seed(seed, &options).await.expect("a cell");
     println!("{report:?}");
     assert!(report.taken > 0, "seed {seed}: no job was taken");
@@ -20,7 +21,16 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_are_kept_through_random_failures() {
-    for seed in SEEDS {
-        soak(seed, Size { nodes: 3, workers: 6, workers_each: 3 }, SPAN_MS).await;
+    for seed in 1..=2 {
+        soak(seed, SHORT).await;
+    }
+}
+
+// Jobs told as failed under whose tasks one worker had crashed: a start that came after the crash
+// counted (1), and so did a worker that was cut off first, with the task done meanwhile (309).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn seeds_that_have_shown_faults_show_none() {
+    for seed in [1, 309] {
+        soak(seed, FOUND).await;
     }
 }
