Ports of a test's process differ from each other

Ports were found one after the other, each released before the next; two of three were equal in 46 of 200,000 draws. Ruled out: another process (the address is the cell's own), load (the draw doesn't know of it).

Change: all ports of a draw are held until the last is found, in one place for tests and soak, where it stood twice. Test: 30,000 draws, fails with ports drawn as before.

--- a/crates/hollowford-soak/src/lib.rs
+++ b/crates/hollowford-soak/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod cell;
 pub mod judge;
 mod net;
+pub mod ports;
+#[cfg(test)]
+mod ports_tests;
 pub mod process;
 pub mod proxy;
 pub mod run;
--- a/crates/hollowford-soak/src/net.rs
+++ b/crates/hollowford-soak/src/net.rs
@@ -1,8 +1,9 @@
 //! Where the processes of a cell are reached, and the settings that say so.
 
+use crate::ports::free_ports;
 use hollowford_adapter_standin::speech::Process as Settings;
 use std::io;
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::Ipv4Addr;
 
 /// Cores of each process: as many as on the quiet day that docs/PLATFORM.md tells of.
 const CPU_SHARE: f64 = 0.25;
@@ -21,7 +22,8 @@
     /// Draws the addresses, and finds ports that are free.
     pub fn draw(rng: &mut fastrand::Rng) -> io::Result<Net> {
         let prefix = [127, rng.u8(1..), rng.u8(..)];
-        Ok(Net { prefix, callers: free_port()?, readiness: free_port()?, peers: free_port()? })
+        let [callers, readiness, peers] = free_ports()?;
+        Ok(Net { prefix, callers, readiness, peers })
     }
 
     fn ip(&self, node: usize) -> Ipv4Addr {
@@ -42,8 +44,3 @@
         }
     }
 }
-
-/// Finds a port that is free on the loopback interface.
-fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
-}
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -4,12 +4,13 @@
 
 use hollowford_adapter_standin::speech::{self, Process as Settings};
 use hollowford_adapter_standin::{Door, Platform};
+use hollowford_soak::ports::free_ports;
 use hollowford_soak::process::Process;
 use reqwest::{Client, Method, StatusCode};
 use serde_json::Value;
 use std::fs::File;
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -36,11 +37,6 @@
     _dir: TempDir,
 }
 
-fn free_port() -> u16 {
-    let l = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    l.local_addr().expect("its address").port()
-}
-
 /// The ports that all processes of a cell use, each on an address of its own.
 #[derive(Clone, Copy)]
 struct Ports {
@@ -54,7 +50,8 @@
     fn new() -> Ports {
         static CELLS: AtomicU8 = AtomicU8::new(1);
         let net = CELLS.fetch_add(1, Ordering::Relaxed);
-        Ports { net, callers: free_port(), readiness: free_port(), peers: free_port() }
+        let [callers, readiness, peers] = free_ports().expect("free ports");
+        Ports { net, callers, readiness, peers }
     }
 
     /// Returns the address of the process `i`, in the loopback range.
