Log what a new owner reads of crashes, and count the tasks that are held back

A task that is held back left no line, so a job that waits for ever looked like a full cell; and what an owner knew of crashes that the next one didn't had to be guessed from two lines in two logs.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -170,8 +170,16 @@
                 w.lost.push(LostRun { task: key, run: r.run, fresh: false, since: now });
             }
         }
+        let (crashes, open) = (found.crashed_runs.len(), found.open_runs.len());
+        self.notes.push(Note::Recovered { task: key, crashes, open });
         if let Some(task) = self.jobs.task_mut(key) {
             task.suspicion = Some(Box::new(found));
         }
     }
+
+    /// Counts the tasks that wait only until it is known what became of earlier runs of theirs.
+    pub(crate) fn count_held_back(&self) -> usize {
+        let steps = self.jobs.waiting().filter_map(|&key| self.jobs.step(key));
+        steps.flat_map(|s| &s.tasks).filter(|t| t.is_held_back()).count()
+    }
 }
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -93,8 +93,17 @@
 
     /// Tells whether the task may be started at `now`.
     pub fn waits(&self, now: Millis) -> bool {
-        let held_back = self.suspicion.as_ref().is_some_and(|s| s.holds_back());
-        !self.done && self.at.is_none() && !self.unsettled && self.not_before <= now && !held_back
+        self.is_free() && !self.unsettled && self.not_before <= now && !self.is_held_back()
+    }
+
+    /// Tells whether the task waits until it is known what became of earlier runs of it.
+    pub fn is_held_back(&self) -> bool {
+        self.is_free() && self.suspicion.as_ref().is_some_and(|s| s.holds_back())
+    }
+
+    /// Tells whether the task is neither done nor placed.
+    fn is_free(&self) -> bool {
+        !self.done && self.at.is_none()
     }
 }
 
--- a/crates/hollowford-jobs/src/note.rs
+++ b/crates/hollowford-jobs/src/note.rs
@@ -155,6 +155,15 @@
         /// Workers that have crashed under the task, this one among them.
         crashes: usize,
     },
+    /// A row of an earlier owner tells that workers have crashed under a task, or may have.
+    Recovered {
+        /// The task.
+        task: TaskKey,
+        /// Workers that have crashed under it.
+        crashes: usize,
+        /// Runs of which it isn't known yet.
+        open: usize,
+    },
     /// A worker is leaving.
     Leaving {
         /// The worker.
@@ -249,6 +258,9 @@
                 "task.crashed_under task={task} run={run} worker={worker} fresh={fresh} \
                  crashes={crashes}"
             ),
+            Note::Recovered { task, crashes, open } => {
+                write!(f, "task.recovered task={task} crashes={crashes} open={open}")
+            }
             Note::Leaving { worker } => write!(f, "worker.leaving worker={worker}"),
             Note::Advised { step, asked, good } => match good {
                 Some(good) => write!(f, "advice.answered step={step} asked={asked} good={good}"),
--- a/crates/hollowford-jobs/src/view.rs
+++ b/crates/hollowford-jobs/src/view.rs
@@ -13,6 +13,8 @@
     pub open_jobs: usize,
     /// Steps with tasks that wait.
     pub waiting_steps: usize,
+    /// Tasks that wait until it is known what became of earlier runs of theirs.
+    pub held_back: usize,
     /// Workers known.
     pub workers: usize,
     /// Workers that may get tasks now.
@@ -41,6 +43,7 @@
             epoch: self.epoch,
             open_jobs: self.jobs.open_len(),
             waiting_steps: self.count_waiting(now),
+            held_back: self.count_held_back(),
             workers: self.workers.len(),
             usable_workers: usable().count(),
             unsettled_workers: self.unsettled.len(),
@@ -58,11 +61,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "epoch={} open_jobs={} waiting_steps={} workers={} usable={} unsettled={} \
+            "epoch={} open_jobs={} waiting_steps={} held_back={} workers={} usable={} unsettled={} \
              cores_milli={} free_milli={} lost_permille={} held={} batches={} {:?}",
             self.epoch,
             self.open_jobs,
             self.waiting_steps,
+            self.held_back,
             self.workers,
             self.usable_workers,
             self.unsettled_workers,
