Failing tests: what one owner knows of crashes and starts and the next one doesn't

Rounds of a job with a schedule ran in two places. Each play also looks every 5 ms for tasks that wait for what can't come; owner.view counts them.

Not reproduced: jobs that never run again.

--- /dev/null
+++ b/crates/hollowford-jobs/src/audit.rs
@@ -0,0 +1,71 @@
+//! A look over the whole state for tasks that wait for what can't come.
+
+use crate::engine::Engine;
+use crate::job::{Job, Task};
+use crate::spec::{StepKey, TaskKey};
+use std::fmt::{self, Display};
+
+/// Why a task can never be started again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stuck {
+    /// It is placed on a worker that doesn't hold it, so no end of it will be told.
+    NotHeld {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+    },
+    /// It waits for what became of a run that no worker holds or has lost.
+    OpenNowhere {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+    },
+}
+
+impl Display for Stuck {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Stuck::NotHeld { task, run } => write!(f, "{task} run {run} is held nowhere"),
+            Stuck::OpenNowhere { task, run } => write!(f, "{task} run {run} is open nowhere"),
+        }
+    }
+}
+
+impl Engine {
+    /// Returns the tasks that wait for what can't come; none as long as the engine is right.
+    pub fn stuck_tasks(&self) -> Vec<Stuck> {
+        let open = self.jobs.open().filter(|j| j.end.is_none());
+        open.flat_map(|job| self.stuck_of_job(job)).collect()
+    }
+
+    fn stuck_of_job(&self, job: &Job) -> Vec<Stuck> {
+        let mut out = Vec::new();
+        for round in &job.rounds {
+            for (step, s) in round.steps.iter().enumerate() {
+                let key = StepKey { job: job.id, round: round.number, step: step as u32 };
+                for (index, t) in s.tasks.iter().enumerate().filter(|(_, t)| !t.done) {
+                    self.stuck_of_task(key.task(index as u32), t, &mut out);
+                }
+            }
+        }
+        out
+    }
+
+    fn stuck_of_task(&self, task: TaskKey, t: &Task, out: &mut Vec<Stuck>) {
+        if let Some(idx) = t.at {
+            let held = self.workers.get(idx).and_then(|w| w.find(task, t.run));
+            if held.is_none() {
+                out.push(Stuck::NotHeld { task, run: t.run });
+            }
+        }
+        for r in t.suspicion.iter().flat_map(|s| &s.open_runs) {
+            let idx = self.workers.find(&r.worker);
+            let w = idx.and_then(|idx| self.workers.get(idx));
+            if !w.is_some_and(|w| w.may_tell_of(task, r.run)) {
+                out.push(Stuck::OpenNowhere { task, run: r.run });
+            }
+        }
+    }
+}
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -12,6 +12,7 @@
 mod advice;
 mod answers;
 mod asking;
+mod audit;
 mod batch;
 mod choose;
 mod crashes;
@@ -51,6 +52,7 @@
 mod workers;
 
 pub use accounts::{Account, AccountUse, NO_ACCOUNT};
+pub use audit::Stuck;
 pub use batch::{Batch, RowWrite};
 pub use choose::rack_label;
 pub use engine::{Bounds, Engine, Stats};
--- a/crates/hollowford-jobs/src/view.rs
+++ b/crates/hollowford-jobs/src/view.rs
@@ -15,6 +15,8 @@
     pub waiting_steps: usize,
     /// Tasks that wait until it is known what became of earlier runs of theirs.
     pub held_back: usize,
+    /// Tasks that wait for what can't come: a fault of the engine.
+    pub stuck: usize,
     /// Workers known.
     pub workers: usize,
     /// Workers that may get tasks now.
@@ -44,6 +46,7 @@
             open_jobs: self.jobs.open_len(),
             waiting_steps: self.count_waiting(now),
             held_back: self.count_held_back(),
+            stuck: self.stuck_tasks().len(),
             workers: self.workers.len(),
             usable_workers: usable().count(),
             unsettled_workers: self.unsettled.len(),
@@ -61,12 +64,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "epoch={} open_jobs={} waiting_steps={} held_back={} workers={} usable={} unsettled={} \
+            "epoch={} open_jobs={} waiting_steps={} held_back={} stuck={} workers={} usable={} unsettled={} \
              cores_milli={} free_milli={} lost_permille={} held={} batches={} {:?}",
             self.epoch,
             self.open_jobs,
             self.waiting_steps,
             self.held_back,
+            self.stuck,
             self.workers,
             self.usable_workers,
             self.unsettled_workers,
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -187,6 +187,12 @@
         self.held.iter_mut().find(|h| h.task == task && h.run == run)
     }
 
+    /// Tells whether what becomes of a run is told by this worker, or by its next life.
+    pub fn may_tell_of(&self, task: TaskKey, run: u32) -> bool {
+        let lost = self.lost.iter().any(|l| l.task == task && l.run == run);
+        lost || self.find(task, run).is_some()
+    }
+
     /// Takes note that a task that it holds crashes nothing.
     pub fn clear_suspect(&mut self, task: TaskKey, run: u32) {
         if let Some(h) = self.find_mut(task, run) {
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, clippy::expect_used)]
 
 pub mod crashes;
+pub mod plays;
 pub mod worker;
 
 use crashes::Crashes;
--- /dev/null
+++ b/crates/hollowford-jobs/tests/crash_plays.rs
@@ -0,0 +1,113 @@
+//! Random plays with tasks that crash their workers, judged by what callers and workers see.
+//!
+//! What was seen: once an outage of the store had hit while such tasks ran, and another owner went on
+//! after it, that owner started them three and four times more after three workers had crashed under
+//! them; also with takeovers alone, once batches take their time. Rounds ran in two places. How each
+//! came about is told in `unwritten.rs`.
+//!
+//! `PLAYS=2000 cargo test --release -p hollowford-jobs --test crash_plays` plays so many of each
+//! kind; `FIRST` is the first seed, and with `TRACE=1` each play prints what the engine notes.
+#![allow(clippy::expect_used)]
+
+mod common;
+
+use common::plays::{Failures, Play};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+/// Plays of each kind, unless PLAYS says another number.
+const PLAYS: u64 = 24;
+const THREADS: u64 = 8;
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(default)
+}
+
+/// Plays one seed. Returns what is wrong; a judge that panics says it on its own.
+fn play(seed: u64, failures: Failures) -> Vec<String> {
+    let traced = number("TRACE", 0) == 1;
+    let play = move || {
+        let mut play = Play::new(seed, failures);
+        play.traced = traced;
+        play.run()
+    };
+    let played = thread::spawn(play).join();
+    played.unwrap_or_else(|e| vec![e.downcast_ref::<String>().cloned().unwrap_or_default()])
+}
+
+/// Plays many seeds, and panics with those in which something was wrong.
+fn play_all(failures: Failures) {
+    let first = number("FIRST", 1);
+    let (next, end) = (AtomicU64::new(first), first + number("PLAYS", PLAYS));
+    let worker = || {
+        let mut wrong = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= end {
+                return wrong;
+            }
+            wrong.extend(play(seed, failures).into_iter().map(|w| format!("seed {seed}: {w}")));
+        }
+    };
+    let wrong: Vec<String> = thread::scope(|s| {
+        let threads: Vec<_> = (0..THREADS).map(|_| s.spawn(worker)).collect();
+        threads.into_iter().flat_map(|t| t.join().expect("a thread")).collect()
+    });
+    assert!(wrong.is_empty(), "{} wrong, seeds {first}..{end}:\n{}", wrong.len(), wrong.join("\n"));
+}
+
+const OUTAGES: Failures = Failures {
+    outages: 9_000,
+    owner_lost: 0,
+    takeovers: 0,
+    refusals: 0,
+    cuts: 0,
+    lost_answers: 0,
+    crashes: 0,
+    racks: 0,
+    leaves: 0,
+};
+const NONE: Failures = Failures { outages: 0, ..OUTAGES };
+const TAKEOVERS: Failures = Failures { takeovers: 4_000, ..NONE };
+const OUTAGES_AND_OWNERS: Failures = Failures { owner_lost: 70, ..OUTAGES };
+const WORKERS: Failures = Failures {
+    takeovers: 6_000,
+    refusals: 4_000,
+    cuts: 3_000,
+    lost_answers: 3_000,
+    crashes: 6_000,
+    racks: 20_000,
+    leaves: 8_000,
+    ..NONE
+};
+const ALL: Failures = Failures { outages: 12_000, owner_lost: 50, ..WORKERS };
+
+#[test]
+fn with_no_other_failure() {
+    play_all(NONE);
+}
+
+#[test]
+fn with_takeovers() {
+    play_all(TAKEOVERS);
+}
+
+#[test]
+fn with_outages_of_the_store() {
+    play_all(OUTAGES);
+}
+
+#[test]
+fn with_outages_and_another_owner() {
+    play_all(OUTAGES_AND_OWNERS);
+}
+
+#[test]
+fn with_failing_workers_and_takeovers() {
+    play_all(WORKERS);
+}
+
+#[test]
+fn with_failing_workers_and_all_else() {
+    play_all(ALL);
+}
