A round that an earlier owner may have begun waits until that is known

Callers saw a repeated job run a round in two places. Each owner added the rounds that had fallen due since the last row, as rounds that no worker could have; but a start leaves before its row, so an owner that was lost in between had begun it, on a worker that the next one had not heard yet. Ruled out: leases (the first run's was good), run numbers (both were valid). Rounds that are added while some workers are unclaimed now wait for them, as all else that is recovered does.

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -5,6 +5,7 @@
 use crate::answers::Losses;
 use crate::batch::InFlight;
 use crate::health::Failures;
+use crate::job::Round;
 use crate::jobs::Jobs;
 use crate::note::Note;
 use crate::order::{Order, WorkerListing};
@@ -258,6 +259,9 @@
             }
             let late = Millis((unix - due as i64) as u64);
             job.add_round(now - late);
+            // No row tells whether an earlier owner has begun the round.
+            let round = job.rounds.last_mut().filter(|_| self.tasks_unsettled);
+            round.into_iter().for_each(Round::mark_unsettled);
             self.jobs.rounds_wait(id);
             self.jobs.progressed(id);
             self.dirty = true;
@@ -277,15 +281,17 @@
         if !self.unsettled.is_empty() {
             return;
         }
+        self.mark_settled();
+        self.tasks_unsettled = false;
+        self.notes.push(Note::Settled { unclaimed });
+        self.dirty = true;
+    }
+    /// Takes note that no task can run on a worker that this owner has not claimed.
+    pub(crate) fn mark_settled(&mut self) {
         for id in self.jobs.ids() {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             let steps = job.rounds.iter_mut().flat_map(|r| &mut r.steps);
-            for task in steps.flat_map(|s| &mut s.tasks) {
-                task.unsettled = false;
-            }
+            steps.flat_map(|s| &mut s.tasks).for_each(|t| t.unsettled = false);
         }
-        self.tasks_unsettled = false;
-        self.notes.push(Note::Settled { unclaimed });
-        self.dirty = true;
     }
 }
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -168,6 +168,12 @@
         self.steps.iter().all(Step::done)
     }
 
+    /// Takes note that its tasks may run on workers that this owner has not claimed yet.
+    pub fn mark_unsettled(&mut self) {
+        let tasks = self.steps.iter_mut().flat_map(|s| &mut s.tasks);
+        tasks.for_each(|t| t.unsettled = !t.done);
+    }
+
     /// Tells whether everything that the step depends on is done.
     pub fn ready(&self, spec: &JobSpec, step: usize) -> bool {
         spec.steps[step].depends.iter().all(|&d| self.steps[d as usize].done())
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -1,7 +1,7 @@
 //! A new owner takes over what the store holds.
 
 use crate::engine::Engine;
-use crate::job::JobState;
+use crate::job::{JobState, Round};
 use crate::jobs::Ended;
 use crate::progress_rows::{ProgressRow, RoundRow};
 use crate::rows::{JobRow, RowError, WorkerAddress, decode_workers};
@@ -54,7 +54,7 @@
         }
         self.tasks_unsettled = !self.unsettled.is_empty();
         if !self.tasks_unsettled {
-            self.mark_unsettled(false);
+            self.mark_settled();
         }
         Ok(found)
     }
@@ -85,7 +85,7 @@
             job.add_round(job.accepted_at);
         }
         self.jobs.insert(job);
-        self.mark_job_unsettled(id, true);
+        self.mark_job_unsettled(id);
         Ok(())
     }
 
@@ -105,7 +105,7 @@
             self.recover_suspicions(id, r, now);
         }
         self.jobs.rounds_wait(id);
-        self.mark_job_unsettled(id, true);
+        self.mark_job_unsettled(id);
     }
 
     fn recover_round(&mut self, id: JobId, row: &RoundRow) {
@@ -137,16 +137,9 @@
         }
     }
 
-    fn mark_unsettled(&mut self, unsettled: bool) {
-        for id in self.jobs.ids() {
-            self.mark_job_unsettled(id, unsettled);
-        }
-    }
-
-    fn mark_job_unsettled(&mut self, id: JobId, unsettled: bool) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        for step in job.rounds.iter_mut().flat_map(|r| &mut r.steps) {
-            step.tasks.iter_mut().for_each(|t| t.unsettled = unsettled && !t.done);
+    fn mark_job_unsettled(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.rounds.iter_mut().for_each(Round::mark_unsettled);
         }
     }
 
