A start under which a worker may crash is in the store before it is ordered

Callers' jobs took worker after worker down: after an outage of the store and a takeover, or after takeovers one upon the other, an owner in touch started a task three and four times more after three workers had crashed under it. Crashes were counted in memory and written beside what they led to, so that in an outage one owner started the task again and again, and the next one began at none; and a start whose row was lost with its owner left a run that nobody knew of.

Now a task with a record of crashes waits for the store twice: until its record is there, and until the row that names the start and its worker is. What waits longer than 0.5 s gives its place back. A run that had worked for half a second, and all that is on no record, goes on in an outage as before (a case of its own). Open runs tell whether they have worked, so that a crash that the next owner learns of counts as the one it was; that a run was closed is written, too.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -60,7 +60,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct BatchNote {
     accepted: Vec<JobId>,
-    progressed: Vec<JobId>,
+    /// Jobs with rows of their progress, and how many were cut of each with this one.
+    progressed: Vec<(JobId, u64)>,
     ended: Vec<(JobId, JobState, Millis)>,
     /// Jobs whose rows are removed.
     expired: Vec<JobId>,
@@ -73,8 +74,9 @@
     /// Returns the jobs that have rows in the batch, some of them twice.
     fn jobs(&self) -> impl Iterator<Item = JobId> {
         let ended = self.ended.iter().map(|&(id, ..)| id);
-        let written = self.accepted.iter().chain(&self.progressed).chain(&self.expired);
-        written.copied().chain(ended)
+        let progressed = self.progressed.iter().map(|&(id, _)| id);
+        let written = self.accepted.iter().chain(&self.expired);
+        written.copied().chain(progressed).chain(ended)
     }
 }
 
@@ -147,6 +149,11 @@
                 job.kept = true;
             }
         }
+        for &(id, row) in &note.progressed {
+            if let Some(job) = self.jobs.get_mut(id).filter(|j| j.is_tracked) {
+                job.row_made(row);
+            }
+        }
         for &(_, end) in &note.ends {
             self.end_durable(end, now);
         }
@@ -193,7 +200,8 @@
                 job.ends.push(end);
             }
         }
-        for &id in note.accepted.iter().chain(&note.progressed) {
+        let progressed = note.progressed.iter().map(|&(id, _)| id);
+        for id in note.accepted.iter().copied().chain(progressed) {
             let accepted = note.accepted.contains(&id);
             let Some(job) = self.jobs.get_mut(id) else { continue };
             job.unwritten |= accepted;
@@ -272,8 +280,9 @@
         }
         if std::mem::take(&mut job.progressed) {
             job.has_progress = true;
+            job.rows_cut += 1;
             rows.push(put(progress_key(id), ProgressRow::of(job).encode_to_vec()));
-            note.progressed.push(id);
+            note.progressed.push((id, job.rows_cut));
         }
     }
 }
--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -25,7 +25,7 @@
 /// start: what crashes a worker does so when it is started, and most of what stands beside it has run for
 /// longer. A start that was not confirmed may have come after the crash. Members make the calls in large
 /// cells, which adds some 50 ms.
-pub(crate) const FRESH_FOR: Millis = Millis(300);
+pub(crate) const FRESH_FOR: Millis = Millis(500);
 /// A run that has worked for so long clears its task: what crashes a worker does so when it is
 /// started. It keeps crashes that are years apart from adding up for tasks that last.
 pub(crate) const CLEARED_AFTER: Millis = Millis(10_000);
@@ -37,6 +37,8 @@
     pub run: u32,
     /// It had been started shortly before.
     pub fresh: bool,
+    /// It had worked for a while: what crashes a worker does so sooner.
+    pub has_worked: bool,
     /// When it was given up.
     pub since: Millis,
 }
@@ -44,8 +46,9 @@
 impl LostRun {
     /// Makes what is known of a run at `now` whose worker was heard last at `heard`.
     fn of(h: &Held, heard: Millis, now: Millis) -> LostRun {
-        let fresh = h.phase == Phase::Running && heard < h.since + FRESH_FOR;
-        LostRun { task: h.task, run: h.run, fresh, since: now }
+        let begun = h.phase == Phase::Running;
+        let fresh = begun && heard < h.since + FRESH_FOR;
+        LostRun { task: h.task, run: h.run, fresh, has_worked: begun && !fresh, since: now }
     }
 }
 
@@ -70,13 +73,12 @@
 
     /// Counts a crash for a task that is not done, and gives its job up if that tells enough.
     fn count_crash(&mut self, r: LostRun, worker: &InstanceId, now: Millis) {
-        let LostRun { task: key, run, fresh, .. } = r;
+        let LostRun { task: key, run, fresh, has_worked, .. } = r;
         let job = key.step.job;
         if self.jobs.get(job).is_none_or(|j| j.end.is_some()) {
             return;
         }
-        let Some(task) = self.jobs.task_mut(key).filter(|t| !t.done) else { return };
-        let suspicion = task.suspicion.get_or_insert_default();
+        let Some(suspicion) = self.change_suspicion(key, !has_worked) else { return };
         if !suspicion.crashed(run, fresh) {
             return;
         }
@@ -92,10 +94,12 @@
 
     /// Takes note of a start, for a task under which a worker may have crashed: it is written down.
     pub(crate) fn note_open_run(&mut self, p: Placement) {
-        let Some(w) = self.workers.get(p.idx) else { return };
-        let Some(task) = self.jobs.task_mut(p.task) else { return };
-        let Some(suspicion) = &mut task.suspicion else { return };
-        suspicion.opens(p.run, &w.id);
+        let Some(worker) = self.workers.get(p.idx).map(|w| w.id.clone()) else { return };
+        if self.jobs.task(p.task).is_none_or(|t| t.suspicion.is_none()) {
+            return;
+        }
+        let Some(suspicion) = self.change_suspicion(p.task, true) else { return };
+        suspicion.opens(p.run, &worker, true);
         self.jobs.progressed(p.task.step.job);
     }
 
@@ -105,14 +109,24 @@
         let id = w.id.clone();
         for h in &w.held {
             let (key, run) = (h.task, h.run);
-            let here = |t: &&mut Task| !t.done && t.at == Some(idx) && t.run == run;
-            let Some(task) = self.jobs.task_mut(key).filter(here) else { continue };
-            task.suspicion.get_or_insert_default().opens(run, &id);
-            w.lost.push(LostRun::of(h, w.last_answer, now));
+            let here = |t: &Task| !t.done && t.at == Some(idx) && t.run == run;
+            if !self.jobs.task(key).is_some_and(here) {
+                continue;
+            }
+            let lost = LostRun::of(h, w.last_answer, now);
+            let Some(job) = self.jobs.get_mut(key.step.job) else { continue };
+            let Some(suspicion) = job.change_suspicion(key, !lost.has_worked) else { continue };
+            suspicion.opens(run, &id, lost.fresh);
+            w.lost.push(lost);
             self.jobs.progressed(key.step.job);
         }
     }
 
+    /// Returns a task's record for a change. `first`: the store has to have it before the next start.
+    fn change_suspicion(&mut self, key: TaskKey, first: bool) -> Option<&mut Suspicion> {
+        self.jobs.get_mut(key.step.job)?.change_suspicion(key, first)
+    }
+
     /// Takes note that a worker has not crashed under what was given up: it lives, or has left.
     pub(crate) fn close_lost(&mut self, idx: WorkerIdx) {
         let Some(w) = self.workers.get_mut(idx) else { return };
@@ -121,10 +135,20 @@
         }
     }
 
-    /// Takes note that no worker has crashed under a run.
+    /// Takes note that no worker has crashed under a run. It is written down, or a crash of that worker
+    /// later on would count for the task with the next owner.
     pub(crate) fn close_run(&mut self, task: TaskKey, run: u32) {
-        if let Some(suspicion) = self.jobs.task_mut(task).and_then(|t| t.suspicion.as_mut()) {
-            suspicion.closes(run);
+        let Some(t) = self.jobs.task_mut(task) else { return };
+        if t.suspicion.as_mut().is_some_and(|s| s.closes(run)) {
+            self.jobs.progressed(task.step.job);
+        }
+    }
+
+    /// Takes note that a run has worked for a while, also for the next owner.
+    pub(crate) fn note_worked(&mut self, p: Placement) {
+        let Some(task) = self.jobs.task_mut(p.task) else { return };
+        if task.suspicion.as_mut().is_some_and(|s| s.has_worked(p.run)) {
+            self.jobs.progressed(p.task.step.job);
         }
     }
 
@@ -167,7 +191,8 @@
         for r in &found.open_runs {
             let idx = self.workers.find(&r.worker);
             if let Some(w) = idx.and_then(|idx| self.workers.get_mut(idx)) {
-                w.lost.push(LostRun { task: key, run: r.run, fresh: false, since: now });
+                let (fresh, has_worked) = (r.fresh, !r.fresh);
+                w.lost.push(LostRun { task: key, run: r.run, fresh, has_worked, since: now });
             }
         }
         let (crashes, open) = (found.crashed_runs.len(), found.open_runs.len());
@@ -175,6 +200,9 @@
         if let Some(task) = self.jobs.task_mut(key) {
             task.suspicion = Some(Box::new(found));
         }
+        if let Some(job) = self.jobs.get_mut(key.step.job) {
+            job.is_tracked = true;
+        }
     }
 
     /// Counts the tasks that wait only until it is known what became of earlier runs of theirs.
--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -20,10 +20,13 @@
         let Some(w) = self.workers.get_mut(idx) else { return };
         if let Some(h) = w.find_mut(r.task, r.run) {
             h.has_begun(now);
-            let proven = h.is_newly_proven(now);
+            let (worked, proven) = (h.has_newly_worked(now), h.is_newly_proven(now));
             self.note_progress(idx, r, now);
+            let p = Placement { idx, task: r.task, run: r.run };
             if proven {
-                self.clear_proven(Placement { idx, task: r.task, run: r.run });
+                self.clear_proven(p);
+            } else if worked {
+                self.note_worked(p);
             }
             self.note_saved(r.task, &r.saved);
             return;
--- a/crates/hollowford-jobs/src/held.rs
+++ b/crates/hollowford-jobs/src/held.rs
@@ -1,7 +1,7 @@
 //! A task that takes room on a worker, as the owner knows it.
 
 use crate::accounts::AccountIdx;
-use crate::crashes::CLEARED_AFTER;
+use crate::crashes::{CLEARED_AFTER, FRESH_FOR};
 use crate::spec::TaskKey;
 use hollowford_core::{Millis, Resources};
 
@@ -29,7 +29,9 @@
     pub room: Resources,
     /// Workers have crashed under it before.
     pub suspect: bool,
-    /// It has worked for long enough not to be.
+    /// It has worked for a while: a crash now is not one soon after its start.
+    pub has_worked: bool,
+    /// It has worked for long enough not to be suspect.
     pub proven: bool,
     pub phase: Phase,
     /// When it was ordered, or found.
@@ -46,6 +48,8 @@
     pub progressed_at: Millis,
     /// Progress and time when it was first seen to run.
     pub first_seen: Option<(u32, Millis)>,
+    /// Its start is ordered once the store has the row that tells of it.
+    pub unsent: bool,
     /// An order for it is under way.
     pub calling: bool,
     /// A start got no answer: that copy may be carried out later.
@@ -70,6 +74,7 @@
             account,
             room,
             suspect: false,
+            has_worked: false,
             proven: false,
             phase,
             since: now,
@@ -79,6 +84,7 @@
             pace_wanted: FULL_PACE,
             progressed_at: now,
             first_seen: None,
+            unsent: false,
             calling: false,
             unsure: false,
             stop_answered: false,
@@ -93,6 +99,13 @@
         }
     }
 
+    /// Tells once that it has worked for a while.
+    pub fn has_newly_worked(&mut self, now: Millis) -> bool {
+        let newly = !self.has_worked && now.since(self.since) >= FRESH_FOR;
+        self.has_worked |= newly;
+        newly
+    }
+
     /// Tells once that it has worked for so long that its start has crashed nothing.
     pub fn is_newly_proven(&mut self, now: Millis) -> bool {
         let newly = !self.proven && now.since(self.since) >= CLEARED_AFTER;
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -2,7 +2,7 @@
 
 use crate::accounts::AccountIdx;
 use crate::advice::StepAdvice;
-use crate::spec::{JobId, JobSpec, StepSpec};
+use crate::spec::{JobId, JobSpec, StepSpec, TaskKey};
 use crate::suspicion::Suspicion;
 use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
@@ -96,9 +96,21 @@
         self.is_free() && !self.unsettled && self.not_before <= now && !self.is_held_back()
     }
 
-    /// Tells whether the task waits until it is known what became of earlier runs of it.
+    /// Tells whether the task waits until it is known what became of earlier runs of it, or until
+    /// the store has what is known.
     pub fn is_held_back(&self) -> bool {
-        self.is_free() && self.suspicion.as_ref().is_some_and(|s| s.holds_back())
+        let held_back = |s: &Suspicion| s.holds_back() || s.is_unwritten();
+        self.is_free() && self.suspicion.as_deref().is_some_and(held_back)
+    }
+
+    /// Tells whether the task has a record of crashes.
+    pub fn is_tracked(&self) -> bool {
+        self.suspicion.is_some()
+    }
+
+    /// Tells whether the store has what is known of crashes under the task.
+    pub fn is_written(&self) -> bool {
+        self.suspicion.as_ref().is_none_or(|s| !s.is_unwritten())
     }
 
     /// Tells whether the task is neither done nor placed.
@@ -143,6 +155,16 @@
         self.left > 0 && self.tasks.iter().any(|t| !t.done && t.at.is_none())
     }
 
+    /// Tells whether some task has a record of crashes.
+    pub fn is_tracked(&self) -> bool {
+        self.tasks.iter().any(Task::is_tracked)
+    }
+
+    /// Tells whether the store has what is known of crashes under its tasks.
+    pub fn is_written(&self) -> bool {
+        self.tasks.iter().all(Task::is_written)
+    }
+
     /// Returns how many tasks could be started at `now`.
     pub fn waiting(&self, now: Millis) -> usize {
         self.tasks.iter().filter(|t| t.waits(now)).count()
@@ -209,6 +231,10 @@
     pub progressed: bool,
     /// A row with its progress is in the store.
     pub has_progress: bool,
+    /// Rows of its progress that were cut for a batch.
+    pub rows_cut: u64,
+    /// A task of it has a record of crashes.
+    pub is_tracked: bool,
     /// Ends of its tasks that are in no batch yet.
     pub ends: Vec<EndAt>,
 }
@@ -242,6 +268,27 @@
         self.rounds.iter().any(|r| r.steps.iter().any(step))
     }
 
+    /// Returns the record of crashes of one of its tasks, made when there is none, for a change.
+    /// `first`: the next row of its progress has to tell it before the task is started again.
+    pub fn change_suspicion(&mut self, key: TaskKey, first: bool) -> Option<&mut Suspicion> {
+        let row = self.rows_cut + 1;
+        self.is_tracked = true;
+        let step = self.round_mut(key.step.round)?.steps.get_mut(key.step.step as usize)?;
+        let task = step.tasks.get_mut(key.index as usize).filter(|t| !t.done)?;
+        let suspicion = task.suspicion.get_or_insert_default();
+        if first {
+            suspicion.unwritten_row = Some(row);
+        }
+        Some(suspicion)
+    }
+
+    /// Takes note that a row of its progress is in the store, by its number.
+    pub fn row_made(&mut self, row: u64) {
+        let steps = self.rounds.iter_mut().flat_map(|r| &mut r.steps);
+        let suspicions = steps.flat_map(|s| &mut s.tasks).filter_map(|t| t.suspicion.as_mut());
+        suspicions.for_each(|s| s.row_made(row));
+    }
+
     /// Returns the run number after which the next start of a task has to come.
     pub fn run_floor(&self, epoch: u64) -> u32 {
         (epoch.saturating_sub(self.epoch) as u32).saturating_mul(RUNS_PER_EPOCH)
--- a/crates/hollowford-jobs/src/note.rs
+++ b/crates/hollowford-jobs/src/note.rs
@@ -205,6 +205,8 @@
     Vanished,
     /// Its worker refused the start.
     Refused,
+    /// Its start was not ordered: the store lacks the row that tells of it.
+    Unsent,
 }
 
 impl Display for Note {
--- a/crates/hollowford-jobs/src/progress_rows.rs
+++ b/crates/hollowford-jobs/src/progress_rows.rs
@@ -77,7 +77,11 @@
     /// The life of the worker.
     #[prost(string, tag = "2")]
     pub worker: String,
+    /// It is known to have worked for a while.
+    #[prost(bool, tag = "3")]
+    pub has_worked: bool,
 }
+
 impl ProgressRow {
     /// Returns the row of a job's progress.
     pub fn of(job: &Job) -> ProgressRow {
@@ -102,7 +106,11 @@
 
 impl From<&Suspicion> for SuspicionRow {
     fn from(s: &Suspicion) -> SuspicionRow {
-        let open = |r: &OpenRun| OpenRunRow { run: r.run, worker: r.worker.as_str().to_owned() };
+        let open = |r: &OpenRun| OpenRunRow {
+            run: r.run,
+            worker: r.worker.as_str().to_owned(),
+            has_worked: !r.fresh,
+        };
         SuspicionRow {
             crashed_runs: s.crashed_runs.clone(),
             fresh_runs: s.fresh_runs.clone(),
@@ -113,11 +121,16 @@
 
 impl From<&SuspicionRow> for Suspicion {
     fn from(row: &SuspicionRow) -> Suspicion {
-        let open = |r: &OpenRunRow| OpenRun { run: r.run, worker: r.worker.as_str().into() };
+        let open = |r: &OpenRunRow| OpenRun {
+            run: r.run,
+            worker: r.worker.as_str().into(),
+            fresh: !r.has_worked,
+        };
         Suspicion {
             crashed_runs: row.crashed_runs.clone(),
             fresh_runs: row.fresh_runs.clone(),
             open_runs: row.open_runs.iter().map(open).collect(),
+            unwritten_row: None,
         }
     }
 }
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::Engine;
 use crate::held::{Held, Phase};
-use crate::job::Task;
+use crate::job::{Step, Task};
 use crate::note::{GiveUp, Note};
 use crate::order::{Order, StartAnswer, WorkerCall};
 use crate::spec::{StepKey, TaskKey};
@@ -18,6 +18,9 @@
 /// limit makes the gang start again, in hundredths.
 const GANG_PATIENCE_PERCENT: u64 = 60;
 
+/// A start waits so long for its row at most.
+const UNSENT_FOR: Millis = Millis(500);
+
 impl Engine {
     /// Places a task on a worker and orders its start.
     pub(crate) fn start(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
@@ -40,11 +43,38 @@
             let (worker, free) = (w.id.clone(), w.free);
             self.notes.push(Note::Starts { task: key, run, worker, free, age });
         }
+        let written_first = self.is_written_first(key);
         self.note_open_run(p);
         self.stats.started += 1;
+        if written_first {
+            if let Some(h) = self.workers.get_mut(idx).and_then(|w| w.find_mut(key, run)) {
+                h.unsent = true;
+            }
+            return;
+        }
         self.send_start(p, now, out);
     }
 
+    /// Tells whether a start waits for the row that tells of it: an owner that was lost in between
+    /// would leave one that the next one doesn't know of, and so one crash too many. A gang is sent as
+    /// a whole.
+    fn is_written_first(&self, key: TaskKey) -> bool {
+        if self.is_gang(key.step) {
+            self.jobs.step(key.step).is_some_and(Step::is_tracked)
+        } else {
+            self.jobs.task(key).is_some_and(Task::is_tracked)
+        }
+    }
+
+    /// Tells whether the store has the row that tells of a start.
+    fn is_written(&self, key: TaskKey) -> bool {
+        if self.is_gang(key.step) {
+            self.jobs.step(key.step).is_none_or(Step::is_written)
+        } else {
+            self.jobs.task(key).is_none_or(Task::is_written)
+        }
+    }
+
     fn send_start(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
         let Placement { idx, task, run } = p;
         let lease = self.bounds.lease;
@@ -192,17 +222,35 @@
             let Some(w) = self.workers.get(idx) else { continue };
             // An answered stop is not sent again: the end is listed, or the run never started.
             let due = |h: &&Held| !h.calling && h.phase != Phase::Running && !h.stop_answered;
-            let due: Vec<_> = w.held.iter().filter(due).map(|h| (h.task, h.run, h.phase)).collect();
-            for (task, run, phase) in due {
+            let due: Vec<_> =
+                w.held.iter().filter(due).map(|h| (h.task, h.run, h.phase, h.unsent)).collect();
+            for (task, run, phase, unsent) in due {
                 let p = Placement { idx, task, run };
                 match phase {
+                    Phase::Stopping if unsent => self.free(p, GiveUp::Unsent, now),
                     Phase::Stopping => self.send_stop(p, now, out),
+                    _ if unsent => self.start_written(p, now, out),
                     _ => self.start_again(p, now, out),
                 }
             }
         }
     }
 
+    /// Orders a start once the store has the row that tells of it. Where that takes long the store is
+    /// away: the task gives its place back, and waits for the store.
+    fn start_written(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
+        let written = self.is_written(p.task);
+        let Some(w) = self.workers.get_mut(p.idx) else { return };
+        let Some(h) = w.find_mut(p.task, p.run) else { return };
+        if written {
+            h.unsent = false;
+            h.since = now;
+            self.send_start(p, now, out);
+        } else if now.since(h.since) >= UNSENT_FOR {
+            self.free(p, GiveUp::Unsent, now);
+        }
+    }
+
     fn start_again(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
         let Placement { idx, task, run } = p;
         let patience = Millis(self.bounds.gang_timeout.0 * GANG_PATIENCE_PERCENT / 100);
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -196,6 +196,8 @@
         unwritten: true,
         progressed: false,
         has_progress: false,
+        rows_cut: 0,
+        is_tracked: false,
         ends: Vec::new(),
     }
 }
--- a/crates/hollowford-jobs/src/suspicion.rs
+++ b/crates/hollowford-jobs/src/suspicion.rs
@@ -21,6 +21,8 @@
     pub run: u32,
     /// The life of the worker that was told to start it.
     pub worker: InstanceId,
+    /// It is not known to have worked for a while: a crash now would count as one soon after its start.
+    pub fresh: bool,
 }
 
 /// The record of one task. Only tasks that were on a worker that has crashed, or may have, have one;
@@ -34,19 +36,30 @@
     pub fresh_runs: Vec<u32>,
     /// The run that is under way, and runs whose workers fell silent for longer than a lease.
     pub open_runs: Vec<OpenRun>,
+    /// Number of the row of the job's progress that tells all of this first; none: the store has it.
+    pub unwritten_row: Option<u64>,
 }
 
 impl Suspicion {
-    /// Takes note of a start.
-    pub fn opens(&mut self, run: u32, worker: &InstanceId) {
-        if !self.open_runs.iter().any(|r| r.run == run) {
-            self.open_runs.push(OpenRun { run, worker: worker.clone() });
+    /// Takes note of a start, or of what has become known of it.
+    pub fn opens(&mut self, run: u32, worker: &InstanceId, fresh: bool) {
+        match self.open_runs.iter_mut().find(|r| r.run == run) {
+            Some(r) => r.fresh = fresh,
+            None => self.open_runs.push(OpenRun { run, worker: worker.clone(), fresh }),
         }
     }
 
-    /// Takes note that no worker has crashed under a run.
-    pub fn closes(&mut self, run: u32) {
+    /// Takes note that no worker has crashed under a run. Tells whether that was open.
+    pub fn closes(&mut self, run: u32) -> bool {
+        let before = self.open_runs.len();
         self.open_runs.retain(|r| r.run != run);
+        self.open_runs.len() < before
+    }
+
+    /// Takes note that a run has worked for a while. Tells whether that is new.
+    pub fn has_worked(&mut self, run: u32) -> bool {
+        let r = self.open_runs.iter_mut().find(|r| r.run == run && r.fresh);
+        r.map(|r| r.fresh = false).is_some()
     }
 
     /// Counts a crash under a run, once; `fresh`: it had been started shortly before. Tells whether it
@@ -63,6 +76,17 @@
         true
     }
 
+    /// Tells whether the store lacks some of this: another owner would count less, and start the task
+    /// once more for each crash that it doesn't know of.
+    pub fn is_unwritten(&self) -> bool {
+        self.unwritten_row.is_some()
+    }
+
+    /// Takes note that a row of the job's progress is in the store.
+    pub fn row_made(&mut self, row: u64) {
+        self.unwritten_row = self.unwritten_row.filter(|&needed| needed > row);
+    }
+
     /// Tells whether the task is likely enough to crash its workers that it should run apart.
     pub fn is_suspect(&self) -> bool {
         !self.fresh_runs.is_empty()
@@ -70,12 +94,19 @@
 
     /// Tells whether the task is to be given up.
     pub fn is_telling(&self) -> bool {
-        self.fresh_runs.len() >= CRASHES_TELLING || self.crashed_runs.len() >= MOST_CRASHES
+        is_telling(self.fresh_runs.len(), self.crashed_runs.len())
     }
 
     /// Tells whether the next start has to wait until it is known what became of earlier ones: were all
     /// of them crashes, the task would be given up.
     pub fn holds_back(&self) -> bool {
-        self.crashed_runs.len() + self.open_runs.len() >= MOST_CRASHES
+        let open_fresh = self.open_runs.iter().filter(|r| r.fresh).count();
+        let all = self.crashed_runs.len() + self.open_runs.len();
+        is_telling(self.fresh_runs.len() + open_fresh, all)
     }
 }
+
+/// Tells whether so many crashes soon after a start, and so many in all, end a job.
+fn is_telling(fresh: usize, all: usize) -> bool {
+    fresh >= CRASHES_TELLING || all >= MOST_CRASHES
+}
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashes;
 pub mod plays;
+pub mod storm;
 pub mod worker;
 
 use crashes::Crashes;
--- a/crates/hollowford-jobs/tests/unwritten.rs
+++ b/crates/hollowford-jobs/tests/unwritten.rs
@@ -127,3 +127,26 @@
     cell.run(9_000);
     assert_eq!(cell.state(2), Some(JobState::Completed));
 }
+
+// One job runs, one waits, and the worker of a third is cut off for good, two seconds after its start.
+#[test]
+fn what_has_crashed_nothing_goes_on_in_an_outage() {
+    let mut cell = Cell::new(2);
+    for id in 2..4 {
+        cell.submit(id, LARGE, job(vec![step(1, 16_000, 3_000)]));
+    }
+    cell.submit(4, LARGE, job(vec![step(1, 16_000, 1_000)]));
+    cell.run(50);
+    cell.store_up = false;
+    cell.run(1_950);
+    let at = cell.workers.iter().position(|w| w.running.keys().any(|t| t.step.job == JobId(2)));
+    cell.workers[at.expect("it runs")].reachable = false;
+    cell.run(12_000);
+    let done: usize = cell.workers.iter().map(|w| w.done()).sum();
+    assert_eq!(done, 3, "all is done while the store is away");
+    cell.store_up = true;
+    cell.run(5_000);
+    for id in 2..5 {
+        assert_eq!(cell.state(id), Some(JobState::Completed), "job {id}");
+    }
+}
