Lives that have crashed stay in the row of workers for a minute

A job's task was started once too often after takeovers in series: its first start is on no record, and crashed its worker as its owner was lost. The next owner learned that the worker was gone, wrote a row of workers without it, and was lost before it had started the task again; the one after it saw no worker to reckon with and started the task as one that had never run. Ruled out: rows of progress (the task had none, rightly). Lives that have crashed are named for 60 s more, so that each later owner keeps records of what may have run there.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -227,7 +227,9 @@
             return;
         }
         let address = |w: &Worker| WorkerAddress { id: w.id.clone(), address: w.address.clone() };
-        let list: Vec<_> = self.workers.iter().map(|(_, w)| address(w)).collect();
+        let lives = self.workers.iter().map(|(_, w)| address(w));
+        let crashed = self.crashed_lives.iter().map(|l| l.address.clone());
+        let list: Vec<_> = lives.chain(crashed).collect();
         rows.push(RowWrite { key: WORKERS_KEY.to_owned(), value: Some(encode_workers(&list)) });
         note.workers = Some(list);
     }
--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -13,6 +13,7 @@
 use crate::held::{Held, Phase};
 use crate::job::{JobState, Task};
 use crate::note::Note;
+use crate::rows::WorkerAddress;
 use crate::spec::TaskKey;
 use crate::suspicion::Suspicion;
 use crate::workers::{Placement, WorkerIdx};
@@ -30,6 +31,18 @@
 /// started. It keeps crashes that are years apart from adding up for tasks that last.
 pub(crate) const CLEARED_AFTER: Millis = Millis(10_000);
 
+/// A crashed life stands in the row of workers for so long: what was started there by an owner that
+/// was lost is in no row, and each later owner has to reckon with it until the tasks have run again.
+const NAMED_FOR: Millis = Millis(60_000);
+
+/// A life that has crashed.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashedLife {
+    pub address: WorkerAddress,
+    /// The row of workers names it until then.
+    until: Millis,
+}
+
 /// A run on a worker that fell silent for longer than its lease.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LostRun {
@@ -62,6 +75,9 @@
         let held = w.held.iter().filter(may_run);
         let mut runs: Vec<_> = held.map(|h| LostRun::of(h, w.last_answer, now)).collect();
         runs.extend(&w.lost);
+        let address = WorkerAddress { id: w.id.clone(), address: w.address.clone() };
+        self.crashed_lives.retain(|l| l.until > now);
+        self.crashed_lives.push(CrashedLife { address, until: now + NAMED_FOR });
         self.stats.crashes += 1;
         if self.unsettled.contains(&idx) {
             self.watch_unsettled();
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::advice::GoodShare;
 use crate::answers::Losses;
 use crate::batch::InFlight;
+use crate::crashes::CrashedLife;
 use crate::health::Failures;
 use crate::job::Round;
 use crate::jobs::Jobs;
@@ -109,6 +110,8 @@
     pub(crate) batch_no: u64,
     /// The row of workers as it was written last.
     pub(crate) recorded: Vec<WorkerAddress>,
+    /// Lives that have crashed lately, which that row goes on naming.
+    pub(crate) crashed_lives: Vec<CrashedLife>,
     /// Something may be placeable that was not at the last pass.
     pub(crate) dirty: bool,
     /// When what is due by time at workers was looked after last.
@@ -145,6 +148,7 @@
             in_flight: InFlight::default(),
             batch_no: 0,
             recorded: Vec::new(),
+            crashed_lives: Vec::new(),
             dirty: true,
             tended_at: Millis(0),
             passed_at: Millis(0),
--- a/crates/hollowford-jobs/tests/unwritten.rs
+++ b/crates/hollowford-jobs/tests/unwritten.rs
@@ -150,3 +150,25 @@
         assert_eq!(cell.state(id), Some(JobState::Completed), "job {id}");
     }
 }
+
+// The first start, which is on no record, crashes its worker as its owner is lost. The next owner learns that the
+// worker is gone, and is lost while another worker keeps it from starting the task again.
+#[test]
+fn a_crash_that_is_in_no_row_is_reckoned_with_by_all_later_owners() {
+    let mut cell = cell(10);
+    submit(&mut cell);
+    until(&mut cell, |c| c.crashes.count == 1);
+    let at = cell.workers.iter().position(|w| w.up).expect("another worker");
+    cell.workers[at].reachable = false;
+    cell.take_over();
+    cell.run(4_000);
+    assert_eq!(cell.engine.stats().crashes, 1);
+    assert_eq!(cell.crashes.count, 1, "it has not been started again");
+    cell.workers[at].reachable = true;
+    cell.take_over();
+    until(&mut cell, |c| c.crashes.count == 2);
+    cell.engine.take_notes();
+    cell.take_over();
+    let recovered = |n: &Note| matches!(n, Note::Recovered { open: 1, .. });
+    assert!(cell.engine.take_notes().iter().any(recovered), "its second start is on record");
+}
