What had worked beside a suspect is not counted for its crash

Callers' good jobs were given up with the tasks that stood beside them. A crash counted for all that was there; but what crashes a worker does so soon after its start, and where a task under which one has crashed before had just been started again, what had worked for half a second by then is not the likelier cause. It is not counted for that crash any more.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -82,11 +82,22 @@
         if self.unsettled.contains(&idx) {
             self.watch_unsettled();
         }
+        // A suspect that has just been started is the likelier cause: what had worked beside it by then
+        // is not given up for it.
+        let explained = runs.iter().any(|r| r.fresh && self.is_suspect(r.task));
         for run in runs {
-            self.count_crash(run, &worker, now);
+            if explained && run.has_worked {
+                self.close_run(run.task, run.run);
+            } else {
+                self.count_crash(run, &worker, now);
+            }
         }
     }
 
+    fn is_suspect(&self, key: TaskKey) -> bool {
+        self.jobs.task(key).is_some_and(Task::is_suspect)
+    }
+
     /// Counts a crash for a task that is not done, and gives its job up if that tells enough.
     fn count_crash(&mut self, r: LostRun, worker: &InstanceId, now: Millis) {
         let LostRun { task: key, run, fresh, has_worked, .. } = r;
--- a/crates/hollowford-jobs/tests/crashes.rs
+++ b/crates/hollowford-jobs/tests/crashes.rs
@@ -120,6 +120,28 @@
     assert_eq!(beside.count(), 2, "what stood beside its first start: {:?}", cell.crashes.under);
 }
 
+// The second start comes beside another job that has worked for a while: the next life of the worker
+// that has crashed has no room.
+#[test]
+fn what_had_worked_beside_a_suspect_is_not_counted_for_its_crash() {
+    let mut cell = cell(2, 1_000);
+    cell.submit(CRASHER, QUICK, job(vec![step(1, 1_000, 600)]));
+    until_crash(&mut cell);
+    let down = cell.workers.iter().position(|w| !w.up).expect("it has crashed");
+    cell.submit(2, QUICK, job(vec![step(1, 1_000, 10_000)]));
+    while !cell.workers[down].up {
+        cell.run(5);
+    }
+    cell.workers[down].capacity.cpu_milli = 500;
+    cell.list();
+    until_crash(&mut cell);
+    assert_eq!(cell.crashes.under.len(), 2, "both were there: {:?}", cell.crashes.under);
+    cell.run(2_000);
+    let other =
+        |n: &Note| matches!(n, Note::CrashedUnder { task, .. } if task.step.job == JobId(2));
+    assert!(!cell.engine.take_notes().iter().any(other));
+}
+
 #[test]
 fn a_gang_with_a_member_that_crashes_its_worker_is_given_up() {
     let mut cell = cell(8, 3_300);
