A start that has waited for its row goes only where it still fits

A worker that doesn't guard its size would be brought over it: the task was placed by the size that the worker had, waited for its row, and was sent though the worker had said meanwhile that it has less. Ruled out: the choice itself (it goes by the newest size). Before it is sent, all that is held there has to fit; else the task gives its place back.

--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -241,8 +241,12 @@
     fn start_written(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
         let written = self.is_written(p.task);
         let Some(w) = self.workers.get_mut(p.idx) else { return };
+        // The worker may have less room than it had when the task was placed.
+        let has_room = w.holds_no_more_than_it_has();
         let Some(h) = w.find_mut(p.task, p.run) else { return };
-        if written {
+        if !has_room {
+            self.free(p, GiveUp::Unsent, now);
+        } else if written {
             h.unsent = false;
             h.since = now;
             self.send_start(p, now, out);
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -168,9 +168,17 @@
     /// Counts again what is free, and how many tasks are suspect.
     pub fn recount(&mut self) {
         self.suspects = self.held.iter().filter(|h| h.suspect).count() as u32;
-        let add = |a: Resources, h: &Held| a.plus(&h.room);
-        let used = self.held.iter().fold(Resources::default(), add);
-        self.free = self.capacity.minus(&used);
+        self.free = self.capacity.minus(&self.used());
+    }
+
+    /// Returns what is held.
+    fn used(&self) -> Resources {
+        self.held.iter().fold(Resources::default(), |sum, h| sum.plus(&h.room))
+    }
+
+    /// Tells whether all that is held fits; its capacity may have shrunk since it was placed.
+    pub fn holds_no_more_than_it_has(&self) -> bool {
+        self.used().fits(&self.capacity)
     }
 
     pub fn hold(&mut self, held: Held) {
