--- a/crates/hollowford-jobs/tests/crashes.rs
+++ b/crates/hollowford-jobs/tests/crashes.rs
@@ -222,6 +222,43 @@
     assert_eq!(cell.state(2), Some(JobState::Completed));
 }
 
+// One worker crashes under it, for a reason of its own. Then three in turn have crashed just before it is sent to
+// them, and nobody knew: it never ran there.
+#[test]
+fn starts_that_came_after_crashes_end_no_job() {
+    let mut cell = cell(6, 1_000);
+    cell.submit(2, QUICK, job(vec![step(1, 1_000, 600)]));
+    let mut sent = 0;
+    while sent < 4 {
+        cell.now = cell.now + Millis(5);
+        let now = cell.now;
+        cell.workers.iter_mut().for_each(|w| w.tick(now));
+        if cell.crashes.tick(&mut cell.workers, now) {
+            cell.list();
+        }
+        let orders = cell.poll();
+        let started = orders.iter().find_map(|o| match o {
+            Order::Worker { call: WorkerCall::Start { worker, .. }, .. } => Some(worker.clone()),
+            _ => None,
+        });
+        let at = cell.workers.iter().position(|w| started.as_ref() == Some(&w.id) && w.up);
+        if let Some(at) = at {
+            sent += 1;
+            if sent == 1 {
+                cell.carry_out_all(orders);
+                cell.run(10);
+                cell.crashes.crash(&mut cell.workers[at]);
+                continue;
+            }
+            cell.crashes.crash(&mut cell.workers[at]);
+        }
+        cell.carry_out_all(orders);
+    }
+    cell.run(10_000);
+    assert_eq!(cell.crashes.under.values().sum::<u32>(), 1);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+}
+
 // Two workers in turn are cut off right after they have started it, end it unheard, and crash later: from
 // outside that looks like two crashes soon after the start, and it ran under none.
 #[test]
