Four crashes end a job only if two of the runs were confirmed, else five

Callers saw a good job told as failed under which one worker had crashed. Ruled out: mistaken fresh runs (one, and it was real), takeovers (one epoch). Now fewer than two confirmed runs ask for five, which keeps a task whose workers never confirm it within five starts.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -20,7 +20,7 @@
 use crate::note::Note;
 use crate::rows::WorkerAddress;
 use crate::spec::TaskKey;
-use crate::suspicion::Suspicion;
+use crate::suspicion::{Stage, Suspicion};
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::{InstanceId, Millis};
 
@@ -52,10 +52,7 @@
 pub(crate) struct LostRun {
     pub task: TaskKey,
     pub run: u32,
-    /// It had been started shortly before.
-    pub fresh: bool,
-    /// It had worked for a while: what crashes a worker does so sooner.
-    pub has_worked: bool,
+    pub stage: Stage,
     /// When it was given up.
     pub since: Millis,
 }
@@ -63,9 +60,12 @@
 impl LostRun {
     /// Makes what is known of a run at `now` whose worker was heard last at `heard`.
     fn of(h: &Held, heard: Millis, now: Millis) -> LostRun {
-        let begun = h.phase == Phase::Running;
-        let fresh = begun && heard < h.since + FRESH_FOR;
-        LostRun { task: h.task, run: h.run, fresh, has_worked: begun && !fresh, since: now }
+        let stage = match h.phase {
+            Phase::Running if heard < h.since + FRESH_FOR => Stage::Fresh,
+            Phase::Running => Stage::Worked,
+            Phase::Starting | Phase::Stopping => Stage::Unconfirmed,
+        };
+        LostRun { task: h.task, run: h.run, stage, since: now }
     }
 }
 
@@ -88,9 +88,9 @@
         }
         // A suspect that has just been started is the likelier cause: what had worked beside it by then
         // is not given up for it.
-        let explained = runs.iter().any(|r| r.fresh && self.is_suspect(r.task));
+        let explained = runs.iter().any(|r| r.stage == Stage::Fresh && self.is_suspect(r.task));
         for run in runs {
-            if explained && run.has_worked {
+            if explained && run.stage == Stage::Worked {
                 self.close_run(run.task, run.run);
             } else {
                 self.count_crash(run, &worker, now);
@@ -104,17 +104,17 @@
 
     /// Counts a crash for a task that is not done, and gives its job up if that tells enough.
     fn count_crash(&mut self, r: LostRun, worker: &InstanceId, now: Millis) {
-        let LostRun { task: key, run, fresh, has_worked, .. } = r;
+        let LostRun { task: key, run, stage, .. } = r;
         let job = key.step.job;
         if self.jobs.get(job).is_none_or(|j| j.end.is_some()) {
             return;
         }
-        let Some(suspicion) = self.change_suspicion(key, !has_worked) else { return };
-        if !suspicion.crashed(run, fresh) {
+        let Some(suspicion) = self.change_suspicion(key, stage != Stage::Worked) else { return };
+        if !suspicion.crashed(run, stage) {
             return;
         }
         let (crashes, telling) = (suspicion.crashed_runs.len(), suspicion.is_telling());
-        let worker = worker.clone();
+        let (worker, fresh) = (worker.clone(), stage == Stage::Fresh);
         self.notes.push(Note::CrashedUnder { task: key, run, worker, fresh, crashes });
         self.jobs.progressed(job);
         if telling {
@@ -146,8 +146,10 @@
             }
             let lost = LostRun::of(h, w.last_answer, now);
             let Some(job) = self.jobs.get_mut(key.step.job) else { continue };
-            let Some(suspicion) = job.change_suspicion(key, !lost.has_worked) else { continue };
-            suspicion.opens(run, &id, lost.fresh);
+            let Some(suspicion) = job.change_suspicion(key, lost.stage != Stage::Worked) else {
+                continue;
+            };
+            suspicion.opens(run, &id, lost.stage == Stage::Fresh);
             w.lost.push(lost);
             self.jobs.progressed(key.step.job);
         }
@@ -222,8 +224,8 @@
         for r in &found.open_runs {
             let idx = self.workers.find(&r.worker);
             if let Some(w) = idx.and_then(|idx| self.workers.get_mut(idx)) {
-                let (fresh, has_worked) = (r.fresh, !r.fresh);
-                w.lost.push(LostRun { task: key, run: r.run, fresh, has_worked, since: now });
+                let stage = if r.fresh { Stage::Fresh } else { Stage::Worked };
+                w.lost.push(LostRun { task: key, run: r.run, stage, since: now });
             }
         }
         let (crashes, open) = (found.crashed_runs.len(), found.open_runs.len());
--- a/crates/hollowford-jobs/src/progress_rows.rs
+++ b/crates/hollowford-jobs/src/progress_rows.rs
@@ -68,6 +68,9 @@
     /// Runs of which it isn't known yet.
     #[prost(message, repeated, tag = "3")]
     pub open_runs: Vec<OpenRunRow>,
+    /// Crashed runs that their workers had not confirmed.
+    #[prost(uint32, repeated, tag = "4")]
+    pub unconfirmed_runs: Vec<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -114,6 +117,7 @@
         SuspicionRow {
             crashed_runs: s.crashed_runs.clone(),
             fresh_runs: s.fresh_runs.clone(),
+            unconfirmed_runs: s.unconfirmed_runs.clone(),
             open_runs: s.open_runs.iter().map(open).collect(),
         }
     }
@@ -129,6 +133,7 @@
         Suspicion {
             crashed_runs: row.crashed_runs.clone(),
             fresh_runs: row.fresh_runs.clone(),
+            unconfirmed_runs: row.unconfirmed_runs.clone(),
             open_runs: row.open_runs.iter().map(open).collect(),
             unwritten_row: None,
         }
--- a/crates/hollowford-jobs/src/suspicion.rs
+++ b/crates/hollowford-jobs/src/suspicion.rs
@@ -15,6 +15,23 @@
 /// are known keep within it.
 const MOST_CRASHES: usize = 4;
 
+/// As many are asked for while fewer than [`LEAST_CONFIRMED`] of the runs were confirmed by their workers: a start
+/// that never was may have come after the crash.
+const MOST_UNCONFIRMED: usize = 5;
+/// So many of the runs that count must have been confirmed, unless there are as many as that.
+const LEAST_CONFIRMED: usize = 2;
+
+/// How far a run was known to have come when its worker crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// The worker had not said that it runs.
+    Unconfirmed,
+    /// It had been started shortly before.
+    Fresh,
+    /// It had worked for a while: what crashes a worker does so sooner.
+    Worked,
+}
+
 /// A run of which the owner can't know yet whether its worker crashes under it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct OpenRun {
@@ -34,6 +51,8 @@
     pub crashed_runs: Vec<u32>,
     /// Those of them that had been started shortly before.
     pub fresh_runs: Vec<u32>,
+    /// Those of them that their workers had not confirmed.
+    pub unconfirmed_runs: Vec<u32>,
     /// The run that is under way, and runs whose workers fell silent for longer than a lease.
     pub open_runs: Vec<OpenRun>,
     /// Number of the row of the job's progress that tells all of this first; none: the store has it.
@@ -62,16 +81,17 @@
         r.map(|r| r.fresh = false).is_some()
     }
 
-    /// Counts a crash under a run, once; `fresh`: it had been started shortly before. Tells whether it
-    /// is a new one.
-    pub fn crashed(&mut self, run: u32, fresh: bool) -> bool {
+    /// Counts a crash under a run, once. Tells whether it is a new one.
+    pub fn crashed(&mut self, run: u32, stage: Stage) -> bool {
         self.closes(run);
         if self.crashed_runs.contains(&run) {
             return false;
         }
         self.crashed_runs.push(run);
-        if fresh {
-            self.fresh_runs.push(run);
+        match stage {
+            Stage::Unconfirmed => self.unconfirmed_runs.push(run),
+            Stage::Fresh => self.fresh_runs.push(run),
+            Stage::Worked => {}
         }
         true
     }
@@ -94,7 +114,8 @@
 
     /// Tells whether the task is to be given up.
     pub fn is_telling(&self) -> bool {
-        is_telling(self.fresh_runs.len(), self.crashed_runs.len())
+        let all = self.crashed_runs.len();
+        is_telling(self.fresh_runs.len(), all - self.unconfirmed_runs.len(), all)
     }
 
     /// Tells whether the next start has to wait until it is known what became of earlier ones: were all
@@ -102,11 +123,14 @@
     pub fn holds_back(&self) -> bool {
         let open_fresh = self.open_runs.iter().filter(|r| r.fresh).count();
         let all = self.crashed_runs.len() + self.open_runs.len();
-        is_telling(self.fresh_runs.len() + open_fresh, all)
+        let confirmed = all - self.unconfirmed_runs.len();
+        is_telling(self.fresh_runs.len() + open_fresh, confirmed, all)
     }
 }
 
-/// Tells whether so many crashes soon after a start, and so many in all, end a job.
-fn is_telling(fresh: usize, all: usize) -> bool {
-    fresh >= CRASHES_TELLING || all >= MOST_CRASHES
+/// Tells whether so many crashes soon after a start, under so many confirmed runs, and so many in
+/// all, end a job.
+fn is_telling(fresh: usize, confirmed: usize, all: usize) -> bool {
+    let most = if confirmed >= LEAST_CONFIRMED { MOST_CRASHES } else { MOST_UNCONFIRMED };
+    fresh >= CRASHES_TELLING || all >= most
 }
