Failing tests: workers that start again under the id that they had

Ends of the next life are passed over and acknowledged, its crashes are not counted, its clock, size, address, tickets and health are those of the earlier one. Ten cases and three kinds of random plays, each failing on the code as it is.

--- a/crates/hollowford-jobs/tests/common/crashes.rs
+++ b/crates/hollowford-jobs/tests/common/crashes.rs
@@ -20,6 +20,8 @@
     pub after: Millis,
     /// How long a crashed worker is down.
     pub down: Millis,
+    /// It starts again under the id that it had.
+    pub same_id: bool,
     /// Workers that have crashed under each task, whether it was its doing or not.
     pub under: BTreeMap<TaskKey, u32>,
     /// Starts of each task after the third of them, by an owner in touch.
@@ -38,6 +40,7 @@
             jobs: BTreeSet::new(),
             after: Millis(10),
             down: Millis(3_200),
+            same_id: false,
             under: BTreeMap::new(),
             starts_more: BTreeMap::new(),
             in_touch: true,
@@ -58,7 +61,7 @@
             }
             let Some(since) = w.down_since else { continue };
             if now - since >= self.down {
-                w.restart(&format!("life-{}-{}", w.address, now.0));
+                self.restart(w, now);
                 changed = true;
             } else if w.listed && now - since >= UNLISTED_AFTER {
                 w.listed = false;
@@ -68,6 +71,14 @@
         changed
     }
 
+    fn restart(&self, w: &mut SimWorker, now: Millis) {
+        if self.same_id {
+            w.restart_as_itself();
+        } else {
+            w.restart(&format!("life-{}-{}", w.address, now.0));
+        }
+    }
+
     fn crashes(&self, w: &SimWorker, now: Millis) -> bool {
         let due = |r: &super::worker::Run| now - r.since >= self.after;
         w.up && w.running.iter().any(|(t, r)| self.jobs.contains(&t.step.job) && due(r))
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -258,7 +258,7 @@
                     return;
                 }
                 let good = workers.iter().filter(|w| !self.barred.contains(w));
-                let rows = good.map(|w| (w.clone(), "ticket".into())).collect();
+                let rows = good.map(|w| (w.clone(), self.ticket_of(w))).collect();
                 let at = self.now + self.advice_time(step.job, workers.len());
                 self.advice_due.push(AdviceDue { at, seat, step, rows });
                 self.answer_advice();
@@ -266,6 +266,11 @@
         }
     }
 
+    fn ticket_of(&self, id: &InstanceId) -> Arc<str> {
+        let w = self.workers.iter().find(|w| w.id == *id);
+        w.map_or_else(|| "".into(), SimWorker::ticket)
+    }
+
     /// Returns how long a call for advice takes that names so many workers.
     fn advice_time(&self, job: JobId, workers: usize) -> Millis {
         let queue = self.queue_of.get(&job).filter(|_| self.advice_takes_time);
@@ -286,11 +291,14 @@
     pub fn call(&mut self, call: WorkerCall, fence: u64) {
         let now = self.now;
         match call {
-            WorkerCall::Start { worker, task, run, lease_until, saved, .. } => {
+            WorkerCall::Start { worker, task, run, lease_until, saved, ticket, .. } => {
                 let spec = self.specs[&task.step.job].clone();
                 let need = &spec.steps[task.step.step as usize];
                 let starts = self.starts();
                 let answer = self.worker(&worker).map_or(StartAnswer::OtherLife, |w| {
+                    if !ticket.is_empty() && ticket != w.ticket() {
+                        return StartAnswer::Ticket;
+                    }
                     w.start(task, run, lease_until, fence, need, saved)
                 });
                 if self.starts() > starts {
--- a/crates/hollowford-jobs/tests/common/plays.rs
+++ b/crates/hollowford-jobs/tests/common/plays.rs
@@ -46,6 +46,8 @@
     /// Several workers that crash at once.
     pub racks: u64,
     pub leaves: u64,
+    /// Crashed workers are back under the ids that they had at times, also at once.
+    pub same_ids: bool,
 }
 
 /// A play under way.
@@ -130,7 +132,13 @@
     }
 
     fn draw_down(&mut self) {
-        self.cell.crashes.down = Millis(self.rng.u64(800..13_000));
+        if !self.failures.same_ids {
+            self.cell.crashes.down = Millis(self.rng.u64(800..13_000));
+            return;
+        }
+        let least = [0, 800][self.rng.usize(0..2)];
+        self.cell.crashes.down = Millis(self.rng.u64(least..13_000));
+        self.cell.crashes.same_id = self.rng.u32(0..4) > 0;
     }
 
     fn draw_job(&mut self, id: u64, at: Millis) -> (&'static str, Arc<JobSpec>) {
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -6,8 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// The worker's clock is this far from the cell's.
+/// A worker's clock is this far from the cell's, until it starts again.
 const CLOCK_AHEAD: u64 = 5_000;
+/// A longer lease is cut to this one.
+const LONGEST_LEASE: u64 = 6_000;
 /// A gang that is not complete for so long ends.
 const GANG_TIMEOUT: u64 = 3_000;
 
@@ -69,6 +71,8 @@
     /// When it crashed, while it is down.
     pub down_since: Option<Millis>,
     pub now: Millis,
+    /// When it last started again under its id; its clock begins anew then.
+    pub restarted_at: Option<Millis>,
     /// Tasks that fail wherever they run.
     pub poison: BTreeSet<JobId>,
     pub starts: u64,
@@ -103,13 +107,19 @@
             up: true,
             down_since: None,
             now,
+            restarted_at: None,
             poison: BTreeSet::new(),
             starts: 0,
         }
     }
 
     pub fn clock(&self) -> u64 {
-        self.now.0 + CLOCK_AHEAD
+        self.restarted_at.map_or(self.now.0 + CLOCK_AHEAD, |at| self.now.since(at).0 + 1)
+    }
+
+    /// Returns the ticket that this life of it takes.
+    pub fn ticket(&self) -> Arc<str> {
+        format!("{}-{:?}", self.id, self.restarted_at).into()
     }
 
     pub fn listing(&self) -> WorkerListing {
@@ -201,6 +211,18 @@
         self.address = address;
     }
 
+    /// Crashes and starts again under the id and at the address that it had: it knows nothing of
+    /// before, and its counts and its clock begin anew.
+    pub fn restart_as_itself(&mut self) {
+        let id = self.id.clone();
+        self.restart(id.as_str());
+        self.restarted_at = Some(self.now);
+    }
+
+    fn extend_lease(&mut self, until: u64) {
+        self.lease_until = self.lease_until.max(until.min(self.clock() + LONGEST_LEASE));
+    }
+
     pub fn start(
         &mut self,
         task: TaskKey,
@@ -217,7 +239,7 @@
             return StartAnswer::Fenced;
         }
         self.fence = fence;
-        self.lease_until = self.lease_until.max(lease_until);
+        self.extend_lease(lease_until);
         let here = self.running.get(&task).map(|r| r.run);
         if here != Some(run) {
             if self.over.get(&task).is_some_and(|&o| run <= o) || here.is_some() {
@@ -257,7 +279,7 @@
             return LookAnswer::Fenced;
         }
         self.fence = fence;
-        self.lease_until = self.lease_until.max(lease_until.unwrap_or(0));
+        self.extend_lease(lease_until.unwrap_or(0));
         self.ended.retain(|e| e.number > forget);
         if self.mute {
             return LookAnswer::Unanswered;
--- a/crates/hollowford-jobs/tests/crash_plays.rs
+++ b/crates/hollowford-jobs/tests/crash_plays.rs
@@ -67,6 +67,7 @@
     crashes: 0,
     racks: 0,
     leaves: 0,
+    same_ids: false,
 };
 const NONE: Failures = Failures { outages: 0, ..OUTAGES };
 const TAKEOVERS: Failures = Failures { takeovers: 4_000, ..NONE };
@@ -83,6 +84,10 @@
 };
 const ALL: Failures = Failures { outages: 12_000, owner_lost: 50, ..WORKERS };
 
+const SAME_IDS: Failures = Failures { same_ids: true, ..NONE };
+const TAKEOVERS_AND_SAME_IDS: Failures = Failures { same_ids: true, ..TAKEOVERS };
+const ALL_AND_SAME_IDS: Failures = Failures { same_ids: true, ..ALL };
+
 #[test]
 fn with_no_other_failure() {
     play_all(NONE);
@@ -113,6 +118,21 @@
     play_all(ALL);
 }
 
+#[test]
+fn with_workers_back_under_their_ids() {
+    play_all(SAME_IDS);
+}
+
+#[test]
+fn with_workers_back_under_their_ids_and_takeovers() {
+    play_all(TAKEOVERS_AND_SAME_IDS);
+}
+
+#[test]
+fn with_workers_back_under_their_ids_and_all_else() {
+    play_all(ALL_AND_SAME_IDS);
+}
+
 // Seeds that have shown a start too many.
 #[parameterized(
     takeovers_first = { 3, TAKEOVERS },
--- /dev/null
+++ b/crates/hollowford-jobs/tests/restarts.rs
@@ -0,0 +1,196 @@
+//! Workers that start again under the id that they had.
+//!
+//! What was seen: 17 of 48 workers crashed behind a cut and were back under their ids half a second
+//! later. Tasks that had ended well there started again, and tasks that had failed there started more
+//! often than their queue allows. The owner gave 90 and 198 runs up as vanished in a few seconds, and
+//! counted no crash.
+//!
+//! How it came about: a worker that starts again knows nothing of before, and counts its ends from
+//! one. Ends whose numbers the owner had taken in from the earlier life were passed over, and
+//! acknowledged with its next call.
+#![allow(clippy::expect_used)]
+
+mod common;
+
+use common::*;
+use hollowford_core::{Millis, Resources};
+use hollowford_jobs::*;
+use std::collections::BTreeSet;
+
+/// Returns the runs of a job that were ordered.
+fn runs_of(cell: &Cell, id: u64) -> BTreeSet<(TaskKey, u32)> {
+    let run = |order: &Order| match order {
+        Order::Worker { call: WorkerCall::Start { task, run, .. }, .. } => Some((*task, *run)),
+        _ => None,
+    };
+    cell.log.iter().filter_map(run).filter(|(t, _)| t.step.job == JobId(id)).collect()
+}
+
+/// A cell whose workers have each done some tasks.
+fn cell_that_has_worked(workers: usize) -> Cell {
+    let mut cell = Cell::new(workers);
+    cell.submit(1, QUICK, job(vec![step(16 * workers as u32, 1_000, 100)]));
+    cell.run(1_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    cell
+}
+
+/// The worker starts again under its id, and the owner has time to see it.
+fn restart(cell: &mut Cell, at: usize) {
+    cell.workers[at].restart_as_itself();
+    cell.list();
+    cell.run(500);
+}
+
+#[test]
+fn what_the_next_life_has_done_is_not_started_again() {
+    let mut cell = cell_that_has_worked(1);
+    restart(&mut cell, 0);
+    cell.submit(2, QUICK, job(vec![step(3, 1_000, 200)]));
+    cell.run(3_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+    assert_eq!(runs_of(&cell, 2).len(), 3);
+}
+
+#[test]
+fn what_fails_on_the_next_life_counts() {
+    let mut cell = cell_that_has_worked(2);
+    restart(&mut cell, 0);
+    restart(&mut cell, 1);
+    cell.workers.iter_mut().for_each(|w| drop(w.poison.insert(JobId(2))));
+    cell.submit(2, QUICK, job(vec![step(1, 1_000, 100)]));
+    cell.run(10_000);
+    assert_eq!(cell.state(2), Some(JobState::Failed));
+    assert_eq!(runs_of(&cell, 2).len(), 3);
+}
+
+// The cell panics at the third start after the third crash.
+#[test]
+fn a_task_that_crashes_workers_that_are_back_under_their_ids_is_given_up() {
+    let mut cell = Cell::new(6);
+    cell.crashes.jobs.insert(JobId(1));
+    (cell.crashes.down, cell.crashes.same_id) = (Millis(700), true);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 500)]));
+    cell.run(60_000);
+    assert_eq!(cell.state(1), Some(JobState::Failed));
+}
+
+#[test]
+fn a_worker_is_used_again_whose_address_another_one_had_meanwhile() {
+    let mut cell = cell_that_has_worked(2);
+    let listing = cell.workers[0].listing();
+    cell.workers[0].restart("stranger");
+    cell.list();
+    cell.run(500);
+    cell.workers[0].restart(listing.id.as_str());
+    cell.workers[0].restarted_at = Some(cell.now);
+    cell.workers[0].address = "10.0.0.77:1".into();
+    cell.list();
+    cell.run(500);
+    cell.submit(2, QUICK, job(vec![step(2, 16_000, 200)]));
+    cell.run(150);
+    assert_eq!(cell.running(), 2);
+}
+
+#[test]
+fn a_worker_is_called_at_the_address_where_it_started_again() {
+    let mut cell = cell_that_has_worked(1);
+    cell.workers[0].address = "10.0.0.77:1".into();
+    restart(&mut cell, 0);
+    cell.log.clear();
+    cell.run(500);
+    let call =
+        |o: &Order| if let Order::Worker { call, .. } = o { Some(call.clone()) } else { None };
+    let calls: Vec<_> = cell.log.iter().filter_map(call).collect();
+    assert!(!calls.is_empty());
+    assert!(calls.iter().all(|c| **c.address() == *"10.0.0.77:1"), "{calls:?}");
+}
+
+// The next life's clock begins anew. A lease by the earlier one's lies far ahead: the worker cuts it to the
+// longest one, so what runs there may do so for longer than the owner thinks. The cell panics when
+// the task runs in two places.
+#[test]
+fn what_the_next_life_runs_is_not_started_elsewhere_before_its_lease_is_over() {
+    let mut cell = cell_that_has_worked(1);
+    restart(&mut cell, 0);
+    cell.submit(2, LARGE, job(vec![step(1, 1_000, 20_000)]));
+    cell.run(200);
+    assert_eq!(cell.running(), 1);
+    cell.workers[0].reachable = false;
+    cell.workers.push(worker::SimWorker::new(5, cell.now));
+    cell.list();
+    cell.run(15_000);
+    assert_eq!(cell.running(), 1);
+}
+
+// A worker may be of another size when it is back. Until the list tells of that life, nothing is known
+// of its room. The cell panics when it holds more than it has.
+#[test]
+fn nothing_is_started_on_a_life_that_the_list_does_not_tell_of() {
+    let mut cell = cell_that_has_worked(1);
+    cell.workers[0].restart_as_itself();
+    cell.workers[0].capacity = Resources::new(4_000, 64_000, 0);
+    cell.run(500);
+    cell.submit(2, QUICK, job(vec![step(16, 1_000, 200)]));
+    cell.run(500);
+    cell.list();
+    cell.run(3_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+}
+
+// A call that got no answer may be done seconds later, by the next life too, since both bear the same id.
+// The cell panics when the task runs in two places.
+#[test]
+fn a_start_that_was_meant_for_the_earlier_life_does_not_begin_on_the_next_one() {
+    let mut cell = cell_that_has_worked(2);
+    cell.submit(2, LARGE, job(vec![step(1, 1_000, 20_000)]));
+    let orders = cell.poll();
+    cell.write();
+    let orders: Vec<_> = orders.into_iter().chain(cell.poll()).collect();
+    let is_start = |o: &Order| matches!(o, Order::Worker { call: WorkerCall::Start { .. }, .. });
+    let (starts, others): (Vec<_>, Vec<_>) = orders.into_iter().partition(is_start);
+    cell.carry_out_all(others);
+    let [Order::Worker { call, .. }] = &starts[..] else { panic!("{starts:?}") };
+    let WorkerCall::Start { worker, task, run, lease_until, .. } = call.clone() else { return };
+    cell.engine.start_answered(&worker, (task, run), StartAnswer::Unanswered, cell.now, cell.now);
+    let at = cell.workers.iter().position(|w| w.id.as_str() == worker.as_str()).expect("it");
+    cell.workers[at].reachable = false;
+    cell.run(6_000);
+    assert_eq!(cell.running(), 1);
+    restart(&mut cell, at);
+    let (epoch, spec) = (cell.engine.epoch(), cell.specs[&JobId(2)].clone());
+    cell.workers[at].start(task, run, lease_until, epoch, &spec.steps[0], "".into());
+    cell.judge_once(task);
+    cell.run(5_000);
+    assert_eq!(cell.running(), 1);
+}
+
+#[test]
+fn tickets_of_the_earlier_life_are_not_used_for_the_next_one() {
+    let mut cell = Cell::new(1);
+    let cost = AdviceCost { decide_ms: 5.0, per_worker_ms: 0.1, validity: Millis(60_000) };
+    cell.set_queues(vec![queue(QUICK, 0, Some(cost)), queue(LARGE, 1, None)]);
+    cell.submit(1, QUICK, job(vec![step(2, 16_000, 2_000)]));
+    cell.run(100);
+    assert_eq!(cell.running(), 1);
+    restart(&mut cell, 0);
+    cell.run(6_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert_eq!(cell.engine.stats().refused, 0);
+}
+
+#[test]
+fn what_put_the_earlier_life_aside_is_not_held_against_the_next_one() {
+    let mut cell = cell_that_has_worked(2);
+    cell.workers[0].failing = true;
+    for id in 2..20 {
+        cell.submit(id, QUICK, job(vec![step(2, 8_000, 50)]));
+        cell.run(150);
+    }
+    assert!(cell.engine.stats().put_aside > 0);
+    cell.run(20);
+    restart(&mut cell, 0);
+    cell.submit(50, LARGE, job(vec![step(2, 16_000, 5_000)]));
+    cell.run(150);
+    assert_eq!(cell.running(), 2);
+}
