Failing test: jobs that wait for a row that nobody writes

Seen by the random plays once workers are back under their ids: a job waits for ever beside idle workers. The audit of waiting tasks names a task whose record waits for a row that is neither under way nor to be cut.

--- a/crates/hollowford-jobs/src/audit.rs
+++ b/crates/hollowford-jobs/src/audit.rs
@@ -15,6 +15,13 @@
         /// Number of the start.
         run: u32,
     },
+    /// It waits for a row of its job's progress that nobody will write.
+    Unwritten {
+        /// The task.
+        task: TaskKey,
+        /// Number of the row.
+        row: u64,
+    },
     /// It waits for what became of a run that no worker holds or has lost.
     OpenNowhere {
         /// The task.
@@ -28,6 +35,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Stuck::NotHeld { task, run } => write!(f, "{task} run {run} is held nowhere"),
+            Stuck::Unwritten { task, row } => {
+                write!(f, "{task} waits for row {row}, never written")
+            }
             Stuck::OpenNowhere { task, run } => write!(f, "{task} run {run} is open nowhere"),
         }
     }
@@ -46,7 +56,9 @@
             for (step, s) in round.steps.iter().enumerate() {
                 let key = StepKey { job: job.id, round: round.number, step: step as u32 };
                 for (index, t) in s.tasks.iter().enumerate().filter(|(_, t)| !t.done) {
-                    self.stuck_of_task(key.task(index as u32), t, &mut out);
+                    let task = key.task(index as u32);
+                    self.stuck_of_task(task, t, &mut out);
+                    out.extend(stuck_of_row(job, task, t));
                 }
             }
         }
@@ -69,3 +81,10 @@
         }
     }
 }
+
+/// Tells whether a task waits for a row that is not to come: none is under way or to be cut.
+fn stuck_of_row(job: &Job, task: TaskKey, t: &Task) -> Option<Stuck> {
+    let row = t.suspicion.as_ref()?.unwritten_row?;
+    let to_come = job.progressed || row <= job.rows_cut;
+    (!to_come).then_some(Stuck::Unwritten { task, row })
+}
--- a/crates/hollowford-jobs/tests/crash_plays.rs
+++ b/crates/hollowford-jobs/tests/crash_plays.rs
@@ -148,6 +148,12 @@
     assert_eq!(play(seed, failures), Vec::<String>::new(), "seed {seed}");
 }
 
+// A task waits for a row that nobody writes, and its job waits for ever beside idle workers.
+#[parameterized(first = { 1344 }, second = { 1459 })]
+fn jobs_that_wait_for_a_row_that_nobody_writes(seed: u64) {
+    assert_eq!(play(seed, ALL_AND_SAME_IDS), Vec::<String>::new(), "seed {seed}");
+}
+
 // An outage loses the owner's word that a run had ended or worked, and its worker crashes for a reason of its own before
 // another owner has heard it: that counts as a crash soon after the start. Three such, real or not, end a job.
 #[parameterized(first = { 251 }, second = { 416 }, third = { 1348 })]
