A record of crashes that a task waits for is always to be written

Cause: a crash under a run that had been counted before asked for a row that tells of it and changed nothing, so that no row was cut. The task waits for the store to have the row. The class: what is waited for was asked for in one place and made to come in another.

Ruled out: a run that no worker holds (the audit finds none), room (all workers idle), advice (none needed).

Change: the record is only handed out for a change together with the mark that cuts the row.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -110,14 +110,14 @@
         if self.jobs.get(job).is_none_or(|j| j.end.is_some()) {
             return;
         }
-        let Some(suspicion) = self.change_suspicion(key, stage != Stage::Worked) else { return };
+        let first = stage != Stage::Worked;
+        let Some(suspicion) = self.jobs.change_suspicion(key, first) else { return };
         if !suspicion.crashed(run, stage) {
             return;
         }
         let (crashes, telling) = (suspicion.crashed_runs.len(), suspicion.is_telling());
         let (worker, fresh) = (worker.clone(), stage == Stage::Fresh);
         self.notes.push(Note::CrashedUnder { task: key, run, worker, fresh, crashes });
-        self.jobs.progressed(job);
         if telling {
             self.stats.crashing_jobs += 1;
             self.end_job(job, JobState::Failed, now);
@@ -130,9 +130,8 @@
         if self.jobs.task(p.task).is_none_or(|t| t.suspicion.is_none()) {
             return;
         }
-        let Some(suspicion) = self.change_suspicion(p.task, true) else { return };
+        let Some(suspicion) = self.jobs.change_suspicion(p.task, true) else { return };
         suspicion.opens(p.run, &worker, true);
-        self.jobs.progressed(p.task.step.job);
     }
 
     /// Takes note that what a worker holds is given up, without knowing whether it has crashed.
@@ -146,21 +145,13 @@
                 continue;
             }
             let lost = LostRun::of(h, w.last_answer, now);
-            let Some(job) = self.jobs.get_mut(key.step.job) else { continue };
-            let Some(suspicion) = job.change_suspicion(key, lost.stage != Stage::Worked) else {
-                continue;
-            };
+            let first = lost.stage != Stage::Worked;
+            let Some(suspicion) = self.jobs.change_suspicion(key, first) else { continue };
             suspicion.opens(run, &life, lost.stage == Stage::Fresh);
             w.lost.push(lost);
-            self.jobs.progressed(key.step.job);
         }
     }
 
-    /// Returns a task's record for a change. `first`: the store has to have it before the next start.
-    fn change_suspicion(&mut self, key: TaskKey, first: bool) -> Option<&mut Suspicion> {
-        self.jobs.get_mut(key.step.job)?.change_suspicion(key, first)
-    }
-
     /// Takes note that a worker has not crashed under what was given up: it lives, or has left.
     pub(crate) fn close_lost(&mut self, idx: WorkerIdx) {
         let Some(w) = self.workers.get_mut(idx) else { return };
--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -4,6 +4,7 @@
 use crate::dirty::Dirty;
 use crate::job::{Job, JobState, Step, Task};
 use crate::spec::{JobId, StepKey, StepSpec, TaskKey};
+use crate::suspicion::Suspicion;
 use hollowford_core::Millis;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeSet, VecDeque};
@@ -155,6 +156,13 @@
         self.step_mut(key.step)?.tasks.get_mut(key.index as usize)
     }
 
+    /// Returns the record of crashes of a task, made when there is none, for a change. The row that the
+    /// record may wait for is always to come: a task waiting for one that isn't would wait for ever.
+    pub fn change_suspicion(&mut self, key: TaskKey, first: bool) -> Option<&mut Suspicion> {
+        self.progressed(key.step.job);
+        self.get_mut(key.step.job)?.change_suspicion(key, first)
+    }
+
     /// Marks a job's progress as to be written.
     pub fn progressed(&mut self, id: JobId) {
         if let Some(job) = self.open.get_mut(&id) {
