Why steps wait: by cause in a gauge, and in the log for those that wait long

A step that waits beside free room left no line. Eight causes, from the acceptance that isn't in the store to room that is kept for another.

--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -51,6 +51,7 @@
 mod suspicion;
 mod urgency;
 mod view;
+mod waits;
 mod worker;
 mod workers;
 
@@ -73,4 +74,5 @@
 pub use spec::{JobId, JobSpec, RawJob, RawStep, Schedule, SpecError, StepKey, StepSpec, TaskKey};
 pub use submit::{CancelAnswer, SubmitAnswer};
 pub use view::EngineView;
+pub use waits::{StepWait, WaitCause};
 pub use worker::SLOWEST_CLOCK_PERCENT;
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -63,10 +63,15 @@
 
     /// Counts the steps with tasks that may start now.
     pub(crate) fn count_waiting(&self, now: Millis) -> usize {
-        let starts = |&&key: &&StepKey| matches!(self.wait_of(key, now), Wait::Now(_));
+        let starts = |&&key: &&StepKey| self.is_waiting(key, now);
         self.jobs.waiting().filter(starts).count()
     }
 
+    /// Tells whether tasks of a step may start now.
+    pub(crate) fn is_waiting(&self, key: StepKey, now: Millis) -> bool {
+        matches!(self.wait_of(key, now), Wait::Now(_))
+    }
+
     /// Returns what a step waits for.
     fn wait_of(&self, key: StepKey, now: Millis) -> Wait {
         let Some(job) = self.jobs.get(key.job).filter(|j| j.end.is_none()) else {
--- /dev/null
+++ b/crates/hollowford-jobs/src/waits.rs
@@ -0,0 +1,142 @@
+//! Why steps wait, for the log and the metrics.
+
+use crate::advice::Standing;
+use crate::choose::{Room, copies};
+use crate::engine::Engine;
+use crate::pass::Pass;
+use crate::place::Placing;
+use crate::spec::StepKey;
+use hollowford_core::Millis;
+use std::fmt::{self, Display};
+
+/// Why a step with tasks that wait doesn't start one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum WaitCause {
+    /// Its job's acceptance is not in the store.
+    Unkept,
+    /// What became of earlier runs isn't known, or not in the store.
+    HeldBack,
+    /// Its client account's quota.
+    Quota,
+    /// A call for advice is under way.
+    Asked,
+    /// Workers with room may run it, and their tickets have lapsed.
+    Lapsed,
+    /// Workers with room have not been asked about.
+    Unasked,
+    /// No worker that may run it has room, or too few have for a gang.
+    NoRoom,
+    /// Room that it may use is kept for another step, or comes with the next pass.
+    Kept,
+}
+
+impl WaitCause {
+    /// All causes.
+    pub const ALL: [WaitCause; 8] = [
+        WaitCause::Unkept,
+        WaitCause::HeldBack,
+        WaitCause::Quota,
+        WaitCause::Asked,
+        WaitCause::Lapsed,
+        WaitCause::Unasked,
+        WaitCause::NoRoom,
+        WaitCause::Kept,
+    ];
+
+    /// Returns its name in the log and in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            WaitCause::Unkept => "unkept",
+            WaitCause::HeldBack => "held_back",
+            WaitCause::Quota => "quota",
+            WaitCause::Asked => "asked",
+            WaitCause::Lapsed => "lapsed",
+            WaitCause::Unasked => "unasked",
+            WaitCause::NoRoom => "no_room",
+            WaitCause::Kept => "kept",
+        }
+    }
+}
+
+/// A step that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StepWait {
+    /// The step.
+    pub step: StepKey,
+    /// Why.
+    pub cause: WaitCause,
+    /// Time since its job's acceptance.
+    pub age: Millis,
+}
+
+impl Display for StepWait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "step={} cause={} age_ms={}", self.step, self.cause.name(), self.age.0)
+    }
+}
+
+/// Most steps that are looked at: each is compared with all workers.
+const MOST_STEPS: usize = 200;
+
+impl Engine {
+    /// Returns the steps that wait, with the reason of each, the oldest first; of very many only some.
+    pub fn step_waits(&self, now: Millis) -> Vec<StepWait> {
+        let usable = self.workers.iter().filter(|(_, w)| w.usable(now) && w.recorded);
+        let rooms = usable.map(|(i, w)| Room::of(i, w, now)).collect();
+        let pass = Pass::new(now, true, rooms);
+        let wait = |&key: &StepKey| {
+            let job = self.jobs.get(key.job)?;
+            let cause = self.wait_cause(&pass, key)?;
+            Some(StepWait { step: key, cause, age: now.since(job.accepted_at) })
+        };
+        let mut out: Vec<_> = self.jobs.waiting().filter_map(wait).take(MOST_STEPS).collect();
+        out.sort_by_key(|w| (std::cmp::Reverse(w.age), w.step));
+        out
+    }
+
+    fn wait_cause(&self, pass: &Pass, key: StepKey) -> Option<WaitCause> {
+        let job = self.jobs.get(key.job).filter(|j| j.end.is_none())?;
+        let queue = self.queues.get(&job.queue)?;
+        let (spec, step) = (job.spec.steps.get(key.step as usize)?, self.jobs.step(key)?);
+        let gang = Placing { key, account: job.account, kept: job.kept, spec, queue };
+        if !self.is_waiting(key, pass.now) {
+            let held_back = step.tasks.iter().any(|t| t.is_held_back());
+            return held_back.then_some(WaitCause::HeldBack);
+        }
+        let wanted = if spec.gang { spec.count } else { 1 };
+        Some(if !job.kept {
+            WaitCause::Unkept
+        } else if !self.accounts.allows(job.account, &spec.room(), wanted) {
+            WaitCause::Quota
+        } else {
+            self.room_cause(pass, gang, wanted)
+        })
+    }
+
+    /// Returns the cause of a step that lacks only advice or room for `wanted` tasks.
+    fn room_cause(&self, pass: &Pass, step: Placing<'_>, wanted: u32) -> WaitCause {
+        let need = step.spec.room();
+        let places = |standing: &[Standing]| -> u32 {
+            let has = |r: &&Room| {
+                standing.contains(&self.standing(step, r.idx, pass.now)) && self.allowed(r, step)
+            };
+            pass.rooms
+                .iter()
+                .filter(has)
+                .map(|r| copies(&need, &r.free))
+                .fold(0, u32::saturating_add)
+        };
+        let is_asking = self.jobs.step(step.key).is_some_and(|s| s.advice.is_asking());
+        if places(&[Standing::Ticketed]) >= wanted {
+            WaitCause::Kept
+        } else if is_asking {
+            WaitCause::Asked
+        } else if places(&[Standing::Ticketed, Standing::Lapsed]) >= wanted {
+            WaitCause::Lapsed
+        } else if places(&[Standing::Ticketed, Standing::Lapsed, Standing::Unknown]) >= wanted {
+            WaitCause::Unasked
+        } else {
+            WaitCause::NoRoom
+        }
+    }
+}
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -40,6 +40,8 @@
     pub open_jobs: IntGaugeVec,
     /// Workers that may get tasks, by partition, while this process owns it.
     pub usable_workers: IntGaugeVec,
+    /// Steps that wait, by partition and cause, while this process owns it.
+    pub waiting_steps: IntGaugeVec,
     /// Thousandths of a core that a client account with a quota holds, by partition and account,
     /// while this process owns it.
     pub account_used_milli: IntGaugeVec,
@@ -102,6 +104,11 @@
             config_version: gauge("config_version", "Version of the configuration")?,
             open_jobs: gauges("open_jobs", "Jobs that have not ended")?,
             usable_workers: gauges("usable_workers", "Workers that may get tasks")?,
+            waiting_steps: gauges_by(
+                "waiting_steps",
+                "Steps that wait, by cause",
+                &["partition", "cause"],
+            )?,
             account_used_milli: gauges_by(
                 "account_used_milli",
                 "Thousandths of a core that an account holds",
