--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use hollowford_core::{InstanceId, Millis, Resources};
 use hollowford_jobs::*;
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use worker::SimWorker;
 
@@ -69,6 +70,8 @@
     pub queues: Vec<Queue>,
     /// Workers that advice bars from every step.
     pub barred: BTreeSet<InstanceId>,
+    /// Percent of the workers that may run a step, by queue; all of them in queues that it lacks.
+    pub good_percent: BTreeMap<Arc<str>, u64>,
     /// Instances that make no calls for advice, though asked to.
     pub dead_seats: BTreeSet<String>,
     /// Answers of the service for advice take the time that the queue tells; else none.
@@ -103,6 +106,7 @@
             rows: BTreeMap::new(),
             queues,
             barred: BTreeSet::new(),
+            good_percent: BTreeMap::new(),
             dead_seats: BTreeSet::new(),
             advice_takes_time: false,
             advice_due: Vec::new(),
@@ -258,7 +262,7 @@
                 if self.dead_seats.contains(&*seat.address) {
                     return;
                 }
-                let good = workers.iter().filter(|w| !self.barred.contains(w));
+                let good = workers.iter().filter(|w| self.may_run(step, w));
                 let rows = good.map(|w| (w.clone(), self.ticket_of(w))).collect();
                 let at = self.now + self.advice_time(step.job, workers.len());
                 self.advice_due.push(AdviceDue { at, seat, step, rows });
@@ -267,6 +271,15 @@
         }
     }
 
+    /// Tells whether advice lets a step run on a worker.
+    pub fn may_run(&self, step: StepKey, id: &InstanceId) -> bool {
+        let queue = self.queue_of.get(&step.job);
+        let percent = queue.and_then(|q| self.good_percent.get(q)).copied().unwrap_or(100);
+        let mut hasher = DefaultHasher::new();
+        (step, id).hash(&mut hasher);
+        !self.barred.contains(id) && hasher.finish() % 100 < percent
+    }
+
     fn ticket_of(&self, id: &InstanceId) -> Arc<str> {
         let w = self.workers.iter().find(|w| w.id == *id);
         w.map_or_else(|| "".into(), SimWorker::ticket)
