A gang asks a second time only when no other step lacks a call

Cause: a call for a large gang takes 0.5 to 0.8 s, and three seats make such calls.

Change: a gang with a call under way makes the next one once all steps that wait have had their turn in the pass.

--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -7,6 +7,7 @@
 use crate::place::Placing;
 use crate::reserve::Plan;
 use crate::spec::StepSpec;
+use crate::urgency::Waiting;
 use crate::workers::Placement;
 
 /// How many members go to each room, by position in the pass.
@@ -16,12 +17,18 @@
     /// Starts a gang if all its members can start; else asks for what it lacks and keeps room
     /// for it. One member that fails ends all, so workers on which tasks have failed lately are
     /// used only where there is no room for it without them.
-    pub(crate) fn place_gang(&mut self, pass: &mut Pass, gang: Placing<'_>, out: &mut Vec<Order>) {
+    pub(crate) fn place_gang(
+        &mut self,
+        pass: &mut Pass,
+        waiting: &Waiting,
+        gang: Placing<'_>,
+        out: &mut Vec<Order>,
+    ) {
         let (account, need) = (gang.account, gang.spec.room());
         if !self.accounts.allows(account, &need, gang.spec.count) {
             self.accounts.keep(account, &need, gang.spec.count);
             // The answers are slow: the gang gets to know its workers meanwhile.
-            self.ask_for_gang(pass, gang, None, out);
+            self.ask_in_turn(pass, waiting, gang, None, out);
             return;
         }
         let ticketed: Vec<usize> = self.rooms_of(pass, gang, Standing::Ticketed).collect();
@@ -46,13 +53,30 @@
         }
         self.accounts.keep(account, &need, gang.spec.count);
         let plan = self.plan_gang(pass, gang, seated, &good);
-        self.ask_for_gang(pass, gang, plan.as_ref(), out);
+        self.ask_in_turn(pass, waiting, gang, plan.as_ref(), out);
         if let Some(plan) = plan {
             plan.keep(pass, &gang.spec.room());
             pass.reservations += usize::from(plan.begin > pass.now);
         }
     }
 
+    /// Asks for a gang, or, if it has a call under way, once all other steps had their turn: a seat that
+    /// makes a second call for one is missing to another that has none.
+    fn ask_in_turn(
+        &mut self,
+        pass: &mut Pass,
+        waiting: &Waiting,
+        gang: Placing<'_>,
+        plan: Option<&Plan>,
+        out: &mut Vec<Order>,
+    ) {
+        if self.jobs.step(gang.key).is_some_and(|s| s.advice.is_asking()) {
+            pass.asking.push((*waiting, plan.cloned()));
+        } else {
+            self.ask_for_gang(pass, gang, plan, out);
+        }
+    }
+
     /// Returns when and where the gang is expected to start: now, once its tickets are renewed
     /// or its acceptance is in the store, or when enough of its workers are free.
     fn plan_gang(
--- a/crates/hollowford-jobs/src/pass.rs
+++ b/crates/hollowford-jobs/src/pass.rs
@@ -1,6 +1,8 @@
 //! What one pass over the steps that wait works on: the workers, with what it leaves free.
 
 use crate::choose::Room;
+use crate::reserve::Plan;
+use crate::urgency::Waiting;
 use crate::workers::WorkerIdx;
 use hollowford_core::{Millis, Resources};
 use rustc_hash::FxHashMap;
@@ -22,6 +24,8 @@
     racks: Option<Rc<[Arc<str>]>>,
     /// Gangs for which room is kept so far.
     pub reservations: usize,
+    /// Gangs with a call for advice under way, which may make another one once all steps had their turn.
+    pub asking: Vec<(Waiting, Option<Plan>)>,
 }
 
 impl Pass {
@@ -29,7 +33,7 @@
     pub fn new(now: Millis, asks_again: bool, rooms: Vec<Room>) -> Pass {
         let at = rooms.iter().enumerate().map(|(at, r)| (r.idx, at)).collect();
         let most = rooms.iter().fold(Resources::default(), |m, r| m.most(&r.free));
-        Pass { now, asks_again, rooms, at, most, racks: None, reservations: 0 }
+        Pass { now, asks_again, rooms, at, most, racks: None, reservations: 0, asking: Vec::new() }
     }
 
     /// Returns the position of a worker's room, if it may get tasks.
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -8,6 +8,7 @@
 use crate::order::Order;
 use crate::pass::Pass;
 use crate::queue::Queue;
+use crate::reserve::Plan;
 use crate::seats::Want;
 use crate::spec::{StepKey, StepSpec};
 use crate::urgency::Waiting;
@@ -67,6 +68,26 @@
                 break;
             }
         }
+        for (waiting, plan) in std::mem::take(&mut pass.asking) {
+            self.ask_beside(&pass, &waiting, plan.as_ref(), out);
+        }
+    }
+
+    /// Makes another call for a gang beside the one under way.
+    fn ask_beside(
+        &mut self,
+        pass: &Pass,
+        waiting: &Waiting,
+        plan: Option<&Plan>,
+        out: &mut Vec<Order>,
+    ) {
+        let key = waiting.key;
+        let Some(job) = self.jobs.get(key.job) else { return };
+        let Some(queue) = self.queues.get(&job.queue).cloned() else { return };
+        let (job_spec, account) = (job.spec.clone(), job.account);
+        let Some(spec) = job_spec.steps.get(key.step as usize) else { return };
+        let gang = Placing { key, account, kept: waiting.kept, spec, queue: &queue };
+        self.ask_for_gang(pass, gang, plan, out);
     }
 
     fn place_step(&mut self, pass: &mut Pass, waiting: &Waiting, out: &mut Vec<Order>) {
@@ -77,7 +98,7 @@
         let Some(spec) = job_spec.steps.get(key.step as usize) else { return };
         let step = Placing { key, account, kept: waiting.kept, spec, queue: &queue };
         if spec.gang {
-            self.place_gang(pass, step, out);
+            self.place_gang(pass, waiting, step, out);
         } else {
             self.place_tasks(pass, step, out);
         }
