--- a/crates/hollowford-jobs/src/gang_asking.rs
+++ b/crates/hollowford-jobs/src/gang_asking.rs
@@ -6,7 +6,7 @@
 //! time at which it is expected to start, since they lapse sooner than room comes together.
 
 use crate::advice::Standing;
-use crate::choose::{Room, copies};
+use crate::choose::copies;
 use crate::engine::Engine;
 use crate::order::Order;
 use crate::pass::Pass;
@@ -25,9 +25,6 @@
 /// A call for a gang names so many workers, if there are as many: the choice is worth more
 /// than the few milliseconds for each.
 const LEAST_NAMED: usize = 50;
-/// A call that renews tickets also names others, for as long as that lengthens it by so much at most, in
-/// hundredths of the time that any call takes.
-const MORE_PERCENT: u32 = 20;
 /// Tickets are renewed so long before they are needed, beside the time that the call takes.
 const RENEW_AHEAD: Millis = Millis(200);
 
@@ -44,8 +41,6 @@
         let mut workers = self.to_renew(pass, gang, plan, &cost);
         if workers.is_empty() {
             workers = self.more_for_gang(pass, gang);
-        } else {
-            self.add_likely(pass, gang, &cost, &mut workers);
         }
         if !workers.is_empty() {
             self.ask_side_by_side(Want { step: gang.key, workers, cost }, pass.now, out);
@@ -74,33 +69,6 @@
         workers
     }
 
-    /// Adds workers with room to a call, for as long as that lengthens it little: others of the plan may
-    /// have lost their room by the time of the answer, and each call is slow.
-    fn add_likely(
-        &self,
-        pass: &Pass,
-        gang: Placing<'_>,
-        cost: &AdviceCost,
-        workers: &mut Vec<WorkerIdx>,
-    ) {
-        let Some(step) = self.jobs.step(gang.key) else { return };
-        let need = gang.spec.room();
-        let likely = |r: &&Room| {
-            let standing = step.advice.standing(r.idx, pass.now);
-            let is_open = matches!(standing, Standing::Lapsed | Standing::Unknown);
-            is_open
-                && need.fits(&r.free)
-                && !step.advice.is_asked(r.idx)
-                && !workers.contains(&r.idx)
-                && self.allowed(r, gang)
-        };
-        let mut likely: Vec<&Room> = pass.rooms.iter().filter(likely).collect();
-        let is_known = |r: &Room| step.advice.standing(r.idx, pass.now) == Standing::Lapsed;
-        likely.sort_by_key(|r| (std::cmp::Reverse(is_known(r)), std::cmp::Reverse(r.count(&need))));
-        let most = cost.more_workers(MORE_PERCENT);
-        workers.extend(likely.into_iter().take(most).map(|r| r.idx));
-    }
-
     /// Returns workers to get to know, those with the most room now first; none while those that
     /// are known, and those that are being asked about, are enough.
     fn more_for_gang(&self, pass: &Pass, gang: Placing<'_>) -> Vec<WorkerIdx> {
