--- a/crates/hollowford-jobs/tests/conserving.rs
+++ b/crates/hollowford-jobs/tests/conserving.rs
@@ -1,17 +1,18 @@
 //! Steps that wait beside room that they could use.
 //!
-//! What was seen: after tasks had crashed many workers, jobs waited at the end of the day with over half of the cell
-//! free: gangs of two and four, for three seconds and more, one for twelve.
+//! What was seen: after tasks had crashed many workers, jobs waited at the end of the day with over half of
+//! the cell free: gangs of two and four, for three seconds and more, one for twelve.
 //!
-//! How it came about: each crash makes steps ask for advice anew, since tickets lapse and lives end. Dozens of them waited for
-//! the few instances that make the calls.
+//! How it came about: each crash makes steps ask for advice anew, since tickets lapse and lives end.
+//! Dozens of them waited for the few instances that make the calls.
 //!
-//! What caused it: the calls were made too late and for the wrong ones. An instance that had become free waited for the next full
-//! pass, gangs asked side by side while others had not asked, calls for one worker took as long as those for twenty, and
-//! instances kept for quick calls stood idle.
+//! What caused it: the calls were made too late and for the wrong ones. An instance that had become free
+//! waited for the next full pass, gangs asked a second time while others had not asked, and
+//! instances that were kept for quick calls stood idle.
 //!
-//! What proved it: what waiting steps wait for (`WaitCause`): tickets that have lapsed, or workers that have not been asked about,
-//! in nearly all lines, and room in hardly any. Cases of it fail with each part of the mend taken out.
+//! What proved it: what waiting steps wait for (`WaitCause`), which is tickets that have lapsed, or workers
+//! that have not been asked about, in nearly all lines, and room in hardly any. Cases of it fail with the
+//! use of freed instances taken out, and with that of idle ones.
 #![allow(clippy::expect_used)]
 
 mod common;
