--- a/crates/hollowford-soak/src/cell.rs
+++ b/crates/hollowford-soak/src/cell.rs
@@ -129,7 +129,11 @@
     pub async fn add_worker(&mut self, rng: &mut fastrand::Rng) -> Result<(), SoakError> {
         let (id, rack) = (self.next_life(), self.workers.len());
         let addr = self.platform.add_worker(&id, rack)?;
-        let clock = WorkerClock { ahead_ms: rng.u64(0..1_000_000), rate: rng.u64(980..=1_000) };
+        let clock = WorkerClock {
+            ahead_ms: rng.u64(0..1_000_000),
+            rate: rng.u64(980..=1_000),
+            ..WorkerClock::default()
+        };
         self.platform.with_worker(&id, |w| w.clock = clock);
         let proxy = Proxy::open(addr).await?;
         self.platform.list_worker(&id, proxy.addr, rack, false);
@@ -144,11 +148,13 @@
         w
     }
 
-    /// Lets a worker crash and come back as another life.
+    /// Lets a worker crash and come back as another life, every other time under the id that it had.
     pub fn restart_worker(&mut self, i: usize) {
-        let next = self.next_life();
+        let other = self.next_life();
+        let is_same = self.lives.is_multiple_of(2);
         let platform = self.platform.clone();
         let w = self.worker(i);
+        let next = if is_same { w.id.clone() } else { other };
         platform.restart_worker(&w.id, &next, w.proxy.addr, w.rack);
         w.id = next;
     }
--- a/crates/hollowford/tests/node.rs
+++ b/crates/hollowford/tests/node.rs
@@ -280,3 +280,17 @@
     assert_eq!((begun("w0"), begun("w1")), (Some(0), Some(32)));
     cell.judge(1);
 }
+
+#[tokio::test]
+async fn a_worker_that_starts_again_under_its_id_does_each_task_once() {
+    let cell = Cell::start(2, 1).await;
+    assert_eq!(cell.submit(0, PLAIN, 1, 12, 50).await, 200);
+    cell.await_completed(1, PLAIN, 1).await;
+    cell.platform.restart_as_itself("w0");
+    assert_eq!(cell.submit(0, PLAIN, 2, 6, 50).await, 200);
+    cell.await_completed(1, PLAIN, 2).await;
+    cell.judge(1);
+    let begun = cell.platform.begun();
+    assert_eq!(begun.len(), 6);
+    assert!(begun.values().all(|&n| n == 1), "{begun:?}");
+}
