--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -330,8 +330,11 @@
                 let answered = self.worker(worker.id()).is_some_and(paced);
                 self.engine.pace_answered(&worker, task, run, percent, answered);
             }
-            WorkerCall::Look { worker, lease_until, forget, .. } => {
-                let look = |w: &mut SimWorker| w.look(lease_until, forget, fence);
+            WorkerCall::Look { worker, address, lease_until, forget, .. } => {
+                let look = |w: &mut SimWorker| match w.address == address {
+                    true => w.look(lease_until, forget, fence),
+                    false => LookAnswer::Unanswered,
+                };
                 let answer = self.worker(worker.id()).map_or(LookAnswer::OtherLife, look);
                 self.engine.looked(&worker, answer, now, now);
             }
--- a/crates/hollowford-jobs/tests/restarts.rs
+++ b/crates/hollowford-jobs/tests/restarts.rs
@@ -305,3 +305,199 @@
     assert_eq!(cell.running(), 1);
     assert!(is_used(&mut cell, 3));
 }
+
+/// Has the engine order one start, and returns the call without carrying it out.
+fn ordered_start(cell: &mut Cell, id: u64) -> WorkerCall {
+    cell.submit(id, LARGE, job(vec![step(1, 1_000, 20_000)]));
+    cell.poll();
+    cell.write();
+    let is_start = |c: &WorkerCall| matches!(c, WorkerCall::Start { .. });
+    let calls = cell.poll().into_iter().filter_map(|o| match o {
+        Order::Worker { call, .. } => Some(call),
+        Order::Advice { .. } => None,
+    });
+    calls.into_iter().find(is_start).expect("a start")
+}
+
+/// Tells whether a start is the only run of its job.
+fn is_only_run(cell: &Cell, call: &WorkerCall) -> bool {
+    let WorkerCall::Start { task, run, .. } = call else { return false };
+    runs_of(cell, task.step.job.0).iter().all(|(_, r)| r == run)
+}
+
+// A start may reach the next life before the owner knows of it. What it has begun runs on.
+#[test]
+fn what_the_next_life_has_begun_is_not_started_elsewhere() {
+    let mut cell = cell_that_has_worked(1);
+    let call = ordered_start(&mut cell, 2);
+    cell.workers[0].restart_as_itself();
+    cell.call(call.clone(), cell.engine.epoch());
+    cell.workers.push(worker::SimWorker::new(5, cell.now));
+    cell.run(3_000);
+    assert_eq!(cell.running(), 1);
+    assert!(is_only_run(&cell, &call));
+    assert_eq!(cell.engine.stats().vanished, 0);
+}
+
+// The same, and it has ended by the time that the owner learns of the next life: the owner's first call after
+// the silence must not have it forgotten unread.
+#[test]
+fn what_the_next_life_has_done_before_it_is_known_is_taken_in() {
+    let mut cell = cell_that_has_worked(1);
+    let call = ordered_start(&mut cell, 2);
+    cell.workers[0].reachable = false;
+    cell.run(20);
+    cell.workers[0].restart_as_itself();
+    let epoch = cell.engine.epoch();
+    let WorkerCall::Start { worker, task, run, lease_until, .. } = call.clone() else { return };
+    let spec = cell.specs[&JobId(2)].clone();
+    cell.workers[0].start(task, run, lease_until, epoch, &spec.steps[0], "".into());
+    cell.workers[0].end(task, EndKind::Done);
+    let (sent, now) = (cell.now, cell.now);
+    cell.engine.start_answered(&worker, (task, run), StartAnswer::Unanswered, sent, now);
+    cell.run(1_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+    assert!(is_only_run(&cell, &call));
+}
+
+// The first answer of a life may come late, when the next one is on the list already.
+#[test]
+fn a_late_first_answer_does_not_end_a_life_that_became_known_after_the_call() {
+    let mut cell = Cell::new(0);
+    let mut w = worker::SimWorker::new(0, cell.now);
+    cell.engine.list_workers(&[w.listing()], cell.now);
+    let sent = cell.now;
+    cell.poll();
+    let LookAnswer::Lists(look) = w.look(None, 0, 1) else { panic!("it answers") };
+    let earlier = w.life();
+    cell.now = cell.now + Millis(100);
+    w.tick(cell.now);
+    w.restart_as_itself();
+    cell.workers.push(w);
+    cell.list();
+    cell.engine.looked_late(&earlier, LookAnswer::Lists(look), sent, cell.now);
+    cell.run(1_000);
+    assert!(is_used(&mut cell, 2));
+}
+
+/// Tells whether it was counted that a worker has crashed under a task of a job.
+fn is_blamed(cell: &mut Cell, id: u64) -> bool {
+    let blamed =
+        |n: &Note| matches!(n, Note::CrashedUnder { task, .. } if task.step.job == JobId(id));
+    cell.engine.take_notes().iter().any(blamed)
+}
+
+#[test]
+fn what_the_next_life_has_begun_is_not_blamed_for_the_crash_before() {
+    let mut cell = cell_that_has_worked(1);
+    let call = ordered_start(&mut cell, 2);
+    cell.workers[0].restart_as_itself();
+    cell.call(call, cell.engine.epoch());
+    cell.run(500);
+    assert_eq!(cell.running(), 1);
+    assert!(!is_blamed(&mut cell, 2));
+}
+
+// The earlier life is over as soon as the next one answers, not when its lease is.
+#[test]
+fn what_ran_on_the_earlier_life_starts_again_once_the_next_one_answers_elsewhere() {
+    let mut cell = cell_that_has_worked(1);
+    assert!(is_used(&mut cell, 2));
+    cell.workers[0].address = "10.0.0.77:1".into();
+    restart(&mut cell, 0);
+    assert_eq!(cell.running(), 1);
+}
+
+#[test]
+fn a_life_that_is_over_is_not_counted_again_for_a_list_that_still_tells_of_it() {
+    let (mut cell, earlier) = restarted();
+    let stale = WorkerListing { life: earlier, ..cell.workers[0].listing() };
+    cell.engine.list_workers(&[stale], cell.now);
+    cell.run(1_000);
+    assert_eq!(cell.engine.stats().crashes, 1);
+    assert_eq!(cell.engine.view(cell.now).workers, 1);
+}
+
+// The answer about the earlier life is on its way when the next one becomes known.
+#[test]
+fn a_ticket_that_was_asked_for_the_earlier_life_is_not_used_for_the_next_one() {
+    let mut cell = Cell::new(1);
+    let cost = AdviceCost { decide_ms: 1_000.0, per_worker_ms: 0.1, validity: Millis(60_000) };
+    cell.set_queues(vec![queue(QUICK, 0, Some(cost)), queue(LARGE, 1, None)]);
+    cell.advice_takes_time = true;
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 500)]));
+    cell.run(200);
+    restart(&mut cell, 0);
+    cell.run(4_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert_eq!(cell.engine.stats().refused, 0);
+}
+
+// The row of the start names the life that was told; the next owner meets another one under the same id.
+#[test]
+fn a_next_owner_counts_a_crash_of_a_life_whose_id_is_there() {
+    let mut cell = Cell::new(3);
+    cell.crashes.jobs.insert(JobId(1));
+    (cell.crashes.down, cell.crashes.same_id) = (Millis(700), true);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 500)]));
+    while cell.crashes.count < 2 {
+        cell.run(5);
+    }
+    cell.take_over();
+    cell.engine.take_notes();
+    cell.run(900);
+    assert!(is_blamed(&mut cell, 1));
+}
+
+// Two calls were made while a life was known by its id only, and the first is answered late.
+#[test]
+fn a_life_that_is_named_meanwhile_is_known_by_its_earlier_name() {
+    let mut cell = Cell::new(1);
+    let (life, address) = (cell.workers[0].life(), cell.workers[0].address.clone());
+    let row = WorkerAddress { life: WorkerLife::new(life.id().clone(), None), address };
+    cell.rows.insert("workers".into(), encode_workers(&[row.clone()]));
+    cell.take_over_unlisted();
+    let answer = cell.workers[0].look(None, 0, 2);
+    assert_eq!(cell.poll().len(), 1);
+    cell.engine.looked(&row.life, LookAnswer::Unanswered, cell.now, cell.now);
+    let sent = cell.now;
+    cell.now = cell.now + Millis(100);
+    assert_eq!(cell.poll().len(), 1);
+    cell.engine.looked_late(&row.life, answer.clone(), sent, cell.now);
+    cell.engine.looked(&row.life, answer, cell.now, cell.now);
+    cell.list();
+    cell.engine.set_seats(&[Seat { address: "".into() }]);
+    cell.run(1_000);
+    assert!(is_used(&mut cell, 2));
+}
+
+// A task with a record of crashes is held back by runs that it isn't known what came of: so the one that the next
+// life has begun has to be that life's.
+#[test]
+fn a_run_on_record_that_the_next_life_has_begun_is_open_there() {
+    let mut cell = Cell::new(1);
+    cell.crashes.jobs.insert(JobId(1));
+    (cell.crashes.down, cell.crashes.same_id) = (Millis(700), true);
+    cell.submit(1, LARGE, job(vec![step(1, 1_000, 20_000)]));
+    while cell.engine.stats().crashes < 1 {
+        cell.run(5);
+    }
+    cell.crashes.jobs.clear();
+    let call = loop {
+        cell.now = cell.now + Millis(5);
+        cell.workers[0].tick(cell.now);
+        let orders = cell.poll();
+        let is_start =
+            |o: &Order| matches!(o, Order::Worker { call: WorkerCall::Start { .. }, .. });
+        let (mut starts, others): (Vec<_>, Vec<_>) = orders.into_iter().partition(is_start);
+        cell.carry_out_all(others);
+        if let Some(Order::Worker { call, .. }) = starts.pop() {
+            break call;
+        }
+    };
+    cell.workers[0].restart_as_itself();
+    cell.call(call, cell.engine.epoch());
+    cell.run(2_000);
+    assert_eq!(cell.running(), 1);
+    assert_eq!(cell.engine.stuck_tasks(), Vec::new());
+}
