--- a/crates/hollowford-jobs/tests/restarts.rs
+++ b/crates/hollowford-jobs/tests/restarts.rs
@@ -455,7 +455,7 @@
     let mut cell = Cell::new(1);
     let (life, address) = (cell.workers[0].life(), cell.workers[0].address.clone());
     let row = WorkerAddress { life: WorkerLife::new(life.id().clone(), None), address };
-    cell.rows.insert("workers".into(), encode_workers(&[row.clone()]));
+    cell.rows.insert("workers".into(), encode_workers(std::slice::from_ref(&row)));
     cell.take_over_unlisted();
     let answer = cell.workers[0].look(None, 0, 2);
     assert_eq!(cell.poll().len(), 1);
