--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -56,7 +56,7 @@
                 worker: w.life.clone(),
                 address: w.address.clone(),
                 lease_until: w.extend_lease(now, lease),
-                forget: w.forget(),
+                acknowledged: w.acknowledged_ends(),
                 wait,
             };
             out.push(Order::Worker { call, limit: w.answer_limit() });
--- a/crates/hollowford-jobs/src/order.rs
+++ b/crates/hollowford-jobs/src/order.rs
@@ -73,7 +73,7 @@
         /// The share, in percent.
         percent: u32,
     },
-    /// Renew the lease, forget ends, and list what runs and has ended.
+    /// Renew the lease, acknowledge ends, and list what runs and has ended.
     Look {
         /// The worker.
         worker: WorkerLife,
@@ -81,8 +81,8 @@
         address: Arc<str>,
         /// Reading of the worker's clock until which it may run; none before its first answer.
         lease_until: Option<u64>,
-        /// Ends up to this number may be forgotten.
-        forget: u64,
+        /// Ends up to this number are acknowledged: the worker may forget them.
+        acknowledged: u64,
         /// How long the answer may wait for an end.
         wait: Millis,
     },
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -219,9 +219,9 @@
         held
     }
 
-    /// Returns the number up to which the worker may forget ends. A worker that doesn't answer may have
+    /// Returns the number up to which ends are acknowledged. A worker that doesn't answer may have
     /// started again, and then counts its ends anew: it is to forget none of them unread.
-    pub fn forget(&self) -> u64 {
+    pub fn acknowledged_ends(&self) -> u64 {
         if self.unanswered > 0 {
             return 0;
         }
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -330,9 +330,9 @@
                 let answered = self.worker(worker.id()).is_some_and(paced);
                 self.engine.pace_answered(&worker, task, run, percent, answered);
             }
-            WorkerCall::Look { worker, address, lease_until, forget, .. } => {
+            WorkerCall::Look { worker, address, lease_until, acknowledged, .. } => {
                 let look = |w: &mut SimWorker| match w.address == address {
-                    true => w.look(lease_until, forget, fence),
+                    true => w.look(lease_until, acknowledged, fence),
                     false => LookAnswer::Unanswered,
                 };
                 let answer = self.worker(worker.id()).map_or(LookAnswer::OtherLife, look);
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -282,7 +282,7 @@
         !self.mute
     }
 
-    pub fn look(&mut self, lease_until: Option<u64>, forget: u64, fence: u64) -> LookAnswer {
+    pub fn look(&mut self, lease_until: Option<u64>, acknowledged: u64, fence: u64) -> LookAnswer {
         if !self.up || !self.reachable {
             return LookAnswer::Unanswered;
         }
@@ -291,7 +291,7 @@
         }
         self.fence = fence;
         self.extend_lease(lease_until.unwrap_or(0));
-        self.ended.retain(|e| e.number > forget);
+        self.ended.retain(|e| e.number > acknowledged);
         if self.mute {
             return LookAnswer::Unanswered;
         }
--- a/crates/hollowford-node/src/delegate_wire.rs
+++ b/crates/hollowford-node/src/delegate_wire.rs
@@ -107,7 +107,7 @@
     #[prost(uint64, optional, tag = "1")]
     lease_until: Option<u64>,
     #[prost(uint64, tag = "2")]
-    forget: u64,
+    acknowledged: u64,
     #[prost(uint64, tag = "3")]
     wait_ms: u64,
 }
--- a/crates/hollowford-node/src/delegate_wire/convert.rs
+++ b/crates/hollowford-node/src/delegate_wire/convert.rs
@@ -43,9 +43,11 @@
             WorkerCall::Pace { task, run, percent, .. } => {
                 What::Pace(PaceCall { run: TaskRun::new(*task, *run), percent: *percent })
             }
-            WorkerCall::Look { lease_until, forget, wait, .. } => {
-                What::Look(LookCall { lease_until: *lease_until, forget: *forget, wait_ms: wait.0 })
-            }
+            WorkerCall::Look { lease_until, acknowledged, wait, .. } => What::Look(LookCall {
+                lease_until: *lease_until,
+                acknowledged: *acknowledged,
+                wait_ms: wait.0,
+            }),
         };
         self.calls.push(DelegatedCall {
             id,
@@ -101,7 +103,7 @@
                 worker,
                 address,
                 lease_until: l.lease_until,
-                forget: l.forget,
+                acknowledged: l.acknowledged,
                 wait: Millis(l.wait_ms),
             },
         })
--- a/crates/hollowford-node/src/delegate_wire_tests.rs
+++ b/crates/hollowford-node/src/delegate_wire_tests.rs
@@ -47,7 +47,7 @@
             worker: "w".into(),
             address,
             lease_until: None,
-            forget: 5,
+            acknowledged: 5,
             wait: Millis(700),
         },
     ];
--- a/crates/hollowford-node/src/delegation_tests.rs
+++ b/crates/hollowford-node/src/delegation_tests.rs
@@ -50,7 +50,7 @@
         worker: format!("w{i}").as_str().into(),
         address: address(i),
         lease_until: None,
-        forget: 0,
+        acknowledged: 0,
         wait: Millis(0),
     }
 }
