--- a/crates/hollowford-jobs/src/suspicion.rs
+++ b/crates/hollowford-jobs/src/suspicion.rs
@@ -2,23 +2,21 @@
 
 use crate::life::WorkerLife;
 
-/// A task is given up once so many workers have crashed shortly after they had started it.
+/// Crashes shortly after a start that end a job.
 ///
-/// Two would do for the platform, were each of them sure: but a worker that is cut off just after a start
-/// and crashes later looks the same, with the task done meanwhile. The third keeps one such mistake from
-/// ending a good job.
-const CRASHES_TELLING: usize = 3;
-/// A task is given up once so many have crashed under it, however long it had run.
+/// The platform allows two. A worker that is cut off just after a start, and crashes later for another reason,
+/// looks the same as one that the task has crashed; the third crash keeps one such mistake from ending a
+/// job.
+const FRESH_CRASHES_TO_FAIL: usize = 3;
+/// Crashes that end a job, however long its task had run each time.
 ///
-/// The platform lets a task be given up after two, and bears two starts after the third: five in all. The
-/// first start is on no record, so a takeover can hide one crash (see `watch_unsettled`), and four that
-/// are known keep within it.
-const MOST_CRASHES: usize = 4;
-
-/// As many are asked for while fewer than [`LEAST_CONFIRMED`] of the runs were confirmed by their workers: a start
-/// that never was may have come after the crash.
-const MOST_UNCONFIRMED: usize = 5;
-/// So many of the runs that count must have been confirmed, unless there are as many as that.
+/// The platform allows two more starts after the third crash, so five in all. One crash may be unknown to a new
+/// owner, since the first start is not on record (see `watch_unsettled`).
+const CRASHES_TO_FAIL: usize = 4;
+/// Crashes that end a job while fewer than [`LEAST_CONFIRMED`] of the runs were confirmed by their workers: a
+/// start that was never confirmed may have reached its worker after the crash.
+const UNCONFIRMED_CRASHES_TO_FAIL: usize = 5;
+/// Confirmed runs from which on [`CRASHES_TO_FAIL`] applies.
 const LEAST_CONFIRMED: usize = 2;
 
 /// How far a run was known to have come when its worker crashed.
@@ -137,6 +135,7 @@
 /// Tells whether so many crashes soon after a start, under so many confirmed runs, and so many in
 /// all, end a job.
 fn is_telling(fresh: usize, confirmed: usize, all: usize) -> bool {
-    let most = if confirmed >= LEAST_CONFIRMED { MOST_CRASHES } else { MOST_UNCONFIRMED };
-    fresh >= CRASHES_TELLING || all >= most
+    let most =
+        if confirmed >= LEAST_CONFIRMED { CRASHES_TO_FAIL } else { UNCONFIRMED_CRASHES_TO_FAIL };
+    fresh >= FRESH_CRASHES_TO_FAIL || all >= most
 }
