--- a/crates/hollowford-jobs/tests/answers.rs
+++ b/crates/hollowford-jobs/tests/answers.rs
@@ -173,3 +173,24 @@
     assert_eq!(cell.state(1), Some(JobState::Completed));
     assert!(cell.engine.start_answered_late(&id, (task, 1), &StartAnswer::Fenced, sent, now));
 }
+
+// What was seen: after all processes had been killed while tasks crashed workers, a queue was told to have one
+// job waiting for five seconds and more, when six had.
+//
+// How it came about: their starts had been ordered, at workers that were down.
+#[test]
+fn a_job_whose_start_got_no_answer_waits() {
+    let mut cell = Cell::new(1);
+    cell.workers[0].crash();
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, 2_000)]));
+    cell.turn();
+    cell.turn();
+    assert_eq!(cell.engine.stats().started, 1, "its start was ordered");
+    assert_eq!(cell.engine.waiting(QUICK), 1);
+    assert_eq!(cell.state(1), Some(JobState::Queued));
+    cell.workers[0].restart("next");
+    cell.list();
+    cell.run(500);
+    assert_eq!(cell.engine.waiting(QUICK), 0);
+    assert_eq!(cell.state(1), Some(JobState::Running));
+}
