A job has begun once a worker has begun a task of it

Cause: a job counted as begun once a start was ordered. Where that worker was down, none had begun.

Change: it counts from the worker's word: its answer to the start, its list, or an end. Callers are told 'queued' for some milliseconds longer.

--- a/crates/hollowford-jobs/src/ends.rs
+++ b/crates/hollowford-jobs/src/ends.rs
@@ -17,6 +17,7 @@
 impl Engine {
     /// Takes in that a task runs.
     pub(crate) fn take_running(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
+        self.jobs.has_begun(r.task.step.job);
         let Some(w) = self.workers.get_mut(idx) else { return };
         if let Some(h) = w.find_mut(r.task, r.run) {
             h.has_begun(now);
@@ -58,9 +59,6 @@
         task.run = r.run;
         task.unsettled = false;
         let suspect = task.is_suspect();
-        if let Some(job) = self.jobs.get_mut(key.step.job) {
-            job.begun = true;
-        }
         let held = Held {
             // How long it has run already is not known.
             expected_end: now + Millis(step_spec.estimate_ms / 2),
@@ -103,6 +101,7 @@
     pub(crate) fn take_end(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
         self.release_ended(idx, end);
         let key = end.task;
+        self.jobs.has_begun(key.step.job);
         let Some(job) = self.jobs.get(key.step.job).filter(|j| j.end.is_none()) else {
             return;
         };
--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -163,6 +163,14 @@
         self.get_mut(key.step.job)?.change_suspicion(key, first)
     }
 
+    /// Takes note that a worker has begun a task of a job. An order to start one is not enough: its worker may be
+    /// down, and callers are told how many jobs wait.
+    pub fn has_begun(&mut self, id: JobId) {
+        if let Some(job) = self.open.get_mut(&id) {
+            job.begun = true;
+        }
+    }
+
     /// Marks a job's progress as to be written.
     pub fn progressed(&mut self, id: JobId) {
         if let Some(job) = self.open.get_mut(&id) {
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -26,8 +26,7 @@
     /// Places a task on a worker and orders its start.
     pub(crate) fn start(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
         let Placement { idx, task: key, run } = p;
-        let Some(job) = self.jobs.get_mut(key.step.job) else { return };
-        job.begun = true;
+        let Some(job) = self.jobs.get(key.step.job) else { return };
         let age = now.since(job.accepted_at);
         let spec = &job.spec.steps[key.step.step as usize];
         let mut held = Held {
@@ -131,7 +130,10 @@
         let Some(h) = w.find_mut(task, run) else { return answer == StartAnswer::Fenced };
         h.calling = false;
         match answer {
-            StartAnswer::Runs(_) => h.has_begun(now),
+            StartAnswer::Runs(_) => {
+                h.has_begun(now);
+                self.jobs.has_begun(task.step.job);
+            }
             StartAnswer::Unanswered => h.unsure = true,
             // Its end is listed, or was already.
             StartAnswer::Old => {
@@ -175,6 +177,7 @@
                     h.has_begun(now);
                 }
             }
+            self.jobs.has_begun(task.step.job);
         }
         *answer == StartAnswer::Fenced
     }
