--- a/crates/hollowford-jobs/src/gone.rs
+++ b/crates/hollowford-jobs/src/gone.rs
@@ -59,7 +59,7 @@
 
     /// One address, and one id, has one life at a time: the others there that were known before this one
     /// was called, at `sent`, are over once it answers.
-    pub(crate) fn other_lives_dead(
+    pub(crate) fn end_other_lives(
         &mut self,
         idx: WorkerIdx,
         look: &Look,
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -145,7 +145,7 @@
         }
         self.note_heard(idx, look.clock, now);
         if first || second {
-            self.other_lives_dead(idx, &look, sent, now);
+            self.end_other_lives(idx, &look, sent, now);
         }
         if first {
             self.take_fenced(idx, &look, now);
--- a/crates/hollowford-jobs/src/place.rs
+++ b/crates/hollowford-jobs/src/place.rs
@@ -10,7 +10,7 @@
 use crate::queue::Queue;
 use crate::reserve::Plan;
 use crate::seats::Want;
-use crate::spec::{StepKey, StepSpec};
+use crate::spec::{JobSpec, StepKey, StepSpec};
 use crate::urgency::Waiting;
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
@@ -82,20 +82,23 @@
         out: &mut Vec<Order>,
     ) {
         let key = waiting.key;
-        let Some(job) = self.jobs.get(key.job) else { return };
-        let Some(queue) = self.queues.get(&job.queue).cloned() else { return };
-        let (job_spec, account) = (job.spec.clone(), job.account);
-        let Some(spec) = job_spec.steps.get(key.step as usize) else { return };
+        let Some((job, queue, account)) = self.parts_of(key) else { return };
+        let Some(spec) = job.steps.get(key.step as usize) else { return };
         let gang = Placing { key, account, kept: waiting.kept, spec, queue: &queue };
         self.ask_for_gang(pass, gang, plan, out);
     }
 
+    /// Returns what a step is placed by: its job's specification, its queue and its client account.
+    fn parts_of(&self, key: StepKey) -> Option<(Arc<JobSpec>, Arc<Queue>, AccountIdx)> {
+        let job = self.jobs.get(key.job)?;
+        let queue = self.queues.get(&job.queue)?;
+        Some((job.spec.clone(), queue.clone(), job.account))
+    }
+
     fn place_step(&mut self, pass: &mut Pass, waiting: &Waiting, out: &mut Vec<Order>) {
         let key = waiting.key;
-        let Some(job) = self.jobs.get(key.job) else { return };
-        let Some(queue) = self.queues.get(&job.queue).cloned() else { return };
-        let (job_spec, account) = (job.spec.clone(), job.account);
-        let Some(spec) = job_spec.steps.get(key.step as usize) else { return };
+        let Some((job, queue, account)) = self.parts_of(key) else { return };
+        let Some(spec) = job.steps.get(key.step as usize) else { return };
         let step = Placing { key, account, kept: waiting.kept, spec, queue: &queue };
         if spec.gang {
             self.place_gang(pass, waiting, step, out);
