A link that opens or ends costs an owner as much however many there are

Cause: each member that joined or left had the owner send a heartbeat to every member and hand the whole list to those who use it: 173,000 heartbeats for 588 links. The log of one such owner (one whole core) shows 230 members joined, then 200 ms with nothing, while the others waited for their first word; after half a second they took it for silent, and the next owner began with the same load. Ruled out: the loading of rows (7 to 18 ms), claims (they come later), instances of 0.12 core (whole cores were deposed as well).

Now one that joins is sent its own first heartbeat; the others hear of a change with their next one, and those who use the list are told at most every 20 ms. That bursts hid: members that joined early were told the pace of a small cell, and the next heartbeat came at that of a large one. Each member's next heartbeat is now due by the pace that it was told itself.

--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -6,10 +6,13 @@
 use crate::wire::{Ask, Body, ConfigRow, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
 use hollowford_core::Millis;
 use hollowford_jobs::{Seat, StepKey};
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 /// How often the owner tells its members that it is alive, while they are few.
 const HEARTBEAT: Millis = Millis(100);
+/// How often the owner looks whose heartbeat is due.
+const DUE_EVERY: Millis = Millis(10);
 /// With more members than this heartbeats come less often, so that the owner sends and takes
 /// some 500 a second.
 const MEMBERS_AT_FULL_PACE: usize = 50;
@@ -53,6 +56,10 @@
     config_sent: u64,
     /// Which order of members it was told last.
     order_told: u64,
+    /// When it was sent a heartbeat last.
+    beat_sent: Millis,
+    /// How soon after that one the next was said to come.
+    pace_told: Millis,
 }
 
 impl Member {
@@ -60,6 +67,12 @@
     fn share(&self) -> u32 {
         self.cpu_milli / (self.owned + 1)
     }
+
+    /// Returns its place among those that take over: the largest first, then the one that has run
+    /// longest.
+    fn takeover_order(&self) -> (Reverse<u32>, Millis, &str) {
+        (Reverse(self.cpu_milli), self.since, &self.address)
+    }
 }
 
 /// What the owner knows of the configuration.
@@ -78,10 +91,10 @@
     /// How many partitions there are.
     partitions: u32,
     list: Vec<Member>,
-    /// When all got a heartbeat last.
-    sent: Millis,
-    /// When the first ones did.
-    sent_first: Millis,
+    /// When it was looked last whose heartbeat is due.
+    looked: Millis,
+    /// When the round of heartbeats that is under way began.
+    round_began: Millis,
     store_lost: bool,
     now: Millis,
     had_any: bool,
@@ -98,8 +111,8 @@
             owner,
             partitions,
             list: Vec::new(),
-            sent: Millis(0),
-            sent_first: Millis(0),
+            looked: Millis(0),
+            round_began: Millis(0),
             store_lost: false,
             now: Millis(0),
             had_any: false,
@@ -108,11 +121,13 @@
         }
     }
 
-    /// Adds a member, in the place of an earlier link from its address.
+    /// Adds a member, in the place of an earlier link from its address. The others hear of it with
+    /// their next heartbeat: where hundreds of links open at once, one more costs what the first did.
     pub fn join(&mut self, link: LinkId, hello: Hello, outbox: Outbox, now: Millis) {
+        self.now = now;
         self.list.retain(|m| *m.address != hello.address);
         self.had_any = true;
-        self.list.push(Member {
+        let member = Member {
             link,
             address: hello.address.into(),
             zone: hello.zone.into(),
@@ -126,9 +141,18 @@
             config: None,
             config_sent: 0,
             order_told: 0,
-        });
-        // The first one takes over: the largest, then the one that has run longest.
-        self.list.sort_by_key(|m| (std::cmp::Reverse(m.cpu_milli), m.since, m.address.clone()));
+            beat_sent: now,
+            pace_told: HEARTBEAT,
+        };
+        let at = self.list.partition_point(|m| m.takeover_order() < member.takeover_order());
+        self.list.insert(at, member);
+    }
+
+    /// Sends a member that has just joined its first heartbeat, so that it knows its owner.
+    pub fn greet(&mut self, link: LinkId, config: ConfigKnown) {
+        if let Some(at) = self.list.iter().position(|m| m.link == link) {
+            self.send_to(config, vec![at]);
+        }
     }
 
     /// Removes the member of a link that has ended.
@@ -153,20 +177,34 @@
         }
     }
 
-    /// Sends the heartbeats that are due, and tells whether all members got one. Those that take
-    /// over first get theirs at full pace, so that they miss an owner soon in a large cell, too.
+    /// Sends the heartbeats that are due, and tells whether a round is over in which every member
+    /// got one. Those that take over first get theirs at full pace, so that they miss an owner soon
+    /// in a large cell, too.
     pub fn tick(&mut self, now: Millis, config: ConfigKnown, store_lost: bool) -> bool {
         self.now = now;
         self.store_lost = store_lost;
-        if now.since(self.sent) >= self.every() {
-            self.send_heartbeats(config);
-            return true;
+        if now.since(self.looked) < DUE_EVERY {
+            return false;
         }
-        if now.since(self.sent_first) >= HEARTBEAT {
-            self.sent_first = now;
-            self.send_to(config, self.first_end());
+        self.looked = now;
+        let due: Vec<usize> = self.due().collect();
+        self.send_to(config, due);
+        let round_over = now.since(self.round_began) >= self.every();
+        if round_over {
+            self.round_began = now;
         }
-        false
+        round_over
+    }
+
+    /// Returns the positions of the members whose next heartbeat is due, by the pace that each was
+    /// told: in a cell that grows, the earlier ones expect it at the pace of a smaller one.
+    fn due(&self) -> impl Iterator<Item = usize> {
+        let first_end = self.first_end();
+        let all = self.list.iter().enumerate();
+        let is_due = move |&(at, m): &(usize, &Member)| {
+            self.now.since(m.beat_sent) >= m.pace_told.min(self.pace(at, first_end))
+        };
+        all.filter(is_due).map(|(at, _)| at)
     }
 
     /// Returns the end of the part of the list that holds the first ones to take over.
@@ -175,40 +213,36 @@
         first.take(TOLD).last().map_or(0, |(at, _)| at + 1)
     }
 
-    /// Returns the time between two heartbeats.
+    /// Returns the time between two heartbeats to the member at a position.
+    fn pace(&self, at: usize, first_end: usize) -> Millis {
+        if at < first_end { HEARTBEAT } else { self.every() }
+    }
+
+    /// Returns the time between two heartbeats to most members.
     fn every(&self) -> Millis {
         let times = self.list.len().div_ceil(MEMBERS_AT_FULL_PACE).clamp(1, RAREST);
         Millis(HEARTBEAT.0 * times as u64)
     }
 
-    /// Sends a heartbeat to every member.
-    pub fn send_heartbeats(&mut self, config: ConfigKnown) {
-        self.sent = self.now;
-        self.sent_first = self.now;
-        self.send_to(config, self.list.len());
-    }
-
-    /// Sends a heartbeat to the first `count` of the list. Who takes over first is told to each
+    /// Sends a heartbeat to the members at these positions. Who takes over first is told to each
     /// member once, and again when it changes.
-    fn send_to(&mut self, config: ConfigKnown, count: usize) {
+    fn send_to(&mut self, config: ConfigKnown, positions: Vec<usize>) {
         self.renew_order();
-        let plain = Heartbeat {
-            epoch: self.owner.epoch,
-            members: Vec::new(),
-            config: config.version,
-            config_age_ms: config.age.0,
-            store_lost: self.store_lost,
-            every_ms: self.every().0,
-        };
         let first_end = self.first_end();
-        for (at, m) in self.list.iter_mut().take(count).enumerate() {
-            let mut beat = plain.clone();
-            if at < first_end {
-                beat.every_ms = HEARTBEAT.0;
-            }
-            if m.order_told != self.order_number {
-                beat.members.clone_from(&self.order);
-            }
+        for at in positions {
+            let pace = self.pace(at, first_end);
+            let Some(m) = self.list.get_mut(at) else { continue };
+            let knows_order = m.order_told == self.order_number;
+            let beat = Heartbeat {
+                epoch: self.owner.epoch,
+                members: if knows_order { Vec::new() } else { self.order.clone() },
+                config: config.version,
+                config_age_ms: config.age.0,
+                store_lost: self.store_lost,
+                every_ms: pace.0,
+            };
+            m.beat_sent = self.now;
+            m.pace_told = pace;
             if m.outbox.send(Body::Heartbeat(beat)) {
                 m.order_told = self.order_number;
             }
@@ -300,7 +334,7 @@
     /// Names a member that the store serves as the next owner. Tells whether there is one.
     pub fn hand_over_to_served(&self) -> bool {
         let served = self.live().filter(|m| m.store_age < SERVED);
-        let next = served.max_by_key(|m| (m.share(), std::cmp::Reverse(m.store_age)));
+        let next = served.max_by_key(|m| (m.share(), Reverse(m.store_age)));
         next.is_some_and(|m| m.outbox.send(Body::HandOver(HandOver { rev: 0 })))
     }
 }
--- a/crates/hollowford-node/src/members_tests.rs
+++ b/crates/hollowford-node/src/members_tests.rs
@@ -10,6 +10,9 @@
 /// When all members join.
 const JOINED: Millis = Millis(5_000);
 
+/// How often the owner's turn comes in these tests.
+const TICK: Millis = Millis(10);
+
 /// What the owner knows of the configuration.
 const KNOWN: ConfigKnown = ConfigKnown { version: 1, age: Millis(0) };
 
@@ -60,6 +63,34 @@
     }
 }
 
+/// Pattern: hundreds of links open to a new owner over half a second. The first ones are told the
+/// pace of a small cell, and take an owner for silent that falls back to the pace of a large one.
+#[test]
+fn every_heartbeat_comes_as_soon_as_the_one_before_has_told() {
+    let mut members = Members::new(OwnerInfo::default(), 1);
+    let mut rxs = Vec::new();
+    // Of each member: when its next heartbeat is due at the latest.
+    let mut due: Vec<Millis> = Vec::new();
+    for ms in (10..=2_000).step_by(10) {
+        let now = JOINED + Millis(ms);
+        let joining = if rxs.len() < 588 { 12 } else { 0 };
+        for _ in 0..joining {
+            let link = rxs.len() as u64;
+            rxs.push(join(&mut members, link, now));
+            members.greet(link, KNOWN);
+            due.push(now);
+        }
+        members.tick(now, KNOWN, false);
+        for (i, rx) in rxs.iter_mut().enumerate() {
+            match paces(rx).last() {
+                Some(&pace) => due[i] = now + Millis(pace) + TICK,
+                None => assert!(now <= due[i], "member {i} expected one at {:?}", due[i]),
+            }
+        }
+    }
+    assert_eq!(rxs.len(), 588);
+}
+
 /// Reads the orders of members that the heartbeats sent so far have told.
 fn orders(rx: &mut Receiver<Frame>) -> Vec<Vec<String>> {
     let mut told = Vec::new();
@@ -85,8 +116,9 @@
     assert_eq!(orders(&mut rx), [["10.0.0.1:7000"]]);
     // One that has run longer joins: it goes first, and is told all.
     let mut late = join(&mut members, 0, JOINED);
-    members.send_heartbeats(KNOWN);
-    members.send_heartbeats(KNOWN);
+    for ms in (1_010..=2_000).step_by(10) {
+        members.tick(JOINED + Millis(ms), KNOWN, false);
+    }
     for rx in [&mut rx, &mut late] {
         assert_eq!(orders(rx), [["10.0.0.0:7000", "10.0.0.1:7000"]]);
     }
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -1,6 +1,8 @@
 //! The owner of the partition: one task that drives the engine and carries out its orders.
 
 mod caller_calls;
+#[cfg(test)]
+mod joining_tests;
 mod view;
 mod worker_calls;
 
@@ -29,6 +31,9 @@
 const DRAIN: usize = 256;
 /// Longest time between two polls of the engine.
 const TICK: Duration = Duration::from_millis(10);
+/// Members that come or go within this time are taken in together: what uses them is told the
+/// whole list each time.
+const MEMBERS_GATHER: Millis = Millis(20);
 /// Members are asked whether the store answers them once a batch hangs for so long.
 const PROBE_AFTER: Millis = Millis(300);
 
@@ -66,6 +71,10 @@
     delegation: Delegation,
     handle: OwnerHandle,
     members: Members,
+    /// Members have come or gone since those who use them were told last.
+    members_changed: bool,
+    /// When they were told last.
+    members_told: Millis,
     waiters: Waiters,
     /// Empty between two polls; kept for its room.
     orders: Vec<Order>,
@@ -103,6 +112,8 @@
             workers,
             delegation,
             handle,
+            members_changed: false,
+            members_told: Millis(0),
             waiters: Waiters::default(),
             orders: Vec::new(),
             decisions: DecisionLog::default(),
@@ -174,28 +185,33 @@
                 let (address, age) = (&hello.address, hello.age_ms);
                 log::info!("member.joined link={link} address={address} age_ms={age}");
                 self.members.join(link, hello, outbox, self.cx.shared.clock.now());
-                self.members_changed();
+                self.members.greet(link, self.cx.shared.config_known());
+                self.members_changed = true;
             }
             OwnerMsg::Left(link) => {
                 log::info!("member.left link={link}");
                 self.members.leave(link);
                 self.delegation.left(link, now);
-                self.members_changed();
+                self.members_changed = true;
             }
             OwnerMsg::Beat(link, beat) => self.take_beat(link, &beat),
             OwnerMsg::Stop(done) => self.giving_up.stop(done),
         }
     }
 
-    fn members_changed(&mut self) {
-        self.set_members();
-        self.members.send_heartbeats(self.cx.shared.config_known());
-    }
-
-    /// Tells those who use the members which of them can be used.
-    fn set_members(&mut self) {
-        self.engine.set_seats(&self.members.seats());
-        self.delegation.set_members(self.members.delegates(), self.now());
+    /// Sends the heartbeats that are due, and tells those who use the members which of them can be
+    /// used, if that may have changed.
+    fn tend_members(&mut self, now: Millis) {
+        let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
+        let shared = &self.cx.shared;
+        let all_told = self.members.tick(shared.clock.now(), shared.config_known(), lost);
+        let gathered = now.since(self.members_told) >= MEMBERS_GATHER;
+        if all_told || (self.members_changed && gathered) {
+            self.members_changed = false;
+            self.members_told = now;
+            self.engine.set_seats(&self.members.seats());
+            self.delegation.set_members(self.members.delegates(), now);
+        }
     }
 
     fn take_beat(&mut self, link: LinkId, beat: &MemberBeat) {
@@ -242,6 +258,7 @@
         let now = self.now();
         self.take_config(now);
         self.cx.note_owner();
+        self.tend_members(now);
         for delivered in self.delegation.overdue(heard_all, now) {
             self.take_worker(delivered, now);
         }
@@ -261,10 +278,6 @@
             self.batches.write_next(&mut self.engine, now);
         }
         self.waiters.give_up(&mut self.engine, now);
-        let lost = self.batches.is_unmade_for(PROBE_AFTER, now);
-        if self.members.tick(self.cx.shared.clock.now(), self.cx.shared.config_known(), lost) {
-            self.set_members();
-        }
         if let Some(end) = self.reach.check(&self.batches, &self.members, now) {
             self.end = Some(end);
         }
