Links that open together find room: tries beside each other, owners told in turn

Cause: the queue of new links. A new owner's log shows some 140 of 588 members that joined, then nothing, while the owner was idle: the first packet of the others had found the queue full (588 links within 20 ms), the system sends it again after a second, and after half a second without a link a member took its owner for silent. d-7 was told of its owner at -12.375 s and parted from it at -11.875 s, without a word. Ruled out: the owner's own work (nothing in its log for half a second).

A link that hasn't opened after 0.11 s is tried again beside the first try, up to four times within the same half second, apart by a random share of 0.06 s. A new owner tells the others of itself in turn, 32 each 16 ms, so that they come so: 0.3 s for 588, 0.6 s for twice as many. The time grows with the fleet and the queue that is needed does not.

--- a/crates/hollowford-node/src/announce.rs
+++ b/crates/hollowford-node/src/announce.rs
@@ -10,11 +10,15 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
+/// So many processes are told at a time,
+const TOLD_AT_A_TIME: usize = 32;
+/// and then the next ones after this time: each opens a link to the new owner at once, which has
+/// other work to do as well, and no room for hundreds of them that come together.
+const TOLD_EVERY: Duration = Duration::from_millis(16);
 /// Part of the table with a row for each process.
 const NODES: &str = "nodes";
 /// How long an announcement may take.
 const ANNOUNCE: Duration = Duration::from_millis(800);
-
 /// Tells every process that is known to the store who owns the partition.
 pub async fn announce(shared: Arc<Shared>, info: OwnerInfo) {
     let nodes = match shared.store.read_all(TABLE, NODES, CALL_TIMEOUT).await {
@@ -25,15 +29,21 @@
         }
     };
     let addresses = nodes.iter().filter_map(|r| r.key.parse::<SocketAddr>().ok());
-    for addr in addresses.filter(|&a| a != shared.address()) {
-        let info = info.clone();
-        tokio::spawn(async move {
-            if let Ok((mut reader, outbox)) = link::connect(addr).await {
-                outbox.send(Body::Owner(info));
-                // The other side closes the link once it has read the announcement.
-                let _ = timeout(ANNOUNCE, link::next(&mut reader)).await;
-            }
-        });
+    let others: Vec<_> = addresses.filter(|&a| a != shared.address()).collect();
+    for some in others.chunks(TOLD_AT_A_TIME) {
+        for &addr in some {
+            tokio::spawn(tell(addr, info.clone()));
+        }
+        sleep(TOLD_EVERY).await;
+    }
+}
+
+/// Tells the process at an address who owns the partition.
+async fn tell(addr: SocketAddr, info: OwnerInfo) {
+    if let Ok((mut reader, outbox)) = link::connect(addr).await {
+        outbox.send(Body::Owner(info));
+        // The other side closes the link once it has read the announcement.
+        let _ = timeout(ANNOUNCE, link::next(&mut reader)).await;
     }
 }
 
--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -3,6 +3,7 @@
 use crate::packed::{pack, unpack};
 use crate::wire::{Body, Frame};
 use bytes::{Bytes, BytesMut};
+use futures::stream::FuturesUnordered;
 use futures::{SinkExt, StreamExt};
 use prost::Message;
 use std::io::{self, ErrorKind};
@@ -11,11 +12,20 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 /// Longest time to open a link within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A link that hasn't opened after so long is tried once more beside it, and so on: a process to
+/// which hundreds open links at once has no room for some of them, and the system itself tries
+/// again only after a second.
+const TRY_AGAIN: Duration = Duration::from_millis(110);
+/// Tries are apart by up to so much more, so that those which found no room don't come together
+/// again.
+const TRY_SPREAD: Duration = Duration::from_millis(60);
+/// How often a link is tried within [`CONNECT_TIMEOUT`].
+const TRIES: u32 = 4;
 /// Largest frame: a job's specification and some room.
 const FRAME_LIMIT: usize = 1 << 20;
 /// A frame of so many bytes is packed, if that makes it smaller. Templates shrink to some two
@@ -58,8 +68,27 @@
 /// # Errors
 /// When the address doesn't answer in time, or refuses.
 pub async fn connect(addr: SocketAddr) -> io::Result<(Reader, Outbox)> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
-    split(stream)
+    split(open(|| TcpStream::connect(addr)).await?)
+}
+
+/// Makes tries until the first one ends, well or not: one that is refused tells as much as another.
+pub(crate) async fn open<T, F>(try_once: impl Fn() -> F) -> io::Result<T>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    let wait = |n: u32| TRY_AGAIN * n + TRY_SPREAD.mul_f64(fastrand::f64()) * n.min(1);
+    let tries = (0..TRIES).map(|n| {
+        let (wait, try_once) = (wait(n), &try_once);
+        async move {
+            sleep(wait).await;
+            try_once().await
+        }
+    });
+    let mut tries: FuturesUnordered<_> = tries.collect();
+    match timeout(CONNECT_TIMEOUT, tries.next()).await? {
+        Some(ended) => ended,
+        None => Err(ErrorKind::TimedOut.into()),
+    }
 }
 
 /// Asks the process at `addr` a question, on a link of its own; none without an answer within
