An owner that is quiet is asked over a new link before it is taken for silent

What callers saw: a link may go silent for good while new ones work; its member took the partition from an owner that lived, unless that happened to write to the store within 0.12 s, and every account of the partition waited for the next one.

Cause: a member judged by its one link alone. Now a member that has heard nothing for three heartbeats asks the address over a new link whether it owns the partition. If that is answered, it opens another link after five, and the owner stays; if not, it is silent after five as before: 0.5 s, so a dead owner is missed no later. A process that has given the partition up doesn't name itself.

How a member judges (succession.rs) is a type of its own, by the product's clock, without I/O. A member keeps the order of takeover from one owner to the next.

Tests: an owner that answers over a new link isn't silent (without the question it is), one that doesn't answer either is; when it is asked and missed at both paces.

--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -64,6 +64,9 @@
 mod shared;
 #[cfg(test)]
 mod shared_tests;
+mod succession;
+#[cfg(test)]
+mod succession_tests;
 mod watch;
 mod wire;
 mod writer;
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -7,22 +7,15 @@
 use crate::partition::{Cx, Route};
 use crate::relay::RemoteOwner;
 use crate::shared::Shared;
+use crate::succession::{BEAT, Hearing, Judged};
 use crate::watch;
-use crate::wire::{Advice, Ask, Body, Heartbeat, Hello, MemberBeat, OwnerInfo};
+use crate::wire::{Advice, Ask, Body, Heartbeat, Hello, MemberBeat, OwnerInfo, WhoOwns};
 use hollowford_adapter::Version;
 use hollowford_core::Millis;
 use std::io::ErrorKind;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
-use tokio::time::{Instant, MissedTickBehavior, interval};
-
-/// How often a member tells the owner that it is alive, until the owner has told its pace.
-const BEAT: Duration = Duration::from_millis(100);
-/// An owner that says nothing for so many heartbeats is taken as gone.
-const OWNER_SILENT_BEATS: u32 = 5;
-/// When this process's own timer comes so late, it was paused itself, and hears anew.
-const OWN_PAUSE: Duration = Duration::from_millis(250);
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::time::{MissedTickBehavior, interval};
 
 /// Why a member has left its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,9 +24,9 @@
     Newer,
     /// Nothing answers at its address, or not as the owner any more.
     Gone,
-    /// The link has ended, though the owner had answered: it may still be there.
+    /// The link has ended or is dead, though the owner has answered: it may still be there.
     Cut,
-    /// It says nothing.
+    /// It says nothing, also when it is asked over a new link.
     Silent,
     /// It wants this process to take over.
     HandedOver {
@@ -55,40 +48,28 @@
     }
 }
 
-/// What a member learned while it followed an owner.
-#[derive(Clone, Debug)]
-pub struct Followed {
-    /// Why it ended.
-    pub parted: Parted,
-    /// The members in the order in which they take over, as the owner told last.
-    pub members: Vec<String>,
-}
-
 /// Follows an owner until they part, over as many links as it takes: a link that is reset
-/// says nothing of the owner.
-pub async fn follow(cx: &Cx, info: &OwnerInfo) -> Followed {
-    let mut members = Vec::new();
+/// says nothing of the owner. `members` are those that take over, in their order, as an owner told
+/// last.
+pub async fn follow(cx: &Cx, info: &OwnerInfo, members: &mut Vec<String>) -> Parted {
     loop {
-        let followed = follow_once(cx, info).await;
-        if !followed.members.is_empty() {
-            members = followed.members;
-        }
-        if followed.parted != Parted::Cut {
-            return Followed { parted: followed.parted, members };
+        let parted = follow_once(cx, info, members).await;
+        if parted != Parted::Cut {
+            return parted;
         }
         log::info!("owner.link_cut partition={} epoch={}", info.partition, info.epoch);
     }
 }
 
-async fn follow_once(cx: &Cx, info: &OwnerInfo) -> Followed {
+async fn follow_once(cx: &Cx, info: &OwnerInfo, members: &mut Vec<String>) -> Parted {
     let (mut reader, outbox) = match open(&cx.shared, info).await {
         Ok(link) => link,
-        Err(parted) => return Followed { parted, members: Vec::new() },
+        Err(parted) => return parted,
     };
-    let mut link = OwnerLink::new(cx, info, outbox);
+    let mut link = OwnerLink::new(cx, info, outbox, members);
     let parted = link.serve(&mut reader).await;
     link.end();
-    Followed { parted, members: link.members }
+    parted
 }
 
 async fn open(shared: &Shared, info: &OwnerInfo) -> Result<(Reader, Outbox), Parted> {
@@ -115,30 +96,31 @@
     remote: RemoteOwner,
     /// The owner has sent a heartbeat: callers' requests go to it.
     following: bool,
-    /// See [`Followed::members`].
-    members: Vec<String>,
-    /// When the owner said something last.
-    heard: Instant,
-    /// When this process's own timer came last.
-    ticked: Instant,
-    /// Time between two heartbeats, as the owner told last.
-    every: Duration,
+    /// See [`follow`].
+    members: &'a mut Vec<String>,
+    hearing: Hearing,
+    /// The owner is being asked whether it lives, and has answered once this is true.
+    asked: Option<Arc<AtomicBool>>,
     /// When the last heartbeat was sent.
-    sent: Option<Instant>,
+    sent: Option<Millis>,
 }
 
 impl OwnerLink<'_> {
-    fn new<'a>(cx: &'a Cx, info: &'a OwnerInfo, outbox: Outbox) -> OwnerLink<'a> {
+    fn new<'a>(
+        cx: &'a Cx,
+        info: &'a OwnerInfo,
+        outbox: Outbox,
+        members: &'a mut Vec<String>,
+    ) -> OwnerLink<'a> {
         OwnerLink {
             cx,
             info,
             remote: RemoteOwner::new(outbox.clone()),
             outbox,
             following: false,
-            members: Vec::new(),
-            heard: Instant::now(),
-            ticked: Instant::now(),
-            every: BEAT,
+            members,
+            hearing: Hearing::new(cx.shared.clock.now()),
+            asked: None,
             sent: None,
         }
     }
@@ -146,7 +128,7 @@
     /// Serves the link until it has to end.
     async fn serve(&mut self, reader: &mut Reader) -> Parted {
         let mut newest = self.cx.partition.owner.subscribe();
-        let mut ticks = interval(BEAT);
+        let mut ticks = interval(BEAT.duration());
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let parted = tokio::select! {
@@ -169,7 +151,8 @@
 
     /// Takes in what the owner says. Returns why the link ends by it, if it does.
     fn take_frame(&mut self, body: Body) -> Option<Parted> {
-        self.heard = Instant::now();
+        self.hearing.note(self.cx.shared.clock.now());
+        self.asked = None;
         match body {
             // Sent by a process that is just becoming the owner.
             Body::Heartbeat(beat) if beat.epoch == 0 => {}
@@ -204,10 +187,10 @@
         if self.cx.partition.probe_store.swap(lost, Ordering::Relaxed) != lost {
             self.cx.shared.config_wanted.notify_one();
         }
-        self.every = Duration::from_millis(beat.every_ms).max(BEAT);
+        self.hearing.set_pace(Millis(beat.every_ms));
         self.take_told(&beat);
         if !beat.members.is_empty() {
-            self.members = beat.members;
+            *self.members = beat.members;
         }
     }
 
@@ -218,7 +201,7 @@
         let beat = Told {
             version: beat.config,
             age: Millis(beat.config_age_ms),
-            every: Millis(self.every.as_millis() as u64),
+            every: self.hearing.pace(),
         };
         told.note(beat, shared.config_version(), shared.clock.now());
         partition.set_config_told(told);
@@ -226,23 +209,38 @@
 
     /// Tells the owner that this process is alive, unless the owner is silent itself.
     fn tick(&mut self) -> Option<Parted> {
-        let now = Instant::now();
-        if now - self.ticked >= BEAT + OWN_PAUSE {
-            log::warn!("process.paused for_ms={}", (now - self.ticked).as_millis());
-            self.heard = now;
-        }
-        self.ticked = now;
-        if now - self.heard >= self.every * OWNER_SILENT_BEATS {
-            return Some(Parted::Silent);
+        let now = self.cx.shared.clock.now();
+        match self.hearing.judge(now) {
+            Judged::Heard => {}
+            Judged::Paused(time) => log::warn!("process.paused for_ms={}", time.0),
+            Judged::Quiet => self.ask_owner(),
+            Judged::Silent if self.has_answered() => return Some(Parted::Cut),
+            Judged::Silent => return Some(Parted::Silent),
         }
         // Half a tick early is in time: ticks come a little late.
-        if self.sent.is_none_or(|at| now - at + BEAT / 2 >= self.every) {
+        let half = Millis(BEAT.0 / 2);
+        if self.sent.is_none_or(|at| now.since(at) + half >= self.hearing.pace()) {
             self.sent = Some(now);
             self.send_beat();
         }
         None
     }
 
+    /// Asks the owner over a new link whether it lives, once while it is quiet: this link may be
+    /// dead without a sign, or the owner late with its heartbeats.
+    fn ask_owner(&mut self) {
+        if self.asked.is_none() {
+            let answered = Arc::new(AtomicBool::new(false));
+            self.asked = Some(answered.clone());
+            let limit = self.hearing.answer_limit();
+            tokio::spawn(ask_whether_it_owns(self.info.clone(), limit, answered));
+        }
+    }
+
+    fn has_answered(&self) -> bool {
+        self.asked.as_ref().is_some_and(|answered| answered.load(Ordering::Relaxed))
+    }
+
     fn send_beat(&self) {
         self.outbox.send(Body::MemberBeat(MemberBeat {
             epoch: self.cx.partition.owner.borrow().epoch,
@@ -273,3 +271,13 @@
     let validity_ms = validity.0;
     outbox.send(Body::Advice(Advice { step: ask.step, answered, workers, tickets, validity_ms }));
 }
+
+/// Asks the process at an owner's address whether it still owns the partition, and notes it in
+/// `answered` if so.
+async fn ask_whether_it_owns(info: OwnerInfo, limit: Millis, answered: Arc<AtomicBool>) {
+    let Ok(addr) = info.address.parse() else { return };
+    let question = Body::WhoOwns(WhoOwns { partition: info.partition });
+    if link::ask(addr, question, limit.duration()).await == Some(Body::Owner(info)) {
+        answered.store(true, Ordering::Relaxed);
+    }
+}
--- a/crates/hollowford-node/src/member_tests.rs
+++ b/crates/hollowford-node/src/member_tests.rs
@@ -6,7 +6,7 @@
 use crate::partition::Cx;
 use crate::peers;
 use crate::shared_tests::shared;
-use crate::wire::{Body, Heartbeat, Hello, OwnerInfo};
+use crate::wire::{Body, HandOver, Heartbeat, Hello, OwnerInfo};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -44,7 +44,10 @@
     let address = listener.local_addr().expect("its address").to_string();
     let cx = cx();
     let info = OwnerInfo { epoch: EPOCH, address, boot: 9, ..OwnerInfo::default() };
-    let member = tokio::spawn(async move { follow(&cx, &info).await });
+    let member = tokio::spawn(async move {
+        let mut members = Vec::new();
+        (follow(&cx, &info, &mut members).await, members)
+    });
     for _ in 0..3 {
         let (mut reader, outbox) = accept(&listener).await;
         outbox.send(heartbeat(&["a", "b"]));
@@ -54,9 +57,9 @@
     }
     // This owner has nothing to say any more.
     drop(accept(&listener).await);
-    let followed = member.await.expect("its end");
-    assert_eq!(followed.parted, Parted::Gone);
-    assert_eq!(followed.members, ["a", "b"], "the order of takeover is still known");
+    let (parted, members) = member.await.expect("its end");
+    assert_eq!(parted, Parted::Gone);
+    assert_eq!(members, ["a", "b"], "the order of takeover is still known");
 }
 
 /// A process that stops goes on with its last answers for a while after it has given the
@@ -75,3 +78,38 @@
     let said = timeout(PATIENCE, link::next(&mut reader)).await.expect("an answer");
     assert_eq!(said, Some(Body::Owner(info)));
 }
+
+/// A link may go silent without a reset while new ones work: the owner lives all the same.
+#[tokio::test]
+async fn an_owner_that_answers_over_a_new_link_is_not_taken_for_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    let cx = cx();
+    let info = OwnerInfo { epoch: EPOCH, address, boot: 9, ..OwnerInfo::default() };
+    let followed = info.clone();
+    let member = tokio::spawn(async move { follow(&cx, &followed, &mut Vec::new()).await });
+    let (_silent, outbox) = accept(&listener).await;
+    outbox.send(heartbeat(&["a"]));
+    let (stream, _) = timeout(PATIENCE, listener.accept()).await.expect("a link").expect("a link");
+    let (mut reader, question) = link::split(stream).expect("its options");
+    assert!(matches!(link::next(&mut reader).await, Some(Body::WhoOwns(_))));
+    question.send(Body::Owner(info));
+    // It opens another link to this owner.
+    let (_reader, outbox) = accept(&listener).await;
+    outbox.send(Body::HandOver(HandOver { rev: 7 }));
+    assert_eq!(member.await.expect("its end"), Parted::HandedOver { rev: 7 });
+}
+
+/// The pattern: an owner frozen or without power, whose address takes links and says nothing.
+#[tokio::test]
+async fn an_owner_that_does_not_answer_either_is_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    let cx = cx();
+    let info = OwnerInfo { epoch: EPOCH, address, boot: 9, ..OwnerInfo::default() };
+    let member = tokio::spawn(async move { follow(&cx, &info, &mut Vec::new()).await });
+    let (_silent, outbox) = accept(&listener).await;
+    outbox.send(heartbeat(&["a"]));
+    let parted = timeout(PATIENCE, member).await.expect("it is missed").expect("its end");
+    assert_eq!(parted, Parted::Silent);
+}
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -31,6 +31,8 @@
 pub async fn run(cx: Cx) {
     // With several partitions, processes that start together begin with different ones.
     sleep(first_delay(&cx)).await;
+    // Kept from one owner to the next, which may be gone before it names any.
+    let mut members = Vec::new();
     loop {
         let info = cx.partition.owner.borrow().clone();
         if info.epoch == 0 || (info.boot == cx.shared.boot && cx.partition.has_given_up(info.epoch))
@@ -46,10 +48,10 @@
             note_owned(&cx, 0);
             continue;
         }
-        let followed = follow(&cx, &info).await;
-        if followed.parted != Parted::Newer {
-            log::info!("owner.parted epoch={} cause={:?}", info.epoch, followed.parted);
-            challenge(&cx, &info, followed.parted, &followed.members).await;
+        let parted = follow(&cx, &info, &mut members).await;
+        if parted != Parted::Newer {
+            log::info!("owner.parted epoch={} cause={parted:?}", info.epoch);
+            challenge(&cx, &info, parted, &members).await;
         }
     }
 }
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -58,8 +58,9 @@
         }
         Body::WhoOwns(who) => {
             let partition = shared.partitions().get(who.partition as usize);
-            let info = partition.map(|p| p.owner.borrow().clone()).unwrap_or_default();
-            outbox.send(Body::Owner(info));
+            outbox.send(Body::Owner(
+                partition.map(|p| owner_to_tell(&shared, p)).unwrap_or_default(),
+            ));
         }
         Body::WhatPlan(_) => {
             outbox.send(Body::Plan(Plan { partitions: shared.partition_count() }));
@@ -68,6 +69,14 @@
     }
 }
 
+/// Returns the owner that a process which asks is told: a process that has given the partition up
+/// doesn't name itself.
+fn owner_to_tell(shared: &Shared, partition: &Partition) -> OwnerInfo {
+    let info = partition.owner.borrow().clone();
+    let given_up = info.boot == shared.boot && partition.has_given_up(info.epoch);
+    if given_up { OwnerInfo::default() } else { info }
+}
+
 /// Serves a member for as long as this process owns the partition.
 async fn serve_member(shared: &Arc<Shared>, hello: Hello, mut reader: Reader, outbox: Outbox) {
     let meant = hello.owner.clone().unwrap_or_default();
