Who takes a partition: larger instances first, also at the first start

Cause: a small instance waited only if it knew of no other; one that the owner had not named went as soon as the named ones, and a partition that had never had an owner went to the first process that saw so.

Most then find the row written, and need no writing call to learn it.

--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -51,7 +51,7 @@
         }
         Ok(None) => {
             cx.shared.note_store();
-            take(cx, 0, 1, "first").await;
+            take_first(cx).await;
         }
         Err(e) => {
             log::debug!("owner.find failed error=\"{e}\"");
@@ -61,6 +61,26 @@
     }
 }
 
+/// Takes a partition that has never had an owner, unless another process does before its turn.
+async fn take_first(cx: &Cx) {
+    let wait = cx.standing().wait_for_first();
+    // By then it may have come to own others.
+    if cx.is_outrun(0, wait).await || cx.is_outrun(0, cx.standing().wait_as_busy()).await {
+        return;
+    }
+    // Most find that one has, and need no writing call to learn it.
+    match read_row(cx).await {
+        Ok(None) => take(cx, 0, 1, "first").await,
+        Ok(Some(row)) => {
+            let owner = read_owner(&row).and_then(|r| r.owner);
+            if let Some(owner) = owner {
+                cx.partition.note_owner_info(&owner);
+            }
+        }
+        Err(e) => log::debug!("owner.read failed error=\"{e}\""),
+    }
+}
+
 /// Asks the seeds who owns the partition.
 async fn ask_seeds(cx: &Cx) {
     for seed in cx.shared.other_seeds() {
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -1,7 +1,6 @@
 //! Who owns the partition: following an owner, taking over from it, being it.
 
 use crate::announce::announce;
-use crate::homes::preference;
 use crate::inbox::OwnerHandle;
 use crate::load::load;
 use crate::member::{Parted, follow};
@@ -11,26 +10,13 @@
 use crate::wire::OwnerInfo;
 use hollowford_adapter::Version;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-/// How much later each next member takes over.
-const STAGGER: Duration = Duration::from_millis(100);
-/// Time between processes that start together and take different partitions first.
-const FIRST_SLOT: Duration = Duration::from_millis(40);
-/// A process that owns other partitions leaves another one to others, so long for each.
-const BUSY_DELAY: Duration = Duration::from_millis(150);
-/// An instance of less than this part of the last owner's, in percent, is small.
-const SMALL_PERCENT: u32 = 70;
-/// A small one that knows of no others waits for a larger one, which may just be starting, or
-/// be waiting for an answer of the owner's address (0.5 s and two looks at the row).
-const SMALL_DELAY: Duration = Duration::from_millis(700);
 /// Between two looks at the row of a silent owner that may be alive.
 const ALIVE_CHECK: Duration = Duration::from_millis(120);
 
 /// Keeps this process joined to the owner, or makes it the owner, until it ends.
 pub async fn run(cx: Cx) {
-    // With several partitions, processes that start together begin with different ones.
-    sleep(first_delay(&cx)).await;
     // Kept from one owner to the next, which may be gone before it names any.
     let mut members = Vec::new();
     loop {
@@ -56,14 +42,6 @@
     }
 }
 
-/// Returns how long a process that starts waits before it takes a partition without an owner.
-fn first_delay(cx: &Cx) -> Duration {
-    let address = cx.shared.address().to_string();
-    let slots = u64::from(cx.shared.partition_count().saturating_sub(1));
-    let slot = preference(&address, cx.partition.number) % (slots + 1);
-    FIRST_SLOT * slot as u32
-}
-
 /// Takes the partition over from an owner, unless another process does or it turns out to
 /// be alive.
 async fn challenge(cx: &Cx, info: &OwnerInfo, cause: Parted, members: &[String]) {
@@ -92,21 +70,9 @@
 /// Waits for this member's turn to take over. Tells whether another was faster.
 async fn is_outrun(cx: &Cx, info: &OwnerInfo, members: &[String]) -> bool {
     let me = cx.shared.address().to_string();
-    let rank = members.iter().position(|m| *m == me).unwrap_or(members.len());
-    let wait = STAGGER * rank as u32 + handicap(cx, info, members.is_empty());
-    let mut newest = cx.partition.owner.subscribe();
-    let newer = newest.wait_for(|o| o.epoch > info.epoch);
-    timeout(wait, newer).await.is_ok()
-}
-
-/// Returns how much later this process takes over than others should, for which the partition
-/// would be less of a burden.
-fn handicap(cx: &Cx, last: &OwnerInfo, alone: bool) -> Duration {
-    let own = cx.shared.cpu_milli();
-    // A process that has just started knows of no others, and may be too small for the work.
-    let small = alone && own * 100 < last.cpu_milli * SMALL_PERCENT;
-    let busy = BUSY_DELAY * cx.shared.owned_count();
-    if small { SMALL_DELAY + busy } else { busy }
+    let rank = members.iter().position(|m| *m == me);
+    let wait = cx.standing().wait_for_turn(rank, members.len(), info.cpu_milli);
+    cx.is_outrun(info.epoch, wait).await
 }
 
 /// Looks at the owner row again after version `rev`; none when the owner goes on writing it.
--- a/crates/hollowford-node/src/partition.rs
+++ b/crates/hollowford-node/src/partition.rs
@@ -1,15 +1,18 @@
 //! What a process knows of one partition: who owns it, and how the owner is reached.
 
 use crate::config_told::ConfigTold;
+use crate::homes::preference;
 use crate::inbox::OwnerHandle;
 use crate::relay::RemoteOwner;
 use crate::shared::Shared;
+use crate::succession::Standing;
 use crate::wire::OwnerInfo;
 use arc_swap::ArcSwap;
 use hollowford_core::Millis;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// A reading of the clock that stands for never.
 const NEVER: u64 = 0;
@@ -127,6 +130,26 @@
         self.partition.note_owner(self.shared.clock.now());
     }
 
+    /// Waits so long for an owner newer than `epoch`. Tells whether there is one.
+    pub async fn is_outrun(&self, epoch: u64, within: Millis) -> bool {
+        let mut newest = self.partition.owner.subscribe();
+        let newer = newest.wait_for(|o| o.epoch > epoch);
+        timeout(within.duration(), newer).await.is_ok()
+    }
+
+    /// Returns what decides how long this process leaves the partition to others. Each process
+    /// begins with another partition, and comes to the next ones in turn.
+    pub fn standing(&self) -> Standing {
+        let partitions = self.shared.partition_count().max(1);
+        let begins_with = preference(&self.shared.address().to_string(), 0);
+        let slot = (begins_with + u64::from(self.partition.number)) % u64::from(partitions);
+        Standing {
+            cpu_milli: self.shared.cpu_milli(),
+            owned: self.shared.owned_count(),
+            slot: slot as u32,
+        }
+    }
+
     /// Returns what this process is as an owner at `epoch`.
     pub fn as_owner(&self, epoch: u64) -> OwnerInfo {
         OwnerInfo {
--- a/crates/hollowford-node/src/succession.rs
+++ b/crates/hollowford-node/src/succession.rs
@@ -2,11 +2,12 @@
 //!
 //! Promise: an owner whose process has ended is replaced at once, one that says nothing after half
 //! a second and the time for a few calls to the store; one that lives is not deposed for being
-//! busy.
+//! busy; and where a larger instance lives, a much smaller one doesn't own.
 //!
 //! 1. Each member judges its owner by what it hears on its own link ([`Hearing`], used by
 //!    `member`). An owner that is quiet is asked over a new link before it is taken for silent.
-//! 2. A member whose owner is gone waits its turn (`ownership`).
+//! 2. A member whose owner is gone waits its turn ([`Standing`], used by `ownership`): those that
+//!    the owner has named go first, then larger ones, then those that own less.
 //! 3. The owner row decides (`owner_row`): it is written only as it was read, and an owner that
 //!    goes on writing it is alive.
 
@@ -22,6 +23,26 @@
 /// When this process's own timer comes so late, it was paused itself, and hears anew.
 const OWN_PAUSE: Millis = Millis(250);
 
+/// How much later each next member takes over.
+const STAGGER: Millis = Millis(100);
+/// A process that owns other partitions leaves another one to others, so long for each.
+const BUSY_DELAY: Millis = Millis(150);
+/// An instance of less than this part of the last owner's, in percent, is small.
+const SMALL_PERCENT: u32 = 70;
+/// A small one that the last owner hasn't named waits for a larger one, which may just be
+/// starting, or be waiting for an answer of the owner's address (0.5 s and two looks at the row).
+const SMALL_DELAY: Millis = Millis(700);
+/// Time between processes that begin with different partitions.
+const SLOT: Millis = Millis(40);
+/// A process with hardly any processor leaves a partition that has never had an owner to larger
+/// ones for so long, others for less: they all start within some tenths of a second.
+const FIRST_DELAY: Millis = Millis(600);
+/// A process that owns other partitions leaves one that has never had an owner to others, so long
+/// for each: they learn only now that there are partitions.
+const FIRST_BUSY_DELAY: Millis = Millis(800);
+/// Thousandths of a core of an instance that has nothing to wait for.
+const WHOLE_CORE: u32 = 1_000;
+
 /// What a member makes of what it has heard of its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Judged {
@@ -90,3 +111,48 @@
         }
     }
 }
+
+/// What decides how long a process leaves a partition to others.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Thousandths of a core that it gets.
+    pub cpu_milli: u32,
+    /// How many partitions it owns.
+    pub owned: u32,
+    /// Its place among the processes that begin with different partitions, from 0.
+    pub slot: u32,
+}
+
+impl Standing {
+    /// Returns how long it waits before it takes the partition over from an owner of so many
+    /// thousandths of a core that is gone, and has named `named` members to take over, this
+    /// process as the one at `rank`.
+    pub fn wait_for_turn(&self, rank: Option<usize>, named: usize, owner_cpu: u32) -> Millis {
+        let busy = times(BUSY_DELAY, self.owned);
+        if let Some(rank) = rank {
+            return times(STAGGER, rank as u32) + busy;
+        }
+        // What is left of a large cell doesn't come at once, nor before a larger instance that has
+        // not been named either.
+        let small = self.cpu_milli * 100 < owner_cpu * SMALL_PERCENT;
+        let small = if small { SMALL_DELAY } else { Millis(0) };
+        times(STAGGER, named as u32) + times(SLOT, self.slot) + small + busy
+    }
+
+    /// Returns how long it waits before it takes a partition that has never had an owner, but for
+    /// the partitions that it owns.
+    pub fn wait_for_first(&self) -> Millis {
+        let lacks = WHOLE_CORE.saturating_sub(self.cpu_milli);
+        let small = Millis(FIRST_DELAY.0 * u64::from(lacks) / u64::from(WHOLE_CORE));
+        small + times(SLOT, self.slot)
+    }
+
+    /// Returns how much longer it waits then for the partitions that it owns.
+    pub fn wait_as_busy(&self) -> Millis {
+        times(FIRST_BUSY_DELAY, self.owned)
+    }
+}
+
+fn times(each: Millis, count: u32) -> Millis {
+    Millis(each.0 * u64::from(count))
+}
--- a/crates/hollowford-node/src/succession_tests.rs
+++ b/crates/hollowford-node/src/succession_tests.rs
@@ -1,10 +1,12 @@
 //! When a member takes its owner for gone, and which process comes next.
 
-use crate::succession::{BEAT, Hearing, Judged};
+use crate::succession::{BEAT, Hearing, Judged, Standing};
 use hollowford_core::Millis;
 use yare::parameterized;
 
 const NOW: Millis = Millis(7_000);
+const WHOLE: Standing = Standing { cpu_milli: 1_000, owned: 0, slot: 0 };
+const SMALL: Standing = Standing { cpu_milli: 120, owned: 0, slot: 0 };
 
 /// Judges every beat until the owner is taken for silent; returns how long that took, and when
 /// it was to be asked first.
@@ -46,3 +48,39 @@
     assert_eq!(hearing.judge(later), Judged::Paused(Millis(4_000)));
     assert_eq!(silence(&mut hearing, later).0, Millis(500));
 }
+
+/// Pattern: 72 whole cores and 516 of 0.12; the owner has named eight of the former, which are
+/// gone with it.
+#[test]
+fn a_small_instance_does_not_take_over_before_a_larger_one() {
+    for slot in 0..5 {
+        let whole = Standing { slot, ..WHOLE }.wait_for_turn(None, 8, 1_000);
+        let small = Standing { slot: 0, ..SMALL }.wait_for_turn(None, 8, 1_000);
+        assert!(whole + Millis(500) <= small, "slot {slot}: {whole:?} and {small:?}");
+        let whole = Standing { slot, ..WHOLE }.wait_for_first();
+        let small = Standing { slot: 0, ..SMALL }.wait_for_first();
+        assert!(whole + Millis(300) <= small, "slot {slot}: {whole:?} and {small:?}");
+    }
+}
+
+#[test]
+fn small_instances_alone_wait_for_nobody() {
+    let alike = SMALL.wait_for_turn(None, 0, SMALL.cpu_milli);
+    assert_eq!(alike, Millis(0));
+    assert_eq!(SMALL.wait_for_turn(Some(0), 8, 1_000), Millis(0), "the owner has named it first");
+}
+
+#[test]
+fn those_that_the_owner_has_named_go_first_and_one_after_the_other() {
+    let waits: Vec<Millis> = (0..8).map(|rank| WHOLE.wait_for_turn(Some(rank), 8, 1_000)).collect();
+    assert!(waits.windows(2).all(|w| w[0] < w[1]), "{waits:?}");
+    assert!(waits[7] < WHOLE.wait_for_turn(None, 8, 1_000));
+}
+
+#[test]
+fn one_that_owns_partitions_leaves_others_to_those_that_own_none() {
+    let busy = Standing { owned: 1, ..WHOLE };
+    assert!(busy.wait_for_turn(Some(0), 8, 1_000) > WHOLE.wait_for_turn(Some(1), 8, 1_000));
+    assert_eq!(WHOLE.wait_as_busy(), Millis(0));
+    assert!(busy.wait_as_busy() > SMALL.wait_for_first());
+}
