A partition whose owners follow each other quickly is told and counted

owner.unsettled in the log of its new owner, with the changes within a minute, and hollowford_node_owner_changes_minute by partition: 4 changes or more.

--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -22,6 +22,9 @@
     pub owned_epoch: IntGaugeVec,
     /// Takeovers, by cause.
     pub takeovers: IntCounterVec,
+    /// Times that a partition changed its owner within a minute, by partition, as this process
+    /// became its owner last.
+    pub owner_changes: IntGaugeVec,
     /// Time from a takeover's write to the first decision.
     pub takeover_seconds: Histogram,
     /// Batches, by outcome.
@@ -95,6 +98,7 @@
             relayed_again: counter("relayed_again_total", "Calls sent again to another owner")?,
             owned_epoch: gauges("owned_epoch", "Epoch owned in, or 0")?,
             takeovers: counters("takeovers_total", "Takeovers made", &["cause"])?,
+            owner_changes: gauges("owner_changes_minute", "Changes of owner within a minute")?,
             takeover_seconds: seconds("takeover_seconds", "From the takeover to decisions")?,
             batches: counters("batches_total", "Batches to the store", &["outcome"])?,
             batch_seconds: seconds("batch_seconds", "Time of a batch")?,
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -7,6 +7,7 @@
 use crate::owner::{Owner, OwnerEnd};
 use crate::owner_row::{RETRY, find_owner, take, unchanged_owner};
 use crate::partition::{Cx, Route};
+use crate::succession::Changes;
 use crate::wire::OwnerInfo;
 use hollowford_adapter::Version;
 use std::time::Duration;
@@ -19,14 +20,17 @@
 pub async fn run(cx: Cx) {
     // Kept from one owner to the next, which may be gone before it names any.
     let mut members = Vec::new();
+    let mut changes = Changes::default();
     loop {
         let info = cx.partition.owner.borrow().clone();
+        changes.note(info.epoch, cx.shared.clock.now());
         if info.epoch == 0 || (info.boot == cx.shared.boot && cx.partition.has_given_up(info.epoch))
         {
             find_owner(&cx, info.epoch).await;
             continue;
         }
         if info.boot == cx.shared.boot {
+            show_changes(&cx, &changes);
             let end = own(&cx, &info).await;
             log::info!("owner.ended partition={} epoch={} end={end:?}", info.partition, info.epoch);
             cx.partition.give_up(info.epoch);
@@ -87,6 +91,15 @@
     Some(again)
 }
 
+/// Shows how often the partition has changed its owner lately.
+fn show_changes(cx: &Cx, changes: &Changes) {
+    let (part, count) = (&cx.partition.part, changes.count());
+    cx.shared.metrics.owner_changes.with_label_values(&[part.as_str()]).set(count as i64);
+    if changes.is_unsettled() {
+        log::warn!("owner.unsettled partition={part} changes_in_a_minute={count}");
+    }
+}
+
 /// Takes note of the epoch that this process owns the partition in; 0: it doesn't.
 fn note_owned(cx: &Cx, epoch: u64) {
     let gauge = cx.shared.metrics.owned_epoch.with_label_values(&[cx.partition.part.as_str()]);
--- a/crates/hollowford-node/src/succession.rs
+++ b/crates/hollowford-node/src/succession.rs
@@ -12,6 +12,7 @@
 //!    goes on writing it is alive.
 
 use hollowford_core::Millis;
+use std::collections::VecDeque;
 
 /// How often a member tells its owner that it is alive and looks at what it has heard, and the
 /// pace that it expects of an owner until it is told another.
@@ -42,6 +43,11 @@
 const FIRST_BUSY_DELAY: Millis = Millis(800);
 /// Thousandths of a core of an instance that has nothing to wait for.
 const WHOLE_CORE: u32 = 1_000;
+/// Owners are counted over this time.
+const COUNTED_OVER: Millis = Millis(60_000);
+/// A partition that changes its owner so often within that time is unsettled: each takeover costs
+/// work that may bring the next one about.
+const UNSETTLED_FROM: u64 = 4;
 
 /// What a member makes of what it has heard of its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -153,6 +159,40 @@
     }
 }
 
+/// The owners that a partition has had lately, as one process has learned of them.
+#[derive(Debug, Default)]
+pub struct Changes {
+    /// When each became known, and its epoch.
+    known: VecDeque<(Millis, u64)>,
+}
+
+impl Changes {
+    /// Takes note of the owner at `epoch`; 0: none is known.
+    pub fn note(&mut self, epoch: u64, now: Millis) {
+        if epoch == 0 {
+            return;
+        }
+        self.known.retain(|&(at, _)| now.since(at) < COUNTED_OVER);
+        if self.known.back().is_none_or(|&(_, last)| last < epoch) {
+            self.known.push_back((now, epoch));
+        }
+    }
+
+    /// Returns how often the partition has changed its owner lately, also those times that this
+    /// process has not heard of.
+    pub fn count(&self) -> u64 {
+        match (self.known.front(), self.known.back()) {
+            (Some((_, first)), Some((_, last))) => last - first,
+            _ => 0,
+        }
+    }
+
+    /// Tells whether that is too often to be by failures of owners alone.
+    pub fn is_unsettled(&self) -> bool {
+        self.count() >= UNSETTLED_FROM
+    }
+}
+
 fn times(each: Millis, count: u32) -> Millis {
     Millis(each.0 * u64::from(count))
 }
--- a/crates/hollowford-node/src/succession_tests.rs
+++ b/crates/hollowford-node/src/succession_tests.rs
@@ -1,6 +1,6 @@
 //! When a member takes its owner for gone, and which process comes next.
 
-use crate::succession::{BEAT, Hearing, Judged, Standing};
+use crate::succession::{BEAT, Changes, Hearing, Judged, Standing};
 use hollowford_core::Millis;
 use yare::parameterized;
 
@@ -84,3 +84,20 @@
     assert_eq!(WHOLE.wait_as_busy(), Millis(0));
     assert!(busy.wait_as_busy() > SMALL.wait_for_first());
 }
+
+#[test]
+fn a_partition_whose_owners_follow_each_other_is_unsettled() {
+    let mut changes = Changes::default();
+    // A process that has just started knows nothing of the ones before.
+    changes.note(16, NOW);
+    assert!(!changes.is_unsettled());
+    changes.note(17, NOW + Millis(600));
+    changes.note(17, NOW + Millis(700));
+    assert_eq!(changes.count(), 1);
+    // It has not heard of two of them.
+    changes.note(20, NOW + Millis(1_300));
+    assert_eq!(changes.count(), 4);
+    assert!(changes.is_unsettled());
+    changes.note(21, NOW + Millis(90_000));
+    assert!(!changes.is_unsettled());
+}
