Processes that start together enter themselves into the list once, not for ever

Cause: the store makes the writings of a part one after the other, 200 a second, and refuses what would wait for more than a second. 588 processes asked again every 0.12 s, and gave a call up after 0.8 s that the store made after one second, so hardly any learned that it was in: it sustained itself. At 147 processes the first second took them all.

Now each enters itself at a random time of the first 2 s, again within 4, 8 and at most 16 s, and listens for 2 s. Nothing waits for its entry: who has just started reads the owner row. A process without an entry learns of a takeover by its link.

Test without a network: 588, 1,176 and 3,642 processes that start within 0.3 s need at most four calls each. With the pause of before: 5 to 67 calls each.

--- a/crates/hollowford-node/src/announce.rs
+++ b/crates/hollowford-node/src/announce.rs
@@ -1,7 +1,7 @@
 //! The list of processes in the store, and new owners that announce themselves to it.
 
 use crate::link;
-use crate::owner_row::{CALL_TIMEOUT, RETRY, TABLE};
+use crate::owner_row::{CALL_TIMEOUT, TABLE};
 use crate::shared::Shared;
 use crate::wire::{Body, OwnerInfo};
 use hollowford_adapter::{StoreError, Transaction};
@@ -15,6 +15,15 @@
 /// and then the next ones after this time: each opens a link to the new owner at once, which has
 /// other work to do as well, and no room for hundreds of them that come together.
 const TOLD_EVERY: Duration = Duration::from_millis(16);
+/// A process enters itself into the list at some time within this one of its start. Nothing waits for
+/// that, and the store makes the writings of a part one after the other: hundreds of processes that
+/// start at once would keep it full, and each that is refused, or waits there for longer than it
+/// listens for the answer, would ask again.
+const REGISTER_WITHIN: Duration = Duration::from_millis(2_000);
+/// One that was refused tries again within twice the time, and so on up to this one.
+const REGISTER_WITHIN_MOST: Duration = Duration::from_millis(16_000);
+/// Longest time for that call: more than the second that the store lets writings wait.
+const REGISTER_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Part of the table with a row for each process.
 const NODES: &str = "nodes";
 /// How long an announcement may take.
@@ -55,8 +64,10 @@
         put: vec![(key, shared.boot.to_be_bytes().to_vec())],
         remove: Vec::new(),
     };
+    let mut pauses = Pauses::default();
     loop {
-        match shared.store.transact(TABLE, NODES, &tx, CALL_TIMEOUT).await {
+        sleep(pauses.next(fastrand::f64())).await;
+        match shared.store.transact(TABLE, NODES, &tx, REGISTER_TIMEOUT).await {
             Ok(_) => return shared.note_store(),
             Err(StoreError::Malformed(e)) => {
                 log::error!("process.register failed error=\"{e}\"");
@@ -64,6 +75,26 @@
             }
             Err(e) => log::debug!("process.register failed error=\"{e}\""),
         }
-        sleep(RETRY).await;
+    }
+}
+
+/// The pauses before the tries of a process to enter itself into the list.
+#[derive(Debug)]
+pub(crate) struct Pauses {
+    within: Duration,
+}
+
+impl Default for Pauses {
+    fn default() -> Pauses {
+        Pauses { within: REGISTER_WITHIN }
+    }
+}
+
+impl Pauses {
+    /// Returns the next pause, at `share` (0 to 1) of the longest that it may be.
+    pub fn next(&mut self, share: f64) -> Duration {
+        let pause = self.within.mul_f64(share);
+        self.within = (self.within * 2).min(REGISTER_WITHIN_MOST);
+        pause
     }
 }
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -6,6 +6,8 @@
 #[cfg(test)]
 mod access_tests;
 mod announce;
+#[cfg(test)]
+mod announce_tests;
 mod batches;
 mod callers;
 mod calls;
