Before the plan is known a process reads the configuration every 3 s

Nobody is served before there are partitions, and the feed tells of changes. A new owner reads at once, since its members go by the age of its reading.

Test: the pause before, and after the partitions are known.

--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -70,6 +70,8 @@
 #[cfg(test)]
 mod succession_tests;
 mod watch;
+#[cfg(test)]
+mod watch_tests;
 mod wire;
 mod writer;
 #[cfg(test)]
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -109,6 +109,8 @@
 /// Owns the partition until it is lost or given up.
 async fn own(cx: &Cx, info: &OwnerInfo) -> OwnerEnd {
     let began = cx.shared.clock.now();
+    // Members go by what their owner has read.
+    cx.shared.config_wanted.notify_one();
     tokio::spawn(announce(cx.shared.clone(), info.clone()));
     let Some(start) = load(cx, info).await else { return OwnerEnd::GaveUp };
     let (handle, rx) = OwnerHandle::new();
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -15,6 +15,9 @@
 /// How often the configuration is read beside the feed. It has to be in force after 2 s, also
 /// when the feed is silent for a second and one reading gets no answer.
 const READ_EVERY: Duration = Duration::from_millis(650);
+/// How often before it is known how many partitions there are: nobody is served yet, and the feed
+/// tells of changes. Hundreds of processes that start read nothing else for seconds.
+const BEFORE_PLAN_EVERY: Duration = Duration::from_millis(3_000);
 /// How often a member whose owner vouches for the configuration finds out whether the store
 /// answers it: an owner that the store turns away hands over to one that it serves. Readings of
 /// all members were a third of all calls to the store in a cell of 147 instances.
@@ -33,13 +36,13 @@
 
 /// The last call to the store that this duty has made.
 #[derive(Debug)]
-struct LastCall {
+pub(crate) struct LastCall {
     /// The store answered it.
-    answered: bool,
+    pub answered: bool,
     /// When it was made.
-    at: Millis,
+    pub at: Millis,
     /// It read the configuration, and not only a small row.
-    read: bool,
+    pub read: bool,
 }
 
 /// Reads the configuration again and again, or only finds out whether the store answers while an
@@ -107,9 +110,11 @@
 }
 
 /// Returns how long to wait before the next look at what is due.
-fn pause(shared: &Shared, last: &LastCall) -> Duration {
+pub(crate) fn pause(shared: &Shared, last: &LastCall) -> Duration {
     if !last.answered || (!last.read && !shared.config_is_told()) {
         RETRY
+    } else if shared.partitions().is_empty() {
+        BEFORE_PLAN_EVERY
     } else if is_probed(shared) {
         PROBE_EVERY_FOR_OWNER
     } else {
--- /dev/null
+++ b/crates/hollowford-node/src/watch_tests.rs
@@ -0,0 +1,20 @@
+//! How often a process asks the store for the configuration.
+
+use crate::shared_tests::shared;
+use crate::watch::{LastCall, pause};
+use hollowford_core::Millis;
+use std::time::Duration;
+
+const READ: LastCall = LastCall { answered: true, at: Millis(0), read: true };
+
+/// Pattern: 588 processes wait for seconds until one has counted the workers. Each read the whole
+/// configuration ten times meanwhile, half of what the store sent on the day.
+#[test]
+fn a_process_that_does_not_know_the_partitions_yet_reads_rarely() {
+    let shared = shared();
+    assert!(pause(&shared, &READ) >= Duration::from_secs(3));
+    let unanswered = LastCall { answered: false, ..READ };
+    assert!(pause(&shared, &unanswered) <= Duration::from_millis(200));
+    shared.set_partitions(5);
+    assert!(pause(&shared, &READ) < Duration::from_secs(1), "nobody vouches for it yet");
+}
