One owner reads the list of workers for all, and tells the others what changes

Cause: each of five owners followed all 6,000 rows, which change with each sign of life, and kept a fifth of them: partitions times workers.

The owner of partition 0 reads as before and tells the owners of the others, over the links that they have as its members, what each reading has changed, from which version to which: signs of life change nothing. They take what follows on what they know; after a gap, or a second without a word, they read for themselves as before, so a reader that is frozen, cut off or gone costs a second. The whole list at a first reading isn't told. What is told is what the store said, so two readers, or a deposed one, do no harm.

--- a/crates/hollowford-node/src/inbox.rs
+++ b/crates/hollowford-node/src/inbox.rs
@@ -5,6 +5,7 @@
 use crate::link::Outbox;
 use crate::members::LinkId;
 use crate::wire::{Body, Call, CallAnswer, Hello, MemberBeat, Said};
+use crate::worker_changes::WorkerChanges;
 use crate::writer::Written;
 use hollowford_adapter::Called;
 use hollowford_core::Millis;
@@ -50,6 +51,8 @@
     },
     /// The platform's list of workers.
     Listings(Vec<WorkerListing>),
+    /// What a reading of that list has changed, for the owners of other partitions.
+    WorkerChanges(WorkerChanges),
     /// A process has opened a link.
     Joined(LinkId, Hello, Outbox),
     /// A link has ended.
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -73,6 +73,7 @@
 #[cfg(test)]
 mod watch_tests;
 mod wire;
+mod worker_changes;
 mod writer;
 #[cfg(test)]
 mod writer_tests;
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -165,6 +165,10 @@
                 delegate::carry_out(&self.cx.shared, frame, &self.outbox);
             }
             Body::Config(row) => watch::take_packed(&self.cx.shared, row),
+            Body::Workers(changes) => {
+                // A process that owns nothing by now has nobody who listens.
+                let _ = self.cx.shared.worker_changes.send(Arc::new(changes));
+            }
             Body::HandOver(h) => return Some(Parted::HandedOver { rev: h.rev }),
             Body::Owner(other) => {
                 let newer = self.cx.partition.note_owner_info(&other);
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -4,6 +4,7 @@
 use crate::homes::{home_of_seat, preference};
 use crate::link::Outbox;
 use crate::wire::{Ask, Body, ConfigRow, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
+use crate::worker_changes::WorkerChanges;
 use hollowford_core::Millis;
 use hollowford_jobs::{Seat, StepKey};
 use std::cmp::Reverse;
@@ -319,6 +320,14 @@
         }
     }
 
+    /// Sends changes of the list of workers to the members that own partitions.
+    pub fn send_workers(&self, changes: &WorkerChanges) {
+        for m in self.list.iter().filter(|m| m.owned > 0) {
+            // A link that has ended: that owner reads the list itself.
+            m.outbox.send(Body::Workers(changes.clone()));
+        }
+    }
+
     /// Tells whether a live member has much more of a core for the partition than `cpu_milli`
     /// thousandths, and is served by the store.
     pub fn any_larger_than(&self, cpu_milli: u32) -> bool {
--- a/crates/hollowford-node/src/members_tests.rs
+++ b/crates/hollowford-node/src/members_tests.rs
@@ -4,6 +4,7 @@
 use crate::link::Outbox;
 use crate::members::{ConfigKnown, Members};
 use crate::wire::{Body, ConfigRow, Frame, Hello, MemberBeat, OwnerInfo};
+use crate::worker_changes::WorkerChanges;
 use hollowford_core::Millis;
 use tokio::sync::mpsc::Receiver;
 
@@ -192,3 +193,16 @@
         members.leave(link);
     }
 }
+
+#[test]
+fn changes_of_the_list_of_workers_go_to_those_that_own_partitions() {
+    let mut members = Members::new(OwnerInfo::default(), 5);
+    let mut rxs: Vec<_> = (0..3).map(|i| join(&mut members, i, JOINED)).collect();
+    members.beat(1, &MemberBeat { owned: 1, ..MemberBeat::default() }, JOINED);
+    members.send_workers(&WorkerChanges { from: 3, to: 4, rows: Vec::new() });
+    let told = |rx: &mut Receiver<Frame>| {
+        let frames = std::iter::from_fn(|| rx.try_recv().ok());
+        frames.filter(|f| matches!(f.body, Some(Body::Workers(_)))).count()
+    };
+    assert_eq!(rxs.iter_mut().map(told).collect::<Vec<_>>(), [0, 1, 0]);
+}
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -181,6 +181,7 @@
                 self.delegation.set_workers(&list);
                 self.engine.list_workers(&list, now);
             }
+            OwnerMsg::WorkerChanges(changes) => self.members.send_workers(&changes),
             OwnerMsg::Joined(link, hello, outbox) => {
                 let (address, age) = (&hello.address, hello.age_ms);
                 log::info!("member.joined link={link} address={address} age_ms={age}");
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -4,13 +4,16 @@
 use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::partition::Cx;
 use crate::shared::Shared;
+use crate::worker_changes::{READER, WorkerChanges, WorkerRow};
 use hollowford_adapter::{REGISTRY_TABLE, Row, StoreError, Version, decode_listing};
 use hollowford_core::Millis;
 use hollowford_jobs::WorkerListing;
 use rustc_hash::FxHashSet;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::sync::broadcast::Receiver;
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// How long a call to the feed waits for a change. Kept short, since a feed may go silent.
 const FEED_WAIT: Duration = Duration::from_millis(200);
@@ -28,6 +31,9 @@
 const READ_EVERY_FOR_EACH: Millis = Millis(4);
 /// After the store was away, entries that lapsed meanwhile are back within 2 s.
 const TRUST_MISSING_AFTER: Millis = Millis(2_500);
+/// The list is read here once nothing has been told for so long. The owner that reads for all tells
+/// of each reading, also of one that has changed nothing, some twice a second.
+const TOLD_WITHIN: Millis = Millis(1_000);
 /// The store counts as having been away when it did not answer for so long.
 const AWAY: Millis = Millis(1_000);
 
@@ -42,36 +48,64 @@
     believe_missing_at: Millis,
     /// Rows that could not be read and have been logged.
     malformed: FxHashSet<String>,
+    /// When the owner that reads for all has told something last that followed on what is known.
+    told_at: Option<Millis>,
+}
+
+/// What came of changes that another owner has told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Told {
+    /// They were taken in; tells whether one was new here.
+    Taken(bool),
+    /// They are older than what is known here.
+    Old,
+    /// They don't follow on what is known here.
+    Gap,
 }
 
 /// Follows the list until the owner ends.
 /// The owner is told of its own partition's workers only.
 pub async fn follow(cx: Cx, owner: OwnerHandle) {
     let shared = &cx.shared;
-    let count = shared.partition_count();
-    let now = shared.clock.now();
-    let mut list = Registry::new(now);
+    let mut told = shared.worker_changes.subscribe();
+    let mut list = Registry::new(shared.clock.now());
     let mut config = 0;
     while !owner.is_closed() {
-        match list.next(shared).await {
-            Ok(changed) => {
-                // Told before the pause: a new owner waits for its first list.
-                if changed || shared.config_version() != config {
-                    config = shared.config_version();
-                    let own = |l: &&WorkerListing| home_of_worker(l, count) == cx.partition.number;
-                    let listings = list.workers(shared).filter(own).cloned().collect();
-                    owner.send(OwnerMsg::Listings(listings)).await;
+        let changed = match list.wait(&cx, &mut told).await {
+            Some(changed) => changed,
+            None => match list.next(shared).await {
+                Ok(changes) => {
+                    let changed = !changes.rows.is_empty();
+                    tell(&cx, &owner, changes).await;
+                    changed
                 }
-                sleep(PAUSE).await;
-            }
-            Err(e) => {
-                log::debug!("workers.list failed error=\"{e}\"");
-                sleep(RETRY).await;
-            }
+                Err(e) => {
+                    log::debug!("workers.list failed error=\"{e}\"");
+                    sleep(RETRY).await;
+                    continue;
+                }
+            },
+        };
+        if changed || shared.config_version() != config {
+            config = shared.config_version();
+            let count = shared.partition_count();
+            let own = |l: &&WorkerListing| home_of_worker(l, count) == cx.partition.number;
+            let listings = list.workers(shared).filter(own).cloned().collect();
+            owner.send(OwnerMsg::Listings(listings)).await;
         }
     }
 }
 
+/// Tells the owners of other partitions what a reading has changed, if this one reads for all.
+async fn tell(cx: &Cx, owner: &OwnerHandle, changes: WorkerChanges) {
+    if cx.partition.number != READER || cx.shared.partition_count() < 2 || !changes.can_be_told() {
+        return;
+    }
+    // This process may own others itself. Nobody listens if not.
+    let _ = cx.shared.worker_changes.send(Arc::new(changes.clone()));
+    owner.send(OwnerMsg::WorkerChanges(changes)).await;
+}
+
 impl Registry {
     /// Makes an empty list.
     pub fn new(now: Millis) -> Registry {
@@ -82,6 +116,7 @@
             answered_at: now,
             believe_missing_at: now,
             malformed: FxHashSet::default(),
+            told_at: None,
         }
     }
 
@@ -93,27 +128,83 @@
         self.rows.values().filter(named)
     }
 
-    /// Waits for a change, or reads the whole list. Tells whether something changed.
-    async fn next(&mut self, shared: &Shared) -> Result<bool, StoreError> {
+    /// Waits for what the owner that reads for all tells; none when the list is to be read here. Tells
+    /// whether something changed.
+    async fn wait(&mut self, cx: &Cx, told: &mut Receiver<Arc<WorkerChanges>>) -> Option<bool> {
+        if self.version == 0 {
+            // A new owner waits for its first list.
+            return None;
+        }
+        if cx.partition.number == READER {
+            sleep(PAUSE).await;
+            return None;
+        }
+        let now = cx.shared.clock.now();
+        let is_told = self.told_at.is_some_and(|at| now.since(at) < TOLD_WITHIN);
+        let patience = if is_told { TOLD_WITHIN.duration() } else { PAUSE };
+        let deadline = Instant::now() + patience;
+        while let Ok(Ok(changes)) = timeout_at(deadline, told.recv()).await {
+            match self.take_told(&changes) {
+                Told::Taken(changed) => {
+                    let now = cx.shared.clock.now();
+                    self.told_at = Some(now);
+                    self.read_at = now;
+                    self.answered_at = now;
+                    return Some(changed);
+                }
+                Told::Old => {}
+                Told::Gap => break,
+            }
+        }
+        self.told_at = None;
+        None
+    }
+
+    /// Takes in what another owner has read.
+    pub fn take_told(&mut self, changes: &WorkerChanges) -> Told {
+        if changes.to < self.version {
+            return Told::Old;
+        }
+        if changes.from > self.version {
+            return Told::Gap;
+        }
+        self.version = changes.to;
+        Told::Taken(changes.rows.iter().fold(false, |changed, r| self.apply_told(r) | changed))
+    }
+
+    /// Takes one row of it. Whether a missing entry is believed was the other owner's to judge.
+    fn apply_told(&mut self, row: &WorkerRow) -> bool {
+        if row.removed {
+            self.rows.remove(&row.key).is_some()
+        } else {
+            self.put(&row.key, &row.value)
+        }
+    }
+
+    /// Waits for a change, or reads the whole list. Returns what has changed.
+    async fn next(&mut self, shared: &Shared) -> Result<WorkerChanges, StoreError> {
         let now = shared.clock.now();
+        let from = self.version;
         if self.version == 0 || now.since(self.read_at) >= self.read_every() {
             let feed = shared.store.read_all(REGISTRY_TABLE, "", READ_TIMEOUT).await?;
             self.note_answer(shared);
             self.version = feed.version;
             self.read_at = shared.clock.now();
-            return Ok(self.replace(&feed.rows));
+            let rows = self.replace(&feed.rows);
+            return Ok(WorkerChanges { from, to: self.version, rows });
         }
         match shared.store.feed(REGISTRY_TABLE, self.version, FEED_WAIT).await {
             Ok(feed) => {
                 self.note_answer(shared);
                 self.version = feed.version;
-                let changes = feed.rows.iter().map(|r| self.apply(r)).filter(|&c| c).count();
-                Ok(changes > 0)
+                let changed = feed.rows.iter().filter(|r| self.apply(r));
+                let rows = changed.map(WorkerRow::from).collect();
+                Ok(WorkerChanges { from, to: self.version, rows })
             }
             Err(StoreError::HistoryGone) => {
                 log::info!("store.history_gone table={REGISTRY_TABLE} after={}", self.version);
                 self.version = 0;
-                Ok(false)
+                Ok(WorkerChanges::default())
             }
             Err(e) => Err(e),
         }
@@ -133,17 +224,18 @@
         self.answered_at = now;
     }
 
-    /// Takes the whole list. Tells whether something changed.
-    pub fn replace(&mut self, rows: &[Row]) -> bool {
-        let mut changed = false;
+    /// Takes the whole list. Returns the rows that have changed.
+    pub fn replace(&mut self, rows: &[Row]) -> Vec<WorkerRow> {
+        let mut changed = Vec::new();
         if self.answered_at >= self.believe_missing_at {
             let there: FxHashSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
-            let before = self.rows.len();
-            self.rows.retain(|id, _| there.contains(id.as_str()));
+            let gone = |key: String| WorkerRow { key, removed: true, ..WorkerRow::default() };
+            let missing = self.rows.extract_if(.., |id, _| !there.contains(id.as_str()));
+            changed.extend(missing.map(|(id, _)| gone(id)));
             self.malformed.retain(|id| there.contains(id.as_str()));
-            changed = self.rows.len() != before;
         }
-        rows.iter().fold(changed, |changed, r| self.apply(r) | changed)
+        changed.extend(rows.iter().filter(|r| self.apply(r)).map(WorkerRow::from));
+        changed
     }
 
     /// Takes one row. One that can't be read names no worker: the one that it named before is not
@@ -154,16 +246,21 @@
             let believed = self.answered_at >= self.believe_missing_at;
             return believed && self.rows.remove(&row.key).is_some();
         }
-        match decode_listing(&row.key, &row.value) {
+        self.put(&row.key, &row.value)
+    }
+
+    /// Takes the bytes of a row. Tells whether something changed.
+    fn put(&mut self, key: &str, value: &[u8]) -> bool {
+        match decode_listing(key, value) {
             Ok(listing) => {
-                let old = self.rows.insert(row.key.clone(), listing.clone());
+                let old = self.rows.insert(key.to_owned(), listing.clone());
                 old.as_ref() != Some(&listing)
             }
             Err(e) => {
-                let known = self.rows.remove(&row.key).is_some();
+                let known = self.rows.remove(key).is_some();
                 // Once for each row: it is read again and again.
-                if known || self.malformed.insert(row.key.clone()) {
-                    log::error!("worker.malformed worker={} error=\"{e}\"", row.key);
+                if known || self.malformed.insert(key.to_owned()) {
+                    log::error!("worker.malformed worker={key} error=\"{e}\"");
                 }
                 known
             }
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::metrics::Metrics;
 use crate::partition::Partition;
 use crate::wire::ConfigRow;
+use crate::worker_changes::WorkerChanges;
 use arc_swap::ArcSwapOption;
 use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient, WorkerClient};
 use hollowford_core::{Clock, Millis};
@@ -12,7 +13,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, broadcast, watch};
+
+/// Changes of the list of workers that wait to be taken in; an owner that is further behind reads
+/// the list itself.
+const WORKER_CHANGES: usize = 16;
 
 /// Shared by all duties of a process.
 #[derive(Debug)]
@@ -49,6 +54,8 @@
     store_failed: AtomicU64,
     /// Reading of the clock when this process read the configuration last.
     config_read: AtomicU64,
+    /// Changes of the list of workers that the owner of another partition has told.
+    pub worker_changes: broadcast::Sender<Arc<WorkerChanges>>,
     /// Epoch of the owner for which this process made calls to workers last.
     pub delegate_of: AtomicU64,
     /// Its metrics.
@@ -81,6 +88,7 @@
             store_answered: AtomicU64::new(0),
             store_failed: AtomicU64::new(0),
             config_read: AtomicU64::new(0),
+            worker_changes: broadcast::Sender::new(WORKER_CHANGES),
             delegate_of: AtomicU64::new(0),
             metrics,
         }
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -1,13 +1,14 @@
 //! Messages between the system's own processes.
 
 use crate::delegate_wire::{Delegated, Outcomes};
+use crate::worker_changes::WorkerChanges;
 use prost::{Message, Oneof};
 
 /// One frame on a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub body: Option<Body>,
 }
 
@@ -62,6 +63,9 @@
     /// Another frame, packed.
     #[prost(bytes, tag = "16")]
     Packed(Vec<u8>),
+    /// What a reading of the list of workers has changed.
+    #[prost(message, tag = "17")]
+    Workers(WorkerChanges),
 }
 
 /// Asks who owns a partition.
