--- a/crates/hollowford-node/src/delegate.rs
+++ b/crates/hollowford-node/src/delegate.rs
@@ -10,13 +10,9 @@
 use crate::wire::Body;
 use hollowford_core::Millis;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Makes the calls of a frame, and tells the owner what comes of each.
 pub fn carry_out(shared: &Arc<Shared>, frame: Delegated, outbox: &Outbox) {
-    if shared.delegate_of.swap(frame.epoch, Ordering::Relaxed) != frame.epoch {
-        log::info!("delegate.first epoch={} calls={}", frame.epoch, frame.calls.len());
-    }
     let workers = shared.workers.with_fence(frame.epoch);
     let templates: Vec<Arc<str>> = frame.templates.iter().map(|t| t.as_str().into()).collect();
     for delegated in frame.calls {
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -96,6 +96,8 @@
     remote: RemoteOwner,
     /// The owner has sent a heartbeat: callers' requests go to it.
     following: bool,
+    /// The owner has had this process make calls to workers.
+    delegated: bool,
     /// See [`follow`].
     members: &'a mut Vec<String>,
     hearing: Hearing,
@@ -118,6 +120,7 @@
             remote: RemoteOwner::new(outbox.clone()),
             outbox,
             following: false,
+            delegated: false,
             members,
             hearing: Hearing::new(cx.shared.clock.now()),
             asked: None,
@@ -162,6 +165,9 @@
                 tokio::spawn(answer_ask(self.cx.shared.clone(), ask, self.outbox.clone()));
             }
             Body::Delegated(frame) => {
+                if !std::mem::replace(&mut self.delegated, true) {
+                    log::info!("delegate.first epoch={} calls={}", frame.epoch, frame.calls.len());
+                }
                 delegate::carry_out(&self.cx.shared, frame, &self.outbox);
             }
             Body::Config(row) => watch::take_packed(&self.cx.shared, row),
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -56,8 +56,6 @@
     config_read: AtomicU64,
     /// Changes of the list of workers that the owner of another partition has told.
     pub worker_changes: broadcast::Sender<Arc<WorkerChanges>>,
-    /// Epoch of the owner for which this process made calls to workers last.
-    pub delegate_of: AtomicU64,
     /// Its metrics.
     pub metrics: Metrics,
 }
@@ -89,7 +87,6 @@
             store_failed: AtomicU64::new(0),
             config_read: AtomicU64::new(0),
             worker_changes: broadcast::Sender::new(WORKER_CHANGES),
-            delegate_of: AtomicU64::new(0),
             metrics,
         }
     }
