Before the plan is known the configuration comes by the feed, and is read once after it

One that starts waits up to 6 s until another has counted the workers, and serves nobody meanwhile: the feed tells of changes, and 15 s pass before it reads besides. Once the partitions are known an owner vouches within a second, or it reads.

Tests: the pause, and that a reading is wanted when nobody vouches.

--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -130,6 +130,7 @@
         let cx = Cx { shared: shared.clone(), partition: partition.clone() };
         tokio::spawn(ownership::run(cx));
     }
+    watch::read_unless_told(&shared).await;
 }
 
 /// Ends the process's service without cutting a request.
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -17,7 +17,9 @@
 const READ_EVERY: Duration = Duration::from_millis(650);
 /// How often before it is known how many partitions there are: nobody is served yet, and the feed
 /// tells of changes. Hundreds of processes that start read nothing else for seconds.
-const BEFORE_PLAN_EVERY: Duration = Duration::from_millis(3_000);
+const BEFORE_PLAN_EVERY: Duration = Duration::from_millis(15_000);
+/// Once that is known an owner vouches for the configuration within this time, or it is read.
+const OWNER_VOUCHES_WITHIN: Duration = Duration::from_millis(1_000);
 /// How often a member whose owner vouches for the configuration finds out whether the store
 /// answers it: an owner that the store turns away hands over to one that it serves. Readings of
 /// all members were a third of all calls to the store in a cell of 147 instances.
@@ -68,6 +70,15 @@
     }
 }
 
+/// Has the configuration read once it is known how many partitions there are, unless an owner
+/// vouches for it soon.
+pub async fn read_unless_told(shared: &Shared) {
+    sleep(OWNER_VOUCHES_WITHIN).await;
+    if !shared.config_is_told() {
+        shared.config_wanted.notify_one();
+    }
+}
+
 /// Asks the store for the configuration; with `probe` for a small row, only to learn whether it
 /// answers: a store that was away doesn't have to send all members a large one as it returns.
 async fn ask(shared: &Shared, probe: bool) -> Result<(), StoreError> {
--- a/crates/hollowford-node/src/watch_tests.rs
+++ b/crates/hollowford-node/src/watch_tests.rs
@@ -1,7 +1,7 @@
 //! How often a process asks the store for the configuration.
 
 use crate::shared_tests::shared;
-use crate::watch::{LastCall, pause};
+use crate::watch::{LastCall, pause, read_unless_told};
 use hollowford_core::Millis;
 use std::time::Duration;
 
@@ -12,9 +12,18 @@
 #[test]
 fn a_process_that_does_not_know_the_partitions_yet_reads_rarely() {
     let shared = shared();
-    assert!(pause(&shared, &READ) >= Duration::from_secs(3));
+    assert!(pause(&shared, &READ) >= Duration::from_secs(10));
     let unanswered = LastCall { answered: false, ..READ };
     assert!(pause(&shared, &unanswered) <= Duration::from_millis(200));
     shared.set_partitions(5);
     assert!(pause(&shared, &READ) < Duration::from_secs(1), "nobody vouches for it yet");
 }
+
+#[tokio::test(start_paused = true)]
+async fn it_reads_once_they_are_known_and_no_owner_vouches_for_it() {
+    let shared = shared();
+    shared.set_partitions(5);
+    read_unless_told(&shared).await;
+    // A reading is wanted: this would wait for ever otherwise.
+    shared.config_wanted.notified().await;
+}
