--- a/crates/hollowford-node/src/delegation.rs
+++ b/crates/hollowford-node/src/delegation.rs
@@ -8,6 +8,8 @@
 //! whose outcome doesn't come for one without an answer: it may have been made, or may be made
 //! later, as with any call that is lost on its way.
 
+mod route;
+
 use crate::calls::{AnswerAt, unanswered};
 use crate::delegate_wire::{Delegated, Outcomes};
 use crate::link::Outbox;
@@ -16,10 +18,10 @@
 use hollowford_adapter::Called;
 use hollowford_core::{AnswerTimes, InstanceId, Millis};
 use hollowford_jobs::{LookAnswer, StartAnswer, WorkerCall, WorkerListing};
+use route::{Route, pick};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// From so many workers on, members make the calls. Below, the owner's own channels cost less
 /// than another hop.
@@ -37,8 +39,6 @@
 const SILENT_AFTER: u32 = 2;
 /// For so long.
 const SILENT_REST: Millis = Millis(1_500);
-/// A worker that doesn't answer so many calls in a row gets another member.
-const REROUTE_AFTER: u32 = 2;
 /// A new owner makes no calls until no member has joined for so long: else it would open channels
 /// to all workers itself, or give them all to the first that come.
 const JOINED_AFTER: Millis = Millis(60);
@@ -67,15 +67,6 @@
     rests_until: Millis,
 }
 
-/// How a worker is reached.
-#[derive(Clone, Copy, Debug, Default)]
-struct Route {
-    /// Calls in a row that it has not answered.
-    unanswered: u32,
-    /// How many members are passed over for it.
-    passed_over: usize,
-}
-
 /// A call that a member is making.
 #[derive(Debug)]
 struct Pending {
@@ -256,7 +247,7 @@
             self.times.note(now.since(p.sent));
         }
         let route = self.routes.entry(p.call.address().clone()).or_default();
-        note_route(route, answered);
+        route.note(answered);
         if !answered {
             // The answer may still come.
             p.told = true;
@@ -305,15 +296,6 @@
     }
 }
 
-/// Takes note of whether a worker has answered, and passes over its member once it has not twice.
-fn note_route(route: &mut Route, answered: bool) {
-    route.unanswered = if answered { 0 } else { route.unanswered + 1 };
-    if route.unanswered == REROUTE_AFTER {
-        route.unanswered = 0;
-        route.passed_over += 1;
-    }
-}
-
 fn is_answer(called: &Called) -> bool {
     !matches!(
         called,
@@ -330,23 +312,3 @@
         _ => Millis(0),
     }
 }
-
-/// Picks the member for an address, after passing over so many: the one with the highest hash of
-/// both, so that a member that comes or goes changes only its own share.
-fn pick<'a>(
-    members: impl Iterator<Item = &'a Delegate>,
-    address: &str,
-    passed_over: usize,
-) -> Option<&'a Delegate> {
-    let weight = |m: &Delegate| {
-        let seed = xxh3_64(m.address.as_bytes());
-        xxh3_64_with_seed(address.as_bytes(), seed)
-    };
-    if passed_over == 0 {
-        return members.max_by_key(|m| weight(m));
-    }
-    let mut all: Vec<_> = members.collect();
-    all.sort_by_key(|m| std::cmp::Reverse(weight(m)));
-    let at = passed_over % all.len().max(1);
-    all.into_iter().nth(at)
-}
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -7,47 +7,15 @@
 use crate::partition::{Cx, Route};
 use crate::relay::RemoteOwner;
 use crate::shared::Shared;
-use crate::succession::{BEAT, Hearing, Judged};
+use crate::succession::{BEAT, Hearing, Judged, Parted};
 use crate::watch;
 use crate::wire::{Advice, Ask, Body, Heartbeat, Hello, MemberBeat, OwnerInfo, WhoOwns};
-use hollowford_adapter::Version;
 use hollowford_core::Millis;
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Why a member has left its owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Parted {
-    /// A newer owner is known.
-    Newer,
-    /// Nothing answers at its address, or not as the owner any more.
-    Gone,
-    /// The link has ended or is dead, though the owner has answered: it may still be there.
-    Cut,
-    /// It says nothing, also when it is asked over a new link.
-    Silent,
-    /// It wants this process to take over.
-    HandedOver {
-        /// Version of the owner row; 0: not known.
-        rev: Version,
-    },
-}
-
-impl Parted {
-    /// Returns its name, for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Parted::Newer => "newer",
-            Parted::Gone => "gone",
-            Parted::Cut => "cut",
-            Parted::Silent => "silent",
-            Parted::HandedOver { .. } => "handed_over",
-        }
-    }
-}
-
 /// Follows an owner until they part, over as many links as it takes: a link that is reset
 /// says nothing of the owner. `members` are those that take over, in their order, as an owner told
 /// last.
--- a/crates/hollowford-node/src/member_tests.rs
+++ b/crates/hollowford-node/src/member_tests.rs
@@ -2,10 +2,11 @@
 #![allow(clippy::expect_used)]
 
 use crate::link::{self, Outbox, Reader};
-use crate::member::{Parted, follow};
+use crate::member::follow;
 use crate::partition::Cx;
 use crate::peers;
 use crate::shared_tests::shared;
+use crate::succession::Parted;
 use crate::wire::{Body, HandOver, Heartbeat, Hello, OwnerInfo};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -1,27 +1,18 @@
 //! The processes that have a link to the owner.
 
+mod heartbeats;
+
 use crate::delegation::Delegate;
 use crate::homes::{home_of_seat, preference};
 use crate::link::Outbox;
-use crate::wire::{Ask, Body, ConfigRow, HandOver, Heartbeat, Hello, MemberBeat, OwnerInfo};
+use crate::wire::{Ask, Body, ConfigRow, HandOver, Hello, MemberBeat, OwnerInfo};
 use crate::worker_changes::WorkerChanges;
+use heartbeats::HEARTBEAT;
 use hollowford_core::Millis;
 use hollowford_jobs::{Seat, StepKey};
 use std::cmp::Reverse;
 use std::sync::Arc;
 
-/// How often the owner tells its members that it is alive, while they are few.
-const HEARTBEAT: Millis = Millis(100);
-/// How often the owner looks whose heartbeat is due.
-const DUE_EVERY: Millis = Millis(10);
-/// With more members than this heartbeats come less often, so that the owner sends and takes
-/// some 500 a second.
-const MEMBERS_AT_FULL_PACE: usize = 50;
-/// They are at most so many times rarer: a member has to be missed in time.
-const RAREST: usize = 5;
-/// Heartbeats name so many members, the first ones to take over: all of them would be some
-/// megabytes a second in a large cell.
-const TOLD: usize = 8;
 /// A member that was not heard for so many heartbeats gets no work.
 const SILENT_BEATS: u64 = 9;
 /// A member that the store has answered within this time is served by it, when members are asked
@@ -149,13 +140,6 @@
         self.list.insert(at, member);
     }
 
-    /// Sends a member that has just joined its first heartbeat, so that it knows its owner.
-    pub fn greet(&mut self, link: LinkId, config: ConfigKnown) {
-        if let Some(at) = self.list.iter().position(|m| m.link == link) {
-            self.send_to(config, vec![at]);
-        }
-    }
-
     /// Removes the member of a link that has ended.
     pub fn leave(&mut self, link: LinkId) {
         self.list.retain(|m| m.link != link);
@@ -178,87 +162,6 @@
         }
     }
 
-    /// Sends the heartbeats that are due, and tells whether a round is over in which every member
-    /// got one. Those that take over first get theirs at full pace, so that they miss an owner soon
-    /// in a large cell, too.
-    pub fn tick(&mut self, now: Millis, config: ConfigKnown, store_lost: bool) -> bool {
-        self.now = now;
-        self.store_lost = store_lost;
-        if now.since(self.looked) < DUE_EVERY {
-            return false;
-        }
-        self.looked = now;
-        let due: Vec<usize> = self.due().collect();
-        self.send_to(config, due);
-        let round_over = now.since(self.round_began) >= self.every();
-        if round_over {
-            self.round_began = now;
-        }
-        round_over
-    }
-
-    /// Returns the positions of the members whose next heartbeat is due, by the pace that each was
-    /// told: in a cell that grows, the earlier ones expect it at the pace of a smaller one.
-    fn due(&self) -> impl Iterator<Item = usize> {
-        let first_end = self.first_end();
-        let all = self.list.iter().enumerate();
-        let is_due = move |&(at, m): &(usize, &Member)| {
-            self.now.since(m.beat_sent) >= m.pace_told.min(self.pace(at, first_end))
-        };
-        all.filter(is_due).map(|(at, _)| at)
-    }
-
-    /// Returns the end of the part of the list that holds the first ones to take over.
-    fn first_end(&self) -> usize {
-        let first = self.list.iter().enumerate().filter(|(_, m)| !m.stopping);
-        first.take(TOLD).last().map_or(0, |(at, _)| at + 1)
-    }
-
-    /// Returns the time between two heartbeats to the member at a position.
-    fn pace(&self, at: usize, first_end: usize) -> Millis {
-        if at < first_end { HEARTBEAT } else { self.every() }
-    }
-
-    /// Returns the time between two heartbeats to most members.
-    fn every(&self) -> Millis {
-        let times = self.list.len().div_ceil(MEMBERS_AT_FULL_PACE).clamp(1, RAREST);
-        Millis(HEARTBEAT.0 * times as u64)
-    }
-
-    /// Sends a heartbeat to the members at these positions. Who takes over first is told to each
-    /// member once, and again when it changes.
-    fn send_to(&mut self, config: ConfigKnown, positions: Vec<usize>) {
-        self.renew_order();
-        let first_end = self.first_end();
-        for at in positions {
-            let pace = self.pace(at, first_end);
-            let Some(m) = self.list.get_mut(at) else { continue };
-            let knows_order = m.order_told == self.order_number;
-            let beat = Heartbeat {
-                epoch: self.owner.epoch,
-                members: if knows_order { Vec::new() } else { self.order.clone() },
-                config: config.version,
-                config_age_ms: config.age.0,
-                store_lost: self.store_lost,
-                every_ms: pace.0,
-            };
-            m.beat_sent = self.now;
-            m.pace_told = pace;
-            if m.outbox.send(Body::Heartbeat(beat)) {
-                m.order_told = self.order_number;
-            }
-        }
-    }
-
-    /// Brings the members that take over first up to date.
-    fn renew_order(&mut self) {
-        let order = || self.list.iter().filter(|m| !m.stopping).take(TOLD);
-        if order().map(|m| &*m.address).ne(self.order.iter().map(String::as_str)) {
-            self.order = order().map(|m| m.address.to_string()).collect();
-            self.order_number += 1;
-        }
-    }
-
     /// Returns the seats for calls for advice, this process first. Each member makes the calls
     /// of one partition, since the service takes one call of an instance at a time.
     pub fn seats(&self) -> Vec<Seat> {
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -3,11 +3,11 @@
 use crate::announce::announce;
 use crate::inbox::OwnerHandle;
 use crate::load::load;
-use crate::member::{Parted, follow};
+use crate::member::follow;
 use crate::owner::{Owner, OwnerEnd};
 use crate::owner_row::{RETRY, find_owner, take, unchanged_owner};
 use crate::partition::{Cx, Route};
-use crate::succession::Changes;
+use crate::succession::{Changes, Parted};
 use crate::wire::OwnerInfo;
 use hollowford_adapter::Version;
 use std::time::Duration;
--- a/crates/hollowford-node/src/succession.rs
+++ b/crates/hollowford-node/src/succession.rs
@@ -6,11 +6,13 @@
 //!
 //! 1. Each member judges its owner by what it hears on its own link ([`Hearing`], used by
 //!    `member`). An owner that is quiet is asked over a new link before it is taken for silent.
+//!    How it ends is [`Parted`].
 //! 2. A member whose owner is gone waits its turn ([`Standing`], used by `ownership`): those that
 //!    the owner has named go first, then larger ones, then those that own less.
 //! 3. The owner row decides (`owner_row`): it is written only as it was read, and an owner that
 //!    goes on writing it is alive.
 
+use hollowford_adapter::Version;
 use hollowford_core::Millis;
 use std::collections::VecDeque;
 
@@ -118,6 +120,37 @@
     }
 }
 
+/// Why a member has left its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Parted {
+    /// A newer owner is known.
+    Newer,
+    /// Nothing answers at its address, or not as the owner any more.
+    Gone,
+    /// The link has ended or is dead, though the owner has answered: it may still be there.
+    Cut,
+    /// It says nothing, also when it is asked over a new link.
+    Silent,
+    /// It wants this process to take over.
+    HandedOver {
+        /// Version of the owner row; 0: not known.
+        rev: Version,
+    },
+}
+
+impl Parted {
+    /// Returns its name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Parted::Newer => "newer",
+            Parted::Gone => "gone",
+            Parted::Cut => "cut",
+            Parted::Silent => "silent",
+            Parted::HandedOver { .. } => "handed_over",
+        }
+    }
+}
+
 /// What decides how long a process leaves a partition to others.
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
