An owner that is told of the list of workers still looks for entries whose absence it did not believe

Found by reading the change, not seen: after the store was away an owner doesn't believe at once that an entry is gone. The owner that reads for all may have taken it for gone before, and tells only of what changes, so one that is told would have kept such a worker for good: it no longer read the whole list. Now it does while it may hold such an entry, and it counts being told as an answer of the store, with the same rule for what that means after the store was away.

Test: fails when the doubt is not noted.

--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -46,6 +46,8 @@
     answered_at: Millis,
     /// Missing entries are not believed before.
     believe_missing_at: Millis,
+    /// An entry may be missing that was not believed to be; a whole reading tells.
+    doubtful: bool,
     /// Rows that could not be read and have been logged.
     malformed: FxHashSet<String>,
     /// When the owner that reads for all has told something last that followed on what is known.
@@ -115,6 +117,7 @@
             read_at: Millis(0),
             answered_at: now,
             believe_missing_at: now,
+            doubtful: false,
             malformed: FxHashSet::default(),
             told_at: None,
         }
@@ -140,16 +143,16 @@
             return None;
         }
         let now = cx.shared.clock.now();
+        if self.doubtful && self.is_read_due(now) {
+            return None;
+        }
         let is_told = self.told_at.is_some_and(|at| now.since(at) < TOLD_WITHIN);
         let patience = if is_told { TOLD_WITHIN.duration() } else { PAUSE };
         let deadline = Instant::now() + patience;
         while let Ok(Ok(changes)) = timeout_at(deadline, told.recv()).await {
             match self.take_told(&changes) {
                 Told::Taken(changed) => {
-                    let now = cx.shared.clock.now();
-                    self.told_at = Some(now);
-                    self.read_at = now;
-                    self.answered_at = now;
+                    self.note_told(cx.shared.clock.now());
                     return Some(changed);
                 }
                 Told::Old => {}
@@ -160,6 +163,16 @@
         None
     }
 
+    /// Takes note that the owner that reads for all has told what follows on what is known here.
+    fn note_told(&mut self, now: Millis) {
+        self.note_answer(now);
+        self.told_at = Some(now);
+        if !self.doubtful {
+            // It reads the whole list, too.
+            self.read_at = now;
+        }
+    }
+
     /// Takes in what another owner has read.
     pub fn take_told(&mut self, changes: &WorkerChanges) -> Told {
         if changes.to < self.version {
@@ -185,9 +198,10 @@
     async fn next(&mut self, shared: &Shared) -> Result<WorkerChanges, StoreError> {
         let now = shared.clock.now();
         let from = self.version;
-        if self.version == 0 || now.since(self.read_at) >= self.read_every() {
+        if self.version == 0 || self.is_read_due(now) {
             let feed = shared.store.read_all(REGISTRY_TABLE, "", READ_TIMEOUT).await?;
-            self.note_answer(shared);
+            shared.note_store();
+            self.note_answer(shared.clock.now());
             self.version = feed.version;
             self.read_at = shared.clock.now();
             let rows = self.replace(&feed.rows);
@@ -195,7 +209,8 @@
         }
         match shared.store.feed(REGISTRY_TABLE, self.version, FEED_WAIT).await {
             Ok(feed) => {
-                self.note_answer(shared);
+                shared.note_store();
+                self.note_answer(shared.clock.now());
                 self.version = feed.version;
                 let changed = feed.rows.iter().filter(|r| self.apply(r));
                 let rows = changed.map(WorkerRow::from).collect();
@@ -210,14 +225,14 @@
         }
     }
 
-    /// Returns the longest time between two readings of the whole list.
-    fn read_every(&self) -> Millis {
-        READ_EVERY.max(Millis(READ_EVERY_FOR_EACH.0 * self.rows.len() as u64))
+    /// Tells whether the whole list is to be read again.
+    fn is_read_due(&self, now: Millis) -> bool {
+        let every = READ_EVERY.max(Millis(READ_EVERY_FOR_EACH.0 * self.rows.len() as u64));
+        now.since(self.read_at) >= every
     }
 
-    fn note_answer(&mut self, shared: &Shared) {
-        shared.note_store();
-        let now = shared.clock.now();
+    /// Takes note that the store has answered, here or to the owner that reads for all.
+    pub fn note_answer(&mut self, now: Millis) {
         if now.since(self.answered_at) > AWAY + Millis(FEED_WAIT.as_millis() as u64) {
             self.believe_missing_at = now + TRUST_MISSING_AFTER;
         }
@@ -227,7 +242,8 @@
     /// Takes the whole list. Returns the rows that have changed.
     pub fn replace(&mut self, rows: &[Row]) -> Vec<WorkerRow> {
         let mut changed = Vec::new();
-        if self.answered_at >= self.believe_missing_at {
+        self.doubtful = !self.believes_missing();
+        if !self.doubtful {
             let there: FxHashSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
             let gone = |key: String| WorkerRow { key, removed: true, ..WorkerRow::default() };
             let missing = self.rows.extract_if(.., |id, _| !there.contains(id.as_str()));
@@ -238,13 +254,27 @@
         changed
     }
 
+    fn believes_missing(&self) -> bool {
+        self.answered_at >= self.believe_missing_at
+    }
+
+    /// Tells whether it may hold entries that are missing in the store: what others have read doesn't
+    /// tell of those.
+    #[cfg(test)]
+    pub fn is_doubtful(&self) -> bool {
+        self.doubtful
+    }
+
     /// Takes one row. One that can't be read names no worker: the one that it named before is not
     /// on the list any more, so nothing new is started there, and what runs goes on under its
     /// lease. Tells whether something changed.
     pub fn apply(&mut self, row: &Row) -> bool {
+        if row.removed && !self.believes_missing() {
+            self.doubtful = true;
+            return false;
+        }
         if row.removed {
-            let believed = self.answered_at >= self.believe_missing_at;
-            return believed && self.rows.remove(&row.key).is_some();
+            return self.rows.remove(&row.key).is_some();
         }
         self.put(&row.key, &row.value)
     }
--- a/crates/hollowford-node/src/registry_tests.rs
+++ b/crates/hollowford-node/src/registry_tests.rs
@@ -137,3 +137,26 @@
     assert!(!changes(0, 10, rows).can_be_told());
     assert!(changes(0, 10, vec![WorkerRow::from(&good("w1"))]).can_be_told());
 }
+
+/// Pattern: the store was away, and an entry that is missing afterwards may come back. The owner that
+/// reads for all has long taken it for gone, and won't tell of it again.
+#[test]
+fn an_entry_whose_absence_was_not_believed_is_looked_for_again() {
+    let shared = process();
+    let mut list = Registry::new(Millis(0));
+    list.replace(&[good("w1"), good("w2")]);
+    list.note_answer(Millis(60_000));
+    let missing = Row { removed: true, ..good("w2") };
+    assert!(!list.apply(&missing));
+    assert!(list.is_doubtful());
+    assert_eq!(list.take_told(&changes(0, 10, Vec::new())), Told::Taken(false));
+    assert!(list.is_doubtful(), "only a whole reading tells");
+    list.replace(&[good("w1")]);
+    assert_eq!(ids(&list, &shared), ["w1", "w2"], "too early");
+    list.note_answer(Millis(61_000));
+    list.note_answer(Millis(62_000));
+    list.note_answer(Millis(62_600));
+    list.replace(&[good("w1")]);
+    assert_eq!(ids(&list, &shared), ["w1"]);
+    assert!(!list.is_doubtful());
+}
