--- a/crates/hollowford-node/src/announce.rs
+++ b/crates/hollowford-node/src/announce.rs
@@ -28,6 +28,7 @@
 const NODES: &str = "nodes";
 /// How long an announcement may take.
 const ANNOUNCE: Duration = Duration::from_millis(800);
+
 /// Tells every process that is known to the store who owns the partition.
 pub async fn announce(shared: Arc<Shared>, info: OwnerInfo) {
     let nodes = match shared.store.read_all(TABLE, NODES, CALL_TIMEOUT).await {
--- a/crates/hollowford-node/src/watch.rs
+++ b/crates/hollowford-node/src/watch.rs
@@ -16,13 +16,12 @@
 /// when the feed is silent for a second and one reading gets no answer.
 const READ_EVERY: Duration = Duration::from_millis(650);
 /// How often before it is known how many partitions there are: nobody is served yet, and the feed
-/// tells of changes. Hundreds of processes that start read nothing else for seconds.
+/// tells of changes. Hundreds of processes that start would read it over and over meanwhile.
 const BEFORE_PLAN_EVERY: Duration = Duration::from_millis(15_000);
 /// Once that is known an owner vouches for the configuration within this time, or it is read.
 const OWNER_VOUCHES_WITHIN: Duration = Duration::from_millis(1_000);
 /// How often a member whose owner vouches for the configuration finds out whether the store
-/// answers it: an owner that the store turns away hands over to one that it serves. Readings of
-/// all members were a third of all calls to the store in a cell of 147 instances.
+/// answers it: an owner that the store turns away hands over to one that it serves.
 const PROBE_EVERY: Millis = Millis(3_000);
 /// How often while the owner can't reach the store, to learn whether this process can.
 const PROBE_EVERY_FOR_OWNER: Duration = Duration::from_millis(200);
