Ends of a worker's next life are not forgotten unread once it has answered a start

Callers saw a task run twice, both times to its good end.

Cause: a worker is told to forget no ends while it doesn't answer, since its next life under the same id counts them anew. The answer to a start ended that, though it doesn't say which life has answered. The call after it then had the next life forget its first ends, which nobody had read. The same answer closed runs that were lost with the earlier life, and made a crash just after a start look like one long after it.

Change: a call without an answer leaves the life in doubt until a list that was asked for later tells that it goes on. In doubt no ends are acknowledged, the next look asks without waiting, and an answer to a start counts as a sign that the worker answers, not that it is still the same life. It holds whichever call the next life answers first, since only lists end the doubt. Cost: one look more after a call without an answer.

--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -50,8 +50,8 @@
                 continue;
             }
             w.looking = true;
-            let first = !w.claimed || w.unanswered > 0;
-            let wait = if first || !w.unwritten_ends.is_empty() { Millis(0) } else { longest };
+            let at_once = !w.claimed || w.doubted_since.is_some();
+            let wait = if at_once || !w.unwritten_ends.is_empty() { Millis(0) } else { longest };
             let call = WorkerCall::Look {
                 worker: w.life.clone(),
                 address: w.address.clone(),
@@ -123,6 +123,7 @@
     pub(crate) fn note_unheard(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         w.unanswered += 1;
+        w.doubted_since = Some(now);
         if w.unanswered == SILENT_AFTER {
             let since = now.since(w.last_answer);
             self.notes.push(Note::Silent { worker: w.life.clone(), silent: true, since });
@@ -142,8 +143,10 @@
         let second = w.fenced && !w.claimed && sent >= w.fenced_at + CONFIRM_AFTER;
         if let Some(w) = self.workers.get_mut(idx) {
             w.looked_clock = look.clock;
+            w.lives_on(sent);
         }
-        self.note_heard(idx, look.clock, now);
+        self.note_heard(idx, now);
+        self.note_life(idx, look.clock, now);
         if first || second {
             self.end_other_lives(idx, &look, sent, now);
         }
@@ -161,8 +164,8 @@
         self.plan_look(idx, first, now);
     }
 
-    /// Takes in that a worker has answered a call, with its clock.
-    pub(crate) fn note_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
+    /// Takes in that a worker has answered a call.
+    pub(crate) fn note_heard(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get_mut(idx) else { return };
         self.losses.note(w.unanswered > 0);
         // A worker that answers again may get tasks.
@@ -171,6 +174,12 @@
             let since = now.since(w.last_answer);
             self.notes.push(Note::Silent { worker: w.life.clone(), silent: false, since });
         }
+        w.unanswered = 0;
+    }
+
+    /// Takes in that it was this life that has answered, with its clock.
+    pub(crate) fn note_life(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
         w.answered(clock, now);
         if !w.lost.is_empty() {
             self.close_lost(idx);
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -7,7 +7,7 @@
 use crate::note::{GiveUp, Note};
 use crate::order::{Order, StartAnswer, WorkerCall};
 use crate::spec::{StepKey, TaskKey};
-use crate::workers::Placement;
+use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 use std::sync::Arc;
 
@@ -117,7 +117,7 @@
     ) -> bool {
         let Some(idx) = self.workers.find(life) else { return false };
         match answer {
-            StartAnswer::Runs(clock) => self.note_heard(idx, clock, now),
+            StartAnswer::Runs(clock) => self.note_start_heard(idx, clock, now),
             StartAnswer::Unanswered => self.note_unheard(idx, now),
             _ => {}
         }
@@ -157,6 +157,14 @@
         false
     }
 
+    /// Takes in that a worker has answered a start, which doesn't say which life of it has.
+    fn note_start_heard(&mut self, idx: WorkerIdx, clock: u64, now: Millis) {
+        self.note_heard(idx, now);
+        if self.workers.get(idx).is_some_and(|w| w.doubted_since.is_none()) {
+            self.note_life(idx, clock, now);
+        }
+    }
+
     /// Takes in an answer to a start that came after it was told that there was none. Only that
     /// the task runs is of use: a newer copy may be under way, which a refusal says nothing of.
     /// Tells whether a newer owner has claimed the worker.
@@ -170,7 +178,7 @@
     ) -> bool {
         let Some(idx) = self.workers.find(life) else { return false };
         if let StartAnswer::Runs(clock) = *answer {
-            self.note_heard(idx, clock, now);
+            self.note_start_heard(idx, clock, now);
             if let Some(w) = self.workers.get_mut(idx) {
                 w.answer_times.note(now.since(sent));
                 if let Some(h) = w.find_mut(task, run) {
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -86,6 +86,9 @@
     pub look_at: Millis,
     /// Calls without an answer since the last that got one.
     pub unanswered: u32,
+    /// When the last call went unanswered, until a list that was asked for later tells that this life goes
+    /// on: it may have started again since, and other answers don't say which life they are of.
+    pub doubted_since: Option<Millis>,
     pub answer_times: AnswerTimes,
     pub last_answer: Millis,
     pub health: Health,
@@ -126,6 +129,7 @@
             looking: false,
             look_at: now,
             unanswered: 0,
+            doubted_since: None,
             answer_times: AnswerTimes::default(),
             last_answer: now,
             health: Health::default(),
@@ -219,10 +223,10 @@
         held
     }
 
-    /// Returns the number up to which ends are acknowledged. A worker that doesn't answer may have
-    /// started again, and then counts its ends anew: it is to forget none of them unread.
+    /// Returns the number up to which ends are acknowledged. A worker that may have started again
+    /// counts its ends anew: it is to forget none of them unread.
     pub fn acknowledged_ends(&self) -> u64 {
-        if self.unanswered > 0 {
+        if self.doubted_since.is_some() {
             return 0;
         }
         self.unwritten_ends.first().map_or(self.taken, |first| first - 1)
@@ -233,9 +237,13 @@
         answers::limit(&self.answer_times, self.unanswered)
     }
 
-    /// Takes note of an answer with the worker's clock.
+    /// Takes note that a list that was asked for at `sent` has told that this life goes on.
+    pub fn lives_on(&mut self, sent: Millis) {
+        self.doubted_since = self.doubted_since.filter(|&at| at > sent);
+    }
+
+    /// Takes note of an answer of this life, with its clock.
     pub fn answered(&mut self, reading: u64, now: Millis) {
-        self.unanswered = 0;
         self.last_answer = now;
         if self.clock.is_none_or(|c| reading >= c.reading) {
             self.clock = Some(WorkerClock { reading, at: now });
--- a/crates/hollowford-jobs/tests/restarts.rs
+++ b/crates/hollowford-jobs/tests/restarts.rs
@@ -360,6 +360,44 @@
     assert!(is_only_run(&cell, &call));
 }
 
+/// Has a start go unanswered whose worker starts again meanwhile; then the next life answers it. Of the answer
+/// to a start nobody can tell whose it is.
+fn start_that_the_next_life_answers(cell: &mut Cell, id: u64, silent_ms: u64) -> WorkerCall {
+    let call = ordered_start(cell, id);
+    cell.workers[0].reachable = false;
+    cell.run(silent_ms);
+    cell.workers[0].restart_as_itself();
+    cell.workers[0].reachable = true;
+    cell.call(call.clone(), cell.engine.epoch());
+    call
+}
+
+#[test]
+fn what_the_next_life_has_done_is_not_forgotten_unread_once_it_has_answered_a_start() {
+    let mut cell = cell_that_has_worked(1);
+    let call = start_that_the_next_life_answers(&mut cell, 2, 20);
+    let WorkerCall::Start { task, .. } = call.clone() else { return };
+    cell.workers[0].end(task, EndKind::Done);
+    cell.run(1_000);
+    assert_eq!(cell.state(2), Some(JobState::Completed));
+    assert!(is_only_run(&cell, &call));
+}
+
+// The worker was not heard after it had begun the task: that the next life answers says nothing else.
+#[test]
+fn an_answer_of_the_next_life_does_not_make_a_crash_one_long_after_the_start() {
+    let mut cell = cell_that_has_worked(1);
+    assert!(is_used(&mut cell, 2));
+    start_that_the_next_life_answers(&mut cell, 3, 1_000);
+    cell.run(500);
+    let fresh = |n: &Note| match n {
+        Note::CrashedUnder { task, fresh, .. } => (task.step.job == JobId(2)).then_some(*fresh),
+        _ => None,
+    };
+    let notes = cell.engine.take_notes();
+    assert_eq!(notes.iter().filter_map(fresh).collect::<Vec<_>>(), [true]);
+}
+
 // The first answer of a life may come late, when the next one is on the list already.
 #[test]
 fn a_late_first_answer_does_not_end_a_life_that_became_known_after_the_call() {
