Soak: no channel outlasts the life at its end, and a start on a worker that leaves counts where an owner could know

The users' rule counts a start by a machine in touch, after one in touch has acknowledged that the worker leaves; the check counted from when the worker said so. It counts now from the end of what kept owners from hearing it or their orders from arriving (`harm`: store, ways to it, the worker's way, pauses), with the same 2 s. What was harmed when is tested on its own.

In part the stand-in's doing: a proxy held a call over the end of a life and gave it to the next one, on a channel to a process that was gone. Channels end with the life now, those that hold something, too; the case fails without.

A run that found something keeps what was done and when beside its logs.

--- a/crates/hollowford-soak/src/actions.rs
+++ b/crates/hollowford-soak/src/actions.rs
@@ -36,7 +36,10 @@
             Action::CallerPath(n, mode) => self.cell.nodes[n].callers.set(mode),
             Action::WorkerPath(w, mode) => self.cell.workers[w].proxy.set(mode),
             Action::CrashWorker(w) => self.cell.restart_worker(w),
-            Action::DrainWorker(w) => self.cell.drain_worker(w),
+            Action::DrainWorker(w) => {
+                let id = self.cell.drain_worker(w);
+                self.leavers.insert(id, w);
+            }
             Action::ReplaceWorker(w) => {
                 self.cell.remove_worker(w);
                 self.cell.add_worker(&mut self.rng).await?;
@@ -104,6 +107,7 @@
 
     /// Ends everything that is wrong, and waits until all processes are ready.
     pub async fn heal(&mut self) -> Result<(), SoakError> {
+        self.harms.end_all(self.cell.platform.now());
         self.change_store(|f| *f = Faults::default());
         for node in &self.cell.nodes {
             node.store.set(Mode::Pass);
--- a/crates/hollowford-soak/src/cell.rs
+++ b/crates/hollowford-soak/src/cell.rs
@@ -135,7 +135,8 @@
             ..WorkerClock::default()
         };
         self.platform.with_worker(&id, |w| w.clock = clock);
-        let proxy = Proxy::open(addr).await?;
+        let lives = self.platform.with_worker(&id, |w| w.channels.subscribe());
+        let proxy = Proxy::open_to_lives(addr, lives).await?;
         self.platform.list_worker(&id, proxy.addr, rack, false);
         self.workers.push(Worker { id, rack, proxy, gone: false });
         Ok(())
@@ -159,13 +160,14 @@
         w.id = next;
     }
 
-    /// Lets a worker say that it is about to leave.
-    pub fn drain_worker(&mut self, i: usize) {
+    /// Lets a worker say that it is about to leave. Returns its id.
+    pub fn drain_worker(&mut self, i: usize) -> String {
         let platform = self.platform.clone();
         let w = self.worker(i);
         let now = platform.now();
-        platform.with_worker(&w.id, |x| x.leaving_since = Some(x.clock.at(now)));
+        platform.with_worker(&w.id, |x| x.leaving_since = Some(now));
         platform.list_worker(&w.id, w.proxy.addr, w.rack, true);
+        w.id.clone()
     }
 
     /// Takes a worker away.
--- a/crates/hollowford-soak/src/judge.rs
+++ b/crates/hollowford-soak/src/judge.rs
@@ -2,6 +2,8 @@
 
 use crate::callers::{Book, FORGOTTEN, SharedBook, call, judge_answer, lock};
 use crate::cell::{Cell, version_prefix};
+use crate::harm::Harms;
+use hollowford_adapter_standin::LeavingStart;
 use reqwest::{Client, Method};
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
@@ -19,6 +21,9 @@
 /// A task may begin so long after its job's cancellation was confirmed: an order that was on
 /// its way may be carried out late, behind a cut that lasts some seconds.
 const CANCEL_GRACE_MS: u64 = 9_000;
+/// A worker that leaves takes what is started within this time of saying so, or of the end of what
+/// kept owners from hearing it or their orders from arriving.
+const LEAVING_GRACE_MS: u64 = 2_000;
 /// A job may be given up once so many workers have crashed under one of its tasks.
 const CRASHES_TO_FAIL: u32 = 2;
 /// Versions of the configuration that are asked for, the newest first.
@@ -109,6 +114,24 @@
     !ended && status != FORGOTTEN
 }
 
+/// Returns the tasks that were begun on workers that leave although an owner in touch would have known.
+pub fn judge_leaving(
+    starts: &[LeavingStart],
+    leavers: &HashMap<String, usize>,
+    harms: &Harms,
+) -> Vec<String> {
+    let mut wrong = Vec::new();
+    for start in starts {
+        let Some(&worker) = leavers.get(&start.worker) else { continue };
+        let known = start.said_ms.max(harms.whole_since(worker, start.at_ms));
+        if start.at_ms > known + LEAVING_GRACE_MS {
+            let LeavingStart { task, worker, said_ms, at_ms } = start;
+            wrong.push(format!("{task} begins at {at_ms} on {worker} that leaves since {said_ms}"));
+        }
+    }
+    wrong
+}
+
 /// Returns what is wrong with the tasks that were begun, by what callers were told.
 pub fn judge_starts(cell: &Cell, book: &Book) -> Vec<String> {
     let mut wrong = Vec::new();
--- a/crates/hollowford-soak/src/lib.rs
+++ b/crates/hollowford-soak/src/lib.rs
@@ -4,6 +4,9 @@
 mod actions;
 pub mod callers;
 pub mod cell;
+pub mod harm;
+#[cfg(test)]
+mod harm_tests;
 pub mod judge;
 mod net;
 pub mod ports;
@@ -11,6 +14,8 @@
 mod ports_tests;
 pub mod process;
 pub mod proxy;
+#[cfg(test)]
+mod proxy_tests;
 pub mod run;
 pub mod schedule;
 
--- a/crates/hollowford-soak/src/proxy.rs
+++ b/crates/hollowford-soak/src/proxy.rs
@@ -61,10 +61,22 @@
     /// # Errors
     /// When no port can be had.
     pub async fn open(target: SocketAddr) -> Result<Proxy, SoakError> {
+        Proxy::open_to_lives(target, None).await
+    }
+
+    /// Opens a proxy in front of `target`, whose channels end whenever `lives` changes, with what
+    /// the proxy holds: nothing that was sent to one life reaches the next one.
+    ///
+    /// # Errors
+    /// When no port can be had.
+    pub async fn open_to_lives(
+        target: SocketAddr,
+        lives: Option<watch::Receiver<u64>>,
+    ) -> Result<Proxy, SoakError> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
         let mode = watch::Sender::new(Mode::Pass);
-        tokio::spawn(accept(listener, target, mode.clone()));
+        tokio::spawn(accept(listener, target, mode.clone(), lives));
         Ok(Proxy { addr, mode })
     }
 
@@ -74,13 +86,22 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: watch::Sender<Mode>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: watch::Sender<Mode>,
+    lives: Option<watch::Receiver<u64>>,
+) {
     while let Ok((from, _)) = listener.accept().await {
         if *mode.borrow() == Mode::Reset {
             reset(&from);
             continue;
         }
-        tokio::spawn(join(from, target, mode.subscribe()));
+        let life = lives.clone().map(|mut lives| {
+            lives.mark_unchanged();
+            lives
+        });
+        tokio::spawn(join(from, target, mode.subscribe(), life));
     }
 }
 
@@ -90,8 +111,22 @@
     let _ = stream.set_zero_linger();
 }
 
+/// Ends with the life at the other end of a channel.
+async fn over(life: Option<watch::Receiver<u64>>) {
+    let Some(mut life) = life else { return std::future::pending().await };
+    // The worker was taken away for good: its channels answer for themselves.
+    if life.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// Passes on both ways of a channel until one ends.
-async fn join(from: TcpStream, target: SocketAddr, mut mode: watch::Receiver<Mode>) {
+async fn join(
+    from: TcpStream,
+    target: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    life: Option<watch::Receiver<u64>>,
+) {
     let Ok(to) = TcpStream::connect(target).await else {
         reset(&from);
         return;
@@ -105,6 +140,10 @@
             reset(from_read.as_ref());
             reset(to_read.as_ref());
         }
+        () = over(life) => {
+            reset(from_read.as_ref());
+            reset(to_read.as_ref());
+        }
     }
 }
 
--- a/crates/hollowford-soak/src/run.rs
+++ b/crates/hollowford-soak/src/run.rs
@@ -3,10 +3,12 @@
 use crate::SoakError;
 use crate::callers::{Caller, SharedBook, lock};
 use crate::cell::{Cell, Size};
-use crate::judge::{ConfigWatch, await_ends, judge_starts};
-use crate::schedule::{Entry, draw};
+use crate::harm::Harms;
+use crate::judge::{ConfigWatch, await_ends, judge_leaving, judge_starts};
+use crate::schedule::{Action, Entry, draw};
 use hollowford_adapter_standin::{Faults, speech};
 use reqwest::Client;
+use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -19,6 +21,10 @@
 /// Between two looks at whether a process is ready, or has ended.
 pub(crate) const PAUSE: Duration = Duration::from_millis(20);
 
+/// Where a run's actions are kept beside its logs: the platform's clock in milliseconds, and what
+/// was done.
+const PLAYED: &str = "played.txt";
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -64,7 +70,13 @@
     pub down: Vec<bool>,
     /// What is wrong, apart from what callers were told.
     pub wrong: Vec<String>,
+    /// What was harmed when.
+    pub harms: Harms,
+    /// Workers that were told to leave, by id, and their numbers.
+    pub leavers: HashMap<String, usize>,
     pub rng: fastrand::Rng,
+    /// What was done, a line each.
+    played: Vec<String>,
 }
 
 /// Runs one seed.
@@ -83,7 +95,10 @@
         lives: (0..nodes).map(|_| Arc::default()).collect(),
         down: vec![false; nodes],
         wrong: Vec::new(),
+        harms: Harms::default(),
+        leavers: HashMap::new(),
         rng,
+        played: Vec::new(),
     };
     run.await_ready().await?;
     let book = SharedBook::default();
@@ -137,11 +152,18 @@
             let at = Duration::from_millis(entry.at_ms);
             sleep(at.saturating_sub(began.elapsed())).await;
             self.check_processes()?;
+            self.note_action(entry.action);
             self.act(entry.action).await?;
         }
         Ok(())
     }
 
+    fn note_action(&mut self, action: Action) {
+        let now = self.cell.platform.now();
+        self.harms.note(action, now);
+        self.played.push(format!("{now} {action:?}"));
+    }
+
     /// Notes processes that have ended by themselves.
     fn check_processes(&mut self) -> Result<(), SoakError> {
         for (i, node) in self.cell.nodes.iter_mut().enumerate() {
@@ -190,8 +212,12 @@
         wrong.extend(book.wrong.iter().cloned());
         wrong.extend(self.cell.platform.faults_found());
         wrong.extend(judge_starts(&self.cell, &book));
+        let starts = self.cell.platform.leaving_starts();
+        wrong.extend(judge_leaving(&starts, &self.leavers, &self.harms));
         if let (false, Some(keep)) = (wrong.is_empty(), &o.keep) {
-            self.cell.keep_logs(&keep.join(format!("seed-{seed}")))?;
+            let folder = keep.join(format!("seed-{seed}"));
+            self.cell.keep_logs(&folder)?;
+            std::fs::write(folder.join(PLAYED), self.played.join("\n"))?;
         }
         Ok(Report {
             seed,
