Of crashes after an outage, one counts as one just after a start

Cause: an outage of the store keeps an owner from writing that a run has worked or ended. If it is lost in the outage and the run's worker crashes later for a reason of its own, the next owner reads of a run that has just been started and counts the crash so; three such end a job.

Ruled out: telling it from what workers say (a worker that has crashed lists nothing); from the time of the crash (a worker is down for up to 13 s, and says only when it is back).

Change: a new owner that comes within 2 s of a failed call to the store takes runs on record as just started for ones that may have worked unwritten; that is written with them. One crash under such runs counts as one just after a start, as before; further ones count towards the four of any kind. So what crashes its workers in each outage is still given up, after four at the latest.

The three cases of `outages` fail with none, or all, of such crashes counted as just after a start.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -213,10 +213,13 @@
     /// Takes in what an earlier owner had written down of a task.
     pub(crate) fn recover_suspicion(&mut self, key: TaskKey, mut found: Suspicion, now: Millis) {
         found.open_runs.retain(|r| self.workers.find(&r.worker).is_some());
+        if self.outage_before {
+            found.open_runs.iter_mut().filter(|r| r.fresh).for_each(|r| r.untold = true);
+        }
         for r in &found.open_runs {
             let idx = self.workers.find(&r.worker);
             if let Some(w) = idx.and_then(|idx| self.workers.get_mut(idx)) {
-                let stage = if r.fresh { Stage::Fresh } else { Stage::Worked };
+                let stage = r.stage();
                 w.lost.push(LostRun { task: key, run: r.run, stage, since: now });
             }
         }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -108,6 +108,8 @@
     pub(crate) settled_at: Millis,
     /// Some tasks wait for the workers above.
     pub(crate) tasks_unsettled: bool,
+    /// The store was away shortly before the recovery.
+    pub(crate) outage_before: bool,
     /// Batches that are under way.
     pub(crate) in_flight: InFlight,
     /// Number of the last batch.
@@ -134,6 +136,12 @@
 }
 
 impl Engine {
+    /// Takes note, before the recovery, that the store was away shortly before: what the earlier owner had
+    /// learned by then may not be written.
+    pub fn note_outage_before(&mut self) {
+        self.outage_before = true;
+    }
+
     /// Makes the engine of an owner that has just taken the partition at `epoch`.
     pub fn new(epoch: u64, bounds: Bounds, now: Millis) -> Engine {
         Engine {
@@ -152,6 +160,7 @@
             unsettled: BTreeSet::new(),
             settled_at: now + bounds.earlier_lease,
             tasks_unsettled: false,
+            outage_before: false,
             in_flight: InFlight::default(),
             batch_no: 0,
             recorded: Vec::new(),
--- a/crates/hollowford-jobs/src/progress_rows.rs
+++ b/crates/hollowford-jobs/src/progress_rows.rs
@@ -72,6 +72,9 @@
     /// Crashed runs that their workers had not confirmed.
     #[prost(uint32, repeated, tag = "4")]
     pub unconfirmed_runs: Vec<u32>,
+    /// Crashed runs that may have worked or ended without its being written.
+    #[prost(uint32, repeated, tag = "5")]
+    pub untold_runs: Vec<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -87,6 +90,9 @@
     /// Tells lives under one id apart; rows of earlier releases lack it.
     #[prost(uint64, optional, tag = "4")]
     pub incarnation: Option<u64>,
+    /// That it has worked or ended may not have been written.
+    #[prost(bool, tag = "5")]
+    pub untold: bool,
 }
 
 impl ProgressRow {
@@ -117,12 +123,14 @@
             run: r.run,
             worker: r.worker.id().as_str().to_owned(),
             has_worked: !r.fresh,
+            untold: r.untold,
             incarnation: r.worker.incarnation().map(|i| i.0),
         };
         SuspicionRow {
             crashed_runs: s.crashed_runs.clone(),
             fresh_runs: s.fresh_runs.clone(),
             unconfirmed_runs: s.unconfirmed_runs.clone(),
+            untold_runs: s.untold_runs.clone(),
             open_runs: s.open_runs.iter().map(open).collect(),
         }
     }
@@ -134,11 +142,13 @@
             run: r.run,
             worker: WorkerLife::new(r.worker.as_str().into(), r.incarnation.map(Incarnation)),
             fresh: !r.has_worked,
+            untold: r.untold,
         };
         Suspicion {
             crashed_runs: row.crashed_runs.clone(),
             fresh_runs: row.fresh_runs.clone(),
             unconfirmed_runs: row.unconfirmed_runs.clone(),
+            untold_runs: row.untold_runs.clone(),
             open_runs: row.open_runs.iter().map(open).collect(),
             unwritten_row: None,
         }
--- a/crates/hollowford-jobs/src/suspicion.rs
+++ b/crates/hollowford-jobs/src/suspicion.rs
@@ -16,6 +16,9 @@
 /// Crashes that end a job while fewer than [`LEAST_CONFIRMED`] of the runs were confirmed by their workers: a
 /// start that was never confirmed may have reached its worker after the crash.
 const UNCONFIRMED_CRASHES_TO_FAIL: usize = 5;
+/// Crashes that count as soon after a start though their runs may have worked or ended unwritten. One such
+/// crash is likely to be real; more of them come about in a row by an outage alone.
+const MOST_UNTOLD: usize = 1;
 /// Confirmed runs from which on [`CRASHES_TO_FAIL`] applies.
 const LEAST_CONFIRMED: usize = 2;
 
@@ -26,6 +29,9 @@
     Unconfirmed,
     /// It had been started shortly before.
     Fresh,
+    /// It was on record as just started, but the store was away: that it had worked or ended may not have
+    /// been written.
+    Untold,
     /// It had worked for a while: what crashes a worker does so sooner.
     Worked,
 }
@@ -38,6 +44,19 @@
     pub worker: WorkerLife,
     /// It is not known to have worked for a while: a crash now would count as one soon after its start.
     pub fresh: bool,
+    /// That it has worked or ended may not have been written.
+    pub untold: bool,
+}
+
+impl OpenRun {
+    /// Returns how far it has come, as far as that is on record.
+    pub fn stage(&self) -> Stage {
+        match (self.fresh, self.untold) {
+            (true, true) => Stage::Untold,
+            (true, false) => Stage::Fresh,
+            (false, _) => Stage::Worked,
+        }
+    }
 }
 
 /// The record of one task. Only tasks that were on a worker that has crashed, or may have, have one;
@@ -51,6 +70,8 @@
     pub fresh_runs: Vec<u32>,
     /// Those of them that their workers had not confirmed.
     pub unconfirmed_runs: Vec<u32>,
+    /// Those of them that may have worked or ended without its being written.
+    pub untold_runs: Vec<u32>,
     /// The run that is under way, and runs whose workers fell silent for longer than a lease.
     pub open_runs: Vec<OpenRun>,
     /// Number of the row of the job's progress that tells all of this first; none: the store has it.
@@ -61,8 +82,10 @@
     /// Takes note of a start, or of what has become known of it.
     pub fn opens(&mut self, run: u32, worker: &WorkerLife, fresh: bool) {
         match self.open_runs.iter_mut().find(|r| r.run == run) {
-            Some(r) => r.fresh = fresh,
-            None => self.open_runs.push(OpenRun { run, worker: worker.clone(), fresh }),
+            Some(r) => (r.fresh, r.untold) = (fresh, false),
+            None => {
+                self.open_runs.push(OpenRun { run, worker: worker.clone(), fresh, untold: false })
+            }
         }
     }
 
@@ -95,6 +118,7 @@
         match stage {
             Stage::Unconfirmed => self.unconfirmed_runs.push(run),
             Stage::Fresh => self.fresh_runs.push(run),
+            Stage::Untold => self.untold_runs.push(run),
             Stage::Worked => {}
         }
         true
@@ -119,16 +143,23 @@
     /// Tells whether the task is to be given up.
     pub fn is_telling(&self) -> bool {
         let all = self.crashed_runs.len();
-        is_telling(self.fresh_runs.len(), all - self.unconfirmed_runs.len(), all)
+        let confirmed = all - self.unconfirmed_runs.len();
+        is_telling(self.count_fresh(0, 0), confirmed, all)
     }
 
     /// Tells whether the next start has to wait until it is known what became of earlier ones: were all
     /// of them crashes, the task would be given up.
     pub fn holds_back(&self) -> bool {
-        let open_fresh = self.open_runs.iter().filter(|r| r.fresh).count();
+        let open = |stage| self.open_runs.iter().filter(|r| r.stage() == stage).count();
+        let fresh = self.count_fresh(open(Stage::Fresh), open(Stage::Untold));
         let all = self.crashed_runs.len() + self.open_runs.len();
-        let confirmed = all - self.unconfirmed_runs.len();
-        is_telling(self.fresh_runs.len() + open_fresh, confirmed, all)
+        is_telling(fresh, all - self.unconfirmed_runs.len(), all)
+    }
+
+    /// Counts the crashes that count as soon after a start, with so many more of either kind.
+    fn count_fresh(&self, more_fresh: usize, more_untold: usize) -> usize {
+        let untold = self.untold_runs.len() + more_untold;
+        self.fresh_runs.len() + more_fresh + untold.min(MOST_UNTOLD)
     }
 }
 
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -93,6 +93,8 @@
     pub log: Vec<Order>,
     /// Tasks that crash the workers that start them.
     pub crashes: Crashes,
+    /// The next owner comes after an outage of the store.
+    pub outage_before: bool,
 }
 
 impl Cell {
@@ -118,6 +120,7 @@
             stale: Vec::new(),
             log: Vec::new(),
             crashes: Crashes::default(),
+            outage_before: false,
         };
         cell.equip();
         cell.run(100);
@@ -364,6 +367,9 @@
         self.pending.clear();
         self.engine = Engine::new(epoch, BOUNDS, self.now);
         self.engine.set_queues(&self.queues, self.now);
+        if self.outage_before {
+            self.engine.note_outage_before();
+        }
         let rows: Vec<_> = self.rows.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
         self.engine.recover(&rows, self.now).expect("rows that can be read");
     }
--- a/crates/hollowford-jobs/tests/common/plays.rs
+++ b/crates/hollowford-jobs/tests/common/plays.rs
@@ -23,6 +23,8 @@
 const ENDS_WITHIN: u64 = 240_000;
 /// Starts count once the store has been well for so long.
 const IN_TOUCH_AFTER: Millis = Millis(2_000);
+/// A new owner reckons with an outage of the store that ended less than this before.
+const OUTAGE_COUNTS_FOR: Millis = Millis(2_000);
 /// A worker that leaves is gone after this time, and another is at its address.
 const LEAVES_WITHIN: u64 = 2_500;
 /// A member of a gang that is not complete for so long ends.
@@ -260,6 +262,8 @@
             self.cell.write_unheard(0);
         }
         self.made_at = None;
+        let well_for = self.cell.now.since(self.unwell_at);
+        self.cell.outage_before = self.unwell_at.0 > 0 && well_for < OUTAGE_COUNTS_FOR;
         self.cell.take_over();
     }
 
--- a/crates/hollowford-jobs/tests/outages.rs
+++ b/crates/hollowford-jobs/tests/outages.rs
@@ -117,3 +117,90 @@
     cell.run(3_000);
     assert_eq!(cell.crashes.count, 1);
 }
+
+/// A worker that has crashed here is down for so long, in milliseconds.
+const DOWN: u64 = 1_000;
+/// Until its next life is known, in milliseconds.
+const KNOWN_AFTER: u64 = 500;
+
+/// Waits until the only task runs, and returns where.
+fn runs_at(cell: &mut Cell) -> usize {
+    for _ in 0..2_000 {
+        if let Some(at) = cell.workers.iter().position(|w| !w.running.is_empty()) {
+            return at;
+        }
+        cell.run(5);
+    }
+    panic!("it doesn't run: {:?}", cell.state(1));
+}
+
+fn crash(cell: &mut Cell, at: usize) {
+    let Cell { crashes, workers, .. } = cell;
+    crashes.crash(&mut workers[at]);
+}
+
+/// The task's worker crashes just after the start, and the owner learns of it.
+fn crash_after_the_start(cell: &mut Cell) {
+    let at = runs_at(cell);
+    cell.run(100);
+    crash(cell, at);
+    cell.run(DOWN - 50);
+}
+
+/// The task ends well in an outage, and its worker crashes later, for a reason of its own. Another owner
+/// goes on: no row tells it of the end, and no worker.
+fn crash_after_the_end_in_an_outage(cell: &mut Cell) {
+    let at = runs_at(cell);
+    cell.store_up = false;
+    cell.run(2_000);
+    assert_eq!(cell.running(), 0);
+    crash(cell, at);
+    cell.outage_before = true;
+    cell.take_over();
+    cell.outage_before = false;
+    cell.store_up = true;
+    cell.run(DOWN - 50);
+}
+
+/// A cell with one job, whose task takes less than two seconds.
+fn cell_with_a_task() -> Cell {
+    let mut cell = Cell::new(6);
+    cell.crashes.down = Millis(DOWN);
+    cell.submit(1, LARGE, job(vec![step(1, 1_000, 1_800)]));
+    cell
+}
+
+// Each of these crashes looks like one just after the start, and three such end a job.
+#[test]
+fn crashes_after_ends_that_an_outage_has_hidden_do_not_end_a_job() {
+    let mut cell = cell_with_a_task();
+    crash_after_the_start(&mut cell);
+    crash_after_the_end_in_an_outage(&mut cell);
+    crash_after_the_end_in_an_outage(&mut cell);
+    cell.run(KNOWN_AFTER);
+    assert_eq!(cell.state(1), Some(JobState::Running));
+    cell.run(5_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+}
+
+// What really crashes its workers must not have an outage for each of its starts.
+#[test]
+fn one_crash_after_an_outage_counts_as_one_just_after_the_start() {
+    let mut cell = cell_with_a_task();
+    crash_after_the_start(&mut cell);
+    crash_after_the_end_in_an_outage(&mut cell);
+    crash_after_the_start(&mut cell);
+    cell.run(KNOWN_AFTER);
+    assert_eq!(cell.state(1), Some(JobState::Failed));
+}
+
+#[test]
+fn crashes_after_outages_end_a_job_in_the_end() {
+    let mut cell = cell_with_a_task();
+    crash_after_the_start(&mut cell);
+    for _ in 0..3 {
+        crash_after_the_end_in_an_outage(&mut cell);
+    }
+    cell.run(KNOWN_AFTER);
+    assert_eq!(cell.state(1), Some(JobState::Failed));
+}
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -13,6 +13,8 @@
 
 /// Longest time for reading the partition's rows.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// An owner that lives for so long after an outage of the store has written all that it knew.
+const OUTAGE_COUNTS_FOR: Millis = Millis(2_000);
 /// An owner without the partition's rows for so long gives it up.
 const LOAD_PATIENCE: Millis = Millis(4_000);
 
@@ -50,6 +52,9 @@
         let accounts = config.accounts.as_deref().unwrap_or_default();
         engine.set_accounts(accounts);
     }
+    if cx.shared.store_failed_within(OUTAGE_COUNTS_FOR) {
+        engine.note_outage_before();
+    }
     let rows: Vec<_> = feed.rows.into_iter().map(|r| (r.key, r.value)).collect();
     match engine.recover(&rows, feed.now) {
         Ok(found) => log::info!(
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -128,6 +128,12 @@
         failed > self.store_answered.load(Ordering::Relaxed) && self.store_age() >= at_least
     }
 
+    /// Tells whether a call to the store has failed within this time.
+    pub fn store_failed_within(&self, span: Millis) -> bool {
+        let failed = self.store_failed.load(Ordering::Relaxed);
+        failed > 0 && self.clock.now().since(Millis(failed)) < span
+    }
+
     /// Returns the time since the store answered.
     pub fn store_age(&self) -> Millis {
         self.clock.now().since(Millis(self.store_answered.load(Ordering::Relaxed)))
