A test that a cell without failures keeps its owners, at the fleet's size and twice that

What a new owner and its members do was tested apart: the owner's heartbeats, and how a member judges what it hears.

`settling` puts the two on one clock: instances that open their links in turn, an owner whose processor is shared with the claims of its workers, and members that judge and ask. No member of 147, 588 or 1,176 leaves the owner; once it says nothing, those that take over first miss it within 0.6 s.

What a link, a frame and a claim cost the owner is assumed, and said at the head.

--- a/crates/hollowford-node/src/announce.rs
+++ b/crates/hollowford-node/src/announce.rs
@@ -11,10 +11,10 @@
 use tokio::time::{sleep, timeout};
 
 /// So many processes are told at a time,
-const TOLD_AT_A_TIME: usize = 32;
+pub(crate) const TOLD_AT_A_TIME: usize = 32;
 /// and then the next ones after this time: each opens a link to the new owner at once, which has
 /// other work to do as well, and no room for hundreds of them that come together.
-const TOLD_EVERY: Duration = Duration::from_millis(16);
+pub(crate) const TOLD_EVERY: Duration = Duration::from_millis(16);
 /// A process enters itself into the list at some time within this one of its start. Nothing waits for
 /// that, and the store makes the writings of a part one after the other: hundreds of processes that
 /// start at once would keep it full, and each that is refused, or waits there for longer than it
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -63,6 +63,8 @@
 mod retries;
 #[cfg(test)]
 mod retries_tests;
+#[cfg(test)]
+mod settling_tests;
 mod shared;
 #[cfg(test)]
 mod shared_tests;
