The clock counts the time for which a machine is suspended

After a suspension a process believed what it had known before: that it had just heard its owner, or read the configuration, that it may vouch for keys, that leases still run. Others had waited all that time.

Cause: the steady clock doesn't count a suspension. Ways: read the clock that does; keep the steady one and look for jumps of the time of day, which also come without a suspension and must move nothing. The first is kept: all that judge by the one clock type then see a suspension as they see a pause of the process, which is held and tested.

Timers of the runtime go on with the steady clock. They fire late by the suspension at most, and those that decide something (a member's judgement of its owner, leases, ages) read the clock anew as they fire; limits of calls last longer, and end with their channels.

The cases set the clock ahead, as a suspension does; that the system's clock counts one is its documentation's word, and was not tried on a machine that was suspended. Not done: the soak doesn't suspend; the older engine's links read the runtime's clock.

--- a/crates/hollowford-core/src/time.rs
+++ b/crates/hollowford-core/src/time.rs
@@ -1,6 +1,8 @@
 //! One clock type, in milliseconds.
 
+use nix::time::{ClockId, clock_gettime};
 use std::ops::{Add, Sub};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A reading of a monotonic clock, or a length of time, in milliseconds.
@@ -41,20 +43,37 @@
 }
 
 /// The monotonic clock of this process.
+///
+/// It counts the time for which the machine is suspended, too: leases run out meanwhile, and others
+/// take over, so what a process believed before is as old as after a pause of the process alone.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
+    /// Time since the machine was started, then; none: the system doesn't tell it.
+    booted: Option<Duration>,
+    shift: Option<&'static AtomicU64>,
 }
 
 impl Clock {
     /// Starts a clock that reads zero now.
     pub fn new() -> Clock {
-        Clock { start: Instant::now() }
+        Clock { start: Instant::now(), booted: since_boot(), shift: None }
+    }
+
+    /// Returns the same clock, ahead by as many milliseconds as `shift` holds at each reading. It lets
+    /// tests suspend a process.
+    pub fn shifted(self, shift: &'static AtomicU64) -> Clock {
+        Clock { shift: Some(shift), ..self }
     }
 
     /// Returns the milliseconds since the clock was started.
     pub fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        let elapsed = match (self.booted, since_boot()) {
+            (Some(then), Some(now)) => now.saturating_sub(then),
+            _ => self.start.elapsed(),
+        };
+        let shift = self.shift.map_or(0, |s| s.load(Ordering::Relaxed));
+        Millis(elapsed.as_millis() as u64 + shift)
     }
 
     /// Returns the wall clock's milliseconds since 1970, for people to read.
@@ -64,6 +83,11 @@
     }
 }
 
+/// Returns the time since the machine was started, suspensions included.
+fn since_boot() -> Option<Duration> {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).ok().map(Duration::from)
+}
+
 impl Default for Clock {
     fn default() -> Clock {
         Clock::new()
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -71,6 +71,8 @@
 mod succession;
 #[cfg(test)]
 mod succession_tests;
+#[cfg(test)]
+mod suspension_tests;
 mod watch;
 #[cfg(test)]
 mod watch_tests;
