--- a/crates/hollowford-jobs/tests/crash_plays.rs
+++ b/crates/hollowford-jobs/tests/crash_plays.rs
@@ -155,8 +155,20 @@
 }
 
 // An outage loses the owner's word that a run had ended or worked, and its worker crashes for a reason of its own before
-// another owner has heard it: that counts as a crash soon after the start. Three such, real or not, end a job.
+// another owner has heard it: that looks like a crash soon after the start, and three of these ended a job.
 #[parameterized(first = { 251 }, second = { 416 }, third = { 1348 })]
 fn jobs_that_fail_without_cause(seed: u64) {
     assert_eq!(play(seed, ALL), Vec::<String>::new(), "seed {seed}");
 }
+
+// Known red. Crashes of other causes that look like the task's own still add up: four of any kind, some of them after
+// ends that an outage has hidden (the first three seeds), or three just after a start, all by others' faults.
+#[parameterized(
+    four_of_any_kind = { 1954, ALL },
+    four_of_any_kind_again = { 2219, ALL },
+    lives_under_the_same_ids = { 1760, ALL_AND_SAME_IDS },
+    by_others_faults = { 3436, OUTAGES_AND_OWNERS },
+)]
+fn jobs_that_still_fail_without_cause(seed: u64, failures: Failures) {
+    assert_eq!(play(seed, failures), Vec::<String>::new(), "seed {seed}");
+}
--- a/crates/hollowford-node/src/homes.rs
+++ b/crates/hollowford-node/src/homes.rs
@@ -43,7 +43,7 @@
 
 /// Returns the partition of a client account: all its jobs are homed there, so that one owner counts
 /// what the account has running. Equal parts of its quota in each partition would keep gangs that
-/// are larger than a part from ever running: 81 tasks on a day of three partitions.
+/// are larger than a part from ever running.
 pub fn home_of_account(account: &str, partitions: u32) -> u32 {
     (hash(&account) % u64::from(partitions.max(1))) as u32
 }
