Soak: a start after a cancellation is judged by what could delay it

The run knows what it harms and when, so a start counts now from 2 s after the confirmation and the end of all such harm on, and as before after 9 s in any case.

--- a/crates/hollowford-soak/src/harm.rs
+++ b/crates/hollowford-soak/src/harm.rs
@@ -65,13 +65,13 @@
         }
     }
 
-    /// Returns since when, up to `at_ms`, nothing has kept an owner from knowing the list of workers
-    /// and from reaching this worker; `at_ms` itself while something does.
-    pub fn whole_since(&self, worker: usize, at_ms: u64) -> u64 {
+    /// Returns since when, up to `at_ms`, nothing has kept an owner from hearing of a change and from
+    /// reaching this worker, or any one if none is given; `at_ms` itself while something does.
+    pub fn whole_since(&self, worker: Option<usize>, at_ms: u64) -> u64 {
         let open = self.open.iter();
         let open = open.map(|(&place, &from_ms)| Harm { place, from_ms, until_ms: None });
         let matters = |h: &Harm| match h.place {
-            Place::WorkerPath(w) => w == worker,
+            Place::WorkerPath(w) => worker.is_none_or(|worker| w == worker),
             _ => true,
         };
         let harms = self.all.iter().copied().chain(open);
--- a/crates/hollowford-soak/src/harm_tests.rs
+++ b/crates/hollowford-soak/src/harm_tests.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn without_harm_all_is_whole_from_the_start() {
-    assert_eq!(harms(&[]).whole_since(0, 500), 0);
+    assert_eq!(harms(&[]).whole_since(Some(0), 500), 0);
 }
 
 #[yare::parameterized(
@@ -27,17 +27,24 @@
 )]
 fn harm_counts_until_it_ends(begins: Action, ends: Action) {
     let harms = harms(&[(100, begins), (300, ends)]);
-    assert_eq!(harms.whole_since(7, 99), 0, "not begun");
-    assert_eq!(harms.whole_since(7, 200), 200, "in force");
-    assert_eq!(harms.whole_since(7, 900), 300, "over");
+    assert_eq!(harms.whole_since(Some(7), 99), 0, "not begun");
+    assert_eq!(harms.whole_since(Some(7), 200), 200, "in force");
+    assert_eq!(harms.whole_since(Some(7), 900), 300, "over");
 }
 
 #[test]
 fn harm_that_has_not_ended_counts_until_all_does() {
     let mut harms = harms(&[(100, Action::Outage(true))]);
-    assert_eq!(harms.whole_since(0, 900), 900);
+    assert_eq!(harms.whole_since(Some(0), 900), 900);
     harms.end_all(400);
-    assert_eq!(harms.whole_since(0, 900), 400);
+    assert_eq!(harms.whole_since(Some(0), 900), 400);
+}
+
+#[test]
+fn the_way_to_any_worker_matters_where_none_is_named() {
+    let harms = harms(&[(100, Action::WorkerPath(6, Mode::Silent))]);
+    assert_eq!(harms.whole_since(None, 900), 900);
+    assert_eq!(harms.whole_since(Some(7), 900), 0);
 }
 
 #[yare::parameterized(
@@ -49,5 +56,5 @@
     lost_history = { Action::NoHistory(true) },
 )]
 fn what_keeps_nobody_from_knowing_is_no_harm(action: Action) {
-    assert_eq!(harms(&[(100, action)]).whole_since(7, 900), 0);
+    assert_eq!(harms(&[(100, action)]).whole_since(Some(7), 900), 0);
 }
--- a/crates/hollowford-soak/src/judge.rs
+++ b/crates/hollowford-soak/src/judge.rs
@@ -18,12 +18,12 @@
 const PATIENCE: Duration = Duration::from_secs(90);
 /// Between two questions.
 const PAUSE: Duration = Duration::from_millis(50);
-/// A task may begin so long after its job's cancellation was confirmed: an order that was on
+/// A task may begin so long after its job's cancellation was confirmed at most: an order that was on
 /// its way may be carried out late, behind a cut that lasts some seconds.
 const CANCEL_GRACE_MS: u64 = 9_000;
-/// A worker that leaves takes what is started within this time of saying so, or of the end of what
-/// kept owners from hearing it or their orders from arriving.
-const LEAVING_GRACE_MS: u64 = 2_000;
+/// A task may begin on a worker that leaves, or after its job's cancellation, within this time of it, or
+/// of the end of what kept owners from hearing it or their orders from arriving.
+const KNOWN_WITHIN_MS: u64 = 2_000;
 /// A job may be given up once so many workers have crashed under one of its tasks.
 const CRASHES_TO_FAIL: u32 = 2;
 /// Versions of the configuration that are asked for, the newest first.
@@ -123,8 +123,8 @@
     let mut wrong = Vec::new();
     for start in starts {
         let Some(&worker) = leavers.get(&start.worker) else { continue };
-        let known = start.said_ms.max(harms.whole_since(worker, start.at_ms));
-        if start.at_ms > known + LEAVING_GRACE_MS {
+        let known = start.said_ms.max(harms.whole_since(Some(worker), start.at_ms));
+        if start.at_ms > known + KNOWN_WITHIN_MS {
             let LeavingStart { task, worker, said_ms, at_ms } = start;
             wrong.push(format!("{task} begins at {at_ms} on {worker} that leaves since {said_ms}"));
         }
@@ -133,7 +133,7 @@
 }
 
 /// Returns what is wrong with the tasks that were begun, by what callers were told.
-pub fn judge_starts(cell: &Cell, book: &Book) -> Vec<String> {
+pub fn judge_starts(cell: &Cell, book: &Book, harms: &Harms) -> Vec<String> {
     let mut wrong = Vec::new();
     let mut refused = HashSet::new();
     let mut begun: HashMap<u64, HashSet<String>> = HashMap::new();
@@ -146,7 +146,11 @@
         if !told.accepted && !told.unsure && refused.insert(id) {
             wrong.push(format!("job {id:016x} runs though it was refused as not run"));
         }
-        if told.cancelled_at.is_some_and(|c| at > c + CANCEL_GRACE_MS) {
+        let is_late = |cancelled: u64| {
+            let known = cancelled.max(harms.whole_since(None, at));
+            at > (known + KNOWN_WITHIN_MS).min(cancelled + CANCEL_GRACE_MS)
+        };
+        if told.cancelled_at.is_some_and(is_late) {
             wrong.push(format!("{task} begins long after it was cancelled"));
         }
         begun.entry(id).or_default().insert(task);
--- a/crates/hollowford-soak/src/run.rs
+++ b/crates/hollowford-soak/src/run.rs
@@ -211,7 +211,7 @@
         wrong.extend(stuck);
         wrong.extend(book.wrong.iter().cloned());
         wrong.extend(self.cell.platform.faults_found());
-        wrong.extend(judge_starts(&self.cell, &book));
+        wrong.extend(judge_starts(&self.cell, &book, &self.harms));
         let starts = self.cell.platform.leaving_starts();
         wrong.extend(judge_leaving(&starts, &self.leavers, &self.harms));
         if let (false, Some(keep)) = (wrong.is_empty(), &o.keep) {
