A single refused batch is no outage

Cause: any call to the store that had failed within 2 s counted as an outage before the recovery. An owner whose batch is refused writes the next one, so what it learned isn't lost.

Change: calls that have failed for half a second or more are an outage. The case of `shared_tests` fails with any failed call as an outage.

--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -52,7 +52,7 @@
         let accounts = config.accounts.as_deref().unwrap_or_default();
         engine.set_accounts(accounts);
     }
-    if cx.shared.store_failed_within(OUTAGE_COUNTS_FOR) {
+    if cx.shared.had_outage_within(OUTAGE_COUNTS_FOR) {
         engine.note_outage_before();
     }
     let rows: Vec<_> = feed.rows.into_iter().map(|r| (r.key, r.value)).collect();
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -19,6 +19,10 @@
 /// the list itself.
 const WORKER_CHANGES: usize = 16;
 
+/// Calls to the store that have failed for so long are an outage: what an owner had to write meanwhile
+/// may be lost with it.
+const LEAST_OUTAGE: Millis = Millis(500);
+
 /// Shared by all duties of a process.
 #[derive(Debug)]
 pub struct Shared {
@@ -52,6 +56,10 @@
     store_answered: AtomicU64,
     /// Reading of the clock when a call to the store failed last.
     store_failed: AtomicU64,
+    /// Reading of the clock when calls to the store began to fail last.
+    store_failing: AtomicU64,
+    /// Reading of the clock when the last outage of the store was over; 0: there was none.
+    outage_over: AtomicU64,
     /// Reading of the clock when this process read the configuration last.
     config_read: AtomicU64,
     /// Changes of the list of workers that the owner of another partition has told.
@@ -85,6 +93,8 @@
             open_calls: AtomicUsize::new(0),
             store_answered: AtomicU64::new(0),
             store_failed: AtomicU64::new(0),
+            store_failing: AtomicU64::new(0),
+            outage_over: AtomicU64::new(0),
             config_read: AtomicU64::new(0),
             worker_changes: broadcast::Sender::new(WORKER_CHANGES),
             metrics,
@@ -114,24 +124,40 @@
 
     /// Takes note that the store has answered.
     pub fn note_store(&self) {
-        self.store_answered.store(self.clock.now().0, Ordering::Relaxed);
+        let now = self.clock.now();
+        if self.is_store_failing() {
+            let failing = Millis(self.store_failing.load(Ordering::Relaxed));
+            if now.since(failing) >= LEAST_OUTAGE {
+                self.outage_over.store(now.0, Ordering::Relaxed);
+            }
+        }
+        self.store_answered.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether the last call to the store has failed.
+    fn is_store_failing(&self) -> bool {
+        self.store_failed.load(Ordering::Relaxed) > self.store_answered.load(Ordering::Relaxed)
     }
 
     /// Takes note that a call to the store has failed.
     pub fn note_store_failure(&self) {
-        self.store_failed.store(self.clock.now().0, Ordering::Relaxed);
+        let now = self.clock.now().0;
+        if !self.is_store_failing() {
+            self.store_failing.store(now, Ordering::Relaxed);
+        }
+        self.store_failed.store(now, Ordering::Relaxed);
     }
 
     /// Tells whether the store has failed this process for `at_least`, up to its last call.
     pub fn store_away(&self, at_least: Millis) -> bool {
-        let failed = self.store_failed.load(Ordering::Relaxed);
-        failed > self.store_answered.load(Ordering::Relaxed) && self.store_age() >= at_least
+        self.is_store_failing() && self.store_age() >= at_least
     }
 
-    /// Tells whether a call to the store has failed within this time.
-    pub fn store_failed_within(&self, span: Millis) -> bool {
-        let failed = self.store_failed.load(Ordering::Relaxed);
-        failed > 0 && self.clock.now().since(Millis(failed)) < span
+    /// Tells whether an outage of the store was over within this time. Single calls that fail are none: who
+    /// made them makes them again.
+    pub fn had_outage_within(&self, span: Millis) -> bool {
+        let over = self.outage_over.load(Ordering::Relaxed);
+        over > 0 && self.clock.now().since(Millis(over)) < span
     }
 
     /// Returns the time since the store answered.
--- a/crates/hollowford-node/src/shared_tests.rs
+++ b/crates/hollowford-node/src/shared_tests.rs
@@ -4,8 +4,9 @@
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use hollowford_adapter::{NodeSettings, StoreClient, WorkerClient};
-use hollowford_core::Millis;
+use hollowford_core::{Clock, Millis};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Makes what the duties of a process share, from the example of the settings.
 pub fn shared() -> Shared {
@@ -32,3 +33,29 @@
     shared.partitions()[1].note_owner(shared.clock.now());
     assert!(shared.owners_age() < Millis::MAX);
 }
+
+// What an owner had to write meanwhile is lost with it only if the store was away for a while.
+#[test]
+fn single_calls_to_the_store_that_fail_are_no_outage() {
+    let shift: &AtomicU64 = Box::leak(Box::new(AtomicU64::new(1_000)));
+    let mut shared = shared();
+    shared.clock = Clock::new().shifted(shift);
+    let pass = |ms| shift.fetch_add(ms, Ordering::Relaxed);
+    let within = Millis(2_000);
+    shared.note_store();
+    pass(3_000);
+    shared.note_store_failure();
+    pass(100);
+    shared.note_store();
+    assert!(!shared.had_outage_within(within), "one call");
+
+    pass(100);
+    for _ in 0..5 {
+        shared.note_store_failure();
+        pass(200);
+    }
+    shared.note_store();
+    assert!(shared.had_outage_within(within));
+    pass(2_500);
+    assert!(!shared.had_outage_within(within), "long ago");
+}
