jobs: switches for optional decisions, and the interface of learned run times

The switches are read from the process's settings (table features) and are all on. RunTimes answers with the caller's estimate until it learns from earlier runs, so nothing changes yet.

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -7,12 +7,14 @@
 use crate::batch::InFlight;
 use crate::crashes::CrashedIncarnation;
 use crate::event::Event;
+use crate::features::Features;
 use crate::health::FailureRate;
 use crate::job::Round;
 use crate::jobs::Jobs;
 use crate::order::{Order, WorkerListing};
 use crate::queue::Queue;
 use crate::rows::WorkerAddress;
+use crate::run_times::RunTimes;
 use crate::worker_life::WorkerLife;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
@@ -89,6 +91,7 @@
 pub struct Engine {
     pub(crate) epoch: u64,
     pub(crate) time_limits: TimeLimits,
+    pub(crate) features: Features,
     pub(crate) jobs: Jobs,
     pub(crate) workers: Workers,
     /// Incarnations of workers that have ended. The platform's list may still name them for a
@@ -103,6 +106,8 @@
     pub(crate) allowed_shares: FxHashMap<Arc<str>, AllowedShare>,
     /// Share of the workers' answers that are lost.
     pub(crate) answer_loss: AnswerLoss,
+    /// Run times of earlier runs.
+    pub(crate) run_times: RunTimes,
     /// Share of the tasks that fail.
     pub(crate) failure_rate: FailureRate,
     /// Workers that this owner has not claimed and that may still run tasks of an earlier owner.
@@ -149,6 +154,7 @@
         Engine {
             epoch,
             time_limits,
+            features: Features::default(),
             jobs: Jobs::default(),
             workers: Workers::default(),
             ended_incarnations: HashSet::new(),
@@ -158,6 +164,7 @@
             advice_channels: AdviceChannels::default(),
             allowed_shares: FxHashMap::default(),
             answer_loss: AnswerLoss::default(),
+            run_times: RunTimes::default(),
             failure_rate: FailureRate::default(),
             unsettled_workers: BTreeSet::new(),
             settled_at: now + time_limits.previous_lease,
@@ -210,6 +217,11 @@
         self.time_limits = time_limits;
     }
 
+    /// Sets which optional decisions the engine makes.
+    pub fn set_features(&mut self, features: Features) {
+        self.features = features;
+    }
+
     /// Sets the offset in milliseconds by which Unix time is ahead of the engine's time. Jobs with
     /// a schedule are due by Unix time.
     pub fn set_unix_offset(&mut self, offset: i64) {
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -52,8 +52,12 @@
         return None;
     }
     let clock_offset = feed.now.0 as i64 - cx.shared.clock.now().0 as i64;
-    let mut engine =
-        Engine::new(info.epoch, cx.shared.settings_changed.borrow().time_limits, feed.now);
+    let (time_limits, features) = {
+        let settings = cx.shared.settings_changed.borrow();
+        (settings.time_limits, settings.features)
+    };
+    let mut engine = Engine::new(info.epoch, time_limits, feed.now);
+    engine.set_features(features);
     engine.set_unix_offset(cx.shared.clock.unix_ms() as i64 - feed.now.0 as i64);
     if let Some(config) = cx.shared.config.load_full() {
         engine.set_queues(&config.queues, feed.now);
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -297,8 +297,12 @@
 
     fn apply_config(&mut self, now: Millis) {
         if self.settings.has_changed().unwrap_or(false) {
-            let time_limits = self.settings.borrow_and_update().time_limits;
+            let (time_limits, features) = {
+                let settings = self.settings.borrow_and_update();
+                (settings.time_limits, settings.features)
+            };
             self.engine.set_time_limits(time_limits);
+            self.engine.set_features(features);
         }
         let version = self.cx.shared.config_version();
         if version != self.config_version
