node: an owner whose store calls are rejected hands over within half a second

Cause: an owner that the store refuses or resets, while it serves the members, waited 600 ms for its batch and 300 ms more before it handed over. Callers of short jobs were late for all of that time. Ruled out: a shorter limit for all failures. A slow store answers after 300 ms and more, and the hand-over would then go from one slow process to another. Change: calls that fail at once count as rejections, told apart from timeouts. After 200 ms of rejections without an answer, and 200 ms in which a member has been answered since they began, the owner hands over.

--- a/crates/hollowford-node/src/config_watch.rs
+++ b/crates/hollowford-node/src/config_watch.rs
@@ -61,7 +61,8 @@
             let has_config = shared.config_version() > 0;
             let probe = confirmed || (has_config && !last.answered);
             let answer = read_or_probe(&shared, probe).await;
-            record_answer(&shared, last.answered, &answer);
+            let took = shared.clock.now().since(now);
+            record_answer(&shared, last.answered, &answer, took);
             last = LastStoreCall { answered: answer.is_ok(), at: now, read_config: !probe };
         }
         // Ends early when a peer has a newer version.
@@ -101,9 +102,14 @@
     Ok(())
 }
 
-/// Records whether the store has answered. `was_answered` says the same of the previous call, so
-/// that only changes are logged.
-fn record_answer(shared: &Shared, was_answered: bool, answer: &Result<(), StoreError>) {
+/// Records whether the store has answered, and that the call took `took`. `was_answered` says
+/// whether it answered the previous call, so that only changes are logged.
+fn record_answer(
+    shared: &Shared,
+    was_answered: bool,
+    answer: &Result<(), StoreError>,
+    took: Millis,
+) {
     match answer {
         Ok(()) => {
             shared.record_store_answer();
@@ -112,7 +118,7 @@
             }
         }
         Err(e) => {
-            shared.record_store_failure();
+            shared.record_store_failure(took);
             if was_answered {
                 log::warn!("store.lost by=config error=\"{e}\"");
             }
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -248,15 +248,23 @@
         self.live().any(|m| larger(m) && m.store_age < MAX_STORE_AGE)
     }
 
-    /// Returns true if the store serves a live member.
-    pub fn any_served_by_store(&self) -> bool {
-        self.live().any(|m| m.store_age < MAX_PROBED_STORE_AGE)
+    /// Returns true if the store has answered a live member after `since`.
+    pub fn any_served_by_store(&self, since: Millis) -> bool {
+        self.served_by_store(since).next().is_some()
     }
 
-    /// Hands the partition over to a member that the store serves. Returns true if there was one.
-    pub fn hand_over_to_served_member(&self) -> bool {
-        let served = self.live().filter(|m| m.store_age < MAX_PROBED_STORE_AGE);
-        let next = served.max_by_key(|m| (m.share(), Reverse(m.store_age)));
+    /// Hands the partition over to a member that the store has answered after `since`. Returns true
+    /// if there was one.
+    pub fn hand_over_to_served_member(&self, since: Millis) -> bool {
+        let next = self.served_by_store(since).max_by_key(|m| (m.share(), Reverse(m.store_age)));
         next.is_some_and(|m| m.outbox.send(Body::HandOver(HandOver { rev: 0 })))
     }
+
+    /// Returns the live members that the store has answered recently and after `since`.
+    fn served_by_store(&self, since: Millis) -> impl Iterator<Item = &Member> {
+        let is_served = move |m: &&Member| {
+            m.store_age < MAX_PROBED_STORE_AGE && m.last_heard.since(m.store_age) > since
+        };
+        self.live().filter(is_served)
+    }
 }
--- a/crates/hollowford-node/src/members_tests.rs
+++ b/crates/hollowford-node/src/members_tests.rs
@@ -212,3 +212,21 @@
     };
     assert_eq!(rxs.iter_mut().map(received).collect::<Vec<_>>(), [0, 1, 0]);
 }
+
+// In an outage of the whole store every process is rejected. A member whose last answer is older than
+// the owner's first rejection must not count as served; the hand-over would only lose time.
+#[test]
+fn a_member_counts_as_served_only_by_answers_after_the_rejections_began() {
+    let mut members = Members::new(OwnerInfo::default(), 1);
+    let _rx = join(&mut members, 1, JOINED_AT);
+    let rejected_since = JOINED_AT + Millis(1_000);
+    let heard_at = JOINED_AT + Millis(1_200);
+    let beat = |store_age_ms| MemberBeat { store_age_ms, ..MemberBeat::default() };
+    members.record_heartbeat(1, &beat(300), heard_at);
+    assert!(members.any_served_by_store(Millis(0)), "answered within the last half second");
+    assert!(!members.any_served_by_store(rejected_since), "answered before the rejections began");
+    assert!(!members.hand_over_to_served_member(rejected_since));
+    members.record_heartbeat(1, &beat(100), heard_at);
+    assert!(members.any_served_by_store(rejected_since));
+    assert!(members.hand_over_to_served_member(rejected_since));
+}
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -38,6 +38,9 @@
 /// answers them.
 const STORE_LOST_TIMEOUT: Millis = Millis(300);
 
+/// Once the store has rejected the owner's calls for this long, heartbeats ask the members as well.
+const STORE_REJECTING_TIMEOUT: Millis = Millis(100);
+
 /// The reason an owner ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnerEnd {
@@ -206,8 +209,9 @@
     /// Sends the heartbeats that are due. After a full round of heartbeats or a change of
     /// membership, passes the list of usable members to the engine and the delegation.
     fn update_members(&mut self, now: Millis) {
-        let store_lost = self.batches.is_uncommitted_for(STORE_LOST_TIMEOUT, now);
         let shared = &self.cx.shared;
+        let store_lost = self.batches.is_uncommitted_for(STORE_LOST_TIMEOUT, now)
+            || shared.is_store_rejecting(STORE_REJECTING_TIMEOUT);
         let round_complete =
             self.members.tick(shared.clock.now(), shared.known_config(), store_lost);
         let update_due = now.since(self.members_updated_at) >= MEMBER_UPDATE_INTERVAL;
--- a/crates/hollowford-node/src/reachability.rs
+++ b/crates/hollowford-node/src/reachability.rs
@@ -11,9 +11,16 @@
 /// An owner whose batch is unanswered for this long, while the store serves a member, hands over to
 /// that member.
 const STORE_LOST_AFTER: Millis = Millis(600);
+/// An owner whose store calls have been rejected for this long, while the store serves a member,
+/// hands over to that member. A rejection is told apart from a slow store at once, and the callers of
+/// short jobs wait meanwhile.
+const STORE_REJECTED_AFTER: Millis = Millis(200);
 /// How long the store must serve a member but not the owner before the owner hands over. At the end
 /// of an outage, a member is often served slightly earlier than the owner.
 const MIN_SPLIT_DURATION: Millis = Millis(300);
+/// Value of [`MIN_SPLIT_DURATION`] while the store rejects the owner's calls. The owner repeats them
+/// within this time.
+const MIN_REJECTED_SPLIT_DURATION: Millis = Millis(200);
 
 /// When the owner last heard from the store and its members.
 #[derive(Debug)]
@@ -52,15 +59,23 @@
     /// Hands over to a member that the store serves while it doesn't serve this process. Returns
     /// true if it did.
     fn hand_over_if_split(&mut self, batches: &Batches, members: &Members, now: Millis) -> bool {
+        let rejecting = self.shared.store_rejecting_since().filter(|_| {
+            self.shared.is_store_rejecting(STORE_REJECTED_AFTER)
+                && batches.is_uncommitted_for(STORE_REJECTED_AFTER, now)
+        });
         let batch_unanswered = batches.is_uncommitted_for(STORE_LOST_AFTER, now);
         let store_lost = batch_unanswered && self.shared.store_age() >= STORE_LOST_AFTER;
-        if !store_lost || !members.any_served_by_store() {
+        // A member that the store answered only before the rejections began may be rejected too.
+        let served_since = rejecting.unwrap_or_default();
+        if !(store_lost || rejecting.is_some()) || !members.any_served_by_store(served_since) {
             self.split_since = None;
             return false;
         }
+        let min_split =
+            if rejecting.is_some() { MIN_REJECTED_SPLIT_DURATION } else { MIN_SPLIT_DURATION };
         let since = *self.split_since.get_or_insert(now);
         let handed_over =
-            now.since(since) >= MIN_SPLIT_DURATION && members.hand_over_to_served_member();
+            now.since(since) >= min_split && members.hand_over_to_served_member(served_since);
         if handed_over {
             log::warn!("owner.handed_over epoch={} cause=store_lost", self.epoch);
         }
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -23,6 +23,13 @@
 /// not write during an outage may be lost with the owner.
 const MIN_OUTAGE: Millis = Millis(500);
 
+/// A store call that fails within this time was rejected: refused, reset or not connected. A slow or
+/// silent store causes timeouts, which are longer.
+const MAX_REJECTION_TIME: Millis = Millis(200);
+/// Rejections stop counting when none has followed for this long. The configuration is polled every
+/// 200 ms while the store fails.
+const REJECTION_MEMORY: Millis = Millis(500);
+
 /// State shared by all tasks of a process.
 #[derive(Debug)]
 pub struct Shared {
@@ -56,6 +63,11 @@
     store_failed_at: AtomicU64,
     /// Process time of the first failed store call since the last answer, in milliseconds.
     store_failing_since: AtomicU64,
+    /// Process time of the first rejected store call since the last answer, in milliseconds, or 0 if
+    /// there was none.
+    store_rejecting_since: AtomicU64,
+    /// Process time of the last rejected store call, in milliseconds.
+    store_rejected_at: AtomicU64,
     /// Process time of the end of the last store outage, in milliseconds, or 0 if there was none.
     outage_ended_at: AtomicU64,
     /// Process time of the last read of the configuration, in milliseconds.
@@ -91,6 +103,8 @@
             store_answered_at: AtomicU64::new(0),
             store_failed_at: AtomicU64::new(0),
             store_failing_since: AtomicU64::new(0),
+            store_rejecting_since: AtomicU64::new(0),
+            store_rejected_at: AtomicU64::new(0),
             outage_ended_at: AtomicU64::new(0),
             config_read_at: AtomicU64::new(0),
             worker_changes: broadcast::Sender::new(WORKER_CHANGES_CAPACITY),
@@ -129,6 +143,7 @@
                 self.outage_ended_at.store(now.0, Ordering::Relaxed);
             }
         }
+        self.store_rejecting_since.store(0, Ordering::Relaxed);
         self.store_answered_at.store(now.0, Ordering::Relaxed);
     }
 
@@ -138,8 +153,16 @@
             > self.store_answered_at.load(Ordering::Relaxed)
     }
 
-    pub fn record_store_failure(&self) {
+    /// Records a store call that failed after `took`.
+    pub fn record_store_failure(&self, took: Millis) {
         let now = self.clock.now().0;
+        if took <= MAX_REJECTION_TIME {
+            let is_first = self.store_rejecting_since.load(Ordering::Relaxed) == 0;
+            if is_first {
+                self.store_rejecting_since.store(now.max(1), Ordering::Relaxed);
+            }
+            self.store_rejected_at.store(now, Ordering::Relaxed);
+        }
         if !self.is_store_failing() {
             self.store_failing_since.store(now, Ordering::Relaxed);
         }
@@ -151,6 +174,20 @@
         self.is_store_failing() && self.store_age() >= at_least
     }
 
+    /// Returns since when the store has rejected this process's calls without answering any; `None`
+    /// if it doesn't reject them now.
+    pub fn store_rejecting_since(&self) -> Option<Millis> {
+        let since = Millis(self.store_rejecting_since.load(Ordering::Relaxed));
+        let last = Millis(self.store_rejected_at.load(Ordering::Relaxed));
+        let recent = self.clock.now().since(last) <= REJECTION_MEMORY;
+        (since > Millis(0) && recent).then_some(since)
+    }
+
+    /// Returns true if the store has rejected this process's calls for `at_least` and answered none.
+    pub fn is_store_rejecting(&self, at_least: Millis) -> bool {
+        self.store_rejecting_since().is_some_and(|since| self.clock.now().since(since) >= at_least)
+    }
+
     /// Returns true if a store outage ended within the last `span`. Single failed calls don't count
     /// because they are repeated.
     pub fn had_outage_within(&self, span: Millis) -> bool {
--- a/crates/hollowford-node/src/shared_tests.rs
+++ b/crates/hollowford-node/src/shared_tests.rs
@@ -49,14 +49,14 @@
     let within = Millis(2_000);
     shared.record_store_answer();
     pass(3_000);
-    shared.record_store_failure();
+    shared.record_store_failure(Millis(500));
     pass(100);
     shared.record_store_answer();
     assert!(!shared.had_outage_within(within), "a single failed call");
 
     pass(100);
     for _ in 0..5 {
-        shared.record_store_failure();
+        shared.record_store_failure(Millis(500));
         pass(200);
     }
     shared.record_store_answer();
@@ -64,3 +64,33 @@
     pass(2_500);
     assert!(!shared.had_outage_within(within), "the outage ended too long ago");
 }
+
+// A slow store must not be taken for one that rejects this process: the owner would hand over
+// although no other process is served any better.
+#[test]
+fn only_calls_that_fail_at_once_are_rejections() {
+    let shift: &AtomicU64 = Box::leak(Box::new(AtomicU64::new(1_000)));
+    let mut shared = shared();
+    shared.clock = Clock::new().shifted(shift);
+    let pass = |ms| shift.fetch_add(ms, Ordering::Relaxed);
+    shared.record_store_answer();
+    for _ in 0..3 {
+        pass(500);
+        shared.record_store_failure(Millis(500));
+    }
+    assert_eq!(shared.store_rejecting_since(), None, "timeouts");
+
+    shared.record_store_failure(Millis(3));
+    let since = shared.store_rejecting_since();
+    assert!(since.is_some());
+    pass(250);
+    shared.record_store_failure(Millis(3));
+    assert!(shared.is_store_rejecting(Millis(200)));
+    assert_eq!(shared.store_rejecting_since(), since, "counted from the first rejection");
+
+    shared.record_store_answer();
+    assert_eq!(shared.store_rejecting_since(), None, "the store has answered");
+    shared.record_store_failure(Millis(3));
+    pass(2_000);
+    assert_eq!(shared.store_rejecting_since(), None, "an old rejection says nothing about now");
+}
--- a/crates/hollowford-node/src/writer.rs
+++ b/crates/hollowford-node/src/writer.rs
@@ -91,8 +91,8 @@
                 shared.record_store_answer();
                 return outcome_from_row(&shared, &batch_write, &rows);
             }
-            CallResult::Attempt(Err(e), _) => {
-                record_failure(&shared, &e);
+            CallResult::Attempt(Err(e), took) => {
+                record_failure(&shared, &e, took);
                 retries.attempt_failed(e.had_no_effect());
                 if retries.all_attempts_failed() {
                     if retries.is_refused() {
@@ -144,8 +144,8 @@
     BatchOutcome::Made { rev, answered_in }
 }
 
-fn record_failure(shared: &Shared, e: &StoreError) {
-    shared.record_store_failure();
+fn record_failure(shared: &Shared, e: &StoreError, took: Millis) {
+    shared.record_store_failure(took);
     let outcome = if e.had_no_effect() { "refused" } else { "unanswered" };
     shared.metrics.batches.with_label_values(&[outcome]).inc();
     log::debug!("batch.failed error=\"{e}\"");
