jobs: pass earlier incarnations in the list to the engine in the takeover tests

two_listed_incarnations_at_one_address_interrupt_no_task added a listing to stale_listings that never reached the engine, so it passed without its case. update_worker_list now passes these listings, before or after the current ones. The test starts with an owner that learns of both from the list, and checks that just the earlier one ends. A second test lists the earlier incarnation while tasks run, at an owner that has not known it.

The engine passes both; it has no fault here. With the earlier rule put back (a listed incarnation that is not known ends the others at its address), three of the four cases fail: the first test with the later one listed first, the second in either order.

--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -88,8 +88,10 @@
     pub job_queues: BTreeMap<JobId, Arc<str>>,
     /// The client account of each job.
     pub job_accounts: BTreeMap<JobId, String>,
-    /// Listings of earlier incarnations of workers; not passed to the engine.
+    /// Listings of earlier incarnations of workers, which the platform's list still contains.
     pub stale_listings: Vec<WorkerListing>,
+    /// Whether the list names the earlier incarnations before the current ones.
+    pub stale_listings_first: bool,
     /// Every order that was executed, oldest first.
     pub executed_orders: Vec<Order>,
     /// Crashes workers under chosen jobs, and restarts them.
@@ -119,6 +121,7 @@
             job_queues: BTreeMap::new(),
             job_accounts: BTreeMap::new(),
             stale_listings: Vec::new(),
+            stale_listings_first: false,
             executed_orders: Vec::new(),
             crashes: CrashInjector::default(),
             store_outage_before: false,
@@ -136,8 +139,10 @@
 
     /// Passes the current list of workers to the engine.
     pub fn update_worker_list(&mut self) {
-        let list: Vec<_> =
-            self.workers.iter().filter(|w| w.listed).map(SimWorker::listing).collect();
+        let listed = self.workers.iter().filter(|w| w.listed);
+        let mut list: Vec<_> = listed.map(SimWorker::listing).collect();
+        let at = if self.stale_listings_first { 0 } else { list.len() };
+        list.splice(at..at, self.stale_listings.iter().cloned());
         self.engine.set_worker_list(&list, self.now);
     }
 
--- a/crates/hollowford-jobs/tests/takeover.rs
+++ b/crates/hollowford-jobs/tests/takeover.rs
@@ -5,6 +5,7 @@
 use common::*;
 use hollowford_core::Millis;
 use hollowford_jobs::*;
+use yare::parameterized;
 
 /// Returns a cell whose workers are full of tasks that run for `ms`.
 fn full_cell(workers: usize, ms: u64) -> TestCell {
@@ -117,24 +118,61 @@
     assert!(cell.now - before < Millis(300));
 }
 
-#[test]
-fn two_listed_incarnations_at_one_address_interrupt_no_task() {
+/// Returns the ids of the workers that the engine has reported as dead since the last call.
+fn dead_workers(cell: &mut TestCell) -> Vec<String> {
+    let events = cell.engine.take_events().into_iter();
+    let dead = events.filter_map(|e| match e {
+        Event::WorkerDead { worker, .. } => Some(worker.id().to_string()),
+        _ => None,
+    });
+    dead.collect()
+}
+
+// Guards against an owner that takes the last entry of the list, or the one that it learns of last,
+// for the current incarnation, and gives up the tasks of the other one at that address.
+#[parameterized(earlier_one_first = { true }, later_one_first = { false })]
+fn two_listed_incarnations_at_one_address_interrupt_no_task(earlier_one_first: bool) {
     let mut cell = TestCell::new(1);
-    let old = cell.workers[0].listing();
+    let earlier = cell.workers[0].listing();
     cell.workers[0].restart("a-later-incarnation");
-    cell.stale_listings.push(old);
-    cell.update_worker_list();
+    cell.stale_listings_first = earlier_one_first;
+    cell.stale_listings.push(earlier);
+    // An owner without any rows learns of both from the list.
+    cell.rows.clear();
+    cell.take_over();
     cell.submit(1, LARGE, job(vec![step(4, 4_000, 60_000)]));
     cell.run(200);
     assert_eq!(cell.running_tasks(), 4);
-    // The list is passed on again, also to a new owner.
+    // The list is passed on again.
     cell.update_worker_list();
     cell.run(200);
+    assert_eq!(dead_workers(&mut cell), ["w0"]);
+    // The row of workers names both to a new owner, and so does the list.
     cell.take_over();
     cell.run(300);
     cell.update_worker_list();
     cell.submit(2, QUICK, job(vec![step(4, 4_000, 60_000)]));
     cell.run(300);
+    assert_eq!(dead_workers(&mut cell), ["w0"]);
+    assert_eq!(cell.running_tasks(), 4);
+    assert_eq!(cell.workers[0].starts, 4);
+}
+
+// Guards against the same while tasks run, at an owner that has not known the earlier incarnation.
+#[parameterized(earlier_one_first = { true }, later_one_first = { false })]
+fn an_earlier_incarnation_that_is_listed_late_interrupts_no_task(earlier_one_first: bool) {
+    let mut cell = TestCell::new(1);
+    cell.submit(1, LARGE, job(vec![step(4, 4_000, 60_000)]));
+    cell.run(200);
+    assert_eq!(cell.running_tasks(), 4);
+    let earlier = WorkerListing { life: "earlier".into(), ..cell.workers[0].listing() };
+    cell.stale_listings_first = earlier_one_first;
+    cell.stale_listings.push(earlier);
+    cell.update_worker_list();
+    cell.run(200);
+    cell.update_worker_list();
+    cell.run(7_000);
+    assert_eq!(dead_workers(&mut cell), ["earlier"]);
     assert_eq!(cell.running_tasks(), 4);
     assert_eq!(cell.workers[0].starts, 4);
 }
