jobs: store that an outage has made a run uncertain

Cause: an owner that takes over after an outage of the store treats the runs that are stored as fresh as uncertain, but wrote this only when the job's row was written for another reason. An owner that took over after it, with no outage of its own, counted crashes under these runs as ones shortly after the start; three of them fail a job. The recovery now marks the row as unwritten.

New test in outages.rs, which fails without the change (the job is Failed, not Running).

Tried and reverted: counting uncertain crashes once at most towards the limit of all crashes.

--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -226,7 +226,11 @@
     ) {
         found.open_runs.retain(|r| self.workers.find(&r.worker).is_some());
         if self.store_outage_before {
-            found.open_runs.iter_mut().filter(|r| r.fresh).for_each(|r| r.uncertain = true);
+            let newly_uncertain = found.open_runs.iter_mut().filter(|r| r.fresh && !r.uncertain);
+            if newly_uncertain.map(|r| r.uncertain = true).count() > 0 {
+                // A later owner doesn't know of this outage.
+                self.jobs.mark_progress_unwritten(key.step.job);
+            }
         }
         for r in &found.open_runs {
             let idx = self.workers.find(&r.worker);
--- a/crates/hollowford-jobs/tests/outages.rs
+++ b/crates/hollowford-jobs/tests/outages.rs
@@ -188,6 +188,22 @@
     assert_eq!(cell.state(1), Some(JobState::Completed));
 }
 
+// Guards against an owner that knows of an outage only until the next one takes over: that one would
+// count the same crashes as ones soon after the start.
+#[test]
+fn crashes_after_ends_lost_in_outages_do_not_fail_a_job_after_a_second_takeover() {
+    let mut cell = cell_with_a_task();
+    crash_after_the_start(&mut cell);
+    crash_after_the_end_in_an_outage(&mut cell);
+    cell.take_over();
+    crash_after_the_end_in_an_outage(&mut cell);
+    cell.take_over();
+    cell.run(RESTART_DETECTION_MS);
+    assert_eq!(cell.state(1), Some(JobState::Running));
+    cell.run(7_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+}
+
 // A task that does crash its workers still fails its job when one of its starts falls into an
 // outage.
 #[test]
