jobs: move the files of placement advice into a module folder

advice.rs, advice_calls.rs, advice_selection.rs and gang_advice_selection.rs become advice/tickets.rs, calls.rs, selection.rs and gang_selection.rs. No code changes apart from paths and imports.

--- a/crates/hollowford-jobs/src/gang_advice_selection.rs
+++ b/crates/hollowford-jobs/src/advice/gang_selection.rs
@@ -5,8 +5,7 @@
 //! calls in parallel, and about more of them the longer it waits. Its tickets are renewed just
 //! before the expected start, since they lapse before enough capacity is free.
 
-use crate::advice::AdviceStatus;
-use crate::advice_calls::AdviceCall;
+use crate::advice::{AdviceCall, AdviceStatus};
 use crate::candidate::fit_count;
 use crate::engine::Engine;
 use crate::order::Order;
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,8 +1,7 @@
 //! The engine: the state of one partition and its periodic work.
 
 use crate::accounts::Accounts;
-use crate::advice::AllowedShare;
-use crate::advice_calls::AdviceChannels;
+use crate::advice::{AdviceChannels, AllowedShare};
 use crate::answer_timeouts::AnswerLoss;
 use crate::batch::InFlight;
 use crate::crashes::CrashedIncarnation;
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -10,8 +10,6 @@
 
 mod accounts;
 mod advice;
-mod advice_calls;
-mod advice_selection;
 mod answer_timeouts;
 mod audit;
 mod batch;
@@ -23,7 +21,6 @@
 mod event;
 mod features;
 mod gang;
-mod gang_advice_selection;
 mod health;
 #[cfg(test)]
 mod health_tests;
@@ -58,7 +55,7 @@
 mod write_queue;
 
 pub use accounts::{Account, AccountUsage, NO_ACCOUNT};
-pub use advice_calls::AdviceChannel;
+pub use advice::AdviceChannel;
 pub use audit::StuckTask;
 pub use batch::{Batch, RowWrite};
 pub use candidate::rack_label;
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -1,8 +1,7 @@
 //! Placement passes: starting the tasks of waiting steps on workers.
 
 use crate::accounts::AccountIdx;
-use crate::advice::{AdviceStatus, StepAdvice};
-use crate::advice_calls::AdviceCall;
+use crate::advice::{AdviceCall, AdviceStatus, StepAdvice};
 use crate::candidate::CandidateWorker;
 use crate::engine::Engine;
 use crate::job::Task;
