jobs: call for advice only for steps that are expected to start

On a full deployment, 35% of the answered calls for advice were followed by no start of their step within the tickets' validity, and seven of ten waiting steps waited for a call.

In a pool that is at least half full, a pass now makes its calls after all steps had their turn to start tasks. A forecast of the free capacity and the expected ends, from which steps claim their need in the order of urgency, decides for whom a call pays, and which workers it names. The calls of a step that is not durable aren't repeated. A step held back for longer than its objective may make a call.

Answers are counted by whether a start followed (advice_answers_total, advice.unused).

--- a/crates/hollowford-jobs/src/accounts.rs
+++ b/crates/hollowford-jobs/src/accounts.rs
@@ -134,6 +134,24 @@
         a.policy.allows(&total, need, count)
     }
 
+    /// Returns true if `count` more tasks fit in the account's quota once its tasks have released
+    /// `released`.
+    pub fn allows_after_release(
+        &self,
+        idx: AccountIdx,
+        need: &Resources,
+        count: u32,
+        released: &Totals,
+    ) -> bool {
+        let a = &self.list[idx as usize];
+        let used = Totals {
+            cpu_milli: a.used.cpu_milli.saturating_sub(released.cpu_milli),
+            memory_mib: a.used.memory_mib.saturating_sub(released.memory_mib),
+            accelerators: a.used.accelerators.saturating_sub(released.accelerators),
+        };
+        a.policy.allows(&used, need, count)
+    }
+
     /// Returns how many more tasks that need `need` fit in the account's quota, at most `limit`.
     pub fn allowed_count(&self, idx: AccountIdx, need: &Resources, limit: usize) -> usize {
         (0..limit).take_while(|&n| self.allows(idx, need, n as u32 + 1)).count()
--- a/crates/hollowford-jobs/src/advice/calls.rs
+++ b/crates/hollowford-jobs/src/advice/calls.rs
@@ -252,6 +252,7 @@
         let allowed: Vec<_> =
             tickets.iter().filter_map(|(id, t)| Some((asked_worker(id)?, t.clone()))).collect();
         self.record_allowed_share(key, &call.workers, &allowed);
+        self.open_answers.answered(key, asked, now + validity);
         let Some(step) = self.jobs.step_mut(key) else { return };
         step.advice.call_answered(&call.workers, allowed, now + validity);
     }
--- a/crates/hollowford-jobs/src/advice/gang_selection.rs
+++ b/crates/hollowford-jobs/src/advice/gang_selection.rs
@@ -5,6 +5,7 @@
 //! calls in parallel, and about more of them the longer it waits. Its tickets are renewed just
 //! before the expected start, since they lapse before enough capacity is free.
 
+use crate::advice::forecast::{Demand, Forecast};
 use crate::advice::{AdviceCall, AdviceStatus};
 use crate::candidate::fit_count;
 use crate::engine::Engine;
@@ -24,6 +25,13 @@
 /// Minimum number of workers that a call for a gang names, if there are as many. A larger choice is
 /// worth the few additional milliseconds per worker.
 const MIN_WORKERS_PER_CALL: usize = 50;
+/// Expected capacity of the workers that a scheduled call finds, as a multiple of the gang's members.
+/// More urgent steps that arrive during the call will use some of it.
+const EXPECTED_ROOM_FACTOR: f32 = 1.5;
+/// Increase of [`EXPECTED_ROOM_FACTOR`] per second of waiting.
+const ROOM_FACTOR_GROWTH_PER_S: f32 = 0.5;
+/// Smallest share of allowed workers that is assumed, so that a call names a limited number.
+const MIN_ALLOWED_SHARE: f32 = 0.05;
 /// Time before the expected start at which tickets are renewed, in addition to the call's duration.
 const TICKET_RENEWAL_LEAD: Millis = Millis(200);
 
@@ -48,7 +56,7 @@
 
     /// Returns the workers of the plan whose tickets will have lapsed when the gang starts. Empty
     /// while the start is further away than the call and [`TICKET_RENEWAL_LEAD`].
-    fn workers_to_renew(
+    pub(crate) fn workers_to_renew(
         &self,
         pass: &Pass,
         gang: StepPlacement<'_>,
@@ -60,8 +68,16 @@
             plan.candidates.iter().map(|&at| pass.candidates[at].idx).collect();
         workers.sort_unstable();
         workers.dedup();
-        let answered_at = pass.now + Millis(cost.call_ms(workers.len()) as u64);
-        if plan.start > answered_at + TICKET_RENEWAL_LEAD {
+        let duration = Millis(cost.call_ms(workers.len()) as u64);
+        let answered_at = pass.now + duration;
+        let unused = if self.features.advice_scheduling { step.advice.unused_answers } else { 0 };
+        // After a renewal in vain, the next one is made later: the ends that the plan relies on were
+        // expected too early.
+        let latest_start = match unused {
+            0 => answered_at + TICKET_RENEWAL_LEAD,
+            _ => pass.now + Millis(duration.0.checked_shr(unused).unwrap_or(0)),
+        };
+        if plan.start > latest_start {
             return Vec::new();
         }
         let needed_at = plan.start.max(answered_at);
@@ -71,7 +87,11 @@
 
     /// Returns more workers to ask about, those with the most free capacity first. Empty while the
     /// known workers and those in pending calls are enough.
-    fn more_workers_for_gang(&self, pass: &Pass, gang: StepPlacement<'_>) -> Vec<WorkerIdx> {
+    pub(crate) fn more_workers_for_gang(
+        &self,
+        pass: &Pass,
+        gang: StepPlacement<'_>,
+    ) -> Vec<WorkerIdx> {
         let Some(missing) = self.missing_member_capacity(pass, gang).filter(|&m| m > 0.0) else {
             return Vec::new();
         };
@@ -88,6 +108,64 @@
         unknown.into_iter().take(workers).map(|at| pass.candidates[at].idx).collect()
     }
 
+    /// Returns unknown workers to ask about, those with the most expected capacity first, if by
+    /// `until` the whole gang is expected to find capacity on the workers that advice allows or is
+    /// expected to allow. Empty if it isn't, or if the known workers are enough.
+    pub(crate) fn gang_workers_with_expected_room(
+        &self,
+        pass: &Pass,
+        forecast: &Forecast,
+        gang: StepPlacement<'_>,
+        until: Millis,
+    ) -> Vec<WorkerIdx> {
+        let Some(step) = self.jobs.step(gang.key) else { return Vec::new() };
+        let Some(job) = self.jobs.get(gang.key.job) else { return Vec::new() };
+        let (need, count) = (gang.spec.allocation(), gang.spec.count);
+        if !forecast.may_hold(&need, count) {
+            return Vec::new();
+        }
+        let share = self.allowed_shares.get(&gang.queue.name).copied().unwrap_or_default();
+        let limit = if gang.spec.max_per_worker > 0 { gang.spec.max_per_worker } else { count };
+        let demand = Demand { need, until, run_time: self.expected_run_time(gang.key) };
+        let (mut known, mut unknown) = (0.0, Vec::new());
+        for (at, c) in pass.candidates.iter().enumerate() {
+            let status = step.advice.advice_status(c.idx, pass.now);
+            if status == AdviceStatus::Denied || !self.is_eligible(c, gang) {
+                continue;
+            }
+            let slots = forecast.slots(at, &demand).min(limit);
+            match status {
+                AdviceStatus::Unknown if step.advice.is_pending(c.idx) => {
+                    known += slots as f32 * share.share();
+                }
+                AdviceStatus::Unknown if need.fits(&c.capacity) => unknown.push((slots, c.idx)),
+                AdviceStatus::Unknown => {}
+                _ => known += slots as f32,
+            }
+        }
+        let unknown_slots: u32 = unknown.iter().map(|&(slots, _)| slots).sum();
+        if known + unknown_slots as f32 * share.share() < count as f32 {
+            return Vec::new();
+        }
+        let waited_s = pass.now.since(job.accepted_at).0 as f32 / 1_000.0;
+        let wanted = count as f32 * (EXPECTED_ROOM_FACTOR + ROOM_FACTOR_GROWTH_PER_S * waited_s);
+        if known >= wanted {
+            return Vec::new();
+        }
+        unknown.sort_by_key(|&(slots, _)| std::cmp::Reverse(slots));
+        let wanted_slots = (wanted - known) / share.share().max(MIN_ALLOWED_SHARE);
+        let mut found = 0.0;
+        let mut named = Vec::new();
+        for (slots, idx) in unknown {
+            if found >= wanted_slots && named.len() >= MIN_WORKERS_PER_CALL {
+                break;
+            }
+            found += slots as f32;
+            named.push(idx);
+        }
+        named
+    }
+
     /// Returns how many more members the allowed workers should be able to hold when empty. Counts
     /// the expected share of allowed workers in pending calls.
     fn missing_member_capacity(&self, pass: &Pass, gang: StepPlacement<'_>) -> Option<f32> {
--- a/crates/hollowford-jobs/src/advice/selection.rs
+++ b/crates/hollowford-jobs/src/advice/selection.rs
@@ -1,6 +1,7 @@
 //! Selection of the workers that an advice call for a step names.
 
 use crate::advice::AdviceStatus;
+use crate::advice::scheduling::NamedWorker;
 use crate::candidate::CandidateWorker;
 use crate::engine::Engine;
 use crate::pass::Pass;
@@ -36,6 +37,10 @@
     pub(crate) fn call_cost(&self, pass: &Pass, step: StepPlacement<'_>) -> Option<AdviceCost> {
         let cost = step.queue.advice?;
         let is_first = self.jobs.step(step.key)?.advice.has_no_answers();
+        // While the store is unavailable, tickets would be renewed in vain again and again.
+        if self.features.advice_scheduling && !step.durable && !is_first {
+            return None;
+        }
         let may_ask = pass.may_ask_again || is_first || cost.is_quick();
         (may_ask && self.advice_channels.has_free(&cost, pass.now)).then_some(cost)
     }
@@ -70,6 +75,32 @@
         (!workers.is_empty()).then_some(workers)
     }
 
+    /// Returns the workers that a scheduled call names, of those with lapsed tickets, unknown ones
+    /// and unknown ones without expected capacity. `missing` tasks need tickets.
+    pub(crate) fn choose_workers(
+        &self,
+        step: StepPlacement<'_>,
+        cost: &AdviceCost,
+        missing: usize,
+        [lapsed, unknown, full]: [Vec<NamedWorker>; 3],
+    ) -> Vec<WorkerIdx> {
+        // Some of the expected capacity will be in use by others.
+        let wanted_slots = missing + missing / 2 + 1;
+        let renewed = cheapest_named(lapsed, usize::MAX, wanted_slots);
+        let renewed_slots: usize = renewed.iter().map(|w| w.slots).sum();
+        let mut workers: Vec<WorkerIdx> = renewed.iter().map(|w| w.idx).collect();
+        if renewed_slots < missing {
+            let share = self.allowed_shares.get(&step.queue.name).copied().unwrap_or_default();
+            let wanted = share.workers_to_ask((wanted_slots - renewed_slots) as f32);
+            let limit = (missing * WORKERS_ASKED_PER_TASK).max(MIN_WORKERS_ASKED);
+            let named = cheapest_named(unknown, limit, wanted.max(MIN_WORKERS_ASKED));
+            workers.extend(named.iter().map(|w| w.idx));
+        }
+        let extra_count = cost.extra_workers(MAX_CALL_EXTENSION_PERCENT);
+        workers.extend(cheapest_named(full, extra_count, usize::MAX).iter().map(|w| w.idx));
+        workers
+    }
+
     /// Returns the workers that an advice call for the step may name.
     fn advice_candidates(
         &self,
@@ -121,3 +152,20 @@
     list.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
     list.into_iter().take(limit).map(|(_, w)| w).collect()
 }
+
+/// Returns the workers with capacity now and the lowest cost, then those with expected capacity: at
+/// most `limit`, and no more than hold `slots` tasks.
+fn cheapest_named(mut list: Vec<NamedWorker>, limit: usize, slots: usize) -> Vec<NamedWorker> {
+    list.sort_unstable_by(|a, b| {
+        b.has_room_now.cmp(&a.has_room_now).then(a.cost.total_cmp(&b.cost))
+    });
+    let mut found = 0;
+    list.into_iter()
+        .take(limit)
+        .take_while(|w| {
+            let is_needed = found < slots;
+            found = w.slots.saturating_add(found);
+            is_needed
+        })
+        .collect()
+}
--- a/crates/hollowford-jobs/src/advice/tickets.rs
+++ b/crates/hollowford-jobs/src/advice/tickets.rs
@@ -76,6 +76,11 @@
     known: FxHashMap<WorkerIdx, Option<Ticket>>,
     /// Workers named in pending calls.
     pending: FxHashSet<WorkerIdx>,
+    /// When a call was first held back since the last call, because no start was expected while the
+    /// tickets would be valid.
+    pub held_back_since: Option<Millis>,
+    /// Answers since the last start whose tickets have lapsed without a start.
+    pub unused_answers: u32,
 }
 
 /// What advice says about one worker for a step.
@@ -106,6 +111,12 @@
         self.known.iter().filter_map(|(&w, t)| Some((w, t.as_ref()?)))
     }
 
+    /// Returns the workers that may run the step and those that pending calls name, which may be the
+    /// same.
+    pub fn in_question(&self) -> impl Iterator<Item = WorkerIdx> {
+        self.allowed().map(|(w, _)| w).chain(self.pending.iter().copied())
+    }
+
     /// Returns the text of the worker's ticket; empty if there is none.
     pub fn ticket(&self, w: WorkerIdx) -> Arc<str> {
         let ticket = self.known.get(&w).and_then(|t| t.as_ref());
@@ -147,6 +158,7 @@
     /// Records a call that names these workers.
     pub fn call_sent(&mut self, workers: &[WorkerIdx]) {
         self.pending.extend(workers);
+        self.held_back_since = None;
     }
 
     /// Records that a call that named these workers has failed.
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,7 +1,7 @@
 //! The engine: the state of one partition and its periodic work.
 
 use crate::accounts::Accounts;
-use crate::advice::{AdviceChannels, AllowedShare};
+use crate::advice::{AdviceChannels, AllowedShare, OpenAnswers};
 use crate::answer_timeouts::AnswerLoss;
 use crate::batch::InFlight;
 use crate::crashes::CrashedIncarnation;
@@ -81,6 +81,10 @@
     pub crashing_jobs: u64,
     /// Advice calls made.
     pub asked: u64,
+    /// Answers of advice calls that a start of their step followed while their tickets were valid.
+    pub used_answers: u64,
+    /// Answers of advice calls that no start of their step followed in that time.
+    pub unused_answers: u64,
     /// Steps that passes tried to place, counted once per pass.
     pub tried: u64,
 }
@@ -101,6 +105,8 @@
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
     pub(crate) accounts: Accounts,
     pub(crate) advice_channels: AdviceChannels,
+    /// Answers of advice calls that no start of their step has followed yet.
+    pub(crate) open_answers: OpenAnswers,
     /// Share of the workers that may run a step, by queue.
     pub(crate) allowed_shares: FxHashMap<Arc<str>, AllowedShare>,
     /// Share of the workers' answers that are lost.
@@ -161,6 +167,7 @@
             queues: FxHashMap::default(),
             accounts: Accounts::default(),
             advice_channels: AdviceChannels::default(),
+            open_answers: OpenAnswers::default(),
             allowed_shares: FxHashMap::default(),
             answer_loss: AnswerLoss::default(),
             run_times: RunTimes::default(),
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -180,6 +180,14 @@
         /// answer.
         allowed: Option<usize>,
     },
+    /// The tickets of an answered advice call have lapsed, and no task of the step has started
+    /// since the answer.
+    AdviceUnused {
+        /// The step for which advice was asked.
+        step: StepKey,
+        /// Number of workers in the call.
+        asked: usize,
+    },
     /// Tasks no longer wait for workers that this owner has not claimed.
     PartitionSettled {
         /// Number of workers that were not claimed in time.
@@ -272,6 +280,9 @@
                 }
                 None => write!(f, "advice.unanswered step={step} asked={asked}"),
             },
+            Event::AdviceUnused { step, asked } => {
+                write!(f, "advice.unused step={step} asked={asked}")
+            }
             Event::PartitionSettled { unclaimed } => {
                 write!(f, "owner.settled unclaimed={unclaimed}")
             }
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -1,6 +1,6 @@
 //! Placement of gangs, whose members start all together or not at all.
 
-use crate::advice::AdviceStatus;
+use crate::advice::{AdviceRequest, AdviceStatus};
 use crate::engine::Engine;
 use crate::order::Order;
 use crate::pass::Pass;
@@ -25,8 +25,14 @@
         out: &mut Vec<Order>,
     ) {
         let (account, need) = (gang.account, gang.spec.allocation());
+        let schedules_advice = self.schedules_advice(pass, gang.queue);
+        let request = AdviceRequest::new(*waiting, gang.spec.count as usize);
         if !self.accounts.allows(account, &need, gang.spec.count) {
             self.accounts.reserve(account, &need, gang.spec.count);
+            if schedules_advice {
+                pass.advice_requests.push(AdviceRequest { exceeds_quota: true, ..request });
+                return;
+            }
             // Answers are slow, so the gang collects advice while it waits for its quota.
             self.ask_or_defer(pass, waiting, gang, None, out);
             return;
@@ -55,10 +61,17 @@
         }
         self.accounts.reserve(account, &need, gang.spec.count);
         let plan = self.plan_gang(pass, gang, placement, &allowed);
-        self.ask_or_defer(pass, waiting, gang, plan.as_ref(), out);
-        if let Some(plan) = plan {
+        if !schedules_advice {
+            self.ask_or_defer(pass, waiting, gang, plan.as_ref(), out);
+        }
+        let mut reserved = Vec::new();
+        if let Some(plan) = &plan {
             plan.reserve(pass, &gang.spec.allocation());
             pass.reservations += usize::from(plan.start > pass.now);
+            reserved = plan.candidates.iter().map(|&at| (plan.start, at)).collect();
+        }
+        if schedules_advice {
+            pass.advice_requests.push(AdviceRequest { plan, reserved, ..request });
         }
     }
 
--- a/crates/hollowford-jobs/src/held_task.rs
+++ b/crates/hollowford-jobs/src/held_task.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Returns when it is expected to end. A task that is overdue is expected to take as long again
+    /// as it is overdue, since the run times of tasks have a long tail.
+    pub fn remaining_until(&self, now: Millis) -> Millis {
+        self.expected_end.max(now + now.since(self.expected_end))
+    }
+
     /// Returns true once, when it has run for [`FRESH_PERIOD`].
     pub fn becomes_stable(&mut self, now: Millis) -> bool {
         let newly = !self.is_stable && now.since(self.since) >= FRESH_PERIOD;
--- a/crates/hollowford-jobs/src/pass.rs
+++ b/crates/hollowford-jobs/src/pass.rs
@@ -1,5 +1,6 @@
 //! The working state of one placement pass: the candidate workers and what the pass leaves free.
 
+use crate::advice::{AdviceRequest, is_half_full};
 use crate::candidate::CandidateWorker;
 use crate::reservation::StartPlan;
 use crate::urgency::WaitingStep;
@@ -28,6 +29,11 @@
     /// Gangs with a pending advice call. They may make another one after all other steps had their
     /// turn.
     pub deferred_gangs: Vec<(WaitingStep, Option<StartPlan>)>,
+    /// Steps that still wait, in pools where calls for advice are made after all steps had their
+    /// turn; the most urgent first.
+    pub advice_requests: Vec<AdviceRequest>,
+    /// Whether each pool was at least half full when the pass first asked.
+    half_full: Vec<(Arc<str>, bool)>,
 }
 
 impl Pass {
@@ -45,9 +51,21 @@
             racks: None,
             reservations: 0,
             deferred_gangs: Vec::new(),
+            advice_requests: Vec::new(),
+            half_full: Vec::new(),
         }
     }
 
+    /// Returns true if at least half of a pool was in use when this was first called in the pass.
+    pub fn is_half_full(&mut self, pool: &Arc<str>) -> bool {
+        if let Some((_, known)) = self.half_full.iter().find(|(p, _)| p == pool) {
+            return *known;
+        }
+        let half_full = is_half_full(&self.candidates, pool);
+        self.half_full.push((pool.clone(), half_full));
+        half_full
+    }
+
     /// Returns the position of a worker among the candidates, if it is one.
     pub fn position_of(&self, idx: WorkerIdx) -> Option<usize> {
         self.positions.get(&idx).copied()
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement passes: starting the tasks of waiting steps on workers.
 
 use crate::accounts::AccountIdx;
-use crate::advice::{AdviceCall, AdviceStatus, StepAdvice};
+use crate::advice::{AdviceCall, AdviceRequest, AdviceStatus, StepAdvice};
 use crate::candidate::CandidateWorker;
 use crate::engine::Engine;
 use crate::job::Task;
@@ -48,6 +48,7 @@
     /// tries all waiting steps.
     pub(crate) fn run_pass(&mut self, now: Millis, is_full: bool, out: &mut Vec<Order>) {
         self.expire_advice_calls(now);
+        self.expire_unused_advice(now);
         let steps = self.waiting_steps(now);
         if steps.is_empty() {
             return;
@@ -67,6 +68,7 @@
                 break;
             }
         }
+        self.make_scheduled_calls(&mut pass, out);
         for (waiting, plan) in std::mem::take(&mut pass.deferred_gangs) {
             self.ask_concurrently(&pass, &waiting, plan.as_ref(), out);
         }
@@ -88,7 +90,10 @@
     }
 
     /// Returns the specification, queue and client account of a step's job.
-    fn placement_inputs(&self, key: StepKey) -> Option<(Arc<JobSpec>, Arc<Queue>, AccountIdx)> {
+    pub(crate) fn placement_inputs(
+        &self,
+        key: StepKey,
+    ) -> Option<(Arc<JobSpec>, Arc<Queue>, AccountIdx)> {
         let job = self.jobs.get(key.job)?;
         let queue = self.queues.get(&job.queue)?;
         Some((job.spec.clone(), queue.clone(), job.account))
@@ -102,11 +107,17 @@
         if spec.gang {
             self.place_gang(pass, waiting, step, out);
         } else {
-            self.place_tasks(pass, step, out);
+            self.place_tasks(pass, waiting, step, out);
         }
     }
 
-    fn place_tasks(&mut self, pass: &mut Pass, step: StepPlacement<'_>, out: &mut Vec<Order>) {
+    fn place_tasks(
+        &mut self,
+        pass: &mut Pass,
+        waiting: &WaitingStep,
+        step: StepPlacement<'_>,
+        out: &mut Vec<Order>,
+    ) {
         let tasks = self.waiting_tasks(step.key, pass.now);
         let waiting_count = tasks.len();
         let (started, avoided) =
@@ -117,6 +128,15 @@
         if remaining == 0 {
             return;
         }
+        if self.schedules_advice(pass, step.queue) {
+            let reserved = match step.durable {
+                true => self.reserve_for_large_tasks(pass, step, remaining),
+                false => Vec::new(),
+            };
+            let request = AdviceRequest::new(*waiting, remaining);
+            pass.advice_requests.push(AdviceRequest { avoided, reserved, ..request });
+            return;
+        }
         if let Some(cost) = self.single_call_cost(pass, step)
             && let Some(workers) = self.workers_to_ask_for(pass, step, remaining, avoided)
         {
--- a/crates/hollowford-jobs/src/reservation.rs
+++ b/crates/hollowford-jobs/src/reservation.rs
@@ -7,8 +7,10 @@
 use crate::advice::AdviceStatus;
 use crate::candidate::fit_count;
 use crate::engine::Engine;
+use crate::held_task::HeldTask;
 use crate::pass::Pass;
 use crate::placement::StepPlacement;
+use crate::queue::Queue;
 use crate::workers::WorkerIdx;
 use hollowford_core::{Millis, Resources};
 
@@ -53,13 +55,13 @@
 
     /// Reserves the earliest capacity for the unstarted tasks of a step on workers of which one
     /// task takes a large part. Otherwise smaller tasks would use each part of it as it becomes
-    /// free.
+    /// free. Returns the expected start and the position of the candidate of each reservation.
     pub(crate) fn reserve_for_large_tasks(
         &self,
         pass: &mut Pass,
         step: StepPlacement<'_>,
         remaining: usize,
-    ) {
+    ) -> Vec<(Millis, usize)> {
         let mut allowed: Vec<usize> =
             self.candidates_with(pass, step, AdviceStatus::ValidTicket).collect();
         if step.queue.advice.is_some() {
@@ -69,9 +71,10 @@
         allowed.retain(|&at| takes_large_part(&need, &pass.candidates[at].capacity));
         let slots = self.earliest_slots(pass, step, &allowed, remaining);
         if !slots.is_empty() {
-            slots.into_iter().for_each(|(start, at)| pass.candidates[at].reserve(&need, start));
+            slots.iter().for_each(|&(start, at)| pass.candidates[at].reserve(&need, start));
             pass.reservations += 1;
         }
+        slots
     }
 
     /// Returns the earliest times at which tasks of a step could start on the given candidates, at
@@ -94,39 +97,55 @@
                 continue;
             }
             let free = candidate.free.minus(&candidate.reserved);
-            self.add_slots(at, candidate.idx, free, &need, pass.now, &mut slots);
+            let ends = self.expected_ends(candidate.idx, step.queue, pass.now);
+            add_slots(at, ends, free, &need, pass.now, &mut slots);
         }
         slots.sort_unstable();
         slots.truncate(count);
         slots
     }
 
-    /// Adds each time at which the worker has capacity for one more task.
-    fn add_slots(
+    /// Returns the expected ends of a worker's tasks with what they release, the earliest first. A
+    /// call for advice that relies on the end of an overdue task would be in vain, so for steps that
+    /// need advice such a task is expected to take longer.
+    fn expected_ends(
         &self,
-        at: usize,
         idx: WorkerIdx,
-        mut free: Resources,
-        need: &Resources,
+        queue: &Queue,
         now: Millis,
-        slots: &mut Vec<(Millis, usize)>,
-    ) {
-        let Some(w) = self.workers.get(idx) else { return };
-        let mut ends: Vec<_> =
-            w.held.iter().map(|h| (h.expected_end.max(now), h.allocation)).collect();
+    ) -> Vec<(Millis, Resources)> {
+        let Some(w) = self.workers.get(idx) else { return Vec::new() };
+        let is_scheduled = self.features.advice_scheduling && queue.advice.is_some();
+        let end = |h: &HeldTask| match is_scheduled {
+            true => h.remaining_until(now),
+            false => h.expected_end.max(now),
+        };
+        let mut ends: Vec<_> = w.held.iter().map(|h| (end(h), h.allocation)).collect();
         ends.sort_unstable_by_key(|&(end, _)| end);
-        let mut fitting = fit_count(need, &free);
-        for _ in 0..fitting.min(MAX_SLOTS_PER_WORKER) {
-            slots.push((now, at));
-        }
-        for (end, allocation) in ends {
-            free = free.plus(&allocation);
-            let count = fit_count(need, &free);
-            for _ in fitting..count.min(MAX_SLOTS_PER_WORKER) {
-                slots.push((end, at));
-            }
-            fitting = fitting.max(count);
+        ends
+    }
+}
+
+/// Adds each time at which a worker has capacity for one more task.
+fn add_slots(
+    at: usize,
+    ends: Vec<(Millis, Resources)>,
+    mut free: Resources,
+    need: &Resources,
+    now: Millis,
+    slots: &mut Vec<(Millis, usize)>,
+) {
+    let mut fitting = fit_count(need, &free);
+    for _ in 0..fitting.min(MAX_SLOTS_PER_WORKER) {
+        slots.push((now, at));
+    }
+    for (end, allocation) in ends {
+        free = free.plus(&allocation);
+        let count = fit_count(need, &free);
+        for _ in fitting..count.min(MAX_SLOTS_PER_WORKER) {
+            slots.push((end, at));
         }
+        fitting = fitting.max(count);
     }
 }
 
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -46,6 +46,7 @@
         let is_deferred = self.must_be_stored_first(key);
         self.record_open_run(p);
         self.stats.started += 1;
+        self.advice_used(key.step);
         if is_deferred {
             if let Some(h) = self.workers.get_mut(idx).and_then(|w| w.find_mut(key, run)) {
                 h.unsent = true;
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -37,6 +37,9 @@
     pub start_seconds: Histogram,
     /// Calls to the advice service made by this process, by outcome.
     pub advice_calls: IntCounterVec,
+    /// Answers of the advice service whose tickets have been used or have lapsed, by partition and
+    /// whether a start of the step followed within the validity.
+    pub advice_answers: IntCounterVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Jobs that have not ended, by partition, while this process owns it.
@@ -105,6 +108,11 @@
             worker_calls: counters("worker_calls_total", "Calls to workers", &["call", "outcome"])?,
             start_seconds: seconds("start_seconds", "Time of an answered start")?,
             advice_calls: counters("advice_calls_total", "Calls for advice", &["outcome"])?,
+            advice_answers: counters(
+                "advice_answers_total",
+                "Answers with advice, by whether a start followed while their tickets were valid",
+                &["partition", "used"],
+            )?,
             config_version: gauge("config_version", "Version of the configuration")?,
             open_jobs: gauges("open_jobs", "Jobs that have not ended")?,
             usable_workers: gauges("usable_workers", "Workers that may get tasks")?,
--- a/crates/hollowford-node/src/owner/view.rs
+++ b/crates/hollowford-node/src/owner/view.rs
@@ -31,6 +31,10 @@
         metrics.worker_crashes.with_label_values(&part).inc_by(crashes);
         let crashing_jobs = view.stats.crashing_jobs - self.reported_stats.crashing_jobs;
         metrics.crashing_jobs.with_label_values(&part).inc_by(crashing_jobs);
+        let used_answers = view.stats.used_answers - self.reported_stats.used_answers;
+        metrics.advice_answers.with_label_values(&[part[0], "yes"]).inc_by(used_answers);
+        let unused_answers = view.stats.unused_answers - self.reported_stats.unused_answers;
+        metrics.advice_answers.with_label_values(&[part[0], "no"]).inc_by(unused_answers);
         self.reported_stats = view.stats;
         self.update_account_usage();
         self.update_step_waits(now);
