jobs: compare quotas of advice requests without later reservations, and document the calls

Gangs without a reservation now claim the capacity on which they are expected to start, and gangs above their quota claim quota, as the steps before them do.

Tried and not kept: requiring more room for gangs after answers in vain, and no future room behind three reservations; neither had an effect on gangs beyond the noise.

--- a/crates/hollowford-jobs/src/advice/scheduling.rs
+++ b/crates/hollowford-jobs/src/advice/scheduling.rs
@@ -111,6 +111,9 @@
             } else {
                 self.schedule_call(pass, &mut forecast, request, step, out);
             }
+            if step.spec.gang && request.reserved.is_empty() && !request.exceeds_quota {
+                self.claim_for_gang(pass, &mut forecast, step);
+            }
             for &(start, at) in &request.reserved {
                 forecast.reserve(at, &step.spec.allocation(), start);
             }
@@ -159,7 +162,12 @@
         out: &mut Vec<Order>,
     ) {
         let need = step.spec.allocation();
-        let tasks = self.accounts.allowed_count(step.account, &need, request.tasks);
+        // Reservations of quota for less urgent gangs don't count, which the pass has made since.
+        let none = Totals::default();
+        let allows = |&n: &usize| {
+            self.accounts.allows_after_release(step.account, &need, n as u32 + 1, &none)
+        };
+        let tasks = (0..request.tasks).take_while(allows).count();
         if tasks == 0 {
             return;
         }
@@ -214,6 +222,7 @@
         positions.sort_unstable();
         positions.dedup();
         let mut remaining = tasks as u32;
+        let limit = if step.spec.max_per_worker > 0 { step.spec.max_per_worker } else { u32::MAX };
         for until in until {
             let demand = Demand { need, until, run_time: self.expected_run_time(step.key) };
             for &at in &positions {
@@ -223,7 +232,7 @@
                 if !self.is_eligible(&pass.candidates[at], step) {
                     continue;
                 }
-                let count = forecast.slots(at, &demand).min(remaining);
+                let count = forecast.slots(at, &demand).min(remaining).min(limit);
                 forecast.claim(at, &need, count);
                 remaining -= count;
             }
@@ -231,6 +240,26 @@
         tasks - remaining as usize
     }
 
+    /// Claims capacity for a gang without a reservation if all its members are expected to find some.
+    fn claim_for_gang(&self, pass: &Pass, forecast: &mut Forecast, gang: StepPlacement<'_>) {
+        let (need, count) = (gang.spec.allocation(), gang.spec.count);
+        let Some(advice) = self.jobs.step(gang.key).map(|s| &s.advice) else { return };
+        let Some(cost) = gang.queue.advice else { return };
+        if !forecast.may_hold(&need, count) {
+            return;
+        }
+        let until = horizon(&cost, TYPICAL_WORKERS_PER_CALL, 0, pass.now).until;
+        let demand = Demand { need, until, run_time: self.expected_run_time(gang.key) };
+        let mut positions: Vec<usize> =
+            advice.in_question().filter_map(|w| pass.position_of(w)).collect();
+        positions.sort_unstable();
+        positions.dedup();
+        let slots = positions.iter().map(|&at| forecast.slots(at, &demand).min(count));
+        if slots.sum::<u32>() >= count {
+            self.claim_expected_room(pass, forecast, gang, count as usize);
+        }
+    }
+
     /// Returns the call that pays for a gang now: to renew the tickets that its planned start lacks,
     /// or about more workers if the whole gang is expected to find capacity in time on the share of
     /// them that advice will allow.
@@ -250,6 +279,10 @@
             if !self.accounts.allows_after_release(gang.account, &need, count, &freed) {
                 return None;
             }
+            // Less urgent gangs of the account have to wait for further releases.
+            for _ in 0..count {
+                self.accounts.add_usage(gang.account, &need);
+            }
         }
         let plan = request.plan.as_ref();
         let mut workers = self.workers_to_renew(pass, gang, plan, &cost);
