jobs: make the decision about advice calls cheaper in long backlogs

Capacity by a time is summed once for all workers, needs that no worker can hold are remembered within a pass, and partial passes compare at most 32 steps with all workers in vain. Steps that are held back and whose calls are slow are looked at in full passes.

--- a/crates/hollowford-jobs/src/advice/forecast.rs
+++ b/crates/hollowford-jobs/src/advice/forecast.rs
@@ -38,9 +38,49 @@
     /// Capacity of all workers that is free or expected to become free, minus claims and
     /// reservations. An upper bound of what any step can use.
     total: Totals,
+    /// The workers' capacity by the times that steps have asked about, without claims and
+    /// reservations.
+    rooms: Vec<(Millis, Vec<Resources>)>,
+    /// Needs for which no worker has capacity by a time. Claims and reservations only grow.
+    refused: Vec<(Resources, Millis)>,
 }
 
 impl Forecast {
+    /// Returns false if no worker is expected to have capacity for one task in time. Many waiting
+    /// steps have the same needs, so that most answers come from an earlier one.
+    pub fn has_room(&mut self, demand: &Demand) -> bool {
+        let Demand { need, until, .. } = *demand;
+        let is_refused = |&(refused, by): &(Resources, Millis)| refused.fits(&need) && until <= by;
+        if !self.may_hold(&need, 1) || self.refused.iter().any(is_refused) {
+            return false;
+        }
+        if !self.rooms.iter().any(|&(at, _)| at == until) {
+            let room = (0..self.workers.len()).map(|at| self.sum_until(at, until)).collect();
+            self.rooms.push((until, room));
+        }
+        // Reservations are left out, since whether they are in the way depends on the run time.
+        let has_room =
+            |at: usize| need.fits(&self.room(at, until).minus(&self.workers[at].claimed));
+        let found = (0..self.workers.len()).any(has_room);
+        if !found {
+            self.refused.push((need, until));
+        }
+        found
+    }
+
+    /// Returns the capacity of a worker that is free or becomes free by `until`.
+    fn room(&self, at: usize, until: Millis) -> Resources {
+        let known = self.rooms.iter().find(|&&(by, _)| by == until);
+        known.map_or_else(|| self.sum_until(at, until), |(_, room)| room[at])
+    }
+
+    fn sum_until(&self, at: usize, until: Millis) -> Resources {
+        let from = at.checked_sub(1).map_or(0, |before| self.workers[before].ends_until);
+        let w = &self.workers[at];
+        let in_time = self.ends[from..w.ends_until].iter().take_while(|(end, _)| *end <= until);
+        in_time.fold(w.free, |sum, (_, allocation)| sum.plus(allocation))
+    }
+
     /// Adds the next worker: its free resources, and the expected ends of its tasks up to the
     /// latest time that any step asks about.
     pub fn add_worker(
@@ -73,11 +113,7 @@
     /// Returns how many tasks are expected to find capacity on the worker at `at` in time.
     pub fn slots(&self, at: usize, demand: &Demand) -> u32 {
         let Some(w) = self.workers.get(at) else { return 0 };
-        let from = at.checked_sub(1).map_or(0, |before| self.workers[before].ends_until);
-        let ends = self.ends[from..w.ends_until].iter();
-        let in_time = ends.take_while(|(end, _)| *end <= demand.until);
-        let room = in_time.fold(w.free, |sum, (_, allocation)| sum.plus(allocation));
-        let mut room = room.minus(&w.claimed);
+        let mut room = self.room(at, demand.until).minus(&w.claimed);
         if demand.until + demand.run_time > w.reserved_from {
             room = room.minus(&w.reserved);
         }
--- a/crates/hollowford-jobs/src/advice/gang_selection.rs
+++ b/crates/hollowford-jobs/src/advice/gang_selection.rs
@@ -114,19 +114,23 @@
     pub(crate) fn gang_workers_with_expected_room(
         &self,
         pass: &Pass,
-        forecast: &Forecast,
+        forecast: &mut Forecast,
         gang: StepPlacement<'_>,
         until: Millis,
     ) -> Vec<WorkerIdx> {
         let Some(step) = self.jobs.step(gang.key) else { return Vec::new() };
         let Some(job) = self.jobs.get(gang.key.job) else { return Vec::new() };
         let (need, count) = (gang.spec.allocation(), gang.spec.count);
-        if !forecast.may_hold(&need, count) {
-            return Vec::new();
-        }
         let share = self.allowed_shares.get(&gang.queue.name).copied().unwrap_or_default();
         let limit = if gang.spec.max_per_worker > 0 { gang.spec.max_per_worker } else { count };
         let demand = Demand { need, until, run_time: self.expected_run_time(gang.key) };
+        if !forecast.may_hold(&need, count) || !forecast.has_room(&demand) {
+            return Vec::new();
+        }
+        let slots_at = |at: usize| forecast.slots(at, &demand).min(limit);
+        if (0..pass.candidates.len()).map(slots_at).sum::<u32>() < count {
+            return Vec::new();
+        }
         let (mut known, mut unknown) = (0.0, Vec::new());
         for (at, c) in pass.candidates.iter().enumerate() {
             let status = step.advice.advice_status(c.idx, pass.now);
--- a/crates/hollowford-jobs/src/advice/scheduling.rs
+++ b/crates/hollowford-jobs/src/advice/scheduling.rs
@@ -26,6 +26,12 @@
 /// ends are not more accurate than the workers' reports of progress.
 const MIN_LEAD: Millis = Millis(100);
 
+/// Maximum number of steps that a pass compares with all workers without a call, the most urgent
+/// first. Passes run after every event; full passes and those after slow answers have no limit.
+const MAX_HELD_BACK_STEPS: usize = 32;
+/// Horizons are multiples of this.
+const HORIZON_GRID: Millis = Millis(50);
+
 /// A step that still waits after a pass has tried to start it.
 #[derive(Debug)]
 pub(crate) struct AdviceRequest {
@@ -76,9 +82,11 @@
 pub(crate) fn horizon(cost: &AdviceCost, workers: usize, unused: u32, now: Millis) -> Horizon {
     let duration = Millis(cost.call_ms(workers) as u64);
     let answered = now + duration;
+    // Rounded, so that the steps of a pass ask about few different times.
     let lead =
         duration.max(MIN_LEAD).0.min(cost.ticket_validity.0 / 2).checked_shr(unused).unwrap_or(0);
-    Horizon { answered, until: answered + Millis(lead) }
+    let ahead = (answered + Millis(lead)).since(now).0.next_multiple_of(HORIZON_GRID.0);
+    Horizon { answered, until: now + Millis(ahead) }
 }
 
 impl Engine {
@@ -92,15 +100,21 @@
     /// Makes the calls for advice that a pass has put off, those of the most urgent steps first.
     pub(crate) fn make_scheduled_calls(&mut self, pass: &mut Pass, out: &mut Vec<Order>) {
         let requests = std::mem::take(&mut pass.advice_requests);
-        let Some(last) = requests.iter().rposition(|r| self.may_call(pass, r)) else { return };
+        let may_call: Vec<bool> = requests.iter().map(|r| self.may_call(pass, r)).collect();
+        let Some(last) = may_call.iter().rposition(|&may_call| may_call) else { return };
         let mut forecast = self.forecast(pass);
         let mut further_calls = Vec::new();
-        for request in &requests[..=last] {
+        let mut held_back = 0;
+        for (request, may_call) in requests[..=last].iter().zip(may_call) {
+            let may_call = may_call && (pass.may_ask_again || held_back < MAX_HELD_BACK_STEPS);
+            let calls_before = self.stats.asked;
             let key = request.waiting.key;
             let Some((job, queue, account)) = self.placement_inputs(key) else { continue };
             let Some(step) = placement(&job, &queue, account, &request.waiting) else { continue };
             if step.spec.gang {
-                let call = self.scheduled_gang_call(pass, &forecast, request, step);
+                let call = may_call
+                    .then(|| self.scheduled_gang_call(pass, &mut forecast, request, step))
+                    .flatten();
                 let is_call_pending =
                     self.jobs.step(key).is_some_and(|s| s.advice.is_call_pending());
                 match call {
@@ -109,8 +123,9 @@
                     None => {}
                 }
             } else {
-                self.schedule_call(pass, &mut forecast, request, step, out);
+                self.schedule_call(pass, &mut forecast, (request, may_call), step, out);
             }
+            held_back += usize::from(may_call && self.stats.asked == calls_before);
             if step.spec.gang && request.reserved.is_empty() && !request.exceeds_quota {
                 self.claim_for_gang(pass, &mut forecast, step);
             }
@@ -129,6 +144,11 @@
         let key = request.waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return false };
         let Some(step) = placement(&job, &queue, account, &request.waiting) else { return false };
+        // Expected capacity changes slowly, and the decision compares all workers.
+        let is_held_back = self.jobs.step(key).is_some_and(|s| s.advice.held_back_since.is_some());
+        if is_held_back && !pass.may_ask_again && !queue.advice.is_some_and(|c| c.is_quick()) {
+            return false;
+        }
         let cost = match step.spec.gang {
             true => self.call_cost(pass, step),
             false => self.single_call_cost(pass, step),
@@ -157,7 +177,7 @@
         &mut self,
         pass: &Pass,
         forecast: &mut Forecast,
-        request: &AdviceRequest,
+        (request, may_call): (&AdviceRequest, bool),
         step: StepPlacement<'_>,
         out: &mut Vec<Order>,
     ) {
@@ -171,7 +191,7 @@
         if tasks == 0 {
             return;
         }
-        if let Some(cost) = self.single_call_cost(pass, step) {
+        if may_call && let Some(cost) = self.single_call_cost(pass, step) {
             let mut workers = self.workers_with_expected_room(
                 pass,
                 forecast,
@@ -211,10 +231,18 @@
     ) -> usize {
         let need = step.spec.allocation();
         let Some(advice) = self.jobs.step(step.key).map(|s| &s.advice) else { return 0 };
+        let run_time = self.expected_run_time(step.key);
+        let latest = step
+            .queue
+            .advice
+            .map_or(pass.now, |cost| horizon(&cost, TYPICAL_WORKERS_PER_CALL, 0, pass.now).until);
+        if !forecast.has_room(&Demand { need, until: latest, run_time }) {
+            return 0;
+        }
         let mut until = vec![pass.now];
         let mut positions: Vec<usize> = match step.queue.advice {
-            Some(cost) => {
-                until.push(horizon(&cost, TYPICAL_WORKERS_PER_CALL, 0, pass.now).until);
+            Some(_) => {
+                until.push(latest);
                 advice.in_question().filter_map(|w| pass.position_of(w)).collect()
             }
             None => (0..pass.candidates.len()).collect(),
@@ -224,7 +252,10 @@
         let mut remaining = tasks as u32;
         let limit = if step.spec.max_per_worker > 0 { step.spec.max_per_worker } else { u32::MAX };
         for until in until {
-            let demand = Demand { need, until, run_time: self.expected_run_time(step.key) };
+            let demand = Demand { need, until, run_time };
+            if !forecast.has_room(&demand) {
+                continue;
+            }
             for &at in &positions {
                 if remaining == 0 || !forecast.may_hold(&need, 1) {
                     return tasks - remaining as usize;
@@ -245,11 +276,11 @@
         let (need, count) = (gang.spec.allocation(), gang.spec.count);
         let Some(advice) = self.jobs.step(gang.key).map(|s| &s.advice) else { return };
         let Some(cost) = gang.queue.advice else { return };
-        if !forecast.may_hold(&need, count) {
-            return;
-        }
         let until = horizon(&cost, TYPICAL_WORKERS_PER_CALL, 0, pass.now).until;
         let demand = Demand { need, until, run_time: self.expected_run_time(gang.key) };
+        if !forecast.may_hold(&need, count) || !forecast.has_room(&demand) {
+            return;
+        }
         let mut positions: Vec<usize> =
             advice.in_question().filter_map(|w| pass.position_of(w)).collect();
         positions.sort_unstable();
@@ -266,7 +297,7 @@
     fn scheduled_gang_call(
         &mut self,
         pass: &Pass,
-        forecast: &Forecast,
+        forecast: &mut Forecast,
         request: &AdviceRequest,
         gang: StepPlacement<'_>,
     ) -> Option<AdviceCall> {
@@ -338,20 +369,20 @@
     fn workers_with_expected_room(
         &self,
         pass: &Pass,
-        forecast: &Forecast,
+        forecast: &mut Forecast,
         step: StepPlacement<'_>,
         (tasks, avoided): (usize, Option<WorkerIdx>),
         cost: &AdviceCost,
     ) -> Option<Vec<WorkerIdx>> {
         let advice = &self.jobs.step(step.key)?.advice;
         let need = step.spec.allocation();
-        if !forecast.may_hold(&need, 1) {
-            return None;
-        }
         let times =
             horizon(cost, tasks.min(TYPICAL_WORKERS_PER_CALL), advice.unused_answers, pass.now);
         let run_time = self.expected_run_time(step.key);
         let demand = |until| Demand { need, until, run_time };
+        if !forecast.has_room(&demand(times.until)) {
+            return None;
+        }
         let (mut lapsed, mut unknown, mut full) = (Vec::new(), Vec::new(), Vec::new());
         let mut ticketed_slots = 0;
         let is_first = advice.has_no_answers();
