--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -72,6 +72,8 @@
     /// Ends of tasks whose effects the batch stores, with their jobs.
     ends: Vec<(JobId, EndRef)>,
     workers: Option<Vec<WorkerAddress>>,
+    /// Whether the batch contains the row of learned run times.
+    run_times: bool,
 }
 
 impl BatchContents {
@@ -124,6 +126,10 @@
         if rows.is_empty() {
             return None;
         }
+        // Two versions of the row in flight could be committed in the wrong order.
+        if !self.in_flight.batches.values().any(|b| b.run_times) {
+            contents.run_times = self.write_run_times(now, &mut rows);
+        }
         self.last_batch_number += 1;
         self.in_flight.jobs.extend(contents.jobs());
         self.in_flight.batches.insert(self.last_batch_number, contents);
@@ -222,6 +228,9 @@
                 self.jobs.write_queue.add_background(id);
             }
         }
+        if contents.run_times {
+            self.run_times_refused();
+        }
         self.in_flight.pending_removals.extend(contents.expired);
         for (id, ..) in contents.ended {
             self.jobs.write_queue.add_urgent(id);
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -220,6 +220,7 @@
     /// Sets which optional decisions the engine makes.
     pub fn set_features(&mut self, features: Features) {
         self.features = features;
+        self.run_times.set_enabled(features.learned_run_times);
     }
 
     /// Sets the offset in milliseconds by which Unix time is ahead of the engine's time. Jobs with
@@ -239,6 +240,7 @@
             self.send_looks(now, out);
             self.retry_orders(now, out);
             self.send_paces(out);
+            self.report_run_times(now);
         }
         let is_full = now.since(self.last_full_pass_at) >= FULL_PASS_INTERVAL;
         let min_gap = Millis((self.workers.len() / WORKERS_PER_PASS_GAP_MS) as u64);
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::job::JobState;
 use crate::order::{EndKind, StartAnswer};
+use crate::run_times::LearnedQueue;
 use crate::spec::{JobId, StepKey, TaskKey};
 use crate::worker_life::WorkerLife;
 use hollowford_core::{Millis, Resources};
@@ -185,6 +186,13 @@
         /// Number of workers that were not claimed in time.
         unclaimed: usize,
     },
+    /// The predictions of a queue's run times have changed noticeably.
+    RunTimesLearned(LearnedQueue),
+    /// The stored row of learned run times can't be read and is ignored.
+    RunTimesUnreadable {
+        /// Why it can't be read.
+        error: String,
+    },
 }
 
 /// How a worker incarnation ended.
@@ -275,6 +283,22 @@
             Event::PartitionSettled { unclaimed } => {
                 write!(f, "owner.settled unclaimed={unclaimed}")
             }
+            Event::RunTimesLearned(l) => {
+                let ratio =
+                    |r: Option<f64>| r.map_or_else(|| "-".to_owned(), |r| format!("{r:.2}"));
+                write!(
+                    f,
+                    "run_times.learned queue={} samples={} factor={:.2} p50={} p99={}",
+                    l.queue,
+                    l.samples,
+                    l.factor,
+                    ratio(l.p50),
+                    ratio(l.p99)
+                )
+            }
+            Event::RunTimesUnreadable { error } => {
+                write!(f, "run_times.unreadable error={error:?}")
+            }
         }
     }
 }
--- a/crates/hollowford-jobs/src/held_task.rs
+++ b/crates/hollowford-jobs/src/held_task.rs
@@ -49,6 +49,11 @@
     pub progressed_at: Millis,
     /// Progress and time of the first report that it runs.
     pub first_progress: Option<(u32, Millis)>,
+    /// When its worker confirmed that it has started from the beginning. `None` if that time is
+    /// not known exactly, or if it resumed from a checkpoint.
+    pub measured_from: Option<Millis>,
+    /// Whether it resumes from a checkpoint.
+    pub resumed: bool,
     /// Its start is held back until the row that records it is stored.
     pub unsent: bool,
     /// Whether a call about it is in flight.
@@ -85,6 +90,8 @@
             desired_pace: FULL_PACE,
             progressed_at: now,
             first_progress: None,
+            measured_from: None,
+            resumed: false,
             unsent: false,
             call_in_flight: false,
             start_unanswered: false,
@@ -97,6 +104,8 @@
         if self.phase == Phase::Starting {
             self.phase = Phase::Running;
             self.since = now;
+            let is_exact = !self.resumed && !self.start_unanswered;
+            self.measured_from = is_exact.then_some(now);
         }
     }
 
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -73,6 +73,7 @@
 pub use queue::{AdviceCost, Queue};
 pub use recover::Recovered;
 pub use rows::{RowError, WorkerAddress, decode_spec, decode_workers, encode_spec, encode_workers};
+pub use run_times::{LearnedQueue, LearnedRunTimes};
 pub use spec::{JobId, JobSpec, RawJob, RawStep, Schedule, SpecError, StepKey, StepSpec, TaskKey};
 pub use submit::{CancelAnswer, SubmitAnswer};
 pub use view::EngineView;
--- a/crates/hollowford-jobs/src/listing.rs
+++ b/crates/hollowford-jobs/src/listing.rs
@@ -45,5 +45,6 @@
             self.events.push(Event::WorkerLeaving { worker: w.life.clone() });
         }
         w.apply_listing(l, now);
+        self.register_worker_speed(idx);
     }
 }
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -45,6 +45,8 @@
                 let list = decode_workers(value)?;
                 found.workers = list.len();
                 self.recover_workers(list, now);
+            } else if key == crate::run_times::RUN_TIMES_KEY {
+                self.recover_run_times(value, now);
             } else if !key.starts_with("p/") {
                 found.other += 1;
             }
--- a/crates/hollowford-jobs/src/run_times/mod.rs
+++ b/crates/hollowford-jobs/src/run_times/mod.rs
@@ -1,14 +1,33 @@
 //! Prediction of run times from earlier runs.
+//!
+//! Three factors are learned separately: how a queue's run times relate to its callers' estimates
+//! ([`estimates`]), how much slower a worker is than the others of its pool ([`speeds`]), and how
+//! the remaining ratio is distributed ([`tail`]). See `docs/design/learned-run-times.md`.
+
+mod estimates;
+mod learning;
+mod report;
+mod row;
+mod speeds;
+mod tail;
+
+pub(crate) use report::RUN_TIMES_KEY;
+pub use report::{LearnedQueue, LearnedRunTimes};
 
 use crate::engine::Engine;
 use crate::spec::StepKey;
 use crate::workers::WorkerIdx;
-use hollowford_core::Millis;
+use estimates::EstimateModel;
+use hollowford_core::{InstanceId, Millis};
+use report::Reported;
+use row::Stored;
+use rustc_hash::FxHashMap;
+use speeds::WorkerSpeeds;
 use std::sync::Arc;
+use tail::Tail;
 
 /// A run that has succeeded from start to end.
 #[derive(Clone, Debug)]
-#[allow(dead_code)]
 pub(crate) struct RunSample {
     /// Queue of the task's job.
     pub queue: Arc<str>,
@@ -16,36 +35,142 @@
     pub estimate: Millis,
     /// Measured run time.
     pub took: Millis,
-    /// Worker on which it ran.
+    /// Worker on which it ran; for a gang, its slowest worker.
     pub worker: WorkerIdx,
+    /// Whether it is the run of a gang. Which of its workers delayed it is unknown, so it says
+    /// nothing about one worker's speed.
+    pub gang: bool,
+}
+
+/// What is known of a queue's run times.
+#[derive(Debug, Default)]
+struct QueueRunTimes {
+    model: EstimateModel,
+    tail: Option<Tail>,
 }
 
 /// Run times learned from ended runs.
 #[derive(Debug, Default)]
-pub(crate) struct RunTimes {}
+pub(crate) struct RunTimes {
+    queues: FxHashMap<Arc<str>, QueueRunTimes>,
+    speeds: WorkerSpeeds,
+    /// Whether predictions are off: the callers' estimates are returned, and every worker is
+    /// ordinary.
+    disabled: bool,
+    /// What the row in the store holds, or will when the batch in flight is committed.
+    stored: Stored,
+    /// Whether that row has to be written again because its batch was refused.
+    stored_refused: bool,
+    /// When it was last compared with what is known now.
+    compared_at: Millis,
+    /// What was logged last.
+    reported: Reported,
+}
 
 #[allow(dead_code)]
 impl RunTimes {
+    /// Turns predictions on or off. Runs are recorded in any case.
+    pub fn set_enabled(&mut self, enabled: bool) {
+        self.disabled = !enabled;
+    }
+
+    /// Records that a worker is listed in a pool, with the label of its kind.
+    pub fn register_worker(
+        &mut self,
+        idx: WorkerIdx,
+        id: &InstanceId,
+        pool: &Arc<str>,
+        kind: Option<&Arc<str>>,
+    ) {
+        self.speeds.register(idx, id, pool, kind);
+    }
+
+    /// Records that a worker is no longer known.
+    pub fn forget_worker(&mut self, idx: WorkerIdx) {
+        self.speeds.forget(idx);
+    }
+
     /// Records a run that has succeeded.
-    pub fn record(&mut self, _sample: &RunSample) {}
+    pub fn record(&mut self, sample: &RunSample) {
+        if sample.estimate == Millis(0) {
+            return;
+        }
+        let queue = match self.queues.get_mut(&sample.queue) {
+            Some(queue) => queue,
+            None => self.queues.entry(sample.queue.clone()).or_default(),
+        };
+        let log_slowness = self.speeds.log_slowness(sample.worker);
+        let took_ms = sample.took.0.max(1) as f64 / log_slowness.exp();
+        let expected = queue.model.expected(sample.estimate);
+        let spread = queue.model.spread();
+        let residual = queue.model.record(sample.estimate, took_ms);
+        if queue.tail.is_none() {
+            queue.tail = Tail::new();
+        }
+        if let Some(tail) = &mut queue.tail {
+            tail.record(took_ms / expected.0.max(1) as f64);
+        }
+        if !sample.gang {
+            self.speeds.record(sample.worker, residual + log_slowness, spread * spread);
+        }
+    }
 
     /// Returns the expected run time, on an ordinary worker, of a task with this estimate.
-    pub fn expected(&self, _queue: &str, estimate: Millis) -> Millis {
-        estimate
+    pub fn expected(&self, queue: &str, estimate: Millis) -> Millis {
+        if self.disabled {
+            return estimate;
+        }
+        self.queues.get(queue).map_or(estimate, |q| q.model.expected(estimate))
     }
 
     /// Returns the run time, on an ordinary worker, that the share `q` of the tasks with this
     /// estimate don't exceed. `None` if there are too few samples.
-    pub fn quantile(&self, _queue: &str, _estimate: Millis, _q: f64) -> Option<Millis> {
-        None
+    pub fn quantile(&self, queue: &str, estimate: Millis, q: f64) -> Option<Millis> {
+        let known = self.queues.get(queue).filter(|_| !self.disabled)?;
+        let ratio = known.tail.as_ref()?.quantile(q)?;
+        Some(Millis((known.model.expected(estimate).0 as f64 * ratio) as u64))
     }
 
     /// Returns a worker's run times relative to those of an ordinary worker. 2.0 is half the speed.
-    pub fn slowness(&self, _worker: WorkerIdx) -> f32 {
-        1.0
+    pub fn slowness(&self, worker: WorkerIdx) -> f32 {
+        if self.disabled { 1.0 } else { self.speeds.slowness(worker) }
+    }
+
+    /// Returns true if the run times of a queue's tasks vary noticeably, so that one long run is no
+    /// evidence of a slow worker.
+    pub fn is_varied(&self, queue: &str) -> bool {
+        let tail = self.queues.get(queue).and_then(|q| q.tail.as_ref());
+        let quantile = |q| tail.and_then(|t| t.quantile(q));
+        match (quantile(VARIED_QUANTILES.0), quantile(VARIED_QUANTILES.1)) {
+            (Some(low), Some(high)) => !self.disabled && high > low * VARIED_RATIO,
+            _ => false,
+        }
+    }
+
+    /// Restores what an earlier owner has stored.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes are not a row of learned run times.
+    pub fn restore(&mut self, bytes: &[u8], now: Millis) -> Result<(), prost::DecodeError> {
+        let stored = Stored::decode(bytes)?;
+        for (name, model) in &stored.queues {
+            if let Some(model) = EstimateModel::from_stored(model) {
+                self.queues.insert(name.clone(), QueueRunTimes { model, tail: None });
+            }
+        }
+        self.speeds.restore(stored.workers.clone());
+        self.stored = stored;
+        // Until the list of workers has arrived, fewer of them are known than are stored.
+        self.compared_at = now;
+        Ok(())
     }
 }
 
+/// Quantiles by which the variation of a queue's run times is judged.
+const VARIED_QUANTILES: (f64, f64) = (0.5, 0.95);
+/// Ratio of the two quantiles above which run times vary noticeably.
+const VARIED_RATIO: f64 = 1.3;
+
 #[allow(dead_code)]
 impl Engine {
     /// Returns the expected run time of a step's tasks on an ordinary worker; 0 if the step is
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -91,6 +91,7 @@
         let Some(lease_until) = w.extend_lease(now, lease) else { return };
         if let Some(h) = w.find_mut(task, run) {
             h.call_in_flight = true;
+            h.resumed = !saved.is_empty();
         }
         let limit = w.answer_timeout();
         let call = WorkerCall::Start {
--- a/crates/hollowford-jobs/src/task_ends.rs
+++ b/crates/hollowford-jobs/src/task_ends.rs
@@ -99,7 +99,7 @@
 
     /// Processes a report that a task has ended.
     pub(crate) fn process_end(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
-        self.release_ended(idx, end);
+        let held = self.release_ended(idx, end);
         let key = end.task;
         self.jobs.mark_started(key.step.job);
         let Some(job) = self.jobs.get(key.step.job).filter(|j| j.end.is_none()) else {
@@ -116,6 +116,7 @@
             return;
         }
         if is_current {
+            self.learn_run_time(idx, end, held.as_ref(), step_spec, now);
             self.unplace(Placement { idx, task: key, run: end.run }, now);
         }
         if let Some(task) = self.jobs.task_mut(key) {
@@ -130,8 +131,8 @@
     }
 
     /// Releases the resources of a task that has ended on a worker.
-    fn release_ended(&mut self, idx: WorkerIdx, end: &End) {
-        let Some(w) = self.workers.get_mut(idx) else { return };
+    fn release_ended(&mut self, idx: WorkerIdx, end: &End) -> Option<HeldTask> {
+        let w = self.workers.get_mut(idx)?;
         let held = w.find(end.task, end.run).map(|at| w.release(at));
         self.needs_pass |= held.is_some();
         self.events.push(Event::TaskEnded {
@@ -142,6 +143,7 @@
             number: end.number,
             expected: held.is_some(),
         });
+        held
     }
 
     /// Applies the consequences of an end for the task and its job.
--- a/crates/hollowford-jobs/src/worker_removal.rs
+++ b/crates/hollowford-jobs/src/worker_removal.rs
@@ -87,6 +87,7 @@
     fn forget_worker(&mut self, idx: WorkerIdx) {
         self.unsettled_workers.remove(&idx);
         self.workers.remove(idx);
+        self.run_times.forget_worker(idx);
         self.needs_pass = true;
     }
 
