jobs: expected ends and stalls from learned run times

Expected ends of started and adopted tasks, and the time without progress after which a task counts as stalled, use the run time expected on the worker. The slowness that progress shows is now relative to that.

--- a/crates/hollowford-jobs/src/held_task.rs
+++ b/crates/hollowford-jobs/src/held_task.rs
@@ -54,6 +54,8 @@
     pub measured_from: Option<Millis>,
     /// Whether it resumes from a checkpoint.
     pub resumed: bool,
+    /// Whether its progress has given a sample of its worker's slowness.
+    pub has_slowness_sample: bool,
     /// Its start is held back until the row that records it is stored.
     pub unsent: bool,
     /// Whether a call about it is in flight.
@@ -92,6 +94,7 @@
             first_progress: None,
             measured_from: None,
             resumed: false,
+            has_slowness_sample: false,
             unsent: false,
             call_in_flight: false,
             start_unanswered: false,
--- a/crates/hollowford-jobs/src/run_times/mod.rs
+++ b/crates/hollowford-jobs/src/run_times/mod.rs
@@ -15,6 +15,7 @@
 pub use report::{LearnedQueue, LearnedRunTimes};
 
 use crate::engine::Engine;
+use crate::job::Job;
 use crate::spec::StepKey;
 use crate::workers::WorkerIdx;
 use estimates::EstimateModel;
@@ -26,6 +27,14 @@
 use std::sync::Arc;
 use tail::Tail;
 
+/// Quantiles by which the variation of a queue's run times is judged.
+const VARIED_QUANTILES: [f64; 2] = [0.5, 0.95];
+/// Ratio of the two quantiles above which run times vary noticeably. A worker that is slower by
+/// less is found by its learned speed.
+const VARIED_RATIO: f64 = 1.3;
+/// Number of samples of a queue after which its variation is judged again.
+const VARIATION_SAMPLES: u64 = 32;
+
 /// A run that has succeeded from start to end.
 #[derive(Clone, Debug)]
 pub(crate) struct RunSample {
@@ -47,6 +56,27 @@
 struct QueueRunTimes {
     model: EstimateModel,
     tail: Option<Tail>,
+    /// Whether the run times vary noticeably.
+    is_varied: bool,
+    /// Whether predictions differ noticeably from the estimates.
+    is_noticeable: bool,
+}
+
+impl QueueRunTimes {
+    /// Records the ratio of a run time to its prediction.
+    fn record_ratio(&mut self, ratio: f64) {
+        if self.tail.is_none() {
+            self.tail = Tail::new();
+        }
+        let Some(tail) = &mut self.tail else { return };
+        tail.record(ratio);
+        if self.model.samples.is_multiple_of(VARIATION_SAMPLES) {
+            self.is_noticeable = self.model.is_noticeable();
+            let quantiles = VARIED_QUANTILES.map(|q| tail.quantile(q));
+            self.is_varied =
+                matches!(quantiles, [Some(low), Some(high)] if high > low * VARIED_RATIO);
+        }
+    }
 }
 
 /// Run times learned from ended runs.
@@ -67,7 +97,6 @@
     reported: Reported,
 }
 
-#[allow(dead_code)]
 impl RunTimes {
     /// Turns predictions on or off. Runs are recorded in any case.
     pub fn set_enabled(&mut self, enabled: bool) {
@@ -104,12 +133,7 @@
         let expected = queue.model.expected(sample.estimate);
         let spread = queue.model.spread();
         let residual = queue.model.record(sample.estimate, took_ms);
-        if queue.tail.is_none() {
-            queue.tail = Tail::new();
-        }
-        if let Some(tail) = &mut queue.tail {
-            tail.record(took_ms / expected.0.max(1) as f64);
-        }
+        queue.record_ratio(took_ms / expected.0.max(1) as f64);
         if !sample.gang {
             self.speeds.record(sample.worker, residual + log_slowness, spread * spread);
         }
@@ -125,12 +149,24 @@
 
     /// Returns the run time, on an ordinary worker, that the share `q` of the tasks with this
     /// estimate don't exceed. `None` if there are too few samples.
+    #[allow(dead_code)]
     pub fn quantile(&self, queue: &str, estimate: Millis, q: f64) -> Option<Millis> {
         let known = self.queues.get(queue).filter(|_| !self.disabled)?;
         let ratio = known.tail.as_ref()?.quantile(q)?;
         Some(Millis((known.model.expected(estimate).0 as f64 * ratio) as u64))
     }
 
+    /// Returns true if something noticeable has been learned.
+    pub fn has_learned(&self) -> bool {
+        let is_noticeable = |q: &QueueRunTimes| q.is_varied || q.is_noticeable;
+        !self.disabled && (self.speeds.differ() || self.queues.values().any(is_noticeable))
+    }
+
+    /// Returns true if predictions for a queue may differ from the estimates.
+    fn has_samples(&self, queue: &str) -> bool {
+        !self.disabled && self.queues.contains_key(queue)
+    }
+
     /// Returns a worker's run times relative to those of an ordinary worker. 2.0 is half the speed.
     pub fn slowness(&self, worker: WorkerIdx) -> f32 {
         if self.disabled { 1.0 } else { self.speeds.slowness(worker) }
@@ -139,12 +175,7 @@
     /// Returns true if the run times of a queue's tasks vary noticeably, so that one long run is no
     /// evidence of a slow worker.
     pub fn is_varied(&self, queue: &str) -> bool {
-        let tail = self.queues.get(queue).and_then(|q| q.tail.as_ref());
-        let quantile = |q| tail.and_then(|t| t.quantile(q));
-        match (quantile(VARIED_QUANTILES.0), quantile(VARIED_QUANTILES.1)) {
-            (Some(low), Some(high)) => !self.disabled && high > low * VARIED_RATIO,
-            _ => false,
-        }
+        !self.disabled && self.queues.get(queue).is_some_and(|q| q.is_varied)
     }
 
     /// Restores what an earlier owner has stored.
@@ -155,7 +186,9 @@
         let stored = Stored::decode(bytes)?;
         for (name, model) in &stored.queues {
             if let Some(model) = EstimateModel::from_stored(model) {
-                self.queues.insert(name.clone(), QueueRunTimes { model, tail: None });
+                let is_noticeable = model.is_noticeable();
+                let queue = QueueRunTimes { model, is_noticeable, ..QueueRunTimes::default() };
+                self.queues.insert(name.clone(), queue);
             }
         }
         self.speeds.restore(stored.workers.clone());
@@ -166,12 +199,6 @@
     }
 }
 
-/// Quantiles by which the variation of a queue's run times is judged.
-const VARIED_QUANTILES: (f64, f64) = (0.5, 0.95);
-/// Ratio of the two quantiles above which run times vary noticeably.
-const VARIED_RATIO: f64 = 1.3;
-
-#[allow(dead_code)]
 impl Engine {
     /// Returns the expected run time of a step's tasks on an ordinary worker; 0 if the step is
     /// unknown.
@@ -187,3 +214,26 @@
         Millis((self.expected_run_time(key).0 as f64 * slowness) as u64)
     }
 }
+
+impl Engine {
+    /// Returns the expected length of a job's critical path, and of the path from the start of a
+    /// step, in milliseconds on ordinary workers.
+    pub(crate) fn expected_paths(&self, job: &Job, step: usize) -> (u64, u64) {
+        let spec = &job.spec;
+        if !self.run_times.has_samples(&job.queue) {
+            return (spec.critical_path_ms(), spec.critical_path_from_ms(step));
+        }
+        // Steps depend only on earlier ones.
+        let mut paths = vec![0; spec.steps.len()];
+        for (i, s) in spec.steps.iter().enumerate().rev() {
+            let run_time = self.run_times.expected(&job.queue, Millis(s.estimate_ms)).0;
+            paths[i] += run_time;
+            let path = paths[i];
+            for &on in &s.depends_on {
+                let rest = &mut paths[on as usize];
+                *rest = path.max(*rest);
+            }
+        }
+        (paths.iter().copied().max().unwrap_or(0), paths.get(step).copied().unwrap_or(0))
+    }
+}
--- a/crates/hollowford-jobs/src/run_times/speeds.rs
+++ b/crates/hollowford-jobs/src/run_times/speeds.rs
@@ -112,6 +112,8 @@
     remembered: FxHashMap<InstanceId, Samples>,
     pools: FxHashMap<Arc<str>, PoolSpeed>,
     samples_since_update: usize,
+    /// Whether the slowness of some worker is not 1.0, at the last update of all.
+    differ: bool,
 }
 
 impl WorkerSpeeds {
@@ -232,6 +234,13 @@
         for idx in 0..self.workers.len() {
             self.update_worker(idx as WorkerIdx);
         }
+        let differ = self.all().any(|slowness| slowness != 1.0);
+        self.differ = differ;
+    }
+
+    /// Returns true if the workers differ noticeably.
+    pub fn differ(&self) -> bool {
+        self.differ
     }
 
     /// Computes a worker's speed relative to its pool, shrunk towards that of its kind.
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -5,15 +5,16 @@
 use crate::held_task::{HeldTask, Phase};
 use crate::order::Running;
 use crate::spec::TaskKey;
+use crate::worker::Worker;
 use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
 
 /// Minimum time without a change of progress after which a task counts as stalled. Progress is
 /// reported in whole percent, so long tasks are given more time.
 const MIN_STALL_TIMEOUT: Millis = Millis(700);
-/// Part of a task's estimated time, in percent, that one percent of progress may take. A worker may
-/// be several times slower than estimated.
-const STALL_ESTIMATE_PERCENT: u64 = 8;
+/// Part of a task's expected run time, in percent, that one percent of progress may take. A worker
+/// may be several times slower than expected.
+const STALL_RUN_TIME_PERCENT: u64 = 8;
 /// Progress in percent from which a task doesn't count as stalled, because it is about to end.
 const NEARLY_DONE_PERCENT: u32 = 99;
 /// Time for which a stalled worker gets no new tasks; renewed while it stays stalled.
@@ -21,19 +22,37 @@
 /// Time after which a stalled short task is started elsewhere. Little work is lost, and its caller
 /// is waiting.
 const STALLED_TASK_MOVE_TIMEOUT: Millis = Millis(1_000);
-/// Maximum estimate of a task that counts as short.
-const MAX_SHORT_TASK_ESTIMATE: Millis = Millis(2_000);
+/// Maximum expected run time, on an ordinary worker, of a task that counts as short.
+const MAX_SHORT_RUN_TIME: Millis = Millis(2_000);
 /// Weight of the newest sample in a worker's slowness.
 const SLOWNESS_WEIGHT: f32 = 0.2;
 /// Limits of one slowness sample, because estimates may be far off.
 const SLOWNESS_RANGE: (f32, f32) = (0.5, 8.0);
+/// The same in queues whose run times vary. There, one run gives only one sample, so that a single
+/// long task isn't taken for a slow worker.
+const VARIED_SLOWNESS_RANGE: (f32, f32) = (0.5, 2.0);
 /// Progress in percent that a slowness sample needs.
 const MIN_SAMPLE_PROGRESS_PERCENT: u32 = 10;
 
+/// Time in which the slowness that progress showed loses its effect where run times have been
+/// learned. By then the ends of the runs are known, and a worker that gets no tasks because of one
+/// long run would never show that it is not slow.
+const SLOWNESS_FADE_TIME: Millis = Millis(5_000);
+
+impl Worker {
+    /// Returns the slowness that progress showed recently.
+    pub fn recent_slowness(&self, now: Millis) -> f32 {
+        let age = now.since(self.slowness_at).0 as f32 / SLOWNESS_FADE_TIME.0 as f32;
+        1.0 + (self.slowness - 1.0) * (1.0 - age).max(0.0)
+    }
+}
+
 impl Engine {
     /// Records the reported progress of a task.
     pub(crate) fn record_progress(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
-        let estimate = self.estimate(r.task);
+        let expected = self.expected_run_time_on(r.task.step, idx);
+        let queue = self.jobs.get(r.task.step.job).map(|j| j.queue.clone());
+        let is_varied = queue.is_some_and(|q| self.run_times.is_varied(&q));
         let Some(w) = self.workers.get_mut(idx) else { return };
         let Some(h) = w.find_mut(r.task, r.run) else { return };
         if r.progress == h.progress && h.first_progress.is_some() {
@@ -48,25 +67,23 @@
         }
         let total_ms = now.since(since).0 * 100 / u64::from(gained);
         h.expected_end = now + Millis(total_ms * u64::from(100 - r.progress.min(100)) / 100);
-        if estimate > Millis(0) {
-            let sample = total_ms as f32 / estimate.0 as f32;
-            let sample = sample.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-            w.slowness += (sample - w.slowness) * SLOWNESS_WEIGHT;
+        let is_repeated = std::mem::replace(&mut h.has_slowness_sample, true);
+        if expected > Millis(0) && !(is_varied && is_repeated) {
+            let sample = total_ms as f32 / expected.0 as f32;
+            let range = if is_varied { VARIED_SLOWNESS_RANGE } else { SLOWNESS_RANGE };
+            w.slowness += (sample.clamp(range.0, range.1) - w.slowness) * SLOWNESS_WEIGHT;
+            w.slowness_at = now;
         }
     }
 
-    /// Returns the caller's estimate of a task's run time; 0 if unknown.
-    fn estimate(&self, key: TaskKey) -> Millis {
-        self.jobs.step_spec(key.step).map_or(Millis(0), |s| Millis(s.estimate_ms))
-    }
-
     /// Pauses a worker on which every running task is stalled, and restarts its short tasks
     /// elsewhere.
     pub(crate) fn check_stalled(&mut self, idx: WorkerIdx, now: Millis) {
         let Some(w) = self.workers.get(idx) else { return };
         let running: Vec<&HeldTask> = w.held.iter().filter(|h| h.phase == Phase::Running).collect();
         let is_stalled = |h: &&&HeldTask| {
-            let allowance = Millis(self.estimate(h.task).0 * STALL_ESTIMATE_PERCENT / 100);
+            let expected = self.expected_run_time_on(h.task.step, idx);
+            let allowance = Millis(expected.0 * STALL_RUN_TIME_PERCENT / 100);
             h.progress < NEARLY_DONE_PERCENT
                 && now.since(h.progressed_at) >= MIN_STALL_TIMEOUT.max(allowance)
         };
@@ -76,7 +93,7 @@
         }
         let is_short = |h: &&HeldTask| {
             now.since(h.progressed_at) >= STALLED_TASK_MOVE_TIMEOUT
-                && self.estimate(h.task) <= MAX_SHORT_TASK_ESTIMATE
+                && self.expected_run_time(h.task.step) <= MAX_SHORT_RUN_TIME
         };
         let moved: Vec<TaskKey> = running.into_iter().filter(is_short).map(|h| h.task).collect();
         let Some(w) = self.workers.get_mut(idx) else { return };
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -29,8 +29,9 @@
         let Some(job) = self.jobs.get(key.step.job) else { return };
         let age = now.since(job.accepted_at);
         let spec = &job.spec.steps[key.step.step as usize];
+        let run_time = self.expected_run_time_on(key.step, idx);
         let mut held = HeldTask {
-            expected_end: now + Millis(spec.estimate_ms),
+            expected_end: now + run_time,
             ..HeldTask::new((key, run), job.account, spec.allocation(), Phase::Starting, now)
         };
         if let Some(task) = self.jobs.task_mut(key) {
--- a/crates/hollowford-jobs/src/task_ends.rs
+++ b/crates/hollowford-jobs/src/task_ends.rs
@@ -45,6 +45,7 @@
     /// Adopts a task that an earlier owner started. Returns false if it should not run here.
     fn adopt(&mut self, idx: WorkerIdx, r: &Running, now: Millis) -> bool {
         let key = r.task;
+        let run_time = self.expected_run_time_on(key.step, idx);
         let Some(job) = self.jobs.get_mut(key.step.job).filter(|j| j.end.is_none()) else {
             return false;
         };
@@ -60,8 +61,8 @@
         task.unsettled = false;
         let suspect = task.is_suspect();
         let held = HeldTask {
-            // How long it has run already is unknown; half of the estimate is assumed.
-            expected_end: now + Millis(step_spec.estimate_ms / 2),
+            // How long it has run already is unknown; half of the run time is assumed.
+            expected_end: now + Millis(run_time.0 / 2),
             suspect,
             ..HeldTask::new((key, r.run), account, step_spec.allocation(), Phase::Running, now)
         };
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -94,8 +94,11 @@
     pub answer_times: AnswerTimes,
     pub last_answer: Millis,
     pub health: Health,
-    /// Smoothed ratio of its tasks' run times to their estimates.
+    /// Smoothed ratio of its tasks' run times, by their progress, to those expected on this worker.
+    /// It shows within a few reports that a worker has become slower than its learned speed.
     pub slowness: f32,
+    /// When [`Worker::slowness`] was last sampled.
+    pub slowness_at: Millis,
     /// When the pace of best-effort tasks on it last changed.
     pub paced_at: Millis,
 }
@@ -136,6 +139,7 @@
             last_answer: now,
             health: Health::default(),
             slowness: 1.0,
+            slowness_at: now,
             paced_at: Millis(0),
         }
     }
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
-use worker::SimWorker;
+use worker::{RunTimes, SimWorker};
 
 pub const QUICK: &str = "quick";
 pub const LARGE: &str = "large";
@@ -96,6 +96,11 @@
     pub crashes: CrashInjector,
     /// Whether the next takeover follows an outage of the store.
     pub store_outage_before: bool,
+    /// Run times of tasks that differ from their estimates, in milliseconds on a worker without
+    /// slowdown.
+    pub run_times: RunTimes,
+    /// Optional decisions of the engine.
+    pub features: Features,
 }
 
 impl TestCell {
@@ -122,13 +127,17 @@
             executed_orders: Vec::new(),
             crashes: CrashInjector::default(),
             store_outage_before: false,
+            run_times: RunTimes::default(),
+            features: Features::default(),
         };
+        cell.workers.iter_mut().for_each(|w| w.run_times = cell.run_times.clone());
         cell.configure_engine();
         cell.run(100);
         cell
     }
 
     fn configure_engine(&mut self) {
+        self.engine.set_features(self.features);
         self.engine.set_queues(&self.queues, self.now);
         self.engine.set_advice_channels(&[AdviceChannel { address: "".into() }]);
         self.update_worker_list();
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -4,7 +4,7 @@
 use hollowford_core::{InstanceId, Millis, Resources};
 use hollowford_jobs::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 /// Difference between a worker's clock and the cell's clock, until the first restart.
 const CLOCK_OFFSET_MS: u64 = 5_000;
@@ -13,6 +13,9 @@
 /// A gang member ends if its gang is incomplete for this long.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 
+/// Run times of tasks, shared by the workers of a cell.
+pub type RunTimes = Arc<Mutex<BTreeMap<TaskKey, u64>>>;
+
 /// A running task.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -66,8 +69,10 @@
     pub base_latency_ms: u32,
     /// Whether its tasks make no progress although the worker answers calls.
     pub stalled: bool,
-    /// Factor by which its tasks exceed their estimates.
+    /// Factor by which its tasks exceed their run times.
     pub slowdown: u64,
+    /// Run times of tasks that differ from their estimates, in milliseconds.
+    pub run_times: RunTimes,
     /// Whether every task that it starts fails.
     pub fails_all: bool,
     /// Time from a stop to the end of the task, in milliseconds. The task is listed as running
@@ -113,6 +118,7 @@
             delayed_start: None,
             stalled: false,
             slowdown: 1,
+            run_times: RunTimes::default(),
             fails_all: false,
             stop_delay_ms: 0,
             stopping: BTreeMap::new(),
@@ -227,7 +233,9 @@
     pub fn restart(&mut self, id: &str) {
         let (now, address, runs_until_stopped) =
             (self.now, self.address.clone(), self.runs_until_stopped);
+        let run_times = self.run_times.clone();
         *self = SimWorker::new(0, now);
+        self.run_times = run_times;
         self.runs_until_stopped = runs_until_stopped;
         self.id = id.into();
         self.address = address;
@@ -269,7 +277,10 @@
             }
             self.starts += 1;
             let allocation = spec.allocation();
-            let ends_at = self.now + Millis(spec.estimate_ms * self.slowdown);
+            let run_time =
+                self.run_times.lock().expect("no thread should panic").get(&task).copied();
+            let run_ms = run_time.unwrap_or(spec.estimate_ms) * self.slowdown;
+            let ends_at = self.now + Millis(run_ms);
             self.running
                 .insert(task, Run { run, allocation, ends_at, gang: 0, started_at: self.now });
         }
