--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -24,6 +24,13 @@
     latest_start: Millis,
 }
 
+impl Urgency {
+    /// Returns the latest start with which the job still meets its objective.
+    pub fn latest_start(&self) -> Millis {
+        self.latest_start
+    }
+}
+
 /// Rank by the job's objective: steps in time come before late ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
@@ -93,7 +100,7 @@
         if tasks == 0 || (job.spec.steps[at].gang && tasks < step.tasks.len()) {
             return Readiness::Later;
         }
-        let urgency = urgency(job, round.due, at, queue, now);
+        let urgency = urgency(self.expected_paths(job, at), job, round.due, queue, now);
         Readiness::Now(WaitingStep { urgency, key, durable: job.durable })
     }
 }
@@ -119,11 +126,17 @@
     Now(WaitingStep),
 }
 
-/// Returns the urgency of a step whose round fell due at `due`.
-fn urgency(job: &Job, due: Millis, step: usize, queue: &Queue, now: Millis) -> Urgency {
-    let objective =
-        Millis((job.spec.critical_path_ms() as f64 * queue.stretch) as u64) + queue.slack;
-    let work = Millis(job.spec.critical_path_from_ms(step));
+/// Returns the urgency of a step whose round fell due at `due`, from the expected length of its
+/// job's critical path and of the path from its own start.
+fn urgency(
+    (whole_path, path): (u64, u64),
+    job: &Job,
+    due: Millis,
+    queue: &Queue,
+    now: Millis,
+) -> Urgency {
+    let objective = Millis((whole_path as f64 * queue.stretch) as u64) + queue.slack;
+    let work = Millis(path);
     let latest_start = (due + objective) - work;
     let worthless_at = due + Millis(objective.0 * WORTHLESS_AFTER_OBJECTIVES);
     let rank = if now + work > worthless_at {
