jobs: placement by learned speeds

Where the speeds of the workers differ, the cost of a slow one grows as the step's margin on it shrinks, and is large where the step would be late. Backfill before a reservation uses the end expected on the worker.

--- a/crates/hollowford-jobs/src/advice_selection.rs
+++ b/crates/hollowford-jobs/src/advice_selection.rs
@@ -7,7 +7,6 @@
 use crate::placement::StepPlacement;
 use crate::queue::AdviceCost;
 use crate::workers::WorkerIdx;
-use hollowford_core::Millis;
 
 /// Workers to ask about per task, since not all of them may run the step.
 const WORKERS_ASKED_PER_TASK: usize = 3;
@@ -78,21 +77,21 @@
         avoided: Option<WorkerIdx>,
     ) -> AdviceCandidates {
         let need = step.spec.allocation();
-        let end = pass.now + Millis(step.spec.estimate_ms);
+        let end = |c: &CandidateWorker| c.expected_end(pass.now, step.run_time);
         let mut out = AdviceCandidates::default();
         let Some(advice) = self.jobs.step(step.key).map(|s| &s.advice) else { return out };
         let is_first = advice.has_no_answers();
-        let with_cost = |c: &CandidateWorker| (c.cost(step.spec), c.idx);
+        let with_cost = |c: &CandidateWorker| (c.cost(&step), c.idx);
         for c in &pass.candidates {
             if Some(c.idx) == avoided || !self.is_eligible(c, step) {
                 continue;
             }
             match advice.advice_status(c.idx, pass.now) {
-                AdviceStatus::Unknown if c.fits(&need, end) => out.unknown.push(with_cost(c)),
+                AdviceStatus::Unknown if c.fits(&need, end(c)) => out.unknown.push(with_cost(c)),
                 AdviceStatus::Unknown if is_first && need.fits(&c.capacity) => {
                     out.full.push(with_cost(c));
                 }
-                AdviceStatus::LapsedTicket if c.fits(&need, end) => {
+                AdviceStatus::LapsedTicket if c.fits(&need, end(c)) => {
                     out.lapsed_task_capacity += c.unreserved_count(&need).max(1) as usize;
                     out.lapsed.push(with_cost(c));
                 }
--- a/crates/hollowford-jobs/src/pass.rs
+++ b/crates/hollowford-jobs/src/pass.rs
@@ -32,7 +32,10 @@
 
 impl Pass {
     /// Begins a pass over the given candidates.
-    pub fn new(now: Millis, may_ask_again: bool, candidates: Vec<CandidateWorker>) -> Pass {
+    pub fn new(now: Millis, may_ask_again: bool, mut candidates: Vec<CandidateWorker>) -> Pass {
+        if candidates.iter().any(|c| c.learned_slowness != 1.0) {
+            candidates.iter_mut().for_each(|c| c.uneven = true);
+        }
         let positions = candidates.iter().enumerate().map(|(at, c)| (c.idx, at)).collect();
         let max_free =
             candidates.iter().fold(Resources::default(), |max, c| max.component_max(&c.free));
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::reservation::StartPlan;
 use crate::spec::{JobSpec, StepKey, StepSpec};
 use crate::urgency::WaitingStep;
+use crate::worker::Worker;
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 use std::sync::Arc;
@@ -30,6 +31,11 @@
     pub durable: bool,
     pub spec: &'a StepSpec,
     pub queue: &'a Queue,
+    /// Expected run time of a task on an ordinary worker.
+    pub run_time: Millis,
+    /// Time until the tasks must be done for the job to meet its objective, as a multiple of
+    /// [`StepPlacement::run_time`].
+    pub headroom: f32,
 }
 
 /// A task that may be started.
@@ -55,7 +61,7 @@
         }
         self.recount_usage();
         let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now) && w.recorded);
-        let candidates = usable.map(|(i, w)| CandidateWorker::from_worker(i, w, now)).collect();
+        let candidates = usable.map(|(i, w)| self.candidate(i, w, now)).collect();
         let may_ask_again = is_full || std::mem::take(&mut self.slow_call_answered);
         let mut pass = Pass::new(now, may_ask_again, candidates);
         let mut tries_left = if is_full { usize::MAX } else { MAX_UNPLACED_STEPS };
@@ -73,6 +79,13 @@
         }
     }
 
+    /// Returns a worker as a candidate of a pass.
+    pub(crate) fn candidate(&self, idx: WorkerIdx, w: &Worker, now: Millis) -> CandidateWorker {
+        let learned = self.run_times.slowness(idx);
+        let recent = if self.run_times.has_learned() { w.recent_slowness(now) } else { w.slowness };
+        CandidateWorker::from_worker(idx, w, (learned, recent), now)
+    }
+
     /// Makes another advice call for a gang while one is pending.
     fn ask_concurrently(
         &mut self,
@@ -84,7 +97,9 @@
         let key = waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return };
         let Some(spec) = job.steps.get(key.step as usize) else { return };
-        let gang = StepPlacement { key, account, durable: waiting.durable, spec, queue: &queue };
+        let (run_time, headroom) = self.time_needs(waiting, pass.now);
+        let durable = waiting.durable;
+        let gang = StepPlacement { key, account, durable, spec, queue: &queue, run_time, headroom };
         self.ask_for_gang(pass, gang, plan, out);
     }
 
@@ -95,11 +110,21 @@
         Some((job.spec.clone(), queue.clone(), job.account))
     }
 
+    /// Returns a step's expected run time on an ordinary worker, and the time until its tasks must
+    /// be done as a multiple of that.
+    fn time_needs(&self, waiting: &WaitingStep, now: Millis) -> (Millis, f32) {
+        let run_time = self.expected_run_time(waiting.key);
+        let until = (waiting.urgency.latest_start() + run_time).since(now);
+        (run_time, until.0 as f32 / run_time.0.max(1) as f32)
+    }
+
     fn place_step(&mut self, pass: &mut Pass, waiting: &WaitingStep, out: &mut Vec<Order>) {
         let key = waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return };
         let Some(spec) = job.steps.get(key.step as usize) else { return };
-        let step = StepPlacement { key, account, durable: waiting.durable, spec, queue: &queue };
+        let (run_time, headroom) = self.time_needs(waiting, pass.now);
+        let durable = waiting.durable;
+        let step = StepPlacement { key, account, durable, spec, queue: &queue, run_time, headroom };
         if spec.gang {
             self.place_gang(pass, waiting, step, out);
         } else {
@@ -228,16 +253,15 @@
         if !pass.may_fit(&need) {
             return None;
         }
-        let end = pass.now + Millis(step.spec.estimate_ms);
         let fits = |&at: &usize| {
             let candidate = &pass.candidates[at];
             Some(candidate.idx) != avoid
-                && candidate.fits(&need, end)
+                && candidate.fits(&need, candidate.expected_end(pass.now, step.run_time))
                 && self.is_eligible(candidate, step)
         };
         let cost = |at: usize| {
             let candidate = &pass.candidates[at];
-            (at, if suspect { candidate.crash_impact_cost() } else { candidate.cost(step.spec) })
+            (at, if suspect { candidate.crash_impact_cost() } else { candidate.cost(&step) })
         };
         let less = |a: &(usize, f32), b: &(usize, f32)| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0));
         let candidates = self.candidates_with(pass, step, AdviceStatus::ValidTicket);
--- a/crates/hollowford-jobs/src/wait_causes.rs
+++ b/crates/hollowford-jobs/src/wait_causes.rs
@@ -83,7 +83,7 @@
     /// returns only an arbitrary part of them.
     pub fn step_waits(&self, now: Millis) -> Vec<StepWait> {
         let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now) && w.recorded);
-        let candidates = usable.map(|(i, w)| CandidateWorker::from_worker(i, w, now)).collect();
+        let candidates = usable.map(|(i, w)| self.candidate(i, w, now)).collect();
         let pass = Pass::new(now, true, candidates);
         let wait = |&key: &StepKey| {
             let job = self.jobs.get(key.job)?;
@@ -101,8 +101,15 @@
         let job = self.jobs.get(key.job).filter(|j| j.end.is_none())?;
         let queue = self.queues.get(&job.queue)?;
         let (spec, step) = (job.spec.steps.get(key.step as usize)?, self.jobs.step(key)?);
-        let placement =
-            StepPlacement { key, account: job.account, durable: job.durable, spec, queue };
+        let placement = StepPlacement {
+            key,
+            account: job.account,
+            durable: job.durable,
+            spec,
+            queue,
+            run_time: self.expected_run_time(key),
+            headroom: f32::INFINITY,
+        };
         if !self.is_waiting(key, pass.now) {
             let held_back = step.tasks.iter().any(|t| t.is_held_back());
             return held_back.then_some(WaitCause::HeldBack);
