--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -172,7 +172,8 @@
 }
 
 /// Distributes all members over the given candidates: those that need no ticket first, and of these
-/// the fullest.
+/// the fullest. Where speeds differ, the gang gets the fastest workers that hold it; of these the
+/// slow ones first, because it ends with its slowest member and leaves the faster ones to others.
 fn distribute_members(
     pass: &Pass,
     spec: &StepSpec,
@@ -190,11 +191,16 @@
     if slots.iter().map(|&(_, _, n)| u64::from(n)).sum::<u64>() < u64::from(spec.count) {
         return None;
     }
+    let slowest_class = slowest_class_needed(pass, spec.count, &slots);
+    slots.retain(|&(_, at, _)| pass.candidates[at].speed_class() <= slowest_class);
+    let speed_order = |at: usize| std::cmp::Reverse(pass.candidates[at].speed_class());
     let remaining_cost = |at: usize| {
         pass.candidates[at].remaining_score(&need) + pass.candidates[at].slowness_cost()
     };
     slots.sort_unstable_by(|a, b| {
-        a.0.cmp(&b.0).then(remaining_cost(a.1).total_cmp(&remaining_cost(b.1)))
+        a.0.cmp(&b.0)
+            .then(speed_order(a.1).cmp(&speed_order(b.1)))
+            .then(remaining_cost(a.1).total_cmp(&remaining_cost(b.1)))
     });
     let mut remaining = spec.count;
     let mut out = Vec::new();
@@ -208,3 +214,17 @@
     }
     Some(out)
 }
+
+/// Returns the lowest class of speeds such that the candidates up to it have capacity for `count`
+/// members.
+fn slowest_class_needed(pass: &Pass, count: u32, slots: &[(bool, usize, u32)]) -> i32 {
+    let mut by_class: Vec<_> =
+        slots.iter().map(|&(_, at, n)| (pass.candidates[at].speed_class(), n)).collect();
+    by_class.sort_unstable();
+    let mut capacity = 0;
+    let is_enough = |&(_, n): &(i32, u32)| {
+        capacity += u64::from(n);
+        capacity >= u64::from(count)
+    };
+    by_class.into_iter().find(is_enough).map_or(i32::MAX, |(class, _)| class)
+}
