--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a process.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -54,6 +54,12 @@
     pub worker_crashes: IntCounterVec,
     /// Jobs given up because their tasks crash their workers, by partition.
     pub crashing_jobs: IntCounterVec,
+    /// Run time as a multiple of a typical estimate, by partition and queue, while this process
+    /// owns it.
+    pub run_time_factor: GaugeVec,
+    /// Run times of workers relative to an ordinary one, by partition and quantile, while this
+    /// process owns it.
+    pub worker_slowness: GaugeVec,
     /// Log lines dropped because the writer thread could not keep up.
     log_dropped: IntCounter,
 }
@@ -85,6 +91,11 @@
             r.register(Box::new(g.clone()))?;
             Ok::<_, prometheus::Error>(g)
         };
+        let real_gauges = |name: &str, help: &str, labels: &[&str]| {
+            let g = GaugeVec::new(Opts::new(name, help), labels)?;
+            r.register(Box::new(g.clone()))?;
+            Ok::<_, prometheus::Error>(g)
+        };
         let gauges = |name: &str, help: &str| gauges_by(name, help, &["partition"]);
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
@@ -129,6 +140,16 @@
                 "Jobs given up since their tasks crash their workers",
                 &["partition"],
             )?,
+            run_time_factor: real_gauges(
+                "run_time_factor",
+                "Learned run time as a multiple of a typical estimate",
+                &["partition", "queue"],
+            )?,
+            worker_slowness: real_gauges(
+                "worker_slowness",
+                "Learned run times of workers relative to an ordinary one",
+                &["partition", "quantile"],
+            )?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
--- a/crates/hollowford-node/src/owner/view.rs
+++ b/crates/hollowford-node/src/owner/view.rs
@@ -12,6 +12,8 @@
 const MIN_LOGGED_WAIT: Millis = Millis(3_000);
 /// Maximum number of waiting steps logged per update.
 const MAX_WAIT_LINES: usize = 8;
+/// Labels of the quantiles of the workers' slowness.
+const SLOWNESS_QUANTILES: [&str; 5] = ["0", "0.25", "0.5", "0.75", "1"];
 /// Maximum number of accounts logged per update.
 const MAX_QUOTA_LINES: usize = 8;
 
@@ -33,6 +35,7 @@
         metrics.crashing_jobs.with_label_values(&part).inc_by(crashing_jobs);
         self.reported_stats = view.stats;
         self.update_account_usage();
+        self.update_run_times();
         self.update_step_waits(now);
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
@@ -51,6 +54,20 @@
         }
     }
 
+    /// Updates the gauges of learned run times.
+    fn update_run_times(&self) {
+        let part = self.cx.partition.part.as_str();
+        let metrics = &self.cx.shared.metrics;
+        let learned = self.engine.learned_run_times();
+        for q in learned.queues {
+            metrics.run_time_factor.with_label_values(&[part, &q.queue]).set(q.factor);
+        }
+        let values = learned.slowness.into_iter().flatten();
+        for (quantile, value) in SLOWNESS_QUANTILES.into_iter().zip(values) {
+            metrics.worker_slowness.with_label_values(&[part, quantile]).set(value.into());
+        }
+    }
+
     /// Updates the usage gauges of client accounts with a quota and logs accounts near their quota.
     fn update_account_usage(&mut self) {
         let part = self.cx.partition.part.clone();
