jobs: predictions are computed once per step and pass, and only where they differ

The line of a queue's regression is kept, a queue whose estimates are right costs one look-up, and progress and stalls ask for a prediction only when they use it.

--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -60,8 +60,7 @@
             return;
         }
         self.recount_usage();
-        let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now) && w.recorded);
-        let candidates = usable.map(|(i, w)| self.candidate(i, w, now)).collect();
+        let candidates = self.candidates(now);
         let may_ask_again = is_full || std::mem::take(&mut self.slow_call_answered);
         let mut pass = Pass::new(now, may_ask_again, candidates);
         let mut tries_left = if is_full { usize::MAX } else { MAX_UNPLACED_STEPS };
@@ -79,11 +78,16 @@
         }
     }
 
-    /// Returns a worker as a candidate of a pass.
-    pub(crate) fn candidate(&self, idx: WorkerIdx, w: &Worker, now: Millis) -> CandidateWorker {
-        let learned = self.run_times.slowness(idx);
-        let recent = if self.run_times.has_learned() { w.recent_slowness(now) } else { w.slowness };
-        CandidateWorker::from_worker(idx, w, (learned, recent), now)
+    /// Returns the workers that may get tasks.
+    pub(crate) fn candidates(&self, now: Millis) -> Vec<CandidateWorker> {
+        let has_learned = self.run_times.has_learned();
+        let candidate = |(idx, w): (WorkerIdx, &Worker)| {
+            let learned = self.run_times.slowness(idx);
+            let recent = if has_learned { w.recent_slowness(now) } else { w.slowness };
+            CandidateWorker::from_worker(idx, w, (learned, recent), now)
+        };
+        let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now) && w.recorded);
+        usable.map(candidate).collect()
     }
 
     /// Makes another advice call for a gang while one is pending.
--- a/crates/hollowford-jobs/src/run_times/estimates.rs
+++ b/crates/hollowford-jobs/src/run_times/estimates.rs
@@ -47,6 +47,10 @@
     sum_xz: f64,
     /// Typical size of the residuals, in logarithms.
     spread: f64,
+    /// Expected offset at an estimate of 1 ms, and its slope over the logarithm of the estimate.
+    line: (f64, f64),
+    /// Whether some predictions differ from the estimates.
+    is_noticeable: bool,
 }
 
 impl Default for EstimateModel {
@@ -59,6 +63,8 @@
             sum_xx: 0.0,
             sum_xz: 0.0,
             spread: INITIAL_SPREAD,
+            line: (0.0, 0.0),
+            is_noticeable: false,
         }
     }
 }
@@ -98,13 +104,14 @@
         let deviation = clipped.abs() * DEVIATION_TO_SPREAD;
         self.spread += (deviation - self.spread) / SPREAD_SAMPLES.min(5.0 + self.samples as f64);
         self.spread = self.spread.max(MIN_SPREAD);
+        self.update_line();
         residual
     }
 
     /// Returns the prediction for an estimate: the estimate itself while nothing noticeable is
     /// known.
     pub fn expected(&self, estimate: Millis) -> Millis {
-        if self.samples < MIN_SAMPLES || estimate == Millis(0) {
+        if !self.is_noticeable || estimate == Millis(0) {
             return estimate;
         }
         let offset = self.raw_offset(log_ms(estimate));
@@ -116,13 +123,7 @@
 
     /// Returns true if some predictions differ from the estimates.
     pub fn is_noticeable(&self) -> bool {
-        if self.samples < MIN_SAMPLES || self.weight <= 0.0 {
-            return false;
-        }
-        let mean = self.sum_x / self.weight;
-        let spread = (self.centred_sums().0 / self.weight).sqrt();
-        // Two standard deviations on either side contain nearly all estimates.
-        [-2.0, 0.0, 2.0].iter().any(|n| self.raw_offset(mean + n * spread).abs() >= MIN_OFFSET)
+        self.is_noticeable
     }
 
     /// Returns the typical factor from estimate to run time.
@@ -137,16 +138,23 @@
 
     /// Returns the expected offset at the logarithm of an estimate.
     fn raw_offset(&self, x: f64) -> f64 {
-        if self.weight <= 0.0 {
-            return 0.0;
-        }
+        self.line.0 + self.line.1 * x
+    }
+
+    /// Computes the line of the regression.
+    fn update_line(&mut self) {
         let mean_x = self.sum_x / self.weight;
         let mean_z = self.sum_z / self.weight;
         let (var, cov) = self.centred_sums();
         // A slope below -1 would predict shorter run times for longer estimates.
         let slope = (cov / (var + SLOPE_PRIOR)).clamp(-1.0, 1.0);
         let shrunk_mean = mean_z * self.weight / (self.weight + OFFSET_PRIOR_SAMPLES);
-        shrunk_mean + slope * (x - mean_x)
+        self.line = (shrunk_mean - slope * mean_x, slope);
+        // Two standard deviations on either side contain nearly all estimates.
+        let spread = (var / self.weight).sqrt();
+        let differs = |n: f64| self.raw_offset(mean_x + n * spread).abs() >= MIN_OFFSET;
+        self.is_noticeable =
+            self.samples >= MIN_SAMPLES && [-2.0, 0.0, 2.0].into_iter().any(differs);
     }
 
     /// Returns the sums of squared deviations of x and of the products of deviations of x and z.
@@ -181,7 +189,7 @@
             return None;
         }
         let weight = MEMORY_SAMPLES * (1.0 - (-(s.samples as f64) / MEMORY_SAMPLES).exp());
-        Some(EstimateModel {
+        let mut model = EstimateModel {
             samples: s.samples,
             weight,
             sum_x: s.mean_x * weight,
@@ -189,7 +197,10 @@
             sum_xx: (s.var_x + s.mean_x * s.mean_x) * weight,
             sum_xz: (s.cov_xz + s.mean_x * s.mean_z) * weight,
             spread: s.spread.max(MIN_SPREAD),
-        })
+            ..EstimateModel::default()
+        };
+        model.update_line();
+        Some(model)
     }
 }
 
--- a/crates/hollowford-jobs/src/run_times/mod.rs
+++ b/crates/hollowford-jobs/src/run_times/mod.rs
@@ -58,8 +58,6 @@
     tail: Option<Tail>,
     /// Whether the run times vary noticeably.
     is_varied: bool,
-    /// Whether predictions differ noticeably from the estimates.
-    is_noticeable: bool,
 }
 
 impl QueueRunTimes {
@@ -71,7 +69,6 @@
         let Some(tail) = &mut self.tail else { return };
         tail.record(ratio);
         if self.model.samples.is_multiple_of(VARIATION_SAMPLES) {
-            self.is_noticeable = self.model.is_noticeable();
             let quantiles = VARIED_QUANTILES.map(|q| tail.quantile(q));
             self.is_varied =
                 matches!(quantiles, [Some(low), Some(high)] if high > low * VARIED_RATIO);
@@ -158,13 +155,13 @@
 
     /// Returns true if something noticeable has been learned.
     pub fn has_learned(&self) -> bool {
-        let is_noticeable = |q: &QueueRunTimes| q.is_varied || q.is_noticeable;
+        let is_noticeable = |q: &QueueRunTimes| q.is_varied || q.model.is_noticeable();
         !self.disabled && (self.speeds.differ() || self.queues.values().any(is_noticeable))
     }
 
     /// Returns true if predictions for a queue may differ from the estimates.
-    fn has_samples(&self, queue: &str) -> bool {
-        !self.disabled && self.queues.contains_key(queue)
+    fn differ_from_estimates(&self, queue: &str) -> bool {
+        !self.disabled && self.queues.get(queue).is_some_and(|q| q.model.is_noticeable())
     }
 
     /// Returns a worker's run times relative to those of an ordinary worker. 2.0 is half the speed.
@@ -186,8 +183,7 @@
         let stored = Stored::decode(bytes)?;
         for (name, model) in &stored.queues {
             if let Some(model) = EstimateModel::from_stored(model) {
-                let is_noticeable = model.is_noticeable();
-                let queue = QueueRunTimes { model, is_noticeable, ..QueueRunTimes::default() };
+                let queue = QueueRunTimes { model, ..QueueRunTimes::default() };
                 self.queues.insert(name.clone(), queue);
             }
         }
@@ -220,7 +216,7 @@
     /// step, in milliseconds on ordinary workers.
     pub(crate) fn expected_paths(&self, job: &Job, step: usize) -> (u64, u64) {
         let spec = &job.spec;
-        if !self.run_times.has_samples(&job.queue) {
+        if !self.run_times.differ_from_estimates(&job.queue) {
             return (spec.critical_path_ms(), spec.critical_path_from_ms(step));
         }
         // Steps depend only on earlier ones.
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -50,9 +50,6 @@
 impl Engine {
     /// Records the reported progress of a task.
     pub(crate) fn record_progress(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
-        let expected = self.expected_run_time_on(r.task.step, idx);
-        let queue = self.jobs.get(r.task.step.job).map(|j| j.queue.clone());
-        let is_varied = queue.is_some_and(|q| self.run_times.is_varied(&q));
         let Some(w) = self.workers.get_mut(idx) else { return };
         let Some(h) = w.find_mut(r.task, r.run) else { return };
         if r.progress == h.progress && h.first_progress.is_some() {
@@ -68,6 +65,10 @@
         let total_ms = now.since(since).0 * 100 / u64::from(gained);
         h.expected_end = now + Millis(total_ms * u64::from(100 - r.progress.min(100)) / 100);
         let is_repeated = std::mem::replace(&mut h.has_slowness_sample, true);
+        let expected = self.expected_run_time_on(r.task.step, idx);
+        let is_varied =
+            self.jobs.get(r.task.step.job).is_some_and(|j| self.run_times.is_varied(&j.queue));
+        let Some(w) = self.workers.get_mut(idx) else { return };
         if expected > Millis(0) && !(is_varied && is_repeated) {
             let sample = total_ms as f32 / expected.0 as f32;
             let range = if is_varied { VARIED_SLOWNESS_RANGE } else { SLOWNESS_RANGE };
@@ -82,10 +83,14 @@
         let Some(w) = self.workers.get(idx) else { return };
         let running: Vec<&HeldTask> = w.held.iter().filter(|h| h.phase == Phase::Running).collect();
         let is_stalled = |h: &&&HeldTask| {
-            let expected = self.expected_run_time_on(h.task.step, idx);
-            let allowance = Millis(expected.0 * STALL_RUN_TIME_PERCENT / 100);
+            let unchanged = now.since(h.progressed_at);
+            let allowance = || {
+                let expected = self.expected_run_time_on(h.task.step, idx);
+                Millis(expected.0 * STALL_RUN_TIME_PERCENT / 100)
+            };
             h.progress < NEARLY_DONE_PERCENT
-                && now.since(h.progressed_at) >= MIN_STALL_TIMEOUT.max(allowance)
+                && unchanged >= MIN_STALL_TIMEOUT
+                && unchanged >= allowance()
         };
         let stalled = running.iter().filter(is_stalled).count();
         if stalled == 0 || stalled < running.len() {
--- a/crates/hollowford-jobs/src/wait_causes.rs
+++ b/crates/hollowford-jobs/src/wait_causes.rs
@@ -82,9 +82,7 @@
     /// Returns the waiting steps with their causes, the oldest first. If there are very many,
     /// returns only an arbitrary part of them.
     pub fn step_waits(&self, now: Millis) -> Vec<StepWait> {
-        let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now) && w.recorded);
-        let candidates = usable.map(|(i, w)| self.candidate(i, w, now)).collect();
-        let pass = Pass::new(now, true, candidates);
+        let pass = Pass::new(now, true, self.candidates(now));
         let wait = |&key: &StepKey| {
             let job = self.jobs.get(key.job)?;
             let cause = self.wait_cause(&pass, key)?;
