--- a/crates/hollowford-jobs/src/task_ends.rs
+++ b/crates/hollowford-jobs/src/task_ends.rs
@@ -45,6 +45,7 @@
     /// Adopts a task that an earlier owner started. Returns false if it should not run here.
     fn adopt(&mut self, idx: WorkerIdx, r: &Running, now: Millis) -> bool {
         let key = r.task;
+        let run_time = self.expected_run_time_on(key.step, idx);
         let Some(job) = self.jobs.get_mut(key.step.job).filter(|j| j.end.is_none()) else {
             return false;
         };
@@ -60,8 +61,8 @@
         task.unsettled = false;
         let suspect = task.is_suspect();
         let held = HeldTask {
-            // How long it has run already is unknown; half of the estimate is assumed.
-            expected_end: now + Millis(step_spec.estimate_ms / 2),
+            // How long it has run already is unknown; half of the run time is assumed.
+            expected_end: now + Millis(run_time.0 / 2),
             suspect,
             ..HeldTask::new((key, r.run), account, step_spec.allocation(), Phase::Running, now)
         };
@@ -99,7 +100,7 @@
 
     /// Processes a report that a task has ended.
     pub(crate) fn process_end(&mut self, idx: WorkerIdx, end: &End, now: Millis) {
-        self.release_ended(idx, end);
+        let held = self.release_ended(idx, end);
         let key = end.task;
         self.jobs.mark_started(key.step.job);
         let Some(job) = self.jobs.get(key.step.job).filter(|j| j.end.is_none()) else {
@@ -116,6 +117,7 @@
             return;
         }
         if is_current {
+            self.learn_run_time(idx, end, held.as_ref(), step_spec, now);
             self.unplace(Placement { idx, task: key, run: end.run }, now);
         }
         if let Some(task) = self.jobs.task_mut(key) {
@@ -130,8 +132,8 @@
     }
 
     /// Releases the resources of a task that has ended on a worker.
-    fn release_ended(&mut self, idx: WorkerIdx, end: &End) {
-        let Some(w) = self.workers.get_mut(idx) else { return };
+    fn release_ended(&mut self, idx: WorkerIdx, end: &End) -> Option<HeldTask> {
+        let w = self.workers.get_mut(idx)?;
         let held = w.find(end.task, end.run).map(|at| w.release(at));
         self.needs_pass |= held.is_some();
         self.events.push(Event::TaskEnded {
@@ -142,6 +144,7 @@
             number: end.number,
             expected: held.is_some(),
         });
+        held
     }
 
     /// Applies the consequences of an end for the task and its job.
