jobs: shares between client accounts while guaranteed jobs are late

While a guaranteed step is late and lacks capacity, steps of accounts beyond 1.5 times their weighted dominant share of the pool come after the others of the same rank. Metric account_share_permille, log line accounts.full, switch account_shares.

Tried and not kept: ordering by share whenever any step lacks capacity, deficit round robin, surplus behind guaranteed jobs of the next rank, and queue priority 1 before 2.

--- a/crates/hollowford-jobs/src/accounts.rs
+++ b/crates/hollowford-jobs/src/accounts.rs
@@ -37,6 +37,8 @@
 struct AccountState {
     name: Arc<str>,
     policy: AccountPolicy,
+    /// Its share when a pool is full; 0 if it has none, which counts as 1.
+    weight: u32,
     /// Resources that its tasks hold, or may hold.
     used: Totals,
     /// Part of its quota that is reserved for one of its gangs.
@@ -50,6 +52,7 @@
         AccountState {
             name,
             policy,
+            weight: 0,
             used: Totals::default(),
             reserved: None,
             allowance: Allowance::default(),
@@ -84,6 +87,7 @@
             let idx = self.intern(&a.name);
             let state = &mut self.list[idx as usize];
             state.policy = a.policy;
+            state.weight = a.guaranteed_jobs_per_s;
             state.allowance.set_rate(f64::from(a.guaranteed_jobs_per_s));
         }
     }
@@ -98,6 +102,21 @@
         &self.list[idx as usize].name
     }
 
+    /// Returns the names of all accounts.
+    pub fn names(&self) -> impl Iterator<Item = (AccountIdx, &Arc<str>)> {
+        self.list.iter().enumerate().map(|(at, a)| (at as AccountIdx, &a.name))
+    }
+
+    /// Returns true if some account has a weight.
+    pub fn has_weights(&self) -> bool {
+        self.list.iter().any(|a| a.weight > 0)
+    }
+
+    /// Returns the weight of each account, 0 for one without.
+    pub fn weights(&self) -> Vec<u32> {
+        self.list.iter().map(|a| a.weight).collect()
+    }
+
     pub fn has_quotas(&self) -> bool {
         self.list.iter().any(|a| !a.policy.is_unlimited())
     }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -15,6 +15,7 @@
 use crate::queue::Queue;
 use crate::rows::WorkerAddress;
 use crate::run_times::RunTimes;
+use crate::shares::Shares;
 use crate::worker_life::WorkerLife;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
@@ -101,6 +102,8 @@
     pub(crate) listings: FxHashMap<InstanceId, WorkerListing>,
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
     pub(crate) accounts: Accounts,
+    /// What the accounts use of each pool; empty if no account has a weight.
+    pub(crate) shares: Shares,
     pub(crate) advice_channels: AdviceChannels,
     /// Share of the workers that may run a step, by queue.
     pub(crate) allowed_shares: FxHashMap<Arc<str>, AllowedShare>,
@@ -161,6 +164,7 @@
             listings: FxHashMap::default(),
             queues: FxHashMap::default(),
             accounts: Accounts::default(),
+            shares: Shares::default(),
             advice_channels: AdviceChannels::default(),
             allowed_shares: FxHashMap::default(),
             answer_loss: AnswerLoss::default(),
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -180,6 +180,15 @@
         /// answer.
         allowed: Option<usize>,
     },
+    /// Ordering by the accounts' shares has begun or ended.
+    AccountsFull {
+        /// The pool that is full, or no longer is.
+        pool: Arc<str>,
+        /// True if the order begins to follow the shares, false if it ceases to.
+        begins: bool,
+        /// Number of accounts that are beyond their share.
+        beyond: usize,
+    },
     /// Tasks no longer wait for workers that this owner has not claimed.
     PartitionSettled {
         /// Number of workers that were not claimed in time.
@@ -272,6 +281,9 @@
                 }
                 None => write!(f, "advice.unanswered step={step} asked={asked}"),
             },
+            Event::AccountsFull { pool, begins, beyond } => {
+                write!(f, "accounts.full pool={pool} begins={begins} beyond={beyond}")
+            }
             Event::PartitionSettled { unclaimed } => {
                 write!(f, "owner.settled unclaimed={unclaimed}")
             }
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -7,7 +7,7 @@
 use crate::job::EndRef;
 use crate::order::{End, Look, Order, WorkerCall};
 use crate::spec::TaskKey;
-use crate::worker::Worker;
+use crate::worker::{MIN_SILENT_CALLS, Worker};
 use crate::worker_life::WorkerLife;
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
@@ -15,9 +15,6 @@
 /// Time after fencing by which the worker lists every order of an earlier owner that it was
 /// executing when it accepted the new fence.
 const CLAIM_DELAY: Millis = Millis(40);
-/// Consecutive unanswered calls after which a worker is logged as silent. Single lost answers are
-/// common and only counted as a share.
-const MIN_SILENT_CALLS: u32 = 2;
 /// Minimum interval between looks at a worker while its ends are being stored. Such a look returns
 /// at once instead of waiting for the next end. A store of usual speed finishes within the
 /// interval, which saves the look.
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //! All times are readings of the store's steady clock, in milliseconds, so that an owner can
 //! compare its own times with those that an earlier owner stored.
 
+mod account_shares;
 mod accounts;
 mod advice;
 mod advice_calls;
@@ -42,6 +43,7 @@
 mod reservation;
 mod rows;
 mod run_times;
+mod shares;
 mod spec;
 mod stall;
 mod starts;
@@ -57,6 +59,7 @@
 mod workers;
 mod write_queue;
 
+pub use account_shares::AccountShare;
 pub use accounts::{Account, AccountUsage, NO_ACCOUNT};
 pub use advice_calls::AdviceChannel;
 pub use audit::StuckTask;
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -3,6 +3,7 @@
 use crate::engine::Engine;
 use crate::job::Job;
 use crate::queue::Queue;
+use crate::shares::Position;
 use crate::spec::StepKey;
 use hollowford_core::Millis;
 
@@ -20,6 +21,8 @@
     /// of the same rank, so that an account with too many jobs delays the others less. They don't
     /// come after the guaranteed jobs of all ranks, some of which can still wait.
     not_guaranteed: bool,
+    /// Position of the job's account by its share of the pool; 0 unless the pool is full.
+    share: Position,
     /// Latest start with which the job still meets its objective.
     latest_start: Millis,
 }
@@ -37,6 +40,13 @@
     Worthless,
 }
 
+impl Urgency {
+    /// Returns true if the step belongs to a guaranteed job and has missed its latest start.
+    pub fn is_late_guaranteed(&self) -> bool {
+        !self.not_guaranteed && self.rank >= Rank::Late
+    }
+}
+
 /// A step with tasks that may start now.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitingStep {
@@ -93,7 +103,8 @@
         if tasks == 0 || (job.spec.steps[at].gang && tasks < step.tasks.len()) {
             return Readiness::Later;
         }
-        let urgency = urgency(job, round.due, at, queue, now);
+        let share = self.share_position(job.account, &queue.pool);
+        let urgency = Urgency { share, ..urgency(job, round.due, at, queue, now) };
         Readiness::Now(WaitingStep { urgency, key, durable: job.durable })
     }
 }
@@ -135,5 +146,5 @@
     } else {
         Rank::InTime
     };
-    Urgency { rank, not_guaranteed: !job.guaranteed, latest_start }
+    Urgency { rank, not_guaranteed: !job.guaranteed, share: 0, latest_start }
 }
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -15,6 +15,10 @@
 /// Slowest rate of a worker's steady clock, in percent of true time, that the protocol allows.
 pub const MIN_CLOCK_RATE_PERCENT: u64 = 98;
 
+/// Consecutive unanswered calls after which a worker is logged as silent. Single lost answers are
+/// common and only counted as a share.
+pub(crate) const MIN_SILENT_CALLS: u32 = 2;
+
 /// The last known reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerClock {
@@ -164,6 +168,11 @@
             && self.health.is_available(now)
     }
 
+    /// Returns true if it has left several calls in a row unanswered.
+    pub fn is_silent(&self) -> bool {
+        self.unanswered_calls >= MIN_SILENT_CALLS
+    }
+
     /// Returns the resources for new tasks. A worker on trial takes one task only. Nothing is
     /// started beside a recently started suspect task, because a crash would count against the new
     /// task too.
--- a/crates/hollowford-jobs/src/worker_removal.rs
+++ b/crates/hollowford-jobs/src/worker_removal.rs
@@ -107,8 +107,9 @@
         if let Some(w) = self.workers.get_mut(idx)
             && let Some(at) = w.find(task, run)
         {
-            w.release(at);
+            let held = w.release(at);
             self.events.push(Event::TaskGivenUp { task, run, worker: w.life.clone(), cause });
+            self.refund_lost_run(idx, &held, cause, now);
         }
         self.unplace(p, now);
         self.needs_pass = true;
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! clock. It panics when an invariant is broken, for example when a task runs on two workers.
 #![allow(dead_code, clippy::expect_used)]
 
+pub mod account_load;
 pub mod crash_load;
 pub mod crashes;
 pub mod scenario;
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -48,6 +48,9 @@
     /// CPU in use by client accounts with a quota, in thousandths of a core, by partition and
     /// account, while this process owns it.
     pub account_used_milli: IntGaugeVec,
+    /// Share of a pool that client accounts use, in thousandths of the resource of which they use
+    /// most, by partition and account, while this process owns it and accounts have weights.
+    pub account_share_permille: IntGaugeVec,
     /// Share of workers' answers lost recently, in thousandths, by partition.
     pub lost_permille: IntGaugeVec,
     /// Workers that crashed, by partition.
@@ -118,6 +121,11 @@
                 "Thousandths of a core that an account holds",
                 &["partition", "account"],
             )?,
+            account_share_permille: gauges_by(
+                "account_share_permille",
+                "Thousandths of the pool that an account uses",
+                &["partition", "account"],
+            )?,
             lost_permille: gauges("lost_answers_permille", "Workers' answers lost lately")?,
             worker_crashes: counters(
                 "worker_crashes_total",
--- a/crates/hollowford-node/src/owner/view.rs
+++ b/crates/hollowford-node/src/owner/view.rs
@@ -33,6 +33,7 @@
         metrics.crashing_jobs.with_label_values(&part).inc_by(crashing_jobs);
         self.reported_stats = view.stats;
         self.update_account_usage();
+        self.update_account_shares();
         self.update_step_waits(now);
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
@@ -51,6 +52,15 @@
         }
     }
 
+    /// Updates the gauges of the client accounts' shares.
+    fn update_account_shares(&mut self) {
+        let part = self.cx.partition.part.clone();
+        let gauge = &self.cx.shared.metrics.account_share_permille;
+        for a in self.engine.account_shares() {
+            gauge.with_label_values(&[part.as_str(), &a.name]).set(i64::from(a.permille));
+        }
+    }
+
     /// Updates the usage gauges of client accounts with a quota and logs accounts near their quota.
     fn update_account_usage(&mut self) {
         let part = self.cx.partition.part.clone();
