--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::queue::Queue;
 use crate::rows::WorkerAddress;
 use crate::run_times::RunTimes;
+use crate::shares::Shares;
 use crate::worker_life::WorkerLife;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
@@ -104,6 +105,8 @@
     pub(crate) listings: FxHashMap<InstanceId, WorkerListing>,
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
     pub(crate) accounts: Accounts,
+    /// What the accounts use of each pool; empty if no account has a weight.
+    pub(crate) shares: Shares,
     pub(crate) advice_channels: AdviceChannels,
     /// Answers of advice calls that no start of their step has followed yet.
     pub(crate) open_answers: OpenAnswers,
@@ -166,6 +169,7 @@
             listings: FxHashMap::default(),
             queues: FxHashMap::default(),
             accounts: Accounts::default(),
+            shares: Shares::default(),
             advice_channels: AdviceChannels::default(),
             open_answers: OpenAnswers::default(),
             allowed_shares: FxHashMap::default(),
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -55,8 +55,14 @@
     pub(crate) fn run_pass(&mut self, now: Millis, is_full: bool, out: &mut Vec<Order>) {
         self.expire_advice_calls(now);
         self.expire_unused_advice(now);
+        if is_full {
+            self.update_shares(now);
+        }
         let steps = self.waiting_steps(now);
         if steps.is_empty() {
+            if is_full {
+                self.record_contention(&[], now);
+            }
             return;
         }
         self.recount_usage();
@@ -64,9 +70,9 @@
         let may_ask_again = is_full || std::mem::take(&mut self.slow_call_answered);
         let mut pass = Pass::new(now, may_ask_again, candidates);
         let mut tries_left = if is_full { usize::MAX } else { MAX_UNPLACED_STEPS };
-        for waiting in steps {
+        for waiting in &steps {
             let orders_before = out.len();
-            self.place_step(&mut pass, &waiting, out);
+            self.place_step(&mut pass, waiting, out);
             self.stats.tried += 1;
             tries_left -= usize::from(out.len() == orders_before);
             if tries_left == 0 {
@@ -77,6 +83,9 @@
         for (waiting, plan) in std::mem::take(&mut pass.deferred_gangs) {
             self.ask_concurrently(&pass, &waiting, plan.as_ref(), out);
         }
+        if is_full {
+            self.update_contention(&pass, &steps);
+        }
     }
 
     /// Returns the workers that may get tasks.
--- a/crates/hollowford-node/src/owner/view.rs
+++ b/crates/hollowford-node/src/owner/view.rs
@@ -40,6 +40,7 @@
         self.reported_stats = view.stats;
         self.update_account_usage();
         self.update_run_times();
+        self.update_account_shares();
         self.update_step_waits(now);
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
@@ -72,6 +73,15 @@
         }
     }
 
+    /// Updates the gauges of the client accounts' shares.
+    fn update_account_shares(&mut self) {
+        let part = self.cx.partition.part.clone();
+        let gauge = &self.cx.shared.metrics.account_share_permille;
+        for a in self.engine.account_shares() {
+            gauge.with_label_values(&[part.as_str(), &a.name]).set(i64::from(a.permille));
+        }
+    }
+
     /// Updates the usage gauges of client accounts with a quota and logs accounts near their quota.
     fn update_account_usage(&mut self) {
         let part = self.cx.partition.part.clone();
