jobs: a task of a speculative step can have two runs, and a straggler gets a copy

Two runs at once were possible only by fault. A task now has an optional copy; placing, ends, failures, given-up runs, restarts, recovery, quotas and the audit handle both runs. After a full pass, a run that is silent, stalled or slow gets a copy in capacity that no waiting step in time can use.

--- a/crates/hollowford-jobs/src/accounts.rs
+++ b/crates/hollowford-jobs/src/accounts.rs
@@ -7,7 +7,7 @@
 //! outdated count.
 
 use crate::engine::Engine;
-use crate::job::Job;
+use crate::job::{Job, Task};
 use crate::spec::JobId;
 use hollowford_accounts::{AccountPolicy, Allowance};
 use hollowford_core::{Millis, Resources, Totals};
@@ -258,8 +258,8 @@
     let mut sum = Totals::default();
     for round in &job.rounds {
         for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
-            let tasks = step.tasks.iter().filter(|t| t.unsettled && t.worker.is_none()).count();
-            sum.plus(&Totals::of(&spec.allocation(), tasks as u32));
+            let runs = step.tasks.iter().map(Task::unsettled_runs).sum();
+            sum.plus(&Totals::of(&spec.allocation(), runs));
         }
     }
     sum
--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -146,7 +146,7 @@
         let life = w.life.clone();
         for h in &w.held {
             let (key, run) = (h.task, h.run);
-            let is_current = |t: &Task| !t.done && t.worker == Some(idx) && t.run == run;
+            let is_current = |t: &Task| !t.done && t.has_run(idx, run);
             if !self.jobs.task(key).is_some_and(is_current) {
                 continue;
             }
@@ -192,14 +192,17 @@
         }
     }
 
-    /// Removes the crash record of a task whose run has lasted long enough.
-    pub(crate) fn clear_crash_record(&mut self, p: Placement) {
-        let Some(task) = self.jobs.task_mut(p.task) else { return };
+    /// Removes the crash record of a task of which a run has lasted long enough.
+    pub(crate) fn clear_crash_record(&mut self, key: TaskKey) {
+        let Some(task) = self.jobs.task_mut(key) else { return };
+        let runs: Vec<_> = task.runs().collect();
         if task.crash_record.take().is_some() {
-            self.jobs.mark_progress_unwritten(p.task.step.job);
+            self.jobs.mark_progress_unwritten(key.step.job);
         }
-        if let Some(w) = self.workers.get_mut(p.idx) {
-            w.clear_suspect(p.task, p.run);
+        for r in runs {
+            if let Some(w) = self.workers.get_mut(r.worker) {
+                w.clear_suspect(key, r.run);
+            }
         }
     }
 
@@ -211,7 +214,10 @@
         for id in self.jobs.ids() {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             let steps = job.rounds.iter_mut().flat_map(|r| &mut r.steps);
-            for task in steps.flat_map(|s| &mut s.tasks).filter(|t| t.unsettled) {
+            for task in steps
+                .flat_map(|s| &mut s.tasks)
+                .filter(|t| t.unsettled || (t.unsettled_copy && !t.done))
+            {
                 task.crash_record.get_or_insert_default();
             }
         }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -9,7 +9,6 @@
 use crate::event::Event;
 use crate::features::Features;
 use crate::health::FailureRate;
-use crate::job::Round;
 use crate::jobs::Jobs;
 use crate::order::{Order, WorkerListing};
 use crate::queue::Queue;
@@ -84,6 +83,16 @@
     pub asked: u64,
     /// Steps that passes tried to place, counted once per pass.
     pub tried: u64,
+    /// Copies of tasks started; also among the starts.
+    pub copies: u64,
+    /// Copies that ended as done before the other run.
+    pub copies_won: u64,
+    /// Copies whose task was done by the other run.
+    pub copies_lost: u64,
+    /// Copies that failed.
+    pub copies_failed: u64,
+    /// Copies that were stopped or given up before their task was done.
+    pub copies_stopped: u64,
 }
 
 /// The scheduling engine of one partition. See the crate documentation.
@@ -269,7 +278,7 @@
             job.add_round(now - lateness);
             // No row records whether an earlier owner has begun the round.
             let round = job.rounds.last_mut().filter(|_| self.tasks_unsettled);
-            round.into_iter().for_each(Round::mark_unsettled);
+            round.into_iter().for_each(|r| r.mark_unsettled(&job.spec));
             self.jobs.mark_all_steps_waiting(id);
             self.jobs.mark_progress_unwritten(id);
             self.needs_pass = true;
@@ -292,6 +301,8 @@
         }
         self.mark_settled();
         self.tasks_unsettled = false;
+        // A task that has used up its attempts may have had a run on one of these workers.
+        self.end_exhausted(now);
         self.events.push(Event::PartitionSettled { unclaimed });
         self.needs_pass = true;
     }
@@ -301,7 +312,9 @@
         for id in self.jobs.ids() {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             let steps = job.rounds.iter_mut().flat_map(|r| &mut r.steps);
-            steps.flat_map(|s| &mut s.tasks).for_each(|t| t.unsettled = false);
+            for t in steps.flat_map(|s| &mut s.tasks) {
+                (t.unsettled, t.unsettled_copy) = (false, false);
+            }
         }
     }
 }
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -1,5 +1,6 @@
 //! Events of the engine, for the log.
 
+use crate::copies::CopyCause;
 use crate::job::JobState;
 use crate::order::{EndKind, StartAnswer};
 use crate::spec::{JobId, StepKey, TaskKey};
@@ -49,6 +50,19 @@
         /// Time since the job's acceptance.
         age: Millis,
     },
+    /// A second run of a task was ordered.
+    TaskCopied {
+        /// The task with two runs.
+        task: TaskKey,
+        /// Number of the second run.
+        run: u32,
+        /// The worker of the second run.
+        worker: WorkerLife,
+        /// Number of the first run.
+        first_run: u32,
+        /// Why the first run doesn't suffice.
+        cause: CopyCause,
+    },
     /// A worker refused a start.
     StartRefused {
         /// The task that was to start.
@@ -227,6 +241,12 @@
                  age_ms={}",
                 free.cpu_milli, free.memory_mib, age.0
             ),
+            Event::TaskCopied { task, run, worker, first_run, cause } => write!(
+                f,
+                "task.copied task={task} run={run} worker={worker} first_run={first_run} \
+                 cause={}",
+                cause.name()
+            ),
             Event::StartRefused { task, run, worker, answer } => {
                 write!(f, "task.refused task={task} run={run} worker={worker} answer={answer:?}")
             }
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -108,7 +108,7 @@
         let run_floor = self.jobs.get(key.job).map_or(0, |j| j.run_floor(self.epoch));
         let Some(step) = self.jobs.step_mut(key) else { return };
         step.gang_changed_at = pass.now;
-        let run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0).max(run_floor) + 1;
+        let run = step.tasks.iter().map(|t| t.last_run).max().unwrap_or(0).max(run_floor) + 1;
         let mut index = 0;
         for &(at, n) in placement {
             for _ in 0..n {
--- a/crates/hollowford-jobs/src/held_task.rs
+++ b/crates/hollowford-jobs/src/held_task.rs
@@ -29,6 +29,10 @@
     pub allocation: Resources,
     /// Whether workers have crashed under the task before.
     pub suspect: bool,
+    /// Whether its step allows copies.
+    pub may_be_copied: bool,
+    /// Whether its task had another run when it was started or found.
+    pub is_copy: bool,
     /// Whether it has run for [`FRESH_PERIOD`]: a crash after that doesn't count as one shortly
     /// after the start.
     pub is_stable: bool,
@@ -45,6 +49,8 @@
     pub pace: u32,
     /// Pace that it should have, in percent of full pace.
     pub desired_pace: u32,
+    /// When its progress was last reported.
+    pub reported_at: Millis,
     /// When the reported progress last changed.
     pub progressed_at: Millis,
     /// Progress and time of the first report that it runs.
@@ -75,6 +81,8 @@
             account,
             allocation,
             suspect: false,
+            may_be_copied: false,
+            is_copy: false,
             is_stable: false,
             cleared: false,
             phase,
@@ -83,6 +91,7 @@
             progress: 0,
             pace: FULL_PACE,
             desired_pace: FULL_PACE,
+            reported_at: now,
             progressed_at: now,
             first_progress: None,
             unsent: false,
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -46,8 +46,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub done: bool,
-    /// Highest known run number.
+    /// Number of the run on `worker`, or of the last one there.
     pub run: u32,
+    /// Highest known run number, over both runs.
+    pub last_run: u32,
     /// Failed runs. Each run counts once: a worker may report an end again, for example to a new
     /// owner.
     pub failed_runs: Vec<u32>,
@@ -56,14 +58,28 @@
     pub saved: Option<Arc<str>>,
     /// The worker on which it runs or may run.
     pub worker: Option<WorkerIdx>,
+    /// The second of its runs; set only while `worker` is.
+    pub copy: Option<TaskCopy>,
+    /// Whether it has ever had two runs.
+    pub copied: bool,
     /// The worker on which it last failed; other workers are tried first.
     pub avoid: Option<AvoidedWorker>,
     /// Whether it may run on a worker that this owner has not claimed yet.
     pub unsettled: bool,
+    /// Whether a further run of it may be on a worker that this owner has not claimed yet.
+    pub unsettled_copy: bool,
     /// Earliest time of the next start.
     pub not_before: Millis,
 }
 
+/// The second of two simultaneous runs of a task. Its run number is the higher one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TaskCopy {
+    /// The worker on which it runs or may run.
+    pub worker: WorkerIdx,
+    pub run: u32,
+}
+
 /// A worker that a task temporarily avoids.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AvoidedWorker {
@@ -93,7 +109,75 @@
 
     /// Returns true if the task may be started at `now`.
     pub fn is_startable(&self, now: Millis) -> bool {
-        self.is_free() && !self.unsettled && self.not_before <= now && !self.is_held_back()
+        let settled = !self.unsettled && !self.unsettled_copy;
+        self.is_free() && settled && self.not_before <= now && !self.is_held_back()
+    }
+
+    /// Returns the workers and numbers of its runs, at most two.
+    pub fn runs(&self) -> impl Iterator<Item = TaskCopy> + use<> {
+        let first = self.worker.map(|worker| TaskCopy { worker, run: self.run });
+        first.into_iter().chain(self.copy)
+    }
+
+    /// Returns true if the run is one of its current runs and on this worker.
+    pub fn has_run(&self, worker: WorkerIdx, run: u32) -> bool {
+        self.runs().any(|r| r == TaskCopy { worker, run })
+    }
+
+    /// Returns true if it has a run on the worker.
+    pub fn is_on(&self, worker: WorkerIdx) -> bool {
+        self.runs().any(|r| r.worker == worker)
+    }
+
+    /// Adds a run. The higher of two run numbers is that of the copy.
+    pub fn place_run(&mut self, worker: WorkerIdx, run: u32) {
+        let mut runs: Vec<_> = self.runs().chain([TaskCopy { worker, run }]).collect();
+        runs.sort_unstable_by_key(|r| r.run);
+        self.set_runs(&runs);
+        self.copied |= runs.len() > 1;
+        self.record_run_number(run);
+    }
+
+    /// Removes a run; the other one, if any, continues as the only one. Returns true if it was a
+    /// current run.
+    pub fn remove_run(&mut self, worker: WorkerIdx, run: u32) -> bool {
+        let before: Vec<_> = self.runs().collect();
+        let after: Vec<_> =
+            before.iter().copied().filter(|r| *r != TaskCopy { worker, run }).collect();
+        self.set_runs(&after);
+        after.len() < before.len()
+    }
+
+    /// Records that the next incarnation of a run's worker has the run. Returns true if it is a
+    /// current run.
+    pub fn move_run(&mut self, from: WorkerIdx, run: u32, next: WorkerIdx) -> bool {
+        let mut runs: Vec<_> = self.runs().collect();
+        let moved = runs.iter_mut().find(|r| **r == TaskCopy { worker: from, run });
+        let is_moved = moved.map(|r| r.worker = next).is_some();
+        self.set_runs(&runs);
+        is_moved
+    }
+
+    fn set_runs(&mut self, runs: &[TaskCopy]) {
+        self.worker = runs.first().map(|r| r.worker);
+        self.run = runs.first().map_or(self.run, |r| r.run);
+        self.copy = runs.get(1).copied();
+    }
+
+    /// Records that a run number is in use.
+    pub fn record_run_number(&mut self, run: u32) {
+        self.last_run = self.last_run.max(run);
+    }
+
+    /// Returns how many of its runs may be on workers that this owner has not claimed.
+    pub fn unsettled_runs(&self) -> u32 {
+        u32::from(self.unsettled && self.worker.is_none()) + u32::from(self.unsettled_copy)
+    }
+
+    /// Returns true if it has failed `limit` times and has no run left that may still succeed.
+    pub fn is_exhausted(&self, limit: u32) -> bool {
+        let may_run = self.worker.is_some() || self.unsettled_copy;
+        !self.done && !may_run && self.failed_runs.len() as u32 >= limit
     }
 
     /// Returns true if the task waits for the outcome of its earlier runs, or for its crash record
@@ -168,9 +252,9 @@
         self.tasks.iter().filter(|t| t.is_startable(now)).count()
     }
 
-    /// Returns how many tasks of the step are placed on a worker.
+    /// Returns how many tasks of the step have a run on a worker.
     pub fn tasks_on(&self, w: WorkerIdx) -> u32 {
-        self.tasks.iter().filter(|t| t.worker == Some(w)).count() as u32
+        self.tasks.iter().filter(|t| t.is_on(w)).count() as u32
     }
 }
 
@@ -188,10 +272,16 @@
         self.steps.iter().all(Step::is_done)
     }
 
-    /// Marks its open tasks as possibly running on workers that this owner has not claimed yet.
-    pub fn mark_unsettled(&mut self) {
-        let tasks = self.steps.iter_mut().flat_map(|s| &mut s.tasks);
-        tasks.for_each(|t| t.unsettled = !t.done);
+    /// Marks its open tasks as possibly running on workers that this owner has not claimed yet. If
+    /// the step allows copies, an open task may have two runs there, and a task that is done may
+    /// have one that has not been stopped.
+    pub fn mark_unsettled(&mut self, spec: &JobSpec) {
+        for (step, spec) in self.steps.iter_mut().zip(&spec.steps) {
+            for t in &mut step.tasks {
+                t.unsettled = !t.done;
+                t.unsettled_copy = spec.allows_copies() && (!t.done || t.copied);
+            }
+        }
     }
 
     /// Returns true if all steps that `step` depends on are done.
@@ -258,11 +348,12 @@
         self.due_rounds == self.spec.rounds() && self.rounds.iter().all(Round::is_done)
     }
 
-    /// Returns true if a gang, or a task that is neither done nor placed, has failed `limit` times.
+    /// Returns true if a gang, or a task that is not done and has no run left, has failed `limit`
+    /// times.
     pub fn is_exhausted(&self, limit: u32) -> bool {
         let failed = |runs: &[u32]| runs.len() as u32 >= limit;
-        let task = |t: &Task| !t.done && t.worker.is_none() && failed(&t.failed_runs);
-        let step = |s: &Step| failed(&s.failed_gang_runs) || s.tasks.iter().any(task);
+        let step =
+            |s: &Step| failed(&s.failed_gang_runs) || s.tasks.iter().any(|t| t.is_exhausted(limit));
         self.rounds.iter().any(|r| r.steps.iter().any(step))
     }
 
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -17,7 +17,7 @@
 const CLAIM_DELAY: Millis = Millis(40);
 /// Consecutive unanswered calls after which a worker is logged as silent. Single lost answers are
 /// common and only counted as a share.
-const MIN_SILENT_CALLS: u32 = 2;
+pub(crate) const MIN_SILENT_CALLS: u32 = 2;
 /// Minimum interval between looks at a worker while its ends are being stored. Such a look returns
 /// at once instead of waiting for the next end. A store of usual speed finishes within the
 /// interval, which saves the look.
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -50,7 +50,8 @@
     pub(crate) fn run_pass(&mut self, now: Millis, is_full: bool, out: &mut Vec<Order>) {
         self.expire_advice_calls(now);
         let steps = self.waiting_steps(now);
-        if steps.is_empty() {
+        let stragglers = if is_full { self.stragglers(now) } else { Vec::new() };
+        if steps.is_empty() && stragglers.is_empty() {
             return;
         }
         self.recount_usage();
@@ -59,9 +60,9 @@
         let may_ask_again = is_full || std::mem::take(&mut self.slow_call_answered);
         let mut pass = Pass::new(now, may_ask_again, candidates);
         let mut tries_left = if is_full { usize::MAX } else { MAX_UNPLACED_STEPS };
-        for waiting in steps {
+        for waiting in &steps {
             let orders_before = out.len();
-            self.place_step(&mut pass, &waiting, out);
+            self.place_step(&mut pass, waiting, out);
             self.stats.tried += 1;
             tries_left -= usize::from(out.len() == orders_before);
             if tries_left == 0 {
@@ -71,6 +72,9 @@
         for (waiting, plan) in std::mem::take(&mut pass.deferred_gangs) {
             self.ask_concurrently(&pass, &waiting, plan.as_ref(), out);
         }
+        if !stragglers.is_empty() {
+            self.start_copies(&mut pass, &stragglers, &steps, out);
+        }
     }
 
     /// Makes another advice call for a gang while one is pending.
@@ -89,7 +93,10 @@
     }
 
     /// Returns the specification, queue and client account of a step's job.
-    fn placement_inputs(&self, key: StepKey) -> Option<(Arc<JobSpec>, Arc<Queue>, AccountIdx)> {
+    pub(crate) fn placement_inputs(
+        &self,
+        key: StepKey,
+    ) -> Option<(Arc<JobSpec>, Arc<Queue>, AccountIdx)> {
         let job = self.jobs.get(key.job)?;
         let queue = self.queues.get(&job.queue)?;
         Some((job.spec.clone(), queue.clone(), job.account))
@@ -168,7 +175,7 @@
         let tasks = step.tasks.iter().enumerate().filter(|(_, t)| t.is_startable(now));
         let ready = |(index, t): (usize, &Task)| ReadyTask {
             index: index as u32,
-            run: t.run,
+            run: t.last_run,
             avoid: t.avoided_worker(now),
             suspect: t.is_suspect(),
         };
--- a/crates/hollowford-jobs/src/progress_rows.rs
+++ b/crates/hollowford-jobs/src/progress_rows.rs
@@ -56,6 +56,9 @@
     /// Crashes and open runs; set if a worker has crashed under the task or may have.
     #[prost(message, optional, tag = "7")]
     pub crash_record: Option<CrashRecordRow>,
+    /// Whether it has ever had two runs at the same time.
+    #[prost(bool, tag = "8")]
+    pub copied: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -109,10 +112,11 @@
             step: step as u32,
             index: index as u32,
             done: t.done,
-            run: t.run,
+            run: t.last_run,
             failed_runs: t.failed_runs.clone(),
             saved: if t.done { String::new() } else { t.saved.as_deref().unwrap_or("").into() },
             crash_record: t.crash_record.as_deref().filter(|_| !t.done).map(CrashRecordRow::from),
+            copied: t.copied,
         }
     }
 }
@@ -160,7 +164,7 @@
         let mut tasks = Vec::new();
         for (step, s) in round.steps.iter().enumerate() {
             for (index, t) in s.tasks.iter().enumerate() {
-                if t.run > 0 || t.done || t.crash_record.is_some() {
+                if t.last_run > 0 || t.done || t.crash_record.is_some() {
                     tasks.push(TaskRow::of(step, index, t));
                 }
             }
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -1,7 +1,7 @@
 //! Restores a partition's state from the store for a new owner.
 
 use crate::engine::Engine;
-use crate::job::{JobState, Round};
+use crate::job::JobState;
 use crate::jobs::EndedJob;
 use crate::progress_rows::{ProgressRow, RoundRow};
 use crate::rows::{JobRow, RowError, WorkerAddress, decode_workers};
@@ -122,7 +122,8 @@
         for t in &row.tasks {
             let Some(step) = round.steps.get_mut(t.step as usize) else { continue };
             let Some(task) = step.tasks.get_mut(t.index as usize) else { continue };
-            task.run = t.run;
+            task.record_run_number(t.run);
+            task.copied = t.copied;
             task.failed_runs = t.failed_runs.clone();
             task.done = t.done;
             task.saved = (!t.saved.is_empty()).then(|| t.saved.as_str().into());
@@ -141,7 +142,8 @@
 
     fn mark_job_unsettled(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
-            job.rounds.iter_mut().for_each(Round::mark_unsettled);
+            let spec = job.spec.clone();
+            job.rounds.iter_mut().for_each(|r| r.mark_unsettled(&spec));
         }
     }
 
--- a/crates/hollowford-jobs/src/spec.rs
+++ b/crates/hollowford-jobs/src/spec.rs
@@ -189,6 +189,12 @@
         let cpu_milli = if self.best_effort { 0 } else { self.resources.cpu_milli };
         Resources { cpu_milli, ..self.resources }
     }
+
+    /// Returns true if a task of the step may have two runs at the same time. Members of gangs and
+    /// service tasks never have, and best-effort tasks are slow on purpose.
+    pub fn allows_copies(&self) -> bool {
+        self.speculative && !self.gang && !self.service && !self.best_effort
+    }
 }
 
 /// A validated job.
--- a/crates/hollowford-jobs/src/stall.rs
+++ b/crates/hollowford-jobs/src/stall.rs
@@ -10,12 +10,12 @@
 
 /// Minimum time without a change of progress after which a task counts as stalled. Progress is
 /// reported in whole percent, so long tasks are given more time.
-const MIN_STALL_TIMEOUT: Millis = Millis(700);
+pub(crate) const MIN_STALL_TIMEOUT: Millis = Millis(700);
 /// Part of a task's estimated time, in percent, that one percent of progress may take. A worker may
 /// be several times slower than estimated.
-const STALL_ESTIMATE_PERCENT: u64 = 8;
+pub(crate) const STALL_ESTIMATE_PERCENT: u64 = 8;
 /// Progress in percent from which a task doesn't count as stalled, because it is about to end.
-const NEARLY_DONE_PERCENT: u32 = 99;
+pub(crate) const NEARLY_DONE_PERCENT: u32 = 99;
 /// Time for which a stalled worker gets no new tasks; renewed while it stays stalled.
 const STALL_PAUSE: Millis = Millis(500);
 /// Time after which a stalled short task is started elsewhere. Little work is lost, and its caller
@@ -28,7 +28,7 @@
 /// Limits of one slowness sample, because estimates may be far off.
 const SLOWNESS_RANGE: (f32, f32) = (0.5, 8.0);
 /// Progress in percent that a slowness sample needs.
-const MIN_SAMPLE_PROGRESS_PERCENT: u32 = 10;
+pub(crate) const MIN_SAMPLE_PROGRESS_PERCENT: u32 = 10;
 
 impl Engine {
     /// Records the reported progress of a task.
@@ -36,6 +36,7 @@
         let estimate = self.estimate(r.task);
         let Some(w) = self.workers.get_mut(idx) else { return };
         let Some(h) = w.find_mut(r.task, r.run) else { return };
+        h.reported_at = now;
         if r.progress == h.progress && h.first_progress.is_some() {
             return;
         }
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -31,11 +31,12 @@
         let spec = &job.spec.steps[key.step.step as usize];
         let mut held = HeldTask {
             expected_end: now + Millis(spec.estimate_ms),
+            may_be_copied: spec.allows_copies(),
             ..HeldTask::new((key, run), job.account, spec.allocation(), Phase::Starting, now)
         };
         if let Some(task) = self.jobs.task_mut(key) {
-            task.worker = Some(idx);
-            task.run = run;
+            held.is_copy = task.worker.is_some();
+            task.place_run(idx, run);
             held.suspect = task.is_suspect();
         }
         if let Some(w) = self.workers.get_mut(idx) {
--- a/crates/hollowford-jobs/src/task_ends.rs
+++ b/crates/hollowford-jobs/src/task_ends.rs
@@ -4,7 +4,7 @@
 use crate::engine::Engine;
 use crate::event::Event;
 use crate::held_task::{HeldTask, Phase};
-use crate::job::{JobState, count_failure};
+use crate::job::{JobState, TaskCopy, count_failure};
 use crate::order::{End, EndKind, Running};
 use crate::spec::{JobId, StepSpec, TaskKey};
 use crate::workers::{Placement, WorkerIdx};
@@ -25,7 +25,7 @@
             self.record_progress(idx, r, now);
             let p = Placement { idx, task: r.task, run: r.run };
             if cleared {
-                self.clear_crash_record(p);
+                self.clear_crash_record(r.task);
             } else if stable {
                 self.record_stable(p);
             }
@@ -50,24 +50,39 @@
         };
         let (spec, account) = (job.spec.clone(), job.account);
         let Some(step_spec) = spec.steps.get(key.step.step as usize) else { return false };
+        let may_be_copied = step_spec.allows_copies();
+        let takes_copies = may_be_copied && self.features.task_copies;
         let Some(step) = self.jobs.step_mut(key.step) else { return false };
         let Some(task) = step.tasks.get_mut(key.index as usize) else { return false };
-        if task.done || task.worker.is_some() || r.run < task.run {
+        // Of two runs, the one with the lower number may be found last.
+        let may_be_current = task.worker.is_none() && r.run >= task.last_run;
+        let is_other = |t: TaskCopy| t.worker != idx && t.run != r.run;
+        let may_be_either = takes_copies && task.copy.is_none() && task.runs().all(is_other);
+        if task.done || !(may_be_current || may_be_either) {
             return false;
         }
-        task.worker = Some(idx);
-        task.run = r.run;
+        if task.worker.is_some() {
+            task.unsettled_copy = false;
+        }
+        task.place_run(idx, r.run);
         task.unsettled = false;
-        let suspect = task.is_suspect();
+        let (suspect, copy) = (task.is_suspect(), task.copy);
         let held = HeldTask {
             // How long it has run already is unknown; half of the estimate is assumed.
             expected_end: now + Millis(step_spec.estimate_ms / 2),
             suspect,
+            may_be_copied,
             ..HeldTask::new((key, r.run), account, step_spec.allocation(), Phase::Running, now)
         };
         if let Some(w) = self.workers.get_mut(idx) {
             w.hold(held);
         }
+        if let Some(copy) = copy
+            && let Some(h) =
+                self.workers.get_mut(copy.worker).and_then(|w| w.find_mut(key, copy.run))
+        {
+            h.is_copy = true;
+        }
         self.record_open_run(Placement { idx, task: key, run: r.run });
         true
     }
@@ -107,24 +122,30 @@
         };
         let spec = job.spec.clone();
         let Some(step_spec) = spec.steps.get(key.step.step as usize) else { return };
-        let Some(task) = self.jobs.task(key) else { return };
-        let is_current = task.worker == Some(idx) && task.run == end.run;
-        let is_newest = task.worker.is_none() && end.run >= task.run;
+        let Some(task) = self.jobs.task_mut(key) else { return };
+        if task.done {
+            // The run of a copy, or of a task of which another run was done first.
+            task.remove_run(idx, end.run);
+            return;
+        }
+        let is_current = task.has_run(idx, end.run);
+        let is_newest = task.worker.is_none() && end.run >= task.last_run;
         // Ends of earlier runs count too: an earlier owner may not have stored them.
         let counts = matches!(end.kind, EndKind::Done | EndKind::Failed);
-        if task.done || !(is_current || is_newest || counts) {
+        if !(is_current || is_newest || counts) {
             return;
         }
         if is_current {
             self.unplace(Placement { idx, task: key, run: end.run }, now);
         }
         if let Some(task) = self.jobs.task_mut(key) {
-            task.run = task.run.max(end.run);
+            task.record_run_number(end.run);
         }
         self.close_run(key, end.run);
         self.record_checkpoint(key, &end.saved);
         self.record_health(idx, end, now);
         self.apply_end(idx, end, step_spec, now);
+        self.end_job_if_exhausted(key, now);
         self.jobs.mark_progress_unwritten(key.step.job);
         self.needs_pass = true;
     }
@@ -142,6 +163,9 @@
             number: end.number,
             expected: held.is_some(),
         });
+        if held.is_some_and(|h| h.is_copy) {
+            self.count_copy_end(end.task, Some(end.kind));
+        }
     }
 
     /// Applies the consequences of an end for the task and its job.
@@ -189,12 +213,13 @@
             step.remaining = 0;
         } else if let Some(task) = step.tasks.get_mut(key.index as usize) {
             task.done = true;
+            task.copied |= task.unsettled_copy;
             step.remaining -= 1;
         }
         let step_done = step.is_done();
-        let other_worker = step.tasks[key.index as usize].worker;
-        if let Some(other) = other_worker.filter(|_| !gang) {
-            self.mark_stopping(other, key);
+        let other_runs: Vec<_> = step.tasks[key.index as usize].runs().filter(|_| !gang).collect();
+        for other in other_runs {
+            self.mark_stopping(other.worker, key);
         }
         if step_done {
             self.jobs.mark_all_steps_waiting(key.step.job);
@@ -213,14 +238,28 @@
         self.stats.failed += 1;
         let max_attempts = self.max_attempts(key.step.job);
         let Some(step) = self.jobs.step_mut(key.step) else { return };
-        let failures = if spec.gang {
-            count_failure(&mut step.failed_gang_runs, run)
-        } else {
-            let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
-            task.avoid_worker(idx, now);
-            count_failure(&mut task.failed_runs, run)
-        };
-        if failures >= max_attempts {
+        if spec.gang {
+            if count_failure(&mut step.failed_gang_runs, run) >= max_attempts {
+                self.end_job(key.step.job, JobState::Failed, now);
+            }
+            return;
+        }
+        let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
+        task.avoid_worker(idx, now);
+        let failures = count_failure(&mut task.failed_runs, run);
+        // Another run of the task may still succeed if the step allows copies. Without them, a
+        // failure of an earlier run that is reported late ends the job too.
+        if failures >= max_attempts && !spec.allows_copies() {
+            self.end_job(key.step.job, JobState::Failed, now);
+        }
+    }
+
+    /// Fails the job of a task that has used up its attempts and has no run left, in a step that
+    /// allows copies.
+    pub(crate) fn end_job_if_exhausted(&mut self, key: TaskKey, now: Millis) {
+        let max_attempts = self.max_attempts(key.step.job);
+        let is_exhausted = self.jobs.task(key).is_some_and(|t| t.is_exhausted(max_attempts));
+        if is_exhausted && self.jobs.step_spec(key.step).is_some_and(StepSpec::allows_copies) {
             self.end_job(key.step.job, JobState::Failed, now);
         }
     }
@@ -236,7 +275,7 @@
         }
     }
 
-    fn max_attempts(&self, id: JobId) -> u32 {
+    pub(crate) fn max_attempts(&self, id: JobId) -> u32 {
         let queue = self.jobs.get(id).and_then(|j| self.queues.get(&j.queue));
         queue.map_or(u32::MAX, |q| q.max_attempts.max(1))
     }
@@ -244,10 +283,9 @@
     /// Records that a run is no longer on the worker.
     pub(crate) fn unplace(&mut self, p: Placement, now: Millis) {
         let Some(task) = self.jobs.task_mut(p.task) else { return };
-        if task.worker != Some(p.idx) || task.run != p.run {
+        if !task.remove_run(p.idx, p.run) {
             return;
         }
-        task.worker = None;
         self.jobs.mark_step_waiting(p.task.step);
         let Some(step) = self.jobs.step_mut(p.task.step) else { return };
         if step.tasks.iter().all(|t| t.worker.is_none()) {
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -24,6 +24,13 @@
     latest_start: Millis,
 }
 
+impl Urgency {
+    /// Returns true if the job can still meet its objective.
+    pub fn is_in_time(&self) -> bool {
+        matches!(self.rank, Rank::First | Rank::InTime)
+    }
+}
+
 /// Rank by the job's objective: steps in time come before late ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
--- a/crates/hollowford-jobs/src/worker_removal.rs
+++ b/crates/hollowford-jobs/src/worker_removal.rs
@@ -107,10 +107,14 @@
         if let Some(w) = self.workers.get_mut(idx)
             && let Some(at) = w.find(task, run)
         {
-            w.release(at);
+            let held = w.release(at);
             self.events.push(Event::TaskGivenUp { task, run, worker: w.life.clone(), cause });
+            if held.is_copy {
+                self.count_copy_end(task, None);
+            }
         }
         self.unplace(p, now);
+        self.end_job_if_exhausted(task, now);
         self.needs_pass = true;
     }
 }
--- a/crates/hollowford-jobs/src/worker_restart.rs
+++ b/crates/hollowford-jobs/src/worker_restart.rs
@@ -154,9 +154,7 @@
         w.hold(held);
         let life = w.life.clone();
         let Some(t) = self.jobs.task_mut(task) else { return true };
-        if t.worker == Some(idx) && t.run == run {
-            t.worker = Some(next);
-        }
+        t.move_run(idx, run, next);
         if t.crash_record.as_mut().is_some_and(|c| c.move_run(run, &life)) {
             self.jobs.mark_progress_unwritten(task.step.job);
         }
