--- a/crates/hollowford-jobs/src/copies/start.rs
+++ b/crates/hollowford-jobs/src/copies/start.rs
@@ -3,6 +3,8 @@
 use super::decision::{CopyBudget, CopyCause, RunState, SLOW_QUANTILE, is_spare};
 use crate::advice::AdviceStatus;
 use crate::candidate::rack_label;
+use crate::crash_record::RunStage;
+use crate::crashes::LostRun;
 use crate::engine::Engine;
 use crate::event::Event;
 use crate::held_task::{HeldTask, Phase};
@@ -54,7 +56,7 @@
             for h in w.held.iter().filter(|h| h.may_be_copied) {
                 let state = self.run_state(idx, w, h, now);
                 let new_run = self.expected_run_time(h.task.step);
-                if state.copy_cause(new_run).is_some() && self.may_be_copied(idx, h, now) {
+                if state.copy_cause(new_run).is_some() && self.may_be_copied(idx, w, h, now) {
                     out.push(Straggler { task: h.task, worker: idx, state });
                 }
             }
@@ -63,8 +65,14 @@
         out
     }
 
-    /// Returns true if a held run is the only one of its task, and the task may have another.
-    fn may_be_copied(&self, idx: WorkerIdx, h: &HeldTask, now: Millis) -> bool {
+    /// Returns true if a held run is the only one of its task, and the task may have another. A run
+    /// whose worker fell silent shortly after the start may have crashed it; a copy would take down
+    /// another worker before that is known.
+    fn may_be_copied(&self, idx: WorkerIdx, w: &Worker, h: &HeldTask, now: Millis) -> bool {
+        let is_silent = w.unanswered_calls >= MIN_SILENT_CALLS;
+        if is_silent && LostRun::of(h, w.last_answer, now).stage == RunStage::Fresh {
+            return false;
+        }
         let Some(job) = self.jobs.get(h.task.step.job).filter(|j| j.end.is_none()) else {
             return false;
         };
--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -61,7 +61,7 @@
 
 impl LostRun {
     /// Creates the record of a lost run whose worker was last heard at `heard`.
-    fn of(h: &HeldTask, heard: Millis, now: Millis) -> LostRun {
+    pub(crate) fn of(h: &HeldTask, heard: Millis, now: Millis) -> LostRun {
         let stage = match h.phase {
             Phase::Running if heard < h.since + FRESH_PERIOD => RunStage::Fresh,
             Phase::Running => RunStage::Stable,
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -95,6 +95,18 @@
     pub copies_stopped: u64,
 }
 
+impl Stats {
+    /// Returns the numbers of ended copies, by the name of their outcome in metrics.
+    pub fn copy_outcomes(&self) -> [(&'static str, u64); 4] {
+        [
+            ("won", self.copies_won),
+            ("lost", self.copies_lost),
+            ("failed", self.copies_failed),
+            ("stopped", self.copies_stopped),
+        ]
+    }
+}
+
 /// The scheduling engine of one partition. See the crate documentation.
 #[derive(Debug)]
 pub struct Engine {
--- a/crates/hollowford-jobs/tests/common/scenario.rs
+++ b/crates/hollowford-jobs/tests/common/scenario.rs
@@ -18,6 +18,10 @@
 const ARRIVALS_MS: u64 = 40_000;
 /// Mean time between two changes of the downtime after a crash, in milliseconds.
 const DOWNTIME_CHANGE_MS: u64 = 3_000;
+/// Number of jobs that are added to a scenario with copies. None of them crashes workers.
+const MORE_JOBS: u64 = 20;
+/// Mean time between two changes of the pace of a worker, in milliseconds.
+const PACE_CHANGE_MS: u64 = 700;
 /// How long failures occur, in milliseconds.
 const FAILURES_MS: u64 = 60_000;
 /// Time after the last failure within which all jobs must end, in milliseconds.
@@ -92,6 +96,24 @@
     replacements: u64,
     /// Whether to print the engine's events.
     pub traced: bool,
+    /// Draws of scenarios with copies, apart from `rng` so that other scenarios stay the same.
+    copies_rng: Option<Rng>,
+    /// Copies started by all owners.
+    copies: u64,
+    /// Takeovers while a task had two runs.
+    takeovers_of_copies: u64,
+}
+
+/// What a scenario has shown.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub faults: Vec<String>,
+    /// Copies started.
+    pub copies: u64,
+    /// Copies that have ended, as counted by the last owner.
+    pub ended_copies: u64,
+    /// Takeovers while a task had two runs.
+    pub takeovers_of_copies: u64,
 }
 
 impl Scenario {
@@ -120,11 +142,46 @@
             departs_at: BTreeMap::new(),
             replacements: 0,
             traced: false,
+            copies_rng: None,
+            copies: 0,
+            takeovers_of_copies: 0,
         };
         scenario.draw_jobs();
         scenario
     }
 
+    /// Draws a scenario with further jobs, in which half of the steps are speculative and workers are slow at times.
+    /// None stalls: tasks that crash their workers would be moved before they do, and the check of
+    /// their starts counts each start as another crash.
+    pub fn with_copies(seed: u64, failures: Failures) -> Scenario {
+        let mut scenario = Scenario::new(seed, failures);
+        let mut rng = Rng::with_seed(seed);
+        for id in 0..MORE_JOBS {
+            let at = scenario.started_at + Millis(rng.u64(0..ARRIVALS_MS));
+            let batch = step(rng.u32(1..6), rng.u32(500..2_000), rng.u64(500..2_500));
+            scenario.submissions.push((at, 1_000 + id, QUICK, job(vec![batch])));
+        }
+        for (_, _, _, spec) in &mut scenario.submissions {
+            let mut changed = JobSpec::clone(spec);
+            changed.steps.iter_mut().for_each(|s| s.speculative = rng.bool());
+            *spec = Arc::new(changed);
+        }
+        scenario.copies_rng = Some(rng);
+        scenario
+    }
+
+    /// Makes a worker slow, or ordinary again.
+    fn change_pace(&mut self) {
+        let Some(rng) = &mut self.copies_rng else { return };
+        if rng.u64(0..PACE_CHANGE_MS) >= TICK_MS {
+            return;
+        }
+        let at = rng.usize(0..self.cell.workers.len());
+        let w = &mut self.cell.workers[at];
+        w.slowdown = [1, 5, 12][rng.usize(0..3)];
+        w.stop_delay_ms = [0, 300][rng.usize(0..2)];
+    }
+
     fn draw_jobs(&mut self) {
         self.cell.crashes.crash_after = Millis(self.rng.u64(10..=400));
         self.draw_downtime();
@@ -179,9 +236,15 @@
     }
 
     /// Runs the scenario to its end, and returns the faults found.
-    pub fn run(mut self) -> Vec<String> {
+    pub fn run(self) -> Vec<String> {
+        self.run_to_outcome().faults
+    }
+
+    /// Runs the scenario to its end.
+    pub fn run_to_outcome(mut self) -> Outcome {
         while self.age() < FAILURES_MS {
             self.inject_failures();
+            self.change_pace();
             self.tick();
         }
         self.stop_failures();
@@ -189,7 +252,17 @@
         while self.age() < until && !self.is_settled() {
             self.tick();
         }
-        self.find_faults()
+        if self.copies_rng.is_some() {
+            // The last runs to be stopped end.
+            self.cell.run(1_000);
+        }
+        let stats = self.cell.engine.stats();
+        Outcome {
+            faults: self.find_faults(),
+            ended_copies: stats.copy_outcomes().into_iter().map(|(_, count)| count).sum(),
+            copies: self.copies + stats.copies,
+            takeovers_of_copies: self.takeovers_of_copies,
+        }
     }
 
     fn age(&self) -> u64 {
@@ -273,6 +346,10 @@
             self.cell.write_batch_unconfirmed(0);
         }
         self.write_due_at = None;
+        self.copies += self.cell.engine.stats().copies;
+        let running = self.cell.workers.iter().flat_map(|w| w.running.keys());
+        let has_copy = running.copied().any(|task| self.cell.run_count(task) > 1);
+        self.takeovers_of_copies += u64::from(has_copy);
         let (from, until) = self.last_outage;
         let is_recent = self.cell.now.since(until) < RECENT_OUTAGE;
         self.cell.store_outage_before = is_recent && until.since(from) >= MIN_OUTAGE;
@@ -413,6 +490,9 @@
         self.failures = Failures::default();
         self.store_back_at = Millis(0);
         self.silent_until.clear();
+        for w in self.cell.workers.iter_mut().filter(|_| self.copies_rng.is_some()) {
+            w.slowdown = 1;
+        }
     }
 
     fn is_settled(&self) -> bool {
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -68,6 +68,8 @@
     pub stalled: bool,
     /// Factor by which its tasks exceed their estimates.
     pub slowdown: u64,
+    /// Label of its rack.
+    pub rack: Arc<str>,
     /// Whether every task that it starts fails.
     pub fails_all: bool,
     /// Time from a stop to the end of the task, in milliseconds. The task is listed as running
@@ -113,6 +115,7 @@
             delayed_start: None,
             stalled: false,
             slowdown: 1,
+            rack: "r1".into(),
             fails_all: false,
             stop_delay_ms: 0,
             stopping: BTreeMap::new(),
@@ -150,7 +153,7 @@
             zone: "z".into(),
             pool: "pool".into(),
             capacity: self.capacity,
-            labels: vec!["a".into(), "r1".into()],
+            labels: vec!["a".into(), self.rack.clone()],
             leaving: self.leaving,
             remaining: self.remaining,
         }
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -54,6 +54,8 @@
     pub worker_crashes: IntCounterVec,
     /// Jobs given up because their tasks crash their workers, by partition.
     pub crashing_jobs: IntCounterVec,
+    /// Ended copies of tasks, by partition and outcome.
+    pub copies: IntCounterVec,
     /// Log lines dropped because the writer thread could not keep up.
     log_dropped: IntCounter,
 }
@@ -129,6 +131,11 @@
                 "Jobs given up since their tasks crash their workers",
                 &["partition"],
             )?,
+            copies: counters(
+                "copies_total",
+                "Copies of tasks that have ended, by outcome",
+                &["partition", "outcome"],
+            )?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
--- a/crates/hollowford-node/src/owner/view.rs
+++ b/crates/hollowford-node/src/owner/view.rs
@@ -2,7 +2,7 @@
 
 use super::Owner;
 use hollowford_core::Millis;
-use hollowford_jobs::WaitCause;
+use hollowford_jobs::{Stats, WaitCause};
 
 /// Interval between two updates of the gauges and the log line.
 const VIEW_INTERVAL: Millis = Millis(2_000);
@@ -31,12 +31,23 @@
         metrics.worker_crashes.with_label_values(&part).inc_by(crashes);
         let crashing_jobs = view.stats.crashing_jobs - self.reported_stats.crashing_jobs;
         metrics.crashing_jobs.with_label_values(&part).inc_by(crashing_jobs);
+        self.update_copies(&view.stats);
         self.reported_stats = view.stats;
         self.update_account_usage();
         self.update_step_waits(now);
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
 
+    /// Adds the copies that have ended since the last update to their counters.
+    fn update_copies(&self, stats: &Stats) {
+        let part = self.cx.partition.part.as_str();
+        let counter = &self.cx.shared.metrics.copies;
+        let reported = self.reported_stats.copy_outcomes();
+        for ((outcome, count), (_, before)) in stats.copy_outcomes().into_iter().zip(reported) {
+            counter.with_label_values(&[part, outcome]).inc_by(count - before);
+        }
+    }
+
     /// Updates the gauges of waiting steps by cause and logs those that have waited long.
     fn update_step_waits(&mut self, now: Millis) {
         let part = self.cx.partition.part.clone();
