--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -14,6 +14,8 @@
 mod advice_selection;
 mod answer_timeouts;
 mod audit;
+#[cfg(test)]
+mod audit_tests;
 mod batch;
 mod candidate;
 mod copies;
--- a/crates/hollowford-jobs/tests/copies.rs
+++ b/crates/hollowford-jobs/tests/copies.rs
@@ -69,10 +69,15 @@
 
     /// All workers are slow when the task starts. Then all but its own become ordinary.
     fn with_queue(workers: usize, queue: Queue) -> CopiedTask {
+        CopiedTask::with_steps(workers, queue, vec![speculative_step(1)])
+    }
+
+    /// The task is that of the first step.
+    fn with_steps(workers: usize, queue: Queue, steps: Vec<RawStep>) -> CopiedTask {
         let mut cell = TestCell::new(workers);
         cell.set_queues(vec![queue]);
         cell.workers.iter_mut().for_each(|w| w.slowdown = SLOWDOWN);
-        cell.submit(1, QUICK, job(vec![speculative_step(1)]));
+        cell.submit(1, QUICK, job(steps));
         run_until(&mut cell, |cell| cell.run_count(task(0)) == 1);
         cell.workers.iter_mut().for_each(|w| w.slowdown = 1);
         run_until(&mut cell, |cell| cell.run_count(task(0)) == 2);
@@ -85,6 +90,13 @@
         self.cell.run(50);
     }
 
+    /// Makes the copy run for another minute.
+    fn prolong_copy(&mut self) {
+        let w = &mut self.cell.workers[self.copy];
+        let run = w.running.get_mut(&task(0)).expect("the copy should run");
+        run.ends_at = run.ends_at + Millis(60_000);
+    }
+
     fn stats(&self) -> Stats {
         self.cell.engine.stats()
     }
@@ -448,6 +460,50 @@
     }
 }
 
+/// Guards against a third run, beside one on a worker that a new owner has not claimed.
+#[test]
+fn a_new_owner_starts_no_copy_while_another_run_may_be_unclaimed() {
+    let mut copied = CopiedTask::new(4);
+    copied.prolong_copy();
+    let CopiedTask { mut cell, first, copy } = copied;
+    cell.workers[copy].reachable = false;
+    cell.take_over();
+    // The first run is a straggler for the new owner by then.
+    cell.run(2_400);
+    assert_eq!(workers_with(&cell, task(0)), [first, copy]);
+    assert_eq!((cell.engine.stats().copies, cell.engine.view(cell.now).held), (0, 1));
+    cell.workers[copy].reachable = true;
+    cell.run(600);
+    assert_eq!(workers_with(&cell, task(0)), [first, copy]);
+    assert_eq!((cell.engine.stats().copies, cell.engine.view(cell.now).held), (0, 2));
+}
+
+/// Guards against a start beyond the attempts while the other run may be unclaimed.
+#[test]
+fn a_new_owner_without_attempts_left_waits_for_unclaimed_workers() {
+    let CopiedTask { mut cell, first, copy } = CopiedTask::with_queue(3, one_attempt_queue());
+    cell.workers[copy].reachable = false;
+    cell.take_over();
+    cell.run(100);
+    cell.workers[first].end(task(0), EndKind::Failed);
+    cell.run(300);
+    assert_eq!((cell.engine.stats().failed, cell.engine.stats().started), (1, 0));
+    cell.workers[copy].reachable = true;
+    run_until_done(&mut cell);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert_eq!(cell.engine.stats().started, 0);
+}
+
+#[test]
+fn a_task_without_attempts_left_gets_no_copy() {
+    let mut copied = CopiedTask::with_queue(3, one_attempt_queue());
+    copied.prolong_copy();
+    copied.end(copied.first, EndKind::Failed);
+    copied.cell.run(6_000);
+    assert_eq!(copied.cell.run_count(task(0)), 1);
+    assert_eq!(copied.stats().copies, 1);
+}
+
 #[test]
 fn a_failed_run_counts_once_as_an_attempt() {
     let mut copied = CopiedTask::with_queue(4, Queue { max_attempts: 2, ..queue(QUICK, 0, None) });
@@ -507,20 +563,43 @@
     assert_eq!(cell.engine.account_usage()[0].used.cpu_milli, 2_000);
 }
 
+/// Returns a quota for jobs that belong to no account.
+fn quota_without_account() -> Account {
+    Account { name: NO_ACCOUNT.into(), ..account_with_quota(9_000) }
+}
+
+/// Guards against an account that exceeds its quota after a takeover while a run that lost is being
+/// stopped on a worker that the new owner has not claimed.
+#[test]
+fn an_unclaimed_run_of_a_task_that_is_done_counts_for_the_quota() {
+    let next = RawStep { depends_on: vec![0], ..step(1, 500, TASK_MS) };
+    let steps = vec![speculative_step(1), next];
+    let mut copied = CopiedTask::with_steps(3, queue(QUICK, 0, None), steps);
+    copied.cell.workers[copied.first].reachable = false;
+    copied.end(copied.copy, EndKind::Done);
+    let CopiedTask { mut cell, first, .. } = copied;
+    assert_eq!(workers_with(&cell, task(0)), [first]);
+    cell.take_over();
+    cell.engine.set_accounts(&[quota_without_account()]);
+    cell.run(100);
+    // The task of the next step and the run that lost.
+    assert_eq!(cell.engine.account_usage()[0].used.cpu_milli, 1_500);
+    cell.workers[first].reachable = true;
+    cell.run(300);
+    assert_eq!((cell.run_count(task(0)), cell.engine.stats().foreign), (0, 1));
+    assert_eq!(cell.engine.account_usage()[0].used.cpu_milli, 500);
+}
+
 /// Guards against an account that exceeds its quota after a takeover, when its copies are on
 /// workers that the new owner has not claimed.
 #[test]
 fn unclaimed_copies_count_for_the_quota() {
     let CopiedTask { mut cell, first, copy } = CopiedTask::new(3);
-    // The job belongs to no account, so the usage is that of the account without a name.
-    let quota = Totals { cpu_milli: 9_000, ..Totals::default() };
-    let policy = AccountPolicy { quota, ..AccountPolicy::default() };
-    let account = Account { name: NO_ACCOUNT.into(), policy, guaranteed_jobs_per_s: 0 };
     for at in [first, copy] {
         cell.workers[at].reachable = false;
     }
     cell.take_over();
-    cell.engine.set_accounts(&[account]);
+    cell.engine.set_accounts(&[quota_without_account()]);
     cell.run(100);
     assert_eq!(cell.engine.account_usage()[0].used.cpu_milli, 2_000);
     cell.workers[first].reachable = true;
