jobs: a new owner adds all due rounds of a schedule before it hears from workers

Cause: a new owner added one round for each round of timed work. If the store was down when the earlier owner began later rounds, the ends of their tasks were listed to the new owner before it had added them, were acknowledged without effect, and the tasks ran again after their end.

The test in takeover.rs fails without the change ('was started after its end').

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::queue::Queue;
 use crate::rows::WorkerAddress;
 use crate::run_times::RunTimes;
+use crate::spec::JobId;
 use crate::worker_life::WorkerLife;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
@@ -273,30 +274,43 @@
         }
     }
 
-    /// Adds the due rounds of jobs with a schedule.
+    /// Adds the due rounds of jobs with a schedule. A new owner has to add all of them before the
+    /// first answers of workers: an end in a round that it doesn't know is acknowledged without
+    /// effect, and the task would run again.
     fn add_due_rounds(&mut self, now: Millis) {
-        let unix_now = now.0 as i64 + self.unix_offset;
         for id in self.jobs.scheduled() {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            let Some(schedule) = job.spec.schedule else { continue };
-            if job.due_rounds >= schedule.rounds || job.end.is_some() {
-                continue;
+            let mut added = false;
+            while self.add_due_round(id, now) {
+                added = true;
             }
-            let due = schedule.first_unix_ms + u64::from(job.due_rounds) * schedule.interval_ms;
-            if due as i64 > unix_now {
-                continue;
+            if added {
+                self.jobs.mark_all_steps_waiting(id);
+                self.jobs.mark_progress_unwritten(id);
+                self.needs_pass = true;
             }
-            let lateness = Millis((unix_now - due as i64) as u64);
-            job.add_round(now - lateness);
-            // No row records whether an earlier owner has begun the round.
-            let round = job.rounds.last_mut().filter(|_| self.tasks_unsettled);
-            round.into_iter().for_each(|r| r.mark_unsettled(&job.spec));
-            self.jobs.mark_all_steps_waiting(id);
-            self.jobs.mark_progress_unwritten(id);
-            self.needs_pass = true;
         }
     }
 
+    /// Adds the next round of a job if it is due. Returns true if it was added.
+    fn add_due_round(&mut self, id: JobId, now: Millis) -> bool {
+        let unix_now = now.0 as i64 + self.unix_offset;
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.end.is_none()) else { return false };
+        let Some(schedule) = job.spec.schedule else { return false };
+        if job.due_rounds >= schedule.rounds {
+            return false;
+        }
+        let due = schedule.first_unix_ms + u64::from(job.due_rounds) * schedule.interval_ms;
+        if due as i64 > unix_now {
+            return false;
+        }
+        let lateness = Millis((unix_now - due as i64) as u64);
+        job.add_round(now - lateness);
+        // No row records whether an earlier owner has begun the round.
+        let round = job.rounds.last_mut().filter(|_| self.tasks_unsettled);
+        round.into_iter().for_each(|r| r.mark_unsettled(&job.spec));
+        true
+    }
+
     /// Releases the tasks that waited for unclaimed workers, once none of these workers can still
     /// run a task.
     fn settle(&mut self, now: Millis) {
--- a/crates/hollowford-jobs/tests/takeover.rs
+++ b/crates/hollowford-jobs/tests/takeover.rs
@@ -5,6 +5,7 @@
 use common::*;
 use hollowford_core::Millis;
 use hollowford_jobs::*;
+use std::sync::Arc;
 
 /// Returns a cell whose workers are full of tasks that run for `ms`.
 fn full_cell(workers: usize, ms: u64) -> TestCell {
@@ -185,3 +186,24 @@
     cell.run(1_000);
     assert!((2..6).all(|id| cell.state(id) == Some(JobState::Completed)));
 }
+
+/// Guards against a new owner that acknowledges the end of a task in a round that it has not added
+/// yet, and runs the task again. The store was down since the first round.
+#[test]
+fn tasks_that_are_done_in_rounds_that_are_not_stored_do_not_run_again() {
+    let mut cell = TestCell::new(2);
+    let schedule = Schedule { first_unix_ms: cell.now.0 + 500, interval_ms: 600, rounds: 3 };
+    let raw =
+        RawJob { template: "t".into(), steps: vec![step(1, 1_000, 200)], schedule: Some(schedule) };
+    cell.submit(1, QUICK, Arc::new(JobSpec::try_from(raw).expect("job should be valid")));
+    cell.run(400);
+    cell.store_up = false;
+    cell.run(1_600);
+    let starts = cell.total_starts();
+    assert_eq!(starts, 3);
+    cell.store_up = true;
+    cell.take_over();
+    cell.run(2_000);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+    assert_eq!(cell.total_starts(), starts);
+}
