--- a/crates/hollowford-jobs/src/account_shares.rs
+++ b/crates/hollowford-jobs/src/account_shares.rs
@@ -88,7 +88,15 @@
             let Some((job, queue, account)) = self.placement_inputs(waiting.key) else { continue };
             let Some(spec) = job.steps.get(waiting.key.step as usize) else { continue };
             let durable = waiting.durable;
-            let step = StepPlacement { key: waiting.key, account, durable, spec, queue: &queue };
+            let step = StepPlacement {
+                key: waiting.key,
+                account,
+                durable,
+                spec,
+                queue: &queue,
+                run_time: Millis(0),
+                headroom: f32::INFINITY,
+            };
             if !full_pools.contains(&queue.pool) && self.lacks_capacity(pass, step) {
                 full_pools.push(queue.pool.clone());
             }
--- a/crates/hollowford-jobs/src/advice/scheduling.rs
+++ b/crates/hollowford-jobs/src/advice/scheduling.rs
@@ -14,7 +14,6 @@
 use crate::placement::StepPlacement;
 use crate::queue::{AdviceCost, Queue};
 use crate::reservation::StartPlan;
-use crate::spec::JobSpec;
 use crate::urgency::WaitingStep;
 use crate::workers::WorkerIdx;
 use hollowford_core::{Millis, Totals};
@@ -110,7 +109,10 @@
             let calls_before = self.stats.asked;
             let key = request.waiting.key;
             let Some((job, queue, account)) = self.placement_inputs(key) else { continue };
-            let Some(step) = placement(&job, &queue, account, &request.waiting) else { continue };
+            let Some(step) = self.placement_of(&job, &queue, account, &request.waiting, pass.now)
+            else {
+                continue;
+            };
             if step.spec.gang {
                 let call = may_call
                     .then(|| self.scheduled_gang_call(pass, &mut forecast, request, step))
@@ -143,7 +145,10 @@
     fn may_call(&self, pass: &Pass, request: &AdviceRequest) -> bool {
         let key = request.waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return false };
-        let Some(step) = placement(&job, &queue, account, &request.waiting) else { return false };
+        let Some(step) = self.placement_of(&job, &queue, account, &request.waiting, pass.now)
+        else {
+            return false;
+        };
         // Expected capacity changes slowly, and the decision compares all workers.
         let is_held_back = self.jobs.step(key).is_some_and(|s| s.advice.held_back_since.is_some());
         if is_held_back && !pass.may_ask_again && !queue.advice.is_some_and(|c| c.is_quick()) {
@@ -399,7 +404,7 @@
                     let slots = forecast.slots(at, &demand(times.until)) as usize;
                     let has_room_now = need.fits(&c.free);
                     let option =
-                        NamedWorker { idx: c.idx, has_room_now, cost: c.cost(step.spec), slots };
+                        NamedWorker { idx: c.idx, has_room_now, cost: c.cost(&step), slots };
                     match status {
                         AdviceStatus::LapsedTicket if slots > 0 => lapsed.push(option),
                         AdviceStatus::Unknown if slots > 0 => unknown.push(option),
@@ -430,18 +435,6 @@
     pub slots: usize,
 }
 
-/// Returns the data that decides where a step may go.
-fn placement<'a>(
-    job: &'a JobSpec,
-    queue: &'a Queue,
-    account: crate::accounts::AccountIdx,
-    waiting: &WaitingStep,
-) -> Option<StepPlacement<'a>> {
-    let (key, durable) = (waiting.key, waiting.durable);
-    let spec = job.steps.get(key.step as usize)?;
-    Some(StepPlacement { key, account, durable, spec, queue })
-}
-
 /// Returns true if at least half of some resource of the candidates in a pool is in use.
 pub(crate) fn is_half_full(candidates: &[CandidateWorker], pool: &str) -> bool {
     let (mut capacity, mut used) = (Totals::default(), Totals::default());
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -59,10 +59,11 @@
             self.update_shares(now);
         }
         let steps = self.waiting_steps(now);
-        if steps.is_empty() {
-            if is_full {
-                self.record_contention(&[], now);
-            }
+        let stragglers = if is_full { self.stragglers(now) } else { Vec::new() };
+        if steps.is_empty() && is_full {
+            self.record_contention(&[], now);
+        }
+        if steps.is_empty() && stragglers.is_empty() {
             return;
         }
         self.recount_usage();
@@ -83,6 +84,9 @@
         for (waiting, plan) in std::mem::take(&mut pass.deferred_gangs) {
             self.ask_concurrently(&pass, &waiting, plan.as_ref(), out);
         }
+        if !stragglers.is_empty() {
+            self.start_copies(&mut pass, &stragglers, &steps, out);
+        }
         if is_full {
             self.update_contention(&pass, &steps);
         }
@@ -110,10 +114,9 @@
     ) {
         let key = waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return };
-        let Some(spec) = job.steps.get(key.step as usize) else { return };
-        let (run_time, headroom) = self.time_needs(waiting, pass.now);
-        let durable = waiting.durable;
-        let gang = StepPlacement { key, account, durable, spec, queue: &queue, run_time, headroom };
+        let Some(gang) = self.placement_of(&job, &queue, account, waiting, pass.now) else {
+            return;
+        };
         self.ask_for_gang(pass, gang, plan, out);
     }
 
@@ -127,6 +130,21 @@
         Some((job.spec.clone(), queue.clone(), job.account))
     }
 
+    /// Returns the data that decides where a waiting step may go.
+    pub(crate) fn placement_of<'a>(
+        &self,
+        job: &'a JobSpec,
+        queue: &'a Queue,
+        account: AccountIdx,
+        waiting: &WaitingStep,
+        now: Millis,
+    ) -> Option<StepPlacement<'a>> {
+        let (key, durable) = (waiting.key, waiting.durable);
+        let spec = job.steps.get(key.step as usize)?;
+        let (run_time, headroom) = self.time_needs(waiting, now);
+        Some(StepPlacement { key, account, durable, spec, queue, run_time, headroom })
+    }
+
     /// Returns a step's expected run time on an ordinary worker, and the time until its tasks must
     /// be done as a multiple of that.
     fn time_needs(&self, waiting: &WaitingStep, now: Millis) -> (Millis, f32) {
@@ -138,11 +156,10 @@
     fn place_step(&mut self, pass: &mut Pass, waiting: &WaitingStep, out: &mut Vec<Order>) {
         let key = waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return };
-        let Some(spec) = job.steps.get(key.step as usize) else { return };
-        let (run_time, headroom) = self.time_needs(waiting, pass.now);
-        let durable = waiting.durable;
-        let step = StepPlacement { key, account, durable, spec, queue: &queue, run_time, headroom };
-        if spec.gang {
+        let Some(step) = self.placement_of(&job, &queue, account, waiting, pass.now) else {
+            return;
+        };
+        if step.spec.gang {
             self.place_gang(pass, waiting, step, out);
         } else {
             self.place_tasks(pass, waiting, step, out);
@@ -225,7 +242,7 @@
         let tasks = step.tasks.iter().enumerate().filter(|(_, t)| t.is_startable(now));
         let ready = |(index, t): (usize, &Task)| ReadyTask {
             index: index as u32,
-            run: t.run,
+            run: t.last_run,
             avoid: t.avoided_worker(now),
             suspect: t.is_suspect(),
         };
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -32,6 +32,11 @@
     pub fn latest_start(&self) -> Millis {
         self.latest_start
     }
+
+    /// Returns true if the job can still meet its objective.
+    pub fn is_in_time(&self) -> bool {
+        matches!(self.rank, Rank::First | Rank::InTime)
+    }
 }
 
 /// Rank by the job's objective: steps in time come before late ones.
@@ -112,7 +117,7 @@
         }
         let share = self.share_position(job.account, &queue.pool);
         let paths = self.expected_paths(job, at);
-        let urgency = Urgency { share, ..urgency(paths, job, round.due, at, queue, now) };
+        let urgency = Urgency { share, ..urgency(paths, job, round.due, queue, now) };
         Readiness::Now(WaitingStep { urgency, key, durable: job.durable })
     }
 }
--- a/crates/hollowford-jobs/src/worker_removal.rs
+++ b/crates/hollowford-jobs/src/worker_removal.rs
@@ -110,9 +110,14 @@
         {
             let held = w.release(at);
             self.events.push(Event::TaskGivenUp { task, run, worker: w.life.clone(), cause });
+            let is_copy = held.is_copy;
             self.refund_lost_run(idx, &held, cause, now);
+            if is_copy {
+                self.count_copy_end(task, None);
+            }
         }
         self.unplace(p, now);
+        self.end_job_if_exhausted(task, now);
         self.needs_pass = true;
     }
 }
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -73,6 +73,8 @@
     pub slowdown: u64,
     /// Run times of tasks that differ from their estimates, in milliseconds.
     pub run_times: RunTimes,
+    /// Label of its rack.
+    pub rack: Arc<str>,
     /// Whether every task that it starts fails.
     pub fails_all: bool,
     /// Time from a stop to the end of the task, in milliseconds. The task is listed as running
@@ -119,6 +121,7 @@
             stalled: false,
             slowdown: 1,
             run_times: RunTimes::default(),
+            rack: "r1".into(),
             fails_all: false,
             stop_delay_ms: 0,
             stopping: BTreeMap::new(),
@@ -156,7 +159,7 @@
             zone: "z".into(),
             pool: "pool".into(),
             capacity: self.capacity,
-            labels: vec!["a".into(), "r1".into()],
+            labels: vec!["a".into(), self.rack.clone()],
             leaving: self.leaving,
             remaining: self.remaining,
         }
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -66,6 +66,8 @@
     /// Run times of workers relative to an ordinary one, by partition and quantile, while this
     /// process owns it.
     pub worker_slowness: GaugeVec,
+    /// Ended copies of tasks, by partition and outcome.
+    pub copies: IntCounterVec,
     /// Log lines dropped because the writer thread could not keep up.
     log_dropped: IntCounter,
 }
@@ -166,6 +168,11 @@
                 "Learned run times of workers relative to an ordinary one",
                 &["partition", "quantile"],
             )?,
+            copies: counters(
+                "copies_total",
+                "Copies of tasks that have ended, by outcome",
+                &["partition", "outcome"],
+            )?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
--- a/crates/hollowford-node/src/owner/view.rs
+++ b/crates/hollowford-node/src/owner/view.rs
@@ -2,7 +2,7 @@
 
 use super::Owner;
 use hollowford_core::Millis;
-use hollowford_jobs::WaitCause;
+use hollowford_jobs::{Stats, WaitCause};
 
 /// Interval between two updates of the gauges and the log line.
 const VIEW_INTERVAL: Millis = Millis(2_000);
@@ -37,6 +37,7 @@
         metrics.advice_answers.with_label_values(&[part[0], "yes"]).inc_by(used_answers);
         let unused_answers = view.stats.unused_answers - self.reported_stats.unused_answers;
         metrics.advice_answers.with_label_values(&[part[0], "no"]).inc_by(unused_answers);
+        self.update_copies(&view.stats);
         self.reported_stats = view.stats;
         self.update_account_usage();
         self.update_run_times();
@@ -45,6 +46,16 @@
         log::info!("owner.view partition={} {view}", self.info.partition);
     }
 
+    /// Adds the copies that have ended since the last update to their counters.
+    fn update_copies(&self, stats: &Stats) {
+        let part = self.cx.partition.part.as_str();
+        let counter = &self.cx.shared.metrics.copies;
+        let reported = self.reported_stats.copy_outcomes();
+        for ((outcome, count), (_, before)) in stats.copy_outcomes().into_iter().zip(reported) {
+            counter.with_label_values(&[part, outcome]).inc_by(count - before);
+        }
+    }
+
     /// Updates the gauges of waiting steps by cause and logs those that have waited long.
     fn update_step_waits(&mut self, now: Millis) {
         let part = self.cx.partition.part.clone();
