jobs: tests of copies that fail without the mechanism that they name

The test of stalled runs also passed without that cause, since the run counted as slow, and the one of spare capacity passed by the gang's reservation. The first now stalls a run that is far enough not to be slow; a second test has a step that waits for advice and reserves nothing. Both were seen failing with the mechanism taken out.

--- a/crates/hollowford-jobs/tests/copies.rs
+++ b/crates/hollowford-jobs/tests/copies.rs
@@ -210,9 +210,12 @@
 fn a_stalled_run_gets_a_copy() {
     let mut cell = TestCell::new(2);
     cell.submit(1, QUICK, job(vec![speculative_step(1)]));
-    cell.run(600);
+    cell.run(1_600);
     let first = workers_with(&cell, task(0))[0];
     cell.workers[first].stalled = true;
+    // By its progress so far it doesn't count as slow.
+    cell.run(2_400);
+    assert_eq!(cell.engine.stats().copies, 1);
     run_until_done(&mut cell);
     assert_eq!(cell.state(1), Some(JobState::Completed));
     assert_eq!((cell.engine.stats().copies_won, cell.total_starts()), (1, 2));
@@ -637,6 +640,24 @@
     assert_eq!(cell.engine.stats().copies, 1);
 }
 
+/// Guards against copies in capacity that is not reserved, but that a step needs as soon as its
+/// advice arrives.
+#[test]
+fn a_copy_leaves_capacity_to_a_step_that_waits_for_advice() {
+    let cost = AdviceCost { base_ms: 5.0, per_worker_ms: 0.1, ticket_validity: Millis(2_000) };
+    let queues = vec![queue(QUICK, 0, None), queue(LARGE, 1, Some(cost))];
+    let set_queues = |cell: &mut TestCell| cell.set_queues(queues);
+    let mut cell = cell_with_straggler(speculative_step(1), NO_ACCOUNT, set_queues);
+    // The advice never arrives.
+    cell.unresponsive_instances.insert(String::new());
+    cell.submit(2, LARGE, job(vec![step(2, 15_500, 30_000)]));
+    cell.run(4_000);
+    assert_eq!((cell.engine.stats().copies, cell.run_count(task(0))), (0, 1));
+    cell.engine.cancel(JobId(2), cell.now);
+    cell.run(300);
+    assert_eq!(cell.engine.stats().copies, 1);
+}
+
 /// Guards against a copy beside another task of the step, and a task beside a copy.
 #[test]
 fn both_runs_count_for_the_limit_per_worker() {
