--- a/crates/hollowford-jobs/src/accounts.rs
+++ b/crates/hollowford-jobs/src/accounts.rs
@@ -7,7 +7,7 @@
 //! outdated count.
 
 use crate::engine::Engine;
-use crate::job::Job;
+use crate::job::{Job, Task};
 use crate::spec::JobId;
 use hollowford_accounts::{AccountPolicy, Allowance};
 use hollowford_core::{Millis, Resources, Totals};
@@ -37,6 +37,8 @@
 struct AccountState {
     name: Arc<str>,
     policy: AccountPolicy,
+    /// Its share when a pool is full; 0 if it has none, which counts as 1.
+    weight: u32,
     /// Resources that its tasks hold, or may hold.
     used: Totals,
     /// Part of its quota that is reserved for one of its gangs.
@@ -50,6 +52,7 @@
         AccountState {
             name,
             policy,
+            weight: 0,
             used: Totals::default(),
             reserved: None,
             allowance: Allowance::default(),
@@ -84,6 +87,7 @@
             let idx = self.intern(&a.name);
             let state = &mut self.list[idx as usize];
             state.policy = a.policy;
+            state.weight = a.guaranteed_jobs_per_s;
             state.allowance.set_rate(f64::from(a.guaranteed_jobs_per_s));
         }
     }
@@ -98,6 +102,21 @@
         &self.list[idx as usize].name
     }
 
+    /// Returns the names of all accounts.
+    pub fn names(&self) -> impl Iterator<Item = (AccountIdx, &Arc<str>)> {
+        self.list.iter().enumerate().map(|(at, a)| (at as AccountIdx, &a.name))
+    }
+
+    /// Returns true if some account has a weight.
+    pub fn has_weights(&self) -> bool {
+        self.list.iter().any(|a| a.weight > 0)
+    }
+
+    /// Returns the weight of each account, 0 for one without.
+    pub fn weights(&self) -> Vec<u32> {
+        self.list.iter().map(|a| a.weight).collect()
+    }
+
     pub fn has_quotas(&self) -> bool {
         self.list.iter().any(|a| !a.policy.is_unlimited())
     }
@@ -134,6 +153,24 @@
         a.policy.allows(&total, need, count)
     }
 
+    /// Returns true if `count` more tasks fit in the account's quota once its tasks have released
+    /// `released`.
+    pub fn allows_after_release(
+        &self,
+        idx: AccountIdx,
+        need: &Resources,
+        count: u32,
+        released: &Totals,
+    ) -> bool {
+        let a = &self.list[idx as usize];
+        let used = Totals {
+            cpu_milli: a.used.cpu_milli.saturating_sub(released.cpu_milli),
+            memory_mib: a.used.memory_mib.saturating_sub(released.memory_mib),
+            accelerators: a.used.accelerators.saturating_sub(released.accelerators),
+        };
+        a.policy.allows(&used, need, count)
+    }
+
     /// Returns how many more tasks that need `need` fit in the account's quota, at most `limit`.
     pub fn allowed_count(&self, idx: AccountIdx, need: &Resources, limit: usize) -> usize {
         (0..limit).take_while(|&n| self.allows(idx, need, n as u32 + 1)).count()
@@ -258,8 +295,8 @@
     let mut sum = Totals::default();
     for round in &job.rounds {
         for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
-            let tasks = step.tasks.iter().filter(|t| t.unsettled && t.worker.is_none()).count();
-            sum.plus(&Totals::of(&spec.allocation(), tasks as u32));
+            let runs = step.tasks.iter().map(Task::unsettled_runs).sum();
+            sum.plus(&Totals::of(&spec.allocation(), runs));
         }
     }
     sum
--- a/crates/hollowford-jobs/src/advice_selection.rs
+++ b/crates/hollowford-jobs/src/advice/selection.rs
@@ -1,13 +1,13 @@
 //! Selection of the workers that an advice call for a step names.
 
 use crate::advice::AdviceStatus;
+use crate::advice::scheduling::NamedWorker;
 use crate::candidate::CandidateWorker;
 use crate::engine::Engine;
 use crate::pass::Pass;
 use crate::placement::StepPlacement;
 use crate::queue::AdviceCost;
 use crate::workers::WorkerIdx;
-use hollowford_core::Millis;
 
 /// Workers to ask about per task, since not all of them may run the step.
 const WORKERS_ASKED_PER_TASK: usize = 3;
@@ -36,6 +36,10 @@
     pub(crate) fn call_cost(&self, pass: &Pass, step: StepPlacement<'_>) -> Option<AdviceCost> {
         let cost = step.queue.advice?;
         let is_first = self.jobs.step(step.key)?.advice.has_no_answers();
+        // While the store is unavailable, tickets would be renewed in vain again and again.
+        if self.features.advice_scheduling && !step.durable && !is_first {
+            return None;
+        }
         let may_ask = pass.may_ask_again || is_first || cost.is_quick();
         (may_ask && self.advice_channels.has_free(&cost, pass.now)).then_some(cost)
     }
@@ -70,6 +74,32 @@
         (!workers.is_empty()).then_some(workers)
     }
 
+    /// Returns the workers that a scheduled call names, of those with lapsed tickets, unknown ones
+    /// and unknown ones without expected capacity. `missing` tasks need tickets.
+    pub(crate) fn choose_workers(
+        &self,
+        step: StepPlacement<'_>,
+        cost: &AdviceCost,
+        missing: usize,
+        [lapsed, unknown, full]: [Vec<NamedWorker>; 3],
+    ) -> Vec<WorkerIdx> {
+        // Some of the expected capacity will be in use by others.
+        let wanted_slots = missing + missing / 2 + 1;
+        let renewed = cheapest_named(lapsed, usize::MAX, wanted_slots);
+        let renewed_slots: usize = renewed.iter().map(|w| w.slots).sum();
+        let mut workers: Vec<WorkerIdx> = renewed.iter().map(|w| w.idx).collect();
+        if renewed_slots < missing {
+            let share = self.allowed_shares.get(&step.queue.name).copied().unwrap_or_default();
+            let wanted = share.workers_to_ask((wanted_slots - renewed_slots) as f32);
+            let limit = (missing * WORKERS_ASKED_PER_TASK).max(MIN_WORKERS_ASKED);
+            let named = cheapest_named(unknown, limit, wanted.max(MIN_WORKERS_ASKED));
+            workers.extend(named.iter().map(|w| w.idx));
+        }
+        let extra_count = cost.extra_workers(MAX_CALL_EXTENSION_PERCENT);
+        workers.extend(cheapest_named(full, extra_count, usize::MAX).iter().map(|w| w.idx));
+        workers
+    }
+
     /// Returns the workers that an advice call for the step may name.
     fn advice_candidates(
         &self,
@@ -78,21 +108,21 @@
         avoided: Option<WorkerIdx>,
     ) -> AdviceCandidates {
         let need = step.spec.allocation();
-        let end = pass.now + Millis(step.spec.estimate_ms);
+        let end = |c: &CandidateWorker| c.expected_end(pass.now, step.run_time);
         let mut out = AdviceCandidates::default();
         let Some(advice) = self.jobs.step(step.key).map(|s| &s.advice) else { return out };
         let is_first = advice.has_no_answers();
-        let with_cost = |c: &CandidateWorker| (c.cost(step.spec), c.idx);
+        let with_cost = |c: &CandidateWorker| (c.cost(&step), c.idx);
         for c in &pass.candidates {
             if Some(c.idx) == avoided || !self.is_eligible(c, step) {
                 continue;
             }
             match advice.advice_status(c.idx, pass.now) {
-                AdviceStatus::Unknown if c.fits(&need, end) => out.unknown.push(with_cost(c)),
+                AdviceStatus::Unknown if c.fits(&need, end(c)) => out.unknown.push(with_cost(c)),
                 AdviceStatus::Unknown if is_first && need.fits(&c.capacity) => {
                     out.full.push(with_cost(c));
                 }
-                AdviceStatus::LapsedTicket if c.fits(&need, end) => {
+                AdviceStatus::LapsedTicket if c.fits(&need, end(c)) => {
                     out.lapsed_task_capacity += c.unreserved_count(&need).max(1) as usize;
                     out.lapsed.push(with_cost(c));
                 }
@@ -121,3 +151,20 @@
     list.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
     list.into_iter().take(limit).map(|(_, w)| w).collect()
 }
+
+/// Returns the workers with capacity now and the lowest cost, then those with expected capacity: at
+/// most `limit`, and no more than hold `slots` tasks.
+fn cheapest_named(mut list: Vec<NamedWorker>, limit: usize, slots: usize) -> Vec<NamedWorker> {
+    list.sort_unstable_by(|a, b| {
+        b.has_room_now.cmp(&a.has_room_now).then(a.cost.total_cmp(&b.cost))
+    });
+    let mut found = 0;
+    list.into_iter()
+        .take(limit)
+        .take_while(|w| {
+            let is_needed = found < slots;
+            found = w.slots.saturating_add(found);
+            is_needed
+        })
+        .collect()
+}
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -1,20 +1,20 @@
 //! The engine: the state of one partition and its periodic work.
 
 use crate::accounts::Accounts;
-use crate::advice::AllowedShare;
-use crate::advice_calls::AdviceChannels;
+use crate::advice::{AdviceChannels, AllowedShare, OpenAnswers};
 use crate::answer_timeouts::AnswerLoss;
 use crate::batch::InFlight;
 use crate::crashes::CrashedIncarnation;
 use crate::event::Event;
 use crate::features::Features;
 use crate::health::FailureRate;
-use crate::job::Round;
 use crate::jobs::Jobs;
 use crate::order::{Order, WorkerListing};
 use crate::queue::Queue;
 use crate::rows::WorkerAddress;
 use crate::run_times::RunTimes;
+use crate::shares::Shares;
+use crate::spec::JobId;
 use crate::worker_life::WorkerLife;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
@@ -82,8 +82,34 @@
     pub crashing_jobs: u64,
     /// Advice calls made.
     pub asked: u64,
+    /// Answers of advice calls that a start of their step followed while their tickets were valid.
+    pub used_answers: u64,
+    /// Answers of advice calls that no start of their step followed in that time.
+    pub unused_answers: u64,
     /// Steps that passes tried to place, counted once per pass.
     pub tried: u64,
+    /// Copies of tasks started; also among the starts.
+    pub copies: u64,
+    /// Copies that ended as done before the other run.
+    pub copies_won: u64,
+    /// Copies whose task was done by the other run.
+    pub copies_lost: u64,
+    /// Copies that failed.
+    pub copies_failed: u64,
+    /// Copies that were stopped or given up before their task was done.
+    pub copies_stopped: u64,
+}
+
+impl Stats {
+    /// Returns the numbers of ended copies, by the name of their outcome in metrics.
+    pub fn copy_outcomes(&self) -> [(&'static str, u64); 4] {
+        [
+            ("won", self.copies_won),
+            ("lost", self.copies_lost),
+            ("failed", self.copies_failed),
+            ("stopped", self.copies_stopped),
+        ]
+    }
 }
 
 /// The scheduling engine of one partition. See the crate documentation.
@@ -101,7 +127,11 @@
     pub(crate) listings: FxHashMap<InstanceId, WorkerListing>,
     pub(crate) queues: FxHashMap<Arc<str>, Arc<Queue>>,
     pub(crate) accounts: Accounts,
+    /// What the accounts use of each pool; empty if no account has a weight.
+    pub(crate) shares: Shares,
     pub(crate) advice_channels: AdviceChannels,
+    /// Answers of advice calls that no start of their step has followed yet.
+    pub(crate) open_answers: OpenAnswers,
     /// Share of the workers that may run a step, by queue.
     pub(crate) allowed_shares: FxHashMap<Arc<str>, AllowedShare>,
     /// Share of the workers' answers that are lost.
@@ -161,7 +191,9 @@
             listings: FxHashMap::default(),
             queues: FxHashMap::default(),
             accounts: Accounts::default(),
+            shares: Shares::default(),
             advice_channels: AdviceChannels::default(),
+            open_answers: OpenAnswers::default(),
             allowed_shares: FxHashMap::default(),
             answer_loss: AnswerLoss::default(),
             run_times: RunTimes::default(),
@@ -220,6 +252,7 @@
     /// Sets which optional decisions the engine makes.
     pub fn set_features(&mut self, features: Features) {
         self.features = features;
+        self.run_times.set_enabled(features.learned_run_times);
     }
 
     /// Sets the offset in milliseconds by which Unix time is ahead of the engine's time. Jobs with
@@ -239,6 +272,7 @@
             self.send_looks(now, out);
             self.retry_orders(now, out);
             self.send_paces(out);
+            self.report_run_times(now);
         }
         let is_full = now.since(self.last_full_pass_at) >= FULL_PASS_INTERVAL;
         let min_gap = Millis((self.workers.len() / WORKERS_PER_PASS_GAP_MS) as u64);
@@ -252,30 +286,43 @@
         }
     }
 
-    /// Adds the due rounds of jobs with a schedule.
+    /// Adds the due rounds of jobs with a schedule. A new owner has to add all of them before the
+    /// first answers of workers: an end in a round that it doesn't know is acknowledged without
+    /// effect, and the task would run again.
     fn add_due_rounds(&mut self, now: Millis) {
-        let unix_now = now.0 as i64 + self.unix_offset;
         for id in self.jobs.scheduled() {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            let Some(schedule) = job.spec.schedule else { continue };
-            if job.due_rounds >= schedule.rounds || job.end.is_some() {
-                continue;
+            let mut added = false;
+            while self.add_due_round(id, now) {
+                added = true;
             }
-            let due = schedule.first_unix_ms + u64::from(job.due_rounds) * schedule.interval_ms;
-            if due as i64 > unix_now {
-                continue;
+            if added {
+                self.jobs.mark_all_steps_waiting(id);
+                self.jobs.mark_progress_unwritten(id);
+                self.needs_pass = true;
             }
-            let lateness = Millis((unix_now - due as i64) as u64);
-            job.add_round(now - lateness);
-            // No row records whether an earlier owner has begun the round.
-            let round = job.rounds.last_mut().filter(|_| self.tasks_unsettled);
-            round.into_iter().for_each(Round::mark_unsettled);
-            self.jobs.mark_all_steps_waiting(id);
-            self.jobs.mark_progress_unwritten(id);
-            self.needs_pass = true;
         }
     }
 
+    /// Adds the next round of a job if it is due. Returns true if it was added.
+    fn add_due_round(&mut self, id: JobId, now: Millis) -> bool {
+        let unix_now = now.0 as i64 + self.unix_offset;
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.end.is_none()) else { return false };
+        let Some(schedule) = job.spec.schedule else { return false };
+        if job.due_rounds >= schedule.rounds {
+            return false;
+        }
+        let due = schedule.first_unix_ms + u64::from(job.due_rounds) * schedule.interval_ms;
+        if due as i64 > unix_now {
+            return false;
+        }
+        let lateness = Millis((unix_now - due as i64) as u64);
+        job.add_round(now - lateness);
+        // No row records whether an earlier owner has begun the round.
+        let round = job.rounds.last_mut().filter(|_| self.tasks_unsettled);
+        round.into_iter().for_each(|r| r.mark_unsettled(&job.spec));
+        true
+    }
+
     /// Releases the tasks that waited for unclaimed workers, once none of these workers can still
     /// run a task.
     fn settle(&mut self, now: Millis) {
@@ -292,6 +339,8 @@
         }
         self.mark_settled();
         self.tasks_unsettled = false;
+        // A task that has used up its attempts may have had a run on one of these workers.
+        self.end_exhausted(now);
         self.events.push(Event::PartitionSettled { unclaimed });
         self.needs_pass = true;
     }
@@ -301,7 +350,9 @@
         for id in self.jobs.ids() {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             let steps = job.rounds.iter_mut().flat_map(|r| &mut r.steps);
-            steps.flat_map(|s| &mut s.tasks).for_each(|t| t.unsettled = false);
+            for t in steps.flat_map(|s| &mut s.tasks) {
+                (t.unsettled, t.unsettled_copy) = (false, false);
+            }
         }
     }
 }
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -1,7 +1,9 @@
 //! Events of the engine, for the log.
 
+use crate::copies::CopyCause;
 use crate::job::JobState;
 use crate::order::{EndKind, StartAnswer};
+use crate::run_times::LearnedQueue;
 use crate::spec::{JobId, StepKey, TaskKey};
 use crate::worker_life::WorkerLife;
 use hollowford_core::{Millis, Resources};
@@ -49,6 +51,19 @@
         /// Time since the job's acceptance.
         age: Millis,
     },
+    /// A second run of a task was ordered.
+    TaskCopied {
+        /// The task with two runs.
+        task: TaskKey,
+        /// Number of the second run.
+        run: u32,
+        /// The worker of the second run.
+        worker: WorkerLife,
+        /// Number of the first run.
+        first_run: u32,
+        /// Why the first run doesn't suffice.
+        cause: CopyCause,
+    },
     /// A worker refused a start.
     StartRefused {
         /// The task that was to start.
@@ -180,11 +195,35 @@
         /// answer.
         allowed: Option<usize>,
     },
+    /// The tickets of an answered advice call have lapsed, and no task of the step has started
+    /// since the answer.
+    AdviceUnused {
+        /// The step for which advice was asked.
+        step: StepKey,
+        /// Number of workers in the call.
+        asked: usize,
+    },
+    /// Ordering by the accounts' shares has begun or ended.
+    AccountsFull {
+        /// The pool that is full, or no longer is.
+        pool: Arc<str>,
+        /// True if the order begins to follow the shares, false if it ceases to.
+        begins: bool,
+        /// Number of accounts that are beyond their share.
+        beyond: usize,
+    },
     /// Tasks no longer wait for workers that this owner has not claimed.
     PartitionSettled {
         /// Number of workers that were not claimed in time.
         unclaimed: usize,
     },
+    /// The predictions of a queue's run times have changed noticeably.
+    RunTimesLearned(LearnedQueue),
+    /// The stored row of learned run times can't be read and is ignored.
+    RunTimesUnreadable {
+        /// Why it can't be read.
+        error: String,
+    },
 }
 
 /// How a worker incarnation ended.
@@ -227,6 +266,12 @@
                  age_ms={}",
                 free.cpu_milli, free.memory_mib, age.0
             ),
+            Event::TaskCopied { task, run, worker, first_run, cause } => write!(
+                f,
+                "task.copied task={task} run={run} worker={worker} first_run={first_run} \
+                 cause={}",
+                cause.name()
+            ),
             Event::StartRefused { task, run, worker, answer } => {
                 write!(f, "task.refused task={task} run={run} worker={worker} answer={answer:?}")
             }
@@ -272,9 +317,31 @@
                 }
                 None => write!(f, "advice.unanswered step={step} asked={asked}"),
             },
+            Event::AdviceUnused { step, asked } => {
+                write!(f, "advice.unused step={step} asked={asked}")
+            }
+            Event::AccountsFull { pool, begins, beyond } => {
+                write!(f, "accounts.full pool={pool} begins={begins} beyond={beyond}")
+            }
             Event::PartitionSettled { unclaimed } => {
                 write!(f, "owner.settled unclaimed={unclaimed}")
             }
+            Event::RunTimesLearned(l) => {
+                let ratio =
+                    |r: Option<f64>| r.map_or_else(|| "-".to_owned(), |r| format!("{r:.2}"));
+                write!(
+                    f,
+                    "run_times.learned queue={} samples={} factor={:.2} p50={} p99={}",
+                    l.queue,
+                    l.samples,
+                    l.factor,
+                    ratio(l.p50),
+                    ratio(l.p99)
+                )
+            }
+            Event::RunTimesUnreadable { error } => {
+                write!(f, "run_times.unreadable error={error:?}")
+            }
         }
     }
 }
--- a/crates/hollowford-jobs/src/gang.rs
+++ b/crates/hollowford-jobs/src/gang.rs
@@ -1,6 +1,6 @@
 //! Placement of gangs, whose members start all together or not at all.
 
-use crate::advice::AdviceStatus;
+use crate::advice::{AdviceRequest, AdviceStatus};
 use crate::engine::Engine;
 use crate::order::Order;
 use crate::pass::Pass;
@@ -25,8 +25,14 @@
         out: &mut Vec<Order>,
     ) {
         let (account, need) = (gang.account, gang.spec.allocation());
+        let schedules_advice = self.schedules_advice(pass, gang.queue);
+        let request = AdviceRequest::new(*waiting, gang.spec.count as usize);
         if !self.accounts.allows(account, &need, gang.spec.count) {
             self.accounts.reserve(account, &need, gang.spec.count);
+            if schedules_advice {
+                pass.advice_requests.push(AdviceRequest { exceeds_quota: true, ..request });
+                return;
+            }
             // Answers are slow, so the gang collects advice while it waits for its quota.
             self.ask_or_defer(pass, waiting, gang, None, out);
             return;
@@ -55,10 +61,17 @@
         }
         self.accounts.reserve(account, &need, gang.spec.count);
         let plan = self.plan_gang(pass, gang, placement, &allowed);
-        self.ask_or_defer(pass, waiting, gang, plan.as_ref(), out);
-        if let Some(plan) = plan {
+        if !schedules_advice {
+            self.ask_or_defer(pass, waiting, gang, plan.as_ref(), out);
+        }
+        let mut reserved = Vec::new();
+        if let Some(plan) = &plan {
             plan.reserve(pass, &gang.spec.allocation());
             pass.reservations += usize::from(plan.start > pass.now);
+            reserved = plan.candidates.iter().map(|&at| (plan.start, at)).collect();
+        }
+        if schedules_advice {
+            pass.advice_requests.push(AdviceRequest { plan, reserved, ..request });
         }
     }
 
@@ -108,7 +121,7 @@
         let run_floor = self.jobs.get(key.job).map_or(0, |j| j.run_floor(self.epoch));
         let Some(step) = self.jobs.step_mut(key) else { return };
         step.gang_changed_at = pass.now;
-        let run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0).max(run_floor) + 1;
+        let run = step.tasks.iter().map(|t| t.last_run).max().unwrap_or(0).max(run_floor) + 1;
         let mut index = 0;
         for &(at, n) in placement {
             for _ in 0..n {
@@ -172,7 +185,8 @@
 }
 
 /// Distributes all members over the given candidates: those that need no ticket first, and of these
-/// the fullest.
+/// the fullest. Where speeds differ, the gang gets the fastest workers that hold it; of these the
+/// slow ones first, because it ends with its slowest member and leaves the faster ones to others.
 fn distribute_members(
     pass: &Pass,
     spec: &StepSpec,
@@ -190,11 +204,16 @@
     if slots.iter().map(|&(_, _, n)| u64::from(n)).sum::<u64>() < u64::from(spec.count) {
         return None;
     }
+    let slowest_class = slowest_class_needed(pass, spec.count, &slots);
+    slots.retain(|&(_, at, _)| pass.candidates[at].speed_class() <= slowest_class);
+    let speed_order = |at: usize| std::cmp::Reverse(pass.candidates[at].speed_class());
     let remaining_cost = |at: usize| {
         pass.candidates[at].remaining_score(&need) + pass.candidates[at].slowness_cost()
     };
     slots.sort_unstable_by(|a, b| {
-        a.0.cmp(&b.0).then(remaining_cost(a.1).total_cmp(&remaining_cost(b.1)))
+        a.0.cmp(&b.0)
+            .then(speed_order(a.1).cmp(&speed_order(b.1)))
+            .then(remaining_cost(a.1).total_cmp(&remaining_cost(b.1)))
     });
     let mut remaining = spec.count;
     let mut out = Vec::new();
@@ -208,3 +227,17 @@
     }
     Some(out)
 }
+
+/// Returns the lowest class of speeds such that the candidates up to it have capacity for `count`
+/// members.
+fn slowest_class_needed(pass: &Pass, count: u32, slots: &[(bool, usize, u32)]) -> i32 {
+    let mut by_class: Vec<_> =
+        slots.iter().map(|&(_, at, n)| (pass.candidates[at].speed_class(), n)).collect();
+    by_class.sort_unstable();
+    let mut capacity = 0;
+    let is_enough = |&(_, n): &(i32, u32)| {
+        capacity += u64::from(n);
+        capacity >= u64::from(count)
+    };
+    by_class.into_iter().find(is_enough).map_or(i32::MAX, |(class, _)| class)
+}
--- a/crates/hollowford-jobs/src/held_task.rs
+++ b/crates/hollowford-jobs/src/held_task.rs
@@ -29,6 +29,10 @@
     pub allocation: Resources,
     /// Whether workers have crashed under the task before.
     pub suspect: bool,
+    /// Whether its step allows copies.
+    pub may_be_copied: bool,
+    /// Whether its task had another run when it was started or found.
+    pub is_copy: bool,
     /// Whether it has run for [`FRESH_PERIOD`]: a crash after that doesn't count as one shortly
     /// after the start.
     pub is_stable: bool,
@@ -45,10 +49,19 @@
     pub pace: u32,
     /// Pace that it should have, in percent of full pace.
     pub desired_pace: u32,
+    /// When its progress was last reported.
+    pub reported_at: Millis,
     /// When the reported progress last changed.
     pub progressed_at: Millis,
     /// Progress and time of the first report that it runs.
     pub first_progress: Option<(u32, Millis)>,
+    /// When its worker confirmed that it has started from the beginning. `None` if that time is
+    /// not known exactly, or if it resumed from a checkpoint.
+    pub measured_from: Option<Millis>,
+    /// Whether it resumes from a checkpoint.
+    pub resumed: bool,
+    /// Whether its progress has given a sample of its worker's slowness.
+    pub has_slowness_sample: bool,
     /// Its start is held back until the row that records it is stored.
     pub unsent: bool,
     /// Whether a call about it is in flight.
@@ -75,6 +88,8 @@
             account,
             allocation,
             suspect: false,
+            may_be_copied: false,
+            is_copy: false,
             is_stable: false,
             cleared: false,
             phase,
@@ -83,8 +98,12 @@
             progress: 0,
             pace: FULL_PACE,
             desired_pace: FULL_PACE,
+            reported_at: now,
             progressed_at: now,
             first_progress: None,
+            measured_from: None,
+            resumed: false,
+            has_slowness_sample: false,
             unsent: false,
             call_in_flight: false,
             start_unanswered: false,
@@ -97,9 +116,17 @@
         if self.phase == Phase::Starting {
             self.phase = Phase::Running;
             self.since = now;
+            let is_exact = !self.resumed && !self.start_unanswered;
+            self.measured_from = is_exact.then_some(now);
         }
     }
 
+    /// Returns when it is expected to end. A task that is overdue is expected to take as long again
+    /// as it is overdue, since the run times of tasks have a long tail.
+    pub fn remaining_until(&self, now: Millis) -> Millis {
+        self.expected_end.max(now + now.since(self.expected_end))
+    }
+
     /// Returns true once, when it has run for [`FRESH_PERIOD`].
     pub fn becomes_stable(&mut self, now: Millis) -> bool {
         let newly = !self.is_stable && now.since(self.since) >= FRESH_PERIOD;
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -8,14 +8,16 @@
 //! All times are readings of the store's steady clock, in milliseconds, so that an owner can
 //! compare its own times with those that an earlier owner stored.
 
+mod account_shares;
 mod accounts;
 mod advice;
-mod advice_calls;
-mod advice_selection;
 mod answer_timeouts;
 mod audit;
+#[cfg(test)]
+mod audit_tests;
 mod batch;
 mod candidate;
+mod copies;
 mod crash_record;
 mod crashes;
 mod engine;
@@ -23,7 +25,6 @@
 mod event;
 mod features;
 mod gang;
-mod gang_advice_selection;
 mod health;
 #[cfg(test)]
 mod health_tests;
@@ -42,6 +43,7 @@
 mod reservation;
 mod rows;
 mod run_times;
+mod shares;
 mod spec;
 mod stall;
 mod starts;
@@ -57,11 +59,13 @@
 mod workers;
 mod write_queue;
 
+pub use account_shares::AccountShare;
 pub use accounts::{Account, AccountUsage, NO_ACCOUNT};
-pub use advice_calls::AdviceChannel;
+pub use advice::AdviceChannel;
 pub use audit::StuckTask;
 pub use batch::{Batch, RowWrite};
 pub use candidate::rack_label;
+pub use copies::CopyCause;
 pub use engine::{Engine, Stats, TimeLimits};
 pub use event::{Event, GiveUpCause, WorkerExit};
 pub use features::Features;
@@ -73,6 +77,7 @@
 pub use queue::{AdviceCost, Queue};
 pub use recover::Recovered;
 pub use rows::{RowError, WorkerAddress, decode_spec, decode_workers, encode_spec, encode_workers};
+pub use run_times::{LearnedQueue, LearnedRunTimes};
 pub use spec::{JobId, JobSpec, RawJob, RawStep, Schedule, SpecError, StepKey, StepSpec, TaskKey};
 pub use submit::{CancelAnswer, SubmitAnswer};
 pub use view::EngineView;
--- a/crates/hollowford-jobs/src/pass.rs
+++ b/crates/hollowford-jobs/src/pass.rs
@@ -1,5 +1,6 @@
 //! The working state of one placement pass: the candidate workers and what the pass leaves free.
 
+use crate::advice::{AdviceRequest, is_half_full};
 use crate::candidate::CandidateWorker;
 use crate::reservation::StartPlan;
 use crate::urgency::WaitingStep;
@@ -28,11 +29,19 @@
     /// Gangs with a pending advice call. They may make another one after all other steps had their
     /// turn.
     pub deferred_gangs: Vec<(WaitingStep, Option<StartPlan>)>,
+    /// Steps that still wait, in pools where calls for advice are made after all steps had their
+    /// turn; the most urgent first.
+    pub advice_requests: Vec<AdviceRequest>,
+    /// Whether each pool was at least half full when the pass first asked.
+    half_full: Vec<(Arc<str>, bool)>,
 }
 
 impl Pass {
     /// Begins a pass over the given candidates.
-    pub fn new(now: Millis, may_ask_again: bool, candidates: Vec<CandidateWorker>) -> Pass {
+    pub fn new(now: Millis, may_ask_again: bool, mut candidates: Vec<CandidateWorker>) -> Pass {
+        if candidates.iter().any(|c| c.learned_slowness != 1.0) {
+            candidates.iter_mut().for_each(|c| c.uneven = true);
+        }
         let positions = candidates.iter().enumerate().map(|(at, c)| (c.idx, at)).collect();
         let max_free =
             candidates.iter().fold(Resources::default(), |max, c| max.component_max(&c.free));
@@ -45,7 +54,19 @@
             racks: None,
             reservations: 0,
             deferred_gangs: Vec::new(),
+            advice_requests: Vec::new(),
+            half_full: Vec::new(),
+        }
+    }
+
+    /// Returns true if at least half of a pool was in use when this was first called in the pass.
+    pub fn is_half_full(&mut self, pool: &Arc<str>) -> bool {
+        if let Some((_, known)) = self.half_full.iter().find(|(p, _)| p == pool) {
+            return *known;
         }
+        let half_full = is_half_full(&self.candidates, pool);
+        self.half_full.push((pool.clone(), half_full));
+        half_full
     }
 
     /// Returns the position of a worker among the candidates, if it is one.
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -1,8 +1,7 @@
 //! Placement passes: starting the tasks of waiting steps on workers.
 
 use crate::accounts::AccountIdx;
-use crate::advice::{AdviceStatus, StepAdvice};
-use crate::advice_calls::AdviceCall;
+use crate::advice::{AdviceCall, AdviceRequest, AdviceStatus, StepAdvice};
 use crate::candidate::CandidateWorker;
 use crate::engine::Engine;
 use crate::job::Task;
@@ -12,6 +11,7 @@
 use crate::reservation::StartPlan;
 use crate::spec::{JobSpec, StepKey, StepSpec};
 use crate::urgency::WaitingStep;
+use crate::worker::Worker;
 use crate::workers::{Placement, WorkerIdx};
 use hollowford_core::Millis;
 use std::sync::Arc;
@@ -30,6 +30,11 @@
     pub durable: bool,
     pub spec: &'a StepSpec,
     pub queue: &'a Queue,
+    /// Expected run time of a task on an ordinary worker.
+    pub run_time: Millis,
+    /// Time until the tasks must be done for the job to meet its objective, as a multiple of
+    /// [`StepPlacement::run_time`].
+    pub headroom: f32,
 }
 
 /// A task that may be started.
@@ -49,28 +54,54 @@
     /// tries all waiting steps.
     pub(crate) fn run_pass(&mut self, now: Millis, is_full: bool, out: &mut Vec<Order>) {
         self.expire_advice_calls(now);
+        self.expire_unused_advice(now);
+        if is_full {
+            self.update_shares(now);
+        }
         let steps = self.waiting_steps(now);
-        if steps.is_empty() {
+        let stragglers = if is_full { self.stragglers(now) } else { Vec::new() };
+        if steps.is_empty() && is_full {
+            self.record_contention(&[], now);
+        }
+        if steps.is_empty() && stragglers.is_empty() {
             return;
         }
         self.recount_usage();
-        let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now) && w.recorded);
-        let candidates = usable.map(|(i, w)| CandidateWorker::from_worker(i, w, now)).collect();
+        let candidates = self.candidates(now);
         let may_ask_again = is_full || std::mem::take(&mut self.slow_call_answered);
         let mut pass = Pass::new(now, may_ask_again, candidates);
         let mut tries_left = if is_full { usize::MAX } else { MAX_UNPLACED_STEPS };
-        for waiting in steps {
+        for waiting in &steps {
             let orders_before = out.len();
-            self.place_step(&mut pass, &waiting, out);
+            self.place_step(&mut pass, waiting, out);
             self.stats.tried += 1;
             tries_left -= usize::from(out.len() == orders_before);
             if tries_left == 0 {
                 break;
             }
         }
+        self.make_scheduled_calls(&mut pass, out);
         for (waiting, plan) in std::mem::take(&mut pass.deferred_gangs) {
             self.ask_concurrently(&pass, &waiting, plan.as_ref(), out);
         }
+        if !stragglers.is_empty() {
+            self.start_copies(&mut pass, &stragglers, &steps, out);
+        }
+        if is_full {
+            self.update_contention(&pass, &steps);
+        }
+    }
+
+    /// Returns the workers that may get tasks.
+    pub(crate) fn candidates(&self, now: Millis) -> Vec<CandidateWorker> {
+        let has_learned = self.run_times.has_learned();
+        let candidate = |(idx, w): (WorkerIdx, &Worker)| {
+            let learned = self.run_times.slowness(idx);
+            let recent = if has_learned { w.recent_slowness(now) } else { w.slowness };
+            CandidateWorker::from_worker(idx, w, (learned, recent), now)
+        };
+        let usable = self.workers.iter().filter(|(_, w)| w.is_usable(now) && w.recorded);
+        usable.map(candidate).collect()
     }
 
     /// Makes another advice call for a gang while one is pending.
@@ -83,31 +114,65 @@
     ) {
         let key = waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return };
-        let Some(spec) = job.steps.get(key.step as usize) else { return };
-        let gang = StepPlacement { key, account, durable: waiting.durable, spec, queue: &queue };
+        let Some(gang) = self.placement_of(&job, &queue, account, waiting, pass.now) else {
+            return;
+        };
         self.ask_for_gang(pass, gang, plan, out);
     }
 
     /// Returns the specification, queue and client account of a step's job.
-    fn placement_inputs(&self, key: StepKey) -> Option<(Arc<JobSpec>, Arc<Queue>, AccountIdx)> {
+    pub(crate) fn placement_inputs(
+        &self,
+        key: StepKey,
+    ) -> Option<(Arc<JobSpec>, Arc<Queue>, AccountIdx)> {
         let job = self.jobs.get(key.job)?;
         let queue = self.queues.get(&job.queue)?;
         Some((job.spec.clone(), queue.clone(), job.account))
     }
 
+    /// Returns the data that decides where a waiting step may go.
+    pub(crate) fn placement_of<'a>(
+        &self,
+        job: &'a JobSpec,
+        queue: &'a Queue,
+        account: AccountIdx,
+        waiting: &WaitingStep,
+        now: Millis,
+    ) -> Option<StepPlacement<'a>> {
+        let (key, durable) = (waiting.key, waiting.durable);
+        let spec = job.steps.get(key.step as usize)?;
+        let (run_time, headroom) = self.time_needs(waiting, now);
+        Some(StepPlacement { key, account, durable, spec, queue, run_time, headroom })
+    }
+
+    /// Returns a step's expected run time on an ordinary worker, and the time until its tasks must
+    /// be done as a multiple of that.
+    fn time_needs(&self, waiting: &WaitingStep, now: Millis) -> (Millis, f32) {
+        let run_time = self.expected_run_time(waiting.key);
+        let until = (waiting.urgency.latest_start() + run_time).since(now);
+        (run_time, until.0 as f32 / run_time.0.max(1) as f32)
+    }
+
     fn place_step(&mut self, pass: &mut Pass, waiting: &WaitingStep, out: &mut Vec<Order>) {
         let key = waiting.key;
         let Some((job, queue, account)) = self.placement_inputs(key) else { return };
-        let Some(spec) = job.steps.get(key.step as usize) else { return };
-        let step = StepPlacement { key, account, durable: waiting.durable, spec, queue: &queue };
-        if spec.gang {
+        let Some(step) = self.placement_of(&job, &queue, account, waiting, pass.now) else {
+            return;
+        };
+        if step.spec.gang {
             self.place_gang(pass, waiting, step, out);
         } else {
-            self.place_tasks(pass, step, out);
+            self.place_tasks(pass, waiting, step, out);
         }
     }
 
-    fn place_tasks(&mut self, pass: &mut Pass, step: StepPlacement<'_>, out: &mut Vec<Order>) {
+    fn place_tasks(
+        &mut self,
+        pass: &mut Pass,
+        waiting: &WaitingStep,
+        step: StepPlacement<'_>,
+        out: &mut Vec<Order>,
+    ) {
         let tasks = self.waiting_tasks(step.key, pass.now);
         let waiting_count = tasks.len();
         let (started, avoided) =
@@ -118,6 +183,15 @@
         if remaining == 0 {
             return;
         }
+        if self.schedules_advice(pass, step.queue) {
+            let reserved = match step.durable {
+                true => self.reserve_for_large_tasks(pass, step, remaining),
+                false => Vec::new(),
+            };
+            let request = AdviceRequest::new(*waiting, remaining);
+            pass.advice_requests.push(AdviceRequest { avoided, reserved, ..request });
+            return;
+        }
         if let Some(cost) = self.single_call_cost(pass, step)
             && let Some(workers) = self.workers_to_ask_for(pass, step, remaining, avoided)
         {
@@ -168,7 +242,7 @@
         let tasks = step.tasks.iter().enumerate().filter(|(_, t)| t.is_startable(now));
         let ready = |(index, t): (usize, &Task)| ReadyTask {
             index: index as u32,
-            run: t.run,
+            run: t.last_run,
             avoid: t.avoided_worker(now),
             suspect: t.is_suspect(),
         };
@@ -228,16 +302,15 @@
         if !pass.may_fit(&need) {
             return None;
         }
-        let end = pass.now + Millis(step.spec.estimate_ms);
         let fits = |&at: &usize| {
             let candidate = &pass.candidates[at];
             Some(candidate.idx) != avoid
-                && candidate.fits(&need, end)
+                && candidate.fits(&need, candidate.expected_end(pass.now, step.run_time))
                 && self.is_eligible(candidate, step)
         };
         let cost = |at: usize| {
             let candidate = &pass.candidates[at];
-            (at, if suspect { candidate.crash_impact_cost() } else { candidate.cost(step.spec) })
+            (at, if suspect { candidate.crash_impact_cost() } else { candidate.cost(&step) })
         };
         let less = |a: &(usize, f32), b: &(usize, f32)| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0));
         let candidates = self.candidates_with(pass, step, AdviceStatus::ValidTicket);
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -29,13 +29,15 @@
         let Some(job) = self.jobs.get(key.step.job) else { return };
         let age = now.since(job.accepted_at);
         let spec = &job.spec.steps[key.step.step as usize];
+        let run_time = self.expected_run_time_on(key.step, idx);
         let mut held = HeldTask {
-            expected_end: now + Millis(spec.estimate_ms),
+            expected_end: now + run_time,
+            may_be_copied: spec.allows_copies(),
             ..HeldTask::new((key, run), job.account, spec.allocation(), Phase::Starting, now)
         };
         if let Some(task) = self.jobs.task_mut(key) {
-            task.worker = Some(idx);
-            task.run = run;
+            held.is_copy = task.worker.is_some();
+            task.place_run(idx, run);
             held.suspect = task.is_suspect();
         }
         if let Some(w) = self.workers.get_mut(idx) {
@@ -46,6 +48,7 @@
         let is_deferred = self.must_be_stored_first(key);
         self.record_open_run(p);
         self.stats.started += 1;
+        self.advice_used(key.step);
         if is_deferred {
             if let Some(h) = self.workers.get_mut(idx).and_then(|w| w.find_mut(key, run)) {
                 h.unsent = true;
@@ -91,6 +94,7 @@
         let Some(lease_until) = w.extend_lease(now, lease) else { return };
         if let Some(h) = w.find_mut(task, run) {
             h.call_in_flight = true;
+            h.resumed = !saved.is_empty();
         }
         let limit = w.answer_timeout();
         let call = WorkerCall::Start {
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -3,6 +3,7 @@
 use crate::engine::Engine;
 use crate::job::Job;
 use crate::queue::Queue;
+use crate::shares::Position;
 use crate::spec::StepKey;
 use hollowford_core::Millis;
 
@@ -20,10 +21,24 @@
     /// of the same rank, so that an account with too many jobs delays the others less. They don't
     /// come after the guaranteed jobs of all ranks, some of which can still wait.
     not_guaranteed: bool,
+    /// Position of the job's account by its share of the pool; 0 unless the pool is full.
+    share: Position,
     /// Latest start with which the job still meets its objective.
     latest_start: Millis,
 }
 
+impl Urgency {
+    /// Returns the latest start with which the job still meets its objective.
+    pub fn latest_start(&self) -> Millis {
+        self.latest_start
+    }
+
+    /// Returns true if the job can still meet its objective.
+    pub fn is_in_time(&self) -> bool {
+        matches!(self.rank, Rank::First | Rank::InTime)
+    }
+}
+
 /// Rank by the job's objective: steps in time come before late ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
@@ -37,6 +52,13 @@
     Worthless,
 }
 
+impl Urgency {
+    /// Returns true if the step belongs to a guaranteed job and has missed its latest start.
+    pub fn is_late_guaranteed(&self) -> bool {
+        !self.not_guaranteed && self.rank >= Rank::Late
+    }
+}
+
 /// A step with tasks that may start now.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitingStep {
@@ -93,7 +115,9 @@
         if tasks == 0 || (job.spec.steps[at].gang && tasks < step.tasks.len()) {
             return Readiness::Later;
         }
-        let urgency = urgency(job, round.due, at, queue, now);
+        let share = self.share_position(job.account, &queue.pool);
+        let paths = self.expected_paths(job, at);
+        let urgency = Urgency { share, ..urgency(paths, job, round.due, queue, now) };
         Readiness::Now(WaitingStep { urgency, key, durable: job.durable })
     }
 }
@@ -119,11 +143,17 @@
     Now(WaitingStep),
 }
 
-/// Returns the urgency of a step whose round fell due at `due`.
-fn urgency(job: &Job, due: Millis, step: usize, queue: &Queue, now: Millis) -> Urgency {
-    let objective =
-        Millis((job.spec.critical_path_ms() as f64 * queue.stretch) as u64) + queue.slack;
-    let work = Millis(job.spec.critical_path_from_ms(step));
+/// Returns the urgency of a step whose round fell due at `due`, from the expected length of its
+/// job's critical path and of the path from its own start.
+fn urgency(
+    (whole_path, path): (u64, u64),
+    job: &Job,
+    due: Millis,
+    queue: &Queue,
+    now: Millis,
+) -> Urgency {
+    let objective = Millis((whole_path as f64 * queue.stretch) as u64) + queue.slack;
+    let work = Millis(path);
     let latest_start = (due + objective) - work;
     let worthless_at = due + Millis(objective.0 * WORTHLESS_AFTER_OBJECTIVES);
     let rank = if now + work > worthless_at {
@@ -135,5 +165,5 @@
     } else {
         Rank::InTime
     };
-    Urgency { rank, not_guaranteed: !job.guaranteed, latest_start }
+    Urgency { rank, not_guaranteed: !job.guaranteed, share: 0, latest_start }
 }
--- a/crates/hollowford-jobs/src/worker_removal.rs
+++ b/crates/hollowford-jobs/src/worker_removal.rs
@@ -87,6 +87,7 @@
     fn forget_worker(&mut self, idx: WorkerIdx) {
         self.unsettled_workers.remove(&idx);
         self.workers.remove(idx);
+        self.run_times.forget_worker(idx);
         self.needs_pass = true;
     }
 
@@ -107,10 +108,16 @@
         if let Some(w) = self.workers.get_mut(idx)
             && let Some(at) = w.find(task, run)
         {
-            w.release(at);
+            let held = w.release(at);
             self.events.push(Event::TaskGivenUp { task, run, worker: w.life.clone(), cause });
+            let is_copy = held.is_copy;
+            self.refund_lost_run(idx, &held, cause, now);
+            if is_copy {
+                self.count_copy_end(task, None);
+            }
         }
         self.unplace(p, now);
+        self.end_job_if_exhausted(task, now);
         self.needs_pass = true;
     }
 }
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a process.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -37,6 +37,9 @@
     pub start_seconds: Histogram,
     /// Calls to the advice service made by this process, by outcome.
     pub advice_calls: IntCounterVec,
+    /// Answers of the advice service whose tickets have been used or have lapsed, by partition and
+    /// whether a start of the step followed within the validity.
+    pub advice_answers: IntCounterVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Jobs that have not ended, by partition, while this process owns it.
@@ -48,12 +51,23 @@
     /// CPU in use by client accounts with a quota, in thousandths of a core, by partition and
     /// account, while this process owns it.
     pub account_used_milli: IntGaugeVec,
+    /// Share of a pool that client accounts use, in thousandths of the resource of which they use
+    /// most, by partition and account, while this process owns it and accounts have weights.
+    pub account_share_permille: IntGaugeVec,
     /// Share of workers' answers lost recently, in thousandths, by partition.
     pub lost_permille: IntGaugeVec,
     /// Workers that crashed, by partition.
     pub worker_crashes: IntCounterVec,
     /// Jobs given up because their tasks crash their workers, by partition.
     pub crashing_jobs: IntCounterVec,
+    /// Run time as a multiple of a typical estimate, by partition and queue, while this process
+    /// owns it.
+    pub run_time_factor: GaugeVec,
+    /// Run times of workers relative to an ordinary one, by partition and quantile, while this
+    /// process owns it.
+    pub worker_slowness: GaugeVec,
+    /// Ended copies of tasks, by partition and outcome.
+    pub copies: IntCounterVec,
     /// Log lines dropped because the writer thread could not keep up.
     log_dropped: IntCounter,
 }
@@ -85,6 +99,11 @@
             r.register(Box::new(g.clone()))?;
             Ok::<_, prometheus::Error>(g)
         };
+        let real_gauges = |name: &str, help: &str, labels: &[&str]| {
+            let g = GaugeVec::new(Opts::new(name, help), labels)?;
+            r.register(Box::new(g.clone()))?;
+            Ok::<_, prometheus::Error>(g)
+        };
         let gauges = |name: &str, help: &str| gauges_by(name, help, &["partition"]);
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
@@ -105,6 +124,11 @@
             worker_calls: counters("worker_calls_total", "Calls to workers", &["call", "outcome"])?,
             start_seconds: seconds("start_seconds", "Time of an answered start")?,
             advice_calls: counters("advice_calls_total", "Calls for advice", &["outcome"])?,
+            advice_answers: counters(
+                "advice_answers_total",
+                "Answers with advice, by whether a start followed while their tickets were valid",
+                &["partition", "used"],
+            )?,
             config_version: gauge("config_version", "Version of the configuration")?,
             open_jobs: gauges("open_jobs", "Jobs that have not ended")?,
             usable_workers: gauges("usable_workers", "Workers that may get tasks")?,
@@ -118,6 +142,11 @@
                 "Thousandths of a core that an account holds",
                 &["partition", "account"],
             )?,
+            account_share_permille: gauges_by(
+                "account_share_permille",
+                "Thousandths of the pool that an account uses",
+                &["partition", "account"],
+            )?,
             lost_permille: gauges("lost_answers_permille", "Workers' answers lost lately")?,
             worker_crashes: counters(
                 "worker_crashes_total",
@@ -129,6 +158,21 @@
                 "Jobs given up since their tasks crash their workers",
                 &["partition"],
             )?,
+            run_time_factor: real_gauges(
+                "run_time_factor",
+                "Learned run time as a multiple of a typical estimate",
+                &["partition", "queue"],
+            )?,
+            worker_slowness: real_gauges(
+                "worker_slowness",
+                "Learned run times of workers relative to an ordinary one",
+                &["partition", "quantile"],
+            )?,
+            copies: counters(
+                "copies_total",
+                "Copies of tasks that have ended, by outcome",
+                &["partition", "outcome"],
+            )?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
