jobs: the log says what was known of a run whose worker crashed

`task.crashed_under` told only whether a crash came soon after a start. Four counts of "any kind" could not be told apart: a start that was never confirmed, one on record as fresh after an outage, or a run that had been stable.

No decision changes. `fresh=` stays where it was.

--- a/crates/hollowford-jobs/src/crash_record.rs
+++ b/crates/hollowford-jobs/src/crash_record.rs
@@ -1,6 +1,7 @@
 //! The crash record of a task: runs under which a worker has crashed or may have crashed.
 
 use crate::worker_life::WorkerLife;
+use std::fmt::{self, Display};
 
 /// Number of crashes shortly after a start that fail a job.
 ///
@@ -25,7 +26,7 @@
 
 /// How long a run was known to have lasted when its worker crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunStage {
+pub enum RunStage {
     /// The worker had not confirmed that it runs.
     Unconfirmed,
     /// It had been started shortly before.
@@ -37,6 +38,17 @@
     Stable,
 }
 
+impl Display for RunStage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RunStage::Unconfirmed => "unconfirmed",
+            RunStage::Fresh => "fresh",
+            RunStage::Uncertain => "uncertain",
+            RunStage::Stable => "stable",
+        })
+    }
+}
+
 /// A run that may still turn out to have crashed its worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct OpenRun {
--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -122,7 +122,8 @@
         let (crashes, limit_reached) =
             (crash_record.crashed_runs.len(), crash_record.reaches_crash_limit());
         let (worker, fresh) = (worker.clone(), stage == RunStage::Fresh);
-        self.events.push(Event::WorkerCrashed { task: key, run, worker, fresh, crashes });
+        let event = Event::WorkerCrashed { task: key, run, worker, fresh, stage, crashes };
+        self.events.push(event);
         if limit_reached {
             self.stats.crashing_jobs += 1;
             self.end_job(job, JobState::Failed, now);
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -1,6 +1,7 @@
 //! Events of the engine, for the log.
 
 use crate::copies::CopyCause;
+use crate::crash_record::RunStage;
 use crate::job::JobState;
 use crate::order::{EndKind, StartAnswer};
 use crate::run_times::LearnedQueue;
@@ -168,6 +169,8 @@
         worker: WorkerLife,
         /// Whether the run had been started shortly before.
         fresh: bool,
+        /// What was known of the run when the worker crashed.
+        stage: RunStage,
         /// Number of crashes under the task so far, including this one.
         crashes: usize,
     },
@@ -302,10 +305,10 @@
             Event::WorkerDead { worker, how, tasks } => {
                 write!(f, "worker.dead worker={worker} how={how:?} tasks={tasks}")
             }
-            Event::WorkerCrashed { task, run, worker, fresh, crashes } => write!(
+            Event::WorkerCrashed { task, run, worker, fresh, stage, crashes } => write!(
                 f,
                 "task.crashed_under task={task} run={run} worker={worker} fresh={fresh} \
-                 crashes={crashes}"
+                 stage={stage} crashes={crashes}"
             ),
             Event::CrashRecordRecovered { task, crashes, open } => {
                 write!(f, "task.recovered task={task} crashes={crashes} open={open}")
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -66,6 +66,7 @@
 pub use batch::{Batch, RowWrite};
 pub use candidate::rack_label;
 pub use copies::CopyCause;
+pub use crash_record::RunStage;
 pub use engine::{Engine, Stats, TimeLimits};
 pub use event::{Event, GiveUpCause, WorkerExit};
 pub use features::Features;
