jobs: random scenarios with tasks that crash their workers late, and what they show

The scenarios drew crashes 10 to 400 ms after a start only. So the scenarios can draw crashes 80 ms to 3.2 s after a start.

TRACE=1 also prints what begins, ends and crashes on the workers, whether or not the engine knows; crashes that a scenario injects itself show only as a begin.

--- a/crates/hollowford-jobs/tests/common/scenario.rs
+++ b/crates/hollowford-jobs/tests/common/scenario.rs
@@ -24,6 +24,8 @@
 const PACE_CHANGE_MS: u64 = 700;
 /// How long failures occur, in milliseconds.
 const FAILURES_MS: u64 = 60_000;
+/// Factor by which late crashes come later after a start than others.
+const LATE_CRASH_FACTOR: u64 = 8;
 /// Time after the last failure within which all jobs must end, in milliseconds.
 const SETTLE_TIMEOUT_MS: u64 = 240_000;
 /// The limit on starts holds once the store has worked for this long.
@@ -56,6 +58,8 @@
     pub rack_crashes: u64,
     /// A worker leaves and is replaced.
     pub departures: u64,
+    /// Whether tasks that crash their workers do so long after their start, up to seconds.
+    pub late_crashes: bool,
     /// Whether crashed workers may restart under the same id, and also without any downtime.
     pub reuse_ids: bool,
 }
@@ -183,7 +187,9 @@
     }
 
     fn draw_jobs(&mut self) {
-        self.cell.crashes.crash_after = Millis(self.rng.u64(10..=400));
+        let crash_after_ms = self.rng.u64(10..=400);
+        let factor = if self.failures.late_crashes { LATE_CRASH_FACTOR } else { 1 };
+        self.cell.crashes.crash_after = Millis(crash_after_ms * factor);
         self.draw_downtime();
         self.batch_ms = [0, 20, 60][self.rng.usize(0..3)];
         let crashing = [10, 30, 60][self.rng.usize(0..3)];
@@ -292,8 +298,12 @@
         self.cell.crashes.store_healthy = is_healthy;
         // With a delay, `write_due_batch` writes the batches instead of the cell.
         self.cell.store_up = self.batch_ms == 0 && now >= self.store_back_at;
+        let runs_before = self.traced.then(|| self.current_runs());
         self.cell.run(TICK_MS);
         self.end_broken_gangs();
+        if let Some(before) = runs_before {
+            self.print_run_changes(&before);
+        }
         self.record_ends();
         self.assert_none_stuck();
         let age = self.age();
@@ -304,6 +314,29 @@
         }
     }
 
+    /// Returns the runs on all workers, each with the worker.
+    fn current_runs(&self) -> BTreeSet<(TaskKey, u32, String)> {
+        let workers = self.cell.workers.iter().filter(|w| w.up);
+        let runs = |w: &SimWorker| {
+            let life = w.life().to_string();
+            w.running.iter().map(|(t, r)| (*t, r.run, life.clone())).collect::<Vec<_>>()
+        };
+        workers.flat_map(runs).collect()
+    }
+
+    /// Prints the runs that have begun or ended on the workers, whether or not the engine knows.
+    fn print_run_changes(&self, before: &BTreeSet<(TaskKey, u32, String)>) {
+        let (age, after) = (self.age(), self.current_runs());
+        for (task, run, worker) in after.difference(before) {
+            eprintln!("{age:>6} worker {worker} begins run={run} of {task}");
+        }
+        for (task, run, worker) in before.difference(&after) {
+            let up = self.cell.workers.iter().any(|w| w.up && w.life().to_string() == *worker);
+            let how = if up { "ends" } else { "crashes under" };
+            eprintln!("{age:>6} worker {worker} {how} run={run} of {task}");
+        }
+    }
+
     /// Submits the jobs that are due, and resubmits those that were lost with an earlier owner.
     fn submit_due(&mut self) {
         let now = self.cell.now;
--- a/crates/hollowford-jobs/tests/copies.rs
+++ b/crates/hollowford-jobs/tests/copies.rs
@@ -758,6 +758,7 @@
     crashes: 0,
     rack_crashes: 0,
     departures: 0,
+    late_crashes: false,
     reuse_ids: false,
 };
 const TAKEOVERS: Failures = Failures { takeovers: 2_000, disconnects: 3_000, ..CALM };
@@ -771,6 +772,7 @@
     crashes: 6_000,
     rack_crashes: 20_000,
     departures: 8_000,
+    late_crashes: false,
     reuse_ids: false,
 };
 const ALL_AND_REUSED_IDS: Failures = Failures { reuse_ids: true, ..ALL };
--- a/crates/hollowford-jobs/tests/crash_scenarios.rs
+++ b/crates/hollowford-jobs/tests/crash_scenarios.rs
@@ -75,6 +75,7 @@
     crashes: 0,
     rack_crashes: 0,
     departures: 0,
+    late_crashes: false,
     reuse_ids: false,
 };
 const NONE: Failures = Failures { outages: 0, ..OUTAGES };
@@ -92,6 +93,10 @@
 };
 const ALL: Failures = Failures { outages: 12_000, owner_lost_percent: 50, ..WORKER_FAILURES };
 
+const LATE_CRASHES: Failures = Failures { late_crashes: true, ..NONE };
+const LATE_CRASHES_AND_TAKEOVERS: Failures = Failures { late_crashes: true, ..TAKEOVERS };
+const LATE_CRASHES_AND_ALL: Failures = Failures { late_crashes: true, ..ALL };
+
 const REUSED_IDS: Failures = Failures { reuse_ids: true, ..NONE };
 const TAKEOVERS_AND_REUSED_IDS: Failures = Failures { reuse_ids: true, ..TAKEOVERS };
 const ALL_AND_REUSED_IDS: Failures = Failures { reuse_ids: true, ..ALL };
@@ -141,6 +146,11 @@
     run_scenarios(ALL_AND_REUSED_IDS);
 }
 
+#[test]
+fn with_late_crashes() {
+    run_scenarios(LATE_CRASHES);
+}
+
 // Seeds in which crashing tasks were started too often.
 #[parameterized(
     takeovers_first = { 3, TAKEOVERS },
@@ -183,3 +193,13 @@
 fn jobs_that_still_fail_without_cause(seed: u64, failures: Failures) {
     assert_eq!(run_scenario(seed, failures), Vec::<String>::new(), "seed {seed}");
 }
+
+// Known failure, see KNOWN-RED.txt. Tasks that crash their workers up to 3.2 s after their start are
+// started a third time after three crashes: takeovers hide more than one crash of a task.
+#[parameterized(
+    takeovers = { LATE_CRASHES_AND_TAKEOVERS },
+    all_failures = { LATE_CRASHES_AND_ALL },
+)]
+fn tasks_that_crash_workers_late_still_start_too_often(failures: Failures) {
+    run_scenarios(failures);
+}
