node: a paused owner proves its ownership before it answers callers

The client's DELETE on an open connection to the paused process is answered 410 as soon as that goes on, and the job's tasks go on being started for 9 s. A GET is answered 410 likewise.

Cause: an owner learned that it had been replaced only from its next batch, worker call or member heartbeat, and answered from memory before. The requests that arrived during the pause come before all of these. An owner that is cut off from the members, but not from the store, did the same without a pause.

New test paused_owner on the code before, three runs: the cancellation and the question fail in each, as does the check of the new log line. Resubmissions and cancellations that a member relays passed before: those wait for a batch.

Fix: before "no such job", the owner reads the owner row, beginning after the request has arrived. After a gap of 0.3 s between two polls, the silence from which members suspect an owner, it handles no request before it has read the row. If the row names another owner, nothing was done and the relay sends the requests on. No other process can have accepted a job before the read of a row that still names this owner. Requests share reads (at most 50 a second); an owner that was not paused reads nothing for known jobs (tested).

New: log owner.paused, metric ownership_reads_total.

--- a/crates/hollowford-node/src/callers.rs
+++ b/crates/hollowford-node/src/callers.rs
@@ -145,12 +145,16 @@
     }
 }
 
-/// Returns how long a call may wait for the store.
+/// Returns how long a call may wait for the store to commit what it asks for.
 pub fn call_timeout(call: &Call) -> Millis {
-    match (call.verb(), call.limit_ms) {
-        (Verb::State, _) => MAX_STATE_WAIT,
-        (_, 0) => DEFAULT_CALL_TIMEOUT,
-        (_, ms) => Millis(ms).since(ANSWER_MARGIN),
+    if call.verb() == Verb::State { MAX_STATE_WAIT } else { caller_timeout(call) }
+}
+
+/// Returns how long the caller waits for its answer.
+pub fn caller_timeout(call: &Call) -> Millis {
+    match call.limit_ms {
+        0 => DEFAULT_CALL_TIMEOUT,
+        ms => Millis(ms).since(ANSWER_MARGIN),
     }
 }
 
--- a/crates/hollowford-node/src/inbox.rs
+++ b/crates/hollowford-node/src/inbox.rs
@@ -4,7 +4,7 @@
 use crate::delegate_wire::Outcomes;
 use crate::link::Outbox;
 use crate::members::LinkId;
-use crate::wire::{Body, Call, CallAnswer, Hello, MemberBeat, Said};
+use crate::wire::{Body, Call, CallAnswer, Hello, MemberBeat, OwnerInfo, Said};
 use crate::worker_changes::WorkerChanges;
 use crate::writer::BatchOutcome;
 use hollowford_adapter::WorkerAnswer;
@@ -48,6 +48,13 @@
         batch: u64,
         outcome: BatchOutcome,
     },
+    /// The owner row names this owner or another one, or could not be read.
+    OwnerRowRead {
+        /// When the read was begun, in engine time.
+        started_at: Millis,
+        /// The owner that the row names; `None` if the read failed.
+        owner: Option<OwnerInfo>,
+    },
     /// The current list of workers.
     WorkerList(Vec<WorkerListing>),
     /// Changes of the list of workers, to be sent on to the owners of other partitions.
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -27,6 +27,8 @@
     pub owner_changes: IntGaugeVec,
     /// Time from the write of a takeover to the first scheduling decision.
     pub takeover_seconds: Histogram,
+    /// Reads of the owner row for answers that need a proof of ownership, by outcome.
+    pub ownership_reads: IntCounterVec,
     /// Batches, by outcome.
     pub batches: IntCounterVec,
     /// Time to write a batch.
@@ -119,6 +121,11 @@
             takeovers: counters("takeovers_total", "Takeovers made", &["cause"])?,
             owner_changes: gauges("owner_changes_minute", "Changes of owner within a minute")?,
             takeover_seconds: seconds("takeover_seconds", "From the takeover to decisions")?,
+            ownership_reads: counters(
+                "ownership_reads_total",
+                "Reads of the owner row for answers that need a proof of ownership",
+                &["outcome"],
+            )?,
             batches: counters("batches_total", "Batches to the store", &["outcome"])?,
             batch_seconds: seconds("batch_seconds", "Time of a batch")?,
             worker_calls: counters("worker_calls_total", "Calls to workers", &["call", "outcome"])?,
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -3,6 +3,9 @@
 mod caller_calls;
 #[cfg(test)]
 mod joining_tests;
+mod ownership_proof;
+#[cfg(test)]
+mod ownership_proof_tests;
 mod view;
 mod worker_calls;
 
@@ -23,6 +26,7 @@
 use hollowford_adapter::{Config, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
 use hollowford_jobs::{Engine, Order, Stats};
+use ownership_proof::{OwnershipProof, ReceivedCall};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -80,6 +84,7 @@
     members_changed: bool,
     members_updated_at: Millis,
     waiting_calls: WaitingCalls,
+    ownership_proof: OwnershipProof,
     /// Buffer reused across polls; empty between them.
     orders: Vec<Order>,
     decisions: DecisionLog,
@@ -105,6 +110,7 @@
         let workers = shared.workers.with_fence(info.epoch);
         let delegation = Delegation::new(info.epoch, engine_time(shared, clock_offset));
         let batches = Batches::new(shared.clone(), info.clone(), part, lanes, handle.clone());
+        let ownership_proof = OwnershipProof::new(engine_time(shared, clock_offset));
         Owner {
             members: Members::new(info.clone(), shared.partition_count()),
             reachability: Reachability::new(shared.clone(), info.epoch),
@@ -119,6 +125,7 @@
             members_changed: false,
             members_updated_at: Millis(0),
             waiting_calls: WaitingCalls::default(),
+            ownership_proof,
             orders: Vec::new(),
             decisions: DecisionLog::default(),
             batches,
@@ -160,6 +167,7 @@
                 reply.send(call.id, Said::NotOwner, 0);
             }
         }
+        self.ownership_proof.answer_not_owner();
         self.waiting_calls.answer_deposed();
         self.step_down.report_ended();
         self.end.unwrap_or(OwnerEnd::GaveUp)
@@ -167,8 +175,11 @@
 
     fn handle_message(&mut self, msg: OwnerMsg) {
         let now = self.now();
+        self.record_poll(now);
         match msg {
-            OwnerMsg::Call(call, reply) => self.handle_call(call, reply, now),
+            OwnerMsg::Call(call, reply) => {
+                self.handle_call(ReceivedCall { call, reply, received_at: now }, now);
+            }
             OwnerMsg::WorkerAnswer { call, called, sent, timing } => {
                 self.handle_worker_answer(CallOutcome { call, called, sent, timing }, now);
             }
@@ -183,6 +194,9 @@
             OwnerMsg::BatchFinished { batch, outcome } => {
                 self.handle_batch_outcome(batch, outcome, now)
             }
+            OwnerMsg::OwnerRowRead { started_at, owner } => {
+                self.handle_owner_row(started_at, owner, now);
+            }
             OwnerMsg::WorkerList(list) => {
                 self.delegation.set_workers(&list);
                 self.engine.set_worker_list(&list, now);
@@ -265,6 +279,7 @@
     /// no message is waiting to be handled.
     fn poll_engine(&mut self, inbox_is_empty: bool) {
         let now = self.now();
+        self.record_poll(now);
         self.apply_config(now);
         self.cx.record_owner_contact();
         self.update_members(now);
@@ -287,6 +302,7 @@
             self.batches.write_next(&mut self.engine, now);
         }
         self.waiting_calls.answer_expired(&mut self.engine, now);
+        self.prove_ownership(now);
         if let Some(end) = self.reachability.check(&self.batches, &self.members, now) {
             self.end = Some(end);
         }
--- a/crates/hollowford-node/src/owner/caller_calls.rs
+++ b/crates/hollowford-node/src/owner/caller_calls.rs
@@ -1,51 +1,122 @@
-//! Handles callers' requests: authorization and admission.
+//! Handles callers' requests: authorization, admission and proof of ownership.
 
-use super::Owner;
+use super::ownership_proof::ReceivedCall;
+use super::{Owner, OwnerEnd};
 use crate::access::{self, Access, MAX_CONFIG_AGE};
 use crate::callers::call_timeout;
-use crate::inbox::Reply;
-use crate::wire::{Call, Said, Verb};
+use crate::inbox::OwnerMsg;
+use crate::owner_row::read_owner;
+use crate::relay::MIN_STORE_OUTAGE;
+use crate::wire::{Call, OwnerInfo, Said, Verb};
 use hollowford_core::Millis;
 use hollowford_jobs::JobId;
 
 impl Owner {
     /// Accepts a request or answers it at once. It is rejected if its key is unknown, if this owner
-    /// is stepping down, or if the store cannot commit a new job before the caller's time limit.
-    pub(super) fn handle_call(&mut self, call: Call, reply: Reply, now: Millis) {
-        if call.config > self.cx.shared.config_version() {
+    /// is stepping down, or if the store cannot commit a new job before the caller's time limit. It
+    /// is held while the answer would need a proof that this process still owns the partition.
+    pub(super) fn handle_call(&mut self, mut received: ReceivedCall, now: Millis) {
+        if received.call.config > self.cx.shared.config_version() {
             self.cx.shared.config_wanted.notify_one();
         }
         if self.step_down.since().is_some() {
-            reply.send(call.id, Said::NotOwner, 0);
-            return;
+            return received.answer(Said::NotOwner);
         }
-        let call = match self.authorize(call) {
-            Ok(call) => call,
-            Err((id, said)) => return reply.send(id, said, 0),
-        };
-        let limit = call_timeout(&call);
-        let admitted = self.batches.admits_job(&self.engine, limit, now);
+        if !self.ownership_proof.holds_since_pause() {
+            return self.ownership_proof.hold_since_pause(received);
+        }
+        match self.authorize(&received.call) {
+            Ok(account) => received.call.account = account,
+            Err(said) => return received.answer(said),
+        }
+        if self.knows_no_state(&received.call) && !self.ownership_proof.holds_for(&received) {
+            return self.ownership_proof.hold_since_arrival(received);
+        }
+        let ReceivedCall { mut call, reply, received_at } = received;
+        if call.limit_ms > 0 {
+            call.limit_ms = Millis(call.limit_ms).since(now.since(received_at)).0.max(1);
+        }
+        let admitted = self.batches.admits_job(&self.engine, call_timeout(&call), now);
         self.waiting_calls.handle(&mut self.engine, call, reply, admitted, now);
     }
 
-    /// Sets the client account on whose behalf the call is made. Returns the call's id and the
-    /// answer if the call is rejected.
-    fn authorize(&self, mut call: Call) -> Result<Call, (u64, Said)> {
+    /// Returns true if the call asks for a job of which this owner has no stored state, so that the
+    /// answer may be that the job doesn't exist.
+    fn knows_no_state(&self, call: &Call) -> bool {
+        let asks_for_job = matches!(call.verb(), Verb::State | Verb::Cancel);
+        asks_for_job && self.engine.state(JobId(call.job)).is_none()
+    }
+
+    /// Records that the owner is running at `now`.
+    pub(super) fn record_poll(&mut self, now: Millis) {
+        if let Some(pause) = self.ownership_proof.record_poll(now) {
+            log::warn!("owner.paused epoch={} for_ms={}", self.info.epoch, pause.0);
+        }
+    }
+
+    /// Reads the owner row if calls wait for a proof of ownership, and answers those that have
+    /// waited long enough.
+    pub(super) fn prove_ownership(&mut self, now: Millis) {
+        let store_unavailable = self.cx.shared.is_store_unavailable(MIN_STORE_OUTAGE);
+        self.ownership_proof.answer_unproven(store_unavailable, now);
+        if self.ownership_proof.begin_read(now) {
+            let (cx, handle) = (self.cx.clone(), self.handle.clone());
+            tokio::spawn(async move {
+                let owner = read_owner(&cx).await;
+                handle.send(OwnerMsg::OwnerRowRead { started_at: now, owner }).await;
+            });
+        }
+    }
+
+    /// Handles the calls for which a read of the owner row proves the ownership, and ends this owner
+    /// if the row names another one.
+    pub(super) fn handle_owner_row(
+        &mut self,
+        started_at: Millis,
+        owner: Option<OwnerInfo>,
+        now: Millis,
+    ) {
+        let outcome = match owner {
+            None => "failed",
+            Some(owner) if owner == self.info => {
+                for received in self.ownership_proof.prove(started_at) {
+                    self.handle_call(received, now);
+                }
+                "proven"
+            }
+            Some(owner) => {
+                log::warn!(
+                    "owner.deposed epoch={} by={} at={} found=owner_row",
+                    self.info.epoch,
+                    owner.epoch,
+                    owner.address
+                );
+                self.cx.partition.record_owner(&owner);
+                self.end = Some(OwnerEnd::Deposed);
+                "deposed"
+            }
+        };
+        self.cx.shared.metrics.ownership_reads.with_label_values(&[outcome]).inc();
+    }
+
+    /// Returns the client account on whose behalf a call is made, or the answer if the call is
+    /// rejected.
+    fn authorize(&self, call: &Call) -> Result<String, Said> {
         let config = self.cx.shared.config.load();
         let config = config.as_deref();
         let has_accounts = config.is_some_and(|c| c.accounts.is_some());
         if has_accounts && self.cx.shared.config_age() >= MAX_CONFIG_AGE {
-            return Err((call.id, Said::NotTaken));
+            return Err(Said::NotTaken);
         }
-        match access::recheck(config, &call) {
-            Access::Granted(account) if account == call.account => Ok(call),
-            Access::Granted(account) if self.is_assigned_here(account, &call) => {
-                call.account = account.to_owned();
-                Ok(call)
+        match access::recheck(config, call) {
+            Access::Granted(account)
+                if account == call.account || self.is_assigned_here(account, call) =>
+            {
+                Ok(account.to_owned())
             }
             // The entry process didn't know the account and routed the call to the wrong partition.
-            Access::Granted(_) => Err((call.id, Said::NotTaken)),
-            Access::Unknown => Err((call.id, Said::UnknownKey)),
+            Access::Granted(_) => Err(Said::NotTaken),
+            Access::Unknown => Err(Said::UnknownKey),
         }
     }
 
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -39,6 +39,20 @@
     read.map(|(row, _)| row)
 }
 
+/// Returns the owner that the owner row names. Returns `None` if the row can't be read.
+pub async fn read_owner(cx: &PartitionContext) -> Option<OwnerInfo> {
+    match read_owner_row(cx).await {
+        Ok(row) => {
+            cx.shared.record_store_answer();
+            decode_owner(&row?)?.owner
+        }
+        Err(e) => {
+            log::debug!("owner.read failed error=\"{e}\"");
+            None
+        }
+    }
+}
+
 /// Looks for an owner newer than `known` in the store or, if the store doesn't answer, among the
 /// seeds. Takes the partition over if it has never had an owner.
 pub async fn find_owner(cx: &PartitionContext, known: u64) {
--- a/crates/hollowford-node/src/relay.rs
+++ b/crates/hollowford-node/src/relay.rs
@@ -18,7 +18,7 @@
 const UNSENT_TIMEOUT: Millis = Millis(1_200);
 /// Without an owner, and with a store that has not answered for this long, no process can take
 /// over, so calls are refused at once.
-const MIN_STORE_OUTAGE: Millis = Millis(900);
+pub const MIN_STORE_OUTAGE: Millis = Millis(900);
 
 /// Outcome of relaying a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
