jobs: the critical paths of a job are computed in one walk over its steps

Cause: critical_path_from_ms called itself for each step that depends on the given one and so followed every path, 4^15 from each step of the first stage, in each pass and before the job was stored.

Fix: one function for both computations that goes from the last step to the first and visits each dependency once. The paths by estimate are computed at validation and kept with the job.

--- a/crates/hollowford-jobs/src/run_times/mod.rs
+++ b/crates/hollowford-jobs/src/run_times/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::engine::Engine;
 use crate::job::Job;
-use crate::spec::StepKey;
+use crate::spec::{StepKey, StepSpec, critical_paths_ms};
 use crate::workers::WorkerIdx;
 use estimates::EstimateModel;
 use hollowford_core::{InstanceId, Millis};
@@ -219,17 +219,8 @@
         if !self.run_times.differ_from_estimates(&job.queue) {
             return (spec.critical_path_ms(), spec.critical_path_from_ms(step));
         }
-        // Steps depend only on earlier ones.
-        let mut paths = vec![0; spec.steps.len()];
-        for (i, s) in spec.steps.iter().enumerate().rev() {
-            let run_time = self.run_times.expected(&job.queue, Millis(s.estimate_ms)).0;
-            paths[i] += run_time;
-            let path = paths[i];
-            for &on in &s.depends_on {
-                let rest = &mut paths[on as usize];
-                *rest = path.max(*rest);
-            }
-        }
+        let run_time = |s: &StepSpec| self.run_times.expected(&job.queue, Millis(s.estimate_ms)).0;
+        let paths = critical_paths_ms(&spec.steps, run_time);
         (paths.iter().copied().max().unwrap_or(0), paths.get(step).copied().unwrap_or(0))
     }
 }
--- a/crates/hollowford-jobs/src/spec.rs
+++ b/crates/hollowford-jobs/src/spec.rs
@@ -128,7 +128,8 @@
     pub resources: Resources,
     /// The caller's estimate of a task's run time, in milliseconds.
     pub estimate_ms: u64,
-    /// Positions of earlier steps that must be done before this step starts.
+    /// Positions of earlier steps that must be done before this step starts. Ascending and without
+    /// repetitions once validated.
     pub depends_on: Vec<u32>,
     /// Whether a stopped task can resume from its last checkpoint.
     pub resumable: bool,
@@ -206,6 +207,8 @@
     pub steps: Vec<StepSpec>,
     /// When and how often the steps are repeated; `None` for once, immediately.
     pub schedule: Option<Schedule>,
+    /// Estimated length in milliseconds of the critical path from the start of each step.
+    critical_paths_ms: Vec<u64>,
 }
 
 impl JobSpec {
@@ -216,19 +219,36 @@
 
     /// Returns the estimated length in milliseconds of the critical path from the start of `step`.
     pub fn critical_path_from_ms(&self, step: usize) -> u64 {
-        let path_after = |(i, s): (usize, &StepSpec)| {
-            s.depends_on.contains(&(step as u32)).then(|| self.critical_path_from_ms(i))
-        };
-        let rest = self.steps.iter().enumerate().skip(step + 1).filter_map(path_after).max();
-        self.steps[step].estimate_ms + rest.unwrap_or(0)
+        self.critical_paths_ms[step]
     }
 
     /// Returns the estimated length in milliseconds of the critical path of the whole job.
     pub fn critical_path_ms(&self) -> u64 {
-        (0..self.steps.len()).map(|i| self.critical_path_from_ms(i)).max().unwrap_or(0)
+        self.critical_paths_ms.iter().copied().max().unwrap_or(0)
     }
 }
 
+/// Returns the length in milliseconds of the critical path from the start of each step, where
+/// `run_time_ms` is the run time of a step's tasks. Each step may depend only on earlier ones.
+///
+/// Visits each dependency once: a job may have 64 steps, and the number of paths through them grows
+/// exponentially.
+pub(crate) fn critical_paths_ms(
+    steps: &[StepSpec],
+    run_time_ms: impl Fn(&StepSpec) -> u64,
+) -> Vec<u64> {
+    let mut paths: Vec<u64> = vec![0; steps.len()];
+    for (i, s) in steps.iter().enumerate().rev() {
+        paths[i] = paths[i].saturating_add(run_time_ms(s));
+        let path = paths[i];
+        for &on in &s.depends_on {
+            let rest = &mut paths[on as usize];
+            *rest = path.max(*rest);
+        }
+    }
+    paths
+}
+
 impl TryFrom<RawJob> for JobSpec {
     type Error = SpecError;
 
@@ -247,7 +267,16 @@
                 return Err(SpecError::InvalidDependency { step, on });
             }
         }
-        let schedule = raw.schedule.filter(|s| s.rounds > 0);
-        Ok(JobSpec { template: raw.template.into(), steps: raw.steps, schedule })
+        let mut steps = raw.steps;
+        for s in &mut steps {
+            s.depends_on.sort_unstable();
+            s.depends_on.dedup();
+        }
+        Ok(JobSpec {
+            template: raw.template.into(),
+            critical_paths_ms: critical_paths_ms(&steps, |s| s.estimate_ms),
+            steps,
+            schedule: raw.schedule.filter(|s| s.rounds > 0),
+        })
     }
 }
--- a/crates/hollowford-jobs/src/urgency.rs
+++ b/crates/hollowford-jobs/src/urgency.rs
@@ -155,7 +155,7 @@
     let objective = Millis((whole_path as f64 * queue.stretch) as u64) + queue.slack;
     let work = Millis(path);
     let latest_start = (due + objective) - work;
-    let worthless_at = due + Millis(objective.0 * WORTHLESS_AFTER_OBJECTIVES);
+    let worthless_at = due + Millis(objective.0.saturating_mul(WORTHLESS_AFTER_OBJECTIVES));
     let rank = if now + work > worthless_at {
         Rank::Worthless
     } else if now > latest_start {
