jobs: a run that a cut list of ends lacks has ended, not vanished

Cause: ends are acknowledged once the store has them, so in an outage they pile up, and a worker's answer lists at most 500. free_vanished took a confirmed run that neither list shows for vanished and started its task again; the new run's end came behind the same 500. A new owner did the same by another way: it claimed a worker after the second look and took what that didn't list for not started.

Fix: a look says whether its list is cut. Then a run that it lacks gives its room back, as before, and its task stays placed until the end is listed. A new owner claims a worker only by a whole list, and waits for it past the usual time while its lease lasts. Runs that a whole list lacks vanish as before.

--- a/crates/hollowford-jobs/src/audit.rs
+++ b/crates/hollowford-jobs/src/audit.rs
@@ -72,8 +72,7 @@
 
     fn check_task(&self, task: TaskKey, t: &Task, out: &mut Vec<StuckTask>) {
         for r in t.runs() {
-            let held = self.workers.get(r.worker).and_then(|w| w.find(task, r.run));
-            if held.is_none() {
+            if !self.workers.get(r.worker).is_some_and(|w| w.holds_run(task, r.run)) {
                 out.push(StuckTask::NotHeld { task, run: r.run });
             }
         }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -15,6 +15,7 @@
 use crate::run_times::RunTimes;
 use crate::shares::Shares;
 use crate::spec::JobId;
+use crate::worker::Worker;
 use crate::worker_life::WorkerLife;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
@@ -329,11 +330,8 @@
         if !self.tasks_unsettled {
             return;
         }
-        let unclaimed = self.unsettled_workers.len();
-        if now >= self.settled_at && unclaimed > 0 {
-            self.track_unsettled_tasks();
-            self.unsettled_workers.clear();
-        }
+        let unclaimed =
+            if now >= self.settled_at { self.give_up_unsettled_workers(now) } else { 0 };
         if !self.unsettled_workers.is_empty() {
             return;
         }
@@ -345,6 +343,24 @@
         self.needs_pass = true;
     }
 
+    /// Stops waiting for workers that run no tasks of an earlier owner any more, and returns their
+    /// number. A worker whose list of ends is cut is waited for until its lease has expired: the
+    /// tasks that wait may be those whose ends it doesn't list yet.
+    fn give_up_unsettled_workers(&mut self, now: Millis) -> usize {
+        let stop_timeout = self.time_limits.stop_timeout;
+        let may_list_ends =
+            |w: &Worker| w.ends_cut && w.lease_expiry().is_none_or(|at| now < at + stop_timeout);
+        let is_over = |idx: &&WorkerIdx| !self.workers.get(**idx).is_some_and(may_list_ends);
+        let given_up: Vec<_> = self.unsettled_workers.iter().filter(is_over).copied().collect();
+        if !given_up.is_empty() {
+            self.track_unsettled_tasks();
+            given_up.iter().for_each(|idx| {
+                self.unsettled_workers.remove(idx);
+            });
+        }
+        given_up.len()
+    }
+
     /// Marks all tasks as not running on a worker that this owner has not claimed.
     pub(crate) fn mark_settled(&mut self) {
         for id in self.jobs.ids() {
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -222,6 +222,15 @@
     },
     /// The predictions of a queue's run times have changed noticeably.
     RunTimesLearned(LearnedQueue),
+    /// A worker's list of ends begins or ceases to be cut.
+    EndsCut {
+        /// The worker.
+        worker: WorkerLife,
+        /// Whether it is cut.
+        cut: bool,
+        /// Number of runs that have ended without their ends being listed.
+        unlisted: usize,
+    },
     /// The stored row of learned run times can't be read and is ignored.
     RunTimesUnreadable {
         /// Why it can't be read.
@@ -295,6 +304,9 @@
             Event::WorkerClaimed { worker, running, ended } => {
                 write!(f, "worker.claimed worker={worker} running={running} ended={ended}")
             }
+            Event::EndsCut { worker, cut, unlisted } => {
+                write!(f, "worker.ends_cut worker={worker} cut={cut} unlisted={unlisted}")
+            }
             Event::WorkerSilent { worker, silent, since } => {
                 write!(f, "worker.silent worker={worker} silent={silent} since_ms={}", since.0)
             }
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -152,7 +152,9 @@
             self.record_fenced(idx, &look, now);
         }
         self.process_listed(idx, &look, now);
-        if second {
+        self.record_ends_cut(idx, look.ends_cut);
+        // A task of an earlier owner may have ended without its end being listed yet.
+        if second && !look.ends_cut {
             self.claim(idx);
         }
         self.free_vanished(idx, &look, sent, now);
@@ -252,7 +254,18 @@
         self.unsettled_workers.remove(&idx);
     }
 
-    /// Frees runs that the worker had confirmed before the look and no longer lists.
+    /// Records whether a worker's list of ends was cut.
+    fn record_ends_cut(&mut self, idx: WorkerIdx, cut: bool) {
+        let Some(w) = self.workers.get_mut(idx) else { return };
+        if std::mem::replace(&mut w.ends_cut, cut) != cut {
+            let (worker, unlisted) = (w.life.clone(), w.unlisted_ends.len());
+            self.events.push(Event::EndsCut { worker, cut, unlisted });
+        }
+    }
+
+    /// Frees runs that the worker had confirmed before the look and no longer lists. If its list of
+    /// ends is cut, they have ended and their ends are listed later: only their resources are free,
+    /// and their tasks wait.
     fn free_vanished(&mut self, idx: WorkerIdx, look: &Look, sent: Millis, now: Millis) {
         let Some(w) = self.workers.get(idx) else { return };
         let listed =
@@ -263,12 +276,27 @@
             Phase::Stopping => h.stop_answered,
         };
         let grace = self.time_limits.stop_timeout;
-        let vanished =
+        let gone =
             |h: &&HeldTask| is_confirmed(h) && h.since + grace < sent && !listed(h.task, h.run);
-        let vanished: Vec<_> = w.held.iter().filter(vanished).map(|h| (h.task, h.run)).collect();
-        for (task, run) in vanished {
+        let gone = w.held.iter().filter(gone).map(|h| (h.task, h.run));
+        if look.ends_cut {
+            for (task, run) in gone.collect::<Vec<_>>() {
+                self.await_listed_end(idx, task, run);
+            }
+            return;
+        }
+        for (task, run) in gone.chain(w.unlisted_ends.keys().copied()).collect::<Vec<_>>() {
             self.stats.vanished += 1;
             self.free(Placement { idx, task, run }, GiveUpCause::Vanished, now);
         }
     }
+
+    /// Releases the resources of a run that has ended without its end being listed yet.
+    fn await_listed_end(&mut self, idx: WorkerIdx, task: TaskKey, run: u32) {
+        self.close_run(task, run);
+        if let Some(w) = self.workers.get_mut(idx) {
+            w.await_listed_end(task, run);
+        }
+        self.needs_pass = true;
+    }
 }
--- a/crates/hollowford-jobs/src/order.rs
+++ b/crates/hollowford-jobs/src/order.rs
@@ -146,8 +146,10 @@
     pub clock: u64,
     /// Tasks that run on the worker.
     pub running: Vec<Running>,
-    /// Ended tasks whose ends are not acknowledged yet.
+    /// Ended tasks whose ends are not acknowledged yet, in ascending order of their numbers.
     pub ended: Vec<End>,
+    /// Whether `ended` may lack the last ends, because an answer lists a limited number of them.
+    pub ends_cut: bool,
 }
 
 /// A task that runs on a worker.
--- a/crates/hollowford-jobs/src/task_ends.rs
+++ b/crates/hollowford-jobs/src/task_ends.rs
@@ -19,6 +19,9 @@
     pub(crate) fn process_running(&mut self, idx: WorkerIdx, r: &Running, now: Millis) {
         self.jobs.mark_started(r.task.step.job);
         let Some(w) = self.workers.get_mut(idx) else { return };
+        if let Some(h) = w.unlisted_ends.remove(&(r.task, r.run)) {
+            w.hold(h);
+        }
         if let Some(h) = w.find_mut(r.task, r.run) {
             h.mark_started(now);
             let (stable, cleared) = (h.becomes_stable(now), h.becomes_cleared(now));
@@ -155,7 +158,7 @@
     /// Releases the resources of a task that has ended on a worker.
     fn release_ended(&mut self, idx: WorkerIdx, end: &End) -> Option<HeldTask> {
         let w = self.workers.get_mut(idx)?;
-        let held = w.find(end.task, end.run).map(|at| w.release(at));
+        let held = w.release_run(end.task, end.run);
         self.needs_pass |= held.is_some();
         self.events.push(Event::TaskEnded {
             task: end.task,
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -9,7 +9,7 @@
 use crate::worker_life::WorkerLife;
 use crate::worker_restart::LateStart;
 use hollowford_core::{AnswerTimes, Millis, Resources};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Slowest rate of a worker's steady clock, in percent of true time, that the protocol allows.
@@ -56,6 +56,11 @@
     /// Capacity minus the allocations of the held tasks.
     pub free: Resources,
     pub held: Vec<HeldTask>,
+    /// Runs that have ended, as the worker no longer runs them, but whose ends its cut list doesn't
+    /// show yet. They occupy nothing, and their tasks wait for the ends.
+    pub unlisted_ends: BTreeMap<(TaskKey, u32), HeldTask>,
+    /// Whether its last list of ends was cut.
+    pub ends_cut: bool,
     /// Number of held tasks under which workers have crashed before.
     pub suspect_count: u32,
     /// Runs given up after the worker's lease expired, kept until it is known whether the worker
@@ -120,6 +125,8 @@
             capacity: Resources::default(),
             free: Resources::default(),
             held: Vec::new(),
+            unlisted_ends: BTreeMap::new(),
+            ends_cut: false,
             suspect_count: 0,
             lost_runs: Vec::new(),
             late_starts: Vec::new(),
@@ -228,7 +235,23 @@
     /// incarnation.
     pub fn tracks_run(&self, task: TaskKey, run: u32) -> bool {
         let lost = self.lost_runs.iter().any(|l| l.task == task && l.run == run);
-        lost || self.find(task, run).is_some()
+        lost || self.holds_run(task, run)
+    }
+
+    /// Returns true if a run is on the worker, or has ended there and its end isn't listed yet.
+    pub fn holds_run(&self, task: TaskKey, run: u32) -> bool {
+        self.find(task, run).is_some() || self.unlisted_ends.contains_key(&(task, run))
+    }
+
+    /// Returns true if no run is on the worker and all ends have been listed.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty() && self.unlisted_ends.is_empty()
+    }
+
+    /// Returns all runs that are on the worker or whose ends aren't listed yet.
+    pub fn runs(&self) -> impl Iterator<Item = (TaskKey, u32)> {
+        let held = self.held.iter().map(|h| (h.task, h.run));
+        held.chain(self.unlisted_ends.keys().copied())
     }
 
     /// Marks a held task as no longer suspected of crashing workers.
@@ -245,6 +268,23 @@
         held
     }
 
+    /// Removes a run that is on the worker or whose end isn't listed yet.
+    pub fn release_run(&mut self, task: TaskKey, run: u32) -> Option<HeldTask> {
+        match self.find(task, run) {
+            Some(at) => Some(self.release(at)),
+            None => self.unlisted_ends.remove(&(task, run)),
+        }
+    }
+
+    /// Records that a held run has ended and that its end isn't listed yet. When it ended is
+    /// unknown.
+    pub fn await_listed_end(&mut self, task: TaskKey, run: u32) {
+        let Some(at) = self.find(task, run) else { return };
+        let mut held = self.release(at);
+        held.measured_from = None;
+        self.unlisted_ends.insert((task, run), held);
+    }
+
     /// Returns the number up to which ends are acknowledged; 0 while the worker may have restarted,
     /// because a new incarnation numbers its ends from 1 and would forget ends that were never
     /// read.
--- a/crates/hollowford-jobs/src/worker_removal.rs
+++ b/crates/hollowford-jobs/src/worker_removal.rs
@@ -19,16 +19,17 @@
             let Some(w) = self.workers.get(idx) else { continue };
             let expired =
                 w.lease_expiry().is_some_and(|at| at + self.time_limits.stop_timeout <= now);
-            if expired && !w.held.is_empty() {
-                self.stats.lapsed += w.held.len() as u64;
+            if expired && !w.is_empty() {
+                self.stats.lapsed += w.runs().count() as u64;
                 self.record_lost_runs(idx, now);
                 self.free_all(idx, GiveUpCause::Lapsed, now);
             }
             self.expire_lost_runs(idx, now);
             let Some(w) = self.workers.get(idx) else { continue };
             let silent = w.unanswered_calls > 0 && !w.look_in_flight;
-            let may_run_tasks = !w.claimed && now < self.settled_at;
-            let empty = w.held.is_empty() && w.lost_runs.is_empty();
+            let may_list_ends = w.ends_cut && !expired;
+            let may_run_tasks = !w.claimed && (now < self.settled_at || may_list_ends);
+            let empty = w.is_empty() && w.lost_runs.is_empty();
             if !w.listed && silent && empty && (expired || !w.claimed) && !may_run_tasks {
                 self.forget_worker(idx);
             }
@@ -43,7 +44,7 @@
     /// Ends an incarnation; `next` is the one that has followed it under its id.
     pub(crate) fn end_incarnation(&mut self, idx: WorkerIdx, next: Option<WorkerIdx>, now: Millis) {
         let Some(w) = self.workers.get(idx) else { return };
-        let (worker, tasks) = (w.life.clone(), w.held.len());
+        let (worker, tasks) = (w.life.clone(), w.runs().count());
         let how = if w.leaving { WorkerExit::Left } else { WorkerExit::Crashed };
         match how {
             WorkerExit::Crashed => self.record_crash(idx, now),
@@ -93,8 +94,7 @@
 
     fn free_all(&mut self, idx: WorkerIdx, cause: GiveUpCause, now: Millis) {
         let Some(w) = self.workers.get(idx) else { return };
-        let held: Vec<_> = w.held.iter().map(|h| (h.task, h.run)).collect();
-        for (task, run) in held {
+        for (task, run) in w.runs().collect::<Vec<_>>() {
             self.free(Placement { idx, task, run }, cause, now);
         }
     }
@@ -106,9 +106,8 @@
             self.close_run(task, run);
         }
         if let Some(w) = self.workers.get_mut(idx)
-            && let Some(at) = w.find(task, run)
+            && let Some(held) = w.release_run(task, run)
         {
-            let held = w.release(at);
             self.events.push(Event::TaskGivenUp { task, run, worker: w.life.clone(), cause });
             let is_copy = held.is_copy;
             self.refund_lost_run(idx, &held, cause, now);
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -10,6 +10,8 @@
 const CLOCK_OFFSET_MS: u64 = 5_000;
 /// Longer leases are shortened to this duration.
 const MAX_LEASE_MS: u64 = 6_000;
+/// A look lists at most so many ends.
+pub const MAX_ENDS_PER_LOOK: usize = 500;
 /// A gang member ends if its gang is incomplete for this long.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 
@@ -332,7 +334,8 @@
             incarnation: self.incarnation(),
             clock: self.clock(),
             running: self.running.iter().map(running).collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_ENDS_PER_LOOK).cloned().collect(),
+            ends_cut: self.ended.len() >= MAX_ENDS_PER_LOOK,
         };
         if let Some((task, run)) = self.delayed_start.take() {
             self.running.insert(task, run);
--- a/crates/hollowford-node/src/delegate_wire/convert.rs
+++ b/crates/hollowford-node/src/delegate_wire/convert.rs
@@ -219,11 +219,13 @@
         kind: end_kind(e.how()),
         saved: e.saved.as_str().into(),
     };
+    let ended: Vec<End> = outcome.ended.iter().map(ended).collect();
     LookAnswer::Lists(Look {
         incarnation: outcome.incarnation.map(Incarnation),
         clock: outcome.clock,
         running: outcome.running.iter().map(running).collect(),
-        ended: outcome.ended.iter().map(ended).collect(),
+        ends_cut: hollowford_adapter::is_cut(&ended),
+        ended,
     })
 }
 
--- a/crates/hollowford-node/src/delegate_wire_tests.rs
+++ b/crates/hollowford-node/src/delegate_wire_tests.rs
@@ -97,6 +97,7 @@
         clock: 12,
         running: vec![running],
         ended,
+        ends_cut: false,
     });
     let looks = [lists, LookAnswer::OtherLife, LookAnswer::Fenced, LookAnswer::Unanswered];
     let starts = [
@@ -121,3 +122,18 @@
         assert_eq!(decoded.parse().expect("content"), called);
     }
 }
+
+// Guards against an owner that takes the cut list of a member's call for the whole one.
+#[test]
+fn a_list_of_ends_that_is_cut_remains_so() {
+    const MAX_ENDS: u64 = 500;
+    let end = |number| End { number, task: task(1), run: 1, kind: EndKind::Done, saved: "".into() };
+    for (count, ends_cut) in [(MAX_ENDS - 1, false), (MAX_ENDS, true)] {
+        let ended = (1..=count).map(end).collect();
+        let look = Look { ended, ends_cut, ..Look::default() };
+        let answer = WorkerAnswer::Look(LookAnswer::Lists(look));
+        let bytes = Outcome::new(8, &answer).encode_to_vec();
+        let decoded = Outcome::decode(&bytes[..]).expect("an outcome");
+        assert_eq!(decoded.parse().expect("content"), answer, "{count} ends");
+    }
+}
--- a/crates/hollowford/tests/node.rs
+++ b/crates/hollowford/tests/node.rs
@@ -294,3 +294,22 @@
     assert_eq!(started_tasks.len(), 6);
     assert!(started_tasks.values().all(|&n| n == 1), "{started_tasks:?}");
 }
+
+// Guards against tasks that are done and start again: while the store is down, a worker lists only
+// 500 of the ends that the owner can't acknowledge.
+#[tokio::test]
+async fn tasks_that_end_in_an_outage_run_once_however_many_they_are() {
+    const TASKS: u32 = 700;
+    let cell = Cell::start(2, 1).await;
+    assert_eq!(cell.submit(0, PLAIN, 1, TASKS, 20).await, 200);
+    cell.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    let done = || cell.platform.with_worker("w0", |w| w.done.len());
+    let all_ended = || async { done() == Some(TASKS as usize) };
+    assert!(eventually(all_ended).await, "{:?} of {TASKS} tasks ended", done());
+    // Time for tasks whose ends are not listed to be given up.
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    cell.platform.set_faults(Faults::default());
+    cell.wait_until_completed(1, PLAIN, 1).await;
+    cell.assert_starts(1);
+    assert_eq!(cell.platform.start_counts().len(), TASKS as usize);
+}
