--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -49,6 +49,7 @@
 mod starts;
 mod submit;
 mod task_ends;
+mod unlisted_ends;
 mod urgency;
 mod view;
 mod wait_causes;
