--- a/crates/hollowford-soak/src/callers.rs
+++ b/crates/hollowford-soak/src/callers.rs
@@ -133,6 +133,10 @@
                 let now = self.platform.now();
                 self.update_job(id, |t| t.cancelled_at = Some(now));
             }
+            if status == STATUS_GONE {
+                let violation = format!("job {id:016x} was accepted, and can't be cancelled");
+                lock(&self.observations).violations.push(violation);
+            }
         }
         for _ in 0..MAX_STATE_POLLS {
             if self.stop.load(Ordering::Relaxed) {
