node: after a pause, only a failed read of the owner row tells of an outage

Store calls in flight during a pause of the owner fail when it wakes, so the store counted as unavailable and calls that waited for the ownership proof were turned away at once although the store was well.

Also: reads of the owner row record the store's answer and log a failure in one place instead of six, and what proves the ownership stands in one module.

--- a/crates/hollowford-node/src/owner/caller_calls.rs
+++ b/crates/hollowford-node/src/owner/caller_calls.rs
@@ -1,13 +1,10 @@
-//! Handles callers' requests: authorization, admission and proof of ownership.
+//! Handles callers' requests: authorization and admission.
 
+use super::Owner;
 use super::ownership_proof::ReceivedCall;
-use super::{Owner, OwnerEnd};
 use crate::access::{self, Access, MAX_CONFIG_AGE};
 use crate::callers::call_timeout;
-use crate::inbox::OwnerMsg;
-use crate::owner_row::read_owner;
-use crate::relay::MIN_STORE_OUTAGE;
-use crate::wire::{Call, OwnerInfo, Said, Verb};
+use crate::wire::{Call, Said, Verb};
 use hollowford_core::Millis;
 use hollowford_jobs::JobId;
 
@@ -47,58 +44,6 @@
         asks_for_job && self.engine.state(JobId(call.job)).is_none()
     }
 
-    /// Records that the owner is running at `now`.
-    pub(super) fn record_poll(&mut self, now: Millis) {
-        if let Some(pause) = self.ownership_proof.record_poll(now) {
-            log::warn!("owner.paused epoch={} for_ms={}", self.info.epoch, pause.0);
-        }
-    }
-
-    /// Reads the owner row if calls wait for a proof of ownership, and answers those that have
-    /// waited long enough.
-    pub(super) fn prove_ownership(&mut self, now: Millis) {
-        let store_unavailable = self.cx.shared.is_store_unavailable(MIN_STORE_OUTAGE);
-        self.ownership_proof.answer_unproven(store_unavailable, now);
-        if self.ownership_proof.begin_read(now) {
-            let (cx, handle) = (self.cx.clone(), self.handle.clone());
-            tokio::spawn(async move {
-                let owner = read_owner(&cx).await;
-                handle.send(OwnerMsg::OwnerRowRead { started_at: now, owner }).await;
-            });
-        }
-    }
-
-    /// Handles the calls for which a read of the owner row proves the ownership, and ends this owner
-    /// if the row names another one.
-    pub(super) fn handle_owner_row(
-        &mut self,
-        started_at: Millis,
-        owner: Option<OwnerInfo>,
-        now: Millis,
-    ) {
-        let outcome = match owner {
-            None => "failed",
-            Some(owner) if owner == self.info => {
-                for received in self.ownership_proof.prove(started_at) {
-                    self.handle_call(received, now);
-                }
-                "proven"
-            }
-            Some(owner) => {
-                log::warn!(
-                    "owner.deposed epoch={} by={} at={} found=owner_row",
-                    self.info.epoch,
-                    owner.epoch,
-                    owner.address
-                );
-                self.cx.partition.record_owner(&owner);
-                self.end = Some(OwnerEnd::Deposed);
-                "deposed"
-            }
-        };
-        self.cx.shared.metrics.ownership_reads.with_label_values(&[outcome]).inc();
-    }
-
     /// Returns the client account on whose behalf a call is made, or the answer if the call is
     /// rejected.
     fn authorize(&self, call: &Call) -> Result<String, Said> {
--- a/crates/hollowford-node/src/owner/ownership_proof.rs
+++ b/crates/hollowford-node/src/owner/ownership_proof.rs
@@ -10,10 +10,13 @@
 //! - It has been paused for so long that the members may have replaced it. All requests wait until
 //!   the row has been read after the pause.
 
+use super::{Owner, OwnerEnd};
 use crate::callers::caller_timeout;
-use crate::inbox::Reply;
+use crate::inbox::{OwnerMsg, Reply};
+use crate::owner_row::read_owner;
+use crate::relay::MIN_STORE_OUTAGE;
 use crate::takeover::MIN_SUSPECT_TIME;
-use crate::wire::{Call, Said, Verb};
+use crate::wire::{Call, OwnerInfo, Said, Verb};
 use hollowford_core::Millis;
 
 /// An owner that was not polled for this long may have been replaced.
@@ -148,3 +151,66 @@
         self.held.drain(..).for_each(|h| h.received.answer(Said::NotOwner));
     }
 }
+
+impl Owner {
+    /// Records that the owner is running at `now`.
+    pub(super) fn record_poll(&mut self, now: Millis) {
+        if let Some(pause) = self.ownership_proof.record_poll(now) {
+            log::warn!("owner.paused epoch={} for_ms={}", self.info.epoch, pause.0);
+        }
+    }
+
+    /// Reads the owner row if calls wait for a proof of ownership, and answers those that have
+    /// waited long enough.
+    pub(super) fn prove_ownership(&mut self, now: Millis) {
+        // Store calls that were in flight during a pause have failed and say nothing of the store.
+        let outage_known = self.ownership_proof.holds_since_pause() && self.is_store_unavailable();
+        self.ownership_proof.answer_unproven(outage_known, now);
+        if self.ownership_proof.begin_read(now) {
+            let (cx, handle) = (self.cx.clone(), self.handle.clone());
+            tokio::spawn(async move {
+                let owner = read_owner(&cx).await;
+                handle.send(OwnerMsg::OwnerRowRead { started_at: now, owner }).await;
+            });
+        }
+    }
+
+    fn is_store_unavailable(&self) -> bool {
+        self.cx.shared.is_store_unavailable(MIN_STORE_OUTAGE)
+    }
+
+    /// Handles the calls for which a read of the owner row proves the ownership, and ends this owner
+    /// if the row names another one.
+    pub(super) fn handle_owner_row(
+        &mut self,
+        started_at: Millis,
+        owner: Option<OwnerInfo>,
+        now: Millis,
+    ) {
+        let outcome = match owner {
+            None => {
+                let outage_known = self.is_store_unavailable();
+                self.ownership_proof.answer_unproven(outage_known, now);
+                "failed"
+            }
+            Some(owner) if owner == self.info => {
+                for received in self.ownership_proof.prove(started_at) {
+                    self.handle_call(received, now);
+                }
+                "proven"
+            }
+            Some(owner) => {
+                log::warn!(
+                    "owner.deposed epoch={} by={} at={} found=owner_row",
+                    self.info.epoch,
+                    owner.epoch,
+                    owner.address
+                );
+                self.cx.partition.record_owner(&owner);
+                self.end = Some(OwnerEnd::Deposed);
+                "deposed"
+            }
+        };
+        self.cx.shared.metrics.ownership_reads.with_label_values(&[outcome]).inc();
+    }
+}
--- a/crates/hollowford-node/src/owner/ownership_proof_tests.rs
+++ b/crates/hollowford-node/src/owner/ownership_proof_tests.rs
@@ -56,6 +56,16 @@
         self.clock.fetch_add(time.0, Ordering::Relaxed);
     }
 
+    /// Lets the store fail for this time, during which the owner runs.
+    fn lose_store(&mut self, time: Millis) {
+        let step = Millis(100);
+        for _ in 0..time.0 / step.0 {
+            self.pause(step);
+            self.owner.cx.shared.record_store_failure(step);
+            self.owner.record_poll(self.now());
+        }
+    }
+
     fn call(&mut self, verb: Verb, job: u64) -> oneshot::Receiver<CallAnswer> {
         let (tx, rx) = oneshot::channel();
         let mut call = Call {
@@ -229,11 +239,24 @@
 
 // It can't be served before the store is back, so waiting for the time limit helps nobody.
 #[tokio::test]
-async fn while_the_store_is_unavailable_unproved_calls_are_answered_at_once() {
+async fn in_a_known_outage_unproved_calls_are_answered_at_once() {
     let mut t = TestOwner::new();
-    t.pause(Millis(50));
+    t.lose_store(Millis(1_500));
+    let mut rx = t.call(Verb::Cancel, UNKNOWN_JOB);
+    t.owner.prove_ownership(t.now());
+    assert_eq!(said(&mut rx), Some(Said::NotTaken));
+}
+
+// After a pause, all store calls that were in flight have failed, and the store may be well.
+#[tokio::test]
+async fn after_a_pause_an_outage_is_known_only_once_the_owner_row_could_not_be_read() {
+    let mut t = TestOwner::new();
+    t.pause(PAUSE);
+    t.owner.cx.shared.record_store_failure(PAUSE);
     let mut rx = t.call(Verb::Cancel, UNKNOWN_JOB);
-    t.owner.ownership_proof.answer_unproven(true, t.now());
+    t.owner.prove_ownership(t.now());
+    assert_eq!(said(&mut rx), None);
+    t.owner.handle_message(OwnerMsg::OwnerRowRead { started_at: t.now(), owner: None });
     assert_eq!(said(&mut rx), Some(Said::NotTaken));
 }
 
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -33,24 +33,21 @@
     OwnerRow { owner: Some(owner.clone()), batch }.encode_to_vec()
 }
 
+/// Reads the owner row; the inner option is `None` if the partition has never had an owner.
 async fn read_owner_row(cx: &PartitionContext) -> Result<Option<Row>, StoreError> {
     let read =
         cx.shared.store.read(SYSTEM_TABLE, &cx.partition.part, OWNER_KEY, STORE_CALL_TIMEOUT).await;
+    match &read {
+        Ok(_) => cx.shared.record_store_answer(),
+        Err(e) => log::debug!("owner.read failed error=\"{e}\""),
+    }
     read.map(|(row, _)| row)
 }
 
 /// Returns the owner that the owner row names. Returns `None` if the row can't be read.
 pub async fn read_owner(cx: &PartitionContext) -> Option<OwnerInfo> {
-    match read_owner_row(cx).await {
-        Ok(row) => {
-            cx.shared.record_store_answer();
-            decode_owner(&row?)?.owner
-        }
-        Err(e) => {
-            log::debug!("owner.read failed error=\"{e}\"");
-            None
-        }
-    }
+    let row = read_owner_row(cx).await.ok()??;
+    decode_owner(&row)?.owner
 }
 
 /// Looks for an owner newer than `known` in the store or, if the store doesn't answer, among the
@@ -58,18 +55,13 @@
 pub async fn find_owner(cx: &PartitionContext, known: u64) {
     match read_owner_row(cx).await {
         Ok(Some(row)) => {
-            cx.shared.record_store_answer();
             let owner = decode_owner(&row).and_then(|r| r.owner);
             if owner.is_none_or(|o| !cx.partition.record_owner(&o) && o.epoch <= known) {
                 sleep(RETRY_PAUSE).await;
             }
         }
-        Ok(None) => {
-            cx.shared.record_store_answer();
-            take_unowned(cx).await;
-        }
-        Err(e) => {
-            log::debug!("owner.find failed error=\"{e}\"");
+        Ok(None) => take_unowned(cx).await,
+        Err(_) => {
             ask_seeds(cx).await;
             sleep(RETRY_PAUSE).await;
         }
@@ -95,7 +87,8 @@
                 cx.partition.record_owner(&owner);
             }
         }
-        Err(e) => log::debug!("owner.read failed error=\"{e}\""),
+        // Tried again with the next search for the owner.
+        Err(_) => {}
     }
 }
 
@@ -118,7 +111,6 @@
 pub async fn row_version_unless_newer(cx: &PartitionContext, info: &OwnerInfo) -> Option<Version> {
     match read_owner_row(cx).await {
         Ok(row) => {
-            cx.shared.record_store_answer();
             let row = row?;
             let owner = decode_owner(&row)?.owner?;
             if owner.epoch > info.epoch {
@@ -127,8 +119,7 @@
             }
             Some(row.version)
         }
-        Err(e) => {
-            log::debug!("owner.read failed error=\"{e}\"");
+        Err(_) => {
             ask_seeds(cx).await;
             sleep(RETRY_PAUSE).await;
             None
@@ -169,14 +160,7 @@
 
 /// Reads the owner row after a write that was not answered.
 async fn reread_owner(cx: &PartitionContext, known: u64) {
-    match read_owner_row(cx).await {
-        Ok(row) => {
-            cx.shared.record_store_answer();
-            let owner = row.as_ref().and_then(decode_owner).and_then(|r| r.owner);
-            if let Some(owner) = owner.filter(|o| o.epoch > known) {
-                cx.partition.record_owner(&owner);
-            }
-        }
-        Err(e) => log::debug!("owner.read failed error=\"{e}\""),
+    if let Some(owner) = read_owner(cx).await.filter(|o| o.epoch > known) {
+        cx.partition.record_owner(&owner);
     }
 }
