--- a/crates/hollowford-soak/src/callers.rs
+++ b/crates/hollowford-soak/src/callers.rs
@@ -128,7 +128,9 @@
         if self.rng.u32(..JOBS_PER_CANCELLATION) == 0 {
             sleep(POLL_INTERVAL * self.rng.u32(..4)).await;
             self.update_job(id, |t| t.cancelling = true);
-            let (status, _) = self.call(node, Method::DELETE, queue, id, &Value::Null).await;
+            // Any process may get it, also one that was paused when the job was accepted.
+            let any = id as usize % self.nodes.len();
+            let (status, _) = self.call(any, Method::DELETE, queue, id, &Value::Null).await;
             if status == 200 {
                 let now = self.platform.now();
                 self.update_job(id, |t| t.cancelled_at = Some(now));
