--- a/crates/hollowford-node/src/owner/caller_calls.rs
+++ b/crates/hollowford-node/src/owner/caller_calls.rs
@@ -30,6 +30,7 @@
             return self.ownership_proof.hold_since_arrival(received);
         }
         let ReceivedCall { mut call, reply, received_at } = received;
+        // A held call has used up part of its caller's time limit; 0 means that there is none.
         if call.limit_ms > 0 {
             call.limit_ms = Millis(call.limit_ms).since(now.since(received_at)).0.max(1);
         }
--- a/crates/hollowford-node/src/takeover.rs
+++ b/crates/hollowford-node/src/takeover.rs
@@ -24,7 +24,7 @@
 const SUSPECT_AFTER_MISSED: u64 = 3;
 /// Heartbeats missed, without an answer to the probe, before an owner is declared failed.
 const FAILED_AFTER_MISSED: u64 = 5;
-/// Silence after which members begin to suspect an owner. None takes over sooner.
+/// Silence after which members begin to suspect an owner. None takes over from a silent one sooner.
 pub const MIN_SUSPECT_TIME: Millis = Millis(HEARTBEAT_INTERVAL.0 * SUSPECT_AFTER_MISSED);
 /// A check that runs this late means that this process was itself paused; it then restarts
 /// detection.
