--- a/crates/hollowford-jobs/tests/step_graphs.rs
+++ b/crates/hollowford-jobs/tests/step_graphs.rs
@@ -97,7 +97,7 @@
     assert_eq!(state_of_next, Some(JobState::Completed));
 }
 
-// Predicted run times have a computation of their own.
+// Passes use predicted run times in place of the estimates there.
 #[test]
 fn a_job_with_many_paths_in_a_queue_with_learned_run_times_runs_to_its_end() {
     let state = within_time(|| {
--- a/crates/hollowford-jobs/tests/unlisted_ends.rs
+++ b/crates/hollowford-jobs/tests/unlisted_ends.rs
@@ -176,7 +176,7 @@
     assert_eq!(cell.engine.stuck_tasks(), []);
 }
 
-// Once the list is complete, a run that it lacks has vanished, as it always had.
+// A list that is not cut names every end, so a run that it lacks has vanished.
 #[test]
 fn a_run_that_a_complete_list_lacks_starts_again() {
     let mut cell = TestCell::new(1);
