node, jobs: split owner.rs, engine.rs and event.rs by what they do

Pure moves: heartbeats of the owner (membership), settling after a takeover, and the log lines of events. One function ends a deposed owner in place of two copies. is_cut is called is_end_list_cut.

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -15,7 +15,6 @@
 use crate::run_times::RunTimes;
 use crate::shares::Shares;
 use crate::spec::JobId;
-use crate::worker::Worker;
 use crate::worker_life::WorkerLife;
 use crate::workers::{WorkerIdx, Workers};
 use hollowford_core::{InstanceId, Millis};
@@ -323,52 +322,4 @@
         round.into_iter().for_each(|r| r.mark_unsettled(&job.spec));
         true
     }
-
-    /// Releases the tasks that waited for unclaimed workers, once none of these workers can still
-    /// run a task.
-    fn settle(&mut self, now: Millis) {
-        if !self.tasks_unsettled {
-            return;
-        }
-        let unclaimed =
-            if now >= self.settled_at { self.give_up_unsettled_workers(now) } else { 0 };
-        if !self.unsettled_workers.is_empty() {
-            return;
-        }
-        self.mark_settled();
-        self.tasks_unsettled = false;
-        // A task that has used up its attempts may have had a run on one of these workers.
-        self.end_exhausted(now);
-        self.events.push(Event::PartitionSettled { unclaimed });
-        self.needs_pass = true;
-    }
-
-    /// Stops waiting for workers that run no tasks of an earlier owner any more, and returns their
-    /// number. A worker whose list of ends is cut is waited for until its lease has expired: the
-    /// tasks that wait may be those whose ends it doesn't list yet.
-    fn give_up_unsettled_workers(&mut self, now: Millis) -> usize {
-        let stop_timeout = self.time_limits.stop_timeout;
-        let may_list_ends =
-            |w: &Worker| w.ends_cut && w.lease_expiry().is_none_or(|at| now < at + stop_timeout);
-        let is_over = |idx: &&WorkerIdx| !self.workers.get(**idx).is_some_and(may_list_ends);
-        let given_up: Vec<_> = self.unsettled_workers.iter().filter(is_over).copied().collect();
-        if !given_up.is_empty() {
-            self.track_unsettled_tasks();
-            given_up.iter().for_each(|idx| {
-                self.unsettled_workers.remove(idx);
-            });
-        }
-        given_up.len()
-    }
-
-    /// Marks all tasks as not running on a worker that this owner has not claimed.
-    pub(crate) fn mark_settled(&mut self) {
-        for id in self.jobs.ids() {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            let steps = job.rounds.iter_mut().flat_map(|r| &mut r.steps);
-            for t in steps.flat_map(|s| &mut s.tasks) {
-                (t.unsettled, t.unsettled_copy) = (false, false);
-            }
-        }
-    }
 }
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -43,6 +43,7 @@
 mod reservation;
 mod rows;
 mod run_times;
+mod settling;
 mod shares;
 mod spec;
 mod stall;
--- a/crates/hollowford-node/src/delegate_wire/convert.rs
+++ b/crates/hollowford-node/src/delegate_wire/convert.rs
@@ -224,7 +224,7 @@
         incarnation: outcome.incarnation.map(Incarnation),
         clock: outcome.clock,
         running: outcome.running.iter().map(running).collect(),
-        ends_cut: hollowford_adapter::is_cut(&ended),
+        ends_cut: hollowford_adapter::is_end_list_cut(&ended),
         ended,
     })
 }
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -3,6 +3,7 @@
 mod caller_calls;
 #[cfg(test)]
 mod joining_tests;
+mod membership;
 mod ownership_proof;
 #[cfg(test)]
 mod ownership_proof_tests;
@@ -15,13 +16,13 @@
 use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::lane::LANE_COUNT;
 use crate::logs::DecisionLog;
-use crate::members::{LinkId, Members};
+use crate::members::Members;
 use crate::partition::PartitionContext;
 use crate::reachability::Reachability;
 use crate::registry;
 use crate::shared::Shared;
 use crate::step_down::StepDown;
-use crate::wire::{MemberBeat, OwnerInfo, Said};
+use crate::wire::{OwnerInfo, Said};
 use crate::writer::BatchOutcome;
 use hollowford_adapter::{Config, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
@@ -35,16 +36,6 @@
 const MAX_MESSAGES_PER_POLL: usize = 256;
 /// Maximum time between two polls of the engine.
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Minimum time between two membership updates, so that members that join or leave together cause
-/// one update. Each update passes on the whole member list.
-const MEMBER_UPDATE_INTERVAL: Millis = Millis(20);
-/// Once no batch has been committed for this long, heartbeats ask the members whether the store
-/// answers them.
-const STORE_LOST_TIMEOUT: Millis = Millis(300);
-
-/// Once the store has rejected the owner's calls for this long, heartbeats ask the members as well.
-const STORE_REJECTING_TIMEOUT: Millis = Millis(100);
-
 /// The reason an owner ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnerEnd {
@@ -220,39 +211,6 @@
         }
     }
 
-    /// Sends the heartbeats that are due. After a full round of heartbeats or a change of
-    /// membership, passes the list of usable members to the engine and the delegation.
-    fn update_members(&mut self, now: Millis) {
-        let shared = &self.cx.shared;
-        let store_lost = self.batches.is_uncommitted_for(STORE_LOST_TIMEOUT, now)
-            || shared.is_store_rejecting(STORE_REJECTING_TIMEOUT);
-        let round_complete =
-            self.members.tick(shared.clock.now(), shared.known_config(), store_lost);
-        let update_due = now.since(self.members_updated_at) >= MEMBER_UPDATE_INTERVAL;
-        if round_complete || (self.members_changed && update_due) {
-            self.members_changed = false;
-            self.members_updated_at = now;
-            self.engine.set_advice_channels(&self.members.advice_channels());
-            self.delegation.set_members(self.members.delegates(), now);
-        }
-    }
-
-    fn handle_heartbeat(&mut self, link: LinkId, heartbeat: &MemberBeat) {
-        let heard = self.cx.shared.clock.now();
-        self.reachability.record_member_heard(heard);
-        self.members.record_heartbeat(link, heartbeat, heard);
-        let version = self.cx.shared.config_version();
-        if heartbeat.config > version {
-            self.cx.shared.config_wanted.notify_one();
-        } else if heartbeat.config < version {
-            self.send_config();
-        }
-        if heartbeat.epoch > self.info.epoch {
-            log::warn!("owner.deposed epoch={} newer={}", self.info.epoch, heartbeat.epoch);
-            self.end = Some(OwnerEnd::Deposed);
-        }
-    }
-
     fn handle_batch_outcome(&mut self, batch: u64, outcome: BatchOutcome, now: Millis) {
         self.batches.record_outcome(batch, &outcome, now);
         match outcome {
@@ -260,21 +218,20 @@
                 self.engine.batch_committed(batch, now);
                 self.waiting_calls.answer_committed(&self.engine);
             }
-            BatchOutcome::Deposed(by) => {
-                log::warn!(
-                    "owner.deposed epoch={} by={} at={}",
-                    self.info.epoch,
-                    by.epoch,
-                    by.address
-                );
-                self.cx.partition.record_owner(&by);
-                self.end = Some(OwnerEnd::Deposed);
-            }
+            BatchOutcome::Deposed(by) => self.end_as_deposed(&by),
             BatchOutcome::Refused => self.engine.batch_refused(batch),
             BatchOutcome::Inconsistent => self.end = Some(OwnerEnd::GaveUp),
         }
     }
 
+    /// Ends this owner because the store names another one.
+    fn end_as_deposed(&mut self, by: &OwnerInfo) {
+        let (epoch, newer, address) = (self.info.epoch, by.epoch, &by.address);
+        log::warn!("owner.deposed epoch={epoch} by={newer} at={address}");
+        self.cx.partition.record_owner(by);
+        self.end = Some(OwnerEnd::Deposed);
+    }
+
     /// Polls the engine, executes its orders and writes the next batch. `inbox_is_empty` is true if
     /// no message is waiting to be handled.
     fn poll_engine(&mut self, inbox_is_empty: bool) {
--- a/crates/hollowford-node/src/owner/ownership_proof.rs
+++ b/crates/hollowford-node/src/owner/ownership_proof.rs
@@ -10,7 +10,7 @@
 //! - It has been paused for so long that the members may have replaced it. All requests wait until
 //!   the row has been read after the pause.
 
-use super::{Owner, OwnerEnd};
+use super::Owner;
 use crate::callers::caller_timeout;
 use crate::inbox::{OwnerMsg, Reply};
 use crate::owner_row::read_owner;
@@ -200,14 +200,7 @@
                 "proven"
             }
             Some(owner) => {
-                log::warn!(
-                    "owner.deposed epoch={} by={} at={} found=owner_row",
-                    self.info.epoch,
-                    owner.epoch,
-                    owner.address
-                );
-                self.cx.partition.record_owner(&owner);
-                self.end = Some(OwnerEnd::Deposed);
+                self.end_as_deposed(&owner);
                 "deposed"
             }
         };
