Observability: who settles without which workers, and since when no store call has confirmed an owner

New, without a change of any decision: owner.settled names the workers that were not claimed; owner.unconfirmed and owner.confirmed tell that the store has confirmed an owner for 2 s neither by a batch nor by a read of the owner row, and which linked members are silent; gauge hollowford_node_ownership_unconfirmed_ms.

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -142,6 +142,8 @@
     pub(crate) failure_rate: FailureRate,
     /// Workers that this owner has not claimed and that may still run tasks of an earlier owner.
     pub(crate) unsettled_workers: BTreeSet<WorkerIdx>,
+    /// Recorded workers that were not claimed in time.
+    pub(crate) unclaimed_workers: Vec<WorkerLife>,
     /// Time at which the leases of the unsettled workers have all expired.
     pub(crate) settled_at: Millis,
     /// Whether some tasks may still run on an unsettled worker and are therefore not started.
@@ -199,6 +201,7 @@
             run_times: RunTimes::default(),
             failure_rate: FailureRate::default(),
             unsettled_workers: BTreeSet::new(),
+            unclaimed_workers: Vec::new(),
             settled_at: now + time_limits.previous_lease,
             tasks_unsettled: false,
             store_outage_before: false,
--- a/crates/hollowford-jobs/src/event.rs
+++ b/crates/hollowford-jobs/src/event.rs
@@ -218,8 +218,8 @@
     },
     /// Tasks no longer wait for workers that this owner has not claimed.
     PartitionSettled {
-        /// Number of workers that were not claimed in time.
-        unclaimed: usize,
+        /// Workers that were not claimed in time.
+        unclaimed: Vec<WorkerLife>,
     },
     /// The predictions of a queue's run times have changed noticeably.
     RunTimesLearned(LearnedQueue),
--- a/crates/hollowford-jobs/src/event/display.rs
+++ b/crates/hollowford-jobs/src/event/display.rs
@@ -3,6 +3,9 @@
 use super::Event;
 use std::fmt::{self, Display};
 
+/// Maximum number of workers that a line names.
+const MAX_NAMED_WORKERS: usize = 8;
+
 impl Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -80,7 +83,9 @@
                 write!(f, "accounts.full pool={pool} begins={begins} beyond={beyond}")
             }
             Event::PartitionSettled { unclaimed } => {
-                write!(f, "owner.settled unclaimed={unclaimed}")
+                let names: Vec<_> =
+                    unclaimed.iter().take(MAX_NAMED_WORKERS).map(ToString::to_string).collect();
+                write!(f, "owner.settled unclaimed={} workers={}", unclaimed.len(), names.join(","))
             }
             Event::RunTimesLearned(l) => {
                 let ratio =
--- a/crates/hollowford-jobs/src/settling.rs
+++ b/crates/hollowford-jobs/src/settling.rs
@@ -16,8 +16,9 @@
         if !self.tasks_unsettled {
             return;
         }
-        let unclaimed =
-            if now >= self.settled_at { self.give_up_unsettled_workers(now) } else { 0 };
+        if now >= self.settled_at {
+            self.give_up_unsettled_workers(now);
+        }
         if !self.unsettled_workers.is_empty() {
             return;
         }
@@ -25,14 +26,14 @@
         self.tasks_unsettled = false;
         // A task that has used up its attempts may have had a run on one of these workers.
         self.end_exhausted(now);
+        let unclaimed = std::mem::take(&mut self.unclaimed_workers);
         self.events.push(Event::PartitionSettled { unclaimed });
         self.needs_pass = true;
     }
 
-    /// Stops waiting for workers that run no tasks of an earlier owner any more, and returns their
-    /// number. A worker whose list of ends is cut is waited for until its lease has expired: the
+    /// Stops waiting for workers that run no tasks of an earlier owner any more. A worker whose list of ends is cut is waited for until its lease has expired: the
     /// tasks that wait may be those whose ends it doesn't list yet.
-    fn give_up_unsettled_workers(&mut self, now: Millis) -> usize {
+    fn give_up_unsettled_workers(&mut self, now: Millis) {
         let stop_timeout = self.time_limits.stop_timeout;
         let may_list_ends =
             |w: &Worker| w.ends_cut && w.lease_expiry().is_none_or(|at| now < at + stop_timeout);
@@ -40,11 +41,12 @@
         let given_up: Vec<_> = self.unsettled_workers.iter().filter(is_over).copied().collect();
         if !given_up.is_empty() {
             self.track_unsettled_tasks();
-            given_up.iter().for_each(|idx| {
-                self.unsettled_workers.remove(idx);
-            });
         }
-        given_up.len()
+        for idx in given_up {
+            self.unsettled_workers.remove(&idx);
+            let life = self.workers.get(idx).map(|w| w.life.clone());
+            self.unclaimed_workers.extend(life);
+        }
     }
 
     /// Marks all tasks as not running on a worker that this owner has not claimed.
--- a/crates/hollowford-node/src/batches.rs
+++ b/crates/hollowford-node/src/batches.rs
@@ -136,12 +136,18 @@
         });
     }
 
-    /// Records the outcome of a batch.
-    pub fn record_outcome(&mut self, batch: u64, outcome: &BatchOutcome, now: Millis) {
+    /// Records the outcome of a batch. If it was committed, returns a time by which this process
+    /// owned the partition at the earliest when the commit was made.
+    pub fn record_outcome(
+        &mut self,
+        batch: u64,
+        outcome: &BatchOutcome,
+        now: Millis,
+    ) -> Option<Millis> {
         let writes_batch = |l: &Lane| l.in_flight.is_some_and(|b| b.number == batch);
-        let Some(at) = self.lanes.iter().position(writes_batch) else { return };
+        let at = self.lanes.iter().position(writes_batch)?;
         let lane = &mut self.lanes[at];
-        let Some(InFlightBatch { rows, started_at, .. }) = lane.in_flight.take() else { return };
+        let InFlightBatch { rows, started_at, .. } = lane.in_flight.take()?;
         let took = now.since(started_at);
         self.shared.metrics.batch_seconds.observe(took.duration().as_secs_f64());
         if took >= SLOW_BATCH_THRESHOLD {
@@ -161,10 +167,12 @@
                 self.last_committed_at = now;
                 self.uncommitted_since = self.oldest_start();
                 self.last_refused_at = None;
+                return Some(answered_in.map_or(started_at, |took| now - took));
             }
             BatchOutcome::Refused => self.last_refused_at = Some(now),
             BatchOutcome::Deposed(_) | BatchOutcome::Inconsistent => {}
         }
+        None
     }
 
     /// Returns when the oldest batch in flight was started.
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -24,11 +24,12 @@
 pub async fn load(cx: &PartitionContext, info: &OwnerInfo) -> Option<RecoveredState> {
     let started_at = cx.shared.clock.now();
     loop {
+        let read_at = cx.shared.clock.now();
         match cx.shared.store.read_all(SYSTEM_TABLE, &cx.partition.part, LOAD_ATTEMPT_TIMEOUT).await
         {
             Ok(feed) => {
                 cx.shared.record_store_answer();
-                return recover_state(cx, info, feed);
+                return recover_state(cx, info, feed, read_at);
             }
             Err(e) => log::warn!("owner.load failed epoch={} error=\"{e}\"", info.epoch),
         }
@@ -43,6 +44,7 @@
     cx: &PartitionContext,
     info: &OwnerInfo,
     feed: VersionedRows,
+    read_at: Millis,
 ) -> Option<RecoveredState> {
     let owner = feed.rows.iter().find(|r| r.key == OWNER_KEY)?;
     let lanes = lane_versions(&feed.rows);
@@ -79,5 +81,6 @@
             return None;
         }
     }
-    Some(RecoveredState { info: info.clone(), lanes, engine, clock_offset })
+    let read_at = Millis((read_at.0 as i64 + clock_offset).max(0) as u64);
+    Some(RecoveredState { info: info.clone(), lanes, engine, clock_offset, read_at })
 }
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -197,6 +197,12 @@
         m.outbox.send(Body::Ask(ask))
     }
 
+    /// Returns the addresses of the members that are linked but have not been heard for a while.
+    pub fn silent_members(&self) -> Vec<&str> {
+        let is_live = |m: &Member| self.live().any(|l| l.link == m.link);
+        self.list.iter().filter(|m| !is_live(m)).map(|m| &*m.address).collect()
+    }
+
     fn live(&self) -> impl Iterator<Item = &Member> {
         let silent_after = Millis(self.interval().0 * MAX_MISSED_HEARTBEATS);
         self.list.iter().filter(move |m| !m.stopping && self.now.since(m.last_heard) < silent_after)
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -29,6 +29,9 @@
     pub takeover_seconds: Histogram,
     /// Reads of the owner row for answers that need a proof of ownership, by outcome.
     pub ownership_reads: IntCounterVec,
+    /// Time since the store last confirmed the ownership, in milliseconds, by partition, while this
+    /// process owns it; 0 if that is recent.
+    pub unconfirmed_ms: IntGaugeVec,
     /// Batches, by outcome.
     pub batches: IntCounterVec,
     /// Time to write a batch.
@@ -126,6 +129,10 @@
                 "Reads of the owner row for answers that need a proof of ownership",
                 &["outcome"],
             )?,
+            unconfirmed_ms: gauges(
+                "ownership_unconfirmed_ms",
+                "Since the store confirmed ownership",
+            )?,
             batches: counters("batches_total", "Batches to the store", &["outcome"])?,
             batch_seconds: seconds("batch_seconds", "Time of a batch")?,
             worker_calls: counters("worker_calls_total", "Calls to workers", &["call", "outcome"])?,
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -3,6 +3,7 @@
 mod caller_calls;
 #[cfg(test)]
 mod joining_tests;
+mod lease_renewal;
 mod membership;
 mod ownership_proof;
 #[cfg(test)]
@@ -27,6 +28,7 @@
 use hollowford_adapter::{Config, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
 use hollowford_jobs::{Engine, Order, Stats};
+use lease_renewal::LeaseRenewal;
 use ownership_proof::{OwnershipProof, ReceivedCall};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -58,6 +60,8 @@
     pub engine: Engine,
     /// Engine time minus process time, in milliseconds.
     pub clock_offset: i64,
+    /// When the read of the rows was begun, in engine time.
+    pub read_at: Millis,
 }
 
 /// Owner of one partition. Holds the engine and everything that executes its orders.
@@ -76,6 +80,7 @@
     members_updated_at: Millis,
     waiting_calls: WaitingCalls,
     ownership_proof: OwnershipProof,
+    lease_renewal: LeaseRenewal,
     /// Buffer reused across polls; empty between them.
     orders: Vec<Order>,
     decisions: DecisionLog,
@@ -95,7 +100,7 @@
 impl Owner {
     /// Creates the owner from the recovered state.
     pub fn new(cx: PartitionContext, state: RecoveredState, handle: OwnerHandle) -> Owner {
-        let RecoveredState { info, lanes, engine, clock_offset } = state;
+        let RecoveredState { info, lanes, engine, clock_offset, read_at } = state;
         let (shared, part) = (&cx.shared, cx.partition.part.clone());
         let step_down = StepDown::new(shared.clone(), info.epoch);
         let workers = shared.workers.with_fence(info.epoch);
@@ -117,6 +122,7 @@
             members_updated_at: Millis(0),
             waiting_calls: WaitingCalls::default(),
             ownership_proof,
+            lease_renewal: LeaseRenewal::new(read_at),
             orders: Vec::new(),
             decisions: DecisionLog::default(),
             batches,
@@ -212,7 +218,9 @@
     }
 
     fn handle_batch_outcome(&mut self, batch: u64, outcome: BatchOutcome, now: Millis) {
-        self.batches.record_outcome(batch, &outcome, now);
+        if let Some(started_at) = self.batches.record_outcome(batch, &outcome, now) {
+            self.lease_renewal.record_store_confirmation(started_at);
+        }
         match outcome {
             BatchOutcome::Made { .. } => {
                 self.engine.batch_committed(batch, now);
@@ -240,6 +248,7 @@
         self.apply_config(now);
         self.cx.record_owner_contact();
         self.update_members(now);
+        self.check_confirmation(now);
         for outcome in self.delegation.take_overdue(inbox_is_empty, now) {
             self.handle_worker_answer(outcome, now);
         }
--- a/crates/hollowford-node/src/owner/joining_tests.rs
+++ b/crates/hollowford-node/src/owner/joining_tests.rs
@@ -26,7 +26,13 @@
     let cx = PartitionContext { shared, partition };
     let info = cx.owner_info(EPOCH);
     let engine = Engine::new(EPOCH, cx.shared.settings.time_limits, Millis(0));
-    let start = RecoveredState { info, lanes: [0; LANE_COUNT], engine, clock_offset: 0 };
+    let start = RecoveredState {
+        info,
+        lanes: [0; LANE_COUNT],
+        engine,
+        clock_offset: 0,
+        read_at: Millis(0),
+    };
     Owner::new(cx, start, OwnerHandle::new().0)
 }
 
--- a/crates/hollowford-node/src/owner/ownership_proof.rs
+++ b/crates/hollowford-node/src/owner/ownership_proof.rs
@@ -194,6 +194,7 @@
                 "failed"
             }
             Some(owner) if owner == self.info => {
+                self.lease_renewal.record_store_confirmation(started_at);
                 for received in self.ownership_proof.prove(started_at) {
                     self.handle_call(received, now);
                 }
--- a/crates/hollowford-node/src/owner/ownership_proof_tests.rs
+++ b/crates/hollowford-node/src/owner/ownership_proof_tests.rs
@@ -47,7 +47,8 @@
         let now = cx.shared.clock.now();
         let info = cx.owner_info(EPOCH);
         let engine = engine_with_stored_job(cx.shared.settings.time_limits, now);
-        let start = RecoveredState { info, lanes: [0; LANE_COUNT], engine, clock_offset: 0 };
+        let start =
+            RecoveredState { info, lanes: [0; LANE_COUNT], engine, clock_offset: 0, read_at: now };
         let (handle, rx) = OwnerHandle::new();
         TestOwner { owner: Owner::new(cx, start, handle), clock, rx }
     }
