node, jobs: an owner renews leases only while it is certain that nobody has taken over

Cause: the next owner waits 5.1 s after its takeover for workers that it doesn't reach, on the assumption that the earlier one stops renewing leases 2 s after it has heard nobody. But an owner took itself for isolated only if it heard no member at all. Cut off from the store and from those who take over, together with one other process and some workers, it went on renewing their leases for as long as the cut lasted. An owner that was paused or suspended renewed leases and started tasks in its first poll, before it could learn of the next one.

Change: leases are renewed, and tasks started, for 2 s after the ownership was last confirmed: by a commit or a read of the owner row, or by all designated successors, which the owner row names (the first eight of the takeover order, by the random ids of their processes) and which confirm by echoing the time of a heartbeat. So work goes on in an outage of the store in which those who could take over are there. A process that the row doesn't name, and that finds the last owner silent rather than ended, waits for workers that it doesn't reach for as long as an owner may go on without the store (30 s and a lease). What is left of that wait is in the owner row for the owner after it.

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -148,6 +148,8 @@
     pub(crate) settled_at: Millis,
     /// Whether some tasks may still run on an unsettled worker and are therefore not started.
     pub(crate) tasks_unsettled: bool,
+    /// See [`Engine::set_lease_renewal`].
+    pub(crate) renews_leases: bool,
     /// Whether the store was unavailable shortly before the takeover.
     pub(crate) store_outage_before: bool,
     /// Batches that are built and not committed yet.
@@ -204,6 +206,7 @@
             unclaimed_workers: Vec::new(),
             settled_at: now + time_limits.previous_lease,
             tasks_unsettled: false,
+            renews_leases: true,
             store_outage_before: false,
             in_flight: InFlight::default(),
             last_batch_number: 0,
@@ -235,6 +238,19 @@
         self.stats
     }
 
+    /// Sets until when leases of earlier owners may last, if that may be longer than
+    /// [`TimeLimits::previous_lease`] after the takeover.
+    pub fn set_earlier_leases_until(&mut self, until: Millis) {
+        self.settled_at = self.settled_at.max(until);
+    }
+
+    /// Sets whether leases at workers are renewed and tasks started. Both stop while it is not
+    /// certain that this owner hasn't been replaced.
+    pub fn set_lease_renewal(&mut self, allowed: bool) {
+        self.needs_pass |= allowed && !self.renews_leases;
+        self.renews_leases = allowed;
+    }
+
     /// Applies the queues of a configuration.
     pub fn set_queues(&mut self, queues: &[Queue], now: Millis) {
         self.queues.clear();
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -38,7 +38,7 @@
 impl Engine {
     /// Sends the looks that are due.
     pub(crate) fn send_looks(&mut self, now: Millis, out: &mut Vec<Order>) {
-        let lease = self.time_limits.lease;
+        let lease = self.lease();
         let max_wait = self.answer_loss.max_look_wait();
         for idx in self.workers.indexes() {
             let Some(w) = self.workers.get_mut(idx) else { continue };
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns for how long orders extend leases now; `None` if not at all.
+    pub(crate) fn lease(&self) -> Option<Millis> {
+        self.renews_leases.then_some(self.time_limits.lease)
+    }
+
     /// Processes the outcome of a look that was sent at `sent`. Returns true if a newer owner has
     /// claimed the worker.
     pub fn look_answered(
--- a/crates/hollowford-jobs/src/placement.rs
+++ b/crates/hollowford-jobs/src/placement.rs
@@ -58,6 +58,9 @@
         if is_full {
             self.update_shares(now);
         }
+        if !self.renews_leases {
+            return;
+        }
         let steps = self.waiting_steps(now);
         let stragglers = if is_full { self.stragglers(now) } else { Vec::new() };
         if steps.is_empty() && is_full {
--- a/crates/hollowford-jobs/src/starts.rs
+++ b/crates/hollowford-jobs/src/starts.rs
@@ -79,9 +79,13 @@
         }
     }
 
+    /// Sends a start, unless tasks may not be started now. It is then tried again later.
     fn send_start(&mut self, p: Placement, now: Millis, out: &mut Vec<Order>) {
         let Placement { idx, task, run } = p;
-        let lease = self.time_limits.lease;
+        let lease = self.lease();
+        if lease.is_none() {
+            return;
+        }
         let Some(job) = self.jobs.get(task.step.job) else { return };
         let template = job.spec.template.clone();
         let Some(step) = self.jobs.step(task.step) else { return };
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -314,13 +314,15 @@
     }
 
     /// Returns the lease end, as a reading of the worker's clock, for the next order and remembers
-    /// it. The lease is not extended while the worker doesn't answer; otherwise its tasks could
-    /// never be given up.
+    /// it. The lease is extended to `lease` from now, or not at all if that is `None`. It is not
+    /// extended while the worker doesn't answer; otherwise its tasks could never be given up.
     ///
     /// Returns `None` while the worker's clock is unknown.
-    pub fn extend_lease(&mut self, now: Millis, lease: Millis) -> Option<u64> {
+    pub fn extend_lease(&mut self, now: Millis, lease: Option<Millis>) -> Option<u64> {
         let clock = self.clock?;
-        if self.unanswered_calls == 0 {
+        if let Some(lease) = lease
+            && self.unanswered_calls == 0
+        {
             self.lease_until = self.lease_until.max(clock.expected_reading(now) + lease.0);
         }
         Some(self.lease_until)
--- a/crates/hollowford-node/src/batches.rs
+++ b/crates/hollowford-node/src/batches.rs
@@ -2,9 +2,10 @@
 
 use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::lane::LANE_COUNT;
+use crate::members::Members;
 use crate::retries::read_delay;
 use crate::shared::Shared;
-use crate::wire::OwnerInfo;
+use crate::wire::{OwnerInfo, RenewalTerms};
 use crate::writer::{self, BatchOutcome, BatchWrite};
 use hollowford_adapter::Version;
 use hollowford_core::{AnswerTimes, Millis};
@@ -55,6 +56,10 @@
     info: OwnerInfo,
     part: String,
     lanes: [Lane; LANE_COUNT],
+    /// The terms in the owner row, as last committed.
+    terms: RenewalTerms,
+    /// The terms in the batch that is in flight in the first lane.
+    terms_in_flight: Option<RenewalTerms>,
     handle: OwnerHandle,
     /// When the last batch was started.
     last_started_at: Millis,
@@ -72,12 +77,13 @@
 
 impl Batches {
     /// Creates the batches of the owner `info`, starting from the given versions of the lanes'
-    /// rows.
+    /// rows and the terms in the owner row.
     pub fn new(
         shared: Arc<Shared>,
         info: OwnerInfo,
         part: String,
         lanes: [Version; LANE_COUNT],
+        terms: RenewalTerms,
         handle: OwnerHandle,
     ) -> Batches {
         Batches {
@@ -85,6 +91,8 @@
             info,
             part,
             lanes: lanes.map(|rev| Lane { rev, in_flight: None }),
+            terms,
+            terms_in_flight: None,
             handle,
             last_started_at: Millis(0),
             last_committed_at: Millis(0),
@@ -95,8 +103,9 @@
         }
     }
 
-    /// Starts writing the next batch if one is due.
-    pub fn write_next(&mut self, engine: &mut Engine, now: Millis) {
+    /// Starts writing the next batch if one is due. A batch of the first lane names the current
+    /// successors.
+    pub fn write_next(&mut self, engine: &mut Engine, members: &Members, now: Millis) {
         let min_interval =
             if engine.batch_is_urgent() { MIN_BATCH_INTERVAL } else { MIN_IDLE_BATCH_INTERVAL };
         if now.since(self.last_started_at) < min_interval {
@@ -108,9 +117,20 @@
         self.uncommitted_since.get_or_insert(now);
         self.lanes[lane].in_flight =
             Some(InFlightBatch { number: batch.number, rows: batch.rows.len(), started_at: now });
+        if lane == 0 {
+            let successors = members.successors();
+            self.terms_in_flight = Some(RenewalTerms { successors, ..self.terms.clone() });
+        }
         self.start_writing(lane, batch);
     }
 
+    /// Returns the random ids of the processes that the owner row names as successors, now or once
+    /// a batch in flight is committed.
+    pub fn named_successors(&self) -> Vec<u64> {
+        let terms = std::iter::once(&self.terms).chain(&self.terms_in_flight);
+        terms.flat_map(|t| &t.successors).copied().collect()
+    }
+
     /// Returns the lane for the next batch. While a batch is in flight, another lane is used only
     /// if the store is slow.
     fn free_lane(&self, now: Millis) -> Option<usize> {
@@ -127,7 +147,8 @@
         let number = batch.number;
         let (part, owner, rev) = (self.part.clone(), self.info.clone(), self.lanes[lane].rev);
         let read_delay = read_delay(&self.answer_times);
-        let batch_write = BatchWrite { part, owner, lane, rev, batch, read_delay };
+        let terms = self.terms_in_flight.clone().filter(|_| lane == 0);
+        let batch_write = BatchWrite { part, owner, lane, rev, terms, batch, read_delay };
         let outcome = writer::write(self.shared.clone(), batch_write);
         let handle = self.handle.clone();
         tokio::spawn(async move {
@@ -148,6 +169,7 @@
         let at = self.lanes.iter().position(writes_batch)?;
         let lane = &mut self.lanes[at];
         let InFlightBatch { rows, started_at, .. } = lane.in_flight.take()?;
+        let terms = self.terms_in_flight.take_if(|_| at == 0);
         let took = now.since(started_at);
         self.shared.metrics.batch_seconds.observe(took.duration().as_secs_f64());
         if took >= SLOW_BATCH_THRESHOLD {
@@ -159,6 +181,9 @@
         match outcome {
             BatchOutcome::Made { rev, answered_in } => {
                 lane.rev = *rev;
+                if let Some(terms) = terms {
+                    self.terms = terms;
+                }
                 // If a later attempt was committed, its own response time counts.
                 self.last_duration = answered_in.unwrap_or(took);
                 if let Some(took) = answered_in {
@@ -217,8 +242,11 @@
         self.lanes.iter().all(|l| l.in_flight.is_none())
     }
 
-    /// Returns the version of the owner row, or `None` while a batch in flight may change it.
+    /// Returns the version of the owner row if the next owner need not read the row. It has to while
+    /// a batch in flight may change the row, and if earlier owners' leases may last longer than
+    /// usual.
     pub fn stable_owner_rev(&self) -> Option<Version> {
-        self.is_idle().then_some(self.lanes[0].rev)
+        let usual_leases = self.terms.earlier_leases_until_ms == 0;
+        (self.is_idle() && usual_leases).then_some(self.lanes[0].rev)
     }
 }
--- a/crates/hollowford-node/src/lane.rs
+++ b/crates/hollowford-node/src/lane.rs
@@ -6,9 +6,10 @@
 //! owner can be committed. The row of the first lane is the owner row, which members read to check
 //! whether the owner is alive.
 
-use crate::owner_row::{OWNER_KEY, encode_owner};
-use crate::wire::OwnerInfo;
+use crate::owner_row::OWNER_KEY;
+use crate::wire::{OwnerInfo, OwnerRow, RenewalTerms};
 use hollowford_adapter::{Row, Version};
+use prost::Message;
 
 /// Maximum number of batches in flight. The store executes the transactions of a part one after the
 /// other. If a transaction takes half a second and its round trip another half, two lanes double
@@ -20,8 +21,13 @@
 }
 
 /// Returns the rows of all lanes as written by a takeover.
-pub fn takeover_rows(owner: &OwnerInfo) -> Vec<(String, Vec<u8>)> {
-    (0..LANE_COUNT).map(|lane| (lane_key(lane), encode_owner(owner, 0))).collect()
+pub fn takeover_rows(owner: &OwnerInfo, terms: &RenewalTerms) -> Vec<(String, Vec<u8>)> {
+    let row = |lane| {
+        let terms = (lane == 0).then(|| terms.clone());
+        let row = OwnerRow { owner: Some(owner.clone()), batch: 0, terms };
+        (lane_key(lane), row.encode_to_vec())
+    };
+    (0..LANE_COUNT).map(row).collect()
 }
 
 /// Returns the version of each lane's row among `rows`, or 0 for a missing row.
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -52,6 +52,8 @@
 mod owner;
 mod owner_row;
 mod ownership;
+#[cfg(test)]
+mod ownership_tests;
 mod partition;
 mod peers;
 mod plan;
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -48,7 +48,9 @@
 ) -> Option<RecoveredState> {
     let owner = feed.rows.iter().find(|r| r.key == OWNER_KEY)?;
     let lanes = lane_versions(&feed.rows);
-    let current_owner = decode_owner(owner)?.owner?;
+    let row = decode_owner(owner)?;
+    let terms = row.terms.unwrap_or_default();
+    let current_owner = row.owner?;
     if current_owner != *info {
         cx.partition.record_owner(&current_owner);
         return None;
@@ -59,6 +61,7 @@
         (settings.time_limits, settings.features)
     };
     let mut engine = Engine::new(info.epoch, time_limits, feed.now);
+    engine.set_earlier_leases_until(Millis(terms.earlier_leases_until_ms));
     engine.set_features(features);
     engine.set_unix_offset(cx.shared.clock.unix_ms() as i64 - feed.now.0 as i64);
     if let Some(config) = cx.shared.config.load_full() {
@@ -82,5 +85,5 @@
         }
     }
     let read_at = Millis((read_at.0 as i64 + clock_offset).max(0) as u64);
-    Some(RecoveredState { info: info.clone(), lanes, engine, clock_offset, read_at })
+    Some(RecoveredState { info: info.clone(), lanes, terms, engine, clock_offset, read_at })
 }
--- a/crates/hollowford-node/src/member.rs
+++ b/crates/hollowford-node/src/member.rs
@@ -63,6 +63,7 @@
         age_ms: shared.clock.now().0,
         owner: Some(info.clone()),
         zone: shared.settings.zone.clone(),
+        boot: shared.boot,
     }));
     Ok((reader, outbox))
 }
@@ -84,6 +85,8 @@
     probe: Option<Arc<AtomicBool>>,
     /// When the last heartbeat was sent.
     heartbeat_sent_at: Option<Millis>,
+    /// When the owner sent its last heartbeat, by its clock, in milliseconds.
+    owner_sent_ms: u64,
 }
 
 impl OwnerLink<'_> {
@@ -104,6 +107,7 @@
             detector: FailureDetector::new(cx.shared.clock.now()),
             probe: None,
             heartbeat_sent_at: None,
+            owner_sent_ms: 0,
         }
     }
 
@@ -176,6 +180,7 @@
             self.cx.partition.route.send_replace(Route::Remote(self.remote.clone()));
         }
         self.cx.record_owner_contact();
+        self.owner_sent_ms = heartbeat.sent_ms;
         let lost = heartbeat.store_lost;
         if self.cx.partition.store_probe_wanted.swap(lost, Ordering::Relaxed) != lost {
             self.cx.shared.config_wanted.notify_one();
@@ -245,6 +250,7 @@
             config: self.cx.shared.config_version(),
             stopping: self.cx.shared.is_stopping(),
             owned: self.cx.shared.owned_count(),
+            echoed_ms: self.owner_sent_ms,
         }));
     }
 
--- a/crates/hollowford-node/src/members.rs
+++ b/crates/hollowford-node/src/members.rs
@@ -1,6 +1,7 @@
 //! The owner's members: the processes that have a link to it.
 
 mod heartbeats;
+mod successors;
 
 use crate::assignment::{advice_partition, process_order};
 use crate::delegation::Delegate;
@@ -12,6 +13,7 @@
 use hollowford_jobs::{AdviceChannel, StepKey};
 use std::cmp::Reverse;
 use std::sync::Arc;
+use successors::DepartedMember;
 
 /// Heartbeats that a member may miss before it gets no more work.
 const MAX_MISSED_HEARTBEATS: u64 = 9;
@@ -33,12 +35,17 @@
 struct Member {
     link: LinkId,
     address: Arc<str>,
+    /// Random id of the member's process; 0 if not told.
+    boot: u64,
     zone: Arc<str>,
     cpu_milli: u32,
     /// When the member's process started, by the owner's clock.
     started_at: Millis,
     outbox: Outbox,
     last_heard: Millis,
+    /// When the member is known to have followed this owner. It has answered a heartbeat sent at
+    /// that time.
+    followed_at: Millis,
     /// Time since the store answered the member, as of its last heartbeat.
     store_age: Millis,
     stopping: bool,
@@ -85,6 +92,8 @@
     /// Number of partitions in the cell.
     partitions: u32,
     list: Vec<Member>,
+    /// Members whose links have ended and whose processes may still run.
+    departed: Vec<DepartedMember>,
     /// When the members were last checked for due heartbeats.
     due_checked_at: Millis,
     /// When the current round of heartbeats started.
@@ -107,6 +116,7 @@
             owner,
             partitions,
             list: Vec::new(),
+            departed: Vec::new(),
             due_checked_at: Millis(0),
             round_started_at: Millis(0),
             store_lost: false,
@@ -122,16 +132,18 @@
     /// members: hundreds of links may open at once.
     pub fn join(&mut self, link: LinkId, hello: Hello, outbox: Outbox, now: Millis) {
         self.now = now;
-        self.list.retain(|m| *m.address != hello.address);
+        let followed_at = self.replace_earlier_link(&hello).unwrap_or(now);
         self.had_members = true;
         let member = Member {
             link,
             address: hello.address.into(),
+            boot: hello.boot,
             zone: hello.zone.into(),
             cpu_milli: hello.cpu_milli,
             started_at: now - Millis(hello.age_ms),
             outbox,
             last_heard: now,
+            followed_at,
             store_age: Millis(0),
             stopping: false,
             owned_partitions: 0,
@@ -147,7 +159,8 @@
 
     /// Removes the member whose link has ended.
     pub fn leave(&mut self, link: LinkId) {
-        self.list.retain(|m| m.link != link);
+        let ended = self.list.extract_if(.., |m| m.link == link);
+        self.departed.extend(ended.map(DepartedMember::from));
     }
 
     /// Returns true if a member ever joined.
@@ -159,6 +172,7 @@
         self.now = now;
         if let Some(m) = self.list.iter_mut().find(|m| m.link == link) {
             m.last_heard = now;
+            m.followed_at = m.followed_at.max(Millis(heartbeat.echoed_ms).min(now));
             m.store_age = Millis(heartbeat.store_age_ms);
             m.stopping = heartbeat.stopping;
             m.owned_partitions = heartbeat.owned;
@@ -197,12 +211,6 @@
         m.outbox.send(Body::Ask(ask))
     }
 
-    /// Returns the addresses of the members that are linked but have not been heard for a while.
-    pub fn silent_members(&self) -> Vec<&str> {
-        let is_live = |m: &Member| self.live().any(|l| l.link == m.link);
-        self.list.iter().filter(|m| !is_live(m)).map(|m| &*m.address).collect()
-    }
-
     fn live(&self) -> impl Iterator<Item = &Member> {
         let silent_after = Millis(self.interval().0 * MAX_MISSED_HEARTBEATS);
         self.list.iter().filter(move |m| !m.stopping && self.now.since(m.last_heard) < silent_after)
--- a/crates/hollowford-node/src/members/heartbeats.rs
+++ b/crates/hollowford-node/src/members/heartbeats.rs
@@ -16,7 +16,7 @@
 const MAX_INTERVAL_FACTOR: usize = 5;
 /// Number of members that heartbeats name in takeover order. Naming all would take several
 /// megabytes a second in a large cell.
-const MAX_NAMED_MEMBERS: usize = 8;
+pub(super) const MAX_NAMED_MEMBERS: usize = 8;
 
 impl Members {
     /// Sends a member that has just joined its first heartbeat, which confirms the owner.
@@ -92,6 +92,7 @@
                 config_age_ms: config.age.0,
                 store_lost: self.store_lost,
                 every_ms: interval.0,
+                sent_ms: self.now.0,
             };
             m.heartbeat_sent_at = self.now;
             m.announced_interval = interval;
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -4,10 +4,14 @@
 #[cfg(test)]
 mod joining_tests;
 mod lease_renewal;
+#[cfg(test)]
+mod lease_renewal_tests;
 mod membership;
 mod ownership_proof;
 #[cfg(test)]
 mod ownership_proof_tests;
+#[cfg(test)]
+mod test_owner;
 mod view;
 mod worker_calls;
 
@@ -23,7 +27,7 @@
 use crate::registry;
 use crate::shared::Shared;
 use crate::step_down::StepDown;
-use crate::wire::{OwnerInfo, Said};
+use crate::wire::{OwnerInfo, RenewalTerms, Said};
 use crate::writer::BatchOutcome;
 use hollowford_adapter::{Config, NodeSettings, Version, WorkerClient};
 use hollowford_core::Millis;
@@ -56,6 +60,8 @@
     pub info: OwnerInfo,
     /// Version of each lane's row.
     pub lanes: [Version; LANE_COUNT],
+    /// What the owner row says of leases.
+    pub terms: RenewalTerms,
     /// The engine, recovered from the stored rows.
     pub engine: Engine,
     /// Engine time minus process time, in milliseconds.
@@ -100,12 +106,13 @@
 impl Owner {
     /// Creates the owner from the recovered state.
     pub fn new(cx: PartitionContext, state: RecoveredState, handle: OwnerHandle) -> Owner {
-        let RecoveredState { info, lanes, engine, clock_offset, read_at } = state;
+        let RecoveredState { info, lanes, terms, engine, clock_offset, read_at } = state;
         let (shared, part) = (&cx.shared, cx.partition.part.clone());
         let step_down = StepDown::new(shared.clone(), info.epoch);
         let workers = shared.workers.with_fence(info.epoch);
         let delegation = Delegation::new(info.epoch, engine_time(shared, clock_offset));
-        let batches = Batches::new(shared.clone(), info.clone(), part, lanes, handle.clone());
+        let batches =
+            Batches::new(shared.clone(), info.clone(), part, lanes, terms, handle.clone());
         let ownership_proof = OwnershipProof::new(engine_time(shared, clock_offset));
         Owner {
             members: Members::new(info.clone(), shared.partition_count()),
@@ -248,7 +255,7 @@
         self.apply_config(now);
         self.cx.record_owner_contact();
         self.update_members(now);
-        self.check_confirmation(now);
+        self.check_lease_renewal(now);
         for outcome in self.delegation.take_overdue(inbox_is_empty, now) {
             self.handle_worker_answer(outcome, now);
         }
@@ -265,7 +272,7 @@
         self.refuse_unsent_jobs(now);
         let all_answered = self.step_down.since().is_some() && self.waiting_calls.is_empty();
         if !all_answered {
-            self.batches.write_next(&mut self.engine, now);
+            self.batches.write_next(&mut self.engine, &self.members, now);
         }
         self.waiting_calls.answer_expired(&mut self.engine, now);
         self.prove_ownership(now);
@@ -315,5 +322,10 @@
 
 /// Returns the engine time, which is `clock_offset` ahead of the process's clock.
 fn engine_time(shared: &Shared, clock_offset: i64) -> Millis {
-    Millis((shared.clock.now().0 as i64 + clock_offset).max(0) as u64)
+    to_engine_time(shared.clock.now(), clock_offset)
+}
+
+/// Converts a time of the process's clock, of which engine time is `clock_offset` ahead.
+fn to_engine_time(at: Millis, clock_offset: i64) -> Millis {
+    Millis((at.0 as i64 + clock_offset).max(0) as u64)
 }
--- a/crates/hollowford-node/src/owner/joining_tests.rs
+++ b/crates/hollowford-node/src/owner/joining_tests.rs
@@ -11,7 +11,7 @@
 use crate::link::Outbox;
 use crate::partition::PartitionContext;
 use crate::shared_tests::shared;
-use crate::wire::{Body, Frame, Hello};
+use crate::wire::{Body, Frame, Hello, RenewalTerms};
 use hollowford_core::Millis;
 use hollowford_jobs::Engine;
 use std::sync::Arc;
@@ -29,6 +29,7 @@
     let start = RecoveredState {
         info,
         lanes: [0; LANE_COUNT],
+        terms: RenewalTerms::default(),
         engine,
         clock_offset: 0,
         read_at: Millis(0),
--- a/crates/hollowford-node/src/owner/ownership_proof.rs
+++ b/crates/hollowford-node/src/owner/ownership_proof.rs
@@ -166,7 +166,8 @@
         // Store calls that were in flight during a pause have failed and say nothing of the store.
         let outage_known = self.ownership_proof.holds_since_pause() && self.is_store_unavailable();
         self.ownership_proof.answer_unproven(outage_known, now);
-        if self.ownership_proof.begin_read(now) {
+        let wanted_for_leases = self.lease_renewal.begin_read(now);
+        if self.ownership_proof.begin_read(now) || wanted_for_leases {
             let (cx, handle) = (self.cx.clone(), self.handle.clone());
             tokio::spawn(async move {
                 let owner = read_owner(&cx).await;
--- a/crates/hollowford-node/src/owner/ownership_proof_tests.rs
+++ b/crates/hollowford-node/src/owner/ownership_proof_tests.rs
@@ -4,59 +4,21 @@
 //! old state: 410 for a job that the new owner has accepted, or a state that no longer holds.
 #![allow(clippy::expect_used)]
 
-use super::{Owner, OwnerEnd, RecoveredState};
-use crate::inbox::{OwnerHandle, OwnerMsg, Reply};
-use crate::lane::LANE_COUNT;
-use crate::partition::PartitionContext;
-use crate::shared_tests::shared;
+use super::OwnerEnd;
+use super::test_owner::{EPOCH, QUEUE, STORED_JOB, TestOwner, spec};
+use crate::inbox::{OwnerMsg, Reply};
 use crate::wire::{Call, CallAnswer, OwnerInfo, Said, Verb};
-use hollowford_core::{Clock, Millis, Resources};
-use hollowford_jobs::{Engine, JobId, JobSpec, Queue, RawJob, RawStep, TimeLimits, encode_spec};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use tokio::sync::mpsc;
+use hollowford_core::Millis;
+use hollowford_jobs::encode_spec;
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
-const EPOCH: u64 = 2;
-const QUEUE: &str = "queue";
-const STORED_JOB: u64 = 1;
 const UNKNOWN_JOB: u64 = 2;
 /// The caller's time limit.
 const LIMIT: Millis = Millis(3_000);
 /// Longer than the silence after which members suspect an owner.
 const PAUSE: Millis = Millis(1_700);
 
-/// An owner with one stored job, on a clock that the test advances. Its store is never reached: the
-/// test tells it what the owner row names.
-struct TestOwner {
-    owner: Owner,
-    clock: &'static AtomicU64,
-    /// Kept open, so that the owner's reads can be reported.
-    rx: mpsc::Receiver<OwnerMsg>,
-}
-
 impl TestOwner {
-    fn new() -> TestOwner {
-        let clock: &AtomicU64 = Box::leak(Box::new(AtomicU64::new(10_000)));
-        let mut shared = shared();
-        shared.clock = Clock::new().shifted(clock);
-        shared.set_partitions(1);
-        shared.record_store_answer();
-        let partition = shared.partitions()[0].clone();
-        let cx = PartitionContext { shared: Arc::new(shared), partition };
-        let now = cx.shared.clock.now();
-        let info = cx.owner_info(EPOCH);
-        let engine = engine_with_stored_job(cx.shared.settings.time_limits, now);
-        let start =
-            RecoveredState { info, lanes: [0; LANE_COUNT], engine, clock_offset: 0, read_at: now };
-        let (handle, rx) = OwnerHandle::new();
-        TestOwner { owner: Owner::new(cx, start, handle), clock, rx }
-    }
-
-    fn pause(&self, time: Millis) {
-        self.clock.fetch_add(time.0, Ordering::Relaxed);
-    }
-
     /// Lets the store fail for this time, during which the owner runs.
     fn lose_store(&mut self, time: Millis) {
         let step = Millis(100);
@@ -81,45 +43,6 @@
         self.owner.handle_message(OwnerMsg::Call(call, Reply::Local(tx)));
         rx
     }
-
-    /// Reports that the owner row, read since `started_at`, names the owner at `epoch`.
-    fn report_row(&mut self, started_at: Millis, epoch: u64) {
-        let owner = Some(self.owner.cx.owner_info(epoch));
-        self.owner.handle_message(OwnerMsg::OwnerRowRead { started_at, owner });
-    }
-
-    fn now(&self) -> Millis {
-        self.owner.now()
-    }
-}
-
-fn engine_with_stored_job(limits: TimeLimits, now: Millis) -> Engine {
-    let mut engine = Engine::new(EPOCH, limits, now);
-    engine.set_queues(&[queue()], now);
-    engine.submit(JobId(STORED_JOB), "", QUEUE, Arc::new(spec()), now);
-    let batch = engine.next_batch(now).expect("a batch");
-    engine.batch_committed(batch.number, now);
-    assert!(engine.state(JobId(STORED_JOB)).is_some());
-    engine
-}
-
-fn spec() -> JobSpec {
-    let resources = Resources { cpu_milli: 100, ..Resources::default() };
-    let step = RawStep { count: 1, resources, estimate_ms: 100, ..RawStep::default() };
-    let raw = RawJob { steps: vec![step], ..RawJob::default() };
-    raw.try_into().expect("a valid job")
-}
-
-fn queue() -> Queue {
-    Queue {
-        name: QUEUE.into(),
-        pool: "pool".into(),
-        priority: 1,
-        max_attempts: 3,
-        stretch: 2.0,
-        slack: Millis(0),
-        advice: None,
-    }
 }
 
 fn said(rx: &mut oneshot::Receiver<CallAnswer>) -> Option<Said> {
--- a/crates/hollowford-node/src/owner_row.rs
+++ b/crates/hollowford-node/src/owner_row.rs
@@ -3,8 +3,9 @@
 use crate::lane::takeover_rows;
 use crate::link;
 use crate::partition::PartitionContext;
-use crate::wire::{Body, OwnerInfo, OwnerRow, WhoOwns};
+use crate::wire::{Body, OwnerInfo, OwnerRow, RenewalTerms, WhoOwns};
 use hollowford_adapter::{ExpectedVersion, Row, StoreError, Transaction, TxOutcome, Version};
+use hollowford_core::Millis;
 use prost::Message;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -28,20 +29,31 @@
         .ok()
 }
 
-/// Encodes the owner row, or the row of another lane, for a batch or a takeover.
-pub fn encode_owner(owner: &OwnerInfo, batch: u64) -> Vec<u8> {
-    OwnerRow { owner: Some(owner.clone()), batch }.encode_to_vec()
+/// The owner row as found by a process that may take over.
+#[derive(Clone, Debug)]
+pub struct FoundOwnerRow {
+    pub version: Version,
+    pub terms: RenewalTerms,
+    /// Reading of the store's clock.
+    pub store_now: Millis,
 }
 
 /// Reads the owner row; the inner option is `None` if the partition has never had an owner.
 async fn read_owner_row(cx: &PartitionContext) -> Result<Option<Row>, StoreError> {
+    read_owner_row_and_clock(cx).await.map(|(row, _)| row)
+}
+
+/// Does the same as [`read_owner_row`] and returns the reading of the store's clock, too.
+async fn read_owner_row_and_clock(
+    cx: &PartitionContext,
+) -> Result<(Option<Row>, Millis), StoreError> {
     let read =
         cx.shared.store.read(SYSTEM_TABLE, &cx.partition.part, OWNER_KEY, STORE_CALL_TIMEOUT).await;
     match &read {
         Ok(_) => cx.shared.record_store_answer(),
         Err(e) => log::debug!("owner.read failed error=\"{e}\""),
     }
-    read.map(|(row, _)| row)
+    read
 }
 
 /// Returns the owner that the owner row names. Returns `None` if the row can't be read.
@@ -80,7 +92,9 @@
     }
     // Most processes find an owner here, without the cost of a write.
     match read_owner_row(cx).await {
-        Ok(None) => take_over(cx, 0, 1, "first").await,
+        Ok(None) => {
+            take_over(cx, 0, 1, "first", RenewalTerms::default()).await;
+        }
         Ok(Some(row)) => {
             let owner = decode_owner(&row).and_then(|r| r.owner);
             if let Some(owner) = owner {
@@ -106,18 +120,20 @@
     }
 }
 
-/// Returns the version of the owner row. Returns `None` if the row can't be read, or names an owner
-/// newer than `info`, which is then recorded.
-pub async fn row_version_unless_newer(cx: &PartitionContext, info: &OwnerInfo) -> Option<Version> {
-    match read_owner_row(cx).await {
-        Ok(row) => {
+/// Returns the owner row. Returns `None` if the row can't be read, or names an owner newer than
+/// `info`, which is then recorded.
+pub async fn row_unless_newer(cx: &PartitionContext, info: &OwnerInfo) -> Option<FoundOwnerRow> {
+    match read_owner_row_and_clock(cx).await {
+        Ok((row, store_now)) => {
             let row = row?;
-            let owner = decode_owner(&row)?.owner?;
+            let OwnerRow { owner, terms, .. } = decode_owner(&row)?;
+            let owner = owner?;
             if owner.epoch > info.epoch {
                 cx.partition.record_owner(&owner);
                 return None;
             }
-            Some(row.version)
+            let terms = terms.unwrap_or_default();
+            Some(FoundOwnerRow { version: row.version, terms, store_now })
         }
         Err(_) => {
             ask_seeds(cx).await;
@@ -127,13 +143,19 @@
     }
 }
 
-/// Writes this process into the owner row if the row's version is still `rev`. If the store doesn't
-/// answer, the outcome shows when the row is next read.
-pub async fn take_over(cx: &PartitionContext, rev: Version, epoch: u64, cause: &str) {
+/// Writes this process into the owner row, with these terms, if the row's version is still `rev`.
+/// If the store doesn't answer, the outcome shows when the row is next read.
+pub async fn take_over(
+    cx: &PartitionContext,
+    rev: Version,
+    epoch: u64,
+    cause: &str,
+    terms: RenewalTerms,
+) {
     let info = cx.owner_info(epoch);
     let tx = Transaction {
         expect: vec![ExpectedVersion { key: OWNER_KEY.to_owned(), version: rev }],
-        put: takeover_rows(&info),
+        put: takeover_rows(&info, &terms),
         remove: Vec::new(),
     };
     match cx.shared.store.transact(SYSTEM_TABLE, &cx.partition.part, &tx, TAKEOVER_TIMEOUT).await {
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -5,11 +5,11 @@
 use crate::load::load;
 use crate::member::follow;
 use crate::owner::{Owner, OwnerEnd};
-use crate::owner_row::{RETRY_PAUSE, find_owner, row_version_unless_newer, take_over};
+use crate::owner_row::{FoundOwnerRow, RETRY_PAUSE, find_owner, row_unless_newer, take_over};
 use crate::partition::{PartitionContext, Route};
-use crate::takeover::{LeaveReason, OwnerChanges};
-use crate::wire::OwnerInfo;
-use hollowford_adapter::Version;
+use crate::takeover::{LeaveReason, OwnerChanges, earlier_leases_until};
+use crate::wire::{OwnerInfo, RenewalTerms};
+use hollowford_core::Millis;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -48,7 +48,7 @@
 
 /// Takes the partition over, unless another process does so first or the owner turns out to be
 /// alive.
-async fn try_takeover(
+pub async fn try_takeover(
     cx: &PartitionContext,
     info: &OwnerInfo,
     cause: LeaveReason,
@@ -62,18 +62,36 @@
     if let LeaveReason::HandedOver { rev } = cause
         && rev > 0
     {
-        return take_over(cx, rev, info.epoch + 1, cause.name()).await;
+        // An owner with anything to say about leases has the row read.
+        return take_over(cx, rev, info.epoch + 1, cause.name(), RenewalTerms::default()).await;
     }
     let handed_over = matches!(cause, LeaveReason::HandedOver { .. });
     if !handed_over && newer_owner_before_turn(cx, info, takeover_order).await {
         return;
     }
-    let Some(mut rev) = row_version_unless_newer(cx, info).await else { return };
+    let Some(mut row) = row_unless_newer(cx, info).await else { return };
     if cause == LeaveReason::Silent {
-        let Some(rechecked) = row_version_if_unchanged(cx, info, rev).await else { return };
-        rev = rechecked;
+        let Some(rechecked) = row_if_unchanged(cx, info, &row).await else { return };
+        row = rechecked;
     }
-    take_over(cx, rev, info.epoch + 1, cause.name()).await;
+    let terms = terms_of_takeover(cx, cause, &row);
+    take_over(cx, row.version, info.epoch + 1, cause.name(), terms).await;
+}
+
+/// Returns the terms with which this process takes over. They name no successors until members have
+/// joined.
+fn terms_of_takeover(
+    cx: &PartitionContext,
+    cause: LeaveReason,
+    row: &FoundOwnerRow,
+) -> RenewalTerms {
+    let lease = cx.shared.settings_changed.borrow().time_limits.lease;
+    let until = earlier_leases_until(&row.terms, cause, cx.shared.boot, lease, row.store_now);
+    if until > Millis(row.terms.earlier_leases_until_ms) {
+        let wait = until.since(row.store_now).0;
+        log::warn!("owner.unnamed partition={} waits_ms={wait}", cx.partition.number);
+    }
+    RenewalTerms { successors: Vec::new(), earlier_leases_until_ms: until.0 }
 }
 
 /// Waits for this member's turn to take over. Returns true if a newer owner appeared first.
@@ -88,16 +106,16 @@
     cx.newer_owner_within(info.epoch, wait).await
 }
 
-/// Reads the owner row again after a delay. Returns its version if it is still `rev`, and `None` if
-/// the owner has written the row since.
-async fn row_version_if_unchanged(
+/// Reads the owner row again after a delay. Returns it if its version is the same, and `None` if the
+/// owner has written the row since.
+async fn row_if_unchanged(
     cx: &PartitionContext,
     info: &OwnerInfo,
-    rev: Version,
-) -> Option<Version> {
+    row: &FoundOwnerRow,
+) -> Option<FoundOwnerRow> {
     sleep(RECHECK_DELAY).await;
-    let rechecked = row_version_unless_newer(cx, info).await?;
-    if rechecked != rev {
+    let rechecked = row_unless_newer(cx, info).await?;
+    if rechecked.version != row.version {
         log::info!("owner.alive epoch={} but silent on its link to this process", info.epoch);
         sleep(RETRY_PAUSE).await;
         return None;
--- /dev/null
+++ b/crates/hollowford-node/src/ownership_tests.rs
@@ -0,0 +1,93 @@
+//! What a process that takes over writes about leases of earlier owners, and what the next one
+//! learns of it.
+//!
+//! Guards against a process that waits too short a time for workers that it doesn't reach: an owner
+//! that didn't name it as a successor may still renew leases there.
+#![allow(clippy::expect_used)]
+
+use crate::lane::takeover_rows;
+use crate::load::load;
+use crate::owner_row::SYSTEM_TABLE;
+use crate::ownership::try_takeover;
+use crate::partition::PartitionContext;
+use crate::shared_tests::shared_with;
+use crate::takeover::{LeaveReason, MAX_STORE_CONFIRMATION_AGE};
+use crate::wire::{OwnerInfo, RenewalTerms};
+use hollowford_adapter::Transaction;
+use hollowford_adapter_standin::Platform;
+use std::sync::Arc;
+use std::time::Duration;
+use yare::parameterized;
+
+/// Far above what a call takes, because the machine may be busy.
+const TIMEOUT: Duration = Duration::from_secs(60);
+/// Random id of a process that is not under test.
+const OTHER_PROCESS: u64 = 7;
+
+async fn process(platform: &Platform) -> PartitionContext {
+    let shared = Arc::new(shared_with(Some(platform.addr())));
+    shared.set_partitions(1);
+    let partition = shared.partitions()[0].clone();
+    PartitionContext { shared, partition }
+}
+
+/// Stores an owner row with these terms and returns the owner.
+async fn store_owner(cx: &PartitionContext, terms: &RenewalTerms) -> OwnerInfo {
+    let info = OwnerInfo { boot: 1, address: "127.0.0.1:1".to_owned(), ..cx.owner_info(1) };
+    let put = takeover_rows(&info, terms);
+    let tx = Transaction { expect: Vec::new(), put, remove: Vec::new() };
+    let stored = cx.shared.store.transact(SYSTEM_TABLE, &cx.partition.part, &tx, TIMEOUT).await;
+    stored.expect("an answer");
+    info
+}
+
+/// Lets a process take over and returns until when leases of earlier owners may last, by the rows
+/// that it reads then, in milliseconds; 0 if no longer than usual.
+async fn earlier_leases_after_takeover(
+    cx: &PartitionContext,
+    earlier: &OwnerInfo,
+    cause: LeaveReason,
+) -> u64 {
+    try_takeover(cx, earlier, cause, &[]).await;
+    let info = cx.owner_info(earlier.epoch + 1);
+    let state = load(cx, &info).await.expect("the partition");
+    state.terms.earlier_leases_until_ms
+}
+
+#[parameterized(
+    unnamed_and_silent = { false, LeaveReason::Silent, true },
+    named_and_silent = { true, LeaveReason::Silent, false },
+    unnamed_and_ended = { false, LeaveReason::Gone, false },
+    unnamed_and_handed_over = { false, LeaveReason::HandedOver { rev: 0 }, false },
+)]
+fn only_a_process_that_a_silent_owner_did_not_name_waits_longer(
+    named: bool,
+    cause: LeaveReason,
+    waits_longer: bool,
+) {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    rt.expect("a runtime").block_on(async {
+        let platform = Platform::start(0).await.expect("the platform");
+        let cx = process(&platform).await;
+        let boot = if named { cx.shared.boot } else { OTHER_PROCESS };
+        let terms =
+            RenewalTerms { successors: vec![OTHER_PROCESS + 1, boot], ..Default::default() };
+        let earlier = store_owner(&cx, &terms).await;
+        let until = earlier_leases_after_takeover(&cx, &earlier, cause).await;
+        assert_eq!(until >= MAX_STORE_CONFIRMATION_AGE.0, waits_longer, "{until}");
+        assert_eq!(until > 0, waits_longer, "{until}");
+    });
+}
+
+// The one before the last may still renew leases.
+#[tokio::test]
+async fn the_wait_for_an_owner_before_the_last_one_is_kept() {
+    let platform = Platform::start(0).await.expect("the platform");
+    let first = process(&platform).await;
+    let silent = store_owner(&first, &RenewalTerms::default()).await;
+    let until = earlier_leases_after_takeover(&first, &silent, LeaveReason::Silent).await;
+    let second = process(&platform).await;
+    let ended = first.owner_info(2);
+    assert!(until > 0);
+    assert_eq!(earlier_leases_after_takeover(&second, &ended, LeaveReason::Gone).await, until);
+}
--- a/crates/hollowford-node/src/takeover.rs
+++ b/crates/hollowford-node/src/takeover.rs
@@ -10,11 +10,15 @@
 //! 2. A member without an owner waits according to its rank as a [`Candidate`] (see `ownership`):
 //!    members named by the last owner go first, then larger instances, then those that own fewer
 //!    partitions.
-//! 3. The owner row decides (see `owner_row`): it is written conditionally on the version that was
+//! 3. The process that takes over waits for tasks on workers that it doesn't reach, see
+//!    [`earlier_leases_until`].
+//! 4. The owner row decides (see `owner_row`): it is written conditionally on the version that was
 //!    read, and an owner that still writes it is alive.
 
+use crate::wire::RenewalTerms;
 use hollowford_adapter::Version;
 use hollowford_core::Millis;
+use hollowford_jobs::MIN_CLOCK_RATE_PERCENT;
 use std::collections::VecDeque;
 
 /// How often a member sends its heartbeat and checks on its owner, and the interval of the owner's
@@ -56,6 +60,9 @@
 /// work that may cause the next one.
 const FLAPPING_MIN_CHANGES: u64 = 4;
 
+/// An owner that the store has not confirmed for this long renews no lease, whoever follows it.
+pub const MAX_STORE_CONFIRMATION_AGE: Millis = Millis(30_000);
+
 /// A member's verdict on its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnerStatus {
@@ -125,6 +132,29 @@
     }
 }
 
+/// Returns until when leases of earlier owners may last, by the store's clock, if that may be longer
+/// than the usual time after a takeover. `terms` are those of the owner row that the process with
+/// the random id `boot` found at `now`, and `cause` is why it takes over.
+///
+/// Leases end in the usual time if the last owner has ended, or if it named the process as a
+/// successor and so has missed it. Otherwise it may renew them for as long as the members that it
+/// reaches follow it.
+pub fn earlier_leases_until(
+    terms: &RenewalTerms,
+    cause: LeaveReason,
+    boot: u64,
+    lease: Millis,
+    now: Millis,
+) -> Millis {
+    let has_ended = matches!(cause, LeaveReason::Gone | LeaveReason::HandedOver { .. });
+    let earlier = Millis(terms.earlier_leases_until_ms);
+    if has_ended || terms.successors.contains(&boot) {
+        return earlier;
+    }
+    let longest_ms = (MAX_STORE_CONFIRMATION_AGE + lease).0 * 100 / MIN_CLOCK_RATE_PERCENT;
+    earlier.max(now + Millis(longest_ms))
+}
+
 /// Why a member left its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaveReason {
--- a/crates/hollowford-node/src/wire.rs
+++ b/crates/hollowford-node/src/wire.rs
@@ -109,6 +109,9 @@
     /// Availability zone of the process.
     #[prost(string, tag = "5")]
     pub zone: String,
+    /// Random id of the process; 0 if the sender doesn't tell it.
+    #[prost(uint64, tag = "6")]
+    pub boot: u64,
 }
 
 /// The owner of a partition in one epoch.
@@ -172,6 +175,9 @@
     /// Time since the owner read the configuration in the store, in milliseconds.
     #[prost(uint64, tag = "6")]
     pub config_age_ms: u64,
+    /// When it was sent, by the owner's clock, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub sent_ms: u64,
 }
 
 /// A member's heartbeat.
@@ -192,6 +198,9 @@
     /// Number of partitions that the process owns.
     #[prost(uint32, tag = "5")]
     pub owned: u32,
+    /// [`Heartbeat::sent_ms`] of the last heartbeat received over this link; 0 if there was none.
+    #[prost(uint64, tag = "6")]
+    pub echoed_ms: u64,
 }
 
 /// A request to call the advice service.
@@ -243,4 +252,20 @@
     /// Number of the last batch committed in the lane, or 0 after a takeover.
     #[prost(uint64, tag = "2")]
     pub batch: u64,
+    /// Only in the owner row.
+    #[prost(message, optional, tag = "3")]
+    pub terms: Option<RenewalTerms>,
+}
+
+/// From what the next owner concludes how long workers that it doesn't reach may run tasks.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RenewalTerms {
+    /// Random ids of the designated successors: while the store doesn't confirm the ownership, the
+    /// owner renews leases only as long as all of them follow it.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub successors: Vec<u64>,
+    /// Until when earlier owners' leases may last, by the store's clock in milliseconds; 0 if they
+    /// end within the usual time.
+    #[prost(uint64, tag = "2")]
+    pub earlier_leases_until_ms: u64,
 }
--- a/crates/hollowford-node/src/writer.rs
+++ b/crates/hollowford-node/src/writer.rs
@@ -1,16 +1,17 @@
 //! Writes each batch to the store exactly once.
 
 use crate::lane::lane_key;
-use crate::owner_row::{SYSTEM_TABLE, decode_owner, encode_owner};
+use crate::owner_row::{SYSTEM_TABLE, decode_owner};
 use crate::retries::Retries;
 use crate::shared::Shared;
-use crate::wire::OwnerInfo;
+use crate::wire::{OwnerInfo, OwnerRow, RenewalTerms};
 use futures::StreamExt;
 use futures::future::FutureExt;
 use futures::stream::FuturesUnordered;
 use hollowford_adapter::{ExpectedVersion, Row, StoreError, Transaction, TxOutcome, Version};
 use hollowford_core::Millis;
 use hollowford_jobs::Batch;
+use prost::Message;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -51,6 +52,8 @@
     pub lane: usize,
     /// Version of the lane's row that the batch requires.
     pub rev: Version,
+    /// What the owner row says of leases; `None` in other lanes.
+    pub terms: Option<RenewalTerms>,
     pub batch: Batch,
     /// How long to wait for an answer before reading the lane's row.
     pub read_delay: Millis,
@@ -171,10 +174,11 @@
 }
 
 pub(crate) fn transaction(batch_write: &BatchWrite) -> Transaction {
-    let BatchWrite { owner, lane, rev, batch, .. } = batch_write;
+    let BatchWrite { owner, lane, rev, terms, batch, .. } = batch_write;
+    let row = OwnerRow { owner: Some(owner.clone()), batch: batch.number, terms: terms.clone() };
     let key = lane_key(*lane);
     let expect = vec![ExpectedVersion { key: key.clone(), version: *rev }];
-    let mut put = vec![(key, encode_owner(owner, batch.number))];
+    let mut put = vec![(key, row.encode_to_vec())];
     let mut remove = Vec::new();
     for row in &batch.rows {
         match &row.value {
--- a/crates/hollowford-node/src/writer_tests.rs
+++ b/crates/hollowford-node/src/writer_tests.rs
@@ -5,7 +5,7 @@
 use crate::owner_row::SYSTEM_TABLE;
 use crate::shared::Shared;
 use crate::shared_tests::shared_with;
-use crate::wire::OwnerInfo;
+use crate::wire::{OwnerInfo, RenewalTerms};
 use crate::writer::{BatchOutcome, BatchWrite, transaction, write};
 use futures::future::join_all;
 use hollowford_adapter::{ExpectedVersion, Transaction, TxOutcome, Version};
@@ -52,7 +52,11 @@
     async fn take_over(&self, owner: &OwnerInfo) -> [Version; LANE_COUNT] {
         let (_, before) = self.read().await;
         let expect = vec![ExpectedVersion { key: crate::lane::lane_key(0), version: before[0] }];
-        let tx = Transaction { expect, put: takeover_rows(owner), remove: Vec::new() };
+        let tx = Transaction {
+            expect,
+            put: takeover_rows(owner, &RenewalTerms::default()),
+            remove: Vec::new(),
+        };
         assert!(matches!(self.transact(&tx).await, TxOutcome::Committed(_)));
         self.read().await.1
     }
@@ -72,7 +76,15 @@
     let rows = vec![row(format!("last/{lane}")), row(format!("batch/{}/{number}", owner.epoch))];
     let batch = Batch { number, rows };
     let read_delay = Millis(150);
-    BatchWrite { part: PART.to_owned(), owner: owner.clone(), lane, rev, batch, read_delay }
+    BatchWrite {
+        part: PART.to_owned(),
+        owner: owner.clone(),
+        lane,
+        rev,
+        terms: None,
+        batch,
+        read_delay,
+    }
 }
 
 fn rev_of(outcome: &BatchOutcome) -> Version {
