--- a/crates/hollowford-node/src/owner/lease_renewal.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal.rs
@@ -26,6 +26,9 @@
 const IDLE_READ_AGE: Millis = Millis(10_000);
 /// Minimum time between two such reads.
 const MIN_READ_INTERVAL: Millis = Millis(500);
+/// How often it is checked whether leases may be renewed, unless the store has just confirmed the
+/// ownership. The slack in the next owner's wait covers it.
+const CHECK_INTERVAL: Millis = Millis(20);
 
 /// What confirms that this process owns the partition. All times are engine time.
 #[derive(Debug)]
@@ -35,6 +38,7 @@
     /// When all named successors followed this owner.
     successors_followed_at: Millis,
     next_read_at: Millis,
+    next_check_at: Millis,
     /// Since when no leases have been renewed; `None` while they are.
     suspended_since: Option<Millis>,
 }
@@ -46,6 +50,7 @@
             store_confirmed_at: read_at,
             successors_followed_at: read_at,
             next_read_at: read_at,
+            next_check_at: read_at,
             suspended_since: None,
         }
     }
@@ -53,6 +58,7 @@
     /// Records that a store call begun at `started_at` has confirmed the ownership.
     pub fn record_store_confirmation(&mut self, started_at: Millis) {
         self.store_confirmed_at = self.store_confirmed_at.max(started_at);
+        self.next_check_at = started_at;
     }
 
     fn is_allowed(&self, now: Millis) -> bool {
@@ -78,6 +84,10 @@
 impl Owner {
     /// Decides whether leases are renewed and tasks started until the next check, and logs changes.
     pub(super) fn check_lease_renewal(&mut self, now: Millis) {
+        if now < self.lease_renewal.next_check_at {
+            return;
+        }
+        self.lease_renewal.next_check_at = now + CHECK_INTERVAL;
         let named = self.batches.named_successors();
         let followed_at = self.members.successors_followed_at(&named);
         let followed_at = followed_at.min(self.cx.shared.clock.now());
