--- a/crates/hollowford-node/src/members/successors.rs
+++ b/crates/hollowford-node/src/members/successors.rs
@@ -50,23 +50,23 @@
     /// forgotten.
     pub fn successors_followed_at(&mut self, named: &[u64]) -> Millis {
         self.departed.retain(|d| named.contains(&d.boot));
-        let linked = self.list.iter().map(|m| (m.boot, m.followed_at, m.stopping));
-        let departed = self.departed.iter().map(|d| (d.boot, d.followed_at, d.stopping));
-        let may_take_over =
-            |&(boot, _, stopping): &(u64, Millis, bool)| !stopping && named.contains(&boot);
-        let followed_at = linked.chain(departed).filter(may_take_over).map(|(_, at, _)| at);
-        followed_at.min().unwrap_or(Millis::MAX)
+        self.last_contacts(named).map(|(followed_at, _)| followed_at).min().unwrap_or(Millis::MAX)
     }
 
     /// Returns the addresses of the `named` processes that may take over and are not known to have
     /// followed this owner since `since`.
     pub fn silent_successors(&self, named: &[u64], since: Millis) -> Vec<&str> {
-        let linked = self.list.iter().map(|m| (m.boot, m.followed_at, m.stopping, &*m.address));
-        let departed =
-            self.departed.iter().map(|d| (d.boot, d.followed_at, d.stopping, &*d.address));
-        let silent = linked.chain(departed).filter(|&(boot, followed_at, stopping, _)| {
-            !stopping && named.contains(&boot) && followed_at < since
-        });
-        silent.map(|(.., address)| address).collect()
+        let silent = self.last_contacts(named).filter(|&(followed_at, _)| followed_at < since);
+        silent.map(|(_, address)| address).collect()
+    }
+
+    /// Returns, for each of the `named` processes that may take over, when it is known to have
+    /// followed this owner, and its address.
+    fn last_contacts(&self, named: &[u64]) -> impl Iterator<Item = (Millis, &str)> {
+        let may_take_over = move |boot, stopping: bool| !stopping && named.contains(&boot);
+        let linked = self.list.iter().filter(move |m| may_take_over(m.boot, m.stopping));
+        let departed = self.departed.iter().filter(move |d| may_take_over(d.boot, d.stopping));
+        let linked = linked.map(|m| (m.followed_at, &*m.address));
+        linked.chain(departed.map(|d| (d.followed_at, &*d.address)))
     }
 }
--- a/crates/hollowford-node/src/owner/lease_renewal_tests.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal_tests.rs
@@ -219,6 +219,17 @@
     assert!(t.renews_leases());
 }
 
+#[tokio::test]
+async fn a_commit_confirms_the_ownership() {
+    let (mut t, _rxs) = TestOwner::with_successors();
+    t.owner.handle_message(OwnerMsg::Left(2));
+    t.join(3, 3);
+    t.run(Millis(4_000), &[]);
+    assert!(!t.renews_leases());
+    t.commit_batches();
+    assert!(t.renews_leases());
+}
+
 // The first poll after a pause comes before anything that tells of the next owner.
 #[tokio::test]
 async fn after_a_pause_leases_are_renewed_only_once_the_ownership_is_confirmed() {
