--- a/crates/hollowford-node/src/owner/lease_renewal_tests.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal_tests.rs
@@ -9,7 +9,7 @@
 use crate::calls::AnswerTiming;
 use crate::inbox::OwnerMsg;
 use crate::link::Outbox;
-use crate::wire::{Frame, Hello, MemberBeat};
+use crate::wire::{Frame, Hello, MemberBeat, RenewalTerms};
 use crate::writer::BatchOutcome;
 use hollowford_adapter::WorkerAnswer;
 use hollowford_core::{Millis, Resources};
@@ -298,6 +298,19 @@
     assert!(t.renews_leases());
 }
 
+// An owner of two takeovers ago may still renew leases. Its end isn't told with a hand-over.
+#[tokio::test]
+async fn an_owner_that_waits_for_earlier_ones_has_the_next_one_read_that() {
+    for (earlier_leases_until_ms, reads) in [(0, false), (50_000, true)] {
+        let terms = RenewalTerms { earlier_leases_until_ms, ..RenewalTerms::default() };
+        let mut t = TestOwner::with_terms(terms);
+        for _ in 0..2 {
+            assert_eq!(t.owner.batches.stable_owner_rev().is_none(), reads);
+            t.commit_batches();
+        }
+    }
+}
+
 // A calm day must not cost reads.
 #[tokio::test]
 async fn an_owner_whose_successors_follow_rarely_reads_the_owner_row() {
--- a/crates/hollowford-node/src/owner/test_owner.rs
+++ b/crates/hollowford-node/src/owner/test_owner.rs
@@ -28,6 +28,11 @@
 
 impl TestOwner {
     pub fn new() -> TestOwner {
+        TestOwner::with_terms(RenewalTerms::default())
+    }
+
+    /// Creates an owner that has taken over with these terms.
+    pub fn with_terms(terms: RenewalTerms) -> TestOwner {
         let clock: &AtomicU64 = Box::leak(Box::new(AtomicU64::new(10_000)));
         let mut shared = shared();
         shared.clock = Clock::new().shifted(clock);
@@ -41,7 +46,7 @@
         let start = RecoveredState {
             info,
             lanes: [0; LANE_COUNT],
-            terms: RenewalTerms::default(),
+            terms,
             engine,
             clock_offset: 0,
             read_at: now,
