--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -49,6 +49,8 @@
 mod members_tests;
 mod metrics;
 mod node;
+#[cfg(test)]
+mod odd_entries_tests;
 mod owner;
 mod owner_row;
 mod ownership;
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -214,7 +214,7 @@
 
     /// Waits for a change in the store, or reads the whole list if that is due. Returns the
     /// changes.
-    async fn read_store(&mut self, shared: &Shared) -> Result<WorkerChanges, StoreError> {
+    pub async fn read_store(&mut self, shared: &Shared) -> Result<WorkerChanges, StoreError> {
         let now = shared.clock.now();
         let from = self.version;
         if self.version == 0 || self.is_read_due(now) {
