node: a rack label with numbers that are too large doesn't stop the worker list

Callers: in a build that checks arithmetic, one entry of the list of workers whose rack label holds a number near 2^64 and another number ended the task that follows the list. The owner then learned of no new worker and of none that left. Release builds don't check and were not affected.

Cause: a worker's partition is the sum of the numbers in its rack label, which any program may write, and the sum wasn't meant to overflow.

Fix: the sum wraps, which is what release builds compute, so processes of both kinds of build and of earlier releases agree.

Test: names_with_numbers_that_are_too_large_are_assigned; before the fix "attempt to add with overflow".

--- a/crates/hollowford-node/src/assignment.rs
+++ b/crates/hollowford-node/src/assignment.rs
@@ -64,7 +64,9 @@
 fn assign_by_number(name: &str, partitions: u32) -> u32 {
     let digits = name.split(|c: char| !c.is_ascii_digit()).filter(|d| !d.is_empty());
     let numbers: Vec<u64> = digits.filter_map(|d| d.parse().ok()).collect();
-    let n = if numbers.is_empty() { hash(&name) } else { numbers.iter().sum() };
+    // Wraps, as sums in release builds always have: all processes must agree.
+    let sum = || numbers.iter().fold(0, |sum: u64, n| sum.wrapping_add(*n));
+    let n = if numbers.is_empty() { hash(&name) } else { sum() };
     (n % u64::from(partitions.max(1))) as u32
 }
 
--- a/crates/hollowford-node/src/assignment_tests.rs
+++ b/crates/hollowford-node/src/assignment_tests.rs
@@ -63,6 +63,16 @@
     assert!(partition_of_worker(&worker(&["rack-of-the-north"], "10.0.0.1:1"), 7) < 7);
 }
 
+// A number that is too large made the task that follows the list panic.
+#[test]
+fn names_with_numbers_that_are_too_large_are_assigned() {
+    let max = u64::MAX;
+    for rack in [format!("r{max}-1"), format!("r{max}-{max}"), format!("r{max}0-1")] {
+        assert!(partition_of_worker(&worker(&["a", &rack], "10.0.0.1:1"), 7) < 7, "{rack}");
+    }
+    assert!(advice_partition(&format!("{max}.{max}:1"), 7) < 7);
+}
+
 /// Returns `racks` racks of eight workers of a pool, every other one with the label `b`.
 fn pool(name: &str, racks: usize) -> Vec<WorkerListing> {
     let of_rack = |rack: usize| {
