adapter: an entry that can't be called is not a worker's

Callers: nothing was seen. An entry of another writer with port 0, with an address that denotes no single machine, with an id that no call can carry, or with an array in place of an object was taken for a worker. Its owner counted it and called it again and again; with 0.0.0.0 the calls went to whatever listens on the caller's own machine. None of these could get tasks unless the program there answered as a worker does.

Cause: the address was any socket address, the id any text, and the derived decoders accept an array for a structure and {"ready":null} for a state.

--- a/crates/hollowford-node/src/odd_entries_tests.rs
+++ b/crates/hollowford-node/src/odd_entries_tests.rs
@@ -8,7 +8,7 @@
 use crate::shared_tests::shared_with;
 use hollowford_adapter::{OPERATOR_TABLE, StoreError};
 use hollowford_adapter_standin::Platform;
-use hollowford_adapter_standin::odd_rows::undecodable_values;
+use hollowford_adapter_standin::odd_rows::{undecodable_values, unusable_worker_rows};
 use hollowford_core::Millis;
 use serde_json::json;
 use std::sync::Arc;
@@ -54,6 +54,23 @@
     }
 }
 
+#[tokio::test]
+async fn an_entry_that_is_no_workers_names_none_and_leaves_the_other_workers_on_the_list() {
+    for row in unusable_worker_rows() {
+        let text = String::from_utf8_lossy(&row[..row.len().min(300)]);
+        let store = Store::start().await;
+        store.platform.write_raw_worker_row("odd", &row);
+        let mut list = Registry::new(Millis(0));
+        list.read_store(&store.shared).await.expect("the whole list");
+        assert_eq!(store.ids(&list), ["w0", "w1"], "{text}");
+
+        store.platform.write_raw_worker_row("w1", &row);
+        store.platform.add_worker("w2", 2).expect("a worker");
+        list.read_store(&store.shared).await.expect("the feed");
+        assert_eq!(store.ids(&list), ["w0", "w2"], "{text}");
+    }
+}
+
 // The processes of a new cell never learned the number of partitions, and served nothing.
 #[tokio::test]
 async fn an_entry_that_is_not_base64_does_not_keep_a_cell_from_starting() {
