node: entries of other programs don't decide the number of partitions

Callers: one entry of another writer that was in the list before the workers started gave a new cell a single partition, for good.

Cause: the process that counts the workers waited until the number of rows was the same for 1.2 s. One odd row is such a number; the plan was then made from no worker at all, and it is never made again.

Fix: only workers of the configuration's pools are counted, as they are when the plan is made. Their malformed rows are logged by the owner that follows the list.

Test: entries_of_other_programs_are_not_counted_as_workers; before the fix Ok(1) in place of Ok(2) partitions.

--- a/crates/hollowford-node/src/plan.rs
+++ b/crates/hollowford-node/src/plan.rs
@@ -178,26 +178,31 @@
     let (mut count, mut since) = (0, shared.clock.now());
     loop {
         let feed = shared.store.read_all(REGISTRY_TABLE, "", STORE_CALL_TIMEOUT).await?;
+        let workers = usable_workers(shared, &feed.rows);
         let now = shared.clock.now();
-        if feed.rows.len() != count {
-            (count, since) = (feed.rows.len(), now);
+        if workers.len() != count {
+            (count, since) = (workers.len(), now);
         }
         let stable = count > 0 && now.since(since) >= STABLE_COUNT_TIME;
         if stable || now.since(started_at) >= MAX_COUNT_TIME {
-            let config = shared.config.load_full();
-            // A pool known only from another writer's rows would otherwise be required in each
-            // partition.
-            let in_named_pool =
-                |l: &WorkerListing| config.as_ref().is_none_or(|c| c.has_pool(&l.pool));
-            return Ok(feed.rows.iter().filter_map(decode_worker).filter(in_named_pool).collect());
+            return Ok(workers);
         }
         sleep(COUNT_INTERVAL).await;
     }
 }
 
+/// Returns the workers among the rows of the list. Other programs write to it, too: a pool known
+/// only from their rows would otherwise be required in each partition.
+fn usable_workers(shared: &Shared, rows: &[Row]) -> Vec<WorkerListing> {
+    let config = shared.config.load_full();
+    let in_named_pool = |l: &WorkerListing| config.as_ref().is_none_or(|c| c.has_pool(&l.pool));
+    rows.iter().filter_map(decode_worker).filter(in_named_pool).collect()
+}
+
+/// Decodes a row. The owner that follows the list logs malformed ones.
 fn decode_worker(row: &Row) -> Option<WorkerListing> {
     decode_listing(&row.key, &row.value)
-        .inspect_err(|e| log::error!("worker.malformed worker={} error=\"{e}\"", row.key))
+        .inspect_err(|e| log::debug!("worker.malformed worker={:?} error=\"{e}\"", row.key))
         .ok()
 }
 
--- a/crates/hollowford-node/src/plan_tests.rs
+++ b/crates/hollowford-node/src/plan_tests.rs
@@ -5,16 +5,22 @@
 use crate::owner_row::SYSTEM_TABLE;
 use crate::plan::{CountingRole, DEFAULT_WORKERS_PER_PARTITION, PLAN_PART, PlanLearner, learn};
 use crate::shared_tests::shared_with;
+use futures::FutureExt;
 use futures::future::join_all;
 use hollowford_adapter::{Row, Transaction};
-use hollowford_adapter_standin::Platform;
+use hollowford_adapter_standin::formats::worker_row;
+use hollowford_adapter_standin::{Platform, odd_rows};
 use hollowford_core::Millis;
+use std::num::NonZeroUsize;
 use std::time::Duration;
+use tokio::time::{sleep, timeout};
 
 /// Far above what a call takes, since the machine may be busy.
 const TIMEOUT: Duration = Duration::from_secs(60);
 /// One process reads the list every 0.4 s for at most 6 s.
 const MAX_READS_OF_COUNTER: u64 = 16;
+/// Reads of an unchanged list after which the number of workers counts as stable.
+const READS_UNTIL_STABLE: u64 = 4;
 
 async fn learn_in_processes(platform: &Platform, processes: usize) -> Vec<u32> {
     let learners = (0..processes).map(|_| async {
@@ -80,3 +86,28 @@
     let role = learner.counting_role(&[counter_row(0)], &[9], started_at + Millis(8_000));
     assert_eq!(role, CountingRole::Counter, "a failed counter is not waited for forever");
 }
+
+// Another program's entry was there before the workers started. It was counted as a worker whose
+// number was stable, and the cell got one partition for good.
+#[tokio::test]
+async fn entries_of_other_programs_are_not_counted_as_workers() {
+    let platform = Platform::start(0).await.expect("the platform");
+    let odd_rows = odd_rows::unusable_worker_rows();
+    for (i, row) in odd_rows.iter().enumerate() {
+        platform.write_raw_worker_row(&format!("odd{i}"), row);
+    }
+    let shared = shared_with(Some(platform.addr()));
+    let two_workers = NonZeroUsize::new(2).expect("a number");
+    let workers_start = async {
+        while platform.store_stats().list_reads < READS_UNTIL_STABLE {
+            sleep(Duration::from_millis(5)).await;
+        }
+        for i in 0..4 {
+            let row = worker_row("127.0.0.1:9", "z", &["a", &format!("r{i}")], false);
+            platform.write_raw_worker_row(&format!("w{i}"), row.to_string().as_bytes());
+        }
+    };
+    let learned = timeout(TIMEOUT, learn(&shared, two_workers));
+    let ((), learned) = tokio::join!(timeout(TIMEOUT, workers_start).map(|_| ()), learned);
+    assert_eq!(learned, Ok(2));
+}
