--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -244,10 +244,14 @@
         self.settled_at = self.settled_at.max(until);
     }
 
+    /// Returns when this owner stops waiting for workers that it hasn't claimed.
+    pub fn settles_at(&self) -> Millis {
+        self.settled_at
+    }
+
     /// Sets whether leases at workers are renewed and tasks started. Both stop while it is not
     /// certain that this owner hasn't been replaced.
     pub fn set_lease_renewal(&mut self, allowed: bool) {
-        self.needs_pass |= allowed && !self.renews_leases;
         self.renews_leases = allowed;
     }
 
--- a/crates/hollowford-jobs/tests/cut_off_owner.rs
+++ b/crates/hollowford-jobs/tests/cut_off_owner.rs
@@ -131,9 +131,41 @@
     cell.engine.set_lease_renewal(false);
     cell.submit(1, QUICK, job(vec![step(1, 1_000, ENDLESS_MS)]));
     cell.run(1_000);
+    assert_eq!(cell.engine.stats().started, 0, "no room is taken either");
+    cell.engine.set_lease_renewal(true);
+    cell.run(100);
+    assert_eq!(cell.total_starts(), 1);
+}
+
+/// Polls the engine until it starts a task, and loses that order.
+fn lose_next_start(cell: &mut TestCell) {
+    for _ in 0..100 {
+        cell.now = cell.now + Millis(5);
+        for order in cell.poll() {
+            match order {
+                Order::Worker { call: WorkerCall::Start { worker, task, run, .. }, .. } => {
+                    let (answer, now) = (StartAnswer::Unanswered, cell.now);
+                    cell.engine.start_answered(&worker, (task, run), answer, now, now);
+                    return;
+                }
+                other => cell.execute_all(vec![other]),
+            }
+        }
+        cell.write_batches();
+    }
+    panic!("no task is started");
+}
+
+#[test]
+fn a_start_without_an_answer_is_not_repeated_while_leases_are_not_renewed() {
+    let mut cell = TestCell::new(1);
+    cell.submit(1, QUICK, job(vec![step(1, 1_000, ENDLESS_MS)]));
+    lose_next_start(&mut cell);
+    cell.engine.set_lease_renewal(false);
+    cell.run(1_000);
     assert_eq!(cell.total_starts(), 0);
     cell.engine.set_lease_renewal(true);
-    cell.run(10);
+    cell.run(1_000);
     assert_eq!(cell.total_starts(), 1);
 }
 
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -72,12 +72,14 @@
     if cx.shared.had_outage_within(RECENT_OUTAGE_WINDOW) {
         engine.set_store_outage_before();
     }
+    let feed_now = feed.now;
     let rows: Vec<_> = feed.rows.into_iter().map(|r| (r.key, r.value)).collect();
-    match engine.recover(&rows, feed.now) {
+    match engine.recover(&rows, feed_now) {
         Ok(recovered) => log::info!(
-            "owner.recovered partition={} epoch={} {recovered:?}",
+            "owner.recovered partition={} epoch={} settles_in_ms={} {recovered:?}",
             info.partition,
-            info.epoch
+            info.epoch,
+            engine.settles_at().since(feed_now).0
         ),
         Err(e) => {
             log::error!("owner.recover failed epoch={} error=\"{e}\"", info.epoch);
--- a/crates/hollowford-node/src/ownership_tests.rs
+++ b/crates/hollowford-node/src/ownership_tests.rs
@@ -51,7 +51,9 @@
     try_takeover(cx, earlier, cause, &[]).await;
     let info = cx.owner_info(earlier.epoch + 1);
     let state = load(cx, &info).await.expect("the partition");
-    state.terms.earlier_leases_until_ms
+    let until = state.terms.earlier_leases_until_ms;
+    assert!(state.engine.settles_at().0 >= until);
+    until
 }
 
 #[parameterized(
