node: the longer wait for a silent owner's leases ends once another process answers at its address

All instances of a cell may lose power together. The bound on confirmations includes the interval at which it is checked.

--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -244,6 +244,11 @@
         self.settled_at = self.settled_at.max(until);
     }
 
+    /// Records that the earlier owner that might have gone on renewing leases has ended.
+    pub fn earlier_owner_ended(&mut self, now: Millis) {
+        self.settled_at = self.settled_at.min(now + self.time_limits.previous_lease);
+    }
+
     /// Returns when this owner stops waiting for workers that it hasn't claimed.
     pub fn settles_at(&self) -> Millis {
         self.settled_at
--- a/crates/hollowford-node/src/batches.rs
+++ b/crates/hollowford-node/src/batches.rs
@@ -124,6 +124,14 @@
         self.start_writing(lane, batch);
     }
 
+    /// Records that the leases of earlier owners end within the usual time.
+    pub fn forget_earlier_leases(&mut self) {
+        self.terms.earlier_leases_until_ms = 0;
+        if let Some(terms) = &mut self.terms_in_flight {
+            terms.earlier_leases_until_ms = 0;
+        }
+    }
+
     /// Returns the random ids of the processes that the owner row names as successors, now or once
     /// a batch in flight is committed.
     pub fn named_successors(&self) -> Vec<u64> {
--- a/crates/hollowford-node/src/inbox.rs
+++ b/crates/hollowford-node/src/inbox.rs
@@ -55,6 +55,8 @@
         /// The owner that the row names; `None` if the read failed.
         owner: Option<OwnerInfo>,
     },
+    /// The last owner, which was silent when this one took over, has ended.
+    EarlierOwnerEnded,
     /// The current list of workers.
     WorkerList(Vec<WorkerListing>),
     /// Changes of the list of workers, to be sent on to the owners of other partitions.
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -201,6 +201,10 @@
             OwnerMsg::OwnerRowRead { started_at, owner } => {
                 self.handle_owner_row(started_at, owner, now);
             }
+            OwnerMsg::EarlierOwnerEnded => {
+                self.engine.earlier_owner_ended(now);
+                self.batches.forget_earlier_leases();
+            }
             OwnerMsg::WorkerList(list) => {
                 self.delegation.set_workers(&list);
                 self.engine.set_worker_list(&list, now);
--- a/crates/hollowford-node/src/owner/lease_renewal.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal.rs
@@ -17,7 +17,7 @@
 use hollowford_core::Millis;
 
 /// Leases may be renewed for this long after a confirmation. The next owner's wait includes it.
-const MAX_CONFIRMATION_AGE: Millis = OWNER_ISOLATION_TIMEOUT;
+const MAX_CONFIRMATION_AGE: Millis = Millis(OWNER_ISOLATION_TIMEOUT.0 - CHECK_INTERVAL.0);
 /// The owner row is read if neither the store nor the successors have confirmed the ownership for
 /// this long.
 const READ_AGE: Millis = Millis(700);
@@ -27,7 +27,7 @@
 /// Minimum time between two such reads.
 const MIN_READ_INTERVAL: Millis = Millis(500);
 /// How often it is checked whether leases may be renewed, unless the store has just confirmed the
-/// ownership. The slack in the next owner's wait covers it.
+/// ownership.
 const CHECK_INTERVAL: Millis = Millis(20);
 
 /// What confirms that this process owns the partition. All times are engine time.
--- a/crates/hollowford-node/src/owner/lease_renewal_tests.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal_tests.rs
@@ -311,6 +311,18 @@
     }
 }
 
+#[tokio::test]
+async fn an_owner_settles_in_the_usual_time_once_the_earlier_one_has_ended() {
+    let until = 60_000;
+    let terms = RenewalTerms { earlier_leases_until_ms: until, ..RenewalTerms::default() };
+    let mut t = TestOwner::with_terms(terms);
+    t.owner.engine.set_earlier_leases_until(Millis(until));
+    t.owner.handle_message(OwnerMsg::EarlierOwnerEnded);
+    let usual = t.owner.cx.shared.settings.time_limits.previous_lease;
+    assert!(t.owner.engine.settles_at() <= t.now() + usual);
+    assert!(t.owner.batches.stable_owner_rev().is_some());
+}
+
 // A calm day must not cost reads.
 #[tokio::test]
 async fn an_owner_whose_successors_follow_rarely_reads_the_owner_row() {
--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -1,26 +1,31 @@
 //! Ownership of one partition: following its owner, taking over from it, or being the owner.
 
 use crate::announce::announce;
-use crate::inbox::OwnerHandle;
+use crate::inbox::{OwnerHandle, OwnerMsg};
+use crate::link;
 use crate::load::load;
 use crate::member::follow;
 use crate::owner::{Owner, OwnerEnd};
 use crate::owner_row::{FoundOwnerRow, RETRY_PAUSE, find_owner, row_unless_newer, take_over};
 use crate::partition::{PartitionContext, Route};
 use crate::takeover::{LeaveReason, OwnerChanges, earlier_leases_until};
-use crate::wire::{OwnerInfo, RenewalTerms};
+use crate::wire::{Body, OwnerInfo, RenewalTerms, WhoOwns};
 use hollowford_core::Millis;
 use std::time::Duration;
 use tokio::time::sleep;
 
 /// Time between two reads of the row of a silent owner that may still be alive.
 const RECHECK_DELAY: Duration = Duration::from_millis(120);
+/// Time limit of a question to the process at a silent owner's address, and the pause after it.
+const EARLIER_OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Follows the partition's owner, or makes this process the owner, for as long as the process runs.
 pub async fn run(cx: PartitionContext) {
     // Kept across owners: a new owner may fail before it names any members.
     let mut takeover_order = Vec::new();
     let mut changes = OwnerChanges::default();
+    // The silent owner that didn't name this process as a successor when it took over.
+    let mut silent_owner = None;
     loop {
         let info = cx.partition.owner.borrow().clone();
         changes.record(info.epoch, cx.shared.clock.now());
@@ -31,7 +36,7 @@
         }
         if info.boot == cx.shared.boot {
             report_owner_changes(&cx, &changes);
-            let end = run_owner(&cx, &info).await;
+            let end = run_owner(&cx, &info, silent_owner.take()).await;
             log::info!("owner.ended partition={} epoch={} end={end:?}", info.partition, info.epoch);
             cx.partition.release(info.epoch);
             cx.partition.route.send_replace(Route::None);
@@ -41,41 +46,47 @@
         let reason = follow(&cx, &info, &mut takeover_order).await;
         if reason != LeaveReason::Newer {
             log::info!("owner.parted epoch={} cause={reason:?}", info.epoch);
-            try_takeover(&cx, &info, reason, &takeover_order).await;
+            let waits_for_owner = try_takeover(&cx, &info, reason, &takeover_order).await;
+            silent_owner = waits_for_owner.then_some(info);
         }
     }
 }
 
 /// Takes the partition over, unless another process does so first or the owner turns out to be
-/// alive.
+/// alive. Returns true if leases may last longer than usual only because of this owner, which is
+/// silent.
 pub async fn try_takeover(
     cx: &PartitionContext,
     info: &OwnerInfo,
     cause: LeaveReason,
     takeover_order: &[String],
-) {
+) -> bool {
     if cx.shared.is_stopping() {
         sleep(RETRY_PAUSE).await;
         find_owner(cx, info.epoch).await;
-        return;
+        return false;
     }
     if let LeaveReason::HandedOver { rev } = cause
         && rev > 0
     {
         // An owner with anything to say about leases has the row read.
-        return take_over(cx, rev, info.epoch + 1, cause.name(), RenewalTerms::default()).await;
+        take_over(cx, rev, info.epoch + 1, cause.name(), RenewalTerms::default()).await;
+        return false;
     }
     let handed_over = matches!(cause, LeaveReason::HandedOver { .. });
     if !handed_over && newer_owner_before_turn(cx, info, takeover_order).await {
-        return;
+        return false;
     }
-    let Some(mut row) = row_unless_newer(cx, info).await else { return };
+    let Some(mut row) = row_unless_newer(cx, info).await else { return false };
     if cause == LeaveReason::Silent {
-        let Some(rechecked) = row_if_unchanged(cx, info, &row).await else { return };
+        let Some(rechecked) = row_if_unchanged(cx, info, &row).await else { return false };
         row = rechecked;
     }
     let terms = terms_of_takeover(cx, cause, &row);
+    let waits_for_owner =
+        row.terms.earlier_leases_until_ms == 0 && terms.earlier_leases_until_ms > 0;
     take_over(cx, row.version, info.epoch + 1, cause.name(), terms).await;
+    waits_for_owner
 }
 
 /// Returns the terms with which this process takes over. They name no successors until members have
@@ -138,14 +149,39 @@
     gauge.set(epoch as i64);
 }
 
+/// Tells the owner once the earlier one, which was silent at the takeover, has ended: the process at
+/// its address reports another owner. Processes that lose power together start again, too, and none
+/// of them has been named as a successor.
+pub async fn await_end(earlier: OwnerInfo, owner: OwnerHandle) {
+    let Ok(addr) = earlier.address.parse() else { return };
+    while !owner.is_closed() {
+        let request = Body::WhoOwns(WhoOwns { partition: earlier.partition });
+        let answer = link::request(addr, request, EARLIER_OWNER_CHECK_INTERVAL).await;
+        if let Some(Body::Owner(reported)) = answer
+            && reported != earlier
+        {
+            log::info!("owner.earlier_ended epoch={}", earlier.epoch);
+            return owner.send(OwnerMsg::EarlierOwnerEnded).await;
+        }
+        sleep(EARLIER_OWNER_CHECK_INTERVAL).await;
+    }
+}
+
 /// Runs the owner until it loses the partition or steps down.
-async fn run_owner(cx: &PartitionContext, info: &OwnerInfo) -> OwnerEnd {
+async fn run_owner(
+    cx: &PartitionContext,
+    info: &OwnerInfo,
+    silent_owner: Option<OwnerInfo>,
+) -> OwnerEnd {
     let started_at = cx.shared.clock.now();
     // Members rely on the configuration that their owner has read, so the owner reads it now.
     cx.shared.config_wanted.notify_one();
     tokio::spawn(announce(cx.shared.clone(), info.clone()));
     let Some(start) = load(cx, info).await else { return OwnerEnd::GaveUp };
     let (handle, rx) = OwnerHandle::new();
+    if let Some(earlier) = silent_owner.filter(|e| e.epoch + 1 == info.epoch) {
+        tokio::spawn(await_end(earlier, handle.clone()));
+    }
     cx.partition.route.send_replace(Route::Local(handle.clone()));
     set_owned_epoch(cx, info.epoch);
     let took = cx.shared.clock.now().since(started_at);
--- a/crates/hollowford-node/src/ownership_tests.rs
+++ b/crates/hollowford-node/src/ownership_tests.rs
@@ -5,18 +5,22 @@
 //! that didn't name it as a successor may still renew leases there.
 #![allow(clippy::expect_used)]
 
+use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::lane::takeover_rows;
+use crate::link;
 use crate::load::load;
 use crate::owner_row::SYSTEM_TABLE;
-use crate::ownership::try_takeover;
+use crate::ownership::{await_end, try_takeover};
 use crate::partition::PartitionContext;
 use crate::shared_tests::shared_with;
 use crate::takeover::{LeaveReason, MAX_STORE_CONFIRMATION_AGE};
-use crate::wire::{OwnerInfo, RenewalTerms};
+use crate::wire::{Body, OwnerInfo, RenewalTerms};
 use hollowford_adapter::Transaction;
 use hollowford_adapter_standin::Platform;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
 use yare::parameterized;
 
 /// Far above what a call takes, because the machine may be busy.
@@ -93,3 +97,29 @@
     assert!(until > 0);
     assert_eq!(earlier_leases_after_takeover(&second, &ended, LeaveReason::Gone).await, until);
 }
+
+/// Answers one question for the owner of a partition.
+async fn answer_once(listener: &TcpListener, owner: OwnerInfo) {
+    let accepted = timeout(TIMEOUT, listener.accept()).await.expect("a question");
+    let (mut reader, outbox) = link::split(accepted.expect("a link").0).expect("socket options");
+    assert!(matches!(link::recv(&mut reader).await, Some(Body::WhoOwns(_))));
+    outbox.send(Body::Owner(owner));
+    // The link closes once the other end has read the answer.
+    assert_eq!(link::recv(&mut reader).await, None);
+}
+
+// All instances have lost power and start again, so nobody was named, and no work must wait for
+// longer than after any other takeover.
+#[tokio::test]
+async fn the_longer_wait_ends_once_another_process_answers_at_the_silent_owners_address() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let silent = OwnerInfo { epoch: 3, address, boot: 1, ..OwnerInfo::default() };
+    let (handle, mut rx) = OwnerHandle::new();
+    tokio::spawn(await_end(silent.clone(), handle));
+    answer_once(&listener, silent.clone()).await;
+    assert!(rx.try_recv().is_err(), "it still owns the partition");
+    answer_once(&listener, OwnerInfo { epoch: 4, boot: 2, ..silent }).await;
+    let msg = timeout(TIMEOUT, rx.recv()).await.expect("a message");
+    assert!(matches!(msg, Some(OwnerMsg::EarlierOwnerEnded)), "{msg:?}");
+}
