--- a/crates/hollowford-node/src/owner/lease_renewal_tests.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal_tests.rs
@@ -222,9 +222,9 @@
 #[tokio::test]
 async fn a_commit_confirms_the_ownership() {
     let (mut t, _rxs) = TestOwner::with_successors();
-    t.owner.handle_message(OwnerMsg::Left(2));
-    t.join(3, 3);
+    let sent = t.owner.cx.shared.clock.now();
     t.run(Millis(4_000), &[]);
+    t.beat_to(&MEMBERS, sent, false);
     assert!(!t.renews_leases());
     t.commit_batches();
     assert!(t.renews_leases());
