jobs: ends of a gang wait for the row that stores the gang as done

Callers saw nothing yet; the rule broken is that a task that ended `done`, noted, isn't started again.

Cause: one end as done completes a whole gang. While the batch with that end was in flight, the ends of the other members had no effect of their own, left no unwritten progress, and were acknowledged at once. If the batch was then lost with its owner, and the worker that listed the first end was gone too (one zone that loses power), the next owner knew of no end and started the whole gang again, members with an acknowledged end included.

Now such an end joins the batch in flight with rows of its job and is acknowledged once that is committed; a refused batch hands it back to the job like its other ends.

Evidence: `ends_of_a_gang_are_acknowledged_only_once_the_gang_is_stored_as_done` failed before ("...0.0.1 was started after its end") and passes.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -98,6 +98,18 @@
     deferred: FxHashMap<JobId, bool>,
 }
 
+impl InFlight {
+    /// Adds an end to the batch in flight with rows of its job, so that it is acknowledged once the
+    /// batch is committed. Returns false if there is no such batch.
+    pub fn add_end(&mut self, job: JobId, end: EndRef) -> bool {
+        if !self.jobs.contains(&job) {
+            return false;
+        }
+        let batch = self.batches.values_mut().find(|b| b.jobs().any(|id| id == job));
+        batch.map(|b| b.ends.push((job, end))).is_some()
+    }
+}
+
 /// Key of the row of workers.
 pub(crate) const WORKERS_KEY: &str = "workers";
 
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -212,15 +212,18 @@
         }
     }
 
-    /// Delays the acknowledgement of an end until its effects are stored. An end of a job that is
-    /// not open needs no delay: the job has ended or was never accepted.
+    /// Delays the acknowledgement of an end until its effects are stored. They may be those of an
+    /// earlier end, since one end completes a whole gang. An end of a job without unstored progress
+    /// needs no delay: it has no effect, or the job has ended or was never accepted.
     fn retain_end(&mut self, worker: WorkerIdx, end: &End) {
         let Some(job) = self.jobs.get_mut(end.task.step.job) else { return };
-        if !job.progress_unwritten && job.end.is_none() {
+        let number = end.number;
+        let end = EndRef { worker, number };
+        if job.progress_unwritten || job.end.is_some() {
+            job.ends.push(end);
+        } else if !self.in_flight.add_end(job.id, end) {
             return;
         }
-        let number = end.number;
-        job.ends.push(EndRef { worker, number });
         if let Some(w) = self.workers.get_mut(worker) {
             w.unstored_ends.insert(number);
         }
--- a/crates/hollowford-jobs/tests/batches.rs
+++ b/crates/hollowford-jobs/tests/batches.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use hollowford_core::Millis;
 use hollowford_jobs::*;
 
 #[test]
@@ -255,3 +256,33 @@
         "only rows of the new jobs should be left"
     );
 }
+
+// Guards against a gang that starts again after an end as done that was acknowledged. One end
+// completes the gang; the ends of the other members, listed while the batch with that one was in
+// flight, were acknowledged at once. The batch was lost with its owner, and the first member's
+// worker with them.
+#[test]
+fn ends_of_a_gang_are_acknowledged_only_once_the_gang_is_stored_as_done() {
+    let mut cell = TestCell::new(2);
+    let gang = RawStep { gang: true, ..step(2, 16_000, 400) };
+    let next = RawStep { depends_on: vec![0], ..step(1, 1_000, 60_000) };
+    cell.submit(1, LARGE, job(vec![gang, next]));
+    cell.run(100);
+    assert_eq!(cell.running_tasks(), 2, "the gang should run");
+    cell.store_up = false;
+    for r in cell.workers[1].running.values_mut() {
+        r.ends_at = r.ends_at + Millis(50);
+    }
+    cell.run(900);
+    cell.workers[0].restart("w9");
+    cell.store_up = true;
+    cell.take_over();
+    cell.executed_orders.clear();
+    cell.run(8_000);
+    let starts_gang = |o: &Order| match o {
+        Order::Worker { call: WorkerCall::Start { task, .. }, .. } => task.step.step == 0,
+        _ => false,
+    };
+    assert!(!cell.executed_orders.iter().any(starts_gang));
+    assert_eq!(cell.running_tasks(), 1, "the next step should run");
+}
