node: an odd entry is logged once per change

Operators: a configuration that can't be decoded was logged with every poll of an owner, every 0.65 s, by each process that polls. The entry of a worker that became malformed was logged twice, and a line end in the key of an entry split the line.

Cause: nothing recorded that the configuration's row had been logged; the entry of a worker was recorded only the second time.

Fix: the version of the last malformed row of the configuration is kept, the key of a malformed entry is recorded the first time, and keys are escaped.

--- a/crates/hollowford-node/src/config_watch.rs
+++ b/crates/hollowford-node/src/config_watch.rs
@@ -6,8 +6,9 @@
 use crate::owner_row::{OWNER_KEY, SYSTEM_TABLE};
 use crate::shared::Shared;
 use crate::wire::ConfigRow;
-use hollowford_adapter::{CONFIG_KEY, Config, OPERATOR_TABLE, Row, StoreError};
+use hollowford_adapter::{CONFIG_KEY, Config, OPERATOR_TABLE, Row, StoreError, Version};
 use hollowford_core::Millis;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -198,7 +199,7 @@
     }
     match decompress(&row.packed, MAX_CONFIG_BYTES) {
         Ok(value) => parse_and_apply(shared, &value, row),
-        Err(e) => log::error!("config.malformed row_version={} error=\"{e}\"", row.row_version),
+        Err(e) => log_malformed(shared, row.row_version, &e),
     }
 }
 
@@ -216,6 +217,13 @@
                 );
             }
         }
-        Err(e) => log::error!("config.malformed row_version={} error=\"{e}\"", row.row_version),
+        Err(e) => log_malformed(shared, row.row_version, &e),
+    }
+}
+
+/// Logs that a row is not a configuration; once, since a row is read with every poll.
+fn log_malformed(shared: &Shared, row_version: Version, error: &dyn Display) {
+    if shared.is_newly_malformed_config(row_version) {
+        log::error!("config.malformed row_version={row_version} error=\"{error}\"");
     }
 }
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -308,9 +308,10 @@
             }
             Err(e) => {
                 let was_listed = self.rows.remove(key).is_some();
-                // Logged once per row, since a row is read many times.
-                if was_listed || self.malformed.insert(key.to_owned()) {
-                    log::error!("worker.malformed worker={key} error=\"{e}\"");
+                let is_new = self.malformed.insert(key.to_owned());
+                // Logged once per change, since a row is read many times.
+                if was_listed || is_new {
+                    log::error!("worker.malformed worker={} error=\"{e}\"", key.escape_debug());
                 }
                 was_listed
             }
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -47,6 +47,8 @@
     pub config: ArcSwapOption<Config>,
     /// The row from which the configuration was last read.
     config_row: ArcSwapOption<ConfigRow>,
+    /// Version of the last row that was not a configuration, or 0 if there was none.
+    malformed_config_row: AtomicU64,
     /// Wakes the task that reads the configuration.
     pub config_wanted: Notify,
     /// The partitions, once their number is known.
@@ -96,6 +98,7 @@
             workers,
             config: ArcSwapOption::empty(),
             config_row: ArcSwapOption::empty(),
+            malformed_config_row: AtomicU64::new(0),
             config_wanted: Notify::new(),
             partitions: OnceLock::new(),
             stopping: AtomicBool::new(false),
@@ -274,6 +277,12 @@
         self.config_row.load().as_ref().is_none_or(|r| r.row_version < version)
     }
 
+    /// Records that the row of this version is not a configuration. Returns false if it is the one
+    /// that was last recorded.
+    pub fn is_newly_malformed_config(&self, row_version: u64) -> bool {
+        self.malformed_config_row.swap(row_version, Ordering::Relaxed) != row_version
+    }
+
     /// Returns the row from which the configuration was last read, or `None` if none was read.
     pub fn config_row(&self) -> Option<Arc<ConfigRow>> {
         self.config_row.load_full()
--- a/crates/hollowford/tests/odd_entries.rs
+++ b/crates/hollowford/tests/odd_entries.rs
@@ -5,9 +5,11 @@
 mod node;
 
 use hollowford_adapter_standin::odd_rows::{undecodable_values, unusable_worker_rows};
-use node::Cell;
+use node::{Cell, eventually};
 
 const PLAIN: &str = "/plain/";
+/// Reads of the whole list by one process, each some seconds and polls of the configuration apart.
+const SEVERAL_READS: u64 = 3;
 
 // The machines that read the list ended again and again, or stopped following it.
 #[tokio::test]
@@ -34,3 +36,23 @@
         assert!(!cell.nodes[node].log().contains("panicked"), "{}", cell.logs());
     }
 }
+
+// An odd entry was logged with every read, or twice.
+#[tokio::test]
+async fn odd_entries_are_logged_once() {
+    let cell = Cell::start(1, 2).await;
+    let odd = undecodable_values().swap_remove(0);
+    cell.platform.write_undecodable_worker_row("w1", odd.clone());
+    cell.platform.write_undecodable_worker_row("odd\nentry", odd.clone());
+    cell.platform.write_undecodable_config(odd);
+    let reads = cell.platform.store_stats().list_reads;
+    let read_again = || async { cell.platform.store_stats().list_reads >= reads + SEVERAL_READS };
+    assert!(eventually(read_again).await, "{}", cell.logs());
+    for line in
+        ["worker.malformed worker=w1 ", "worker.malformed worker=odd\\nentry ", "config.malformed "]
+    {
+        let logged = || async { cell.logs().contains(line) };
+        assert!(eventually(logged).await, "{line}: {}", cell.logs());
+        assert_eq!(cell.logs().matches(line).count(), 1, "{line}: {}", cell.logs());
+    }
+}
