jobs, node: a leaving worker is gone once it has removed its entry, or its lease is over

Cause: `has_left` took a worker for gone at once when it had said that it leaves, was off the list and left one call unanswered. A worker that drains and is cut off from the store loses its entry after three heartbeats; one lost answer then was enough, while it ran all its tasks.

The platform removes an entry after three heartbeats of silence, or once the worker has left. An entry that is removed less than two heartbeats after a read that was older than its last write has not expired, so a worker that had said that it leaves has ended. The owner that reads the list tells the engine (`WorkerListing::withdrawn`), and other owners with the rows that it forwards. In all other cases the lease is waited out; that is no crash either.

Tests: `a_leaving_worker_whose_entry_has_expired_is_not_gone_when_an_answer_is_lost` and `a_worker_that_is_listed_again_has_not_removed_its_entry` fail with the old evidence. Two tests modelled a worker that really leaves as one that is only off the list, which is the fault (`tasks_of_a_worker_start_elsewhere_once_it_has_left`, `workers_that_leave_while_disconnected_delay_no_task`): such a worker removes its entry there now, and their bounds are as before.

--- a/crates/hollowford-jobs/src/evacuate.rs
+++ b/crates/hollowford-jobs/src/evacuate.rs
@@ -22,9 +22,12 @@
         }
     }
 
-    /// Returns true if a worker has left: it was leaving, no longer answers and is no longer
-    /// listed. A worker that is only disconnected stays listed for longer than its lease lasts.
-    pub(crate) fn has_left(&self, idx: WorkerIdx) -> bool {
-        self.workers.get(idx).is_some_and(|w| w.leaving && !w.listed && w.unanswered_calls > 0)
+    /// Returns true if a worker has left: it was leaving and no longer answers, and it has removed
+    /// its entry itself or its lease has expired. An entry that has expired says nothing: a worker
+    /// that is cut off from the store goes on running its tasks.
+    pub(crate) fn has_left(&self, idx: WorkerIdx, now: Millis) -> bool {
+        let Some(w) = self.workers.get(idx) else { return false };
+        let is_over = w.withdrawn || self.is_lease_over(w, now);
+        w.leaving && !w.listed && w.unanswered_calls > 0 && is_over
     }
 }
--- a/crates/hollowford-jobs/src/listing.rs
+++ b/crates/hollowford-jobs/src/listing.rs
@@ -13,7 +13,8 @@
     /// older than an answer of the worker; only answers do.
     pub fn set_worker_list(&mut self, listings: &[WorkerListing], now: Millis) {
         self.listings.clear();
-        for l in listings {
+        self.record_withdrawn(listings);
+        for l in listings.iter().filter(|l| !l.withdrawn) {
             let pool = self.workers.pool_name(&l.pool);
             let l = WorkerListing { pool, ..l.clone() };
             self.listings.insert(l.life.id().clone(), l);
@@ -21,7 +22,7 @@
         for idx in self.workers.indexes() {
             self.apply_listing(idx, now);
         }
-        for l in listings {
+        for l in listings.iter().filter(|l| !l.withdrawn) {
             if !self.is_known(&l.life) && !self.ended_incarnations.contains(&l.life) {
                 let idx = self.workers.insert(Worker::new(l.life.clone(), l.address.clone(), now));
                 self.apply_listing(idx, now);
@@ -30,6 +31,19 @@
         self.needs_pass = true;
     }
 
+    /// Records which workers have removed their entries themselves.
+    fn record_withdrawn(&mut self, listings: &[WorkerListing]) {
+        for l in listings.iter().filter(|l| l.withdrawn) {
+            let known = self.workers.with_id(l.life.id());
+            let same = known.filter(|(_, w)| w.life.may_be_same(&l.life)).map(|(idx, _)| idx);
+            for idx in same.collect::<Vec<_>>() {
+                if let Some(w) = self.workers.get_mut(idx) {
+                    w.withdrawn = true;
+                }
+            }
+        }
+    }
+
     /// Returns true if a listed incarnation may be one that is already known.
     fn is_known(&self, life: &WorkerLife) -> bool {
         self.workers.with_id(life.id()).any(|(_, w)| w.life.may_be_same(life))
--- a/crates/hollowford-jobs/src/order.rs
+++ b/crates/hollowford-jobs/src/order.rs
@@ -222,4 +222,6 @@
     pub leaving: bool,
     /// Minimum time until its removal, once it is leaving.
     pub remaining: Option<Millis>,
+    /// Whether the worker itself has removed its entry, so that the platform no longer lists it.
+    pub withdrawn: bool,
 }
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -73,6 +73,9 @@
     /// Whether the stored row of workers contains it.
     pub recorded: bool,
     pub leaving: bool,
+    /// Whether it has removed its entry from the platform's list itself, unlike one whose entry has
+    /// expired. A worker that is leaving does so once it has left.
+    pub withdrawn: bool,
     /// Earliest time at which the platform may remove it; set once it is leaving.
     pub leaves_at: Option<Millis>,
     /// Whether it has answered a look of this owner and so rejects orders of earlier owners.
@@ -133,6 +136,7 @@
             listed: false,
             recorded: false,
             leaving: false,
+            withdrawn: false,
             leaves_at: None,
             fenced: false,
             fenced_at: now,
@@ -160,7 +164,7 @@
         self.pool = l.pool.clone();
         self.labels = l.labels.clone();
         self.capacity = l.capacity;
-        self.listed = true;
+        (self.listed, self.withdrawn) = (true, false);
         // Leaving is final for an incarnation, even if a later list no longer says so.
         self.leaving |= l.leaving;
         if let Some(remaining) = l.remaining {
--- a/crates/hollowford-jobs/src/worker_removal.rs
+++ b/crates/hollowford-jobs/src/worker_removal.rs
@@ -12,13 +12,12 @@
     /// without tasks.
     pub(crate) fn expire_leases(&mut self, now: Millis) {
         for idx in self.workers.indexes() {
-            if self.has_left(idx) {
+            if self.has_left(idx, now) {
                 self.mark_worker_dead(idx, now);
                 continue;
             }
             let Some(w) = self.workers.get(idx) else { continue };
-            let expired =
-                w.lease_expiry().is_some_and(|at| at + self.time_limits.stop_timeout <= now);
+            let expired = self.is_lease_over(w, now);
             if expired && !w.is_empty() {
                 self.stats.lapsed += w.runs().count() as u64;
                 self.record_lost_runs(idx, now);
@@ -36,6 +35,11 @@
         }
     }
 
+    /// Returns true if no task runs on a worker any more because all its leases have expired.
+    pub(crate) fn is_lease_over(&self, w: &Worker, now: Millis) -> bool {
+        w.lease_expiry().is_some_and(|at| at + self.time_limits.stop_timeout <= now)
+    }
+
     /// Ends an incarnation that has no known successor: none of its tasks runs any more.
     pub(crate) fn mark_worker_dead(&mut self, idx: WorkerIdx, now: Millis) {
         self.end_incarnation(idx, None, now);
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -155,7 +155,7 @@
 
     /// Passes the current list of workers to the engine.
     pub fn update_worker_list(&mut self) {
-        let listed = self.workers.iter().filter(|w| w.listed);
+        let listed = self.workers.iter().filter(|w| w.listed || w.withdrawn);
         let mut list: Vec<_> = listed.map(SimWorker::listing).collect();
         let at = if self.stale_listings_first { 0 } else { list.len() };
         list.splice(at..at, self.stale_listings.iter().cloned());
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -52,6 +52,8 @@
     pub ended_runs: BTreeMap<TaskKey, u32>,
     /// Whether the platform's list contains the worker.
     pub listed: bool,
+    /// Whether it has removed its entry from that list itself.
+    pub withdrawn: bool,
     pub leaving: bool,
     /// Minimum time until a leaving worker is removed.
     pub remaining: Option<Millis>,
@@ -91,6 +93,8 @@
     pub now: Millis,
     /// Time of the last restart under the same id. The worker's clock starts from there.
     pub restarted_at: Option<Millis>,
+    /// Rate of its clock, in percent of true time.
+    pub clock_rate_percent: u64,
     /// Whether answers and listings name its incarnation.
     pub reports_incarnation: bool,
     /// Jobs whose tasks fail on this worker.
@@ -112,6 +116,7 @@
             lease_until: 0,
             ended_runs: BTreeMap::new(),
             listed: true,
+            withdrawn: false,
             leaving: false,
             remaining: None,
             reachable: true,
@@ -131,6 +136,7 @@
             down_since: None,
             now,
             restarted_at: None,
+            clock_rate_percent: 100,
             reports_incarnation: true,
             failing_jobs: BTreeSet::new(),
             starts: 0,
@@ -138,7 +144,8 @@
     }
 
     pub fn clock(&self) -> u64 {
-        self.restarted_at.map_or(self.now.0 + CLOCK_OFFSET_MS, |at| self.now.since(at).0 + 1)
+        let (since, first) = self.restarted_at.map_or((Millis(0), CLOCK_OFFSET_MS), |at| (at, 1));
+        self.now.since(since).0 * self.clock_rate_percent / 100 + first
     }
 
     pub fn incarnation(&self) -> Option<Incarnation> {
@@ -164,6 +171,7 @@
             labels: vec!["a".into(), self.rack.clone()],
             leaving: self.leaving,
             remaining: self.remaining,
+            withdrawn: self.withdrawn,
         }
     }
 
--- a/crates/hollowford-jobs/tests/crashes.rs
+++ b/crates/hollowford-jobs/tests/crashes.rs
@@ -339,7 +339,8 @@
         let w = cell.worker(&id).expect("the worker should exist");
         w.leaving = true;
         cell.update_worker_list();
-        cell.worker(&id).expect("the worker should exist").listed = false;
+        let w = cell.worker(&id).expect("the worker should exist");
+        (w.listed, w.withdrawn) = (false, true);
         cell.update_worker_list();
     }
     cell.run(4_000);
--- a/crates/hollowford-jobs/tests/leaving.rs
+++ b/crates/hollowford-jobs/tests/leaving.rs
@@ -54,7 +54,7 @@
     cell.workers[at].running.clear();
     cell.run(1_300);
     let before = cell.now;
-    cell.workers[at].listed = false;
+    (cell.workers[at].listed, cell.workers[at].withdrawn) = (false, true);
     cell.update_worker_list();
     cell.run(200);
     assert_eq!(cell.workers[1 - at].running.len(), 1);
@@ -71,3 +71,51 @@
     }
     assert_eq!(cell.workers[1 - at].running.len(), 0);
 }
+
+// Guards against a task that runs on two workers: a leaving worker that was cut off from the store
+// lost its entry and then one answer, and was taken for gone while it ran its tasks.
+#[test]
+fn a_leaving_worker_whose_entry_has_expired_is_not_gone_when_an_answer_is_lost() {
+    let (mut cell, at) = cell_with_leaving_worker(false, 60_000);
+    cell.workers[at].listed = false;
+    cell.update_worker_list();
+    cell.run(1_000);
+    cell.workers[at].drops_answers = true;
+    cell.run(600);
+    cell.workers[at].drops_answers = false;
+    cell.run(1_000);
+    assert_eq!(cell.workers[at].running.len(), 1, "the task should go on");
+    assert_eq!(cell.workers[1 - at].starts, 0);
+}
+
+// Guards against tasks that wait longer than the lease of their worker, which has lost power while
+// it was leaving, and against counting that as a crash under them.
+#[test]
+fn tasks_of_a_leaving_worker_that_fell_silent_start_elsewhere_once_its_lease_is_over() {
+    let (mut cell, at) = cell_with_leaving_worker(false, 60_000);
+    cell.workers[at].up = false;
+    cell.workers[at].running.clear();
+    cell.workers[at].listed = false;
+    cell.update_worker_list();
+    let silent_since = cell.now;
+    while cell.workers[1 - at].running.is_empty() && cell.now - silent_since < Millis(20_000) {
+        cell.run(50);
+    }
+    assert!(cell.now - silent_since < Millis(4_200), "after {:?}", cell.now - silent_since);
+    assert_eq!(cell.engine.stats().crashes, 0);
+}
+
+// Guards against a worker that is taken for gone because an earlier entry of it was removed: it has
+// written another one, and that one has expired.
+#[test]
+fn a_worker_that_is_listed_again_has_not_removed_its_entry() {
+    let (mut cell, at) = cell_with_leaving_worker(false, 60_000);
+    for (listed, withdrawn) in [(false, true), (true, false), (false, false)] {
+        (cell.workers[at].listed, cell.workers[at].withdrawn) = (listed, withdrawn);
+        cell.update_worker_list();
+        cell.run(100);
+    }
+    cell.workers[at].drops_answers = true;
+    cell.run(600);
+    assert_eq!(cell.workers[1 - at].starts, 0);
+}
--- a/crates/hollowford-node/src/assignment_tests.rs
+++ b/crates/hollowford-node/src/assignment_tests.rs
@@ -18,6 +18,7 @@
         labels: labels.iter().map(|&l| l.into()).collect(),
         leaving: false,
         remaining: None::<Millis>,
+        withdrawn: false,
     }
 }
 
--- a/crates/hollowford-node/src/delegation_tests.rs
+++ b/crates/hollowford-node/src/delegation_tests.rs
@@ -38,6 +38,7 @@
         labels: Vec::new(),
         leaving: false,
         remaining: None,
+        withdrawn: false,
     }
 }
 
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -78,6 +78,9 @@
 #[cfg(test)]
 mod takeover_tests;
 mod wire;
+mod withdrawals;
+#[cfg(test)]
+mod withdrawals_tests;
 mod worker_changes;
 mod writer;
 #[cfg(test)]
--- a/crates/hollowford-node/src/registry.rs
+++ b/crates/hollowford-node/src/registry.rs
@@ -4,6 +4,7 @@
 use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::partition::PartitionContext;
 use crate::shared::Shared;
+use crate::withdrawals::Withdrawals;
 use crate::worker_changes::{READER_PARTITION, WorkerChanges, WorkerRow};
 use hollowford_adapter::{REGISTRY_TABLE, Row, StoreError, Version, decode_listing};
 use hollowford_core::Millis;
@@ -59,6 +60,7 @@
     malformed: FxHashSet<String>,
     /// When the last forwarded changes that could be applied arrived.
     changes_received_at: Option<Millis>,
+    withdrawals: Withdrawals,
 }
 
 /// Outcome of applying changes that another owner has forwarded.
@@ -77,6 +79,7 @@
     let shared = &cx.shared;
     let mut changes_rx = shared.worker_changes.subscribe();
     let mut list = Registry::new(shared.clock.now());
+    list.set_heartbeat(shared.settings.worker_heartbeat);
     let mut sent_config_version = 0;
     while !owner.is_closed() {
         let changed = match list.next_changes(&cx, &mut changes_rx).await {
@@ -98,7 +101,8 @@
             sent_config_version = shared.config_version();
             let count = shared.partition_count();
             let own = |l: &&WorkerListing| partition_of_worker(l, count) == cx.partition.number;
-            let listings = list.workers(shared).filter(own).cloned().collect();
+            let withdrawn = list.take_withdrawn();
+            let listings = list.workers(shared).chain(&withdrawn).filter(own).cloned().collect();
             owner.send(OwnerMsg::WorkerList(listings)).await;
         }
     }
@@ -129,9 +133,20 @@
             has_unconfirmed_entries: false,
             malformed: FxHashSet::default(),
             changes_received_at: None,
+            withdrawals: Withdrawals::default(),
         }
     }
 
+    /// Sets the interval at which workers write their entries.
+    pub fn set_heartbeat(&mut self, heartbeat: Option<Millis>) {
+        self.withdrawals.set_heartbeat(heartbeat);
+    }
+
+    /// Returns the workers that have removed their entries since the last call.
+    pub fn take_withdrawn(&mut self) -> Vec<WorkerListing> {
+        self.withdrawals.take_withdrawn()
+    }
+
     /// Returns the workers on the list. Rows of a pool that the configuration doesn't name belong
     /// to another writer and are left out.
     pub fn workers(&self, shared: &Shared) -> impl Iterator<Item = &WorkerListing> {
@@ -205,11 +220,15 @@
     /// Applies one forwarded row. The other owner has already decided whether to trust a removal.
     /// Returns true if the list changed.
     fn apply_change(&mut self, row: &WorkerRow) -> bool {
-        if row.removed {
-            self.rows.remove(&row.key).is_some()
-        } else {
-            self.put(&row.key, &row.value)
+        if !row.removed {
+            return self.put(&row.key, &row.value);
+        }
+        let listing = self.rows.remove(&row.key);
+        let was_listed = listing.is_some();
+        if let Some(listing) = listing.filter(|_| row.withdrawn) {
+            self.withdrawals.add(listing);
         }
+        was_listed
     }
 
     /// Waits for a change in the store, or reads the whole list if that is due. Returns the
@@ -224,6 +243,7 @@
             self.version = feed.version;
             self.read_at = shared.clock.now();
             let rows = self.replace(&feed.rows);
+            self.withdrawals.read_completed(now);
             return Ok(WorkerChanges { from, to: self.version, rows });
         }
         match shared.store.wait_for_changes(REGISTRY_TABLE, self.version, MAX_FEED_WAIT).await {
@@ -231,8 +251,8 @@
                 shared.record_store_answer();
                 self.record_answer(shared.clock.now());
                 self.version = feed.version;
-                let changed = feed.rows.iter().filter(|r| self.apply_row(r));
-                let rows = changed.map(WorkerRow::from).collect();
+                let rows = self.apply_rows(&feed.rows);
+                self.withdrawals.read_completed(now);
                 Ok(WorkerChanges { from, to: self.version, rows })
             }
             Err(StoreError::HistoryGone) => {
@@ -266,15 +286,37 @@
         self.has_unconfirmed_entries = !self.trusts_missing();
         if !self.has_unconfirmed_entries {
             let present: FxHashSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
-            let removal = |key: String| WorkerRow { key, removed: true, ..WorkerRow::default() };
-            let missing = self.rows.extract_if(.., |id, _| !present.contains(id.as_str()));
-            changed.extend(missing.map(|(id, _)| removal(id)));
+            let is_missing = |id: &&String| !present.contains(id.as_str());
+            let missing: Vec<_> = self.rows.keys().filter(is_missing).cloned().collect();
             self.malformed.retain(|id| present.contains(id.as_str()));
+            for key in missing {
+                let withdrawn = self.remove(&key) == Some(true);
+                changed.push(WorkerRow { key, removed: true, withdrawn, ..WorkerRow::default() });
+            }
         }
-        changed.extend(rows.iter().filter(|r| self.apply_row(r)).map(WorkerRow::from));
+        changed.extend(self.apply_rows(rows));
         changed
     }
 
+    /// Applies rows. Returns those that changed the list.
+    fn apply_rows(&mut self, rows: &[Row]) -> Vec<WorkerRow> {
+        let mut changed = Vec::new();
+        for row in rows {
+            if self.apply_row(row) {
+                let withdrawn = self.withdrawals.contains(&row.key);
+                changed.push(WorkerRow { withdrawn, ..WorkerRow::from(row) });
+            }
+        }
+        changed
+    }
+
+    /// Removes an entry. Returns whether its worker has removed it itself; `None` if there was no
+    /// such entry.
+    fn remove(&mut self, key: &str) -> Option<bool> {
+        let listing = self.rows.remove(key)?;
+        Some(self.withdrawals.entry_removed(key, listing, self.answered_at))
+    }
+
     fn trusts_missing(&self) -> bool {
         self.answered_at >= self.trust_missing_from
     }
@@ -294,9 +336,15 @@
             return false;
         }
         if row.removed {
-            return self.rows.remove(&row.key).is_some();
+            return self.remove(&row.key).is_some();
+        }
+        let changed = self.put(&row.key, &row.value);
+        if self.rows.contains_key(&row.key) {
+            self.withdrawals.entry_read(&row.key, row.version);
+        } else {
+            self.withdrawals.forget(&row.key);
         }
-        self.put(&row.key, &row.value)
+        changed
     }
 
     /// Decodes a row and stores its worker. Returns true if the list changed.
--- a/crates/hollowford-node/src/worker_changes.rs
+++ b/crates/hollowford-node/src/worker_changes.rs
@@ -40,6 +40,9 @@
     /// True if the row was removed.
     #[prost(bool, tag = "3")]
     pub removed: bool,
+    /// True if the worker has removed the row itself.
+    #[prost(bool, tag = "4")]
+    pub withdrawn: bool,
 }
 
 impl WorkerChanges {
@@ -51,6 +54,11 @@
 
 impl From<&Row> for WorkerRow {
     fn from(row: &Row) -> WorkerRow {
-        WorkerRow { key: row.key.clone(), value: row.value.clone(), removed: row.removed }
+        WorkerRow {
+            key: row.key.clone(),
+            value: row.value.clone(),
+            removed: row.removed,
+            withdrawn: false,
+        }
     }
 }
