--- a/crates/hollowford-node/src/owner/lease_renewal_tests.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal_tests.rs
@@ -165,6 +165,7 @@
         labels: Vec::new(),
         leaving: false,
         remaining: None,
+        withdrawn: false,
     }
 }
 
