soak: pauses during which newer owners don't reach about half of the workers

The soak pauses owners and cuts ways to workers, but always for all processes, so an owner that was replaced never had a worker to itself.

One more caller keeps tasks waiting for room, as it is those that the paused owner starts first. The other failures take a third of the time: forms in which they went on ended most pauses or owners early.

--- a/crates/hollowford-soak/src/actions.rs
+++ b/crates/hollowford-soak/src/actions.rs
@@ -35,6 +35,7 @@
             Action::StorePath(n, mode) => self.cell.nodes[n].store_proxy.set_mode(mode),
             Action::CallerPath(n, mode) => self.cell.nodes[n].caller_proxy.set_mode(mode),
             Action::WorkerPath(w, mode) => self.cell.workers[w].proxy.set_mode(mode),
+            Action::CutOff(w, is_cut_off) => self.cell.set_cut_off(w, is_cut_off),
             Action::CrashWorker(w) => self.cell.restart_worker(w),
             Action::DrainWorker(w) => {
                 let id = self.cell.drain_worker(w);
@@ -113,6 +114,7 @@
             node.caller_proxy.set_mode(Mode::Pass);
         }
         self.cell.workers.iter().for_each(|w| w.proxy.set_mode(Mode::Pass));
+        (0..self.cell.workers.len()).for_each(|w| self.cell.set_cut_off(w, false));
         for n in 0..self.cell.nodes.len() {
             if self.down[n] {
                 self.start(n).await?;
--- a/crates/hollowford-soak/src/callers.rs
+++ b/crates/hollowford-soak/src/callers.rs
@@ -30,6 +30,13 @@
 /// One in this many jobs crashes the workers that start it.
 const JOBS_PER_CRASHING_JOB: u32 = 60;
 
+/// Number of tasks of a backlog job, more than the workers have room for.
+const BACKLOG_TASKS: u32 = 60;
+/// Run time of its tasks, in milliseconds.
+const BACKLOG_TASK_MS: u64 = 2_000;
+/// CPU of its tasks, in thousandths of a core.
+const BACKLOG_TASK_CPU_MILLI: u64 = 4_000;
+
 /// HTTP status for a job that is no longer kept.
 pub(crate) const STATUS_GONE: u16 = 410;
 
@@ -76,6 +83,8 @@
 pub struct Caller {
     /// Its number, which is part of its jobs' ids.
     pub number: u64,
+    /// Whether it submits jobs of many tasks, so that there are always some that wait for room.
+    pub makes_backlog: bool,
     /// Addresses of the processes' caller proxies.
     pub nodes: Vec<SocketAddr>,
     /// HTTP client that keeps its connections open.
@@ -167,6 +176,11 @@
 
     /// Returns the number of tasks and the body of a job with random steps, run time and resources.
     fn random_job(&mut self) -> (u32, Value) {
+        if self.makes_backlog {
+            let body =
+                formats::chain_job(&[BACKLOG_TASKS], BACKLOG_TASK_MS, BACKLOG_TASK_CPU_MILLI);
+            return (BACKLOG_TASKS, body);
+        }
         let ms = self.rng.u64(10..500);
         let cpu_milli = [500, 1_000, 4_000, 9_000][self.rng.usize(..4)];
         if self.rng.u32(..JOBS_PER_CRASHING_JOB) == 0 {
--- a/crates/hollowford-soak/src/cell.rs
+++ b/crates/hollowford-soak/src/cell.rs
@@ -155,6 +155,14 @@
         w
     }
 
+    /// Cuts a worker off from owners that are newer than the one it knows, or ends that. Its next
+    /// incarnation is not cut off.
+    pub fn set_cut_off(&mut self, i: usize, is_cut_off: bool) {
+        let platform = self.platform.clone();
+        let id = &self.worker(i).id;
+        platform.with_worker(id, |w| w.set_cut_off_from_newer_owners(is_cut_off));
+    }
+
     /// Crashes and restarts a worker, every other time under the same id.
     pub fn restart_worker(&mut self, i: usize) {
         let new_id = self.next_worker_id();
--- a/crates/hollowford-soak/src/disruption.rs
+++ b/crates/hollowford-soak/src/disruption.rs
@@ -16,6 +16,8 @@
     StorePath(usize),
     /// The connection between the processes and a worker is disturbed.
     WorkerPath(usize),
+    /// A worker is cut off from newer owners.
+    WorkerCutOff(usize),
     /// A process is paused.
     ProcessPaused(usize),
 }
@@ -49,6 +51,9 @@
             Action::WorkerPath(w, mode) => {
                 self.set_active(DisruptionKind::WorkerPath(w), mode != Mode::Pass, now)
             }
+            Action::CutOff(w, is_active) => {
+                self.set_active(DisruptionKind::WorkerCutOff(w), is_active, now)
+            }
             Action::Pause(n) => self.set_active(DisruptionKind::ProcessPaused(n), true, now),
             Action::Resume(n) | Action::Kill(n) | Action::Start(n) => {
                 self.set_active(DisruptionKind::ProcessPaused(n), false, now);
@@ -79,7 +84,9 @@
         let active = self.active.iter();
         let active = active.map(|(&kind, &from_ms)| Disruption { kind, from_ms, until_ms: None });
         let is_relevant = |disruption: &Disruption| match disruption.kind {
-            DisruptionKind::WorkerPath(w) => worker.is_none_or(|worker| w == worker),
+            DisruptionKind::WorkerPath(w) | DisruptionKind::WorkerCutOff(w) => {
+                worker.is_none_or(|worker| w == worker)
+            }
             _ => true,
         };
         let disruptions = self.ended.iter().copied().chain(active);
--- a/crates/hollowford-soak/src/disruption_tests.rs
+++ b/crates/hollowford-soak/src/disruption_tests.rs
@@ -22,6 +22,7 @@
     slow_store = { Action::Slow(30), Action::Slow(0) },
     path_to_the_store = { Action::StorePath(2, Mode::HoldAnswers), Action::StorePath(2, Mode::Pass) },
     path_to_the_worker = { Action::WorkerPath(7, Mode::Silent), Action::WorkerPath(7, Mode::Pass) },
+    cut_off = { Action::CutOff(7, true), Action::CutOff(7, false) },
     pause = { Action::Pause(1), Action::Resume(1) },
     pause_ended_by_a_kill = { Action::Pause(1), Action::Kill(1) },
 )]
@@ -49,6 +50,7 @@
 
 #[yare::parameterized(
     path_to_another_worker = { Action::WorkerPath(6, Mode::Silent) },
+    another_worker_cut_off = { Action::CutOff(6, true) },
     a_kill = { Action::Kill(0) },
     path_of_callers = { Action::CallerPath(0, Mode::Silent) },
     a_crash = { Action::CrashWorker(7) },
--- a/crates/hollowford-soak/src/main.rs
+++ b/crates/hollowford-soak/src/main.rs
@@ -8,7 +8,9 @@
 
 const HELP: &str = "hollowford-soak [--program FILE] [--seed N] [--seeds COUNT] [--seconds S]
     [--nodes N] [--workers N] [--workers-each N] [--callers N] [--keep FOLDER]
-Runs COUNT seeds starting at N (default: a random one), each with S seconds of failures.";
+    [--cut-offs]
+Runs COUNT seeds starting at N (default: a random one), each with S seconds of failures.
+With --cut-offs, workers are cut off from newer owners while processes are paused.";
 
 fn main() -> ExitCode {
     match run(Arguments::from_env()) {
@@ -36,6 +38,7 @@
         size,
         callers: args.opt_value_from_str("--callers")?.unwrap_or(12),
         duration_ms: seconds * 1_000,
+        cut_offs: args.contains("--cut-offs"),
         keep_dir: args.opt_value_from_str("--keep")?,
     };
     let rest = args.finish();
--- a/crates/hollowford-soak/src/run.rs
+++ b/crates/hollowford-soak/src/run.rs
@@ -7,7 +7,7 @@
 use crate::invariants::{
     ConfigMonitor, check_starts, check_starts_while_leaving, wait_for_jobs_to_end,
 };
-use crate::schedule::{Action, ScheduledAction, random_schedule};
+use crate::schedule::{Action, ScheduledAction, cut_off_schedule, random_schedule};
 use hollowford_adapter_standin::{Faults, formats};
 use reqwest::Client;
 use std::collections::HashMap;
@@ -38,6 +38,9 @@
     pub callers: u64,
     /// How long failures are injected, in milliseconds.
     pub duration_ms: u64,
+    /// Whether processes are paused while workers are cut off from newer owners and tasks wait for
+    /// room. The other failures of a seed then take a third of the duration.
+    pub cut_offs: bool,
     /// Folder for the logs of runs with violations; `None` discards them.
     pub keep_dir: Option<PathBuf>,
 }
@@ -87,7 +90,8 @@
 /// Returns an error if the cell can't be started or changed. This is no failure of the program under test.
 pub async fn run_seed(seed: u64, o: &Options) -> Result<Report, SoakError> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let schedule = random_schedule(&mut rng, o.size, o.duration_ms);
+    let draw_schedule = if o.cut_offs { cut_off_schedule } else { random_schedule };
+    let schedule = draw_schedule(&mut rng, o.size, o.duration_ms);
     let cell = Cell::start(&o.program, o.size, &mut rng).await?;
     let nodes = cell.nodes.len();
     let mut run = Run {
@@ -105,7 +109,7 @@
     run.wait_until_ready().await?;
     let observations = SharedObservations::default();
     let stop: Arc<AtomicBool> = Arc::default();
-    let mut tasks = run.start_callers(o.callers, &observations, &stop)?;
+    let mut tasks = run.start_callers(o, &observations, &stop)?;
     run.run_schedule(&schedule).await?;
     run.end_failures().await?;
     stop.store(true, Ordering::Relaxed);
@@ -116,15 +120,16 @@
 impl Run {
     fn start_callers(
         &mut self,
-        callers: u64,
+        o: &Options,
         observations: &SharedObservations,
         stop: &Arc<AtomicBool>,
     ) -> Result<JoinSet<()>, SoakError> {
         let mut tasks = JoinSet::new();
         let nodes: Vec<_> = self.cell.nodes.iter().map(|n| n.caller_proxy.addr).collect();
-        for number in 1..=callers {
+        for number in 1..=o.callers + u64::from(o.cut_offs) {
             let caller = Caller {
                 number,
+                makes_backlog: number > o.callers,
                 nodes: nodes.clone(),
                 client: build_client()?,
                 rng: self.rng.fork(),
--- a/crates/hollowford-soak/src/schedule.rs
+++ b/crates/hollowford-soak/src/schedule.rs
@@ -15,6 +15,12 @@
 const STOP_TIME_MS: u64 = 6_000;
 /// Time from a worker's announcement that it leaves to its removal, in milliseconds.
 const DRAIN_TIME_MS: std::ops::Range<u64> = 3_000..9_000;
+/// Duration of a pause during which workers are cut off, in milliseconds. The next owner stops
+/// waiting for them 5.1 s after its takeover.
+const CUT_OFF_PAUSE_MS: std::ops::Range<u64> = 3_500..9_000;
+/// Time for which the workers remain cut off after the pause, in milliseconds. Meanwhile the next
+/// owner starts tasks that the paused one may have started there.
+const CUT_OFF_AFTER_PAUSE_MS: std::ops::Range<u64> = 2_000..5_000;
 /// Largest number of configurations in quick succession.
 const MAX_CONFIG_CHANGES: u64 = 4;
 const CONFIG_CHANGE_INTERVAL_MS: u64 = 250;
@@ -48,6 +54,8 @@
     WorkerPath(usize, Mode),
     /// Sets the proxy between callers and a process.
     CallerPath(usize, Mode),
+    /// Cuts a worker off from owners that are newer than the one it knows, or ends that.
+    CutOff(usize, bool),
     /// Crashes and restarts a worker.
     CrashWorker(usize),
     /// Makes a worker announce that it leaves.
@@ -79,6 +87,29 @@
     out
 }
 
+/// Returns a schedule of failures in the first third of `duration_ms`, the same as those of
+/// [`random_schedule`], and of a pause of every other process in the second. The owners that follow
+/// paused ones don't reach about half of the workers until some time after the pause, as if a link
+/// between two halves of the network were cut.
+pub fn cut_off_schedule(rng: &mut Rng, size: Size, duration_ms: u64) -> Vec<ScheduledAction> {
+    let mut out = random_schedule(rng, size, duration_ms / 3);
+    let at = duration_ms / 3 + rng.u64(..duration_ms / 3);
+    let resumed_at = at + rng.u64(CUT_OFF_PAUSE_MS);
+    let until = resumed_at + rng.u64(CUT_OFF_AFTER_PAUSE_MS);
+    let first_node = rng.usize(..2);
+    let mut add = |at_ms, action| out.push(ScheduledAction { at_ms, action });
+    for worker in (0..size.workers).filter(|_| rng.bool()) {
+        add(at, Action::CutOff(worker, true));
+        add(until, Action::CutOff(worker, false));
+    }
+    for node in (first_node..size.nodes).step_by(2) {
+        add(at, Action::Pause(node));
+        add(resumed_at, Action::Resume(node));
+    }
+    out.sort_by_key(|e| e.at_ms);
+    out
+}
+
 fn add_random_failure(rng: &mut Rng, size: Size, at: u64, out: &mut Vec<ScheduledAction>) {
     let until = at + rng.u64(FAILURE_DURATION_MS);
     let (node, worker) = (rng.usize(..size.nodes), rng.usize(..size.workers));
--- a/crates/hollowford/tests/soak.rs
+++ b/crates/hollowford/tests/soak.rs
@@ -14,7 +14,7 @@
 
 async fn run_soak(seed: u64, (size, callers, duration_ms): (Size, u64, u64)) {
     let program = Path::new(env!("CARGO_BIN_EXE_hollowford")).to_owned();
-    let options = Options { program, size, callers, duration_ms, keep_dir: None };
+    let options = Options { program, size, callers, duration_ms, cut_offs: false, keep_dir: None };
     let report = run_seed(seed, &options).await.expect("a cell");
     println!("{report:?}");
     assert!(report.accepted > 0, "seed {seed}: no job was accepted");
