--- a/crates/hollowford/tests/lease_renewal.rs
+++ b/crates/hollowford/tests/lease_renewal.rs
@@ -18,8 +18,6 @@
 const NODES: usize = 3;
 /// Number of workers.
 const WORKERS: usize = 3;
-/// The worker that newer owners don't reach.
-const CUT_OFF_WORKER: &str = "w0";
 /// CPU of a task in thousandths of a core. A worker has room for four.
 const TASK_CPU_MILLI: u64 = 4_000;
 /// Run time of the tasks that run when the owner is paused, in milliseconds: longer than a lease, so
@@ -31,8 +29,8 @@
 const ALMOST_A_LEASE: Duration = Duration::from_millis(2_900);
 /// Run time of tasks that still run when the next owner has settled, in milliseconds.
 const LONG_MS: u64 = 8_000;
-/// Log line of an owner that no longer waits for workers that it doesn't reach.
-const SETTLED: &str = "owner.settled";
+/// Log line of an owner that no longer waits for the worker that it doesn't reach.
+const SETTLED: &str = "owner.settled unclaimed=1";
 
 /// Submits a job of one step until it is accepted.
 async fn submit(cell: &Cell, id: u64, count: u32, ms: u64) {
@@ -56,12 +54,12 @@
 }
 
 /// Pauses the owner for as long as `pause` takes, and lets it go on until it has learned that it
-/// was replaced and the next owner has settled. Meanwhile one worker is cut off from newer owners.
-async fn pause_owner(cell: &Cell, pause: impl AsyncFnOnce(usize)) {
+/// was replaced and the next owner has settled. Meanwhile `worker` is cut off from newer owners.
+async fn pause_owner(cell: &Cell, worker: &str, pause: impl AsyncFnOnce(usize)) {
     let owner = cell.owner();
     let set_cut_off = |is_cut_off| {
         let cut_off = |w: &mut Worker| w.set_cut_off_from_newer_owners(is_cut_off);
-        cell.platform.with_worker(CUT_OFF_WORKER, cut_off);
+        cell.platform.with_worker(worker, cut_off);
     };
     set_cut_off(true);
     cell.nodes[owner].signal("STOP");
@@ -92,7 +90,7 @@
     submit(&cell, 1, 12, RUNNING_MS).await;
     wait_for_starts(&cell, 12).await;
     submit(&cell, 2, 12, WAITING_MS).await;
-    pause_owner(&cell, async |owner| {
+    pause_owner(&cell, "w2", async |owner| {
         let settled = || async { next_owner_has_settled(&cell, owner) };
         assert!(eventually(settled).await, "{}", cell.logs());
         wait_for_starts(&cell, 24).await;
@@ -108,6 +106,6 @@
     let cell = Cell::start(NODES, WORKERS).await;
     submit(&cell, 1, 8, LONG_MS).await;
     wait_for_starts(&cell, 8).await;
-    pause_owner(&cell, async |_| tokio::time::sleep(ALMOST_A_LEASE).await).await;
+    pause_owner(&cell, "w0", async |_| tokio::time::sleep(ALMOST_A_LEASE).await).await;
     assert_each_ran_once_at_a_time(&cell, &[1]).await;
 }
