jobs, node: failing tests of leases that outlast the next owner's wait

- lease_renewal_tests (4): a commit handled after a pause confirms the time after the pause; an owner whose process knows a newer owner goes on; an owner that writes nothing names no members, and goes on counting a lost one, so that work lapses in a later outage.
- ownership_tests (1): a living owner whose link was closed before its first heartbeat counts as ended.

--- a/crates/hollowford-node/src/owner/lease_renewal_tests.rs
+++ b/crates/hollowford-node/src/owner/lease_renewal_tests.rs
@@ -9,7 +9,7 @@
 use crate::calls::AnswerTiming;
 use crate::inbox::OwnerMsg;
 use crate::link::Outbox;
-use crate::wire::{Frame, Hello, MemberBeat, RenewalTerms};
+use crate::wire::{Frame, Hello, MemberBeat, OwnerInfo, RenewalTerms};
 use crate::writer::BatchOutcome;
 use hollowford_adapter::WorkerAnswer;
 use hollowford_core::{Millis, Resources};
@@ -340,3 +340,53 @@
     }
     assert!(reads <= 2, "{reads} reads in 20 s");
 }
+
+// The writer had the answer before the pause; the owner handles it after the pause.
+#[tokio::test]
+async fn a_commit_before_a_pause_confirms_nothing_after_it() {
+    let (mut t, _rxs) = TestOwner::with_successors();
+    let now = t.now();
+    t.owner.engine.submit(JobId(now.0), "", QUEUE, Arc::new(spec()), now);
+    t.pause(STEP);
+    t.owner.poll_engine(true);
+    assert!(!t.owner.batches.is_idle());
+    t.pause(Millis(6_000));
+    for batch in 2..MAX_BATCH {
+        let outcome = BatchOutcome::Made { rev: batch, answered_in: Some(Millis(5)) };
+        t.owner.handle_message(OwnerMsg::BatchFinished { batch, outcome });
+    }
+    assert!(!t.renews_leases(), "another process may have taken over during the pause");
+}
+
+// The next owner takes such a process for one that has ended, and waits the usual time only.
+#[tokio::test]
+async fn an_owner_whose_process_knows_a_newer_owner_renews_no_leases() {
+    let (mut t, _rxs) = TestOwner::with_successors();
+    let newer = OwnerInfo { boot: 7, ..t.owner.cx.owner_info(EPOCH + 1) };
+    assert!(t.owner.cx.partition.record_owner(&newer));
+    t.run(Millis(3_000), &MEMBERS);
+    assert!(t.owner.end.is_some() || !t.renews_leases());
+}
+
+// Otherwise each of its members would wait long for unreached workers if it fell silent.
+#[tokio::test]
+async fn an_owner_without_other_changes_names_the_members_that_have_joined() {
+    let mut t = TestOwner::new();
+    let _rxs = MEMBERS.map(|m| t.join(m, m));
+    t.run(Millis(20_000), &MEMBERS);
+    assert!(!t.owner.batches.named_successors().is_empty());
+}
+
+// Its successor was lost and replaced long ago, and no job has changed since.
+#[tokio::test]
+async fn a_successor_that_was_lost_before_an_outage_lets_no_work_lapse_in_it() {
+    let (mut t, _rxs) = TestOwner::with_successors();
+    t.owner.handle_message(OwnerMsg::Left(2));
+    let _rx = t.join(3, 3);
+    for _ in 0..20 {
+        t.run(Millis(1_000), &[1, 3]);
+        t.report_own_row();
+    }
+    t.run(Millis(4_000), &[1, 3]);
+    assert!(t.renews_leases());
+}
--- a/crates/hollowford-node/src/ownership_tests.rs
+++ b/crates/hollowford-node/src/ownership_tests.rs
@@ -9,6 +9,7 @@
 use crate::lane::takeover_rows;
 use crate::link;
 use crate::load::load;
+use crate::member::follow;
 use crate::owner_row::SYSTEM_TABLE;
 use crate::ownership::{await_end, try_takeover};
 use crate::partition::PartitionContext;
@@ -123,3 +124,27 @@
     let msg = timeout(TIMEOUT, rx.recv()).await.expect("a message");
     assert!(matches!(msg, Some(OwnerMsg::EarlierOwnerEnded)), "{msg:?}");
 }
+
+// Links are reset in series. The owner lives on and may renew leases; the process that takes over
+// must not take it for one that has ended.
+#[tokio::test]
+async fn a_process_whose_links_are_reset_twice_waits_for_the_owner_that_lives() {
+    let platform = Platform::start(0).await.expect("the platform");
+    let cx = process(&platform).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let mut earlier = store_owner(&cx, &RenewalTerms::default()).await;
+    earlier.address = address;
+    let (member_cx, followed) = (cx.clone(), earlier.clone());
+    let member = tokio::spawn(async move { follow(&member_cx, &followed, &mut Vec::new()).await });
+    // The link is closed before the owner has sent a heartbeat over it.
+    let accepted = timeout(TIMEOUT, listener.accept()).await.expect("a link");
+    let (mut reader, outbox) = link::split(accepted.expect("a link").0).expect("socket options");
+    assert!(matches!(link::recv(&mut reader).await, Some(Body::Hello(_))));
+    drop((reader, outbox));
+    let owner = earlier.clone();
+    tokio::spawn(async move { answer_once(&listener, owner).await });
+    let cause = timeout(TIMEOUT, member).await.expect("a reason").expect("the member task");
+    let until = earlier_leases_after_takeover(&cx, &earlier, cause).await;
+    assert!(until >= MAX_STORE_CONFIRMATION_AGE.0, "{cause:?}: {until}");
+}
