jobs: what a worker may still run is no longer granted to it as its next lease

Cause: one field held both until when a worker may run tasks by orders of earlier owners, and the end of the lease that the next order grants. So the first orders after a claim granted 5.0 s, and those to a restarted worker up to the longest lease, where the next owner counts on 3 s.

Now they are two fields, and an order grants no more than the usual lease.

--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -196,7 +196,7 @@
         w.fenced = true;
         w.fenced_at = now;
         // Tasks that an earlier owner started may run until then without an order of this owner.
-        w.lease_until = w.lease_until.max(look.clock + earlier.0);
+        w.earlier_lease_until = w.earlier_lease_until.max(look.clock + earlier.0);
         let (running, ended) = (look.running.len(), look.ended.len());
         self.events.push(Event::WorkerClaimed { worker: w.life.clone(), running, ended });
     }
--- a/crates/hollowford-jobs/src/worker.rs
+++ b/crates/hollowford-jobs/src/worker.rs
@@ -88,8 +88,11 @@
     /// everything that earlier owners' orders started.
     pub claimed: bool,
     pub clock: Option<WorkerClock>,
-    /// Latest clock reading up to which an order allowed it to run tasks.
+    /// Latest clock reading up to which an order of this owner allowed it to run tasks.
     pub lease_until: u64,
+    /// Clock reading up to which it may run tasks by orders of earlier owners, or of this one to an
+    /// earlier incarnation.
+    pub earlier_lease_until: u64,
     /// Numbers of processed ends whose effects are not stored yet. They must not be acknowledged
     /// before.
     pub unstored_ends: BTreeSet<u64>,
@@ -144,6 +147,7 @@
             claimed: false,
             clock: None,
             lease_until: 0,
+            earlier_lease_until: 0,
             unstored_ends: BTreeSet::new(),
             last_processed_end: 0,
             look_in_flight: false,
@@ -321,7 +325,7 @@
     /// it. The lease is extended to `lease` from now, or not at all if that is `None`. It is not
     /// extended while the worker doesn't answer; otherwise its tasks could never be given up.
     ///
-    /// Returns `None` while the worker's clock is unknown.
+    /// Returns `None` while the worker's clock is unknown, and before it has got a lease.
     pub fn extend_lease(&mut self, now: Millis, lease: Option<Millis>) -> Option<u64> {
         let clock = self.clock?;
         if let Some(lease) = lease
@@ -329,13 +333,13 @@
         {
             self.lease_until = self.lease_until.max(clock.expected_reading(now) + lease.0);
         }
-        Some(self.lease_until)
+        Some(self.lease_until).filter(|&until| until > 0)
     }
 
-    /// Returns when every lease that this owner granted has expired; `None` while the worker's
-    /// clock is unknown.
+    /// Returns when every lease has expired, of this owner and of earlier ones; `None` while the
+    /// worker's clock is unknown.
     pub fn lease_expiry(&self) -> Option<Millis> {
-        self.clock.map(|c| c.passed_at(self.lease_until))
+        self.clock.map(|c| c.passed_at(self.lease_until.max(self.earlier_lease_until)))
     }
 
     pub fn has_label(&self, label: &str) -> bool {
--- a/crates/hollowford-jobs/src/worker_restart.rs
+++ b/crates/hollowford-jobs/src/worker_restart.rs
@@ -105,7 +105,7 @@
         if let Some(w) = self.workers.get_mut(next) {
             // The previous incarnation's clock is unrelated, so its lease end may lie far ahead.
             // The worker shortens longer leases to this maximum.
-            w.lease_until = w.lease_until.max(look.clock + max_lease.0);
+            w.earlier_lease_until = w.earlier_lease_until.max(look.clock + max_lease.0);
         }
         let Some(w) = self.workers.get(idx) else { return };
         let executed = |h: &&HeldTask| {
