--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -83,9 +83,11 @@
         let Some(rechecked) = row_if_unchanged(cx, info, &row).await else { return false };
         row = rechecked;
     }
+    let is_named = row.terms.successors.contains(&cx.shared.boot);
     let has_ended = match cause {
         LeaveReason::HandedOver { .. } => true,
-        LeaveReason::Gone => has_ended(info).await,
+        // A process that is named needn't know, and doesn't lose time.
+        LeaveReason::Gone => !is_named && has_ended(info).await,
         _ => false,
     };
     let terms = terms_of_takeover(cx, has_ended, &row);
