--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -253,12 +253,14 @@
     """One life of a worker. `plan(task, run, template)` returns (milliseconds, how it ends,
     checkpoints) for a run; milliseconds of None: it runs until it is stopped."""
 
-    def __init__(self, cell, name, labels=("a", "r1-1"), cpu=16000, mem=65536):
+    def __init__(self, cell, name, labels=("a", "r1-1"), cpu=16000, mem=65536, same_id=None):
         self.cell, self.name = cell, name
         self.labels, self.cpu, self.mem = list(labels), cpu, mem
-        self.id = "i-%010x" % random.getrandbits(40)
-        self.started = steady_ms() - random.uniform(1000, 90000)
-        self.clock0 = random.randint(10_000, 900_000)
+        self.id = same_id or "i-%010x" % random.getrandbits(40)
+        self.born = int(time.time() * 1000)
+        self.started = steady_ms()
+        # The clock of a life under a former id starts anew.
+        self.clock0 = 0 if same_id else random.randint(100_000, 900_000)
         self.fence = 0
         self.deadline = 0.0
         self.runs = {}          # (task, run) -> Run
@@ -269,6 +271,8 @@
         self.state = "ready"
         self.changed = asyncio.Event()
         self.alive = True
+        self.delays_starts = False
+        self.delayed = []       # (time, request) of starts that are held on their way
         self.address = None
         self.http = HttpServer(self.handle)
         self.ticker = None
@@ -293,10 +297,15 @@
         life = self.id
         if silent_entry:
             asyncio.get_event_loop().call_later(
-                3 * self.cell.heartbeat_ms / 1000, self.cell.store.remove, "servers", life)
+                3 * self.cell.heartbeat_ms / 1000, self.expire_entry, life)
         else:
             self.cell.store.remove("servers", life)
 
+    def expire_entry(self, life):
+        """Removes the entry after three missed heartbeats, unless a life under the id is back."""
+        if not any(w.id == life and w.alive for w in self.cell.workers):
+            self.cell.store.remove("servers", life)
+
     def record(self, what, task, run, **more):
         self.cell.record(what, task=task, run=run, worker=self.id, **more)
 
@@ -307,8 +316,9 @@
 
     def write_entry(self):
         self.sequence += 1
+        born = {"born": self.born} if self.cell.tells_born else {}
         self.cell.store.put_json("servers", self.id, {
-            "backend": self.cell.service, "address": self.address, "zone": self.cell.zone,
+            **born, "backend": self.cell.service, "address": self.address, "zone": self.cell.zone,
             "version": "v1", "slots": 8, "state": self.state, "cold-remaining-ms": 0,
             "capacity": {"cpu": self.cpu, "mem-mb": self.mem, "gpu": 0}, "labels": self.labels,
             "clock-ms": self.clock(), "sequence": self.sequence})
@@ -350,6 +360,13 @@
         if headers.get("hollowford-target-instance", self.id) != self.id:
             return 421, {}
         req = json.loads(body) if body else {}
+        if path == "/hollowford/run-start" and self.delays_starts:
+            # The call is held on its way, and gets no answer.
+            self.delayed.append((steady_ms(), req))
+            await asyncio.sleep(3600)
+        return await self.execute(path, req)
+
+    async def execute(self, path, req):
         fence = req.get("fence-token", 0)
         if path in ("/hollowford/run-start", "/hollowford/run-stop", "/hollowford/hold",
                     "/hollowford/pace"):
@@ -408,8 +425,10 @@
             takes = r.plan[0]
             done = 0 if not takes else int(min(99, 100 * (steady_ms() - r.began) / takes))
             running.append([r.task, r.run, r.saved, done if takes else 100])
-        return 200, {"clock-ms": self.clock(), "running": running,
-                     "ended": self.ended[:MAX_ENDS]}
+        answer = {"clock-ms": self.clock(), "running": running, "ended": self.ended[:MAX_ENDS]}
+        if self.cell.tells_born:
+            answer["born"] = self.born
+        return 200, answer
 
 
 class Cell:
@@ -419,6 +438,7 @@
         self.plan, self.service, self.zone = plan, service, zone
         self.hold_max_ms = hold_max_ms
         self.heartbeat_ms = 1500
+        self.tells_born = False
         self.events = []
         self.began = steady_ms()
         self.store = Store()
@@ -434,13 +454,15 @@
             labels = (kind.get("label", "a"), "r1-%d" % (n // 6 + 1))
             self.workers.append(await Worker(self, "w%d" % n, labels).start())
 
-    async def restart_worker(self, at, same_port=True):
-        """Starts a new life at the address of a worker that has crashed."""
+    async def restart_worker(self, at, same_port=True, same_id=False):
+        """Starts a new life at the address of a worker that has crashed, under a new id or, with
+        `same_id`, under its former one."""
         old = self.workers[at]
         host, port = old.address.rsplit(":", 1)
         for _ in range(50):
             try:
-                w = await Worker(self, old.name, old.labels, old.cpu, old.mem).start(
+                w = await Worker(self, old.name, old.labels, old.cpu, old.mem,
+                                 old.id if same_id else None).start(
                     host, int(port) if same_port else 0)
                 break
             except OSError:
