--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,7 +18,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin-2"))
-from nodes import Nodes, call, ready
+from nodes import Nodes, call, ready, run
 from platform_standin import Cell, steady_ms
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -127,4 +127,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    run(main)
--- a/review/standin-2/nodes.py
+++ b/review/standin-2/nodes.py
@@ -8,7 +8,9 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -185,3 +187,19 @@
             return True
         await asyncio.sleep(0.1)
     return False
+
+
+def run(main, limit_s=115):
+    """Runs a case and exits with its result: 1 if the rule was broken, 0 if it held, and 2 if the
+    case couldn't run, also when it fails itself or takes too long. Its `finally` ends all processes
+    in each case."""
+    def stop(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    try:
+        code = asyncio.run(asyncio.wait_for(main(), limit_s))
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
