node: a process takes over again what it has released, if nobody else does

What callers saw: of a cell's six processes five are lost, and the store is down for 4.5 s.

Cause: a process that has released the epoch which the owner row names only waited for a newer one. Not only the isolated owner ends without a next one: so do one that can't read its rows after a takeover, and one that hands over to a process that ends first.

Ruled out: that it is the isolated owner's giving up by itself; the other two ways stand still likewise.

Change: after 2 s, in which members have their turns, it takes over at the next epoch, conditionally on the owner row's version, as any process does. A stopping process doesn't.

Why this works: the row decides, so there are never two owners; all lanes are written by the takeover, so no batch of the earlier epoch is committed after it; unreached workers are waited for as ever.

Weighed: that an owner whose members are gone goes on in an outage.

--- a/crates/hollowford-node/src/ownership.rs
+++ b/crates/hollowford-node/src/ownership.rs
@@ -17,6 +17,9 @@
 
 /// Time between two reads of the row of a silent owner that may still be alive.
 const RECHECK_DELAY: Duration = Duration::from_millis(120);
+/// How long a process that has released the partition leaves it to others: longer than a member
+/// waits for its turn. Nobody else may be left, and the owner row goes on naming this process.
+const RETAKE_DELAY: Millis = Millis(2_000);
 /// Time limit of a question to the process at a silent owner's address, and the pause after it.
 const EARLIER_OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -27,19 +30,28 @@
     let mut changes = OwnerChanges::default();
     // The silent owner that didn't name this process as a successor when it took over.
     let mut silent_owner = None;
+    let mut released_at = Millis(0);
     loop {
         let info = cx.partition.owner.borrow().clone();
         changes.record(info.epoch, cx.shared.clock.now());
-        if info.epoch == 0 || (info.boot == cx.shared.boot && cx.partition.has_released(info.epoch))
-        {
+        if info.epoch == 0 {
             find_owner(&cx, info.epoch).await;
             continue;
         }
+        if info.boot == cx.shared.boot && cx.partition.has_released(info.epoch) {
+            if cx.shared.clock.now().since(released_at) < RETAKE_DELAY {
+                find_owner(&cx, info.epoch).await;
+            } else {
+                retake(&cx, &info).await;
+            }
+            continue;
+        }
         if info.boot == cx.shared.boot {
             report_owner_changes(&cx, &changes);
             let end = run_owner(&cx, &info, silent_owner.take()).await;
             log::info!("owner.ended partition={} epoch={} end={end:?}", info.partition, info.epoch);
             cx.partition.release(info.epoch);
+            released_at = cx.shared.clock.now();
             cx.partition.route.send_replace(Route::None);
             set_owned_epoch(&cx, 0);
             continue;
@@ -97,6 +109,20 @@
     waits_for_owner
 }
 
+/// Takes a partition over again that this process has released at the epoch of `info`, unless
+/// another process has taken it over or this one is stopping. The owner row decides as in any other
+/// takeover.
+pub async fn retake(cx: &PartitionContext, info: &OwnerInfo) {
+    if cx.shared.is_stopping() {
+        return find_owner(cx, info.epoch).await;
+    }
+    let Some(row) = row_unless_newer(cx, info).await else {
+        return sleep(RETRY_PAUSE).await;
+    };
+    let terms = terms_of_takeover(cx, true, &row);
+    take_over(cx, row.version, info.epoch + 1, "retaken", terms).await;
+}
+
 /// Returns the terms with which this process takes over. They name no successors until members have
 /// joined.
 fn terms_of_takeover(cx: &PartitionContext, has_ended: bool, row: &FoundOwnerRow) -> RenewalTerms {
--- a/crates/hollowford-node/src/ownership_tests.rs
+++ b/crates/hollowford-node/src/ownership_tests.rs
@@ -7,25 +7,29 @@
 
 use crate::inbox::{OwnerHandle, OwnerMsg};
 use crate::lane::takeover_rows;
-use crate::link;
+use crate::link::{self, Outbox};
 use crate::load::load;
 use crate::member::follow;
-use crate::owner_row::SYSTEM_TABLE;
-use crate::ownership::{await_end, try_takeover};
-use crate::partition::PartitionContext;
+use crate::owner_row::{SYSTEM_TABLE, read_owner, take_over};
+use crate::ownership::{await_end, retake, run, try_takeover};
+use crate::partition::{PartitionContext, Route};
 use crate::shared_tests::shared_with;
 use crate::takeover::{LeaveReason, MAX_STORE_CONFIRMATION_AGE};
-use crate::wire::{Body, OwnerInfo, RenewalTerms};
+use crate::wire::{Body, Hello, OwnerInfo, RenewalTerms};
 use hollowford_adapter::Transaction;
-use hollowford_adapter_standin::Platform;
+use hollowford_adapter_standin::{Faults, Platform};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
 /// Far above what a call takes, because the machine may be busy.
 const TIMEOUT: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Large enough that a percentage of the CPU of a member doesn't overflow.
+const MAX_PERCENT: u32 = 1_000;
 /// Random id of a process that is not under test.
 const OTHER_PROCESS: u64 = 7;
 
@@ -148,3 +152,104 @@
     let until = earlier_leases_after_takeover(&cx, &earlier, cause).await;
     assert!(until >= MAX_STORE_CONFIRMATION_AGE.0, "{cause:?}: {until}");
 }
+
+/// Waits until this process serves the partition, and returns its handle and the epoch.
+async fn serving(cx: &PartitionContext) -> (OwnerHandle, u64) {
+    let mut route = cx.partition.route.subscribe();
+    let is_local = |r: &Route| matches!(r, Route::Local(_));
+    let route = timeout(TIMEOUT, route.wait_for(is_local)).await.expect("an owner in this process");
+    let Route::Local(owner) = &*route.expect("the partition") else { unreachable!() };
+    (owner.clone(), cx.partition.owner.borrow().epoch)
+}
+
+/// How an owner ends without another process taking over.
+#[derive(Clone, Copy, Debug)]
+enum LastOwnerEnd {
+    /// It hears neither from the store nor from a member: the members are gone.
+    Isolated,
+    /// It can't read the partition's rows after its takeover.
+    LoadFailed,
+    /// It hands over to a larger member whose process ends before it takes over.
+    HandedOver,
+}
+
+/// Lets a member join, which never answers.
+async fn join_member(owner: &OwnerHandle, cpu_milli: u32) {
+    let address = "127.0.0.1:1".to_owned();
+    let hello = Hello { address, cpu_milli, boot: OTHER_PROCESS, ..Hello::default() };
+    let (outbox, _) = Outbox::for_test();
+    owner.send(OwnerMsg::Joined(1, hello, outbox)).await;
+}
+
+// review/6: the owner row goes on naming the process, which waited for another one for ever.
+#[parameterized(
+    isolated = { LastOwnerEnd::Isolated },
+    load_failed = { LastOwnerEnd::LoadFailed },
+    handed_over = { LastOwnerEnd::HandedOver },
+)]
+fn the_last_process_of_a_cell_takes_its_partition_over_again(end: LastOwnerEnd) {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    rt.expect("a runtime").block_on(async {
+        let platform = Platform::start(0).await.expect("the platform");
+        let outage = |outage| platform.set_faults(Faults { outage, ..Faults::default() });
+        let cx = process(&platform).await;
+        let first = match end {
+            LastOwnerEnd::LoadFailed => {
+                take_over(&cx, 0, 1, "test", RenewalTerms::default()).await;
+                outage(true);
+                tokio::spawn(run(cx.clone()));
+                cx.partition.owner.borrow().epoch
+            }
+            LastOwnerEnd::Isolated => {
+                tokio::spawn(run(cx.clone()));
+                let (owner, epoch) = serving(&cx).await;
+                join_member(&owner, 0).await;
+                owner.send(OwnerMsg::Left(1)).await;
+                outage(true);
+                epoch
+            }
+            LastOwnerEnd::HandedOver => {
+                tokio::spawn(run(cx.clone()));
+                let (owner, epoch) = serving(&cx).await;
+                join_member(&owner, u32::MAX / MAX_PERCENT).await;
+                epoch
+            }
+        };
+        let released = async {
+            while !cx.partition.has_released(first) {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(TIMEOUT, released).await.expect("the end of the first epoch");
+        outage(false);
+        let (_, epoch) = serving(&cx).await;
+        assert_eq!(epoch, first + 1);
+    });
+}
+
+// Another process has taken over in the meantime: there must not be two owners.
+#[tokio::test]
+async fn a_process_that_has_released_its_partition_leaves_it_to_a_newer_owner() {
+    let platform = Platform::start(0).await.expect("the platform");
+    let (cx, other) = (process(&platform).await, process(&platform).await);
+    take_over(&cx, 0, 1, "test", RenewalTerms::default()).await;
+    let released = cx.owner_info(1);
+    cx.partition.release(released.epoch);
+    try_takeover(&other, &released, LeaveReason::HandedOver { rev: 0 }, &[]).await;
+    retake(&cx, &released).await;
+    assert_eq!(read_owner(&cx).await, Some(other.owner_info(2)));
+    assert_eq!(*cx.partition.owner.borrow(), other.owner_info(2));
+}
+
+// An owner that ends while its process stops must not become the owner again.
+#[tokio::test]
+async fn a_stopping_process_takes_nothing_over_again() {
+    let platform = Platform::start(0).await.expect("the platform");
+    let cx = process(&platform).await;
+    take_over(&cx, 0, 1, "test", RenewalTerms::default()).await;
+    let released = cx.owner_info(1);
+    cx.partition.release(released.epoch);
+    cx.shared.stopping.store(true, Ordering::Relaxed);
+    retake(&cx, &released).await;
+    assert_eq!(read_owner(&cx).await, Some(released));
+}
