--- a/crates/hollowford-jobs/src/audit.rs
+++ b/crates/hollowford-jobs/src/audit.rs
@@ -89,7 +89,7 @@
 /// Returns a finding if a task waits for a progress row that is neither in flight nor to be
 /// written.
 fn check_awaited_row(job: &Job, task: TaskKey, t: &Task) -> Option<StuckTask> {
-    let row = t.crash_record.as_ref()?.awaited_row?;
-    let is_pending = job.progress_unwritten || row <= job.progress_rows_built;
+    let row = t.crash_record.as_ref()?.awaited_change?;
+    let is_pending = !job.unwritten.is_empty() || row <= job.unwritten.last_number();
     (!is_pending).then_some(StuckTask::RowNeverWritten { task, row })
 }
--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -5,23 +5,20 @@
 //! later batch.
 
 use crate::engine::Engine;
-use crate::job::EndRef;
-use crate::job::JobState;
-use crate::progress_rows::ProgressRow;
-use crate::rows::{JobRow, WorkerAddress, encode_workers};
+use crate::job::{EndRef, JobState, UnwrittenEnd};
+use crate::progress_segments::Segment;
+use crate::row_removal::{MAX_REMOVALS_PER_BATCH, RowRemoval};
+use crate::rows::{WorkerAddress, encode_workers};
 use crate::spec::JobId;
 use crate::worker::Worker;
 use crate::write_queue::BACKGROUND_POP_INTERVAL;
 use hollowford_core::Millis;
-use prost::Message;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::BTreeMap;
 
-/// Maximum number of rows that one job adds to a batch: its job row and its progress row.
-const MAX_ROWS_PER_JOB: usize = 2;
 /// Maximum number of rows of jobs in one batch. A transaction takes 100 entries; the rest is for
-/// the owner row, the row of workers and removed jobs.
-const MAX_JOB_ROWS_PER_BATCH: usize = 89;
+/// the owner row, the row of learned run times and removed jobs.
+pub(crate) const MAX_JOB_ROWS_PER_BATCH: usize = 89;
 /// Estimated number of urgent jobs in one batch: one job in [`BACKGROUND_POP_INTERVAL`] is a
 /// background one, and half of the urgent ones write two rows, for an end, instead of one.
 pub(crate) const URGENT_JOBS_PER_BATCH: usize = MAX_JOB_ROWS_PER_BATCH
@@ -29,9 +26,9 @@
     / BACKGROUND_POP_INTERVAL as usize
     * 2
     / 3;
-/// Bytes of row values, before encoding, above which no further job is added to a batch; a
-/// transaction takes 1 MB.
-const MAX_VALUE_BYTES_PER_BATCH: usize = 500_000;
+/// Bytes of row values, before encoding, above which no further rows of jobs are added to a batch.
+/// A transaction takes 1 MB, encoded as base64.
+pub(crate) const MAX_VALUE_BYTES_PER_BATCH: usize = 450_000;
 /// Maximum number of ended jobs whose rows one batch removes.
 const MAX_EXPIRED_JOBS_PER_BATCH: usize = 8;
 
@@ -46,9 +43,17 @@
 
 impl RowWrite {
     /// Returns the size of the value in bytes.
-    fn bytes(&self) -> usize {
+    pub(crate) fn bytes(&self) -> usize {
         self.value.as_ref().map_or(0, Vec::len)
     }
+
+    pub(crate) fn put(key: String, value: Vec<u8>) -> RowWrite {
+        RowWrite { key, value: Some(value) }
+    }
+
+    pub(crate) fn remove(key: String) -> RowWrite {
+        RowWrite { key, value: None }
+    }
 }
 
 /// Rows that are written in one transaction.
@@ -60,17 +65,28 @@
     pub rows: Vec<RowWrite>,
 }
 
+/// Progress of one job in a batch.
+#[derive(Debug)]
+pub(crate) struct WrittenProgress {
+    pub job: JobId,
+    /// Number up to which the changes of the job are in this batch or an earlier one.
+    pub up_to: u64,
+    /// The segments, with the numbers of their changes.
+    pub segments: Vec<(u64, Segment)>,
+}
+
 /// What becomes durable when a batch is committed.
 #[derive(Debug, Default)]
 pub(crate) struct BatchContents {
-    accepted: Vec<JobId>,
-    /// Jobs with a progress row in the batch, and the number of that row.
-    progressed: Vec<(JobId, u64)>,
-    ended: Vec<(JobId, JobState, Millis)>,
+    pub(crate) accepted: Vec<JobId>,
+    pub(crate) progressed: Vec<WrittenProgress>,
+    pub(crate) ended: Vec<(JobId, JobState, Millis)>,
     /// Jobs whose rows the batch removes.
     expired: Vec<JobId>,
+    /// Further rows that the batch removes.
+    removed: Vec<RowRemoval>,
     /// Ends of tasks whose effects the batch stores, with their jobs.
-    ends: Vec<(JobId, EndRef)>,
+    pub(crate) ends: Vec<(JobId, EndRef)>,
     workers: Option<Vec<WorkerAddress>>,
     /// Whether the batch contains the row of learned run times.
     run_times: bool,
@@ -78,11 +94,21 @@
 
 impl BatchContents {
     /// Returns the jobs with rows in the batch; some occur twice.
-    fn jobs(&self) -> impl Iterator<Item = JobId> {
+    pub(crate) fn jobs(&self) -> impl Iterator<Item = JobId> {
+        let removed = self.removed.iter().map(|r| r.job);
+        self.written_jobs().chain(self.expired.iter().copied()).chain(removed)
+    }
+
+    /// Returns the jobs of which the batch writes rows; some occur twice.
+    fn written_jobs(&self) -> impl Iterator<Item = JobId> {
         let ended = self.ended.iter().map(|&(id, ..)| id);
-        let progressed = self.progressed.iter().map(|&(id, _)| id);
-        let written = self.accepted.iter().chain(&self.expired);
-        written.copied().chain(progressed).chain(ended)
+        let progressed = self.progressed.iter().map(|p| p.job);
+        self.accepted.iter().copied().chain(progressed).chain(ended)
+    }
+
+    /// Returns true if the batch removes rows of a job that are no longer needed.
+    pub(crate) fn removes_rows_of(&self, job: JobId) -> bool {
+        self.removed.iter().any(|r| r.job == job)
     }
 }
 
@@ -91,11 +117,11 @@
 pub(crate) struct InFlight {
     batches: BTreeMap<u64, BatchContents>,
     /// Jobs with rows in one of the batches.
-    jobs: FxHashSet<JobId>,
+    pub(crate) jobs: FxHashSet<JobId>,
     /// Ended jobs whose removal was in a refused batch.
     pending_removals: Vec<JobId>,
     /// Jobs to queue for writing again once their batch is done; true for urgent ones.
-    deferred: FxHashMap<JobId, bool>,
+    pub(crate) deferred: FxHashMap<JobId, bool>,
 }
 
 impl InFlight {
@@ -105,7 +131,7 @@
         if !self.jobs.contains(&job) {
             return false;
         }
-        let batch = self.batches.values_mut().find(|b| b.jobs().any(|id| id == job));
+        let batch = self.batches.values_mut().find(|b| b.written_jobs().any(|id| id == job));
         batch.map(|b| b.ends.push((job, end))).is_some()
     }
 }
@@ -117,10 +143,6 @@
     format!("j/{id}")
 }
 
-pub(crate) fn progress_key(id: JobId) -> String {
-    format!("p/{id}")
-}
-
 impl Engine {
     /// Returns true if a caller waits for the next batch, which contains the acceptance or the end
     /// of a job.
@@ -139,6 +161,11 @@
         let mut contents = BatchContents::default();
         let mut rows = Vec::new();
         self.write_workers(&mut rows, &mut contents);
+        // Two batches with removals could be committed in the wrong order.
+        if self.in_flight.batches.values().all(|b| b.removed.is_empty()) {
+            contents.removed = self.row_removals.take(MAX_REMOVALS_PER_BATCH);
+            rows.extend(contents.removed.iter().map(|r| RowWrite::remove(r.key.clone())));
+        }
         self.write_jobs(now, &mut rows, &mut contents);
         self.remove_expired(now, &mut rows, &mut contents);
         if rows.is_empty() {
@@ -183,10 +210,11 @@
                 job.durable = true;
             }
         }
-        for &(id, row) in &contents.progressed {
-            if let Some(job) = self.jobs.get_mut(id).filter(|j| j.has_crash_record) {
-                job.row_stored(row);
+        for p in &contents.progressed {
+            if let Some(job) = self.jobs.get_mut(p.job).filter(|j| j.has_crash_record) {
+                job.changes_stored(p.up_to);
             }
+            self.remove_finished_rounds(p);
         }
         for &(_, end) in &contents.ends {
             self.end_durable(end, now);
@@ -194,7 +222,8 @@
         for &(id, state, at) in &contents.ended {
             // Ends reported after the job's end was decided need no row.
             let late_ends = self.jobs.get_mut(id).map(|j| std::mem::take(&mut j.ends));
-            late_ends.into_iter().flatten().for_each(|end| self.end_durable(end, now));
+            late_ends.into_iter().flatten().for_each(|e| self.end_durable(e.end, now));
+            self.remove_rows_of_ended_job(id);
             self.close_job(id, state, at);
         }
         if let Some(list) = contents.workers {
@@ -229,23 +258,24 @@
     /// Records that a batch was refused and will never be committed. Its changes are written again.
     pub fn batch_refused(&mut self, number: u64) {
         let Some(contents) = self.take_in_flight(number) else { return };
-        for &(id, end) in &contents.ends {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.ends.push(end);
+        for &id in &contents.accepted {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            job.acceptance_unwritten = true;
+            self.jobs.write_queue.add_urgent(id);
+        }
+        for p in &contents.progressed {
+            let Some(job) = self.jobs.get_mut(p.job) else { continue };
+            for &(number, segment) in &p.segments {
+                job.unwritten.restore(number, segment);
             }
+            self.jobs.write_queue.add_background(p.job);
         }
-        let progressed = contents.progressed.iter().map(|&(id, _)| id);
-        for id in contents.accepted.iter().copied().chain(progressed) {
-            let accepted = contents.accepted.contains(&id);
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            job.acceptance_unwritten |= accepted;
-            job.progress_unwritten |= !accepted || job.has_progress_row;
-            if accepted {
-                self.jobs.write_queue.add_urgent(id);
-            } else {
-                self.jobs.write_queue.add_background(id);
+        for &(id, end) in &contents.ends {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.ends.push(UnwrittenEnd { end, number: job.unwritten.last_number() });
             }
         }
+        self.row_removals.restore(contents.removed);
         if contents.run_times {
             self.run_times_refused();
         }
@@ -281,54 +311,4 @@
         }
         self.recorded_workers = list;
     }
-
-    fn write_jobs(&mut self, now: Millis, rows: &mut Vec<RowWrite>, contents: &mut BatchContents) {
-        let mut bytes = 0;
-        while rows.len() + MAX_ROWS_PER_JOB <= MAX_JOB_ROWS_PER_BATCH
-            && bytes <= MAX_VALUE_BYTES_PER_BATCH
-        {
-            let Some((id, urgent)) = self.jobs.write_queue.pop() else { return };
-            if self.in_flight.jobs.contains(&id) {
-                *self.in_flight.deferred.entry(id).or_default() |= urgent;
-                continue;
-            }
-            let start = rows.len();
-            self.write_job(id, now, rows, contents);
-            bytes += rows[start..].iter().map(RowWrite::bytes).sum::<usize>();
-        }
-    }
-
-    fn write_job(
-        &mut self,
-        id: JobId,
-        now: Millis,
-        rows: &mut Vec<RowWrite>,
-        contents: &mut BatchContents,
-    ) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        let account = self.accounts.name(job.account);
-        contents.ends.extend(job.ends.drain(..).map(|end| (id, end)));
-        if let Some(state) = job.end {
-            rows.push(put(job_key(id), JobRow::ended(state, now.0, account).encode_to_vec()));
-            if job.has_progress_row {
-                rows.push(RowWrite { key: progress_key(id), value: None });
-            }
-            contents.ended.push((id, state, now));
-            return;
-        }
-        if std::mem::take(&mut job.acceptance_unwritten) {
-            rows.push(put(job_key(id), JobRow::open(job, account).encode_to_vec()));
-            contents.accepted.push(id);
-        }
-        if std::mem::take(&mut job.progress_unwritten) {
-            job.has_progress_row = true;
-            job.progress_rows_built += 1;
-            rows.push(put(progress_key(id), ProgressRow::of(job).encode_to_vec()));
-            contents.progressed.push((id, job.progress_rows_built));
-        }
-    }
-}
-
-fn put(key: String, value: Vec<u8>) -> RowWrite {
-    RowWrite { key, value: Some(value) }
 }
--- a/crates/hollowford-jobs/src/crash_record.rs
+++ b/crates/hollowford-jobs/src/crash_record.rs
@@ -88,9 +88,9 @@
     pub uncertain_runs: Vec<u32>,
     /// The current run, and runs whose workers were silent until their leases expired.
     pub open_runs: Vec<OpenRun>,
-    /// Number of the progress row that has to be stored before the task starts again; `None` if it
-    /// need not wait for one.
-    pub awaited_row: Option<u64>,
+    /// Number of the change of the job that has to be stored before the task starts again; `None` if
+    /// it need not wait for one.
+    pub awaited_change: Option<u64>,
 }
 
 impl CrashRecord {
@@ -146,12 +146,12 @@
     /// Returns true if the task may start only after a progress row is stored. Without that row,
     /// another owner would count fewer crashes and start the task again for each one missing.
     pub fn awaits_row(&self) -> bool {
-        self.awaited_row.is_some()
+        self.awaited_change.is_some()
     }
 
-    /// Records that a progress row is stored.
-    pub fn row_stored(&mut self, row: u64) {
-        self.awaited_row = self.awaited_row.filter(|&needed| needed > row);
+    /// Records that the changes up to this number are stored.
+    pub fn changes_stored(&mut self, number: u64) {
+        self.awaited_change = self.awaited_change.filter(|&needed| needed > number);
     }
 
     /// Returns true if the task is likely enough to crash workers that nothing should be started
--- a/crates/hollowford-jobs/src/crashes.rs
+++ b/crates/hollowford-jobs/src/crashes.rs
@@ -172,7 +172,7 @@
     pub(crate) fn close_run(&mut self, task: TaskKey, run: u32) {
         let Some(t) = self.jobs.task_mut(task) else { return };
         if t.crash_record.as_mut().is_some_and(|c| c.close_run(run)) {
-            self.jobs.mark_progress_unwritten(task.step.job);
+            self.jobs.mark_task_unwritten(task);
         }
     }
 
@@ -180,7 +180,7 @@
     pub(crate) fn record_stable(&mut self, p: Placement) {
         let Some(task) = self.jobs.task_mut(p.task) else { return };
         if task.crash_record.as_mut().is_some_and(|c| c.mark_stable(p.run)) {
-            self.jobs.mark_progress_unwritten(p.task.step.job);
+            self.jobs.mark_task_unwritten(p.task);
         }
     }
 
@@ -198,7 +198,7 @@
         let Some(task) = self.jobs.task_mut(key) else { return };
         let runs: Vec<_> = task.runs().collect();
         if task.crash_record.take().is_some() {
-            self.jobs.mark_progress_unwritten(key.step.job);
+            self.jobs.mark_task_unwritten(key);
         }
         for r in runs {
             if let Some(w) = self.workers.get_mut(r.worker) {
@@ -236,7 +236,7 @@
             let newly_uncertain = found.open_runs.iter_mut().filter(|r| r.fresh && !r.uncertain);
             if newly_uncertain.map(|r| r.uncertain = true).count() > 0 {
                 // A later owner doesn't know of this outage.
-                self.jobs.mark_progress_unwritten(key.step.job);
+                self.jobs.mark_task_unwritten(key);
             }
         }
         for r in &found.open_runs {
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -10,7 +10,9 @@
 use crate::health::FailureRate;
 use crate::jobs::Jobs;
 use crate::order::{Order, WorkerListing};
+use crate::progress_segments::RowLimits;
 use crate::queue::Queue;
+use crate::row_removal::RowRemovals;
 use crate::rows::WorkerAddress;
 use crate::run_times::RunTimes;
 use crate::shares::Shares;
@@ -152,8 +154,12 @@
     pub(crate) renews_leases: bool,
     /// Whether the store was unavailable shortly before the takeover.
     pub(crate) store_outage_before: bool,
+    /// Limits of the rows of jobs and workers.
+    pub(crate) row_limits: RowLimits,
     /// Batches that are built and not committed yet.
     pub(crate) in_flight: InFlight,
+    /// Rows that are no longer needed.
+    pub(crate) row_removals: RowRemovals,
     /// Number of the last batch, counted from 1.
     pub(crate) last_batch_number: u64,
     /// The workers in the row that was stored last.
@@ -208,7 +214,9 @@
             tasks_unsettled: false,
             renews_leases: true,
             store_outage_before: false,
+            row_limits: RowLimits::default(),
             in_flight: InFlight::default(),
+            row_removals: RowRemovals::default(),
             last_batch_number: 0,
             recorded_workers: Vec::new(),
             crashed_incarnations: Vec::new(),
@@ -284,6 +292,11 @@
         self.run_times.set_enabled(features.learned_run_times);
     }
 
+    /// Sets the limits of the rows of jobs and workers. Called before anything else.
+    pub fn set_row_limits(&mut self, limits: RowLimits) {
+        self.row_limits = limits;
+    }
+
     /// Sets the offset in milliseconds by which Unix time is ahead of the engine's time. Jobs with
     /// a schedule are due by Unix time.
     pub fn set_unix_offset(&mut self, offset: i64) {
@@ -320,13 +333,11 @@
     /// effect, and the task would run again.
     fn add_due_rounds(&mut self, now: Millis) {
         for id in self.jobs.scheduled() {
-            let mut added = false;
-            while self.add_due_round(id, now) {
-                added = true;
-            }
-            if added {
+            let Some(first) = self.jobs.get(id).map(|j| j.due_rounds) else { continue };
+            while self.add_due_round(id, now) {}
+            if self.jobs.get(id).is_some_and(|j| j.due_rounds > first) {
                 self.jobs.mark_all_steps_waiting(id);
-                self.jobs.mark_progress_unwritten(id);
+                self.jobs.mark_rounds_unwritten(id, first);
                 self.needs_pass = true;
             }
         }
--- a/crates/hollowford-jobs/src/job.rs
+++ b/crates/hollowford-jobs/src/job.rs
@@ -3,7 +3,8 @@
 use crate::accounts::AccountIdx;
 use crate::advice::StepAdvice;
 use crate::crash_record::CrashRecord;
-use crate::spec::{JobId, JobSpec, StepSpec, TaskKey};
+use crate::progress_segments::{Segment, SegmentLayout, StoredSegments, UnwrittenSegments};
+use crate::spec::{JobId, JobSpec, StepKey, StepSpec, TaskKey};
 use crate::workers::WorkerIdx;
 use hollowford_core::Millis;
 use std::sync::Arc;
@@ -42,6 +43,14 @@
     pub number: u64,
 }
 
+/// An end whose effects are in no batch yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnwrittenEnd {
+    pub end: EndRef,
+    /// Number of the last of its effects; see [`UnwrittenSegments`].
+    pub number: u64,
+}
+
 /// One task of a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
@@ -102,6 +111,11 @@
         self.avoid.filter(|a| now < a.until).map(|a| a.worker)
     }
 
+    /// Returns true if its progress differs from that of a new task.
+    pub fn is_changed(&self) -> bool {
+        self.last_run > 0 || self.done || self.crash_record.is_some()
+    }
+
     /// Returns true if a worker has crashed shortly after a start of the task.
     pub fn is_suspect(&self) -> bool {
         self.crash_record.as_ref().is_some_and(|c| c.is_suspect())
@@ -315,16 +329,16 @@
     pub end: Option<JobState>,
     /// Whether the acceptance has yet to be added to a batch.
     pub acceptance_unwritten: bool,
-    /// Whether the progress has yet to be added to a batch.
-    pub progress_unwritten: bool,
-    /// Whether the store may have a progress row.
-    pub has_progress_row: bool,
-    /// Number of progress rows added to batches.
-    pub progress_rows_built: u64,
+    /// How its progress is divided into rows.
+    pub layout: SegmentLayout,
+    /// Progress that is in no batch yet.
+    pub unwritten: UnwrittenSegments,
+    /// Progress that the store may have.
+    pub stored: StoredSegments,
     /// Whether a task has a crash record.
     pub has_crash_record: bool,
     /// Processed ends of its tasks that are in no batch yet.
-    pub ends: Vec<EndRef>,
+    pub ends: Vec<UnwrittenEnd>,
 }
 
 impl Job {
@@ -357,30 +371,70 @@
         self.rounds.iter().any(|r| r.steps.iter().any(step))
     }
 
+    /// Marks the progress of a task as changed.
+    pub fn mark_task_unwritten(&mut self, task: TaskKey) {
+        self.unwritten.mark(self.layout.segment_of(task));
+        let round = task.step.round;
+        let is_listed = !self.layout.is_single() && self.spec.schedule.is_some();
+        if is_listed && self.round(round).is_some_and(Round::is_done) {
+            self.unwritten.mark(Segment::of_round(round));
+        }
+    }
+
+    /// Marks the progress of all tasks of a step as changed.
+    fn mark_step_unwritten(&mut self, step: StepKey) {
+        let Some(spec) = self.spec.steps.get(step.step as usize) else { return };
+        for first in self.layout.first_tasks(spec.count) {
+            self.mark_task_unwritten(step.task(first));
+        }
+    }
+
+    /// Marks the rounds as changed that have become due from number `first` on.
+    pub fn mark_rounds_unwritten(&mut self, first: u32) {
+        if self.layout.is_single() {
+            return self.unwritten.mark(Segment::Job);
+        }
+        for round in first..self.due_rounds {
+            self.unwritten.mark(Segment::of_round(round));
+        }
+    }
+
+    /// Marks all progress as changed, so that rows which an earlier release wrote are replaced.
+    pub fn mark_all_unwritten(&mut self) {
+        self.mark_rounds_unwritten(0);
+        let job = self.id;
+        let steps = self.spec.steps.len() as u32;
+        for round in self.rounds.iter().map(|r| r.number).collect::<Vec<_>>() {
+            (0..steps).for_each(|step| self.mark_step_unwritten(StepKey { job, round, step }));
+        }
+        self.unwritten.mark(Segment::Job);
+    }
+
     /// Returns the crash record of a task for a change, and creates it if there is none. If
-    /// `store_first` is set, the task starts again only after the next progress row is stored.
+    /// `store_first` is set, the task starts again only after the task's progress is stored, which
+    /// has to be marked as changed before.
     pub fn crash_record_mut(
         &mut self,
         key: TaskKey,
         store_first: bool,
     ) -> Option<&mut CrashRecord> {
-        let row = self.progress_rows_built + 1;
+        let number = self.unwritten.last_number();
         self.has_crash_record = true;
         let step = self.round_mut(key.step.round)?.steps.get_mut(key.step.step as usize)?;
         let task = step.tasks.get_mut(key.index as usize).filter(|t| !t.done)?;
         let crash_record = task.crash_record.get_or_insert_default();
         if store_first {
-            crash_record.awaited_row = Some(row);
+            crash_record.awaited_change = Some(number);
         }
         Some(crash_record)
     }
 
-    /// Records that the progress row with this number is stored.
-    pub fn row_stored(&mut self, row: u64) {
+    /// Records that the changes up to this number are stored.
+    pub fn changes_stored(&mut self, number: u64) {
         let steps = self.rounds.iter_mut().flat_map(|r| &mut r.steps);
         let crash_records =
             steps.flat_map(|s| &mut s.tasks).filter_map(|t| t.crash_record.as_mut());
-        crash_records.for_each(|c| c.row_stored(row));
+        crash_records.for_each(|c| c.changes_stored(number));
     }
 
     /// Returns the number above which the next runs of a task are numbered at `epoch`.
--- a/crates/hollowford-jobs/src/jobs.rs
+++ b/crates/hollowford-jobs/src/jobs.rs
@@ -157,13 +157,13 @@
     }
 
     /// Returns the crash record of a task for a change, and creates it if there is none. Marks the
-    /// job's progress as unwritten, so that the row for which the task may wait is always written.
+    /// task's progress as changed, so that what the task may wait for is always written.
     pub fn crash_record_mut(
         &mut self,
         key: TaskKey,
         store_first: bool,
     ) -> Option<&mut CrashRecord> {
-        self.mark_progress_unwritten(key.step.job);
+        self.mark_task_unwritten(key);
         self.get_mut(key.step.job)?.crash_record_mut(key, store_first)
     }
 
@@ -175,10 +175,24 @@
         }
     }
 
-    /// Marks a job's progress as changed, so that it is written with a later batch.
-    pub fn mark_progress_unwritten(&mut self, id: JobId) {
+    /// Marks the progress of a task as changed, so that it is written with a later batch.
+    pub fn mark_task_unwritten(&mut self, key: TaskKey) {
+        self.mark_unwritten(key.step.job, |job| job.mark_task_unwritten(key));
+    }
+
+    /// Marks the rounds of a job as changed that have become due from number `first` on.
+    pub fn mark_rounds_unwritten(&mut self, id: JobId, first: u32) {
+        self.mark_unwritten(id, |job| job.mark_rounds_unwritten(first));
+    }
+
+    /// Marks all progress of a job as changed.
+    pub fn mark_all_unwritten(&mut self, id: JobId) {
+        self.mark_unwritten(id, Job::mark_all_unwritten);
+    }
+
+    fn mark_unwritten(&mut self, id: JobId, mark: impl FnOnce(&mut Job)) {
         if let Some(job) = self.open.get_mut(&id) {
-            job.progress_unwritten = true;
+            mark(job);
             self.write_queue.add_background(id);
         }
     }
--- a/crates/hollowford-jobs/src/lease.rs
+++ b/crates/hollowford-jobs/src/lease.rs
@@ -3,7 +3,7 @@
 use crate::answer_timeouts::look_pause;
 use crate::engine::Engine;
 use crate::event::Event;
-use crate::job::EndRef;
+use crate::job::{EndRef, UnwrittenEnd};
 use crate::order::{End, Look, Order, WorkerCall};
 use crate::worker::{MIN_SILENT_CALLS, Worker};
 use crate::worker_life::WorkerLife;
@@ -224,8 +224,8 @@
         let Some(job) = self.jobs.get_mut(end.task.step.job) else { return };
         let number = end.number;
         let end = EndRef { worker, number };
-        if job.progress_unwritten || job.end.is_some() {
-            job.ends.push(end);
+        if !job.unwritten.is_empty() || job.end.is_some() {
+            job.ends.push(UnwrittenEnd { end, number: job.unwritten.last_number() });
         } else if !self.in_flight.add_end(job.id, end) {
             return;
         }
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -30,6 +30,7 @@
 mod health_tests;
 mod held_task;
 mod job;
+mod job_rows;
 mod jobs;
 mod lease;
 mod listing;
@@ -38,9 +39,13 @@
 mod pass;
 mod placement;
 mod progress_rows;
+#[cfg(test)]
+mod progress_rows_tests;
+mod progress_segments;
 mod queue;
 mod recover;
 mod reservation;
+mod row_removal;
 mod rows;
 mod run_times;
 mod settling;
@@ -48,6 +53,7 @@
 mod spec;
 mod stall;
 mod starts;
+mod stored_progress;
 mod submit;
 mod task_ends;
 mod unlisted_ends;
@@ -77,6 +83,7 @@
 pub use order::{
     End, EndKind, Look, Order, Running, StartAnswer, WorkerCall, WorkerListing, WorkerTickets,
 };
+pub use progress_segments::RowLimits;
 pub use queue::{AdviceCost, Queue};
 pub use recover::Recovered;
 pub use rows::{RowError, WorkerAddress, decode_spec, decode_workers, encode_spec, encode_workers};
--- a/crates/hollowford-jobs/src/progress_rows.rs
+++ b/crates/hollowford-jobs/src/progress_rows.rs
@@ -2,16 +2,19 @@
 
 use crate::crash_record::{CrashRecord, OpenRun};
 use crate::job::{Job, Round, Step, Task};
+use crate::progress_segments::Segment;
+use crate::spec::StepKey;
 use crate::worker_life::{Incarnation, WorkerLife};
 use prost::Message;
 
-/// Row with the progress of a job.
+/// Row with the progress of a job, or with a part of it.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct ProgressRow {
-    /// Number of rounds that have become due.
+    /// Number of rounds that have become due, as far as the row's segment contains rounds.
     #[prost(uint32, tag = "1")]
     pub due_rounds: u32,
-    /// Unfinished rounds, with the tasks that differ from a new one.
+    /// Unfinished rounds, with the tasks that differ from a new one. In a segment of tasks, the
+    /// round of these tasks.
     #[prost(message, repeated, tag = "2")]
     pub rounds: Vec<RoundRow>,
     #[prost(bool, tag = "3")]
@@ -29,6 +32,38 @@
     /// Failed runs of gangs.
     #[prost(message, repeated, tag = "4")]
     pub gangs: Vec<GangRow>,
+    /// Tasks of large jobs that are done; these are not in `tasks`, unless they were copied.
+    #[prost(message, repeated, tag = "5")]
+    pub done: Vec<DoneTasksRow>,
+}
+
+/// Consecutive tasks of a step, some of which are done.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct DoneTasksRow {
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    /// Position of the first task in the step.
+    #[prost(uint32, tag = "2")]
+    pub first: u32,
+    /// A bit for each task, from the lowest bit of the first byte; set if the task is done.
+    #[prost(bytes = "vec", tag = "3")]
+    pub bits: Vec<u8>,
+}
+
+impl DoneTasksRow {
+    fn of(step: u32, first: usize, tasks: &[Task]) -> DoneTasksRow {
+        let mut bits = vec![0; tasks.len().div_ceil(8)];
+        for (at, _) in tasks.iter().enumerate().filter(|(_, t)| t.done) {
+            bits[at / 8] |= 1 << (at % 8);
+        }
+        DoneTasksRow { step, first: first as u32, bits }
+    }
+
+    /// Returns the positions in the step of the tasks that are done.
+    pub fn positions(&self) -> impl Iterator<Item = u32> {
+        let is_set = |at: &usize| self.bits[at / 8] & (1 << (at % 8)) != 0;
+        (0..self.bits.len() * 8).filter(is_set).map(|at| self.first.saturating_add(at as u32))
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -104,10 +139,156 @@
         let rounds = job.rounds.iter().filter(|r| !r.is_done()).map(RoundRow::of).collect();
         ProgressRow { due_rounds: job.due_rounds, rounds, started: job.started }
     }
+
+    /// Creates the row of the unfinished rounds in the segment `Rounds(number)` of a large job.
+    fn of_rounds(job: &Job, number: u32) -> ProgressRow {
+        let range = Segment::rounds(number);
+        let due_rounds = job.due_rounds.min(range.end);
+        let listed = job.rounds.iter().filter(|r| range.contains(&r.number) && !r.is_done());
+        let rounds =
+            listed.map(|r| RoundRow { number: r.number, due: r.due.0, ..RoundRow::default() });
+        ProgressRow { due_rounds, rounds: rounds.collect(), started: job.started }
+    }
+
+    /// Creates the row of some tasks of a step of a large job. Returns `None` if the job no longer
+    /// has the round.
+    fn of_tasks(job: &Job, key: StepKey, block: u32) -> Option<ProgressRow> {
+        let step = job.round(key.round)?.steps.get(key.step as usize)?;
+        let range = job.layout.tasks(block);
+        let range = range.start.min(step.tasks.len())..range.end.min(step.tasks.len());
+        let tasks = &step.tasks[range.clone()];
+        let row = |(at, t): (usize, &Task)| {
+            let is_row = t.is_changed() && (!t.done || t.copied);
+            is_row.then(|| TaskRow::of(key.step as usize, range.start + at, t))
+        };
+        let gang = (block == 0).then(|| GangRow::of(key.step as usize, step)).flatten();
+        let round = RoundRow {
+            number: key.round,
+            due: 0,
+            tasks: tasks.iter().enumerate().filter_map(row).collect(),
+            gangs: gang.into_iter().collect(),
+            done: vec![DoneTasksRow::of(key.step, range.start, tasks)],
+        };
+        Some(ProgressRow { due_rounds: 0, rounds: vec![round], started: job.started })
+    }
+}
+
+/// Encodes the rows of a segment of a job, none of them larger than `max_bytes`. There are none if
+/// the job has no such segment.
+pub(crate) fn encode_segment(job: &Job, segment: Segment, max_bytes: usize) -> Vec<Vec<u8>> {
+    let row = match segment {
+        Segment::Job if job.layout.is_single() => Some(ProgressRow::of(job)),
+        // Written by an earlier release.
+        Segment::Job => None,
+        Segment::Rounds(number) => Some(ProgressRow::of_rounds(job, number)),
+        Segment::Tasks { round, step, block } => {
+            ProgressRow::of_tasks(job, StepKey { job: job.id, round, step }, block)
+        }
+    };
+    let rows = row.map_or_else(Vec::new, |row| divide(row, max_bytes));
+    rows.iter().map(Message::encode_to_vec).collect()
+}
+
+/// Bytes by which a message grows with a part of it, beside the part: its tag and its length, and
+/// the length of the round around it.
+const PART_OVERHEAD_BYTES: usize = 12;
+/// Size of a row that contains one round without tasks.
+const EMPTY_ROW_BYTES: usize = 40;
+
+/// Divides a row into rows of at most `max_bytes`.
+fn divide(row: ProgressRow, max_bytes: usize) -> Vec<ProgressRow> {
+    if row.encoded_len() <= max_bytes {
+        return vec![row];
+    }
+    let mut rows = RowDivider {
+        due_rounds: row.due_rounds,
+        started: row.started,
+        max_bytes,
+        ..RowDivider::default()
+    };
+    for round in row.rounds {
+        let number = round.number;
+        let due = round.due;
+        rows.add_round(number, due);
+        for done in round.done {
+            rows.add_part((number, due), done.encoded_len(), |r| r.done.push(done));
+        }
+        for gang in round.gangs {
+            rows.add_part((number, due), gang.encoded_len(), |r| r.gangs.push(gang));
+        }
+        for task in round.tasks {
+            let task = task.without_oversized_text(max_bytes);
+            rows.add_part((number, due), task.encoded_len(), |r| r.tasks.push(task));
+        }
+    }
+    rows.finish()
+}
+
+/// Collects parts of a row in rows of limited size.
+#[derive(Default)]
+struct RowDivider {
+    due_rounds: u32,
+    started: bool,
+    max_bytes: usize,
+    finished: Vec<ProgressRow>,
+    rounds: Vec<RoundRow>,
+    /// Upper bound of the size of the row with `rounds`.
+    bytes: usize,
+}
+
+impl RowDivider {
+    fn add_round(&mut self, number: u32, due: u64) {
+        if self.bytes + EMPTY_ROW_BYTES > self.max_bytes && !self.rounds.is_empty() {
+            self.finish_row();
+        }
+        self.bytes += EMPTY_ROW_BYTES;
+        self.rounds.push(RoundRow { number, due, ..RoundRow::default() });
+    }
+
+    fn add_part(&mut self, round: (u32, u64), bytes: usize, add: impl FnOnce(&mut RoundRow)) {
+        if self.bytes + bytes + PART_OVERHEAD_BYTES > self.max_bytes {
+            self.finish_row();
+            self.add_round(round.0, round.1);
+        }
+        self.bytes += bytes + PART_OVERHEAD_BYTES;
+        if let Some(round) = self.rounds.last_mut() {
+            add(round);
+        }
+    }
+
+    fn finish_row(&mut self) {
+        let rounds = std::mem::take(&mut self.rounds);
+        self.finished.push(ProgressRow {
+            due_rounds: self.due_rounds,
+            rounds,
+            started: self.started,
+        });
+        self.bytes = 0;
+    }
+
+    fn finish(mut self) -> Vec<ProgressRow> {
+        self.finish_row();
+        self.finished
+    }
+}
+
+impl GangRow {
+    fn of(step: usize, s: &Step) -> Option<GangRow> {
+        let row = GangRow { step: step as u32, failed_runs: s.failed_gang_runs.clone() };
+        (!s.failed_gang_runs.is_empty()).then_some(row)
+    }
 }
 
 impl TaskRow {
-    fn of(step: usize, index: usize, t: &Task) -> TaskRow {
+    /// Removes the checkpoint if the row can't hold it. The task then starts from its beginning.
+    fn without_oversized_text(mut self, max_bytes: usize) -> TaskRow {
+        if self.encoded_len() + PART_OVERHEAD_BYTES + EMPTY_ROW_BYTES > max_bytes {
+            self.saved.clear();
+        }
+        self
+    }
+
+    pub fn of(step: usize, index: usize, t: &Task) -> TaskRow {
         TaskRow {
             step: step as u32,
             index: index as u32,
@@ -154,7 +335,7 @@
             unconfirmed_runs: row.unconfirmed_runs.clone(),
             uncertain_runs: row.uncertain_runs.clone(),
             open_runs: row.open_runs.iter().map(open).collect(),
-            awaited_row: None,
+            awaited_change: None,
         }
     }
 }
@@ -164,16 +345,13 @@
         let mut tasks = Vec::new();
         for (step, s) in round.steps.iter().enumerate() {
             for (index, t) in s.tasks.iter().enumerate() {
-                if t.last_run > 0 || t.done || t.crash_record.is_some() {
+                if t.is_changed() {
                     tasks.push(TaskRow::of(step, index, t));
                 }
             }
         }
-        let gang = |(step, s): (usize, &Step)| {
-            let row = GangRow { step: step as u32, failed_runs: s.failed_gang_runs.clone() };
-            (!s.failed_gang_runs.is_empty()).then_some(row)
-        };
+        let gang = |(step, s): (usize, &Step)| GangRow::of(step, s);
         let gangs = round.steps.iter().enumerate().filter_map(gang).collect();
-        RoundRow { number: round.number, due: round.due.0, tasks, gangs }
+        RoundRow { number: round.number, due: round.due.0, tasks, gangs, done: Vec::new() }
     }
 }
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -2,14 +2,17 @@
 
 use crate::engine::Engine;
 use crate::job::JobState;
+use crate::job::{Round, Step};
 use crate::jobs::EndedJob;
-use crate::progress_rows::{ProgressRow, RoundRow};
+use crate::progress_segments::{Segment, SegmentLayout};
 use crate::rows::{JobRow, RowError, WorkerAddress, decode_workers};
-use crate::spec::{JobId, StepKey};
+use crate::spec::{JobId, JobSpec, StepKey};
+use crate::stored_progress::{ProgressKey, StoredProgress, StoredRound};
 use crate::submit::new_job;
 use crate::worker::Worker;
 use hollowford_core::Millis;
 use prost::Message;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Counts of what a recovery found in the store.
@@ -51,10 +54,8 @@
                 found.other += 1;
             }
         }
-        for (key, value) in rows {
-            if let Some(id) = key.strip_prefix("p/") {
-                self.recover_progress(id.parse()?, &ProgressRow::decode(&value[..])?, now);
-            }
+        for (id, stored) in decode_progress(rows)? {
+            self.recover_progress(id, &stored, now);
         }
         self.tasks_unsettled = !self.unsettled_workers.is_empty();
         if !self.tasks_unsettled {
@@ -80,9 +81,11 @@
         }
         found.open += 1;
         let spec = Arc::new(row.spec()?);
+        let layout = SegmentLayout::of(&spec, self.row_limits);
         let name: Arc<str> = row.queue.as_str().into();
         let account = self.accounts.intern(&row.account);
-        let mut job = new_job(id, (account, name), spec, row.epoch, Millis(row.accepted_at));
+        let accepted = (row.epoch, Millis(row.accepted_at));
+        let mut job = new_job(id, (account, name), spec, layout, accepted);
         job.durable = true;
         job.acceptance_unwritten = false;
         if job.spec.schedule.is_none() {
@@ -93,51 +96,43 @@
         Ok(())
     }
 
-    fn recover_progress(&mut self, id: JobId, row: &ProgressRow, now: Millis) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        job.has_progress_row = true;
-        job.started = row.started;
+    fn recover_progress(&mut self, id: JobId, stored: &StoredProgress, now: Millis) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            // The last owner ended after the job, and before it had removed these rows.
+            return self.remove_progress_rows(id, stored);
+        };
+        for (&segment, &rows) in &stored.segments {
+            job.stored.add(segment, rows);
+        }
+        job.started = stored.started;
         if job.spec.schedule.is_some() {
-            for r in &row.rounds {
-                job.due_rounds = r.number;
+            for (&number, r) in &stored.rounds {
+                job.due_rounds = number;
                 job.add_round(Millis(r.due));
             }
-            job.due_rounds = row.due_rounds;
+            job.due_rounds = job.due_rounds.max(stored.due_rounds);
         }
-        for r in &row.rounds {
-            self.recover_round(id, r);
-            self.recover_crash_records(id, r, now);
-        }
-        self.jobs.mark_all_steps_waiting(id);
-        self.mark_job_unsettled(id);
-    }
-
-    fn recover_round(&mut self, id: JobId, row: &RoundRow) {
-        let Some(round) = self.jobs.get_mut(id).and_then(|j| j.round_mut(row.number)) else {
-            return;
-        };
-        for g in &row.gangs {
-            if let Some(step) = round.steps.get_mut(g.step as usize) {
-                step.failed_gang_runs = g.failed_runs.clone();
+        let spec = job.spec.clone();
+        let has_earlier_form =
+            !job.layout.is_single() && stored.segments.contains_key(&Segment::Job);
+        for (&number, r) in &stored.rounds {
+            if let Some(round) = self.jobs.get_mut(id).and_then(|j| j.round_mut(number)) {
+                recover_round(round, r, &spec);
             }
+            self.recover_crash_records(id, number, r, now);
         }
-        for t in &row.tasks {
-            let Some(step) = round.steps.get_mut(t.step as usize) else { continue };
-            let Some(task) = step.tasks.get_mut(t.index as usize) else { continue };
-            task.record_run_number(t.run);
-            task.copied = t.copied;
-            task.failed_runs = t.failed_runs.clone();
-            task.done = t.done;
-            task.saved = (!t.saved.is_empty()).then(|| t.saved.as_str().into());
-            step.remaining -= u32::from(t.done);
+        if has_earlier_form {
+            self.jobs.mark_all_unwritten(id);
         }
+        self.jobs.mark_all_steps_waiting(id);
+        self.mark_job_unsettled(id);
     }
 
-    fn recover_crash_records(&mut self, job: JobId, row: &RoundRow, now: Millis) {
-        for t in &row.tasks {
-            let step = StepKey { job, round: row.number, step: t.step };
+    fn recover_crash_records(&mut self, job: JobId, round: u32, r: &StoredRound, now: Millis) {
+        for (&(step, index), t) in &r.tasks {
+            let step = StepKey { job, round, step };
             if let Some(crash_record) = &t.crash_record {
-                self.recover_crash_record(step.task(t.index), crash_record.into(), now);
+                self.recover_crash_record(step.task(index), crash_record.into(), now);
             }
         }
     }
@@ -159,3 +154,55 @@
         self.recorded_workers = list;
     }
 }
+
+/// Decodes the rows with the progress of jobs.
+fn decode_progress(
+    rows: &[(String, Vec<u8>)],
+) -> Result<BTreeMap<JobId, StoredProgress>, RowError> {
+    let mut values = BTreeMap::new();
+    for (key, value) in rows {
+        if let Some(key) = ProgressKey::parse(key)? {
+            values.insert(key, value);
+        }
+    }
+    let mut jobs: BTreeMap<JobId, StoredProgress> = BTreeMap::new();
+    for (key, value) in values {
+        jobs.entry(key.job).or_default().add(key, value)?;
+    }
+    Ok(jobs)
+}
+
+fn recover_round(round: &mut Round, stored: &StoredRound, spec: &JobSpec) {
+    for (&step, failed_runs) in &stored.failed_gang_runs {
+        if let Some(step) = round.steps.get_mut(step as usize) {
+            step.failed_gang_runs = failed_runs.clone();
+        }
+    }
+    for (&(step, index), t) in &stored.tasks {
+        let Some(step) = round.steps.get_mut(step as usize) else { continue };
+        let Some(task) = step.tasks.get_mut(index as usize) else { continue };
+        task.record_run_number(t.run);
+        task.copied = t.copied;
+        task.failed_runs = t.failed_runs.clone();
+        task.saved = (!t.saved.is_empty()).then(|| t.saved.as_str().into());
+        task.done = t.done;
+    }
+    for &(step, index) in &stored.done {
+        let step = round.steps.get_mut(step as usize);
+        if let Some(task) = step.and_then(|s| s.tasks.get_mut(index as usize)) {
+            task.done = true;
+        }
+    }
+    for (step, spec) in round.steps.iter_mut().zip(&spec.steps) {
+        recover_remaining(step, spec.gang);
+    }
+}
+
+/// Counts the tasks that are not done. The members of a gang are done together, and it is enough
+/// that the segment of one of them was stored.
+fn recover_remaining(step: &mut Step, gang: bool) {
+    if gang && step.tasks.iter().any(|t| t.done) {
+        step.tasks.iter_mut().for_each(|t| t.done = true);
+    }
+    step.remaining = step.tasks.iter().filter(|t| !t.done).count() as u32;
+}
--- a/crates/hollowford-jobs/src/rows.rs
+++ b/crates/hollowford-jobs/src/rows.rs
@@ -19,6 +19,9 @@
     /// The number of a job state is unknown.
     #[error("unknown job state: {0}")]
     State(u32),
+    /// The key is not one that this release writes.
+    #[error("unknown key: {0}")]
+    Key(String),
 }
 
 /// Row of a job. For an ended job only `state`, `ended_at` and `account` are set.
--- a/crates/hollowford-jobs/src/spec.rs
+++ b/crates/hollowford-jobs/src/spec.rs
@@ -5,8 +5,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-/// Maximum number of tasks of one step. The progress of a step has to fit into one row of the
-/// store.
+/// Maximum number of tasks of one step.
 pub const MAX_TASKS_PER_STEP: u32 = 2_000;
 /// Maximum number of steps of one job.
 pub const MAX_STEPS_PER_JOB: usize = 64;
@@ -217,6 +216,12 @@
         self.schedule.map_or(1, |s| s.rounds)
     }
 
+    /// Returns the number of tasks of all rounds.
+    pub fn task_count(&self) -> u64 {
+        let of_round: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
+        of_round.saturating_mul(u64::from(self.rounds()))
+    }
+
     /// Returns the estimated length in milliseconds of the critical path from the start of `step`.
     pub fn critical_path_from_ms(&self, step: usize) -> u64 {
         self.critical_paths_ms[step]
--- a/crates/hollowford-jobs/src/submit.rs
+++ b/crates/hollowford-jobs/src/submit.rs
@@ -6,6 +6,7 @@
 use crate::event::Event;
 use crate::job::{Job, JobState};
 use crate::jobs::EndedJob;
+use crate::progress_segments::{SegmentLayout, StoredSegments, UnwrittenSegments};
 use crate::spec::{JobId, JobSpec};
 use hollowford_core::Millis;
 use std::sync::Arc;
@@ -61,7 +62,8 @@
         let account = self.accounts.intern(account);
         let name = self.accounts.name(account).clone();
         let is_guaranteed = self.accounts.record_job(account, now);
-        let mut job = new_job(id, (account, queue.clone()), spec, self.epoch, now);
+        let layout = SegmentLayout::of(&spec, self.row_limits);
+        let mut job = new_job(id, (account, queue.clone()), spec, layout, (self.epoch, now));
         job.guaranteed = is_guaranteed;
         if job.spec.schedule.is_none() {
             job.add_round(now);
@@ -181,8 +183,8 @@
     id: JobId,
     (account, queue): (AccountIdx, Arc<str>),
     spec: Arc<JobSpec>,
-    epoch: u64,
-    accepted_at: Millis,
+    layout: SegmentLayout,
+    (epoch, accepted_at): (u64, Millis),
 ) -> Job {
     Job {
         id,
@@ -198,9 +200,9 @@
         started: false,
         end: None,
         acceptance_unwritten: true,
-        progress_unwritten: false,
-        has_progress_row: false,
-        progress_rows_built: 0,
+        layout,
+        unwritten: UnwrittenSegments::default(),
+        stored: StoredSegments::default(),
         has_crash_record: false,
         ends: Vec::new(),
     }
--- a/crates/hollowford-jobs/src/task_ends.rs
+++ b/crates/hollowford-jobs/src/task_ends.rs
@@ -151,7 +151,11 @@
         self.record_health(idx, end, now);
         self.apply_end(idx, end, step_spec, now);
         self.end_job_if_exhausted(key, now);
-        self.jobs.mark_progress_unwritten(key.step.job);
+        if step_spec.gang {
+            // What concerns the whole gang is stored with its first task.
+            self.jobs.mark_task_unwritten(key.step.task(0));
+        }
+        self.jobs.mark_task_unwritten(key);
         self.needs_pass = true;
     }
 
--- a/crates/hollowford-jobs/src/worker_restart.rs
+++ b/crates/hollowford-jobs/src/worker_restart.rs
@@ -156,7 +156,7 @@
         let Some(t) = self.jobs.task_mut(task) else { return true };
         t.move_run(idx, run, next);
         if t.crash_record.as_mut().is_some_and(|c| c.move_run(run, &life)) {
-            self.jobs.mark_progress_unwritten(task.step.job);
+            self.jobs.mark_task_unwritten(task);
         }
         true
     }
--- a/crates/hollowford-jobs/tests/common/mod.rs
+++ b/crates/hollowford-jobs/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod crashes;
 pub mod lossy;
 pub mod scenario;
+pub mod store_limits;
 pub mod worker;
 
 use crashes::CrashInjector;
@@ -105,6 +106,8 @@
     pub run_times: RunTimes,
     /// Optional decisions of the engine.
     pub features: Features,
+    /// Limits of the engine's rows. The store of the test refuses none for being larger.
+    pub row_limits: RowLimits,
     /// Tasks of which the engine has been told, or an earlier owner has stored, that they are done.
     pub done_tasks: BTreeSet<TaskKey>,
     /// Those whose end was acknowledged, so that it is stored.
@@ -138,6 +141,7 @@
             store_outage_before: false,
             run_times: RunTimes::default(),
             features: Features::default(),
+            row_limits: RowLimits::default(),
             done_tasks: BTreeSet::new(),
             stored_done_tasks: BTreeSet::new(),
         };
@@ -264,6 +268,7 @@
     /// batch number.
     pub fn write_batch_unconfirmed(&mut self, at: usize) -> u64 {
         let batch = self.pending_batches.remove(at);
+        store_limits::assert_accepted(&batch, self.row_limits.max_row_bytes);
         for row in batch.rows {
             match row.value {
                 Some(value) => self.rows.insert(row.key, value),
@@ -402,6 +407,12 @@
         self.workers.iter_mut().find(|w| w.id == *id)
     }
 
+    /// Replaces the limits of the engine's rows. Called before anything is submitted.
+    pub fn set_row_limits(&mut self, limits: RowLimits) {
+        self.row_limits = limits;
+        self.engine.set_row_limits(limits);
+    }
+
     /// Replaces the engine by that of a new owner, which recovers from the rows in the store.
     pub fn take_over(&mut self) {
         self.take_over_without_worker_list();
@@ -420,6 +431,7 @@
         let epoch = self.engine.epoch() + 1;
         self.pending_batches.clear();
         self.engine = Engine::new(epoch, TIME_LIMITS, self.now);
+        self.engine.set_row_limits(self.row_limits);
         self.engine.set_features(self.features);
         self.done_tasks = self.stored_done_tasks.clone();
         self.engine.set_queues(&self.queues, self.now);
--- a/crates/hollowford-jobs/tests/common/worker.rs
+++ b/crates/hollowford-jobs/tests/common/worker.rs
@@ -101,6 +101,8 @@
     pub failing_jobs: BTreeSet<JobId>,
     /// Runs started in this incarnation.
     pub starts: u64,
+    /// What it reports as the checkpoint of each running task.
+    pub checkpoint_text: Arc<str>,
 }
 
 impl SimWorker {
@@ -140,6 +142,7 @@
             reports_incarnation: true,
             failing_jobs: BTreeSet::new(),
             starts: 0,
+            checkpoint_text: "".into(),
         }
     }
 
@@ -334,7 +337,7 @@
         let running = |(task, r): (&TaskKey, &Run)| Running {
             task: *task,
             run: r.run,
-            saved: "".into(),
+            saved: self.checkpoint_text.clone(),
             progress: r.progress(self.now),
             load: self.latency_ms(task),
         };
--- a/crates/hollowford-jobs/tests/crash_scenarios.rs
+++ b/crates/hollowford-jobs/tests/crash_scenarios.rs
@@ -12,6 +12,7 @@
 mod common;
 
 use common::scenario::{Failures, Scenario};
+use hollowford_jobs::RowLimits;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use yare::parameterized;
@@ -25,11 +26,19 @@
     std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(default)
 }
 
+/// Limits with which almost every job has several segments, each with several rows.
+const TINY_ROWS: RowLimits = RowLimits { max_row_bytes: 160, tasks_per_segment: 2 };
+
 /// Runs the scenario of one seed. Returns the faults found, or the message of its panic.
 fn run_scenario(seed: u64, failures: Failures) -> Vec<String> {
+    run_scenario_with(RowLimits::default(), seed, failures)
+}
+
+fn run_scenario_with(limits: RowLimits, seed: u64, failures: Failures) -> Vec<String> {
     let traced = env_number("TRACE", 0) == 1;
     let execute = move || {
         let mut scenario = Scenario::new(seed, failures);
+        scenario.cell.set_row_limits(limits);
         scenario.traced = traced;
         scenario.run()
     };
@@ -39,6 +48,10 @@
 
 /// Runs the scenarios of many seeds, and panics with the faults found.
 fn run_scenarios(failures: Failures) {
+    run_scenarios_with(RowLimits::default(), failures);
+}
+
+fn run_scenarios_with(limits: RowLimits, failures: Failures) {
     let first = env_number("FIRST", 1);
     let (next, end) = (AtomicU64::new(first), first + env_number("PLAYS", DEFAULT_SEEDS));
     let worker = || {
@@ -48,9 +61,8 @@
             if seed >= end {
                 return faults;
             }
-            faults.extend(
-                run_scenario(seed, failures).into_iter().map(|w| format!("seed {seed}: {w}")),
-            );
+            let found = run_scenario_with(limits, seed, failures);
+            faults.extend(found.into_iter().map(|w| format!("seed {seed}: {w}")));
         }
     };
     let faults: Vec<String> = thread::scope(|s| {
@@ -151,6 +163,18 @@
     run_scenarios(LATE_CRASHES);
 }
 
+// What large jobs store is in many rows, written with different batches.
+#[parameterized(
+    takeovers = { TAKEOVERS },
+    outages_and_takeovers = { OUTAGES_AND_TAKEOVERS },
+    failing_workers = { WORKER_FAILURES },
+    all = { ALL },
+    all_and_reused_ids = { ALL_AND_REUSED_IDS },
+)]
+fn with_jobs_in_many_rows(failures: Failures) {
+    run_scenarios_with(TINY_ROWS, failures);
+}
+
 // Seeds in which crashing tasks were started too often.
 #[parameterized(
     takeovers_first = { 3, TAKEOVERS },
--- a/crates/hollowford-node/src/load.rs
+++ b/crates/hollowford-node/src/load.rs
@@ -7,7 +7,7 @@
 use crate::wire::OwnerInfo;
 use hollowford_adapter::VersionedRows;
 use hollowford_core::Millis;
-use hollowford_jobs::Engine;
+use hollowford_jobs::{Engine, RowLimits};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -56,11 +56,12 @@
         return None;
     }
     let clock_offset = feed.now.0 as i64 - cx.shared.clock.now().0 as i64;
-    let (time_limits, features) = {
+    let (time_limits, features, max_row_bytes) = {
         let settings = cx.shared.settings_changed.borrow();
-        (settings.time_limits, settings.features)
+        (settings.time_limits, settings.features, settings.store_limits.row_bytes)
     };
     let mut engine = Engine::new(info.epoch, time_limits, feed.now);
+    engine.set_row_limits(RowLimits { max_row_bytes, ..RowLimits::default() });
     engine.set_earlier_leases_until(Millis(terms.earlier_leases_until_ms));
     engine.set_features(features);
     engine.set_unix_offset(cx.shared.clock.unix_ms() as i64 - feed.now.0 as i64);
