jobs: the list of workers takes as many rows as it needs

Cause: one row names all workers and the incarnations that crashed in the last minute, of any number.

Change: the list is divided into rows of row-bytes at most; together they have 400,000 bytes at most, so that a batch takes them. Beyond that the incarnations that crashed first are left out. Workers that are not known to have crashed come first, so a process of the release before, which reads the first row only, knows them as far as one row holds them, as before.

Test: worker_rows; on the code before both fail: 'row workers has 68450 bytes'.

--- a/crates/hollowford-jobs/src/batch.rs
+++ b/crates/hollowford-jobs/src/batch.rs
@@ -8,9 +8,8 @@
 use crate::job::{EndRef, JobState, UnwrittenEnd};
 use crate::progress_segments::Segment;
 use crate::row_removal::{MAX_REMOVALS_PER_BATCH, RowRemoval};
-use crate::rows::{WorkerAddress, encode_workers};
+use crate::rows::WorkerAddress;
 use crate::spec::JobId;
-use crate::worker::Worker;
 use crate::write_queue::BACKGROUND_POP_INTERVAL;
 use hollowford_core::Millis;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -87,7 +86,7 @@
     removed: Vec<RowRemoval>,
     /// Ends of tasks whose effects the batch stores, with their jobs.
     pub(crate) ends: Vec<(JobId, EndRef)>,
-    workers: Option<Vec<WorkerAddress>>,
+    pub(crate) workers: Option<Vec<WorkerAddress>>,
     /// Whether the batch contains the row of learned run times.
     run_times: bool,
 }
@@ -115,7 +114,7 @@
 /// Batches that are neither committed nor refused yet.
 #[derive(Debug, Default)]
 pub(crate) struct InFlight {
-    batches: BTreeMap<u64, BatchContents>,
+    pub(crate) batches: BTreeMap<u64, BatchContents>,
     /// Jobs with rows in one of the batches.
     pub(crate) jobs: FxHashSet<JobId>,
     /// Ended jobs whose removal was in a refused batch.
@@ -136,9 +135,6 @@
     }
 }
 
-/// Key of the row of workers.
-pub(crate) const WORKERS_KEY: &str = "workers";
-
 pub(crate) fn job_key(id: JobId) -> String {
     format!("j/{id}")
 }
@@ -284,31 +280,4 @@
             self.jobs.write_queue.add_urgent(id);
         }
     }
-
-    /// Adds the row of workers if it lacks a listed one.
-    fn write_workers(&mut self, rows: &mut Vec<RowWrite>, contents: &mut BatchContents) {
-        // Two versions of the row in flight could be committed in the wrong order.
-        let is_in_flight = self.in_flight.batches.values().any(|b| b.workers.is_some());
-        let is_incomplete = self.workers.iter().any(|(_, w)| !w.recorded && w.listed);
-        if is_in_flight || !is_incomplete {
-            return;
-        }
-        let address =
-            |w: &Worker| WorkerAddress { life: w.life.clone(), address: w.address.clone() };
-        let incarnations = self.workers.iter().map(|(_, w)| address(w));
-        let crashed = self.crashed_incarnations.iter().map(|c| c.address.clone());
-        let list: Vec<_> = incarnations.chain(crashed).collect();
-        rows.push(RowWrite { key: WORKERS_KEY.to_owned(), value: Some(encode_workers(&list)) });
-        contents.workers = Some(list);
-    }
-
-    fn workers_recorded(&mut self, list: Vec<WorkerAddress>) {
-        for w in &list {
-            let Some(idx) = self.workers.find(&w.life) else { continue };
-            if let Some(w) = self.workers.get_mut(idx) {
-                w.recorded = true;
-            }
-        }
-        self.recorded_workers = list;
-    }
 }
--- a/crates/hollowford-jobs/src/engine.rs
+++ b/crates/hollowford-jobs/src/engine.rs
@@ -162,9 +162,11 @@
     pub(crate) row_removals: RowRemovals,
     /// Number of the last batch, counted from 1.
     pub(crate) last_batch_number: u64,
-    /// The workers in the row that was stored last.
+    /// The workers in the rows that were stored last.
     pub(crate) recorded_workers: Vec<WorkerAddress>,
-    /// Incarnations that crashed recently, which that row also names.
+    /// Number of rows of workers that the store may have.
+    pub(crate) stored_worker_rows: usize,
+    /// Incarnations that crashed recently, which these rows also name.
     pub(crate) crashed_incarnations: Vec<CrashedIncarnation>,
     /// Whether something has changed since the last pass that may let a step be placed.
     pub(crate) needs_pass: bool,
@@ -219,6 +221,7 @@
             row_removals: RowRemovals::default(),
             last_batch_number: 0,
             recorded_workers: Vec::new(),
+            stored_worker_rows: 0,
             crashed_incarnations: Vec::new(),
             needs_pass: true,
             slow_call_answered: false,
--- a/crates/hollowford-jobs/src/lib.rs
+++ b/crates/hollowford-jobs/src/lib.rs
@@ -64,6 +64,7 @@
 mod worker_life;
 mod worker_removal;
 mod worker_restart;
+mod worker_rows;
 mod workers;
 mod write_queue;
 
--- a/crates/hollowford-jobs/src/recover.rs
+++ b/crates/hollowford-jobs/src/recover.rs
@@ -10,6 +10,7 @@
 use crate::stored_progress::{ProgressKey, StoredProgress, StoredRound};
 use crate::submit::new_job;
 use crate::worker::Worker;
+use crate::worker_rows::is_worker_row;
 use hollowford_core::Millis;
 use prost::Message;
 use std::collections::BTreeMap;
@@ -44,9 +45,9 @@
         for (key, value) in rows {
             if let Some(id) = key.strip_prefix("j/") {
                 self.recover_job(id, value, &mut found)?;
-            } else if key == crate::batch::WORKERS_KEY {
+            } else if is_worker_row(key) {
                 let list = decode_workers(value)?;
-                found.workers = list.len();
+                found.workers += list.len();
                 self.recover_workers(list, now);
             } else if key == crate::run_times::RUN_TIMES_KEY {
                 self.recover_run_times(value, now);
@@ -151,7 +152,8 @@
             let idx = self.workers.insert(w);
             self.unsettled_workers.insert(idx);
         }
-        self.recorded_workers = list;
+        self.recorded_workers.extend(list);
+        self.stored_worker_rows += 1;
     }
 }
 
--- a/crates/hollowford-jobs/src/rows.rs
+++ b/crates/hollowford-jobs/src/rows.rs
@@ -99,7 +99,7 @@
     pub latency_target_ms: u64,
 }
 
-/// Row of the workers that may hold a lease.
+/// Row of workers that may hold a lease.
 #[derive(Clone, PartialEq, Message)]
 struct WorkersRow {
     #[prost(message, repeated, tag = "1")]
@@ -126,7 +126,7 @@
     pub address: Arc<str>,
 }
 
-/// Encodes the row of workers.
+/// Encodes a row of workers.
 pub fn encode_workers(list: &[WorkerAddress]) -> Vec<u8> {
     let row = |w: &WorkerAddress| WorkerRow {
         id: w.life.id().as_str().to_owned(),
@@ -136,7 +136,7 @@
     WorkersRow { workers: list.iter().map(row).collect() }.encode_to_vec()
 }
 
-/// Decodes the row of workers.
+/// Decodes a row of workers.
 ///
 /// # Errors
 /// `RowError::Decode` if the bytes are not such a row.
