jobs: the row of learned run times stays within the store's limit

It holds a model for each queue and a speed for each worker that differs; with 1,000 queues and 1,200 workers it is above 65,536 bytes. It is written with the batch of other rows, which the store would refuse for good.

Change: queues and workers with the fewest samples are left out. They are learned again.

Test: run_times::row_tests. The row without a limit is above 65,536 bytes there, as it was written before; the code before has no limit to pass, so it was not run there.

--- a/crates/hollowford-jobs/src/run_times/mod.rs
+++ b/crates/hollowford-jobs/src/run_times/mod.rs
@@ -8,6 +8,8 @@
 mod learning;
 mod report;
 mod row;
+#[cfg(test)]
+mod row_tests;
 mod speeds;
 mod tail;
 
--- a/crates/hollowford-jobs/src/run_times/report.rs
+++ b/crates/hollowford-jobs/src/run_times/report.rs
@@ -102,7 +102,7 @@
 
     /// Returns the row to store if what is known differs noticeably from the stored row, at most
     /// every [`REPORT_INTERVAL`].
-    fn row_to_store(&mut self, now: Millis) -> Option<Vec<u8>> {
+    fn row_to_store(&mut self, now: Millis, max_bytes: usize) -> Option<Vec<u8>> {
         if self.disabled || now.since(self.compared_at) < REPORT_INTERVAL {
             return None;
         }
@@ -113,7 +113,7 @@
         }
         self.stored_refused = false;
         self.stored = known;
-        Some(self.stored.encode())
+        Some(self.stored.encode(max_bytes))
     }
 
     fn to_stored(&self) -> Stored {
@@ -164,7 +164,7 @@
     /// Adds the row of learned run times to a batch if it has changed noticeably. Returns true if
     /// it was added.
     pub(crate) fn write_run_times(&mut self, now: Millis, rows: &mut Vec<RowWrite>) -> bool {
-        let value = self.run_times.row_to_store(now);
+        let value = self.run_times.row_to_store(now, self.row_limits.max_row_bytes);
         let is_written = value.is_some();
         rows.extend(value.map(|v| RowWrite { key: RUN_TIMES_KEY.to_owned(), value: Some(v) }));
         is_written
--- a/crates/hollowford-jobs/src/run_times/row.rs
+++ b/crates/hollowford-jobs/src/run_times/row.rs
@@ -3,6 +3,7 @@
 use crate::run_times::estimates::StoredModel;
 use crate::run_times::speeds::StoredSpeed;
 use prost::Message;
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 /// What is stored of the learned run times.
@@ -57,8 +58,16 @@
     variance: f32,
 }
 
+/// Removes a quarter of the list, at least one.
+fn remove_least_sampled<T>(list: &mut Vec<T>, samples: impl Fn(&T) -> u64) {
+    list.sort_by_key(|t| Reverse(samples(t)));
+    list.truncate(list.len() * 3 / 4);
+}
+
 impl Stored {
-    pub fn encode(&self) -> Vec<u8> {
+    /// Encodes the row. Leaves out queues and workers with few samples if it would be larger than
+    /// `max_bytes`: what is missing is learned again.
+    pub fn encode(&self, max_bytes: usize) -> Vec<u8> {
         let queue = |(name, m): &(Arc<str>, StoredModel)| QueueRow {
             name: name.to_string(),
             samples: m.samples,
@@ -75,7 +84,12 @@
             variance: w.variance,
         };
         let queues = self.queues.iter().map(queue).collect();
-        RunTimesRow { queues, workers: self.workers.iter().map(worker).collect() }.encode_to_vec()
+        let mut row = RunTimesRow { queues, workers: self.workers.iter().map(worker).collect() };
+        while row.encoded_len() > max_bytes {
+            remove_least_sampled(&mut row.queues, |q| q.samples);
+            remove_least_sampled(&mut row.workers, |w| w.samples.into());
+        }
+        row.encode_to_vec()
     }
 
     /// Decodes the row.
