jobs: a job whose specification no row can hold is refused at once

What callers saw: 200 for a job with an image of 70,000 bytes, from the stand-in, which takes any row. A store that keeps to PROTOCOL.md refuses the batch with it for good; the caller gets 504 and others wait for the same batch (read, not played).

Change: a submitted job has to fit into 60,000 bytes as it is stored; otherwise it gets 400 at once, and is kept nowhere. Jobs that an earlier release has stored are not checked.

--- a/crates/hollowford-jobs/src/spec.rs
+++ b/crates/hollowford-jobs/src/spec.rs
@@ -1,5 +1,6 @@
 //! Specifications of jobs and their validation.
 
+use crate::rows::encode_spec;
 use hollowford_core::Resources;
 use std::fmt;
 use std::str::FromStr;
@@ -12,6 +13,10 @@
 /// Maximum size of a template, in bytes.
 pub const MAX_TEMPLATE_BYTES: usize = 4_000;
 
+/// Maximum size of a job's specification as it is stored, in bytes. It has to fit into one row of the
+/// store, with the names of the job's queue and account.
+pub const MAX_STORED_SPEC_BYTES: usize = 60_000;
+
 /// Identifies a job: 16 hex digits that the caller chose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobId(pub u64);
@@ -108,6 +113,9 @@
         /// Number of tasks that it specifies.
         count: u32,
     },
+    /// The specification doesn't fit into a row of the store; contains its size in bytes.
+    #[error("the job has {0} bytes as it is stored; the limit is {MAX_STORED_SPEC_BYTES}")]
+    TooLarge(usize),
     /// A step depends on a step that is not an earlier one of the job.
     #[error("step {step} depends on step {on}, which is not an earlier step")]
     InvalidDependency {
@@ -216,6 +224,16 @@
         self.schedule.map_or(1, |s| s.rounds)
     }
 
+    /// Checks that the specification can be stored. A job that a caller submits has to pass this; one
+    /// that an earlier release has stored need not.
+    ///
+    /// # Errors
+    /// `SpecError::TooLarge` if it can't.
+    pub fn check_stored_size(&self) -> Result<(), SpecError> {
+        let bytes = encode_spec(self).len();
+        if bytes > MAX_STORED_SPEC_BYTES { Err(SpecError::TooLarge(bytes)) } else { Ok(()) }
+    }
+
     /// Returns the number of tasks of all rounds.
     pub fn task_count(&self) -> u64 {
         let of_round: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
