--- a/crates/hollowford-jobs/tests/common/store_limits.rs
+++ b/crates/hollowford-jobs/tests/common/store_limits.rs
@@ -6,8 +6,8 @@
 pub const MAX_ROW_BYTES: usize = 65_536;
 /// Maximum number of entries of a transaction.
 const MAX_ENTRIES: usize = 100;
-/// Entries that the owner adds to a batch: the row of its lane.
-const OWNER_ENTRIES: usize = 1;
+/// Entries that the owner adds to a batch: the row of its lane, and its expected version.
+const OWNER_ENTRIES: usize = 2;
 /// Maximum size of a transaction, in bytes.
 const MAX_TRANSACTION_BYTES: usize = 1_000_000;
 /// Bytes of an entry beside its key and value.
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -77,6 +77,8 @@
 mod shared_tests;
 mod step_down;
 #[cfg(test)]
+mod store_limits_tests;
+#[cfg(test)]
 mod suspension_tests;
 mod takeover;
 #[cfg(test)]
