Tests: crowds of clients that don't behave, and requests at the limits

Crowds of connections go to one address of one process: heads over the limit or without end, empty lines, bodies whole, in pieces and in chunks that stop short, chunk extensions, trailers, unread answers, silent connections, frames of peers, and calls of the gRPC entry that stop short. Checked are only that the process lives, that its memory (with what waits in its sockets) and its sockets stay below what its settings name, and that one ordinary request is answered while the crowd is there.

--- a/crates/hollowford-soak/src/addresses.rs
+++ b/crates/hollowford-soak/src/addresses.rs
@@ -1,7 +1,7 @@
 //! Addresses of the processes of a cell, and their settings.
 
 use crate::ports::free_ports;
-use hollowford_adapter_standin::formats::ProcessSettings as Settings;
+use hollowford_adapter_standin::formats::{ProcessLimits, ProcessSettings as Settings};
 use std::io;
 use std::net::Ipv4Addr;
 
@@ -40,6 +40,7 @@
             readiness: self.readiness_port,
             peers: self.peers_port,
             cpu_share: CPU_SHARE,
+            limits: ProcessLimits::default(),
             seeds: vec![self.ip(0), self.ip(1)],
         }
     }
--- a/crates/hollowford-soak/src/cell.rs
+++ b/crates/hollowford-soak/src/cell.rs
@@ -2,7 +2,7 @@
 
 use crate::SoakError;
 use crate::addresses::CellAddresses;
-use crate::process::Process;
+use crate::process::{Process, ProcessOptions};
 use crate::proxy::Proxy;
 use hollowford_adapter_standin::formats;
 use hollowford_adapter_standin::{Platform, WorkerClock};
@@ -110,7 +110,8 @@
         let text = formats::settings_file(&settings, self.platform.addr(), store_proxy.addr);
         let file = self.dir.path().join(format!("{}.toml", settings.name));
         std::fs::write(&file, text)?;
-        let process = Process::start(program, &file, &self.log_path(i), workers_per_partition)?;
+        let options = ProcessOptions { workers_per_partition, ..ProcessOptions::default() };
+        let process = Process::start(program, &file, &self.log_path(i), options)?;
         Ok(Node {
             process,
             readiness_addr: SocketAddr::from((settings.ip, settings.readiness)),
--- a/crates/hollowford-soak/src/process.rs
+++ b/crates/hollowford-soak/src/process.rs
@@ -5,6 +5,17 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+/// How a process is started, beside its settings file.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProcessOptions {
+    /// Number of workers of a partition.
+    pub workers_per_partition: usize,
+    /// Port of the metrics; `None`: they are not served.
+    pub metrics_port: Option<u16>,
+    /// Number of descriptors that the operating system allows; `None`: as for this process.
+    pub max_open_files: Option<u64>,
+}
+
 /// A process of `hollowford node`.
 #[derive(Debug)]
 pub struct Process {
@@ -12,7 +23,7 @@
     program: PathBuf,
     settings_path: PathBuf,
     log_path: PathBuf,
-    workers_per_partition: usize,
+    options: ProcessOptions,
 }
 
 impl Process {
@@ -24,14 +35,14 @@
         program: &Path,
         settings_path: &Path,
         log_path: &Path,
-        workers_per_partition: usize,
+        options: ProcessOptions,
     ) -> io::Result<Process> {
         Ok(Process {
-            child: spawn(program, settings_path, log_path, workers_per_partition)?,
+            child: spawn(program, settings_path, log_path, options)?,
             program: program.to_owned(),
             settings_path: settings_path.to_owned(),
             log_path: log_path.to_owned(),
-            workers_per_partition,
+            options,
         })
     }
 
@@ -68,11 +79,15 @@
     /// # Errors
     /// Returns an error if the program can't be started.
     pub fn restart(&mut self) -> io::Result<()> {
-        self.child =
-            spawn(&self.program, &self.settings_path, &self.log_path, self.workers_per_partition)?;
+        self.child = spawn(&self.program, &self.settings_path, &self.log_path, self.options)?;
         Ok(())
     }
 
+    /// Returns the operating system's id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the contents of the log file; empty if it can't be read.
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log_path).unwrap_or_default()
@@ -91,14 +106,22 @@
     program: &Path,
     settings_path: &Path,
     log_path: &Path,
-    workers_per_partition: usize,
+    options: ProcessOptions,
 ) -> io::Result<Child> {
     let out = File::options().create(true).append(true).open(log_path)?;
-    Command::new(program)
-        .args(["node", "--config"])
-        .arg(settings_path)
-        .args(["--workers-each", &workers_per_partition.to_string()])
-        .stdout(Stdio::from(out.try_clone()?))
-        .stderr(Stdio::from(out))
-        .spawn()
+    let mut command = command(program, options.max_open_files);
+    command.args(["node", "--config"]).arg(settings_path);
+    command.args(["--workers-each", &options.workers_per_partition.to_string()]);
+    if let Some(port) = options.metrics_port {
+        command.args(["--metrics", &port.to_string()]);
+    }
+    command.stdout(Stdio::from(out.try_clone()?)).stderr(Stdio::from(out)).spawn()
+}
+
+/// Returns a command that runs `program`, with a limit on its descriptors if there is one.
+fn command(program: &Path, max_open_files: Option<u64>) -> Command {
+    let Some(max) = max_open_files else { return Command::new(program) };
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {max} && exec \"$0\" \"$@\"")]).arg(program);
+    command
 }
--- a/crates/hollowford/tests/common/cell.rs
+++ b/crates/hollowford/tests/common/cell.rs
@@ -31,8 +31,19 @@
 
 impl TestProcess {
     fn start(program: &Path, args: &[&str]) -> TestProcess {
-        let mut child = Command::new(program)
-            .args(args)
+        TestProcess::spawn(program, Command::new(program).args(args))
+    }
+
+    /// Starts a process with a limit on its descriptors.
+    fn start_with_max_open_files(program: &Path, args: &[&str], max: u64) -> TestProcess {
+        let script = format!("ulimit -n {max} && exec \"$0\" \"$@\"");
+        let mut command = Command::new("sh");
+        TestProcess::spawn(program, command.args(["-c", &script]).arg(program).args(args))
+    }
+
+    /// Runs a command and reads the addresses that its first line shows.
+    fn spawn(program: &Path, command: &mut Command) -> TestProcess {
+        let mut child = command
             .env("RUST_LOG", std::env::var("TEST_LOG").unwrap_or_else(|_| "warn".into()))
             .stdout(Stdio::piped())
             .spawn()
@@ -41,7 +52,7 @@
         let stdout = child.stdout.take().unwrap();
         BufReader::new(stdout).read_line(&mut line).unwrap();
         let addresses = serde_json::from_str(&line)
-            .unwrap_or_else(|e| panic!("{} {args:?}: {e}: {line:?}", program.display()));
+            .unwrap_or_else(|e| panic!("{}: {e}: {line:?}", program.display()));
         TestProcess { child, addresses }
     }
 
@@ -90,6 +101,11 @@
     pub fn id(&self) -> u32 {
         self.child.id()
     }
+
+    /// Returns true if the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
 }
 
 impl Drop for TestProcess {
@@ -111,6 +127,8 @@
     pub policy: Value,
     /// Section `tls` of the processes' settings.
     pub tls: Option<Value>,
+    /// Number of descriptors that the operating system allows each process of the system.
+    pub max_open_files: Option<u64>,
 }
 
 impl Default for Options {
@@ -123,6 +141,7 @@
             cpu_milli: 4_000,
             policy: json!({}),
             tls: None,
+            max_open_files: None,
         }
     }
 }
@@ -209,7 +228,10 @@
         std::fs::write(&path, settings.to_string()).unwrap();
         let program = Path::new(env!("CARGO_BIN_EXE_hollowford"));
         let args = ["serve", "--config", path.to_str().unwrap()];
-        self.entries.push(TestProcess::start(program, &args));
+        self.entries.push(match self.options.max_open_files {
+            Some(max) => TestProcess::start_with_max_open_files(program, &args, max),
+            None => TestProcess::start(program, &args),
+        });
         self.entries.len() - 1
     }
 
--- a/crates/hollowford/tests/common/node.rs
+++ b/crates/hollowford/tests/common/node.rs
@@ -2,10 +2,10 @@
 //! users' platform.
 #![allow(clippy::expect_used, dead_code)]
 
-use hollowford_adapter_standin::formats::{self, ProcessSettings as Settings};
+use hollowford_adapter_standin::formats::{self, ProcessLimits, ProcessSettings as Settings};
 use hollowford_adapter_standin::{Platform, StoreEndpoint};
 use hollowford_soak::ports::free_ports;
-use hollowford_soak::process::Process;
+use hollowford_soak::process::{Process, ProcessOptions};
 use reqwest::{Client, Method, StatusCode};
 use serde_json::Value;
 use std::fs::File;
@@ -25,6 +25,8 @@
     process: Process,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
     /// Its access to the store, which can be cut.
     pub store: StoreEndpoint,
 }
@@ -44,14 +46,28 @@
     callers: u16,
     readiness: u16,
     peers: u16,
+    metrics: u16,
+}
+
+/// How the processes of a cell are started.
+#[derive(Clone, Debug)]
+pub struct CellOptions {
+    /// CPU of each process, in cores.
+    pub cpu_shares: Vec<f64>,
+    pub workers: usize,
+    pub workers_per_partition: usize,
+    /// Memory and descriptors of each process, according to its settings.
+    pub limits: ProcessLimits,
+    /// Number of descriptors that the operating system allows each process.
+    pub max_open_files: Option<u64>,
 }
 
 impl Ports {
     fn new() -> Ports {
         static CELLS: AtomicU8 = AtomicU8::new(1);
         let subnet = CELLS.fetch_add(1, Ordering::Relaxed);
-        let [callers, readiness, peers] = free_ports().expect("free ports");
-        Ports { subnet, callers, readiness, peers }
+        let [callers, readiness, peers, metrics] = free_ports().expect("free ports");
+        Ports { subnet, callers, readiness, peers, metrics }
     }
 
     /// Returns the loopback address of the process `i`.
@@ -67,7 +83,7 @@
         store_endpoint: StoreEndpoint,
         ports: Ports,
         dir: &Path,
-        workers_per_partition: usize,
+        options: &CellOptions,
     ) -> Node {
         let name = format!("n{i}");
         let path = dir.join(format!("{name}.toml"));
@@ -78,17 +94,33 @@
             readiness: ports.readiness,
             peers: ports.peers,
             cpu_share,
+            limits: options.limits,
             seeds: vec![ports.ip(0), ports.ip(1)],
         };
         let text = formats::settings_file(&process, platform, store_endpoint.addr);
         File::create(&path).and_then(|mut f| f.write_all(text.as_bytes())).expect("settings");
         let log = dir.join(format!("{name}.log"));
         let program = Path::new(env!("CARGO_BIN_EXE_hollowford"));
-        let process =
-            Process::start(program, &path, &log, workers_per_partition).expect("the program");
+        let process_options = ProcessOptions {
+            workers_per_partition: options.workers_per_partition,
+            metrics_port: Some(ports.metrics),
+            max_open_files: options.max_open_files,
+        };
+        let process = Process::start(program, &path, &log, process_options).expect("the program");
         let at = |port| SocketAddr::from((ports.ip(i), port));
-        let (callers, readiness) = (at(ports.callers), at(ports.readiness));
-        Node { process, callers, readiness, store: store_endpoint }
+        Node {
+            process,
+            callers: at(ports.callers),
+            readiness: at(ports.readiness),
+            peers: at(ports.peers),
+            metrics: at(ports.metrics),
+            store: store_endpoint,
+        }
+    }
+
+    /// Returns the operating system's id of the process.
+    pub fn pid(&self) -> u32 {
+        self.process.id()
     }
 
     /// Sends the process the signal of this name.
@@ -154,12 +186,24 @@
         workers: usize,
         workers_per_partition: usize,
     ) -> Cell {
-        let platform = Platform::start(workers).await.expect("the platform");
+        Cell::start_with_options(CellOptions {
+            cpu_shares: shares.to_vec(),
+            workers,
+            workers_per_partition,
+            limits: ProcessLimits::default(),
+            max_open_files: None,
+        })
+        .await
+    }
+
+    /// Starts one process for each CPU share.
+    pub async fn start_with_options(options: CellOptions) -> Cell {
+        let platform = Platform::start(options.workers).await.expect("the platform");
         platform.configure(1, &[("/plain/", false), ("/advised/", true)]);
         let dir = TempDir::new().expect("a folder");
         let ports = Ports::new();
         let mut nodes = Vec::new();
-        for index_and_share in shares.iter().copied().enumerate() {
+        for index_and_share in options.cpu_shares.iter().copied().enumerate() {
             let store_endpoint = platform.open_store_endpoint().await.expect("access to the store");
             let node = Node::start(
                 index_and_share,
@@ -167,7 +211,7 @@
                 store_endpoint,
                 ports,
                 dir.path(),
-                workers_per_partition,
+                &options,
             );
             nodes.push(node);
         }
