Tests: crowds on more connections than the memory has room for

The crowds so far meet the descriptors first. With 4,200 descriptors and the same 120 MB only the memory limits them: bodies and chunks that stop short on 1,200 connections, heads within the limit that stop short on 3,800.

Seen on the code as it came in (debug build, x86-64): 458 MB, 422 MB, 149 MB.

--- a/crates/hollowford/tests/hostile_clients.rs
+++ b/crates/hollowford/tests/hostile_clients.rs
@@ -39,12 +39,17 @@
     ALONE.lock().await
 }
 
-fn options(max_open_files: Option<u64>) -> CellOptions {
+/// The same memory with so many descriptors that only the memory limits a crowd.
+const MANY_DESCRIPTORS: ProcessLimits = ProcessLimits { max_fds: 4_200, ..LIMITS };
+/// Number of connections that take up more than that memory with bodies of legal size.
+const LARGE_CROWD: usize = 1_200;
+
+fn options(limits: ProcessLimits, max_open_files: Option<u64>) -> CellOptions {
     CellOptions {
         cpu_shares: vec![0.25; 2],
         workers: 1,
         workers_per_partition: 1,
-        limits: LIMITS,
+        limits,
         max_open_files,
     }
 }
@@ -54,14 +59,25 @@
     addr: impl Fn(&Node) -> SocketAddr,
     size: usize,
     script: impl Fn(usize) -> Script,
+) {
+    withstands_with(LIMITS, addr, size, script).await;
+}
+
+/// Does the same with other limits.
+async fn withstands_with(
+    limits: ProcessLimits,
+    addr: impl Fn(&Node) -> SocketAddr,
+    size: usize,
+    script: impl Fn(usize) -> Script,
 ) {
     let _alone = alone().await;
-    let cell = Cell::start_with_options(options(None)).await;
-    check_crowd(cell, addr, size, script).await;
+    let cell = Cell::start_with_options(options(limits, None)).await;
+    check_crowd(cell, limits, addr, size, script).await;
 }
 
 async fn check_crowd(
     mut cell: Cell,
+    limits: ProcessLimits,
     addr: impl Fn(&Node) -> SocketAddr,
     size: usize,
     script: impl Fn(usize) -> Script,
@@ -75,8 +91,8 @@
     let most = watch.finish();
     println!("{most:?} status={status}");
     assert!(cell.nodes[owner].is_running(), "the process has ended:\n{}", cell.logs());
-    assert!(most.memory <= LIMITS.memory_mb * 1_000_000, "{most:?}");
-    assert!(most.sockets <= LIMITS.max_fds - formats::FILE_DESCRIPTORS, "{most:?}");
+    assert!(most.memory <= limits.memory_mb * 1_000_000, "{most:?}");
+    assert!(most.sockets <= limits.max_fds - formats::FILE_DESCRIPTORS, "{most:?}");
     assert_eq!(status, 200, "an ordinary request:\n{}", cell.logs());
 }
 
@@ -181,6 +197,27 @@
     withstands(|n| n.callers, CROWD + CROWD / 3, |i| chunked_body(i, 16)).await;
 }
 
+// Guards against bodies that are held by more connections than the memory has room for.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_on_many_connections() {
+    withstands_with(MANY_DESCRIPTORS, |n| n.callers, LARGE_CROWD, sized_body).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_on_many_connections() {
+    let script = |i| chunked_body(i, 1_000);
+    withstands_with(MANY_DESCRIPTORS, |n| n.callers, LARGE_CROWD, script).await;
+}
+
+// Guards against heads within the limit that stop short on more connections than the memory has
+// room for.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_on_many_connections() {
+    const CONNECTIONS: usize = 3_800;
+    let script = |i| Script::new(head("GET", i)).then(header_line(16_000));
+    withstands_with(MANY_DESCRIPTORS, |n| n.callers, CONNECTIONS, script).await;
+}
+
 // Guards against chunks whose extensions have no end.
 #[tokio::test(flavor = "multi_thread")]
 async fn chunk_extensions_without_end() {
@@ -260,6 +297,6 @@
 async fn callers_that_take_all_descriptors() {
     const OPEN_FILES: u64 = 300;
     let _alone = alone().await;
-    let cell = Cell::start_with_options(options(Some(OPEN_FILES))).await;
-    check_crowd(cell, |n| n.callers, CROWD, |_| Script::silent()).await;
+    let cell = Cell::start_with_options(options(LIMITS, Some(OPEN_FILES))).await;
+    check_crowd(cell, LIMITS, |n| n.callers, CROWD, |_| Script::silent()).await;
 }
