node: connections that callers open are counted, bounded and closed for others

What callers saw: a crowd of clients with heads over the limit or without end, with empty lines before a request, with unread answers, or that only stayed silent ended a process (out of memory) or kept all its descriptors; then ordinary callers got no answer, and accepting spun.

Cause: nothing counted what connections made a process keep. The HTTP server's own defaults applied: heads of some 400 kB, 100 lines, no time limit; `max-header-bytes`, `header-timeout-ms` and `idle-timeout-ms` were read by nothing. Any number of connections was accepted, with buffers of any size in the operating system.

Change: a pool of connections for all listeners of a process (hollowford-connections), with limits from `memory-mb` and `max-fds`. Each connection counts with its buffers. When there is no room, the pool closes the connection that has kept the process waiting longest, those without a complete request first; never one whose request is being worked on. Heads are limited in bytes and time, not in lines; answers that are not taken count. Accepting pauses after a failure and closes a waiting connection. Limits that are met are logged at most twice a second and counted in the metrics.

Why it works: a connection can't make the process keep more than what it counts with, since the library's buffers have the size of a head, and the sum has a bound. A crowd can't keep others out, since each new connection takes the place of the one that has waited longest.

--- a/crates/hollowford-node/src/access_tests.rs
+++ b/crates/hollowford-node/src/access_tests.rs
@@ -5,7 +5,6 @@
 use crate::wire::Call;
 use hollowford_accounts::{AccountPolicy, Credential, Credentials};
 use hollowford_adapter::{Config, Limits, Route};
-use hollowford_core::Millis;
 use hollowford_jobs::{Account, NO_ACCOUNT};
 
 const QUEUE: &str = "q";
@@ -27,7 +26,7 @@
         routes: vec![route(QUEUE, false), route(OPEN_QUEUE, true)],
         queues: Vec::new(),
         pools: Vec::new(),
-        limits: Limits { max_body_bytes: 1_000, idle_timeout: Millis(1_000) },
+        limits: Limits::default(),
         accounts: Some(vec![Account {
             name: "a".into(),
             policy: AccountPolicy::default(),
--- a/crates/hollowford-node/src/http_endpoints.rs
+++ b/crates/hollowford-node/src/http_endpoints.rs
@@ -298,6 +298,7 @@
 
     async fn call(&self, _req: Request) -> poem::Result<Response> {
         self.shared.metrics.set_log_dropped(crate::logs::dropped_lines());
+        self.shared.metrics.set_connections(&self.shared.connections);
         Ok(match self.shared.metrics.text() {
             Ok(text) => Response::builder().content_type("text/plain; version=0.0.4").body(text),
             Err(e) => {
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a process.
 
+use hollowford_connections::{Listener, Pool};
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder,
@@ -73,6 +74,12 @@
     pub worker_slowness: GaugeVec,
     /// Ended copies of tasks, by partition and outcome.
     pub copies: IntCounterVec,
+    /// Connections that others have opened, by listener.
+    connections: IntGaugeVec,
+    /// Bytes kept for these connections.
+    connection_bytes: IntGauge,
+    /// Connections closed and refused by limits, by listener and reason.
+    connections_limited: IntCounterVec,
     /// Log lines dropped because the writer thread could not keep up.
     log_dropped: IntCounter,
 }
@@ -187,6 +194,13 @@
                 "Copies of tasks that have ended, by outcome",
                 &["partition", "outcome"],
             )?,
+            connections: gauges_by("connections", "Connections opened by others", &["listener"])?,
+            connection_bytes: gauge("connection_bytes", "Bytes kept for these connections")?,
+            connections_limited: counters(
+                "connections_limited_total",
+                "Connections and requests that limits closed or refused",
+                &["listener", "reason"],
+            )?,
             log_dropped: counter("log_dropped_total", "Log lines dropped")?,
             registry: r,
         })
@@ -197,6 +211,25 @@
         self.log_dropped.inc_by(dropped.saturating_sub(self.log_dropped.get()));
     }
 
+    /// Updates the counts of connections.
+    pub fn set_connections(&self, pool: &Pool) {
+        self.connection_bytes.set(pool.bytes() as i64);
+        for listener in Listener::ALL {
+            let counts = pool.counts(listener);
+            self.connections.with_label_values(&[listener.name()]).set(counts.open as i64);
+            for (reason, count) in [
+                ("room", counts.closed_for_room),
+                ("idle", counts.closed_idle),
+                ("overdue", counts.closed_overdue),
+                ("refused", counts.refused),
+            ] {
+                let counter =
+                    self.connections_limited.with_label_values(&[listener.name(), reason]);
+                counter.inc_by(count.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -10,8 +10,8 @@
 use hollowford_adapter::{
     AdviceClient, CallError, NodeSettings, StoreClient, StoreError, WorkerClient,
 };
+use hollowford_connections::{Listener, bind, serve_http};
 use poem::Endpoint;
-use poem::listener::TcpListener as PoemListener;
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
@@ -22,8 +22,6 @@
 use tokio::sync::{oneshot, watch as channel};
 use tokio::time::{sleep, timeout};
 
-/// Idle connections of callers are closed after this time.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// How long a stopping process waits for its owners to hand over.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// How long a stopping process still accepts connections. The load balancer probes every second and
@@ -89,15 +87,24 @@
     );
     let (stop, stopped) = channel::channel(false);
     let mut servers = tokio::task::JoinSet::new();
-    servers.spawn(serve(addresses.callers, CallerEndpoint::new(shared.clone()), stopped.clone()));
+    let callers = CallerEndpoint::new(shared.clone());
     servers.spawn(serve(
-        addresses.readiness,
-        ReadinessEndpoint::new(shared.clone()),
+        shared.clone(),
+        (Listener::Callers, addresses.callers),
+        callers,
+        stopped.clone(),
+    ));
+    let readiness = ReadinessEndpoint::new(shared.clone());
+    servers.spawn(serve(
+        shared.clone(),
+        (Listener::Probes, addresses.readiness),
+        readiness,
         stopped.clone(),
     ));
     if let Some(port) = options.metrics_port {
         let addr = SocketAddr::new(addresses.peers.ip(), port);
-        servers.spawn(serve(addr, MetricsEndpoint::new(shared.clone()), stopped));
+        let metrics = MetricsEndpoint::new(shared.clone());
+        servers.spawn(serve(shared.clone(), (Listener::Metrics, addr), metrics, stopped));
     }
     start_tasks(&shared, options.workers_per_partition, listener, hup);
     tokio::select! {
@@ -158,23 +165,20 @@
     Ok(Arc::new(Shared::new(settings, store, advice, workers, Metrics::new()?)))
 }
 
+/// Serves HTTP requests at an address until `stopped` is true.
 async fn serve<E>(
-    addr: SocketAddr,
+    shared: Arc<Shared>,
+    (kind, addr): (Listener, SocketAddr),
     endpoint: E,
-    mut stopped: channel::Receiver<bool>,
+    stopped: channel::Receiver<bool>,
 ) -> Result<(), NodeError>
 where
     E: Endpoint<Output = poem::Response> + 'static,
 {
-    let signal = async move {
-        // An error means that the process is ending as well.
-        let _ = stopped.wait_for(|&s| s).await;
-    };
-    poem::Server::new(PoemListener::bind(addr.to_string()))
-        .idle_timeout(CALLER_IDLE_TIMEOUT)
-        .run_with_graceful_shutdown(endpoint, signal, Some(OPEN_CALLS_TIMEOUT))
-        .await
-        .map_err(|error| NodeError::Bind { addr, error })
+    let listener = bind(addr).map_err(|error| NodeError::Bind { addr, error })?;
+    let pool = shared.connections.clone();
+    serve_http(listener, kind, pool, endpoint, || shared.http_limits(), stopped).await;
+    Ok(())
 }
 
 /// Waits until all requests are answered and the answers are sent.
--- a/crates/hollowford-node/src/registry_tests.rs
+++ b/crates/hollowford-node/src/registry_tests.rs
@@ -26,7 +26,7 @@
         routes: Vec::new(),
         queues: Vec::new(),
         pools: vec!["pool".into()],
-        limits: Limits { max_body_bytes: 1_000, idle_timeout: Millis(1_000) },
+        limits: Limits::default(),
         accounts: None,
         credentials: Credentials::default(),
     };
--- a/crates/hollowford-node/src/shared.rs
+++ b/crates/hollowford-node/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::worker_changes::WorkerChanges;
 use arc_swap::ArcSwapOption;
 use hollowford_adapter::{AdviceClient, Config, NodeSettings, StoreClient, WorkerClient};
+use hollowford_connections::{HttpLimits, Limits, Pool};
 use hollowford_core::{Clock, Millis};
 use hollowford_jobs::{JobId, NO_ACCOUNT};
 use std::net::SocketAddr;
@@ -57,6 +58,8 @@
     pub settings_changed: watch::Sender<NodeSettings>,
     /// Whether the process is about to stop.
     pub stopping: AtomicBool,
+    /// Connections that others have opened to this process.
+    pub connections: Arc<Pool>,
     /// Number of callers' requests that are not answered yet.
     pub open_calls: AtomicUsize,
     /// Process time of the store's last answer, in milliseconds.
@@ -88,10 +91,13 @@
         workers: WorkerClient,
         metrics: Metrics,
     ) -> Shared {
+        let clock = Clock::new();
+        let limits = Limits::new(settings.memory_mb, settings.max_fds);
         Shared {
             settings_changed: watch::Sender::new(settings.clone()),
             settings,
-            clock: Clock::new(),
+            clock,
+            connections: Pool::new(limits, clock),
             boot: fastrand::u64(1..),
             store,
             advice,
@@ -120,6 +126,16 @@
         (self.settings.cpu_share * 1_000.0) as u32
     }
 
+    /// Returns the limits on requests that the configuration in force names.
+    pub fn http_limits(&self) -> HttpLimits {
+        let limits = self.config.load().as_ref().map(|c| c.limits).unwrap_or_default();
+        HttpLimits {
+            max_head_bytes: limits.max_head_bytes,
+            head_timeout: limits.head_timeout,
+            idle_timeout: limits.idle_timeout,
+        }
+    }
+
     /// Returns the address for links from other processes.
     pub fn address(&self) -> SocketAddr {
         self.settings.addresses.peers
--- a/crates/hollowford-node/src/suspension_tests.rs
+++ b/crates/hollowford-node/src/suspension_tests.rs
@@ -38,7 +38,7 @@
         routes: Vec::new(),
         queues: Vec::new(),
         pools: Vec::new(),
-        limits: Limits { max_body_bytes: 1_000, idle_timeout: Millis(1_000) },
+        limits: Limits::default(),
         accounts: None,
         credentials: Credentials::default(),
     }
