node: bodies count as they come, and slow ones make room for others

What callers saw: many bodies of legal size at once, whole, in pieces or in chunks of any size, most stopping just short of their end, ended a process, which ran out of memory.

Cause: each body was collected up to `max-body-bytes`, however many others were held; nothing summed them, and no request in progress was ever given up while the rest of its body was out.

Change: a body reserves the capacity of its buffer in the pool before it is kept. Without room the pool closes connections that have waited longer; if none has, the request is refused with 503 at once. A connection that is closed while its body is awaited gets 503 too, and its answer is not lost in a reset. A body that is announced as too large gets 413 before it comes, one that isn't complete in its caller's time 503. The many headers of a request are dropped before its body is awaited. Callers' time limits are capped at 60 s.

Refused jobs have no start (refused_bodies_never_run).

Why it works: a byte of a body is kept only after it was counted, and the sum has a bound. What is refused was never passed to an owner, so "not run" is true.

--- a/crates/hollowford-connections/src/lib.rs
+++ b/crates/hollowford-connections/src/lib.rs
@@ -7,6 +7,9 @@
 //! slow clients doesn't keep others out.
 
 mod accept;
+mod body;
+#[cfg(test)]
+mod body_tests;
 mod connection;
 mod http;
 mod limits;
@@ -16,6 +19,7 @@
 mod stream;
 
 pub use accept::{accept, bind};
+pub use body::{ReadBodyError, read_body};
 pub use connection::{Connection, NoRoom, Reservation};
 pub use http::{HttpLimits, serve_http};
 pub use limits::{Limits, Listener};
--- a/crates/hollowford-node/src/http_endpoints.rs
+++ b/crates/hollowford-node/src/http_endpoints.rs
@@ -3,14 +3,16 @@
 use crate::access::{self, Access};
 use crate::relay::{RelayOutcome, relay};
 use crate::shared::Shared;
+use crate::submitted_job::read_job;
 use crate::wire::{Call, Said, Verb};
 use futures::future::join_all;
 use hollowford_adapter::{
-    CallerRequest, Config, READY_PATH, Route, client_credential, client_timeout, decode_job,
-    encode_job_state, encode_waiting_count, parse_request_path,
+    CallerRequest, Config, READY_PATH, Route, client_credential, client_timeout, encode_job_state,
+    encode_waiting_count, parse_request_path,
 };
+use hollowford_connections::Reservation;
 use hollowford_core::Millis;
-use hollowford_jobs::{JobId, JobState, encode_spec};
+use hollowford_jobs::{JobId, JobState};
 use poem::http::{Method, StatusCode, header};
 use poem::{Endpoint, Request, Response};
 use std::sync::Arc;
@@ -18,6 +20,8 @@
 
 /// Time limit for calls whose caller sets none. It covers a takeover.
 const DEFAULT_CALL_TIMEOUT: Millis = Millis(2_500);
+/// Maximum time for a call, however long its caller waits.
+const MAX_CALL_TIMEOUT: Millis = Millis(60_000);
 /// Part of the caller's time limit that is reserved for returning the answer.
 const ANSWER_MARGIN: Millis = Millis(60);
 /// Value of the `Retry-After` header, in seconds.
@@ -39,8 +43,9 @@
     async fn answer(&self, mut req: Request) -> Response {
         let started_at = self.shared.clock.now();
         let limit = deadline(&req, started_at);
-        let call = match self.parse_call(&mut req).await {
-            Ok(call) => call,
+        // The reservation counts the job's bytes until the request is answered.
+        let (call, _reservation) = match self.parse_call(&mut req, limit).await {
+            Ok(parsed) => parsed,
             Err(status) => {
                 log::info!("call.refused path={} status={}", req.uri().path(), status.as_u16());
                 return self.respond_empty(status, "refused", started_at);
@@ -90,9 +95,13 @@
         sum.map_or(RelayOutcome::NotSent, |n| RelayOutcome::Said(Said::Value, n))
     }
 
-    /// Parses a request into a call to the owner. Returns the status to answer if the request is
-    /// rejected.
-    async fn parse_call(&self, req: &mut Request) -> Result<Call, StatusCode> {
+    /// Parses a request into a call to the owner, with the bytes that are kept for its body. Returns
+    /// the status to answer if the request is rejected.
+    async fn parse_call(
+        &self,
+        req: &mut Request,
+        limit: Millis,
+    ) -> Result<(Call, Option<Reservation>), StatusCode> {
         let config = self.shared.config.load_full().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
         let (route, rest) = find_route(&config, req).ok_or(StatusCode::NOT_FOUND)?;
         let request = parse_request_path(&rest).ok_or(StatusCode::BAD_REQUEST)?;
@@ -100,7 +109,7 @@
         let CallerRequest::Job(JobId(job)) = request else {
             call.set_verb(Verb::Waiting);
             let get = *req.method() == Method::GET;
-            return if get { Ok(call) } else { Err(StatusCode::METHOD_NOT_ALLOWED) };
+            return if get { Ok((call, None)) } else { Err(StatusCode::METHOD_NOT_ALLOWED) };
         };
         call.job = job;
         call.set_verb(match *req.method() {
@@ -109,10 +118,13 @@
             Method::POST => Verb::Submit,
             _ => return Err(StatusCode::METHOD_NOT_ALLOWED),
         });
-        if call.verb() == Verb::Submit {
-            call.spec = read_job(req, JobId(job), config.limits.max_body_bytes).await?;
+        if call.verb() != Verb::Submit {
+            return Ok((call, None));
         }
-        Ok(call)
+        let left = limit.since(self.shared.clock.now());
+        let submitted = read_job(req, JobId(job), config.limits.max_body_bytes, left).await?;
+        call.spec = submitted.spec;
+        Ok((call, Some(submitted.reservation)))
     }
 
     /// Creates a call for the client account of the request. An unknown key is rejected at once,
@@ -224,18 +236,8 @@
 /// Returns when the call's time limit ends.
 fn deadline(req: &Request, now: Millis) -> Millis {
     let limit = client_timeout(|name| req.header(name));
-    now + limit.map_or(DEFAULT_CALL_TIMEOUT, |l| l.since(ANSWER_MARGIN))
-}
-
-/// Reads the body of a submitted job. Returns the status to answer if the job is rejected.
-async fn read_job(req: &mut Request, job: JobId, max_bytes: usize) -> Result<Vec<u8>, StatusCode> {
-    let body = req.take_body().into_bytes_limit(max_bytes).await;
-    let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
-    let spec = decode_job(&body).map_err(|e| {
-        log::info!("job.invalid job={job} error=\"{e}\"");
-        StatusCode::BAD_REQUEST
-    })?;
-    Ok(encode_spec(&spec))
+    let limit = limit.map_or(DEFAULT_CALL_TIMEOUT, |l| l.since(ANSWER_MARGIN));
+    now + limit.min(MAX_CALL_TIMEOUT)
 }
 
 /// Returns the route with the longest matching prefix and the rest of the path.
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -78,6 +78,7 @@
 mod step_down;
 #[cfg(test)]
 mod store_limits_tests;
+mod submitted_job;
 #[cfg(test)]
 mod suspension_tests;
 mod takeover;
--- a/crates/hollowford/tests/common/crowd.rs
+++ b/crates/hollowford/tests/common/crowd.rs
@@ -84,7 +84,7 @@
 /// Connections that stay open, unless the process closes them, until the crowd is dropped.
 #[derive(Debug)]
 pub struct Crowd {
-    _open: Vec<TcpStream>,
+    streams: Vec<TcpStream>,
 }
 
 impl Crowd {
@@ -96,13 +96,26 @@
             let script = script(i);
             sending.spawn(async move {
                 script.send(&mut stream).await;
-                stream
+                (i, stream)
             });
         }
-        let crowd = Crowd { _open: sending.join_all().await };
+        let mut sent = sending.join_all().await;
+        sent.sort_by_key(|(i, _)| *i);
+        let crowd = Crowd { streams: sent.into_iter().map(|(_, stream)| stream).collect() };
         wait_until_taken(addr).await;
         crowd
     }
+
+    /// Returns the status of the first answer on each connection; `None` where none has come.
+    pub fn statuses(&self) -> Vec<Option<u16>> {
+        let status = |stream: &TcpStream| {
+            let mut buf = [0; 64];
+            let n = stream.try_read(&mut buf).ok()?;
+            let line = std::str::from_utf8(&buf[..n]).ok()?;
+            line.split(' ').nth(1)?.parse().ok()
+        };
+        self.streams.iter().map(status).collect()
+    }
 }
 
 /// Waits until the process at `addr` has read all that was sent to it, or takes no more.
--- a/crates/hollowford/tests/hostile_clients.rs
+++ b/crates/hollowford/tests/hostile_clients.rs
@@ -218,6 +218,26 @@
     withstands_with(MANY_DESCRIPTORS, |n| n.callers, CONNECTIONS, script).await;
 }
 
+// Guards against refusals that aren't true: what was refused for want of room must never run.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_bodies_never_run() {
+    let _alone = alone().await;
+    let cell = Cell::start_with_options(options(LIMITS, None)).await;
+    let owner = cell.owner();
+    let crowd = Crowd::open(cell.nodes[owner].callers, CROWD, sized_body).await;
+    assert_eq!(cell.submit(owner, PLAIN, ORDINARY_JOB, 1, 20).await, 200, "{}", cell.logs());
+    let statuses = crowd.statuses();
+    drop(crowd);
+    cell.wait_until_completed(owner, PLAIN, ORDINARY_JOB).await;
+    let refused: Vec<usize> = (0..statuses.len()).filter(|&i| statuses[i] == Some(503)).collect();
+    assert!(!refused.is_empty(), "{statuses:?}");
+    let starts = cell.platform.start_counts();
+    for i in refused {
+        assert_eq!(cell.state(owner, PLAIN, i as u64).await, "", "job {i}");
+        assert!(!starts.contains_key(&format!("{i:016x}.0.0.0")), "job {i}");
+    }
+}
+
 // Guards against chunks whose extensions have no end.
 #[tokio::test(flavor = "multi_thread")]
 async fn chunk_extensions_without_end() {
--- a/crates/hollowford/tests/requests_at_the_limits.rs
+++ b/crates/hollowford/tests/requests_at_the_limits.rs
@@ -1,5 +1,5 @@
-//! Single requests as large, as slow and as finely divided as the configuration allows. In calm
-//! each gets its answer.
+//! Single requests as large, as slow and as finely divided as the configuration allows: in calm
+//! each gets its answer. Those that are larger are told so.
 #![allow(clippy::expect_used)]
 
 #[path = "common/node.rs"]
@@ -144,6 +144,34 @@
     is_served(&[head.as_bytes(), small_body().as_bytes()], Duration::ZERO).await;
 }
 
+/// Checks that a request that is sent in these parts is refused with `status`.
+async fn is_refused(parts: &[&[u8]], status: u16) {
+    let cell = Cell::start(1, 1).await;
+    let mut stream = TcpStream::connect(cell.nodes[0].callers).await.expect("a connection");
+    assert_eq!(exchange(&mut stream, parts, Duration::ZERO).await, status, "{}", cell.logs());
+}
+
+#[tokio::test]
+async fn a_head_over_the_limit_is_refused() {
+    let head = head(1) + &filler(MAX_HEAD_BYTES) + "\r\n";
+    is_refused(&[head.as_bytes()], 431).await;
+}
+
+// Guards against a body that is read although its head tells that it is too large.
+#[tokio::test]
+async fn a_body_over_the_limit_is_refused_before_it_comes() {
+    let head = sized_head(1, MAX_BODY_BYTES + 1);
+    is_refused(&[head.as_bytes()], 413).await;
+}
+
+#[tokio::test]
+async fn chunks_over_the_limit_are_refused() {
+    let head = head(1) + "transfer-encoding: chunked\r\n\r\n";
+    let mut body = largest_body();
+    body.push(b' ');
+    is_refused(&[head.as_bytes(), &chunked(&body, 32_768)], 413).await;
+}
+
 #[tokio::test]
 async fn an_idle_connection_serves_the_next_request() {
     let cell = Cell::start(1, 1).await;
