node: links that other processes open count, and their first frame is small

What was seen: 300 connections to the peers' address that announce a frame of 1 MB and send most of it took 325 MB; 1,500 that send nothing took 1,145 of 400 sockets. Owners need those descriptors for members, the store and workers.

Cause: any number of links was accepted, and each might begin with a frame of the largest size, kept until its end or for 2 s.

Change: links are connections of the pool. Until a process has introduced itself its link may be closed for others, and its frame has 4 KB. Afterwards a frame above 8 KB is counted before it comes; without room the link ends. Links to known processes are never closed for room.

Frames without room or of unknown processes: frame_decoder_tests.

Why it works: what a link makes the process keep is at most its own buffers until the process at its other end is known, and is counted from then on.

--- a/crates/hollowford-connections/src/accept.rs
+++ b/crates/hollowford-connections/src/accept.rs
@@ -12,9 +12,6 @@
 
 /// Number of connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
-/// Size of a connection's buffers in the operating system, which doubles it for its own use. What
-/// they hold counts towards the memory of the instance.
-const SOCKET_BUFFER_BYTES: u32 = 16 << 10;
 /// Pause after a connection could not be accepted.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -22,14 +19,14 @@
 ///
 /// # Errors
 /// If the address can't be bound.
-pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+pub fn bind(kind: Listener, addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
-    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(kind.socket_buffer_bytes())?;
+    socket.set_send_buffer_size(kind.socket_buffer_bytes())?;
     socket.bind(addr)?;
     socket.listen(BACKLOG)
 }
--- a/crates/hollowford-connections/src/limits.rs
+++ b/crates/hollowford-connections/src/limits.rs
@@ -47,6 +47,15 @@
     pub(crate) fn connection_bytes(self) -> usize {
         match self {
             Listener::Callers | Listener::Probes | Listener::Metrics => 64 << 10,
+            Listener::Peers => 64 << 10,
+        }
+    }
+
+    /// Returns the size of each of a connection's two buffers in the operating system, which doubles
+    /// it for its own use. What they hold counts towards the memory of the instance.
+    pub(crate) fn socket_buffer_bytes(self) -> u32 {
+        match self {
+            Listener::Callers | Listener::Probes | Listener::Metrics => 16 << 10,
             Listener::Peers => 32 << 10,
         }
     }
--- a/crates/hollowford-connections/src/pool.rs
+++ b/crates/hollowford-connections/src/pool.rs
@@ -420,7 +420,7 @@
     }
 
     /// Logs what happened at a listener if a limit was met since the last call.
-    pub(crate) fn log_if_limited(&self, listener: Listener) {
+    pub fn log_if_limited(&self, listener: Listener) {
         let mut state = self.state();
         let bytes = state.bytes;
         let l = state.listener(listener);
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -31,6 +31,9 @@
 mod delegation;
 #[cfg(test)]
 mod delegation_tests;
+mod frame_decoder;
+#[cfg(test)]
+mod frame_decoder_tests;
 mod http_endpoints;
 mod inbox;
 mod lane;
--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -1,13 +1,16 @@
 //! Links between processes: frames over TCP.
 
 use crate::compression::{compress, decompress};
+use crate::frame_decoder::{FrameDecoder, MAX_FRAME_BYTES};
 use crate::wire::{Body, Frame};
 use bytes::{Bytes, BytesMut};
 use futures::stream::FuturesUnordered;
 use futures::{SinkExt, StreamExt};
+use hollowford_connections::Connection;
 use prost::Message;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -26,8 +29,6 @@
 const MAX_ATTEMPT_JITTER: Duration = Duration::from_millis(60);
 /// Number of attempts to open a link within [`CONNECT_TIMEOUT`].
 const MAX_ATTEMPTS: u32 = 4;
-/// Size limit of a frame; a job's specification fits into it.
-const MAX_FRAME_BYTES: usize = 1 << 20;
 /// Size from which a frame may be compressed. Templates shrink to about two thirds; below this size
 /// the overhead of compression exceeds what it saves.
 const MIN_COMPRESSED_BYTES: usize = 256;
@@ -36,7 +37,7 @@
 const OUTBOX_CAPACITY: usize = 4_096;
 
 /// Reads frames.
-pub type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+pub type FrameReader = FramedRead<OwnedReadHalf, FrameDecoder>;
 
 /// Sends frames to a peer without blocking.
 #[derive(Clone, Debug)]
@@ -107,12 +108,28 @@
 /// # Errors
 /// If the stream's options can't be set.
 pub fn split(stream: TcpStream) -> io::Result<(FrameReader, Outbox)> {
+    split_with(stream, FrameDecoder::new())
+}
+
+/// Does the same with a stream that another process has opened.
+///
+/// # Errors
+/// If the stream's options can't be set, or there is no room.
+pub fn split_incoming(
+    stream: TcpStream,
+    connection: &Arc<Connection>,
+) -> io::Result<(FrameReader, Outbox)> {
+    let decoder = FrameDecoder::for_incoming(connection).map_err(io::Error::other)?;
+    split_with(stream, decoder)
+}
+
+fn split_with(stream: TcpStream, decoder: FrameDecoder) -> io::Result<(FrameReader, Outbox)> {
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
-    let codec = || LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    let encoder = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     let (tx, rx) = mpsc::channel(OUTBOX_CAPACITY);
-    tokio::spawn(write_all(FramedWrite::new(write, codec()), rx));
-    Ok((FramedRead::new(read, codec()), Outbox { tx }))
+    tokio::spawn(write_all(FramedWrite::new(write, encoder), rx));
+    Ok((FramedRead::new(read, decoder), Outbox { tx }))
 }
 
 /// Encodes a frame. Frames with calls to workers are compressed if that makes them smaller: with
--- a/crates/hollowford-node/src/node.rs
+++ b/crates/hollowford-node/src/node.rs
@@ -10,7 +10,7 @@
 use hollowford_adapter::{
     AdviceClient, CallError, NodeSettings, StoreClient, StoreError, WorkerClient,
 };
-use hollowford_connections::{Listener, bind, serve_http};
+use hollowford_connections::{self as connections, Listener, serve_http};
 use poem::Endpoint;
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
@@ -77,7 +77,8 @@
     let shared = make_shared(settings)?;
     let addresses = shared.settings.addresses.clone();
     let bind = |addr| move |error| NodeError::Bind { addr, error };
-    let listener = TcpListener::bind(addresses.peers).await.map_err(bind(addresses.peers))?;
+    let listener =
+        connections::bind(Listener::Peers, addresses.peers).map_err(bind(addresses.peers))?;
     log::info!(
         "process.started name={} zone={} boot={} callers={}",
         shared.settings.name,
@@ -128,6 +129,7 @@
     hup: Signal,
 ) {
     tokio::spawn(peers::accept(shared.clone(), listener));
+    tokio::spawn(peers::report_limits(shared.clone()));
     tokio::spawn(config_watch::poll_config(shared.clone()));
     tokio::spawn(config_watch::follow_config(shared.clone()));
     tokio::spawn(announce::register(shared.clone()));
@@ -175,7 +177,8 @@
 where
     E: Endpoint<Output = poem::Response> + 'static,
 {
-    let listener = bind(addr).map_err(|error| NodeError::Bind { addr, error })?;
+    let listener =
+        connections::bind(kind, addr).map_err(|error| NodeError::Bind { addr, error })?;
     let pool = shared.connections.clone();
     serve_http(listener, kind, pool, endpoint, || shared.http_limits(), stopped).await;
     Ok(())
--- a/crates/hollowford-node/src/peers.rs
+++ b/crates/hollowford-node/src/peers.rs
@@ -7,14 +7,15 @@
 use crate::partition::{Partition, Route};
 use crate::shared::Shared;
 use crate::wire::{Advice, Body, Heartbeat, Hello, OwnerInfo, Plan};
+use hollowford_connections::{self as connections, Connection, ConnectionStream, Listener};
 use hollowford_jobs::{AdviceChannel, TaskKey};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-/// Pause after a link could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Interval of the checks whether limits on links were met.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// A link is closed if its first frame doesn't arrive within this time.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// A member is removed if no frame arrives within this time: three heartbeats at the longest
@@ -29,25 +30,39 @@
 /// Accepts links for as long as the process runs.
 pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(shared.clone(), stream));
-            }
-            Err(e) => {
-                log::warn!("link.accept failed error={e}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = connections::accept(&shared.connections, &listener, Listener::Peers).await;
+        tokio::spawn(serve(shared.clone(), stream));
     }
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream) {
-    let Ok((mut reader, outbox)) = link::split(stream) else { return };
+/// Logs when limits on links were met. Never returns.
+pub async fn report_limits(shared: Arc<Shared>) {
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        shared.connections.log_if_limited(Listener::Peers);
+    }
+}
+
+/// Serves a link until it ends or, before its process has introduced itself, is closed for others.
+async fn serve(shared: Arc<Shared>, stream: ConnectionStream) {
+    let (stream, connection) = stream.into_parts();
+    tokio::select! {
+        () = serve_link(&shared, stream, &connection) => {}
+        () = connection.closing() => {}
+    }
+}
+
+async fn serve_link(shared: &Arc<Shared>, stream: TcpStream, connection: &Arc<Connection>) {
+    let Ok((mut reader, outbox)) = link::split_incoming(stream, connection) else { return };
     let Ok(Some(first)) = timeout(HANDSHAKE_TIMEOUT, link::recv(&mut reader)).await else { return };
     match first {
-        Body::Hello(hello) => serve_member(&shared, hello, reader, outbox).await,
+        Body::Hello(hello) => {
+            connection.establish();
+            reader.decoder_mut().allow_large_frames();
+            serve_member(shared, hello, reader, outbox).await;
+        }
         Body::Owner(info) => {
-            let partition = partition_of(&shared, &info);
+            let partition = partition_of(shared, &info);
             if partition.is_some_and(|p| p.record_owner(&info)) {
                 log::info!(
                     "owner.announced partition={} epoch={} address={}",
@@ -60,7 +75,7 @@
         Body::WhoOwns(request) => {
             let partition = shared.partitions().get(request.partition as usize);
             outbox.send(Body::Owner(
-                partition.map(|p| reported_owner(&shared, p)).unwrap_or_default(),
+                partition.map(|p| reported_owner(shared, p)).unwrap_or_default(),
             ));
         }
         Body::WhatPlan(_) => {
