Tests: frames of introduced peers that stop short

An introduction alone must not free a link from the count: 300 links that introduce themselves and then send most of a frame of 1 MB.

--- a/crates/hollowford/tests/hostile_clients.rs
+++ b/crates/hollowford/tests/hostile_clients.rs
@@ -311,6 +311,16 @@
     withstands(|n| n.peers, CROWD / 2, script).await;
 }
 
+// Guards against the same from peers that have introduced themselves: the frame of an empty
+// introduction comes first.
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_after_an_introduction_that_stop_short() {
+    const INTRODUCTION: &[u8] = &[0, 0, 0, 2, 0x0a, 0];
+    let frame = vec![b'x'; SENT_FRAME_BYTES];
+    let script = |_| Script::new(INTRODUCTION).then(FRAME_BYTES.to_be_bytes()).then(frame.clone());
+    withstands(|n| n.peers, CROWD / 2, script).await;
+}
+
 // Guards against a process that can accept no connection for want of descriptors and never gets
 // one back.
 #[tokio::test(flavor = "multi_thread")]
