serve: connections and calls count against the memory and descriptors of the process

What callers saw: 100 connections of three calls whose messages stop short took 1,250 MB of 256, 100 calls each with 59 kB 698 MB; before authentication frames of 4 MB took 430 MB; heads at the address for operators 398 MB. With 400 descriptors, 600 connections that send nothing kept an ordinary call from being answered.

Cause: as in `node`, nothing summed what connections and calls made the process keep. The transport's own limits held: messages of 4 MB, windows of 1 MB, any number of connections.

Change: the three listeners of `serve` take their connections from a pool as well, with limits from the new section `limits` of the settings (256 MB and 4,096 descriptors by default). A call reserves its bytes as they come; a call whose message is complete keeps its connection until it is answered. A link's first frame has 4 KB until its process has authenticated itself.

Why it works: the sum of what callers make the process keep has a bound, and who waits longest makes room for others.

--- a/crates/hollowford-config/src/settings.rs
+++ b/crates/hollowford-config/src/settings.rs
@@ -33,6 +33,8 @@
     pub lease: Lease,
     /// Limits on the use of the store.
     pub store: StoreBudget,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Scheduling policy.
     pub policy: Policy,
 }
@@ -101,6 +103,15 @@
     pub snapshot_records: u64,
 }
 
+/// Memory and descriptors that a process may use.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Number of descriptors.
+    pub max_fds: u64,
+}
+
 const KEYS: &[&str] = &[
     "process",
     "zone",
@@ -114,6 +125,7 @@
     "operator_token_sha256",
     "lease",
     "store",
+    "limits",
     "policy",
 ];
 
@@ -139,6 +151,7 @@
         operator_token_sha256: read_sha256(s, "operator_token_sha256")?,
         lease: read_lease(s)?,
         store: read_store(s)?,
+        limits: read_limits(s)?,
         policy: match s.section("policy")? {
             Some(policy) => read_policy(&policy)?,
             None => Policy::default(),
@@ -246,6 +259,18 @@
     })
 }
 
+fn read_limits(s: &Section<'_>) -> Result<ProcessLimits, SettingsError> {
+    const DEFAULT: ProcessLimits = ProcessLimits { memory_mb: 256, max_fds: 4_096 };
+    let Some(l) = s.section("limits")? else {
+        return Ok(DEFAULT);
+    };
+    l.check_keys(&["memory_mb", "max_fds"])?;
+    Ok(ProcessLimits {
+        memory_mb: l.number("memory_mb", DEFAULT.memory_mb, 32..=1_048_576)?,
+        max_fds: l.number("max_fds", DEFAULT.max_fds, 64..=1_048_576)?,
+    })
+}
+
 fn read_store(s: &Section<'_>) -> Result<StoreBudget, SettingsError> {
     const DEFAULT: StoreBudget = StoreBudget { writes_per_second: 150, snapshot_records: 200_000 };
     let Some(b) = s.section("store")? else {
--- a/crates/hollowford-connections/src/connection.rs
+++ b/crates/hollowford-connections/src/connection.rs
@@ -131,6 +131,13 @@
         self.enter(Phase::Busy);
     }
 
+    /// Keeps the connection from being closed for others until the guard is dropped. Several guards
+    /// may exist at once.
+    pub fn begin_work(self: &Arc<Connection>) -> WorkGuard {
+        self.pool.begin_work(self.id);
+        WorkGuard(self.clone())
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     ///
     /// # Errors
@@ -158,6 +165,16 @@
     }
 }
 
+/// Work for a connection.
+#[derive(Debug)]
+pub struct WorkGuard(Arc<Connection>);
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.0.pool.end_work(self.0.id);
+    }
+}
+
 /// A request in progress.
 #[derive(Debug)]
 pub struct RequestGuard(Arc<Connection>);
--- a/crates/hollowford-connections/src/lib.rs
+++ b/crates/hollowford-connections/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use accept::{accept, bind};
 pub use body::{ReadBodyError, read_body};
-pub use connection::{Connection, NoRoom, Reservation};
+pub use connection::{Connection, NoRoom, RequestGuard, Reservation, WorkGuard};
 pub use http::{HttpLimits, serve_http};
 pub use limits::{Limits, Listener};
 pub use pool::{Counts, Pool};
--- a/crates/hollowford-connections/src/pool.rs
+++ b/crates/hollowford-connections/src/pool.rs
@@ -38,6 +38,17 @@
 }
 
 impl Counts {
+    /// Returns how many connections and requests limits have closed or refused, by the reason's label
+    /// value.
+    pub fn by_reason(&self) -> [(&'static str, u64); 4] {
+        [
+            ("room", self.closed_for_room),
+            ("idle", self.closed_idle),
+            ("overdue", self.closed_overdue),
+            ("refused", self.refused),
+        ]
+    }
+
     /// Returns true if a limit was met since `earlier`.
     fn is_limited_since(&self, earlier: &Counts) -> bool {
         let limited = |c: &Counts| c.closed_for_room + c.closed_overdue + c.refused;
@@ -57,6 +68,8 @@
     waiting_since: Millis,
     /// Whether a request was completed on the connection.
     served: bool,
+    /// Number of complete calls on the connection that are being worked on.
+    work: usize,
     /// Bytes kept for the connection.
     bytes: usize,
     /// Bytes of an answer that the other side has not taken; part of `bytes`.
@@ -67,6 +80,11 @@
 }
 
 impl Entry {
+    /// Returns true if the process waits for the other side.
+    fn is_waiting(&self) -> bool {
+        self.phase.is_waiting() && self.work == 0
+    }
+
     fn is_closing(&self) -> bool {
         self.closed_in.is_some()
     }
@@ -109,7 +127,7 @@
         let waiting = &mut self.listeners[entry.listener as usize].waiting;
         waiting.remove(&entry.key(id));
         change(entry);
-        if entry.phase.is_waiting() && !entry.is_closing() {
+        if entry.is_waiting() && !entry.is_closing() {
             waiting.insert(entry.key(id));
         }
     }
@@ -117,7 +135,7 @@
     /// Returns the key of a connection in the order of closing. One that isn't waiting comes last.
     fn key_of(&self, id: u64) -> WaitKey {
         match self.entries.get(&id) {
-            Some(entry) if entry.phase.is_waiting() => entry.key(id),
+            Some(entry) if entry.is_waiting() => entry.key(id),
             _ => (true, Millis::MAX, u64::MAX),
         }
     }
@@ -264,6 +282,7 @@
             progressed_at: now,
             waiting_since: now,
             served: false,
+            work: 0,
             bytes: 0,
             answer_bytes: 0,
             closed_in: None,
@@ -365,6 +384,19 @@
         Ok(())
     }
 
+    pub(crate) fn begin_work(&self, id: u64) {
+        self.state().update(id, |entry| entry.work += 1);
+    }
+
+    pub(crate) fn end_work(&self, id: u64) {
+        let now = self.clock.now();
+        self.state().update(id, |entry| {
+            entry.work -= 1;
+            entry.served = true;
+            entry.waiting_since = now;
+        });
+    }
+
     pub(crate) fn begin_request(&self, id: u64, listener: Listener) -> Result<(), NoRoom> {
         let mut state = self.state();
         let l = state.listener(listener);
--- a/crates/hollowford-connections/src/pool_tests.rs
+++ b/crates/hollowford-connections/src/pool_tests.rs
@@ -102,6 +102,19 @@
     assert!(open[0].begin_request().is_ok());
 }
 
+#[test]
+fn a_connection_with_work_is_not_closed_and_has_waited_only_since_its_end() {
+    let t = TestPool::new(MANY_BYTES);
+    let open = t.admit_all();
+    let work = (open[0].begin_work(), open[0].begin_work());
+    drop(work.0);
+    assert!(t.pool.admit(Listener::Callers).now_or_never().is_none());
+    assert_eq!(closing(&open), [false, true, false, false]);
+    drop(work.1);
+    t.pool.close_one(Listener::Callers);
+    assert_eq!(closing(&open), [false, true, true, false]);
+}
+
 #[test]
 fn listeners_dont_take_each_others_connections() {
     let t = TestPool::new(MANY_BYTES);
--- a/crates/hollowford-connections/src/stream.rs
+++ b/crates/hollowford-connections/src/stream.rs
@@ -35,6 +35,14 @@
         self
     }
 
+    /// Makes the operating system send small writes at once.
+    ///
+    /// # Errors
+    /// If the option can't be set.
+    pub fn set_nodelay(&self) -> io::Result<()> {
+        self.inner.set_nodelay(true)
+    }
+
     /// Returns the stream and the connection.
     pub fn into_parts(self) -> (TcpStream, Arc<Connection>) {
         (self.inner, self.connection)
--- a/crates/hollowford-node/src/metrics.rs
+++ b/crates/hollowford-node/src/metrics.rs
@@ -217,12 +217,7 @@
         for listener in Listener::ALL {
             let counts = pool.counts(listener);
             self.connections.with_label_values(&[listener.name()]).set(counts.open as i64);
-            for (reason, count) in [
-                ("room", counts.closed_for_room),
-                ("idle", counts.closed_idle),
-                ("overdue", counts.closed_overdue),
-                ("refused", counts.refused),
-            ] {
+            for (reason, count) in counts.by_reason() {
                 let counter =
                     self.connections_limited.with_label_values(&[listener.name(), reason]);
                 counter.inc_by(count.saturating_sub(counter.get()));
--- a/crates/hollowford-server/src/admin.rs
+++ b/crates/hollowford-server/src/admin.rs
@@ -17,6 +17,7 @@
 #[handler]
 async fn metrics(shared: Data<&Arc<Shared>>) -> Response {
     let m = &shared.metrics;
+    m.set_connections(&shared.connections);
     let (reads, writes) = shared.store_calls();
     for (op, total) in [("read", reads), ("write", writes)] {
         let counter = m.store_calls.with_label_values(&[op]);
--- a/crates/hollowford-server/src/entry/mod.rs
+++ b/crates/hollowford-server/src/entry/mod.rs
@@ -4,6 +4,8 @@
 //! that owns the partition.
 
 mod auth;
+mod connections;
+mod counted_service;
 mod operator;
 mod results;
 mod router;
@@ -11,6 +13,10 @@
 mod status;
 mod tls;
 
+pub(crate) use connections::accept_callers;
+pub(crate) use counted_service::{
+    CountedService, MAX_CALLS_PER_CONNECTION, MAX_MESSAGE_BYTES, MAX_METADATA_BYTES, WINDOW_BYTES,
+};
 pub(crate) use operator::OperatorService;
 pub(crate) use scheduler::SchedulerService;
 pub use tls::TlsError;
--- a/crates/hollowford-server/src/entry/tls.rs
+++ b/crates/hollowford-server/src/entry/tls.rs
@@ -1,11 +1,11 @@
 //! TLS for connections of callers, with certificates that are reloaded when their files change.
 
+use super::connections::CallerStream;
 use hollowford_config::TlsSettings;
 use std::io;
 use std::path::Path;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, SystemTime};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::rustls::pki_types::pem::{Error as PemError, PemObject};
@@ -15,7 +15,6 @@
 use tokio_rustls::server::TlsStream;
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::transport::server::TcpIncoming;
 
 /// Interval of the checks for changed files.
 const RELOAD_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -130,9 +129,9 @@
 /// Performs the TLS handshakes of incoming connections concurrently, and returns a stream of the
 /// encrypted connections.
 pub(crate) fn accept_tls(
-    mut incoming: TcpIncoming,
+    mut incoming: ReceiverStream<io::Result<CallerStream>>,
     tls: ReloadingTlsConfig,
-) -> ReceiverStream<io::Result<TlsStream<TcpStream>>> {
+) -> ReceiverStream<io::Result<TlsStream<CallerStream>>> {
     let (tx, rx) = mpsc::channel(MAX_QUEUED_CONNECTIONS);
     tokio::spawn(tls.clone().reload_on_change());
     tokio::spawn(async move {
--- a/crates/hollowford-server/src/metrics.rs
+++ b/crates/hollowford-server/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Prometheus metrics of a process.
 
+use hollowford_connections::{Listener, Pool};
 use hollowford_core::{Kind, Millis};
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
 };
 
 /// Bucket limits of the waiting time histogram, in seconds.
@@ -49,6 +51,12 @@
     pub sessions: IntGauge,
     /// Items refused because a ring was full, by ring.
     pub ring_full: IntCounterVec,
+    /// Connections that others have opened, by listener.
+    connections: IntGaugeVec,
+    /// Bytes kept for these connections.
+    connection_bytes: IntGauge,
+    /// Connections and requests that limits closed or refused, by listener and reason.
+    connections_limited: IntCounterVec,
 }
 
 impl Metrics {
@@ -89,10 +97,32 @@
             config_head: gauge(&r, "hollowford_config_head", "Newest change in force.")?,
             sessions: gauge(&r, "hollowford_worker_sessions", "Sessions with workers.")?,
             ring_full: counter_vec(&r, "hollowford_ring_full_total", "Items refused.", &["ring"])?,
+            connections: gauge_vec(&r, "hollowford_connections", "Open ones.", &["listener"])?,
+            connection_bytes: gauge(&r, "hollowford_connection_bytes", "Bytes kept for them.")?,
+            connections_limited: counter_vec(
+                &r,
+                "hollowford_connections_limited_total",
+                "Connections and requests that limits closed or refused.",
+                &["listener", "reason"],
+            )?,
             registry: r,
         })
     }
 
+    /// Updates the counts of connections.
+    pub fn set_connections(&self, pool: &Pool) {
+        self.connection_bytes.set(pool.bytes() as i64);
+        for listener in Listener::ALL {
+            let counts = pool.counts(listener);
+            self.connections.with_label_values(&[listener.name()]).set(counts.open as i64);
+            for (reason, count) in counts.by_reason() {
+                let counter =
+                    self.connections_limited.with_label_values(&[listener.name(), reason]);
+                counter.inc_by(count.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     /// Records how long a request waited for its first start.
     pub fn observe_first_start(&self, kind: Kind, waited: Millis) {
         const MS_PER_SECOND: f64 = 1_000.0;
@@ -113,6 +143,17 @@
     Ok(g)
 }
 
+fn gauge_vec(
+    r: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, prometheus::Error> {
+    let family = IntGaugeVec::new(Opts::new(name, help), labels)?;
+    r.register(Box::new(family.clone()))?;
+    Ok(family)
+}
+
 fn counter_vec(
     r: &Registry,
     name: &str,
--- a/crates/hollowford-server/src/peers/listener.rs
+++ b/crates/hollowford-server/src/peers/listener.rs
@@ -6,54 +6,64 @@
 use crate::owners::Owner;
 use crate::shared::Shared;
 use futures::SinkExt;
+use hollowford_connections::{Connection, ConnectionStream, Listener, accept};
 use hollowford_core::{Epoch, Error, ErrorKind, PartitionId};
 use hollowford_protocol::peer::{Body, Call, Challenge, Frame, Hello, Refused, Reply, Said};
-use hollowford_protocol::{FrameError, Frames, framed, mac, recv, send};
+use hollowford_protocol::{FrameError, Frames, MAX_FRAME_BYTES, framed, mac, recv, send};
 use prost::Message;
 use prost::bytes::Bytes;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 
 const NONCE_LEN: usize = 16;
+/// Size limit of the frame with which a process authenticates itself.
+const MAX_HELLO_BYTES: usize = 4 << 10;
 /// Time limit of the authentication of a new link.
 const HELLO_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
 
-/// Binds the address for peer links.
-///
-/// # Errors
-/// If the address can't be bound.
-pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(addr).await
-}
-
 /// Runs the event loop. Never returns.
 pub(crate) async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    tokio::spawn(accept_links(shared.clone(), listener));
     let mut dialers = Dialers::default();
     let mut ticks = tokio::time::interval(HEARTBEAT_INTERVAL);
     loop {
         tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve(shared.clone(), stream));
-                }
-            }
             msg = shared.peers.recv() => dialers.send(&shared, msg),
             _ = ticks.tick() => dialers.update(&shared),
         }
     }
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+/// Accepts links for as long as the process runs.
+async fn accept_links(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = accept(&shared.connections, &listener, Listener::Peers).await;
+        tokio::spawn(serve(shared.clone(), stream));
+    }
+}
+
+/// Serves a link until it ends or, before its process has authenticated itself, is closed for others.
+async fn serve(shared: Arc<Shared>, stream: ConnectionStream) {
+    let (stream, connection) = stream.into_parts();
+    tokio::select! {
+        () = serve_link(&shared, stream, &connection) => {}
+        () = connection.closing() => {}
+    }
+}
+
+async fn serve_link(shared: &Arc<Shared>, stream: TcpStream, connection: &Connection) {
     // Without it, small frames are delayed. An error is harmless, since the link still works.
     let _ = stream.set_nodelay(true);
     let mut link = framed(stream);
+    link.codec_mut().set_max_frame_length(MAX_HELLO_BYTES);
     if let Ok(Some(process)) =
-        tokio::time::timeout(HELLO_TIMEOUT, authenticate(&shared, &mut link)).await
+        tokio::time::timeout(HELLO_TIMEOUT, authenticate(shared, &mut link)).await
     {
+        connection.establish();
+        link.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
         // The reason why a link ended doesn't matter: the other process opens it again.
-        let _ = run_link(&shared, &process, link).await;
+        let _ = run_link(shared, &process, link).await;
     }
 }
 
--- a/crates/hollowford-server/src/peers/mod.rs
+++ b/crates/hollowford-server/src/peers/mod.rs
@@ -3,7 +3,7 @@
 mod dialer;
 mod listener;
 
-pub(crate) use listener::{bind, run};
+pub(crate) use listener::run;
 
 use hollowford_protocol::peer::{Call, Reply};
 use tokio::sync::oneshot;
--- a/crates/hollowford-server/src/process.rs
+++ b/crates/hollowford-server/src/process.rs
@@ -1,15 +1,20 @@
 //! Starts and stops the threads of one process.
 
 use crate::entry::TlsError;
-use crate::entry::{OperatorService, ReloadingTlsConfig, SchedulerService, accept_tls};
+use crate::entry::{
+    CountedService, MAX_CALLS_PER_CONNECTION, MAX_MESSAGE_BYTES, MAX_METADATA_BYTES,
+    OperatorService, ReloadingTlsConfig, SchedulerService, WINDOW_BYTES, accept_callers,
+    accept_tls,
+};
 use crate::shared::Shared;
 use crate::{admin, decide, ledger, ownership, peers, watch, workers};
 use hollowford_config::Settings;
-use hollowford_core::PartitionId;
+use hollowford_connections::{self as connections, HttpLimits, Listener, Pool, serve_http};
+use hollowford_core::{Millis, PartitionId};
 use hollowford_platform::StoreError;
 use hollowford_protocol::v1::operator_server::OperatorServer;
 use hollowford_protocol::v1::scheduler_server::SchedulerServer;
-use poem::listener::TcpAcceptor;
+use poem::EndpointExt;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -18,7 +23,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
-use tonic::transport::server::TcpIncoming;
+use tokio::sync::watch as watch_channel;
 
 /// Number of threads of the entry's runtime.
 const ENTRY_THREADS: usize = 2;
@@ -29,6 +34,15 @@
 /// Time for the load balancer to notice that the process is no longer ready.
 const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(300);
 
+/// Interval of the checks whether limits on connections were met.
+const LIMITS_LOG_INTERVAL: Duration = Duration::from_millis(500);
+/// Limits on requests for metrics, health and state.
+const ADMIN_LIMITS: HttpLimits = HttpLimits {
+    max_head_bytes: 16 << 10,
+    head_timeout: Millis(3_000),
+    idle_timeout: Millis(75_000),
+};
+
 /// An error that prevents a process from starting.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -95,7 +109,7 @@
         let shared = Shared::new(settings)?;
         let listen = shared.settings.listen;
         let entry = runtime(ENTRY_THREADS)?;
-        let listeners = entry.block_on(bind_all(listen))?;
+        let listeners = entry.block_on(async { bind_all(listen) })?;
         let addresses = listeners.addresses;
         *shared.peer_addr.lock().unwrap_or_else(PoisonError::into_inner) =
             addresses.peers.to_string();
@@ -164,10 +178,11 @@
     admin: std::net::TcpListener,
 }
 
-async fn bind_all(listen: hollowford_config::Listen) -> io::Result<BoundListeners> {
-    let callers = TcpListener::bind(listen.callers).await?;
-    let peers = peers::bind(listen.peers).await?.into_std()?;
-    let admin = TcpListener::bind(listen.admin).await?.into_std()?;
+/// Binds the addresses. Needs a runtime.
+fn bind_all(listen: hollowford_config::Listen) -> io::Result<BoundListeners> {
+    let callers = connections::bind(Listener::Callers, listen.callers)?;
+    let peers = connections::bind(Listener::Peers, listen.peers)?.into_std()?;
+    let admin = connections::bind(Listener::Metrics, listen.admin)?.into_std()?;
     let addresses = Addresses {
         callers: callers.local_addr()?,
         peers: peers.local_addr()?,
@@ -202,36 +217,55 @@
 }
 
 fn start_admin(shared: &Arc<Shared>, listener: std::net::TcpListener) -> Result<(), StartError> {
-    let app = admin::routes(shared.clone());
+    let app = admin::routes(shared.clone()).map_to_response();
+    let pool = shared.connections.clone();
     spawn_thread("admin", async move {
-        let run = async {
-            let acceptor = TcpAcceptor::from_std(listener)?;
-            poem::Server::new_with_acceptor(acceptor).run(app).await
-        };
-        if let Err(e) = run.await {
-            log::error!("the admin thread ended: {e}");
+        match TcpListener::from_std(listener) {
+            Ok(listener) => {
+                tokio::spawn(log_limits(pool.clone()));
+                // The thread serves until the process ends.
+                let (_tx, stopped) = watch_channel::channel(false);
+                let limits = || ADMIN_LIMITS;
+                serve_http(listener, Listener::Metrics, pool, app, limits, stopped).await;
+            }
+            Err(e) => log::error!("the admin thread ended: {e}"),
         }
     })?;
     Ok(())
 }
 
+/// Logs when limits on connections of callers and other processes were met. Never returns.
+async fn log_limits(pool: Arc<Pool>) {
+    loop {
+        tokio::time::sleep(LIMITS_LOG_INTERVAL).await;
+        pool.log_if_limited(Listener::Callers);
+        pool.log_if_limited(Listener::Peers);
+    }
+}
+
 fn start_entry(shared: &Arc<Shared>, rt: Runtime, listener: TcpListener) -> Result<(), StartError> {
     let store = shared.store()?;
     let scheduler = SchedulerService { shared: shared.clone(), store: store.clone() };
     let operator = OperatorService { shared: shared.clone(), store };
+    let scheduler = SchedulerServer::new(scheduler).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let operator = OperatorServer::new(operator).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let server = tonic::transport::Server::builder()
-        .add_service(SchedulerServer::new(scheduler))
-        .add_service(OperatorServer::new(operator));
-    // Without it, small replies are delayed until the caller acknowledges earlier ones.
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_concurrent_streams(MAX_CALLS_PER_CONNECTION)
+        .http2_max_header_list_size(MAX_METADATA_BYTES)
+        .add_service(CountedService(scheduler))
+        .add_service(CountedService(operator));
     let tls = shared.settings.tls.as_ref().map(ReloadingTlsConfig::new).transpose()?;
+    let pool = shared.connections.clone();
     let run = move || {
-        let served = match tls {
-            None => rt.block_on(server.serve_with_incoming(incoming)),
-            Some(tls) => {
-                rt.block_on(async { server.serve_with_incoming(accept_tls(incoming, tls)).await })
+        let served = rt.block_on(async {
+            let incoming = accept_callers(pool, listener);
+            match tls {
+                None => server.serve_with_incoming(incoming).await,
+                Some(tls) => server.serve_with_incoming(accept_tls(incoming, tls)).await,
             }
-        };
+        });
         if let Err(e) = served {
             log::error!("the entry thread ended: {e}");
         }
--- a/crates/hollowford-server/src/shared.rs
+++ b/crates/hollowford-server/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::workers::WorkerMsg;
 use arc_swap::ArcSwap;
 use hollowford_config::Settings;
+use hollowford_connections::{Limits, Pool};
 use hollowford_core::{Clock, Millis};
 use hollowford_platform::rows::Instance;
 use hollowford_platform::{Platform, StoreError};
@@ -25,6 +26,8 @@
     pub settings: Settings,
     pub clock: Clock,
     pub metrics: Metrics,
+    /// Connections that others have opened to this process.
+    pub connections: Arc<Pool>,
     /// The active configuration of the client accounts.
     pub accounts: ArcSwap<ActiveAccounts>,
     pub config_freshness: ConfigFreshness,
@@ -72,9 +75,12 @@
 
 impl Shared {
     pub fn new(settings: Settings) -> Result<Arc<Shared>, prometheus::Error> {
+        let clock = Clock::new();
+        let limits = Limits::new(settings.limits.memory_mb, settings.limits.max_fds);
         Ok(Arc::new(Shared {
-            clock: Clock::new(),
+            clock,
             metrics: Metrics::new()?,
+            connections: Pool::new(limits, clock),
             accounts: ArcSwap::default(),
             config_freshness: ConfigFreshness::default(),
             config_changed: Notify::new(),
--- a/crates/hollowford/tests/common/mod.rs
+++ b/crates/hollowford/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cell;
 pub mod http;
+pub mod tls;
 
 use hollowford_protocol::v1;
 use hollowford_protocol::v1::operator_client::OperatorClient;
--- a/crates/hollowford/tests/hostile_grpc_clients.rs
+++ b/crates/hollowford/tests/hostile_grpc_clients.rs
@@ -11,13 +11,13 @@
 
 use bytes::Bytes;
 use common::cell::TestProcess;
+use common::tls::{run_check, write_certificates};
 use common::{Caller, Cell, Options, spec};
 use crowd::{Crowd, Script};
 use footprint::Watch;
 use h2::SendStream;
 use h2::client::SendRequest;
 use hollowford_protocol::v1::Kind;
-use rcgen::{CertificateParams, KeyPair};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -219,28 +219,19 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn tls_handshakes_that_stop() {
     let dir = TempDir::new().unwrap();
-    let key = KeyPair::generate().unwrap();
-    let params = CertificateParams::new(vec!["127.0.0.1".to_owned()]).unwrap();
-    let certificate = params.self_signed(&key).unwrap();
-    std::fs::write(dir.path().join("own.pem"), certificate.pem()).unwrap();
-    std::fs::write(dir.path().join("key.pem"), key.serialize_pem()).unwrap();
+    write_certificates(dir.path());
     let tls = json!({
         "certificate": dir.path().join("own.pem"), "key": dir.path().join("key.pem"),
     });
     let options = Options { tls: Some(tls), max_open_files: Some(OPEN_FILES), ..options() };
     let _alone = alone().await;
-    let mut cell = Cell::start(options).await;
+    let cell = Cell::start(options).await;
     let watch = watch(&cell.entries[0]);
     // The first bytes of a record that announces more.
     let script = |_| Script::new([0x16, 3, 1, 0x3f, 0xff, 1, 0, 0x3f, 0xfb]);
-    let crowd = Crowd::open(addr(&cell.entries[0], "callers"), QUIET_CROWD, script).await;
-    let answered = is_ready(&mut cell).await;
+    let callers = addr(&cell.entries[0], "callers");
+    let crowd = Crowd::open(callers, QUIET_CROWD, script).await;
+    let addr = cell.entries[0].addr("callers");
+    let answered = run_check(&addr, "ordinary", Some(&dir.path().join("ca.pem"))).await;
     check(cell, watch, crowd, answered).await;
 }
-
-/// Returns whether the process reports that it is ready.
-async fn is_ready(cell: &mut Cell) -> bool {
-    let admin = cell.entries[0].addr("admin");
-    let asked = common::http::get_text(&admin, "/readyz");
-    matches!(timeout(ORDINARY_TIMEOUT, asked).await, Ok(Some((200, _))))
-}
