node: jobs that wait for an owner are bounded in bytes

What callers could do: while an owner reads nothing or waits for the store, a process kept up to 4,096 frames for it and an owner up to 8,192 calls, with jobs of up to 60,000 bytes each: 246 MB and 491 MB.

Cause: both queues were bounded in messages only.

Change: the bytes of jobs in a link's queue (4 MB) and in an owner's inbox (8 MB) are counted; a call beyond them is not sent, and its caller gets 503. Frames without a job are sent as before.

Evidence: queued_bytes_tests; without the two checks both fail (1,000 of 1,000 jobs of 60,000 bytes are kept in place of 69 and 139). Not shown on processes.

Why it works: what is refused there was never taken by an owner, so "not run" is true; the jobs of ordinary callers are some 5 kB, and 4 MB of them wait only while an owner is silent.

--- a/crates/hollowford-node/src/inbox.rs
+++ b/crates/hollowford-node/src/inbox.rs
@@ -4,17 +4,22 @@
 use crate::delegate_wire::Outcomes;
 use crate::link::Outbox;
 use crate::members::LinkId;
+use crate::queued_bytes::QueuedBytes;
 use crate::wire::{Body, Call, CallAnswer, Hello, MemberBeat, OwnerInfo, Said};
 use crate::worker_changes::WorkerChanges;
 use crate::writer::BatchOutcome;
 use hollowford_adapter::WorkerAnswer;
 use hollowford_core::Millis;
 use hollowford_jobs::{AdviceChannel, StepKey, WorkerCall, WorkerListing, WorkerTickets};
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 
 /// Maximum number of messages waiting for the owner; further calls are rejected.
 const INBOX_CAPACITY: usize = 8_192;
 
+/// Maximum number of bytes of jobs waiting for the owner; further calls are rejected.
+pub const MAX_QUEUED_JOB_BYTES: usize = 8 << 20;
+
 /// A message to the owner.
 #[derive(Debug)]
 pub enum OwnerMsg {
@@ -91,36 +96,63 @@
     }
 }
 
+/// Why a call was not put into an inbox.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NotQueued {
+    Full,
+    OwnerEnded,
+}
+
 /// Sends messages to the owner's task.
 #[derive(Clone, Debug)]
 pub struct OwnerHandle {
     tx: mpsc::Sender<OwnerMsg>,
+    job_bytes: QueuedBytes,
 }
 
 impl OwnerHandle {
     /// Creates a handle and the receiver for the owner.
     pub fn new() -> (OwnerHandle, mpsc::Receiver<OwnerMsg>) {
         let (tx, rx) = mpsc::channel(INBOX_CAPACITY);
-        (OwnerHandle { tx }, rx)
+        (OwnerHandle { tx, job_bytes: QueuedBytes::new(MAX_QUEUED_JOB_BYTES) }, rx)
     }
 
     /// Sends a call. Returns `None` if the owner has ended or its inbox is full.
     pub fn call(&self, call: &Call) -> Option<oneshot::Receiver<CallAnswer>> {
         let (tx, rx) = oneshot::channel();
-        self.tx.try_send(OwnerMsg::Call(call.clone(), Reply::Local(tx))).ok()?;
+        self.try_send_call(call.clone(), Reply::Local(tx)).ok()?;
         Some(rx)
     }
 
+    /// Puts a call into the inbox.
+    fn try_send_call(&self, call: Call, reply: Reply) -> Result<(), NotQueued> {
+        let bytes = call.spec.len();
+        if !self.job_bytes.add(bytes) {
+            return Err(NotQueued::Full);
+        }
+        self.tx.try_send(OwnerMsg::Call(call, reply)).map_err(|e| {
+            self.job_bytes.subtract(bytes);
+            match e {
+                TrySendError::Full(_) => NotQueued::Full,
+                TrySendError::Closed(_) => NotQueued::OwnerEnded,
+            }
+        })
+    }
+
+    /// Records that the owner has taken a call out of its inbox.
+    pub fn record_taken(&self, call: &Call) {
+        self.job_bytes.subtract(call.spec.len());
+    }
+
     /// Sends a call that came over a link. Rejects it if the owner has ended or its inbox is full.
     pub fn call_from_link(&self, call: Call, outbox: &Outbox) {
         let id = call.id;
-        let msg = OwnerMsg::Call(call, Reply::Link(outbox.clone()));
-        match self.tx.try_send(msg) {
+        match self.try_send_call(call, Reply::Link(outbox.clone())) {
             Ok(()) => {}
-            Err(mpsc::error::TrySendError::Full(_)) => {
+            Err(NotQueued::Full) => {
                 Reply::Link(outbox.clone()).send(id, Said::NotTaken, 0);
             }
-            Err(mpsc::error::TrySendError::Closed(_)) => {
+            Err(NotQueued::OwnerEnded) => {
                 Reply::Link(outbox.clone()).send(id, Said::NotOwner, 0);
             }
         }
--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -64,6 +64,9 @@
 mod plan;
 #[cfg(test)]
 mod plan_tests;
+mod queued_bytes;
+#[cfg(test)]
+mod queued_bytes_tests;
 mod reachability;
 mod registry;
 #[cfg(test)]
--- a/crates/hollowford-node/src/link.rs
+++ b/crates/hollowford-node/src/link.rs
@@ -2,6 +2,7 @@
 
 use crate::compression::{compress, decompress};
 use crate::frame_decoder::{FrameDecoder, MAX_FRAME_BYTES};
+use crate::queued_bytes::QueuedBytes;
 use crate::wire::{Body, Frame};
 use bytes::{Bytes, BytesMut};
 use futures::stream::FuturesUnordered;
@@ -36,6 +37,9 @@
 /// treated as ended.
 const OUTBOX_CAPACITY: usize = 4_096;
 
+/// Maximum number of bytes of callers' jobs that may wait to be written; further calls are not sent.
+const MAX_QUEUED_JOB_BYTES: usize = 4 << 20;
+
 /// Reads frames.
 pub type FrameReader = FramedRead<OwnedReadHalf, FrameDecoder>;
 
@@ -43,6 +47,7 @@
 #[derive(Clone, Debug)]
 pub struct Outbox {
     tx: mpsc::Sender<Frame>,
+    job_bytes: QueuedBytes,
 }
 
 impl Outbox {
@@ -55,13 +60,33 @@
     /// Creates an outbox and a receiver of its frames.
     #[cfg(test)]
     pub fn for_test() -> (Outbox, mpsc::Receiver<Frame>) {
+        Outbox::new()
+    }
+
+    fn new() -> (Outbox, mpsc::Receiver<Frame>) {
         let (tx, rx) = mpsc::channel(OUTBOX_CAPACITY);
-        (Outbox { tx }, rx)
+        (Outbox { tx, job_bytes: QueuedBytes::new(MAX_QUEUED_JOB_BYTES) }, rx)
     }
 
     /// Sends a frame. Returns false if the link has ended or its outbox is full.
     pub fn send(&self, body: Body) -> bool {
-        self.tx.try_send(body.into()).is_ok()
+        let bytes = job_bytes(&body);
+        if !self.job_bytes.add(bytes) {
+            return false;
+        }
+        let sent = self.tx.try_send(body.into()).is_ok();
+        if !sent {
+            self.job_bytes.subtract(bytes);
+        }
+        sent
+    }
+}
+
+/// Returns the bytes of a caller's job in a frame.
+fn job_bytes(body: &Body) -> usize {
+    match body {
+        Body::Call(call) => call.spec.len(),
+        _ => 0,
     }
 }
 
@@ -127,9 +152,9 @@
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
     let encoder = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-    let (tx, rx) = mpsc::channel(OUTBOX_CAPACITY);
-    tokio::spawn(write_all(FramedWrite::new(write, encoder), rx));
-    Ok((FramedRead::new(read, decoder), Outbox { tx }))
+    let (outbox, rx) = Outbox::new();
+    tokio::spawn(write_all(FramedWrite::new(write, encoder), rx, outbox.job_bytes.clone()));
+    Ok((FramedRead::new(read, decoder), outbox))
 }
 
 /// Encodes a frame. Frames with calls to workers are compressed if that makes them smaller: with
@@ -171,13 +196,18 @@
 async fn write_all(
     mut write: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     mut rx: mpsc::Receiver<Frame>,
+    queued: QueuedBytes,
 ) {
+    let take = |frame: Frame| {
+        queued.subtract(frame.body.as_ref().map_or(0, job_bytes));
+        encode(&frame)
+    };
     while let Some(frame) = rx.recv().await {
-        let mut result = write.feed(encode(&frame)).await;
+        let mut result = write.feed(take(frame)).await;
         while result.is_ok()
             && let Ok(next) = rx.try_recv()
         {
-            result = write.feed(encode(&next)).await;
+            result = write.feed(take(next)).await;
         }
         if result.is_ok() {
             result = SinkExt::<Bytes>::flush(&mut write).await;
--- a/crates/hollowford-node/src/owner.rs
+++ b/crates/hollowford-node/src/owner.rs
@@ -182,6 +182,7 @@
         self.record_poll(now);
         match msg {
             OwnerMsg::Call(call, reply) => {
+                self.handle.record_taken(&call);
                 self.handle_call(ReceivedCall { call, reply, received_at: now }, now);
             }
             OwnerMsg::WorkerAnswer { call, called, sent, timing } => {
