node: log lines are cut at 2 KB

What callers could do: lines about refused requests quote their path, and those about invalid jobs what the decoder says of their body, so one line might have 262 kB, and 4,096 lines may wait.

Cause: the queue of lines was bounded in lines only.

Change: a line is cut at 2 KB, so that what waits is at most 8 MB.

Evidence: logs_tests: the line of a path of 300,000 bytes was queued whole before. Not shown on processes: a file takes the lines faster than a crowd sends them.

Why it works: no other line is that long; the end of a cut line is the caller's own text.

--- a/crates/hollowford-node/src/lib.rs
+++ b/crates/hollowford-node/src/lib.rs
@@ -43,6 +43,8 @@
 mod load;
 pub mod logs;
 #[cfg(test)]
+mod logs_tests;
+#[cfg(test)]
 mod mass_join_tests;
 mod member;
 #[cfg(test)]
--- a/crates/hollowford-node/src/logs.rs
+++ b/crates/hollowford-node/src/logs.rs
@@ -16,6 +16,8 @@
 /// Maximum number of lines about decisions per second. A busy owner makes about 600 decisions per
 /// second.
 const MAX_DECISIONS_PER_S: u32 = 1_500;
+/// Maximum size of a line, in bytes. Lines may quote what callers send.
+const MAX_LINE_BYTES: usize = 2 << 10;
 /// Initial capacity of the line buffer, in bytes.
 const LINE_CAPACITY: usize = 256;
 
@@ -41,7 +43,7 @@
         .stack_size(WRITER_STACK_BYTES)
         .spawn(move || write_all(&rx, &mut io::stdout()))?;
     Builder::from_env(Env::default().default_filter_or("info"))
-        .target(Target::Pipe(Box::new(QueueWriter { tx, line: Vec::new() })))
+        .target(Target::Pipe(Box::new(QueueWriter::new(tx))))
         .format(|buf, record| {
             let at = buf.timestamp_millis();
             writeln!(buf, "ts={at} level={} {}", record.level(), record.args())
@@ -66,15 +68,26 @@
 }
 
 /// Passes whole lines to the writer thread without blocking.
-struct QueueWriter {
+pub(crate) struct QueueWriter {
     tx: SyncSender<Vec<u8>>,
     line: Vec<u8>,
 }
 
+impl QueueWriter {
+    pub fn new(tx: SyncSender<Vec<u8>>) -> QueueWriter {
+        QueueWriter { tx, line: Vec::new() }
+    }
+}
+
 impl Write for QueueWriter {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(buf);
-        if self.line.ends_with(b"\n") {
+        let is_end = buf.ends_with(b"\n");
+        let room = MAX_LINE_BYTES.saturating_sub(self.line.len());
+        self.line.extend_from_slice(&buf[..buf.len().min(room)]);
+        if is_end {
+            if !self.line.ends_with(b"\n") {
+                self.line.push(b'\n');
+            }
             let line = std::mem::replace(&mut self.line, Vec::with_capacity(LINE_CAPACITY));
             if self.tx.try_send(line).is_err() {
                 DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
