connections: a larger limit on heads counts for each connection

What could happen: a configuration with `max-header-bytes` far above 16,384 lets each connection keep more than the 64 KB that it counts with, so the sum would no longer have its bound.

Cause: what a connection counts with was fixed for the deployments' limit.

Change: where the limit on heads is larger, each connection reserves twice the rest, since a buffer that grows takes up to twice its bytes; without room it is closed. With 16,384 nothing changes.

Evidence: heads_beyond_the_buffers_of_each_connection_count. Not shown on processes.

--- a/crates/hollowford-connections/src/http.rs
+++ b/crates/hollowford-connections/src/http.rs
@@ -34,6 +34,8 @@
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 /// Bytes of the shortest header line: a name of one character, a colon and the end of the line.
 const MIN_HEADER_LINE_BYTES: usize = 4;
+/// Heads up to this size fit into the buffers that each connection has.
+const BUFFERED_HEAD_BYTES: usize = 16 << 10;
 /// Answers up to this size fit into the buffers that each connection has.
 const BUFFERED_ANSWER_BYTES: u64 = 8 << 10;
 /// Time in which a closed connection's other side may still take its last answer, and how much of
@@ -118,6 +120,9 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     let connection = stream.connection().clone();
+    let Ok(_large_head) = connection.reserve(unbuffered_head_bytes(limits.max_head_bytes)) else {
+        return;
+    };
     let owned = connection.clone();
     let service = service_fn(move |req| Box::pin(answer(endpoint.clone(), owned.clone(), req)));
     let mut http = builder(limits).serve_connection(TokioIo::new(stream), service);
@@ -140,6 +145,12 @@
     linger(stream, &connection).await;
 }
 
+/// Returns how much a connection's buffers for heads may exceed what each connection counts with.
+pub(crate) fn unbuffered_head_bytes(max_head_bytes: usize) -> usize {
+    // A buffer that grows takes up to twice the bytes in it.
+    2 * max_head_bytes.saturating_sub(BUFFERED_HEAD_BYTES)
+}
+
 fn builder(limits: HttpLimits) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
--- a/crates/hollowford-connections/src/pool_tests.rs
+++ b/crates/hollowford-connections/src/pool_tests.rs
@@ -3,6 +3,7 @@
 
 use crate::accept::accept_with_pauses;
 use crate::connection::{Connection, NoRoom, Phase, WaitLimits};
+use crate::http::unbuffered_head_bytes;
 use crate::limits::{Limits, Listener};
 use crate::pool::Pool;
 use futures::FutureExt;
@@ -224,6 +225,15 @@
     assert!(taken <= sockets * 3 / 4, "{taken}");
 }
 
+#[parameterized(
+    none = { 0, 0 },
+    default = { 16_384, 0 },
+    large = { 1_000_000, 1_967_232 },
+)]
+fn heads_beyond_the_buffers_of_each_connection_count(max_head_bytes: usize, bytes: usize) {
+    assert_eq!(unbuffered_head_bytes(max_head_bytes), bytes);
+}
+
 // Guards against a process that spends its processor time on trying to accept.
 #[tokio::test(start_paused = true)]
 async fn accepting_pauses_after_a_failure_and_closes_a_connection() {
