--- a/crates/hollowford/tests/hostile_clients.rs
+++ b/crates/hollowford/tests/hostile_clients.rs
@@ -209,6 +209,12 @@
     withstands_with(MANY_DESCRIPTORS, |n| n.callers, LARGE_CROWD, script).await;
 }
 
+// Guards against heads that never end on more connections than the memory has room for.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_heads_on_many_connections() {
+    withstands_with(MANY_DESCRIPTORS, |n| n.callers, LARGE_CROWD, endless_head).await;
+}
+
 // Guards against heads within the limit that stop short on more connections than the memory has
 // room for.
 #[tokio::test(flavor = "multi_thread")]
