--- a/crates/hollowford-connections/src/connection.rs
+++ b/crates/hollowford-connections/src/connection.rs
@@ -1,7 +1,8 @@
 //! A connection of the pool, and the bytes that it has reserved.
 
 use crate::limits::Listener;
-use crate::pool::{Pool, Shortage};
+use crate::pool::Pool;
+use crate::state::Shortage;
 use hollowford_core::Millis;
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
--- a/crates/hollowford-connections/src/lib.rs
+++ b/crates/hollowford-connections/src/lib.rs
@@ -11,17 +11,20 @@
 #[cfg(test)]
 mod body_tests;
 mod connection;
+mod counts;
 mod http;
 mod limits;
 mod pool;
 #[cfg(test)]
 mod pool_tests;
+mod state;
 mod stream;
 
 pub use accept::{accept, bind};
 pub use body::{ReadBodyError, read_body};
 pub use connection::{Connection, NoRoom, RequestGuard, Reservation, WorkGuard};
+pub use counts::Counts;
 pub use http::{HttpLimits, serve_http};
 pub use limits::{Limits, Listener};
-pub use pool::{Counts, Pool};
+pub use pool::Pool;
 pub use stream::ConnectionStream;
--- a/crates/hollowford-connections/src/pool.rs
+++ b/crates/hollowford-connections/src/pool.rs
@@ -1,199 +1,15 @@
 //! All connections of a process, and the bytes kept for them.
 
 use crate::connection::{Connection, NoRoom, Phase, WaitLimits};
+use crate::counts::Counts;
 use crate::limits::{Limits, Listener};
-use hollowford_core::{Clock, Millis};
-use std::collections::{BTreeSet, HashMap};
+use crate::state::{Entry, LAST_KEY, Shortage, State};
+use hollowford_core::Clock;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio_util::sync::CancellationToken;
 
-/// Why bytes could not be reserved.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Shortage {
-    /// Connections are being closed; there will be room once they are.
-    Closing,
-    /// No connection can be closed for it.
-    Full,
-}
-
-/// Order in which waiting connections are closed: those that have completed no request go before
-/// those that have, and among them the one that has waited longest goes first.
-type WaitKey = (bool, Millis, u64);
-
-/// What happened at a listener so far, and what it has now.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Open connections.
-    pub open: u64,
-    /// Connections closed because others needed their room.
-    pub closed_for_room: u64,
-    /// Connections closed because no request came for too long.
-    pub closed_idle: u64,
-    /// Connections closed because the rest of a request or the taking of an answer took too long.
-    pub closed_overdue: u64,
-    /// Connections and requests refused because there was no room.
-    pub refused: u64,
-}
-
-impl Counts {
-    /// Returns how many connections and requests limits have closed or refused, by the reason's label
-    /// value.
-    pub fn by_reason(&self) -> [(&'static str, u64); 4] {
-        [
-            ("room", self.closed_for_room),
-            ("idle", self.closed_idle),
-            ("overdue", self.closed_overdue),
-            ("refused", self.refused),
-        ]
-    }
-
-    /// Returns true if a limit was met since `earlier`.
-    fn is_limited_since(&self, earlier: &Counts) -> bool {
-        let limited = |c: &Counts| c.closed_for_room + c.closed_overdue + c.refused;
-        limited(self) > limited(earlier)
-    }
-}
-
-#[derive(Debug)]
-struct Entry {
-    listener: Listener,
-    phase: Phase,
-    /// When the phase began.
-    since: Millis,
-    /// When the other side last sent or took bytes.
-    progressed_at: Millis,
-    /// Since when the process has waited for the other side to complete a request.
-    waiting_since: Millis,
-    /// Whether a request was completed on the connection.
-    served: bool,
-    /// Number of complete calls on the connection that are being worked on.
-    work: usize,
-    /// Bytes kept for the connection.
-    bytes: usize,
-    /// Bytes of an answer that the other side has not taken; part of `bytes`.
-    answer_bytes: usize,
-    /// The phase in which the pool began to close the connection.
-    closed_in: Option<Phase>,
-    close: CancellationToken,
-}
-
-impl Entry {
-    /// Returns true if the process waits for the other side.
-    fn is_waiting(&self) -> bool {
-        self.phase.is_waiting() && self.work == 0
-    }
-
-    fn is_closing(&self) -> bool {
-        self.closed_in.is_some()
-    }
-
-    fn key(&self, id: u64) -> WaitKey {
-        (self.served, self.waiting_since, id)
-    }
-}
-
-#[derive(Debug, Default)]
-struct ListenerState {
-    counts: Counts,
-    /// What was logged last.
-    logged: Counts,
-    /// Connections that are being closed.
-    closing: usize,
-    requests: usize,
-    /// Connections that may be closed for others.
-    waiting: BTreeSet<WaitKey>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    entries: HashMap<u64, Entry>,
-    listeners: [ListenerState; Listener::ALL.len()],
-    last_id: u64,
-    bytes: usize,
-    /// Bytes of connections that are being closed.
-    closing_bytes: usize,
-}
-
-impl State {
-    fn listener(&mut self, listener: Listener) -> &mut ListenerState {
-        &mut self.listeners[listener as usize]
-    }
-
-    /// Changes an entry and keeps the set of waiting connections up to date.
-    fn update(&mut self, id: u64, change: impl FnOnce(&mut Entry)) {
-        let Some(entry) = self.entries.get_mut(&id) else { return };
-        let waiting = &mut self.listeners[entry.listener as usize].waiting;
-        waiting.remove(&entry.key(id));
-        change(entry);
-        if entry.is_waiting() && !entry.is_closing() {
-            waiting.insert(entry.key(id));
-        }
-    }
-
-    /// Returns the key of a connection in the order of closing. One that isn't waiting comes last.
-    fn key_of(&self, id: u64) -> WaitKey {
-        match self.entries.get(&id) {
-            Some(entry) if entry.is_waiting() => entry.key(id),
-            _ => (true, Millis::MAX, u64::MAX),
-        }
-    }
-
-    /// Begins to close a connection.
-    fn close(&mut self, id: u64) {
-        let Some(entry) = self.entries.get(&id).filter(|e| !e.is_closing()) else { return };
-        let (listener, bytes) = (entry.listener, entry.bytes);
-        self.closing_bytes += bytes;
-        self.listener(listener).closing += 1;
-        self.update(id, |entry| {
-            entry.closed_in = Some(entry.phase);
-            entry.close.cancel();
-        });
-    }
-
-    /// Begins to close a connection because others need its room.
-    fn close_for_room(&mut self, (_, _, id): WaitKey) {
-        let Some(entry) = self.entries.get(&id) else { return };
-        let listener = entry.listener;
-        self.listener(listener).counts.closed_for_room += 1;
-        self.close(id);
-    }
-
-    /// Begins to close waiting connections that come before `key`, until `extra` more bytes fit
-    /// below `max` once they are closed.
-    fn make_room(&mut self, extra: usize, max: usize, key: WaitKey) -> Shortage {
-        while self.bytes - self.closing_bytes + extra > max {
-            let first = self.listeners.iter().filter_map(|l| l.waiting.first()).min().copied();
-            match first.filter(|first| *first < key) {
-                Some(first) => self.close_for_room(first),
-                None => return Shortage::Full,
-            }
-        }
-        Shortage::Closing
-    }
-
-    fn add_bytes(&mut self, id: u64, bytes: usize) {
-        self.bytes += bytes;
-        if let Some(entry) = self.entries.get_mut(&id) {
-            entry.bytes += bytes;
-            if entry.is_closing() {
-                self.closing_bytes += bytes;
-            }
-        }
-    }
-
-    fn subtract_bytes(&mut self, id: u64, bytes: usize) {
-        self.bytes -= bytes;
-        if let Some(entry) = self.entries.get_mut(&id) {
-            entry.bytes -= bytes;
-            if entry.is_closing() {
-                self.closing_bytes -= bytes;
-            }
-        }
-    }
-}
-
 /// The connections of a process.
 #[derive(Debug)]
 pub struct Pool {
@@ -262,7 +78,7 @@
         let bytes = listener.connection_bytes();
         let max = self.limits.max_bytes_for(listener);
         if state.bytes + bytes > max {
-            return Err(state.make_room(bytes, max, (true, Millis::MAX, u64::MAX)));
+            return Err(state.make_room(bytes, max, LAST_KEY));
         }
         let close = CancellationToken::new();
         let id = self.insert(&mut state, listener, close.clone());
