--- a/crates/hollowford-connections/src/connection.rs
+++ b/crates/hollowford-connections/src/connection.rs
@@ -39,7 +39,7 @@
 pub(crate) struct WaitLimits {
     /// For the rest of a head, from its first byte.
     pub head: Millis,
-    /// For any byte in the other phases.
+    /// For any byte otherwise.
     pub idle: Millis,
 }
 
