connections: buffers for a head's lines are not returned to the system with each request

Cause: heads may have as many lines as fit into their bytes, and the HTTP library takes two buffers of 131 kB for 4,096 lines with each request. The C library's allocator returned them to the operating system each time, and they were mapped again.

Change: a block of 1 MB is taken and freed once, after which the allocator keeps up to 2 MB of freed memory.

Why it works: the C library sets the limit above which it returns memory to twice the largest block that was freed.

--- a/crates/hollowford-connections/src/http.rs
+++ b/crates/hollowford-connections/src/http.rs
@@ -18,6 +18,7 @@
 use poem::{Endpoint, EndpointExt, Request, Response};
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::hint::black_box;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -36,6 +37,9 @@
 const MIN_HEADER_LINE_BYTES: usize = 4;
 /// Heads up to this size fit into the buffers that each connection has.
 const BUFFERED_HEAD_BYTES: usize = 16 << 10;
+/// Freed memory that the process keeps for the next requests, in bytes. The HTTP library takes and
+/// frees a buffer for a head's lines with each.
+const KEPT_FREE_BYTES: usize = 1 << 20;
 /// Answers up to this size fit into the buffers that each connection has.
 const BUFFERED_ANSWER_BYTES: u64 = 8 << 10;
 /// Time in which a closed connection's other side may still take its last answer, and how much of
@@ -79,6 +83,7 @@
 ) where
     E: Endpoint<Output = Response> + 'static,
 {
+    keep_free_memory();
     let until_stopped = stopped.clone();
     let endpoint = Arc::new(endpoint.boxed());
     let mut connections = JoinSet::new();
@@ -101,6 +106,12 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Makes the allocator of the C library keep freed memory: after a block of this size was freed, it
+/// returns memory to the operating system only when more than twice as much is free.
+fn keep_free_memory() {
+    drop(black_box(Vec::<u8>::with_capacity(KEPT_FREE_BYTES)));
+}
+
 /// Closes connections that have waited too long, and logs when limits were met. Never returns.
 async fn close_overdue(pool: &Pool, kind: Listener, limits: &impl Fn() -> HttpLimits) {
     let mut checks = interval(CHECK_INTERVAL);
