Tests: a crowd's driver doesn't wait for ever beside other traffic

Cause, in the driver, not in a check: before the ordinary request it waits until the bytes on their way to the process are 0 or unchanged for 2 s. It counted what the crowd's own sockets had not read as well (40 bytes of answers each, which nobody reads), and heartbeats of the other process to the same address (17 bytes) changed the sum again and again, so neither came. /proc/net/tcp showed both while it hung.

Change: only what the senders hold and the process hasn't read counts, and it ends when the sum has reached no new minimum for 2 s. Crowds, bounds and checks are as they were.

--- a/crates/hollowford/tests/common/crowd.rs
+++ b/crates/hollowford/tests/common/crowd.rs
@@ -14,7 +14,7 @@
 /// A connection whose write makes no progress for this long has sent what the process takes.
 const STALL_TIME: Duration = Duration::from_secs(2);
 
-/// Number of equal checks after which a process takes no more, within [`STALL_TIME`].
+/// Number of checks without progress after which a process takes no more, within [`STALL_TIME`].
 const STALLED_CHECKS: u32 = 10;
 /// After so many failed attempts in a row the process takes no more connections.
 const MAX_FAILED_CONNECTS: usize = 3;
@@ -118,14 +118,15 @@
     }
 }
 
-/// Waits until the process at `addr` has read all that was sent to it, or takes no more.
+/// Waits until the process at `addr` has read all that was sent to it, or takes no more. Others may
+/// send a little to the same address meanwhile.
 pub async fn wait_until_taken(addr: SocketAddr) {
-    let (mut left, mut unchanged) = (u64::MAX, 0);
-    while left > 0 && unchanged < STALLED_CHECKS {
+    let (mut least, mut stalled) = (u64::MAX, 0);
+    while least > 0 && stalled < STALLED_CHECKS {
         sleep(STALL_TIME / STALLED_CHECKS).await;
-        let now = bytes_on_their_way(addr);
-        unchanged = if now == left { unchanged + 1 } else { 0 };
-        left = now;
+        let left = bytes_on_their_way(addr);
+        stalled = if left < least { 0 } else { stalled + 1 };
+        least = least.min(left);
     }
 }
 
--- a/crates/hollowford/tests/common/footprint.rs
+++ b/crates/hollowford/tests/common/footprint.rs
@@ -78,38 +78,45 @@
 fn buffered_bytes(addresses: &[SocketAddr]) -> u64 {
     let list = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let local: Vec<String> = addresses.iter().map(listed_address).collect();
-    list.lines().skip(1).map(|line| buffered_on(line, &local)).sum()
+    let sockets = list.lines().skip(1).filter_map(listed_socket);
+    let of_process = sockets.filter(|s| local.iter().any(|address| address == s.own));
+    of_process.map(|s| s.unsent + s.unread).sum()
 }
 
 /// Returns the bytes on their way to `address`: those that the senders' sockets hold and those that
 /// the process has not read.
 pub fn bytes_on_their_way(address: SocketAddr) -> u64 {
     let list = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let wanted = [listed_address(&address)];
-    let lines = list.lines().skip(1);
-    lines.map(|line| buffered_on(line, &wanted) + buffered_towards(line, &wanted)).sum()
+    let wanted = listed_address(&address);
+    let sockets = list.lines().skip(1).filter_map(listed_socket);
+    let bytes = sockets.map(|s| match &*wanted {
+        a if a == s.own => s.unread,
+        a if a == s.other => s.unsent,
+        _ => 0,
+    });
+    bytes.sum()
 }
 
-/// Returns the bytes that wait in the socket of one line of the list, if its own address is `local`.
-fn buffered_on(line: &str, local: &[String]) -> u64 {
-    buffered_if(line, |own, _| local.iter().any(|l| l == own))
+/// A connected socket as the list shows it.
+struct ListedSocket<'a> {
+    /// Its own address.
+    own: &'a str,
+    /// The address that it is connected to.
+    other: &'a str,
+    /// Bytes that the other side has not taken.
+    unsent: u64,
+    /// Bytes that its process has not read.
+    unread: u64,
 }
 
-/// Returns the bytes that wait in the socket of one line of the list, if it is connected to `remote`.
-fn buffered_towards(line: &str, remote: &[String]) -> u64 {
-    buffered_if(line, |_, other| remote.iter().any(|r| r == other))
-}
-
-/// Returns the bytes that wait in the socket of one line of the list if `counts` says so of its own
-/// address and the one it is connected to.
-fn buffered_if(line: &str, counts: impl Fn(&str, &str) -> bool) -> u64 {
+/// Parses a line of the list. Returns `None` for listening sockets.
+fn listed_socket(line: &str) -> Option<ListedSocket<'_>> {
     let columns: Vec<&str> = line.split_whitespace().collect();
-    let [_, own, other, state, queues, ..] = columns[..] else { return 0 };
-    if state == LISTENING || !counts(own, other) {
-        return 0;
-    }
-    let bytes = |hex| u64::from_str_radix(hex, 16).unwrap_or(0);
-    queues.split_once(':').map_or(0, |(unsent, unread)| bytes(unsent) + bytes(unread))
+    let [_, own, other, state, queues, ..] = columns[..] else { return None };
+    let (unsent, unread) = queues.split_once(':')?;
+    let bytes = |hex| u64::from_str_radix(hex, 16).ok();
+    let socket = ListedSocket { own, other, unsent: bytes(unsent)?, unread: bytes(unread)? };
+    (state != LISTENING).then_some(socket)
 }
 
 /// Returns an address as the list shows it.
