--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -301,6 +301,9 @@
         self.up = False
         # Share of the starts that it rejects with 503, as an unhealthy runner that has done nothing.
         self.unhealthy = 0.0
+        # Cut off from the machines of the system and from the store, while it runs on.
+        self.cut = False
+        self.kinds = ["a"]
 
     async def start(self, port=0):
         """Begins a life: a new id, nothing running, no fence."""
@@ -318,11 +321,13 @@
         return int(now_ms() - self.born)
 
     async def write_entry(self):
+        if self.cut:
+            return
         self.sequence += 1
         entry = {
             "backend": POOL, "address": f"{self.ip}:{self.port}", "zone": "zone-a", "version": "v1",
             "slots": 8, "state": self.state, "cold-remaining-ms": 0, "capacity": self.capacity,
-            "labels": ["a", self.rack], "clock-ms": self.clock(), "sequence": self.sequence,
+            "labels": [*self.kinds, self.rack], "clock-ms": self.clock(), "sequence": self.sequence,
         }
         await self.deployment.store.put("servers", self.id, entry)
 
@@ -358,6 +363,10 @@
         self.more.set()
 
     async def handle(self, method, path, query, headers, body):
+        if self.cut:
+            # The call is lost, and nobody says so.
+            await asyncio.sleep(60)
+            return None
         if headers.get("hollowford-target-instance", self.id) != self.id:
             return 421, {"clock-ms": self.clock()}
         order = json.loads(body)
@@ -414,7 +423,7 @@
                 await asyncio.wait_for(self.more.wait(), wait)
             except asyncio.TimeoutError:
                 pass
-        if not self.up:
+        if not self.up or self.cut:
             return None
         clock = self.clock()
 
@@ -547,6 +556,7 @@
         self.starts = []  # (time, task, run, runner id)
         self.ends = []  # (time, task, run, runner id, how)
         self.specs = {}  # job -> what was handed in
+        self.key = None  # of the tenant whose clients call
         self.version = 0
 
     def run_started(self, runner, task, run):
@@ -557,7 +567,7 @@
         self.ends.append((time.monotonic(), task, run["run"], runner.id, how))
         self.record(f"run ended task={task} run={run['run']} runner={runner.id} how={how}")
 
-    async def configure(self, routes):
+    async def configure(self, routes, tenants=None):
         """Writes a config with these routes: (name, prefix, priority)."""
         self.version += 1
         config = {
@@ -570,6 +580,8 @@
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
         }
+        if tenants:
+            config["tenants"] = tenants
         await self.store.put("op", "config", config)
 
     def spawn(self, coroutine):
@@ -577,9 +589,9 @@
         self.tasks.append(task)
         return task
 
-    async def start(self, routes=(("r-one", PREFIX, 1),)):
+    async def start(self, routes=(("r-one", PREFIX, 1),), tenants=None):
         await self.store.start(f"127.{self.net}.2.11")
-        await self.configure(routes)
+        await self.configure(routes, tenants)
         for r in self.runners:
             await r.start()
         for n in self.nodes:
@@ -630,6 +642,8 @@
         """One try of a client."""
         n = node or self.pick()
         headers = {"Host": HOST, "Content-Type": "application/json", "Hollowford-Timeout-Ms": int(limit_ms)}
+        if self.key:
+            headers["Authorization"] = f"Bearer {self.key}"
         status, body = await http_call(n.ip, n.frontend, method, path, headers, value, limit_ms / 1_000)
         self.record(f"client {method} {path} at {n.name}: {status if status else body}"
                     f"{' ' + body.decode(errors='replace') if status == 200 and method == 'GET' else ''}")
